--- /dev/null
+++ b/packages/common/src/config/Types.ts
@@ -0,0 +1,143 @@
+/** Shapes of the configuration document, of the records that carry it, and of verdicts on them. */
+import type * as base from '../base/Types.js'
+
+/** A service of the institution. Slots and connections are limits of each of its targets. */
+export interface ServiceConfig {
+  readonly name: string
+  /** Calls that one target runs at the same time. */
+  readonly slots: number
+  /** Connections that one target accepts. */
+  readonly connections: number
+  /** Time over which the share of a target that has just started rises to its full value. */
+  readonly coldStartMs: base.Millis
+}
+
+/** States in which zones a service may be offered. Addresses come from announcements. */
+export interface TargetRule {
+  readonly service: string
+  readonly zones: readonly string[]
+}
+
+export interface RouteMatch {
+  /** HTTP method, or `*` for every method. */
+  readonly method: string
+  readonly pathPrefix: string
+}
+
+export interface RouteConfig {
+  readonly name: string
+  readonly match: RouteMatch
+  readonly service: string
+  readonly idempotent: boolean
+  readonly timeoutMs: base.Millis
+  readonly retry: { readonly maxAttempts: number }
+  readonly limits: { readonly maxQueueMs: base.Millis, readonly maxBodyBytes: number }
+}
+
+export type ZonePreference = 'local-first' | 'any'
+
+export type DistributionPreference = 'convergence-time' | 'control-bytes'
+
+export interface DistributionTerms {
+  readonly preference: DistributionPreference
+  readonly pushFanout: number
+  readonly gossipIntervalMs: base.Millis
+}
+
+/** Terms of the institution for draining, retries, ownership and distribution. */
+export interface Terms {
+  readonly drainMs: base.Millis
+  /** Retries allowed per first attempt, 0 to 1. */
+  readonly retryBudgetRatio: number
+  readonly zonePreference: ZonePreference
+  readonly ownershipHorizonMs: base.Millis
+  readonly keyRetentionMs: base.Millis
+  readonly distribution: DistributionTerms
+}
+
+/** The declarative file that operators apply as a whole. */
+export interface ConfigDocument {
+  readonly institution: string
+  readonly services: readonly ServiceConfig[]
+  readonly targets: readonly TargetRule[]
+  readonly routes: readonly RouteConfig[]
+  readonly terms: Terms
+}
+
+/** A document together with its place in the sequence of accepted versions. */
+export interface AcceptedState {
+  readonly version: number
+  /** SHA-256 of the canonical JSON of `document`. */
+  readonly digest: string
+  readonly rulesVersion: number
+  readonly document: ConfigDocument
+}
+
+export interface ProposalRecord {
+  readonly kind: 'proposal'
+  readonly proposalId: string
+  readonly version: number
+  readonly baseVersion: number
+  readonly baseDigest: string
+  readonly digest: string
+  readonly rulesVersion: number
+  readonly author: string
+  readonly proposedAtMs: base.Millis
+  readonly document: ConfigDocument
+}
+
+export interface SnapshotRecord {
+  readonly kind: 'snapshot'
+  readonly version: number
+  readonly digest: string
+  readonly rulesVersion: number
+  readonly document: ConfigDocument
+}
+
+export type ConfigRecord = ProposalRecord | SnapshotRecord
+
+/** A record of any log stream as the log service returns it. `data` is not yet checked. */
+export interface LogRecord {
+  readonly offset: number
+  readonly data: unknown
+}
+
+export type VerdictKind =
+  | 'accepted'
+  | 'duplicate'
+  | 'conflict'
+  | 'invalid'
+  | 'too-large'
+  | 'unsupported-rules'
+  | 'stale-snapshot'
+  | 'snapshot-adopted'
+
+/** The judgement on one record. The same prefix of the log gives the same verdicts on every node. */
+export interface Verdict {
+  readonly kind: VerdictKind
+  readonly offset: number
+  readonly proposalId?: string
+  /** The version that the record asked for, or the version in force when it has none. */
+  readonly version: number
+  readonly reason: string
+}
+
+/** One thing that is wrong with a document. */
+export interface ConfigProblem {
+  /** JSON pointer to the offending value. */
+  readonly pointer: string
+  readonly message: string
+  /** What the operator should change. */
+  readonly remedy: string
+}
+
+/** An update from one version to another, checked by digests on both ends. */
+export interface ConfigDeltaMessage {
+  readonly version: number
+  readonly rulesVersion: number
+  readonly baseVersion: number
+  readonly baseDigest: string
+  readonly digest: string
+  /** RFC 6902 JSON Patch against the base document. */
+  readonly patch: readonly unknown[]
+}
--- /dev/null
+++ b/packages/common/src/distribution/Services.ts
@@ -0,0 +1,26 @@
+import type * as base from '../base/Types.js'
+import type * as config from '../config/Types.js'
+import type * as messages from '../node/Messages.js'
+import type * as types from './Types.js'
+
+/** Holds the state in force. Versions never go down. */
+export interface IEnforcement {
+  readonly onEnforced: base.IEvent<types.VersionEnforced>
+  readonly current: config.AcceptedState | undefined
+  readonly floorVersion: number
+  /** Raises the lowest version that may be enforced. */
+  raiseFloor(version: number): void
+  /** Validates the whole state and swaps it in. Returns false if it is older, below the floor or invalid. */
+  enforce(state: config.AcceptedState, nowMs: base.Millis): boolean
+}
+
+/** Reads the log when this node is a reader, pushes new versions and repairs nodes that are behind. */
+export interface IDistribution {
+  readonly isReader: boolean
+  tick(nowMs: base.Millis): void
+  receive(from: base.NodeId, message: messages.DistributionMessage, nowMs: base.Millis): void
+  /** Result of a `read-log` effect on the stream `config`. */
+  logRead(result: messages.LogReadResult, nowMs: base.Millis): void
+  logAppended(result: messages.LogAppendResult, nowMs: base.Millis): void
+  readiness(nowMs: base.Millis): types.Readiness
+}
--- /dev/null
+++ b/packages/common/src/hosting/Types.ts
@@ -0,0 +1,145 @@
+/** Shapes of calls on the host side: outcomes, load, ownership of idempotency keys, crash records. */
+import type * as base from '../base/Types.js'
+
+/** The three outcomes that a caller can get. */
+export type Outcome = 'answered' | 'not-run' | 'unknown'
+
+export type OutcomeReason =
+  | 'ok'
+  | 'no-route'
+  | 'no-target'
+  | 'no-configuration'
+  | 'bad-key'
+  | 'key-reused'
+  | 'key-too-old'
+  | 'stale-send'
+  | 'key-too-new'
+  | 'key-before-start'
+  | 'not-owner'
+  | 'owner-unreachable'
+  | 'overloaded'
+  | 'deadline'
+  | 'canceled'
+  | 'draining'
+  | 'crashes-target'
+  | 'target-lost'
+  | 'peer-lost'
+  | 'body-too-large'
+  | 'too-deep'
+  | 'answer-not-kept'
+  | 'running'
+
+/** Load of a target, carried on every answer of its host node. */
+export interface LoadReport {
+  readonly inFlight: number
+  readonly queued: number
+  readonly slots: number
+}
+
+/** A range of key issue times, `fromMs` inclusive, `untilMs` exclusive. */
+export interface KeyWindow {
+  readonly fromMs: base.Millis
+  readonly untilMs: base.Millis
+}
+
+export interface PartitionOwner {
+  readonly nodeId: base.NodeId
+  readonly incarnation: base.Incarnation
+}
+
+/** Keys issued at or after `startsAtMs` belong to `owner`, until a later entry of the same partition starts. */
+export interface PartitionEntry {
+  readonly service: string
+  readonly partition: number
+  readonly startsAtMs: base.Millis
+  readonly owner: PartitionOwner
+}
+
+export interface HorizonRecord {
+  readonly kind: 'horizon'
+  readonly untilMs: base.Millis
+}
+
+export interface PartitionsRecord {
+  readonly kind: 'partitions'
+  /** Version of the table that the change was computed on; a record on another version is ignored. */
+  readonly baseTableVersion: number
+  readonly startsAtMs: base.Millis
+  readonly entries: readonly PartitionEntry[]
+}
+
+/** The whole table, re-appended before the log drops the records that made it. */
+export interface TableSnapshotRecord {
+  readonly kind: 'table-snapshot'
+  readonly tableVersion: number
+  readonly horizonMs: base.Millis
+  readonly entries: readonly PartitionEntry[]
+}
+
+export type OwnershipRecord = HorizonRecord | PartitionsRecord | TableSnapshotRecord
+
+/** State of the ownership table on its way between nodes. */
+export interface OwnershipUpdate {
+  readonly tableVersion: number
+  readonly horizonMs: base.Millis
+  /** Entries changed since `sinceVersion`; all entries if it is 0. */
+  readonly sinceVersion: number
+  readonly entries: readonly PartitionEntry[]
+}
+
+/** A request that was running when its target died. */
+export interface CrashRecord {
+  readonly key: string
+  readonly fingerprint: string
+  readonly nodeId: base.NodeId
+  readonly atMs: base.Millis
+  /** Calls that ran on the target at that moment. */
+  readonly concurrent: number
+}
+
+export type KeyState = 'running' | 'answered' | 'refused' | 'unknown'
+
+/** What a stopping owner passes to its successor. */
+export interface Handover {
+  readonly from: PartitionOwner
+  readonly atMs: base.Millis
+  readonly keys: readonly HandoverKey[]
+}
+
+export interface HandoverKey {
+  readonly key: string
+  readonly service: string
+  readonly fingerprint: string
+  readonly state: KeyState
+  readonly status: number
+  readonly headers: Readonly<Record<string, string>>
+  readonly body: Uint8Array | undefined
+}
+
+/** What the host does with a call that has arrived. */
+export type HostDecision =
+  /** Put into the target's queue; `cancelBeforeMs` is the latest start. */
+  | { readonly kind: 'run', readonly runId: number, readonly latestStartMs: base.Millis }
+  /** Ask another node to run it once. */
+  | { readonly kind: 'delegate', readonly runId: number, readonly to: base.NodeId, readonly address: string }
+  /** Wait for the running call with the same key; the answer goes to both. */
+  | { readonly kind: 'join', readonly runId: number }
+  /** Final answer from memory or a refusal. */
+  | { readonly kind: 'answer', readonly answer: FinalAnswer }
+
+export interface FinalAnswer {
+  readonly outcome: Outcome
+  readonly reason: OutcomeReason
+  readonly status: number
+  readonly headers: Readonly<Record<string, string>>
+  readonly body: Uint8Array | undefined
+  readonly retryAfterMs: base.Millis
+}
+
+/** How the run on the target ended. */
+export type RunResult =
+  | { readonly kind: 'answered', readonly status: number, readonly headers: Readonly<Record<string, string>>, readonly body: Uint8Array | undefined, readonly streamed: boolean, readonly serviceMs: base.Millis }
+  /** The request was never written to the target. */
+  | { readonly kind: 'not-started', readonly reason: OutcomeReason }
+  /** The request reached the target, and its answer did not come back whole. */
+  | { readonly kind: 'lost', readonly reason: OutcomeReason, readonly targetDied: boolean }
--- /dev/null
+++ b/packages/common/src/index.ts
@@ -0,0 +1,7 @@
+export * as base from './base/Types.js'
+export * as configTypes from './config/Types.js'
+export * as membershipTypes from './membership/Types.js'
+export * as distributionTypes from './distribution/Types.js'
+export * as routingTypes from './routing/Types.js'
+export * as hostingTypes from './hosting/Types.js'
+export * as messages from './node/Messages.js'
--- /dev/null
+++ b/packages/common/src/membership/Types.ts
@@ -0,0 +1,37 @@
+/** Shapes of the member table: one row per node. */
+import type * as base from '../base/Types.js'
+
+export type MemberState = 'joining' | 'ready' | 'draining' | 'left' | 'suspect' | 'dead'
+
+export interface MemberRow {
+  readonly nodeId: base.NodeId
+  readonly incarnation: base.Incarnation
+  readonly state: MemberState
+  /** `host:port` of the peer endpoint. */
+  readonly peerAddress: string
+  /** `host:port` of the callers' endpoint. */
+  readonly callerAddress: string
+  readonly zone: string
+  /** Service of the target beside the node, or empty if it has none. */
+  readonly service: string
+  /** Whether the target beside the node is up. Routing uses rows that are `ready` with a ready target. */
+  readonly targetReady: boolean
+  /** Time at which the target became ready, for slow start. */
+  readonly targetReadySinceMs: base.Millis
+  /** Highest configuration version that the node enforces. */
+  readonly enforcedVersion: number
+  /** `host:port` of the administration endpoint. */
+  readonly adminAddress: string
+  /** Counts changes of the other fields within one incarnation and state. */
+  readonly revision: number
+  /** Node that took over the key windows of a row that has left; empty if none. */
+  readonly successor: string
+}
+
+/** Fields that a node announces about itself. */
+export type SelfAnnouncement = Omit<MemberRow, 'state' | 'revision' | 'successor'>
+
+export interface MemberChange {
+  readonly previous: MemberRow | undefined
+  readonly current: MemberRow
+}
--- /dev/null
+++ b/packages/common/src/node/Messages.ts
@@ -0,0 +1,207 @@
+/**
+ * Messages between nodes, and the effects that the core asks its process to carry out.
+ * Every message is a plain map with a `kind`, encoded by `msgpackr`.
+ */
+import type * as base from '../base/Types.js'
+import type * as config from '../config/Types.js'
+import type * as hosting from '../hosting/Types.js'
+import type * as membership from '../membership/Types.js'
+
+/** First message in both directions on a new connection. */
+export interface HelloMessage {
+  readonly kind: 'hello'
+  readonly nodeId: base.NodeId
+  readonly incarnation: base.Incarnation
+  readonly zone: string
+  readonly version: number
+  /** Sender's clock, for the check of the clock difference. */
+  readonly sentAtMs: base.Millis
+}
+
+export interface ProbeMessage {
+  readonly kind: 'probe'
+  readonly sequence: number
+  readonly version: number
+  readonly updates: readonly membership.MemberRow[]
+  readonly crashes: readonly hosting.CrashRecord[]
+}
+
+export interface ProbeRequestMessage {
+  readonly kind: 'probe-request'
+  readonly sequence: number
+  readonly target: base.NodeId
+}
+
+export interface ProbeAckMessage {
+  readonly kind: 'probe-ack'
+  readonly sequence: number
+  /** Node that was probed; differs from the sender for indirect probes. */
+  readonly target: base.NodeId
+  readonly version: number
+  readonly updates: readonly membership.MemberRow[]
+  readonly crashes: readonly hosting.CrashRecord[]
+}
+
+export interface TableDigestMessage {
+  readonly kind: 'table-digest'
+  /** One hash per bucket of the member table. */
+  readonly buckets: readonly number[]
+}
+
+export interface TableRowsMessage {
+  readonly kind: 'table-rows'
+  readonly rows: readonly membership.MemberRow[]
+  /** Buckets whose rows the sender wants in return. */
+  readonly wantedBuckets: readonly number[]
+}
+
+export type MembershipMessage =
+  | ProbeMessage
+  | ProbeRequestMessage
+  | ProbeAckMessage
+  | TableDigestMessage
+  | TableRowsMessage
+
+/** A new version on its way down the push tree. Exactly one of `delta` and `state` is present. */
+export interface PushMessage {
+  readonly kind: 'push'
+  readonly version: number
+  /** Members of the sender's zone, or all, that this receiver has to forward to, by tree position. */
+  readonly rootId: base.NodeId
+  readonly delta?: config.ConfigDeltaMessage
+  readonly state?: config.AcceptedState
+  readonly ownership?: hosting.OwnershipUpdate
+}
+
+export interface PullMessage {
+  readonly kind: 'pull'
+  readonly haveVersion: number
+  readonly haveDigest: string
+  readonly haveOwnershipVersion: number
+}
+
+export interface StateMessage {
+  readonly kind: 'state'
+  readonly version: number
+  readonly delta?: config.ConfigDeltaMessage
+  readonly state?: config.AcceptedState
+  readonly ownership?: hosting.OwnershipUpdate
+}
+
+export interface BusyMessage {
+  readonly kind: 'busy'
+  readonly retryAfterMs: base.Millis
+}
+
+export type DistributionMessage = PushMessage | PullMessage | StateMessage | BusyMessage
+
+export interface OwnershipMessage {
+  readonly kind: 'ownership'
+  readonly update: hosting.OwnershipUpdate
+}
+
+export interface HandoverMessage {
+  readonly kind: 'handover'
+  readonly handover: hosting.Handover
+}
+
+export interface HandoverAckMessage {
+  readonly kind: 'handover-ack'
+  readonly fromNodeId: base.NodeId
+  readonly incarnation: base.Incarnation
+}
+
+/** A call on its way from the entry node to a host node. */
+export interface CallMessage {
+  readonly kind: 'call'
+  /** Unique per entry node incarnation; never reused. */
+  readonly callId: number
+  readonly route: string
+  readonly service: string
+  readonly version: number
+  readonly method: string
+  readonly path: string
+  readonly headers: Readonly<Record<string, string>>
+  readonly body: Uint8Array | undefined
+  readonly remainingMs: base.Millis
+  /** Sender's clock when the message was written. */
+  readonly sentAtMs: base.Millis
+  readonly key: string | undefined
+  readonly fingerprint: string
+  readonly depth: number
+  readonly attempt: number
+  /** Present when the owner of the key asks another node to run the call once. */
+  readonly delegatedBy?: base.NodeId
+}
+
+export interface CancelMessage {
+  readonly kind: 'cancel'
+  readonly callId: number
+}
+
+/** Head of an answer. `body` is the whole body when `last` is true, else `chunk` messages follow. */
+export interface AnswerMessage {
+  readonly kind: 'answer'
+  readonly callId: number
+  readonly outcome: hosting.Outcome
+  readonly reason: hosting.OutcomeReason
+  readonly status: number
+  readonly headers: Readonly<Record<string, string>>
+  readonly body: Uint8Array | undefined
+  readonly last: boolean
+  readonly retryAfterMs: base.Millis
+  readonly load: hosting.LoadReport
+}
+
+export interface ChunkMessage {
+  readonly kind: 'chunk'
+  readonly callId: number
+  readonly sequence: number
+  readonly body: Uint8Array | undefined
+  readonly last: boolean
+  /** The answer cannot be completed; the entry node destroys the caller's connection. */
+  readonly failed: boolean
+}
+
+export type CallPathMessage = CallMessage | CancelMessage | AnswerMessage | ChunkMessage
+
+export type ControlMessage =
+  | MembershipMessage
+  | DistributionMessage
+  | OwnershipMessage
+  | HandoverMessage
+  | HandoverAckMessage
+
+export type PeerMessage = HelloMessage | ControlMessage | CallPathMessage
+
+export type StreamName = 'config' | 'ownership' | 'audit'
+
+/** What the core asks its process to do. */
+export type Effect =
+  | { readonly kind: 'send', readonly to: base.NodeId, readonly address: string, readonly message: ControlMessage }
+  | { readonly kind: 'read-log', readonly stream: StreamName, readonly fromOffset: number, readonly limit: number, readonly waitMs: base.Millis }
+  | { readonly kind: 'append-log', readonly stream: StreamName, readonly requestId: string, readonly data: unknown }
+
+/** Collects effects. The process drains it after each call into the core. */
+export interface IEffects {
+  push(effect: Effect): void
+}
+
+export interface LogReadResult {
+  readonly stream: StreamName
+  readonly ok: boolean
+  readonly records: readonly config.LogRecord[]
+  /** Oldest offset still kept by the log. */
+  readonly firstOffset: number
+  readonly nextOffset: number
+  /** Time for which the log keeps a record, if it tells. */
+  readonly retentionMs: base.Millis
+}
+
+/** `unknown` means that the append may have taken effect. */
+export interface LogAppendResult {
+  readonly stream: StreamName
+  readonly requestId: string
+  readonly status: 'appended' | 'refused' | 'unknown'
+  readonly offset: number
+}
