--- /dev/null
+++ b/packages/common/src/routing/EntryCalls.test.ts
@@ -0,0 +1,57 @@
+import * as assert from 'node:assert/strict'
+import * as test from 'node:test'
+import * as uuid from 'uuid'
+import * as fake from './FakeMesh.js'
+
+const charge = { method: 'POST', path: '/till/charge' }
+const suppliedKey = uuid.v7({ msecs: 1_000, random: new Uint8Array(16).fill(7) })
+
+function meshOf (count: number): fake.FakeMesh {
+  return new fake.FakeMesh(Array.from({ length: count }, (_, i) => fake.rowOf({ nodeId: `till-${i}` })))
+}
+
+test.describe('EntryCalls', () => {
+  test.describe('idempotent call', () => {
+    test.it('is sent elsewhere after its connection was lost, so that a dead node costs no answer', () => {
+      const calls = meshOf(3).entryCalls(1)
+      const first = fake.asSend(calls.begin(fake.requestOf({}), 0))
+      const second = fake.asSend(calls.failed(first.callId, 'peer-lost', 10))
+      assert.notEqual(second.to, first.to)
+      assert.equal(second.attempt, 2)
+      assert.equal(second.deadlineAtMs, first.deadlineAtMs)
+    })
+
+    test.it('ends as unknown when a later attempt is refused, because the lost one may have run', () => {
+      const calls = meshOf(3).entryCalls(1)
+      const first = fake.asSend(calls.begin(fake.requestOf({}), 0))
+      const second = fake.asSend(calls.failed(first.callId, 'peer-lost', 10))
+      const refusal = fake.answerOf(first.callId, { outcome: 'not-run', reason: 'overloaded', status: 503 })
+      const answer = fake.asAnswer(calls.answered(first.callId, second.to, refusal, 20))
+      assert.equal(answer.outcome, 'unknown')
+      assert.ok(answer.retryAfterMs > 0)
+    })
+  })
+
+  test.describe('keyed call', () => {
+    test.it('goes to the owner of its key and nowhere else, so that it runs at most once', () => {
+      const mesh = meshOf(5)
+      const calls = mesh.entryCalls(1)
+      const sent = fake.asSend(calls.begin(fake.requestOf({ ...charge, key: suppliedKey.toUpperCase() }), 1_000))
+      const lookup = mesh.ownerOf('till', suppliedKey).unwrap()
+      assert.equal(sent.to, lookup.kind === 'owner' ? lookup.owner.nodeId : '')
+      assert.equal(sent.key, suppliedKey)
+      const answer = fake.asAnswer(calls.failed(sent.callId, 'peer-lost', 1_010))
+      assert.equal(answer.outcome, 'unknown')
+    })
+
+    for (const [key, outcome] of [[suppliedKey, 'unknown'], [undefined, 'not-run']] as const) {
+      test.it(`that was not sent is ${outcome} for a ${key === undefined ? 'generated' : 'supplied'} key, because only a supplied one may have been sent before`, () => {
+        const calls = meshOf(5).entryCalls(1)
+        const sent = fake.asSend(calls.begin(fake.requestOf({ ...charge, key }), 1_000))
+        const answer = fake.asAnswer(calls.failed(sent.callId, 'not-sent', 1_001))
+        assert.equal(answer.outcome, outcome)
+        assert.equal(answer.headers['idempotency-key'], sent.key)
+      })
+    }
+  })
+})
--- a/packages/common/src/routing/Services.ts
+++ b/packages/common/src/routing/Services.ts
@@ -10,16 +10,26 @@
   begin(request: types.EntryRequest, nowMs: base.Millis): types.EntryDecision
   /** Head of an answer arrived. Gives the final answer, or another send. */
   answered(callId: number, from: base.NodeId, answer: messages.AnswerMessage, nowMs: base.Millis): types.EntryDecision | undefined
-  failed(callId: number, failure: types.SendFailure, nowMs: base.Millis): types.EntryDecision | undefined
+  /** A send brought no answer. With `from`, a failure of an earlier send of the call is ignored. */
+  failed(callId: number, failure: types.SendFailure, nowMs: base.Millis, from?: base.NodeId): types.EntryDecision | undefined
   /** The caller is gone. Returns the node that has to be told, if any. */
   cancel(callId: number, nowMs: base.Millis): base.NodeId | undefined
   /** Expires calls whose deadline has passed and returns their final answers. */
   tick(nowMs: base.Millis): readonly types.EntryDecision[]
 }
 
-/** Chooses a target for a call. */
+/** Chooses a target for a call. Every `sent` must be followed by one `observe`. */
 export interface ITargetSelector {
+  /** Chooses a target of a service of the configuration in force. */
   select(service: string, exclude: ReadonlySet<base.NodeId>, nowMs: base.Millis): base.NodeId | undefined
-  /** Load and success of an answer, or a failure to get one. */
-  observe(nodeId: base.NodeId, result: 'success' | 'failure' | 'refused', load: hosting.LoadReport | undefined, nowMs: base.Millis): void
+  /** Chooses a target for a call that began under an earlier configuration. */
+  selectFor(service: types.ServiceTargets, exclude: ReadonlySet<base.NodeId>, nowMs: base.Millis): base.NodeId | undefined
+  /** A call was handed out for sending to the node. */
+  sent(nodeId: base.NodeId, nowMs: base.Millis): void
+  /** The call on the node ended, with the load of its answer if there was one. */
+  observe(nodeId: base.NodeId, result: types.SendResult, load: hosting.LoadReport | undefined, nowMs: base.Millis): void
+  /** Estimated `(inFlight + queued) / slots` of a node; infinite while it is ejected. */
+  utilizationOf(nodeId: base.NodeId, slots: number, nowMs: base.Millis): number
+  /** Forgets targets that are no longer used. */
+  tick(nowMs: base.Millis): void
 }
--- /dev/null
+++ b/packages/common/src/routing/TargetSelector.ts
@@ -0,0 +1,207 @@
+import type * as base from '../base/Types.js'
+import type * as configServices from '../distribution/Services.js'
+import * as ejection from './Ejection.js'
+import type * as hosting from '../hosting/Types.js'
+import * as loadTable from './LoadTable.js'
+import type * as membershipServices from '../membership/Services.js'
+import type * as membership from '../membership/Types.js'
+import * as routeTable from './RouteTable.js'
+import type * as services from './Services.js'
+import * as subset from './Subset.js'
+import type * as types from './Types.js'
+
+/** Above this utilization calls move on: from the local target to its zone, from the zone to other zones. */
+const SPILL_UTILIZATION = 0.8
+
+/** Draws of a usable target before the pool is searched in order. */
+const RANDOM_DRAWS = 4
+
+/** Share of a target at the moment it starts, so that its first calls warm it up. */
+const LOWEST_WEIGHT = 0.05
+
+export interface TargetSelectorOptions {
+  readonly membership: Pick<membershipServices.IMembership, 'self' | 'targetsOf'>
+  /** Gives the configuration that `select` reads services from. */
+  readonly enforcement: Pick<configServices.IEnforcement, 'current'>
+  readonly random: base.IRandom
+  /** Targets of one service that this node connects to; 24 if absent. */
+  readonly subsetSize?: number
+}
+
+interface Candidate {
+  readonly nodeId: base.NodeId
+  readonly readySinceMs: base.Millis
+}
+
+/** Candidates of a service, by distance. */
+interface View {
+  readonly rows: readonly membership.MemberRow[]
+  readonly service: types.ServiceTargets
+  readonly local: Candidate | undefined
+  readonly sameZone: readonly Candidate[]
+  readonly otherZones: readonly Candidate[]
+}
+
+/** Power of two choices by utilization, nearest targets first. */
+export class TargetSelector implements services.ITargetSelector {
+  private readonly _options: TargetSelectorOptions
+  private readonly _loads = new loadTable.LoadTable()
+  private readonly _ejection = new ejection.Ejection()
+  private readonly _subset: subset.Subset
+  private readonly _views = new Map<string, View>()
+
+  constructor (options: TargetSelectorOptions) {
+    this._options = options
+    const self = options.membership.self
+    this._subset = new subset.Subset({
+      nodeId: self.nodeId,
+      zone: self.zone,
+      ...(options.subsetSize === undefined ? {} : { size: options.subsetSize })
+    })
+  }
+
+  public select (service: string, exclude: ReadonlySet<base.NodeId>, nowMs: base.Millis): base.NodeId | undefined {
+    const state = this._options.enforcement.current
+    if (state === undefined) return undefined
+    const found = routeTable.RouteTable.of(state).service(service)
+    if (found === undefined) return undefined
+    return this.selectFor(found, exclude, nowMs)
+  }
+
+  public selectFor (service: types.ServiceTargets, exclude: ReadonlySet<base.NodeId>, nowMs: base.Millis): base.NodeId | undefined {
+    const view = this._view(service, nowMs)
+    const slots = service.config.slots
+    const local = this._usableLocal(view, exclude, nowMs)
+    if (local !== undefined && this._score(local, view, nowMs) < SPILL_UTILIZATION) return local.nodeId
+    const near = this._better(view.sameZone, view, exclude, nowMs)
+    if (near !== undefined && this._loads.utilization(near.nodeId, slots, nowMs) <= SPILL_UTILIZATION) return near.nodeId
+    const far = this._better(view.otherZones, view, exclude, nowMs)
+    return (this._lower([near, far, local], view, nowMs) ?? this._lastResort(view, exclude))?.nodeId
+  }
+
+  public sent (nodeId: base.NodeId, nowMs: base.Millis): void {
+    this._loads.sent(nodeId, nowMs)
+  }
+
+  public observe (nodeId: base.NodeId, result: types.SendResult, load: hosting.LoadReport | undefined, nowMs: base.Millis): void {
+    this._loads.ended(nodeId)
+    if (load !== undefined) this._loads.report(nodeId, load, nowMs)
+    if (result === 'success') this._ejection.succeeded(nodeId, nowMs)
+    else if (result === 'failure') this._ejection.failed(nodeId, nowMs)
+    else if (result === 'refused') this._loads.refused(nodeId, nowMs)
+  }
+
+  public utilizationOf (nodeId: base.NodeId, slots: number, nowMs: base.Millis): number {
+    if (this._ejection.isEjected(nodeId, nowMs)) return Infinity
+    return this._loads.utilization(nodeId, slots, nowMs)
+  }
+
+  public tick (nowMs: base.Millis): void {
+    this._loads.tick(nowMs)
+    this._ejection.tick(nowMs)
+  }
+
+  private _view (service: types.ServiceTargets, nowMs: base.Millis): View {
+    const name = service.config.name
+    const rows = this._options.membership.targetsOf(name)
+    const known = this._views.get(name)
+    if (known !== undefined && known.rows === rows && known.service === service) return known
+    const view = this._build(service, rows)
+    this._views.set(name, view)
+    this._ejection.setCandidates(name, candidatesOf(view).map(candidate => candidate.nodeId), nowMs)
+    return view
+  }
+
+  private _build (service: types.ServiceTargets, rows: readonly membership.MemberRow[]): View {
+    const self = this._options.membership.self
+    const allowed = rows.filter(row => service.zones.has(row.zone))
+    const ownRow = allowed.find(row => row.nodeId === self.nodeId)
+    const chosen = this._subset.choose(allowed.filter(row => row !== ownRow)).map(candidateOf)
+    const zones = new Map(allowed.map(row => [row.nodeId, row.zone]))
+    if (service.zonePreference === 'any') {
+      const all = ownRow === undefined ? chosen : [...chosen, candidateOf(ownRow)]
+      return { rows, service, local: undefined, sameZone: all, otherZones: [] }
+    }
+    return {
+      rows,
+      service,
+      local: ownRow === undefined ? undefined : candidateOf(ownRow),
+      sameZone: chosen.filter(candidate => zones.get(candidate.nodeId) === self.zone),
+      otherZones: chosen.filter(candidate => zones.get(candidate.nodeId) !== self.zone)
+    }
+  }
+
+  private _usableLocal (view: View, exclude: ReadonlySet<base.NodeId>, nowMs: base.Millis): Candidate | undefined {
+    const local = view.local
+    if (local === undefined || !this._isUsable(local, exclude, nowMs)) return undefined
+    return this._passesSlowStart(local, view, nowMs) ? local : undefined
+  }
+
+  /** The less utilized of two random candidates. */
+  private _better (pool: readonly Candidate[], view: View, exclude: ReadonlySet<base.NodeId>, nowMs: base.Millis): Candidate | undefined {
+    const first = this._draw(pool, view, exclude, nowMs)
+    if (first === undefined || pool.length === 1) return first
+    const second = this._draw(pool, view, exclude, nowMs, first)
+    return this._lower([first, second], view, nowMs)
+  }
+
+  private _draw (pool: readonly Candidate[], view: View, exclude: ReadonlySet<base.NodeId>, nowMs: base.Millis, other?: Candidate): Candidate | undefined {
+    if (pool.length === 0) return undefined
+    for (let i = 0; i < RANDOM_DRAWS; i++) {
+      const candidate = pool[this._options.random.nextInt(pool.length)]
+      if (candidate === undefined || candidate === other) continue
+      if (this._isUsable(candidate, exclude, nowMs) && this._passesSlowStart(candidate, view, nowMs)) return candidate
+    }
+    if (other !== undefined) return undefined
+    return pool.find(candidate => this._isUsable(candidate, exclude, nowMs))
+  }
+
+  private _lower (candidates: ReadonlyArray<Candidate | undefined>, view: View, nowMs: base.Millis): Candidate | undefined {
+    let lowest: Candidate | undefined
+    let lowestScore = Infinity
+    for (const candidate of candidates) {
+      if (candidate === undefined) continue
+      const score = this._score(candidate, view, nowMs)
+      if (lowest !== undefined && score >= lowestScore) continue
+      lowest = candidate
+      lowestScore = score
+    }
+    return lowest
+  }
+
+  /** An ejected target is better than none. */
+  private _lastResort (view: View, exclude: ReadonlySet<base.NodeId>): Candidate | undefined {
+    return candidatesOf(view).find(candidate => !exclude.has(candidate.nodeId))
+  }
+
+  private _isUsable (candidate: Candidate, exclude: ReadonlySet<base.NodeId>, nowMs: base.Millis): boolean {
+    return !exclude.has(candidate.nodeId) && !this._ejection.isEjected(candidate.nodeId, nowMs)
+  }
+
+  private _score (candidate: Candidate, view: View, nowMs: base.Millis): number {
+    const utilization = this._loads.utilization(candidate.nodeId, view.service.config.slots, nowMs)
+    return utilization / weightOf(candidate, view, nowMs)
+  }
+
+  /** A target with weight w is drawn with w times the probability of a warm one. */
+  private _passesSlowStart (candidate: Candidate, view: View, nowMs: base.Millis): boolean {
+    const weight = weightOf(candidate, view, nowMs)
+    return weight >= 1 || this._options.random.nextFloat() < weight
+  }
+}
+
+function weightOf (candidate: Candidate, view: View, nowMs: base.Millis): number {
+  const coldStartMs = view.service.config.coldStartMs
+  const ageMs = nowMs - candidate.readySinceMs
+  if (ageMs >= coldStartMs) return 1
+  return Math.max(LOWEST_WEIGHT, ageMs / coldStartMs)
+}
+
+function candidateOf (row: membership.MemberRow): Candidate {
+  return { nodeId: row.nodeId, readySinceMs: row.targetReadySinceMs }
+}
+
+function candidatesOf (view: View): readonly Candidate[] {
+  const local = view.local === undefined ? [] : [view.local]
+  return [...local, ...view.sameZone, ...view.otherZones]
+}
--- a/packages/common/src/routing/Types.ts
+++ b/packages/common/src/routing/Types.ts
@@ -21,6 +21,22 @@
   | { readonly kind: 'send', readonly callId: number, readonly to: base.NodeId, readonly address: string, readonly attempt: number, readonly deadlineAtMs: base.Millis, readonly route: config.RouteConfig, readonly version: number, readonly key: string | undefined, readonly fingerprint: string }
   | { readonly kind: 'answer', readonly callId: number, readonly answer: hosting.FinalAnswer }
 
+/** A service and the zones in which its targets may be used, as one configuration states them. */
+export interface ServiceTargets {
+  readonly config: config.ServiceConfig
+  readonly zones: ReadonlySet<string>
+  readonly zonePreference: config.ZonePreference
+}
+
+/** How a send to a target ended, for load and ejection. */
+export type SendResult =
+  | 'success'
+  | 'failure'
+  /** The target or its host turned the call away; it counts as full for a moment. */
+  | 'refused'
+  /** The end tells nothing about the target, for example because the caller left. */
+  | 'neutral'
+
 /** Why a send did not bring an answer. */
 export type SendFailure =
   /** The message was never written to the peer's connection. */
