Test the routing rules and make slow start hold in small zones

Cause: a zone with a single starting target received its full share at once, because the search for a usable target ignored its weight; several mechanisms had no test. Change: slow start applies to every draw, and targets that are all starting are used only when nothing else was drawn. A target's 502, 503 or 504 is retried on idempotent routes unless it relays an overloaded refusal.

--- a/packages/common/src/routing/EntryCalls.ts
+++ b/packages/common/src/routing/EntryCalls.ts
@@ -1,5 +1,6 @@
 import * as uuid from 'uuid'
 import * as digest from '../base/Digest.js'
+import * as disposable from '../base/Disposable.js'
 import type * as base from '../base/Types.js'
 import type * as config from '../config/Types.js'
 import type * as distributionServices from '../distribution/Services.js'
@@ -29,6 +30,8 @@
 /** Answers of a target that say that another target may do better. */
 const retriedStatuses: ReadonlySet<number> = new Set([502, 503, 504])
 
+const REASON_HEADER = 'elmpost-reason'
+
 /** Refusals by one host that another host may not share. */
 const retriedReasons: ReadonlySet<hosting.OutcomeReason> = new Set<hosting.OutcomeReason>([
   'no-route', 'no-target', 'no-configuration', 'target-lost', 'peer-lost', 'stale-send'
@@ -84,7 +87,7 @@
 }
 
 /** State machine of the calls that entered the mesh at this node. */
-export class EntryCalls implements services.IEntryCalls {
+export class EntryCalls extends disposable.Disposable implements services.IEntryCalls {
   private readonly _options: EntryCallsOptions
   private readonly _locator: ownerLocator.OwnerLocator
   private readonly _mint: keyMint.KeyMint
@@ -93,8 +96,9 @@
   private _nextCallId: number
 
   constructor (options: EntryCallsOptions) {
+    super()
     this._options = options
-    this._locator = new ownerLocator.OwnerLocator(options)
+    this._locator = this._register(new ownerLocator.OwnerLocator(options))
     const { nodeId, incarnation } = options.membership.self
     this._mint = new keyMint.KeyMint({ nodeId, incarnation, locator: this._locator, selector: options.selector, random: options.random })
     this._nextCallId = incarnation * CALL_IDS_PER_MS + 1
@@ -180,7 +184,8 @@
   }
 
   private _targetAnswered (call: Call, answer: messages.AnswerMessage, nowMs: base.Millis): types.EntryDecision {
-    if (retriedStatuses.has(answer.status)) {
+    // A target that passes on an `overloaded` refusal of a lower level is not asked again at this level either.
+    if (retriedStatuses.has(answer.status) && answer.headers[REASON_HEADER] !== 'overloaded') {
       call.mayHaveRun = true
       const next = this._retry(call, nowMs)
       if (next !== undefined) return next
--- /dev/null
+++ b/packages/common/src/routing/OwnerLocator.test.ts
@@ -0,0 +1,55 @@
+import * as assert from 'node:assert/strict'
+import * as test from 'node:test'
+import * as fake from './FakeMesh.js'
+import * as ownerLocator from './OwnerLocator.js'
+
+function setUp (incarnation = 10): { mesh: fake.FakeMesh, locate: () => string } {
+  const mesh = new fake.FakeMesh([fake.rowOf({ nodeId: 'owner', incarnation }), fake.rowOf({ nodeId: 'heir' })])
+  mesh.lookup = { kind: 'owner', owner: { nodeId: 'owner', incarnation } }
+  const locator = new ownerLocator.OwnerLocator({ membership: mesh, ownership: mesh })
+  const locate = (): string => {
+    const location = locator.locate('till', 'key').unwrap()
+    return location.kind === 'found' ? location.row.nodeId : location.kind
+  }
+  return { mesh, locate }
+}
+
+test.describe('OwnerLocator', () => {
+  test.it('follows the successor of an owner that has left, because the key table is there', () => {
+    const { mesh, locate } = setUp()
+    mesh.put({ nodeId: 'owner', state: 'left', successor: 'heir' })
+    assert.equal(locate(), 'heir')
+    mesh.put({ nodeId: 'heir', state: 'left', successor: 'owner' })
+    assert.equal(locate(), 'unreachable')
+  })
+
+  test.it('gives no other node when the owner is dead or left without a successor, so that nothing runs twice', () => {
+    const { mesh, locate } = setUp()
+    mesh.put({ nodeId: 'owner', state: 'left' })
+    assert.equal(locate(), 'unreachable')
+    mesh.put({ nodeId: 'owner', state: 'dead' })
+    assert.equal(locate(), 'unreachable')
+  })
+
+  test.it('accepts a later incarnation at the same address, which adopts the windows', () => {
+    const { mesh, locate } = setUp()
+    mesh.put({ nodeId: 'owner', incarnation: 11 })
+    assert.equal(locate(), 'owner')
+  })
+
+  test.it('rejects a later incarnation at another address, because the earlier one may still run', () => {
+    const { mesh, locate } = setUp()
+    mesh.put({ nodeId: 'owner', incarnation: 11, peerAddress: 'other:7000' })
+    assert.equal(locate(), 'unreachable')
+    mesh.put({ nodeId: 'owner', incarnation: 12 })
+    assert.equal(locate(), 'unreachable')
+    mesh.lookup = { kind: 'owner', owner: { nodeId: 'owner', incarnation: 11 } }
+    assert.equal(locate(), 'owner')
+  })
+
+  test.it('does not follow the successor of an earlier incarnation than the owner', () => {
+    const { mesh, locate } = setUp()
+    mesh.put({ nodeId: 'owner', incarnation: 9, state: 'left', successor: 'heir' })
+    assert.equal(locate(), 'owner')
+  })
+})
--- /dev/null
+++ b/packages/common/src/routing/RetryBudget.test.ts
@@ -0,0 +1,29 @@
+import * as assert from 'node:assert/strict'
+import * as test from 'node:test'
+import * as retryBudget from './RetryBudget.js'
+
+test.describe('RetryBudget', () => {
+  test.it('allows a tenth of the first attempts in the long run, so that retries do not double the load of a failing service', () => {
+    const budget = new retryBudget.RetryBudget()
+    let retries = 0
+    for (let i = 0; i < 10_000; i++) {
+      budget.firstAttempt(0.1)
+      while (budget.take()) retries += 1
+    }
+    assert.ok(retries >= 1_000 && retries <= 1_010, `${retries}`)
+  })
+
+  test.it('saves a bounded number of retries, so that a quiet day does not pay for a storm', () => {
+    const budget = new retryBudget.RetryBudget()
+    for (let i = 0; i < 100_000; i++) budget.firstAttempt(0.1)
+    let retries = 0
+    while (budget.take()) retries += 1
+    assert.ok(retries <= 10)
+  })
+
+  test.it('allows nothing at ratio 0, so that an institution can switch retries off', () => {
+    const budget = new retryBudget.RetryBudget()
+    budget.firstAttempt(0)
+    assert.equal(budget.take(), false)
+  })
+})
--- /dev/null
+++ b/packages/common/src/routing/RouteTable.test.ts
@@ -0,0 +1,34 @@
+import * as assert from 'node:assert/strict'
+import * as test from 'node:test'
+import * as fake from './FakeMesh.js'
+import * as routeTable from './RouteTable.js'
+
+function tableOf (...matches: ReadonlyArray<readonly [string, string, string?]>): routeTable.RouteTable {
+  const routes = matches.map(([method, pathPrefix, service]) => fake.routeOf({
+    name: `${method} ${pathPrefix}`, match: { method, pathPrefix }, service: service ?? 'till'
+  }))
+  return new routeTable.RouteTable(fake.documentOf({ routes }))
+}
+
+test.describe('RouteTable', () => {
+  test.describe('find', () => {
+    const table = tableOf(['*', '/'], ['GET', '/till'], ['*', '/till/charge'], ['POST', '/till/charge'], ['GET', '/vault/'])
+    const cases: ReadonlyArray<readonly [string, string, string, string]> = [
+      ['POST', '/till/charge/7?x=1', 'POST /till/charge', 'a general route would take calls of a more exact one'],
+      ['PUT', '/till/charge', '* /till/charge', 'calls with other methods would find no route'],
+      ['GET', '/till/chargeback', 'GET /till', 'a route would take calls of another path that begins with the same letters'],
+      ['PUT', '/till/x', '* /', 'a longer prefix without the method would hide a shorter one with it'],
+      ['GET', '/vault/a', 'GET /vault/', 'a prefix that ends in a slash would match nothing'],
+      ['GET', '/till#/till/charge', 'GET /till', 'a fragment would select the route']
+    ]
+    for (const [method, path, name, failure] of cases) {
+      test.it(`gives ${name} for ${method} ${path}; otherwise ${failure}`, () => {
+        assert.equal(table.find(method, path)?.route.name, name)
+      })
+    }
+
+    test.it('gives nothing for a route whose service is not configured, so that no call resolves to a missing service', () => {
+      assert.equal(tableOf(['GET', '/x', 'absent']).find('GET', '/x'), undefined)
+    })
+  })
+})
--- a/packages/common/src/routing/TargetSelector.ts
+++ b/packages/common/src/routing/TargetSelector.ts
@@ -13,8 +13,8 @@
 /** Above this utilization calls move on: from the local target to its zone, from the zone to other zones. */
 const SPILL_UTILIZATION = 0.8
 
-/** Draws of a usable target before the pool is searched in order. */
-const RANDOM_DRAWS = 4
+/** Draws of a usable target before the next pool is used. */
+const MOST_DRAWS = 4
 
 /** Share of a target at the moment it starts, so that its first calls warm it up. */
 const LOWEST_WEIGHT = 0.05
@@ -42,6 +42,13 @@
   readonly otherZones: readonly Candidate[]
 }
 
+/** What one choice depends on. */
+interface Choice {
+  readonly view: View
+  readonly exclude: ReadonlySet<base.NodeId>
+  readonly nowMs: base.Millis
+}
+
 /** Power of two choices by utilization, nearest targets first. */
 export class TargetSelector implements services.ITargetSelector {
   private readonly _options: TargetSelectorOptions
@@ -69,14 +76,9 @@
   }
 
   public selectFor (service: types.ServiceTargets, exclude: ReadonlySet<base.NodeId>, nowMs: base.Millis): base.NodeId | undefined {
-    const view = this._view(service, nowMs)
-    const slots = service.config.slots
-    const local = this._usableLocal(view, exclude, nowMs)
-    if (local !== undefined && this._score(local, view, nowMs) < SPILL_UTILIZATION) return local.nodeId
-    const near = this._better(view.sameZone, view, exclude, nowMs)
-    if (near !== undefined && this._loads.utilization(near.nodeId, slots, nowMs) <= SPILL_UTILIZATION) return near.nodeId
-    const far = this._better(view.otherZones, view, exclude, nowMs)
-    return (this._lower([near, far, local], view, nowMs) ?? this._lastResort(view, exclude))?.nodeId
+    const choice: Choice = { view: this._view(service, nowMs), exclude, nowMs }
+    const chosen = this._nearest(choice) ?? this._coldOrEjected(choice)
+    return chosen?.nodeId
   }
 
   public sent (nodeId: base.NodeId, nowMs: base.Millis): void {
@@ -131,37 +133,46 @@
     }
   }
 
-  private _usableLocal (view: View, exclude: ReadonlySet<base.NodeId>, nowMs: base.Millis): Candidate | undefined {
-    const local = view.local
-    if (local === undefined || !this._isUsable(local, exclude, nowMs)) return undefined
-    return this._passesSlowStart(local, view, nowMs) ? local : undefined
+  /** The local target, its zone and the other zones, in this order, until one has room. */
+  private _nearest (choice: Choice): Candidate | undefined {
+    const local = this._usableLocal(choice)
+    if (local !== undefined && this._score(local, choice) < SPILL_UTILIZATION) return local
+    const near = this._better(choice.view.sameZone, choice)
+    if (near !== undefined && this._score(near, choice) <= SPILL_UTILIZATION) return near
+    const far = this._better(choice.view.otherZones, choice)
+    return this._lowest([near, far, local], choice)
+  }
+
+  private _usableLocal (choice: Choice): Candidate | undefined {
+    const local = choice.view.local
+    if (local === undefined || !this._isUsable(local, choice)) return undefined
+    return this._passesSlowStart(local, choice) ? local : undefined
   }
 
   /** The less utilized of two random candidates. */
-  private _better (pool: readonly Candidate[], view: View, exclude: ReadonlySet<base.NodeId>, nowMs: base.Millis): Candidate | undefined {
-    const first = this._draw(pool, view, exclude, nowMs)
+  private _better (pool: readonly Candidate[], choice: Choice): Candidate | undefined {
+    const first = this._draw(pool, choice, undefined)
     if (first === undefined || pool.length === 1) return first
-    const second = this._draw(pool, view, exclude, nowMs, first)
-    return this._lower([first, second], view, nowMs)
+    return this._lowest([first, this._draw(pool, choice, first)], choice)
   }
 
-  private _draw (pool: readonly Candidate[], view: View, exclude: ReadonlySet<base.NodeId>, nowMs: base.Millis, other?: Candidate): Candidate | undefined {
-    if (pool.length === 0) return undefined
-    for (let i = 0; i < RANDOM_DRAWS; i++) {
+  private _draw (pool: readonly Candidate[], choice: Choice, other: Candidate | undefined): Candidate | undefined {
+    // More draws than candidates would let a starting target pass its slow start too often.
+    const draws = Math.min(MOST_DRAWS, pool.length)
+    for (let i = 0; i < draws; i++) {
       const candidate = pool[this._options.random.nextInt(pool.length)]
       if (candidate === undefined || candidate === other) continue
-      if (this._isUsable(candidate, exclude, nowMs) && this._passesSlowStart(candidate, view, nowMs)) return candidate
+      if (this._isUsable(candidate, choice) && this._passesSlowStart(candidate, choice)) return candidate
     }
-    if (other !== undefined) return undefined
-    return pool.find(candidate => this._isUsable(candidate, exclude, nowMs))
+    return undefined
   }
 
-  private _lower (candidates: ReadonlyArray<Candidate | undefined>, view: View, nowMs: base.Millis): Candidate | undefined {
+  private _lowest (candidates: ReadonlyArray<Candidate | undefined>, choice: Choice): Candidate | undefined {
     let lowest: Candidate | undefined
     let lowestScore = Infinity
     for (const candidate of candidates) {
       if (candidate === undefined) continue
-      const score = this._score(candidate, view, nowMs)
+      const score = this._score(candidate, choice)
       if (lowest !== undefined && score >= lowestScore) continue
       lowest = candidate
       lowestScore = score
@@ -169,30 +180,33 @@
     return lowest
   }
 
-  /** An ejected target is better than none. */
-  private _lastResort (view: View, exclude: ReadonlySet<base.NodeId>): Candidate | undefined {
-    return candidatesOf(view).find(candidate => !exclude.has(candidate.nodeId))
+  /** When no warm target was drawn: any usable one, or else an ejected one, which is better than none. */
+  private _coldOrEjected (choice: Choice): Candidate | undefined {
+    const left = candidatesOf(choice.view).filter(candidate => !choice.exclude.has(candidate.nodeId))
+    const usable = left.filter(candidate => this._isUsable(candidate, choice))
+    const pool = usable.length > 0 ? usable : left
+    return this._lowest([pool[this._options.random.nextInt(pool.length)], pool[this._options.random.nextInt(pool.length)]], choice)
   }
 
-  private _isUsable (candidate: Candidate, exclude: ReadonlySet<base.NodeId>, nowMs: base.Millis): boolean {
-    return !exclude.has(candidate.nodeId) && !this._ejection.isEjected(candidate.nodeId, nowMs)
+  private _isUsable (candidate: Candidate, choice: Choice): boolean {
+    return !choice.exclude.has(candidate.nodeId) && !this._ejection.isEjected(candidate.nodeId, choice.nowMs)
   }
 
-  private _score (candidate: Candidate, view: View, nowMs: base.Millis): number {
-    const utilization = this._loads.utilization(candidate.nodeId, view.service.config.slots, nowMs)
-    return utilization / weightOf(candidate, view, nowMs)
+  private _score (candidate: Candidate, choice: Choice): number {
+    const utilization = this._loads.utilization(candidate.nodeId, choice.view.service.config.slots, choice.nowMs)
+    return utilization / weightOf(candidate, choice)
   }
 
   /** A target with weight w is drawn with w times the probability of a warm one. */
-  private _passesSlowStart (candidate: Candidate, view: View, nowMs: base.Millis): boolean {
-    const weight = weightOf(candidate, view, nowMs)
+  private _passesSlowStart (candidate: Candidate, choice: Choice): boolean {
+    const weight = weightOf(candidate, choice)
     return weight >= 1 || this._options.random.nextFloat() < weight
   }
 }
 
-function weightOf (candidate: Candidate, view: View, nowMs: base.Millis): number {
-  const coldStartMs = view.service.config.coldStartMs
-  const ageMs = nowMs - candidate.readySinceMs
+function weightOf (candidate: Candidate, choice: Choice): number {
+  const coldStartMs = choice.view.service.config.coldStartMs
+  const ageMs = choice.nowMs - candidate.readySinceMs
   if (ageMs >= coldStartMs) return 1
   return Math.max(LOWEST_WEIGHT, ageMs / coldStartMs)
 }
