Add the stand-ins for the log service and the targets

Cause: nodes, scenarios and benchmarks need a log service and targets with the faults that the design lists, and none may be brought in.

--- /dev/null
+++ b/packages/testbed/src/standins/targetMain.ts
@@ -0,0 +1,25 @@
+/**
+ * Runs one target as a process of its own. Options come as JSON in the first argument; runs are reported
+ * to the parent over the process channel, so that they are known even when the target is killed.
+ */
+import * as process from 'node:process'
+import * as targetServer from './TargetServer.js'
+
+export interface TargetProcessOptions {
+  readonly name: string
+  readonly port: number
+  readonly connections: number
+  readonly behaviour: targetServer.TargetBehaviour
+}
+
+const options = JSON.parse(process.argv[2] ?? '{}') as TargetProcessOptions
+const server = new targetServer.TargetServer({
+  ...options,
+  onRun: event => { process.send?.(event) },
+  // The exit waits for the report of the run, so that the ledger never misses a run.
+  crash: () => { process.send?.({ kind: 'crashing' }, undefined, undefined, () => { process.kill(process.pid, 'SIGKILL') }) }
+})
+process.on('message', change => { Object.assign(server.behaviour, change) })
+process.on('disconnect', () => { process.exit(0) })
+const port = await server.listen()
+process.send?.({ kind: 'listening', port })
