Add the process harness, the demo and the first scenarios

Cause: the invariants have to be shown on real processes under kills, freezes and outages. Change: Fleet starts one institution as separate processes, Caller classifies outcomes, Ledger compares them with the runs that targets report, LoadGenerator sends open-loop load and resends keys as a kiosk does; demo and 14 Gherkin scenarios use them; example files of both institutions. Conclusion: the scenarios join the test command when the node runs.

--- /dev/null
+++ b/packages/testbed/features/failures.feature
@@ -0,0 +1,47 @@
+Feature: Failures
+  Processes die, freeze and stop while calls are sent.
+
+  Background:
+    Given the institution "kartuli" runs
+    And its file is in force on every node
+
+  Scenario: A node is killed and starts again
+    Given 100 calls per second are sent
+    When 1 seconds pass
+    And the node "till-2" is killed
+    And 2 seconds pass
+    And the node "till-2" starts again
+    And 5 seconds pass
+    And the load ends
+    Then most calls are answered
+    And no payment runs twice and no refusal is false
+
+  Scenario: A node is frozen for longer than its failure is detected
+    Given 100 calls per second are sent
+    When 1 seconds pass
+    And the node "till-3" is frozen for 6 seconds
+    And 3 seconds pass
+    And the load ends
+    Then most calls are answered
+    And no payment runs twice and no refusal is false
+
+  Scenario: A target is killed while the log is down
+    Given 100 calls per second are sent
+    When the log goes down
+    And the target "till-1" is killed
+    And 3 seconds pass
+    And the log comes back
+    And the target "till-1" starts again
+    And 2 seconds pass
+    And the load ends
+    Then most calls are answered
+    And no payment runs twice and no refusal is false
+
+  Scenario: A planned stop under load
+    Given 100 calls per second are sent
+    When 1 seconds pass
+    And the node "till-4" is stopped
+    And 2 seconds pass
+    And the load ends
+    Then every call is answered
+    And no payment runs twice and no refusal is false
--- /dev/null
+++ b/packages/testbed/src/harness/Ledger.test.ts
@@ -0,0 +1,45 @@
+import * as assert from 'node:assert/strict'
+import * as test from 'node:test'
+import * as ledger from './Ledger.js'
+
+function run (key: string, target: string): Parameters<ledger.Ledger['recordRun']>[0] {
+  return { kind: 'run-started', key, target, path: '/', atMs: 0 }
+}
+
+test.describe('Ledger', () => {
+  test.describe('runs', () => {
+    test.it('reports a key that ran on two targets, so that a double charge fails a scenario', () => {
+      const runs = new ledger.Ledger()
+      runs.recordRun(run('a', 'till-1'))
+      runs.recordRun(run('a', 'till-2'))
+      assert.equal(runs.check().length, 1)
+    })
+  })
+
+  test.describe('refusals', () => {
+    test.it('reports a refused key that ran, whichever came first', () => {
+      const runs = new ledger.Ledger()
+      runs.recordRefusal('a')
+      runs.recordRun(run('a', 'till-1'))
+      runs.recordRun(run('b', 'till-1'))
+      runs.recordRefusal('b')
+      assert.equal(runs.check().length, 2)
+    })
+
+    test.it('reports a run between a refusal and the next send of the key', () => {
+      const runs = new ledger.Ledger()
+      runs.recordRefusal('a')
+      runs.recordRun(run('a', 'till-1'))
+      runs.recordResend('a')
+      assert.equal(runs.check().length, 1)
+    })
+
+    test.it('allows a run after the key was sent again', () => {
+      const runs = new ledger.Ledger()
+      runs.recordRefusal('a')
+      runs.recordResend('a')
+      runs.recordRun(run('a', 'till-1'))
+      assert.deepEqual(runs.check(), [])
+    })
+  })
+})
--- /dev/null
+++ b/packages/testbed/src/harness/Ledger.ts
@@ -0,0 +1,58 @@
+import type * as targetServer from '../standins/TargetServer.js'
+
+/** What a caller was told about one send of a key. */
+export type CallerOutcome = 'answered' | 'not-run' | 'unknown' | 'no-answer'
+
+/** Violation of an invariant, in words for the report. */
+export type Violation = string
+
+/** Compares what targets ran with what callers were told. */
+export class Ledger {
+  private readonly _runsOfKey = new Map<string, string[]>()
+  private readonly _refusedKeys = new Set<string>()
+  private readonly _violations: Violation[] = []
+
+  /** Runs of requests with a key. */
+  public get keyedRuns (): number {
+    let count = 0
+    for (const runs of this._runsOfKey.values()) count += runs.length
+    return count
+  }
+
+  public get violations (): readonly Violation[] {
+    return this._violations
+  }
+
+  public recordRun (event: targetServer.RunEvent): void {
+    if (event.kind !== 'run-started' || event.key === '') return
+    const runs = this._runsOfKey.get(event.key) ?? []
+    runs.push(event.target)
+    this._runsOfKey.set(event.key, runs)
+    if (runs.length > 1) this._violations.push(`key ${event.key} ran ${runs.length} times, on ${runs.join(', ')}`)
+  }
+
+  /** The caller was told that no send so far has run or will run. */
+  public recordRefusal (key: string): void {
+    this._refusedKeys.add(key)
+  }
+
+  /** The caller sends a refused key again, so from now on it may run. */
+  public recordResend (key: string): void {
+    if (!this._refusedKeys.delete(key)) return
+    if (this._runsOfKey.has(key)) this._violations.push(falseRefusal(key))
+  }
+
+  public recordWrongAnswer (key: string, detail: string): void {
+    this._violations.push(`key ${key} got an answer that is not its own: ${detail}`)
+  }
+
+  /** Checks refusals against the runs. Call it when nothing is in flight any more. */
+  public check (): readonly Violation[] {
+    const falseRefusals = [...this._refusedKeys].filter(key => this._runsOfKey.has(key))
+    return [...this._violations, ...falseRefusals.map(falseRefusal)]
+  }
+}
+
+function falseRefusal (key: string): Violation {
+  return `key ${key} was refused as not run, but it ran`
+}
--- /dev/null
+++ b/packages/testbed/src/scenarios/MeshWorld.ts
@@ -0,0 +1,61 @@
+import * as cucumber from '@cucumber/cucumber'
+import * as caller from '../harness/Caller.js'
+import * as fleet from '../harness/Fleet.js'
+import * as institutions from '../harness/institutions.js'
+import * as ledger from '../harness/Ledger.js'
+import * as loadGenerator from '../harness/LoadGenerator.js'
+import * as operator from '../harness/Operator.js'
+
+const LOAD_SEED = 11
+
+/** State of one scenario: the processes of one institution, its callers and the ledger of runs. */
+export class MeshWorld extends cucumber.World {
+  public readonly ledger = new ledger.Ledger()
+  public readonly caller = new caller.Caller(this.ledger)
+  public load: loadGenerator.LoadGenerator | undefined
+  public lastCommand: operator.CommandResult | undefined
+  public lastCall: caller.CallResult | undefined
+  public lastSpec: caller.CallSpec | undefined
+  private _fleet: fleet.Fleet | undefined
+  private _kinds: readonly loadGenerator.CallKind[] = []
+
+  public get fleet (): fleet.Fleet {
+    if (this._fleet === undefined) throw new Error('start with the step: the institution "kartuli" runs')
+    return this._fleet
+  }
+
+  public get operator (): operator.Operator {
+    return new operator.Operator('operator', this.fleet.logUrl)
+  }
+
+  public async startFleet (name: string): Promise<void> {
+    const isKartuli = name === institutions.KARTULI.name
+    this._kinds = isKartuli ? institutions.KARTULI_CALLS : institutions.LAKESHORE_CALLS
+    this._fleet = new fleet.Fleet({ spec: isKartuli ? institutions.KARTULI : institutions.LAKESHORE, ledger: this.ledger })
+    await this._fleet.start()
+  }
+
+  public startLoad (callsPerSecond: number): void {
+    this.load = new loadGenerator.LoadGenerator({
+      fleet: this.fleet,
+      caller: this.caller,
+      kinds: this._kinds,
+      callsPerSecond,
+      seed: LOAD_SEED
+    })
+    this.load.start()
+  }
+
+  /** Sends a call and remembers it for the steps that resend it. */
+  public async send (nodeId: string, spec: caller.CallSpec): Promise<caller.CallResult> {
+    this.lastSpec = spec
+    this.lastCall = await loadGenerator.callUntilAccepted(this.caller, this.fleet.worker(nodeId).callerAddress, spec)
+    return this.lastCall
+  }
+
+  public async stop (): Promise<void> {
+    await this.load?.stop()
+    await this._fleet?.stop()
+    await this.caller.close()
+  }
+}
--- /dev/null
+++ b/packages/testbed/src/scenarios/callSteps.ts
@@ -0,0 +1,78 @@
+/** Steps about calls and what callers are told. */
+import * as assert from 'node:assert/strict'
+import * as timers from 'node:timers/promises'
+import * as uuid from 'uuid'
+import * as cucumber from '@cucumber/cucumber'
+import type * as caller from '../harness/Caller.js'
+import type * as meshWorld from './MeshWorld.js'
+
+const CHARGE_TIMEOUT_MS = 2000
+
+function chargeSpec (headers: Readonly<Record<string, string>> = {}): caller.CallSpec {
+  return { method: 'POST', path: '/till/charge', key: uuid.v7(), body: '{"amount":40}', timeoutMs: CHARGE_TIMEOUT_MS, headers }
+}
+
+cucumber.Given('{int} calls per second are sent', function (this: meshWorld.MeshWorld, callsPerSecond: number) {
+  this.startLoad(callsPerSecond)
+})
+
+cucumber.When('{float} seconds pass', async function (this: meshWorld.MeshWorld, seconds: number) {
+  await timers.setTimeout(seconds * 1000)
+})
+
+cucumber.When('a kiosk sends a payment through {string}', async function (this: meshWorld.MeshWorld, nodeId: string) {
+  await this.send(nodeId, chargeSpec())
+})
+
+cucumber.When('a kiosk sends a payment that crashes its target through {string}', async function (this: meshWorld.MeshWorld, nodeId: string) {
+  await this.send(nodeId, chargeSpec({ 'x-crash': '1' }))
+})
+
+cucumber.When('the kiosk sends the same payment again through {string}', async function (this: meshWorld.MeshWorld, nodeId: string) {
+  assert.ok(this.lastSpec !== undefined, 'send a payment first')
+  this.lastCall = await this.caller.call(this.fleet.worker(nodeId).callerAddress, this.lastSpec)
+})
+
+cucumber.When('a portal fetches {int} bytes through {string}', async function (this: meshWorld.MeshWorld, bytes: number, nodeId: string) {
+  await this.send(nodeId, { method: 'GET', path: '/vault/photo/A', timeoutMs: 3000, headers: { 'x-answer-bytes': String(bytes) } })
+})
+
+cucumber.When('a portal fetches {int} bytes that are cut in the middle through {string}', async function (this: meshWorld.MeshWorld, bytes: number, nodeId: string) {
+  await this.send(nodeId, { method: 'GET', path: '/vault/photo/A', timeoutMs: 3000, headers: { 'x-answer-bytes': String(bytes), 'x-cut-body': '1' } })
+})
+
+cucumber.When('the load ends', async function (this: meshWorld.MeshWorld) {
+  await this.load?.stop()
+})
+
+cucumber.Then('the outcome is {string}', function (this: meshWorld.MeshWorld, outcome: string) {
+  assert.equal(this.lastCall?.outcome, outcome, JSON.stringify(this.lastCall))
+})
+
+cucumber.Then('the answer has {int} bytes', function (this: meshWorld.MeshWorld, bytes: number) {
+  assert.equal(this.lastCall?.bodyText.length, bytes)
+})
+
+cucumber.Then('the caller never takes a part for the whole', function (this: meshWorld.MeshWorld) {
+  const isWholeByStatus = this.lastCall?.outcome === 'answered' && this.lastCall.status === 200
+  assert.ok(!isWholeByStatus, JSON.stringify(this.lastCall).slice(0, 300))
+})
+
+cucumber.Then('every call is answered', function (this: meshWorld.MeshWorld) {
+  const totals = this.load?.totals
+  assert.equal(totals?.answered, totals?.started, `${JSON.stringify(totals)} ${JSON.stringify([...this.caller.reasons])}`)
+})
+
+cucumber.Then('most calls are answered', function (this: meshWorld.MeshWorld) {
+  const totals = this.load?.totals
+  assert.ok((totals?.answered ?? 0) * 2 > (totals?.started ?? 0), `${JSON.stringify(totals)} ${JSON.stringify([...this.caller.reasons])}`)
+})
+
+cucumber.Then('no connection is cut', function (this: meshWorld.MeshWorld) {
+  assert.equal(this.caller.counts['no-answer'], 0, JSON.stringify([...this.caller.reasons]))
+})
+
+cucumber.Then('no payment runs twice and no refusal is false', function (this: meshWorld.MeshWorld) {
+  assert.ok(this.ledger.keyedRuns > 0, 'no keyed call ran, so nothing is shown')
+  assert.deepEqual(this.ledger.check(), [])
+})
--- /dev/null
+++ b/packages/testbed/src/scenarios/configurationSteps.ts
@@ -0,0 +1,66 @@
+/** Steps about applying files and the version in force. */
+import * as assert from 'node:assert/strict'
+import * as fs from 'node:fs/promises'
+import * as os from 'node:os'
+import * as path from 'node:path'
+import * as cucumber from '@cucumber/cucumber'
+import type * as config from '@elmpost/common/config/Types.js'
+import type * as meshWorld from './MeshWorld.js'
+
+/** Bound for progress only; convergence time itself is measured by the benchmark. */
+const PROGRESS_TIMEOUT_MS = 40_000
+
+async function writeChangedFile (world: meshWorld.MeshWorld, change: (document: config.ConfigDocument) => object): Promise<string> {
+  const document = JSON.parse(await fs.readFile(world.fleet.spec.configFile, 'utf8')) as config.ConfigDocument
+  const file = path.join(await fs.mkdtemp(path.join(os.tmpdir(), 'elmpost-scenario-')), 'changed.json')
+  await fs.writeFile(file, JSON.stringify(change(document)))
+  return file
+}
+
+function withLongerTimeouts (document: config.ConfigDocument, extraMs: number): object {
+  return { ...document, routes: document.routes.map(route => ({ ...route, timeoutMs: route.timeoutMs + extraMs })) }
+}
+
+cucumber.Given('the institution {string} runs', async function (this: meshWorld.MeshWorld, name: string) {
+  await this.startFleet(name)
+})
+
+cucumber.Given('its file is in force on every node', async function (this: meshWorld.MeshWorld) {
+  const result = await this.operator.apply(this.fleet.spec.configFile)
+  assert.equal(result.exitCode, 0, result.stdout + result.stderr)
+  await this.fleet.waitForVersion(1, PROGRESS_TIMEOUT_MS)
+})
+
+cucumber.When('an operator applies longer timeouts', async function (this: meshWorld.MeshWorld) {
+  this.lastCommand = await this.operator.apply(await writeChangedFile(this, document => withLongerTimeouts(document, 250)))
+})
+
+cucumber.When('two operators apply different files at the same time', async function (this: meshWorld.MeshWorld) {
+  const files = await Promise.all([100, 200].map(async extraMs => await writeChangedFile(this, document => withLongerTimeouts(document, extraMs))))
+  const results = await Promise.all(files.map(async file => await this.operator.apply(file)))
+  const accepted = results.filter(result => result.exitCode === 0)
+  assert.equal(accepted.length, 1, results.map(result => result.stdout + result.stderr).join('\n'))
+})
+
+cucumber.When('an operator applies a file with a route to a missing service', async function (this: meshWorld.MeshWorld) {
+  this.lastCommand = await this.operator.apply(await writeChangedFile(this, document => ({ ...document, services: document.services.slice(1) })))
+})
+
+cucumber.Then('the file is accepted', function (this: meshWorld.MeshWorld) {
+  assert.equal(this.lastCommand?.exitCode, 0, JSON.stringify(this.lastCommand))
+})
+
+cucumber.Then('the file is not accepted', function (this: meshWorld.MeshWorld) {
+  assert.notEqual(this.lastCommand?.exitCode, 0, JSON.stringify(this.lastCommand))
+})
+
+cucumber.Then('version {int} is in force on every node', async function (this: meshWorld.MeshWorld, version: number) {
+  await this.fleet.waitForVersion(version, PROGRESS_TIMEOUT_MS)
+})
+
+cucumber.Then('no node enforces more than version {int}', async function (this: meshWorld.MeshWorld, version: number) {
+  for (const worker of this.fleet.workers) {
+    const status = await this.fleet.status(worker)
+    assert.ok((status?.version ?? 0) <= version, `${worker.nodeId} enforces ${status?.version}`)
+  }
+})
--- /dev/null
+++ b/packages/testbed/src/scenarios/faultSteps.ts
@@ -0,0 +1,72 @@
+/** Steps that produce failures. */
+import * as assert from 'node:assert/strict'
+import * as timers from 'node:timers/promises'
+import * as cucumber from '@cucumber/cucumber'
+import type * as meshWorld from './MeshWorld.js'
+
+cucumber.When('the node {string} is killed', async function (this: meshWorld.MeshWorld, nodeId: string) {
+  const worker = this.fleet.worker(nodeId)
+  worker.node.signal('SIGKILL')
+  await worker.node.exited
+})
+
+cucumber.When('the node {string} starts again', async function (this: meshWorld.MeshWorld, nodeId: string) {
+  await this.fleet.startNode(this.fleet.worker(nodeId))
+})
+
+cucumber.When('the target {string} is killed', async function (this: meshWorld.MeshWorld, nodeId: string) {
+  const worker = this.fleet.worker(nodeId)
+  worker.target.signal('SIGKILL')
+  await worker.target.exited
+})
+
+cucumber.When('the target {string} starts again', async function (this: meshWorld.MeshWorld, nodeId: string) {
+  await this.fleet.startTarget(this.fleet.worker(nodeId))
+})
+
+cucumber.When('the node {string} is frozen for {float} seconds', async function (this: meshWorld.MeshWorld, nodeId: string, seconds: number) {
+  const worker = this.fleet.worker(nodeId)
+  worker.node.signal('SIGSTOP')
+  await timers.setTimeout(seconds * 1000)
+  worker.node.signal('SIGCONT')
+})
+
+cucumber.When('the node {string} is frozen', function (this: meshWorld.MeshWorld, nodeId: string) {
+  this.fleet.worker(nodeId).node.signal('SIGSTOP')
+})
+
+cucumber.When('the node {string} resumes', function (this: meshWorld.MeshWorld, nodeId: string) {
+  this.fleet.worker(nodeId).node.signal('SIGCONT')
+})
+
+cucumber.When('every node is killed and starts again', async function (this: meshWorld.MeshWorld) {
+  for (const worker of this.fleet.workers) worker.node.signal('SIGKILL')
+  await Promise.all(this.fleet.workers.map(async worker => await worker.node.exited))
+  await Promise.all(this.fleet.workers.map(async worker => { await this.fleet.startNode(worker) }))
+})
+
+cucumber.When('the log goes down', async function (this: meshWorld.MeshWorld) {
+  await this.fleet.setLogFaults({ outage: true })
+})
+
+cucumber.When('the log comes back', async function (this: meshWorld.MeshWorld) {
+  await this.fleet.setLogFaults({ outage: false })
+})
+
+cucumber.When('the log answers after {int} milliseconds', async function (this: meshWorld.MeshWorld, delayMs: number) {
+  await this.fleet.setLogFaults({ delayMs })
+})
+
+cucumber.When('the answer to the next append is lost', async function (this: meshWorld.MeshWorld) {
+  await this.fleet.setLogFaults({ loseNextAppendAnswers: 1 })
+})
+
+cucumber.When('the node {string} is stopped', async function (this: meshWorld.MeshWorld, nodeId: string) {
+  const worker = this.fleet.worker(nodeId)
+  worker.node.signal('SIGTERM')
+  await timers.setTimeout(200)
+  // The second signal must not shorten the drain.
+  worker.node.signal('SIGTERM')
+  const exit = await worker.node.exited
+  assert.equal(exit.code, 0, worker.node.output.slice(-5).join('\n'))
+})
