--- a/packages/common/src/routing/FakeMesh.ts
+++ b/packages/common/src/routing/FakeMesh.ts
@@ -1,5 +1,6 @@
 /** Membership, configuration and ownership held in memory, for tests and benchmarks of this folder. */
 import * as results from 'ts-results-es'
+import * as uuid from 'uuid'
 import * as digest from '../base/Digest.js'
 import * as emitter from '../base/Emitter.js'
 import * as random from '../base/Random.js'
@@ -135,6 +136,11 @@
   }
 }
 
+/** A key as a caller would make it. */
+export function keyOf (nowMs: base.Millis, source: base.IRandom): string {
+  return uuid.v7({ msecs: Math.floor(nowMs), random: Uint8Array.from({ length: 16 }, () => source.nextInt(256)) })
+}
+
 export function requestOf (fields: Partial<types.EntryRequest>): types.EntryRequest {
   return {
     method: 'GET',
