Add validation, deltas and the fold of the config stream

Cause: distribution and the command line need the configuration folder. Change: JSON Schema and reference rules per rulesVersion, compiled once per process; deltas by JSON Patch; Acceptance with retention gaps.

--- /dev/null
+++ b/packages/common/src/config/Acceptance.ts
@@ -0,0 +1,187 @@
+import * as documentCheck from './DocumentCheck.js'
+import * as fold from './Fold.js'
+import * as jsonText from './JsonText.js'
+import * as recordDecoder from './RecordDecoder.js'
+import * as recordTail from './RecordTail.js'
+import * as verdictTable from './VerdictTable.js'
+import type * as services from './Services.js'
+import type * as types from './Types.js'
+
+/**
+ * Judges the records of the `config` stream in offset order.
+ * Records are judged only on a state that is known for their place in the log: from the start of the log on,
+ * or from the `asOfOffset` of a snapshot or of a peer's state. Until then they are kept, and judged later.
+ */
+export class Acceptance implements services.IAcceptance {
+  private readonly _verdicts = new verdictTable.VerdictTable()
+  private readonly _tail = new recordTail.RecordTail()
+  /** Undefined while the state before `nextOffset` is not known. */
+  private _fold: fold.Fold | undefined
+  private _newest: types.AcceptedState | undefined
+  /** The state of a peer that reaches furthest into the log. */
+  private _peerState: PlacedState | undefined
+  private _block: fold.Block | undefined
+  private _nextOffset = 0
+
+  constructor (private readonly _validator: services.IConfigValidator) {
+    this._fold = new fold.Fold(_validator, this._verdicts, undefined)
+  }
+
+  public get state (): types.AcceptedState | undefined {
+    return this._newest
+  }
+
+  public get nextOffset (): number {
+    return this._nextOffset
+  }
+
+  public get upgradeReason (): string | undefined {
+    return this._block === undefined ? undefined : fold.upgradeReason(this._block)
+  }
+
+  public apply (record: types.LogRecord): types.Verdict {
+    if (!isLogRecord(record)) return this._unreadable(this._nextOffset, undefined, 'The log returned a record without an offset.')
+    if (record.offset < this._nextOffset) return this._folded(record)
+    if (record.offset > this._nextOffset) this._loseTrack(record.offset)
+    this._nextOffset = record.offset + 1
+    const decoded = recordDecoder.decodeRecord(record.data)
+    const verdict = decoded.kind === 'malformed'
+      ? this._unreadable(record.offset, decoded.proposalId, decoded.reason)
+      : this._judge(record.offset, decoded)
+    this._verdicts.add(verdict)
+    this._startFromPeer()
+    return verdict
+  }
+
+  public adopt (state: types.AcceptedState): boolean {
+    if (!this._isValidState(state)) return false
+    const isNewer = this._raise(state)
+    if (isPlaced(state) && state.asOfOffset > (this._peerState?.asOfOffset ?? -1)) {
+      this._peerState = state
+      this._startFromPeer()
+    }
+    return isNewer
+  }
+
+  public snapshot (): types.SnapshotRecord | undefined {
+    const state = this._fold?.state
+    if (state === undefined) return undefined
+    const { version, digest, rulesVersion, document } = state
+    return { kind: 'snapshot', version, digest, rulesVersion, asOfOffset: this._nextOffset - 1, document }
+  }
+
+  public verdictOf (proposalId: string): types.Verdict | undefined {
+    return this._verdicts.get(proposalId)
+  }
+
+  private _judge (offset: number, record: recordDecoder.DecodedRecord): types.Verdict {
+    if (this._fold === undefined) return this._judgeLater(offset, record)
+    const verdict = this._fold.judge(offset, record)
+    this._afterFold(this._fold)
+    return verdict
+  }
+
+  /** Takes over the state of the fold, and gives the fold up if it met a record that it cannot judge. */
+  private _afterFold (current: fold.Fold): void {
+    if (current.state !== undefined) this._raise(current.state)
+    if (current.block === undefined) return
+    this._setBlock(current.block)
+    this._fold = undefined
+    this._tail.restart(current.block.offset + 1)
+  }
+
+  private _judgeLater (offset: number, record: recordDecoder.DecodedRecord): types.Verdict {
+    this._tail.add(offset, record)
+    if (!record.isSupported) {
+      if (record.kind === 'snapshot') this._setBlock({ offset, rulesVersion: record.rulesVersion, version: record.version })
+      return fold.verdict('unsupported-rules', offset, record, `Rule set ${record.rulesVersion} is not known. Upgrade elmpost on this machine.`)
+    }
+    if (record.kind === 'snapshot') return this._judgeFirstSnapshot(offset, record)
+    return this._block === undefined
+      ? fold.verdict('not-judged', offset, record, `The records before offset ${this._tail.startOffset} are gone and no snapshot covers them yet.`)
+      : fold.verdict('unsupported-rules', offset, record, fold.upgradeReason(this._block))
+  }
+
+  private _judgeFirstSnapshot (offset: number, record: recordDecoder.DecodedRecord): types.Verdict {
+    if (record.asOfOffset >= offset) return fold.verdict('invalid', offset, record, 'The asOfOffset is not below the offset of the snapshot.')
+    const checked = documentCheck.checkDocument(this._validator, record)
+    if (checked.kind !== 'valid') return fold.verdict(checked.kind, offset, record, checked.reason)
+    const state = { ...fold.stateOf(record, checked.document, record.asOfOffset), asOfOffset: record.asOfOffset }
+    return this._startFrom(state)
+      ? fold.verdict('snapshot-adopted', offset, record, `Records after offset ${record.asOfOffset} are judged on this version.`)
+      : fold.verdict('stale-snapshot', offset, record, `Records between offset ${record.asOfOffset} and this snapshot are gone or need newer rules.`)
+  }
+
+  private _startFromPeer (): void {
+    if (this._fold === undefined && this._peerState !== undefined) this._startFrom(this._peerState)
+  }
+
+  /** Folds the kept records onto a state, if all records after its place are there. */
+  private _startFrom (state: PlacedState): boolean {
+    if (state.asOfOffset + 1 < this._tail.startOffset || state.asOfOffset >= this._nextOffset) return false
+    if (state.version < (this._block?.version ?? 0)) return false
+    const started = new fold.Fold(this._validator, this._verdicts, state)
+    this._fold = started
+    this._block = undefined
+    this._raise(state)
+    for (const { offset, record } of this._tail.after(state.asOfOffset)) {
+      this._verdicts.add(started.judge(offset, record))
+      if (started.block !== undefined) break
+    }
+    this._afterRestart(started)
+    return true
+  }
+
+  private _afterRestart (started: fold.Fold): void {
+    const blockOffset = started.block?.offset
+    const unjudged = blockOffset === undefined ? [] : this._tail.after(blockOffset)
+    this._tail.restart(this._nextOffset)
+    this._afterFold(started)
+    for (const { offset, record } of unjudged) this._tail.add(offset, record)
+  }
+
+  private _loseTrack (offset: number): void {
+    this._fold = undefined
+    this._tail.restart(offset)
+  }
+
+  private _setBlock (block: fold.Block): void {
+    if (this._block === undefined || block.version >= this._block.version) this._block = block
+  }
+
+  private _raise (state: types.AcceptedState): boolean {
+    if (this._newest !== undefined && state.version <= this._newest.version) return false
+    this._newest = state
+    return true
+  }
+
+  private _folded (record: types.LogRecord): types.Verdict {
+    return this._unjudged('duplicate', record.offset, undefined, 'The record at this offset was read before.')
+  }
+
+  private _unreadable (offset: number, proposalId: string | undefined, reason: string): types.Verdict {
+    return this._unjudged('invalid', offset, proposalId, reason)
+  }
+
+  private _unjudged (kind: types.VerdictKind, offset: number, proposalId: string | undefined, reason: string): types.Verdict {
+    return { kind, offset, ...(proposalId === undefined ? {} : { proposalId }), version: this._newest?.version ?? recordDecoder.GENESIS_VERSION, reason }
+  }
+
+  private _isValidState (state: unknown): state is types.AcceptedState {
+    if (!jsonText.isObject(state) || !Number.isSafeInteger(state['version']) || Number(state['version']) < 1) return false
+    if (state['asOfOffset'] !== undefined && !Number.isSafeInteger(state['asOfOffset'])) return false
+    if (jsonText.safeDigest(state['document']) !== state['digest']) return false
+    return this._validator.validate(state['document'], Number(state['rulesVersion'])).isOk()
+  }
+}
+
+/** A state whose place in the log is known. */
+type PlacedState = types.AcceptedState & { readonly asOfOffset: number }
+
+function isPlaced (state: types.AcceptedState): state is PlacedState {
+  return state.asOfOffset !== undefined && state.asOfOffset >= 0
+}
+
+function isLogRecord (record: unknown): record is types.LogRecord {
+  return jsonText.isObject(record) && Number.isSafeInteger(record['offset']) && Number(record['offset']) >= 0
+}
--- /dev/null
+++ b/packages/common/src/config/ConfigDelta.ts
@@ -0,0 +1,94 @@
+import * as patches from 'fast-json-patch'
+import * as results from 'ts-results-es'
+import * as errors from './ConfigErrors.js'
+import * as jsonText from './JsonText.js'
+import type * as services from './Services.js'
+import type * as types from './Types.js'
+
+/** `copy` can double a document with every operation, and `make` needs none but these. */
+const ALLOWED_OPERATIONS: ReadonlySet<unknown> = new Set(['add', 'remove', 'replace'])
+
+type Outcome<T> = results.Result<T, errors.ConfigDeltaError>
+
+/** Makes and applies JSON Patches between versions. `apply` never throws and never changes its arguments. */
+export class ConfigDelta implements services.IConfigDelta {
+  constructor (private readonly _validator: services.IConfigValidator) {}
+
+  public make (from: types.AcceptedState, to: types.AcceptedState): types.ConfigDeltaMessage {
+    return {
+      version: to.version,
+      rulesVersion: to.rulesVersion,
+      baseVersion: from.version,
+      baseDigest: from.digest,
+      digest: to.digest,
+      ...(to.asOfOffset === undefined ? {} : { asOfOffset: to.asOfOffset }),
+      patch: patches.default.compare(from.document, to.document)
+    }
+  }
+
+  public apply (base: types.AcceptedState, delta: types.ConfigDeltaMessage): Outcome<types.AcceptedState> {
+    return this._checkBase(base, delta)
+      .andThen(() => this._patched(base, delta.patch))
+      .andThen(document => this._checkResult(document, delta))
+  }
+
+  private _checkBase (base: types.AcceptedState, delta: types.ConfigDeltaMessage): Outcome<void> {
+    const malformed = malformation(delta)
+    if (malformed !== undefined) return fail('malformed', malformed)
+    if (delta.baseVersion !== base.version || delta.baseDigest !== base.digest) {
+      return fail('wrong-base', `The delta starts at version ${delta.baseVersion}, but this node is at version ${base.version} or holds another document.`)
+    }
+    return results.Ok(undefined)
+  }
+
+  private _patched (base: types.AcceptedState, patch: readonly unknown[]): Outcome<unknown> {
+    try {
+      // Later operations can change values of earlier ones, so the patch is copied: it may be sent on to other nodes.
+      const operations = patches.default.deepClone(patch) as patches.Operation[]
+      return results.Ok(patches.default.applyPatch(base.document, operations, true, false).newDocument)
+    } catch (error) {
+      return fail('patch-failed', `The patch does not fit the document (${firstLine(error)}).`)
+    }
+  }
+
+  private _checkResult (document: unknown, delta: types.ConfigDeltaMessage): Outcome<types.AcceptedState> {
+    if (jsonText.safeDigest(document) !== delta.digest) {
+      return fail('digest-mismatch', `The result of the delta to version ${delta.version} does not have the digest that the sender stated.`)
+    }
+    return this._validator.validate(document, delta.rulesVersion)
+      .map(valid => ({
+        version: delta.version,
+        digest: delta.digest,
+        rulesVersion: delta.rulesVersion,
+        document: valid,
+        ...(delta.asOfOffset === undefined ? {} : { asOfOffset: delta.asOfOffset })
+      }))
+      .mapErr(problems => new errors.ConfigDeltaError('invalid-result',
+        `The result of the delta to version ${delta.version} is not valid: ${problems.map(errors.formatProblem).join(' ')}`))
+  }
+}
+
+/** What is wrong with the shape of a delta from a peer, if anything. */
+function malformation (delta: unknown): string | undefined {
+  if (!jsonText.isObject(delta)) return 'The delta is not an object.'
+  for (const field of ['version', 'baseVersion', 'rulesVersion']) {
+    if (!Number.isSafeInteger(delta[field])) return `The field '${field}' of the delta is not an integer.`
+  }
+  if (delta['asOfOffset'] !== undefined && !Number.isSafeInteger(delta['asOfOffset'])) return "The field 'asOfOffset' of the delta is not an integer."
+  if (Number(delta['version']) <= Number(delta['baseVersion'])) return 'The delta does not lead to a newer version.'
+  const patch = delta['patch']
+  if (!Array.isArray(patch)) return "The field 'patch' of the delta is not a list."
+  if (jsonText.canonicalText(patch) === undefined) return 'The patch is not JSON or is nested too deeply.'
+  if (!patch.every(operation => jsonText.isObject(operation) && ALLOWED_OPERATIONS.has(operation['op']))) {
+    return 'The patch has operations other than add, remove and replace.'
+  }
+  return undefined
+}
+
+function fail (kind: errors.ConfigDeltaErrorKind, problem: string): results.Result<never, errors.ConfigDeltaError> {
+  return results.Err(new errors.ConfigDeltaError(kind, problem))
+}
+
+function firstLine (error: unknown): string {
+  return (error instanceof Error ? error.message : String(error)).split('\n', 1)[0] ?? ''
+}
--- /dev/null
+++ b/packages/common/src/config/Fold.ts
@@ -0,0 +1,105 @@
+import * as documentCheck from './DocumentCheck.js'
+import * as recordDecoder from './RecordDecoder.js'
+import type * as services from './Services.js'
+import type * as types from './Types.js'
+import type * as verdictTable from './VerdictTable.js'
+
+/** A record that newer software may accept. From there on this software cannot know the state in force. */
+export interface Block {
+  readonly offset: number
+  readonly rulesVersion: number
+  /** The version in force if newer software accepted the record. */
+  readonly version: number
+}
+
+/**
+ * The fold over records in offset order from a known state.
+ * Whether a proposal is accepted depends on its base and its content alone, never on the proposals seen before:
+ * a node that started later does not know those, and it must come to the same state.
+ */
+export class Fold {
+  private _block: Block | undefined
+
+  /** Without a state, the fold starts before the first record of the log. */
+  constructor (
+    private readonly _validator: services.IConfigValidator,
+    private readonly _verdicts: verdictTable.VerdictTable,
+    private _state: types.AcceptedState | undefined
+  ) {}
+
+  public get state (): types.AcceptedState | undefined {
+    return this._state
+  }
+
+  /** Set once a record could not be judged. The fold must not be used after that record. */
+  public get block (): Block | undefined {
+    return this._block
+  }
+
+  public judge (offset: number, record: recordDecoder.DecodedRecord): types.Verdict {
+    return record.kind === 'proposal' ? this._judgeProposal(offset, record) : this._judgeSnapshot(offset, record)
+  }
+
+  private _judgeProposal (offset: number, record: recordDecoder.DecodedRecord): types.Verdict {
+    if (!this._isBasedOnState(record)) return this._otherBase(offset, record)
+    if (!record.isSupported) return this._blocked(offset, record)
+    const checked = documentCheck.checkDocument(this._validator, record)
+    if (checked.kind !== 'valid') return verdict(checked.kind, offset, record, checked.reason)
+    this._state = stateOf(record, checked.document, offset)
+    return verdict('accepted', offset, record, 'The base is the version in force and the document is valid.')
+  }
+
+  private _judgeSnapshot (offset: number, record: recordDecoder.DecodedRecord): types.Verdict {
+    if (record.version <= this._version) return verdict('stale-snapshot', offset, record, `Version ${this._version} is in force.`)
+    if (!record.isSupported) return this._blocked(offset, record)
+    if (record.asOfOffset >= offset) return verdict('invalid', offset, record, 'The asOfOffset is not below the offset of the snapshot.')
+    const checked = documentCheck.checkDocument(this._validator, record)
+    if (checked.kind !== 'valid') return verdict(checked.kind, offset, record, checked.reason)
+    this._state = stateOf(record, checked.document, offset)
+    return verdict('snapshot-adopted', offset, record, 'The snapshot is newer than the version in force.')
+  }
+
+  private _otherBase (offset: number, record: recordDecoder.DecodedRecord): types.Verdict {
+    const first = record.proposalId === undefined ? undefined : this._verdicts.get(record.proposalId)
+    if (first !== undefined && first.kind !== 'not-judged') {
+      return verdict('duplicate', offset, record, `The verdict '${first.kind}' at offset ${first.offset} stands.`)
+    }
+    const reason = record.baseVersion === this._version
+      ? `The base is another document than version ${this._version}.`
+      : `The base is version ${record.baseVersion}, but version ${this._version} is in force.`
+    return verdict('conflict', offset, record, `${reason} Compare with the version in force and apply again.`)
+  }
+
+  private _blocked (offset: number, record: recordDecoder.DecodedRecord): types.Verdict {
+    this._block = { offset, rulesVersion: record.rulesVersion, version: record.version }
+    return verdict('unsupported-rules', offset, record, upgradeReason(this._block))
+  }
+
+  private get _version (): number {
+    return this._state?.version ?? recordDecoder.GENESIS_VERSION
+  }
+
+  private _isBasedOnState (record: recordDecoder.DecodedRecord): boolean {
+    return record.baseVersion === this._version && record.baseDigest === (this._state?.digest ?? recordDecoder.GENESIS_DIGEST)
+  }
+}
+
+/** Says what keeps this software from judging records. */
+export function upgradeReason (block: Block): string {
+  return `The record at offset ${block.offset} needs rule set ${block.rulesVersion}, which this software does not know. Upgrade elmpost on this machine.`
+}
+
+export function verdict (kind: types.VerdictKind, offset: number, record: recordDecoder.DecodedRecord, reason: string): types.Verdict {
+  return {
+    kind,
+    offset,
+    ...(record.proposalId === undefined ? {} : { proposalId: record.proposalId }),
+    version: record.version,
+    reason
+  }
+}
+
+/** The state that a checked record stands for. */
+export function stateOf (record: recordDecoder.DecodedRecord, document: types.ConfigDocument, asOfOffset: number): types.AcceptedState {
+  return { version: record.version, digest: record.digest, rulesVersion: record.rulesVersion, document, asOfOffset }
+}
--- /dev/null
+++ b/packages/common/src/config/RecordTail.ts
@@ -0,0 +1,46 @@
+import type * as recordDecoder from './RecordDecoder.js'
+
+/** A node has 64 MB for control work; the lag of a snapshot behind the log is far below this. */
+const MAX_TAIL_CHARACTERS = 8 * 1024 * 1024
+
+export interface TailRecord {
+  readonly offset: number
+  readonly record: recordDecoder.DecodedRecord
+}
+
+/** The latest records that could not be judged yet. */
+export class RecordTail {
+  private _records: TailRecord[] = []
+  private _characters = 0
+  private _startOffset = 0
+
+  constructor (private readonly _capacity: number = MAX_TAIL_CHARACTERS) {}
+
+  /** Every record from this offset on is in the tail. */
+  public get startOffset (): number {
+    return this._startOffset
+  }
+
+  public restart (startOffset: number): void {
+    this._records = []
+    this._characters = 0
+    this._startOffset = startOffset
+  }
+
+  public add (offset: number, record: recordDecoder.DecodedRecord): void {
+    this._records.push({ offset, record })
+    this._characters += record.documentText.length
+    while (this._characters > this._capacity) this._dropOldest()
+  }
+
+  public after (offset: number): readonly TailRecord[] {
+    return this._records.filter(entry => entry.offset > offset)
+  }
+
+  private _dropOldest (): void {
+    const oldest = this._records.shift()
+    if (oldest === undefined) return
+    this._characters -= oldest.record.documentText.length
+    this._startOffset = oldest.offset + 1
+  }
+}
--- /dev/null
+++ b/packages/common/src/config/RuleSets.ts
@@ -0,0 +1,28 @@
+/** The rule sets that this software knows, compiled once per process. */
+import * as ajv from 'ajv'
+import * as configSchema from './ConfigSchema.js'
+import * as referenceRules from './ReferenceRules.js'
+
+export const CURRENT_RULES_VERSION = 1
+
+/** Everything that decides whether a document is valid under one `rulesVersion`. It must never change once released. */
+export interface RuleSet {
+  readonly matchesSchema: ajv.ValidateFunction
+  readonly references: referenceRules.ReferenceRules
+}
+
+/** Rule sets are shared by all validators of the process, because compiling a schema takes milliseconds. */
+const compiled = new Map<number, RuleSet>()
+
+/** Returns the rule set, or undefined if this software does not know it. */
+export function ruleSet (rulesVersion: number): RuleSet | undefined {
+  const known = compiled.get(rulesVersion)
+  if (known !== undefined || rulesVersion !== CURRENT_RULES_VERSION) return known
+  const schemas = new ajv.Ajv({ allErrors: true, strict: true })
+  const created = {
+    matchesSchema: schemas.compile(configSchema.CONFIG_SCHEMA),
+    references: new referenceRules.ReferenceRules()
+  }
+  compiled.set(rulesVersion, created)
+  return created
+}
--- a/packages/common/src/config/Services.ts
+++ b/packages/common/src/config/Services.ts
@@ -1,9 +1,11 @@
 import type * as results from 'ts-results-es'
+import type * as errors from './ConfigErrors.js'
 import type * as types from './Types.js'
 
 /** Checks a document against the published schema and the reference rules. */
 export interface IConfigValidator {
-  /** Returns the typed document, or every problem found. */
+  supports(rulesVersion: number): boolean
+  /** Returns the typed document, or every problem found. An unknown rule set is a problem of its own kind. */
   validate(document: unknown, rulesVersion: number): results.Result<types.ConfigDocument, readonly types.ConfigProblem[]>
 }
 
@@ -12,14 +14,21 @@
   readonly state: types.AcceptedState | undefined
   /** Offset of the next record to read. */
   readonly nextOffset: number
+  /** Why records cannot be judged by this software; undefined while they can. */
+  readonly upgradeReason: string | undefined
+  /** Never throws, whatever the record holds. */
   apply(record: types.LogRecord): types.Verdict
   /** Adopts a state that peers hold, if it is newer. Returns whether it was adopted. */
   adopt(state: types.AcceptedState): boolean
+  /** The record that keeps the accepted state in the log; undefined while the state is not known from the log. */
+  snapshot(): types.SnapshotRecord | undefined
+  /** The first verdict on a proposal, if it is among the latest ones. */
+  verdictOf(proposalId: string): types.Verdict | undefined
 }
 
 /** Makes and applies updates between versions. */
 export interface IConfigDelta {
   make(from: types.AcceptedState, to: types.AcceptedState): types.ConfigDeltaMessage
   /** Fails without side effects if a digest does not match or the patch does not apply. */
-  apply(base: types.AcceptedState, delta: types.ConfigDeltaMessage): results.Result<types.AcceptedState, Error>
+  apply(base: types.AcceptedState, delta: types.ConfigDeltaMessage): results.Result<types.AcceptedState, errors.ConfigDeltaError>
 }
--- /dev/null
+++ b/packages/common/src/config/TestDocuments.ts
@@ -0,0 +1,56 @@
+/** Documents and records for tests of the configuration folder and of its users. */
+import * as digests from '../base/Digest.js'
+import type * as types from './Types.js'
+
+/** The example of the design page, with a marker that makes documents differ. */
+export function testDocument (coldStartMs: number = 1000): types.ConfigDocument {
+  return {
+    institution: 'kartuli',
+    services: [{ name: 'till', slots: 15, connections: 120, coldStartMs }],
+    targets: [{ service: 'till', zones: ['vake', 'saburtalo', 'didube'] }],
+    routes: [{
+      name: 'charge',
+      match: { method: 'POST', pathPrefix: '/till/charge' },
+      service: 'till',
+      idempotent: false,
+      timeoutMs: 2000,
+      retry: { maxAttempts: 1 },
+      limits: { maxQueueMs: 500, maxBodyBytes: 65536 }
+    }],
+    terms: {
+      drainMs: 10000,
+      retryBudgetRatio: 0.1,
+      zonePreference: 'local-first',
+      ownershipHorizonMs: 600000,
+      keyRetentionMs: 600000,
+      distribution: { preference: 'control-bytes', pushFanout: 4, gossipIntervalMs: 1000 }
+    }
+  }
+}
+
+/** An accepted state as an earlier fold would have given it. */
+export function testState (version: number, document: types.ConfigDocument, asOfOffset?: number): types.AcceptedState {
+  return {
+    version,
+    digest: digests.digestJson(document),
+    rulesVersion: 1,
+    document,
+    ...(asOfOffset === undefined ? {} : { asOfOffset })
+  }
+}
+
+/** A proposal on a base; no base means the first version. */
+export function testProposal (serial: number, base: types.AcceptedState | undefined, document: types.ConfigDocument): types.ProposalRecord {
+  return {
+    kind: 'proposal',
+    proposalId: `00000000-0000-4000-8000-${String(serial).padStart(12, '0')}`,
+    version: (base?.version ?? 0) + 1,
+    baseVersion: base?.version ?? 0,
+    baseDigest: base?.digest ?? '',
+    digest: digests.digestJson(document),
+    rulesVersion: 1,
+    author: 'nino',
+    proposedAtMs: 1_700_000_000_000,
+    document
+  }
+}
--- a/packages/common/src/config/Types.ts
+++ b/packages/common/src/config/Types.ts
@@ -71,6 +71,11 @@
   readonly digest: string
   readonly rulesVersion: number
   readonly document: ConfigDocument
+  /**
+   * The state was in force after every record up to and including this offset of the `config` stream.
+   * Without it the state can be enforced, but later records cannot be judged on it.
+   */
+  readonly asOfOffset?: number
 }
 
 export interface ProposalRecord {
@@ -86,11 +91,17 @@
   readonly document: ConfigDocument
 }
 
+/**
+ * The accepted state, appended again before the log drops the record that made it.
+ * A newer proposal may stand between `asOfOffset` and the snapshot, so a reader that starts here
+ * judges the records after `asOfOffset` on this state, not the records after the snapshot.
+ */
 export interface SnapshotRecord {
   readonly kind: 'snapshot'
   readonly version: number
   readonly digest: string
   readonly rulesVersion: number
+  readonly asOfOffset: number
   readonly document: ConfigDocument
 }
 
@@ -111,6 +122,8 @@
   | 'unsupported-rules'
   | 'stale-snapshot'
   | 'snapshot-adopted'
+  /** Earlier records are gone from the log, and no snapshot or peer state covers them yet. */
+  | 'not-judged'
 
 /** The judgement on one record. The same prefix of the log gives the same verdicts on every node. */
 export interface Verdict {
@@ -122,8 +135,11 @@
   readonly reason: string
 }
 
+export type ProblemKind = 'schema' | 'reference' | 'too-large' | 'unsupported-rules'
+
 /** One thing that is wrong with a document. */
 export interface ConfigProblem {
+  readonly kind: ProblemKind
   /** JSON pointer to the offending value. */
   readonly pointer: string
   readonly message: string
@@ -138,6 +154,8 @@
   readonly baseVersion: number
   readonly baseDigest: string
   readonly digest: string
+  /** Copied from the state that the update leads to. */
+  readonly asOfOffset?: number
   /** RFC 6902 JSON Patch against the base document. */
   readonly patch: readonly unknown[]
 }
--- /dev/null
+++ b/packages/common/src/config/index.ts
@@ -0,0 +1,11 @@
+/** Public classes of the configuration folder. */
+export * from './Acceptance.js'
+export * from './ConfigDelta.js'
+export * from './ConfigErrors.js'
+export * from './ConfigSchema.js'
+export * from './ConfigValidator.js'
+export * from './RecordDecoder.js'
+export * from './ReferenceRules.js'
+export * from './RuleSets.js'
+export type * from './Services.js'
+export type * from './Types.js'
