--- /dev/null
+++ b/packages/common/src/hosting/Admission.ts
@@ -0,0 +1,81 @@
+import type * as base from '../base/Types.js'
+import * as queues from './DeadlineQueue.js'
+import type * as types from './Types.js'
+
+/** Weight of the newest service time in the moving average. */
+const SERVICE_TIME_WEIGHT = 0.1
+
+/** A hint below this would make callers retry in a tight loop. */
+const MIN_RETRY_AFTER_MS = 50
+
+export interface AdmissionOptions {
+  /** Assumed until the first answer; a low value admits calls that a measured one would refuse. */
+  readonly initialServiceMs: base.Millis
+}
+
+/** Limits of the target that apply to one decision. */
+export interface TargetLimits {
+  readonly slots: number
+  readonly connections: number
+  readonly maxQueueMs: base.Millis
+}
+
+export type AdmissionVerdict =
+  | { readonly kind: 'admitted', readonly latestStartMs: base.Millis }
+  | { readonly kind: 'refused', readonly reason: types.OutcomeReason, readonly retryAfterMs: base.Millis }
+
+/** Counts calls on the target and in its queue, and admits a call only if it can start in time. */
+export class Admission {
+  public readonly queue = new queues.DeadlineQueue()
+  private _inFlight = 0
+  private _meanServiceMs: base.Millis
+
+  constructor (options: AdmissionOptions) {
+    this._meanServiceMs = options.initialServiceMs
+  }
+
+  public get inFlight (): number {
+    return this._inFlight
+  }
+
+  public get meanServiceMs (): base.Millis {
+    return this._meanServiceMs
+  }
+
+  /** Whether a call would have to wait. Each running call uses one connection. */
+  public isBusy (limits: TargetLimits): boolean {
+    return this._inFlight + this.queue.size >= width(limits)
+  }
+
+  public decide (limits: TargetLimits, remainingMs: base.Millis, nowMs: base.Millis): AdmissionVerdict {
+    if (remainingMs <= 0) return { kind: 'refused', reason: 'deadline', retryAfterMs: MIN_RETRY_AFTER_MS }
+    const waitMs = this.expectedWaitMs(limits)
+    if (waitMs > 0 && (waitMs > limits.maxQueueMs || waitMs + this._meanServiceMs > remainingMs)) {
+      return { kind: 'refused', reason: 'overloaded', retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, Math.ceil(waitMs)) }
+    }
+    return { kind: 'admitted', latestStartMs: nowMs + Math.min(remainingMs, limits.maxQueueMs) }
+  }
+
+  /** Wait of a call that arrives now: the calls ahead of it that need a slot first, itself included. */
+  public expectedWaitMs (limits: TargetLimits): base.Millis {
+    const slots = width(limits)
+    const ahead = this._inFlight + this.queue.size + 1 - slots
+    return ahead <= 0 ? 0 : ahead * this._meanServiceMs / slots
+  }
+
+  public started (runId: number): void {
+    this.queue.remove(runId)
+    this._inFlight++
+  }
+
+  /** `serviceMs` is undefined when the run gave no answer. */
+  public ended (serviceMs: base.Millis | undefined): void {
+    this._inFlight--
+    if (serviceMs === undefined) return
+    this._meanServiceMs += SERVICE_TIME_WEIGHT * (serviceMs - this._meanServiceMs)
+  }
+}
+
+function width (limits: TargetLimits): number {
+  return Math.max(1, Math.min(limits.slots, limits.connections))
+}
--- /dev/null
+++ b/packages/common/src/hosting/CrashTable.ts
@@ -0,0 +1,114 @@
+import type * as base from '../base/Types.js'
+import type * as services from './Services.js'
+import type * as types from './Types.js'
+
+/** Crashed targets on which a fingerprint was to blame before it is refused. */
+const BLOCKING_CRASHES = 2
+
+/** Crashed targets on which a fingerprint ran beside others before it is run apart from other suspects. */
+const SUSPECT_CRASHES = 2
+
+export interface CrashTableOptions {
+  /** Time for which a record counts. */
+  readonly blockMs: base.Millis
+  /** How often `pending` hands out each record. */
+  readonly gossipRepeats: number
+  readonly maxRecords: number
+}
+
+export const DEFAULT_OPTIONS: CrashTableOptions = {
+  blockMs: 600_000,
+  // 3·log2(6,900) rounded up, the bound of membership updates.
+  gossipRepeats: 39,
+  maxRecords: 4_096
+}
+
+interface Entry {
+  readonly record: types.CrashRecord
+  repeatsLeft: number
+}
+
+/**
+ * Crash records of this node and of its peers.
+ *
+ * A key is blocked after one crash: a keyed call runs once anyway. A fingerprint is blocked after it was to blame on two
+ * crashed targets. It is to blame when it was alone on the target, or the only suspect there (see `isSuspect`); without
+ * the second rule a request that always runs beside others would never be blocked. Popular requests become suspects
+ * together with the one that crashes the targets, but stay unblocked because suspects are run one at a time per target.
+ */
+export class CrashTable implements services.ICrashTable {
+  private readonly _options: CrashTableOptions
+  /** In order of arrival; the key names one run on one target. */
+  private readonly _entries = new Map<string, Entry>()
+  private readonly _keys = new Map<string, number>()
+  /** By fingerprint: crashes it was part of, and crashes it is to blame for. */
+  private readonly _seen = new Map<string, { parts: number, blames: number }>()
+
+  constructor (options: Partial<CrashTableOptions> = {}) {
+    this._options = { ...DEFAULT_OPTIONS, ...options }
+  }
+
+  public isBlocked (key: string | undefined, fingerprint: string, _nowMs: base.Millis): boolean {
+    if (key !== undefined && key !== '' && this._keys.has(key)) return true
+    return (this._seen.get(fingerprint)?.blames ?? 0) >= BLOCKING_CRASHES
+  }
+
+  public isSuspect (fingerprint: string, _nowMs: base.Millis): boolean {
+    return (this._seen.get(fingerprint)?.parts ?? 0) >= SUSPECT_CRASHES
+  }
+
+  public record (record: types.CrashRecord, nowMs: base.Millis): boolean {
+    const id = identity(record)
+    if (this._entries.has(id) || record.atMs + this._options.blockMs <= nowMs) return false
+    this._entries.set(id, { record, repeatsLeft: this._options.gossipRepeats })
+    this._count(record, 1)
+    if (this._entries.size > this._options.maxRecords) this._dropOldest()
+    return true
+  }
+
+  public pending (limit: number): readonly types.CrashRecord[] {
+    const records: types.CrashRecord[] = []
+    for (const entry of this._entries.values()) {
+      if (records.length >= limit) break
+      if (entry.repeatsLeft <= 0) continue
+      entry.repeatsLeft--
+      records.push(entry.record)
+    }
+    return records
+  }
+
+  public tick (nowMs: base.Millis): void {
+    for (const [id, { record }] of this._entries) {
+      if (record.atMs + this._options.blockMs <= nowMs) this._drop(id, record)
+    }
+  }
+
+  private _dropOldest (): void {
+    const oldest = this._entries.entries().next().value
+    if (oldest !== undefined) this._drop(oldest[0], oldest[1].record)
+  }
+
+  private _drop (id: string, record: types.CrashRecord): void {
+    this._entries.delete(id)
+    this._count(record, -1)
+  }
+
+  private _count (record: types.CrashRecord, step: 1 | -1): void {
+    if (record.key !== '') change(this._keys, record.key, step)
+    const seen = this._seen.get(record.fingerprint) ?? { parts: 0, blames: 0 }
+    seen.parts += step
+    if (record.concurrent === 1) seen.blames += step
+    if (seen.parts === 0) this._seen.delete(record.fingerprint)
+    else this._seen.set(record.fingerprint, seen)
+  }
+}
+
+function identity (record: types.CrashRecord): string {
+  return `${record.nodeId} ${record.atMs} ${record.fingerprint} ${record.key}`
+}
+
+function change (counts: Map<string, number>, name: string, step: 1 | -1): void {
+  const count = (counts.get(name) ?? 0) + step
+  if (count === 0) counts.delete(name)
+  else counts.set(name, count)
+}
--- /dev/null
+++ b/packages/common/src/hosting/DeadlineQueue.ts
@@ -0,0 +1,45 @@
+import type * as base from '../base/Types.js'
+
+/** Calls that wait for a slot, each with the latest time at which it may start. */
+export class DeadlineQueue {
+  private readonly _latestStartMs = new Map<number, base.Millis>()
+
+  public get size (): number {
+    return this._latestStartMs.size
+  }
+
+  public add (runId: number, latestStartMs: base.Millis): void {
+    this._latestStartMs.set(runId, latestStartMs)
+  }
+
+  /** Allows a later start, for a resend with more time left. */
+  public extend (runId: number, latestStartMs: base.Millis): void {
+    const current = this._latestStartMs.get(runId)
+    if (current !== undefined && latestStartMs > current) this._latestStartMs.set(runId, latestStartMs)
+  }
+
+  public remove (runId: number): boolean {
+    return this._latestStartMs.delete(runId)
+  }
+
+  public canStart (runId: number, nowMs: base.Millis): boolean {
+    const latestStartMs = this._latestStartMs.get(runId)
+    return latestStartMs !== undefined && nowMs <= latestStartMs
+  }
+
+  /** Removes and returns the calls that can no longer start. */
+  public takeExpired (nowMs: base.Millis): readonly number[] {
+    const expired: number[] = []
+    for (const [runId, latestStartMs] of this._latestStartMs) {
+      if (latestStartMs < nowMs) expired.push(runId)
+    }
+    for (const runId of expired) this._latestStartMs.delete(runId)
+    return expired
+  }
+
+  public takeAll (): readonly number[] {
+    const all = [...this._latestStartMs.keys()]
+    this._latestStartMs.clear()
+    return all
+  }
+}
--- /dev/null
+++ b/packages/common/src/hosting/HostCalls.ts
@@ -0,0 +1,376 @@
+import type * as base from '../base/Types.js'
+import type * as config from '../config/Types.js'
+import type * as messages from '../node/Messages.js'
+import * as admissions from './Admission.js'
+import * as answers from './Answers.js'
+import * as blames from './CrashBlame.js'
+import * as delegations from './DelegationTable.js'
+import * as keys from './Keys.js'
+import * as keyTables from './KeyTable.js'
+import * as limits from './CallLimits.js'
+import * as runs from './RunTable.js'
+import type * as services from './Services.js'
+import type * as types from './Types.js'
+import * as windows from './OwnedWindows.js'
+
+/** A `not-run` refusal holds this long, which is longer than a send can be on its way (see `MAX_SEND_AGE_MS`). */
+export const REFUSAL_MEMORY_MS = 1_500
+
+/** Sends older than this by the owner's clock are refused. With clocks 250 ms apart a send arrives within 1,250 ms. */
+export const MAX_SEND_AGE_MS = 1_000
+
+/** Retry time of a refused key; not below the refusal memory. */
+const KEY_RETRY_AFTER_MS = 2_000
+
+/** Retry time when the target or the node cannot take work now. */
+const RETRY_AFTER_MS = 100
+
+/** Retention without a configuration; no call runs then, so it only keeps memory. */
+const DEFAULT_KEY_RETENTION_MS = 600_000
+
+/** Mean service time assumed before the first answer. */
+const INITIAL_SERVICE_MS = 10
+
+export interface HostCallsOptions {
+  readonly self: types.PartitionOwner
+  readonly service: string
+  /** This process's clock when it started. Keys issued up to 2 s later may have been run by its predecessor. */
+  readonly startedAtMs: base.Millis
+  readonly configuration: () => config.ConfigDocument | undefined
+  /** Whether the target beside the node is up. */
+  readonly targetReady: () => boolean
+  readonly table: services.IOwnershipTable
+  readonly isCaughtUp: () => boolean
+  readonly crashes: services.ICrashTable
+  readonly delegates: services.IDelegateSelector
+  readonly keyLimits?: Partial<typeof keyTables.DEFAULT_LIMITS>
+}
+
+type Place =
+  | { readonly kind: 'admitted', readonly limits: admissions.TargetLimits, readonly latestStartMs: base.Millis }
+  | { readonly kind: 'refused', readonly reason: types.OutcomeReason, readonly retryAfterMs: base.Millis }
+
+/**
+ * Calls on the target beside this node.
+ *
+ * A key runs at most once. The argument:
+ *
+ * 1. Of all processes, at most one owns a key, at any moment and across moments (`OwnershipTable`, `OwnedWindows`).
+ *    Ownership depends on the key's time of issue alone and not on the time at which it is checked. A process that is
+ *    paused between the check and the write to its target therefore still writes a key that nobody else can own.
+ * 2. An owner runs a key only if its key table has no entry for it and the key was issued after `forgottenUntilMs`. Such
+ *    a key has no earlier run here: the entry is made in the same step as the decision, before the request is written or
+ *    delegated, and whatever the table forgets raises `forgottenUntilMs`.
+ * 3. An entry is removed only by a statement that the request was never written (`not-started`). The delegate makes it
+ *    only for a message it has not run and will not run again (`DelegationTable`).
+ * 4. A later process at the same address starts with `forgottenUntilMs` = its start + 2 s. Its predecessor ran no key
+ *    issued more than 2 s ahead of its own clock, which has not stepped back since.
+ *
+ * Assumed of the target: it starts work only for a request that this node wrote to it. Nothing else.
+ * Assumed of clocks: (a) the clock of a VM does not step back between two processes at its address; (b) for refusals to
+ * stay true, but not for at most once, the clocks of two connected nodes differ by at most 250 ms. The clocks of callers
+ * may be wrong by any amount.
+ */
+export class HostCalls implements services.IHostCalls {
+  private readonly _admission = new admissions.Admission({ initialServiceMs: INITIAL_SERVICE_MS })
+  private readonly _delegations = new delegations.DelegationTable()
+  private readonly _keys: keyTables.KeyTable
+  private readonly _limits: limits.CallLimits
+  private readonly _runs = new runs.RunTable()
+  private readonly _windows: windows.OwnedWindows
+  private readonly _blame: blames.CrashBlame
+  private _isDraining = false
+  private _isReleased = false
+
+  constructor (private readonly _options: HostCallsOptions) {
+    const forgottenUntilMs = _options.startedAtMs + keys.MAX_KEY_AHEAD_MS
+    this._keys = new keyTables.KeyTable({ forgottenUntilMs, ..._options.keyLimits })
+    this._blame = new blames.CrashBlame(_options.self.nodeId, _options.crashes, this._runs)
+    this._limits = new limits.CallLimits(_options.service, _options.configuration)
+    this._windows = new windows.OwnedWindows(_options)
+  }
+
+  public get load (): types.LoadReport {
+    return { inFlight: this._admission.inFlight, queued: this._admission.queue.size, slots: this._limits.slots }
+  }
+
+  public get isIdle (): boolean {
+    return this._runs.size === 0
+  }
+
+  /** Keys and refusals that are remembered. */
+  public get keyCount (): number {
+    return this._keys.size
+  }
+
+  public accept (from: base.NodeId, call: messages.CallMessage, nowMs: base.Millis): types.HostDecision {
+    if (call.delegatedBy !== undefined) return this._acceptDelegated(from, call, nowMs)
+    if (call.key !== undefined) return this._acceptKeyed({ ...call, key: keys.normalizeKey(call.key) }, nowMs)
+    if (this._limits.route(call.route)?.idempotent === false) return answer(answers.notRun('bad-key', 0))
+    const place = this._place(call, nowMs)
+    if (place.kind === 'refused') return answer(answers.notRun(place.reason, place.retryAfterMs))
+    return this._enqueue(call, place, undefined, nowMs)
+  }
+
+  public start (runId: number, nowMs: base.Millis): boolean {
+    const run = this._runs.get(runId)
+    if (run === undefined || run.place !== 'queue') return false
+    run.dropReason = this._dropReason(run, nowMs)
+    if (run.dropReason !== undefined) return false
+    run.place = 'target'
+    this._admission.started(runId)
+    return true
+  }
+
+  public finish (runId: number, result: types.RunResult, nowMs: base.Millis): types.FinalAnswer {
+    const run = this._runs.get(runId)
+    // The run has ended before, and everyone who waited has the answer.
+    if (run === undefined) return answers.unknown('answer-not-kept')
+    if (result.kind === 'lost' && result.targetDied) this._blame.record(run, nowMs)
+    this._leaveTarget(run, result)
+    this._runs.remove(runId)
+    const final = this._settle(run, result, nowMs)
+    if (run.delegation !== undefined) this._delegations.ended(run.delegation, final, nowMs)
+    return final
+  }
+
+  public cancel (runId: number, _nowMs: base.Millis): boolean {
+    const run = this._runs.get(runId)
+    if (run === undefined) return false
+    run.waiters = Math.max(0, run.waiters - 1)
+    if (run.waiters > 0) return false
+    if (run.place === 'queue') this._admission.queue.remove(runId)
+    return run.key === undefined
+  }
+
+  public beginDrain (nowMs: base.Millis): readonly types.HostUpdate[] {
+    this._isDraining = true
+    return [...this._runs.local()].filter(run => run.place === 'queue').map(run => this._vacate(run, nowMs))
+  }
+
+  public endDrain (): void {
+    this._isDraining = false
+  }
+
+  public release (to: types.PartitionOwner, nowMs: base.Millis): types.Handover {
+    this._isReleased = true
+    return {
+      from: this._options.self,
+      to,
+      released: false,
+      atMs: nowMs,
+      forgottenUntilMs: this._keys.forgottenUntilMs,
+      keys: this._keys.export(nowMs)
+    }
+  }
+
+  public inherit (handover: types.Handover, nowMs: base.Millis): boolean {
+    if (this._isReleased || !this._windows.inherit(handover)) return false
+    for (const handed of handover.keys) {
+      const keyTimeMs = keys.keyTimeMs(handed.key).unwrapOr(undefined)
+      if (keyTimeMs !== undefined) this._keys.import(handed, keyTimeMs, nowMs, nowMs + REFUSAL_MEMORY_MS)
+    }
+    return true
+  }
+
+  public tick (nowMs: base.Millis): readonly types.HostUpdate[] {
+    this._keys.tick(nowMs, this._retentionMs)
+    this._options.crashes.tick(nowMs)
+    this._delegations.tick(nowMs)
+    this._windows.tick(nowMs)
+    return this._admission.queue.takeExpired(nowMs).map(runId => this._expire(runId, nowMs))
+  }
+
+  private get _retentionMs (): base.Millis {
+    return this._limits.terms?.keyRetentionMs ?? DEFAULT_KEY_RETENTION_MS
+  }
+
+  private _acceptDelegated (from: base.NodeId, call: messages.CallMessage, nowMs: base.Millis): types.HostDecision {
+    const id = delegations.identity(from, call)
+    const known = this._delegations.get(id)
+    if (known !== undefined) return 'runId' in known ? this._join(known.runId, call, nowMs) : answer(known.answer)
+    // An older message may have been run and forgotten, so this is not a statement that it was not run.
+    if (isStale(call, nowMs)) return answer(answers.unknown('stale-send'))
+    const place = this._place(call, nowMs)
+    if (place.kind === 'refused') {
+      const refusal = answers.notRun(place.reason, place.retryAfterMs)
+      this._delegations.ended(id, refusal, nowMs)
+      return answer(refusal)
+    }
+    const decision = this._enqueue(call, place, id, nowMs)
+    this._delegations.begun(id, decision.runId)
+    return decision
+  }
+
+  private _acceptKeyed (call: KeyedCall, nowMs: base.Millis): types.HostDecision {
+    const keyTime = keys.keyTimeMs(call.key)
+    if (keyTime.isErr()) return answer(answers.notRun('bad-key', 0))
+    const keyTimeMs = keyTime.value
+    const remembered = this._remembered(call, keyTimeMs, nowMs)
+    if (remembered !== undefined) return remembered
+    const unowned = this._unowned(call, keyTimeMs, nowMs)
+    if (unowned !== undefined) return answer(unowned)
+    const refused = this._keyRefusal(call, keyTimeMs, nowMs)
+    if (refused !== undefined) return this._refuseKey(call, keyTimeMs, refused, RETRY_AFTER_MS, nowMs)
+    return this._runOwned(call, keyTimeMs, nowMs)
+  }
+
+  /** What the key table says. The refusal is renewed because it speaks for every send made until now. */
+  private _remembered (call: KeyedCall, keyTimeMs: base.Millis, nowMs: base.Millis): types.HostDecision | undefined {
+    const entry = this._keys.get(call.key)
+    if (entry !== undefined) {
+      if (entry.fingerprint !== call.fingerprint || entry.service !== call.service) return answer(answers.notRun('key-reused', 0))
+      if (entry.state === 'running') return this._join(entry.runId, call, nowMs)
+      if (entry.state === 'unknown') return answer(answers.unknown(entry.reason))
+      const stored = entry.answer
+      return answer(stored === undefined ? answers.unknown('answer-not-kept') : answers.answered(stored.status, stored.headers, stored.body))
+    }
+    const refusal = this._keys.refusal(call.key, nowMs)
+    if (refusal === undefined) return undefined
+    const reason = refusal.fingerprint === call.fingerprint ? refusal.reason : 'key-reused'
+    return this._refuseKey({ ...call, fingerprint: refusal.fingerprint }, keyTimeMs, reason, 0, nowMs)
+  }
+
+  /** Another process may have run the key, so these answers are never `not-run`. */
+  private _unowned (call: KeyedCall, keyTimeMs: base.Millis, nowMs: base.Millis): types.FinalAnswer | undefined {
+    const ownership = this._windows.of(call.service, call.key, keyTimeMs)
+    if (this._isReleased || ownership.kind === 'not-own') {
+      return answers.unknown('not-owner', ownership.kind === 'not-own' ? ownership.retryAfterMs : 0)
+    }
+    if (keyTimeMs <= this._options.startedAtMs + keys.MAX_KEY_AHEAD_MS) return answers.unknown('key-before-start')
+    const forgottenUntilMs = Math.max(this._keys.forgottenUntilMs, ownership.forgottenUntilMs, nowMs - this._retentionMs)
+    return keyTimeMs <= forgottenUntilMs ? answers.unknown('key-too-old') : undefined
+  }
+
+  private _keyRefusal (call: KeyedCall, keyTimeMs: base.Millis, nowMs: base.Millis): types.OutcomeReason | undefined {
+    if (keyTimeMs > nowMs + keys.MAX_KEY_AHEAD_MS) return 'key-too-new'
+    if (isStale(call, nowMs)) return 'stale-send'
+    if (call.remainingMs <= 0) return 'deadline'
+    return this._options.crashes.isBlocked(call.key, call.fingerprint, nowMs) ? 'crashes-target' : undefined
+  }
+
+  private _runOwned (call: KeyedCall, keyTimeMs: base.Millis, nowMs: base.Millis): types.HostDecision {
+    const target = this._limits.of(call.route)
+    if (target === undefined) return this._refuseKey(call, keyTimeMs, 'no-configuration', 0, nowMs)
+    if (this._isDraining || !this._options.targetReady() || this._admission.isBusy(target)) {
+      const choice = this._options.delegates.select(call.service, nowMs)
+      if (choice !== undefined) return this._delegate(call, keyTimeMs, target, choice, nowMs)
+    }
+    const place = this._place(call, nowMs)
+    if (place.kind === 'refused') return this._refuseKey(call, keyTimeMs, place.reason, place.retryAfterMs, nowMs)
+    const decision = this._enqueue(call, place, undefined, nowMs)
+    this._keys.begin(call.key, { ...identityOf(call), keyTimeMs, runId: decision.runId }, nowMs)
+    return decision
+  }
+
+  private _delegate (call: KeyedCall, keyTimeMs: base.Millis, target: admissions.TargetLimits, choice: services.DelegateChoice, nowMs: base.Millis): types.HostDecision {
+    const { runId } = this._runs.add(call, 'delegate', target, undefined, nowMs)
+    this._keys.begin(call.key, { ...identityOf(call), keyTimeMs, runId }, nowMs)
+    return { kind: 'delegate', runId, to: choice.nodeId, address: choice.address }
+  }
+
+  /** Whether the target can take the call now. */
+  private _place (call: messages.CallMessage, nowMs: base.Millis): Place {
+    const target = this._limits.of(call.route)
+    if (target === undefined) return refused('no-configuration')
+    if (call.service !== this._options.service || !this._options.targetReady()) return refused('no-target')
+    if (this._isDraining) return refused('draining')
+    if (this._options.crashes.isBlocked(call.key, call.fingerprint, nowMs)) return refused('crashes-target')
+    if (this._blame.mustWait(call.fingerprint, nowMs)) return refused('overloaded')
+    const verdict = this._admission.decide(target, call.remainingMs, nowMs)
+    return verdict.kind === 'refused' ? verdict : { ...verdict, limits: target }
+  }
+
+  private _enqueue (call: messages.CallMessage, place: Place & { kind: 'admitted' }, delegation: string | undefined, nowMs: base.Millis): types.HostDecision & { kind: 'run' } {
+    const { runId } = this._runs.add(call, 'queue', place.limits, delegation, nowMs)
+    this._admission.queue.add(runId, place.latestStartMs)
+    return { kind: 'run', runId, latestStartMs: place.latestStartMs }
+  }
+
+  private _join (runId: number, call: messages.CallMessage, nowMs: base.Millis): types.HostDecision {
+    const run = this._runs.get(runId)
+    if (run === undefined) return answer(answers.unknown('running'))
+    run.waiters++
+    run.deadlineAtMs = Math.max(run.deadlineAtMs, nowMs + call.remainingMs)
+    // Puts a run back whose earlier callers have all gone.
+    if (run.place === 'queue') this._admission.queue.add(runId, Math.min(run.deadlineAtMs, nowMs + run.limits.maxQueueMs))
+    return { kind: 'join', runId }
+  }
+
+  private _refuseKey (call: KeyedCall, keyTimeMs: base.Millis, reason: types.OutcomeReason, retryAfterMs: base.Millis, nowMs: base.Millis): types.HostDecision {
+    this._keys.refuse(call.key, { ...identityOf(call), keyTimeMs, reason, untilMs: nowMs + REFUSAL_MEMORY_MS })
+    return answer(answers.notRun(reason, Math.max(KEY_RETRY_AFTER_MS, retryAfterMs)))
+  }
+
+  private _dropReason (run: runs.Run, nowMs: base.Millis): types.OutcomeReason | undefined {
+    if (this._isDraining) return 'draining'
+    if (run.waiters === 0) return 'canceled'
+    if (nowMs > run.deadlineAtMs) return 'deadline'
+    if (!this._admission.queue.canStart(run.runId, nowMs)) return 'overloaded'
+    if (!this._options.targetReady()) return 'no-target'
+    return this._options.crashes.isBlocked(run.key, run.fingerprint, nowMs) ? 'crashes-target' : undefined
+  }
+
+  private _leaveTarget (run: runs.Run, result: types.RunResult): void {
+    this._admission.queue.remove(run.runId)
+    if (run.place === 'target') this._admission.ended(result.kind === 'answered' ? result.serviceMs : undefined)
+  }
+
+  private _settle (run: runs.Run, result: types.RunResult, nowMs: base.Millis): types.FinalAnswer {
+    const ownedKey = run.delegation === undefined ? run.key : undefined
+    if (result.kind === 'answered') {
+      const { status, headers, body, streamed } = result
+      if (ownedKey !== undefined) this._keys.answered(ownedKey, streamed ? undefined : { status, headers, body })
+      return answers.answered(status, headers, body)
+    }
+    if (result.kind === 'lost') {
+      if (ownedKey !== undefined) this._keys.unknown(ownedKey, result.reason)
+      return answers.unknown(result.reason)
+    }
+    const reason = run.dropReason ?? result.reason
+    if (ownedKey === undefined) return answers.notRun(reason, RETRY_AFTER_MS)
+    const keyTimeMs = this._keys.get(ownedKey)?.keyTimeMs ?? 0
+    this._keys.refuse(ownedKey, { ...identityOf(run), keyTimeMs, reason, untilMs: nowMs + REFUSAL_MEMORY_MS })
+    return answers.notRun(reason, KEY_RETRY_AFTER_MS)
+  }
+
+  private _expire (runId: number, nowMs: base.Millis): types.HostUpdate {
+    const run = this._runs.get(runId)
+    const reason = run !== undefined && nowMs <= run.deadlineAtMs ? 'overloaded' : 'deadline'
+    return { kind: 'answer', runId, answer: this.finish(runId, { kind: 'not-started', reason }, nowMs) }
+  }
+
+  /** Moves a queued call away from the target: to a delegate if this node owns its key, else back to the entry node. */
+  private _vacate (run: runs.Run, nowMs: base.Millis): types.HostUpdate {
+    const ownedKey = run.delegation === undefined ? run.key : undefined
+    const choice = ownedKey === undefined || run.waiters === 0 ? undefined : this._options.delegates.select(run.service, nowMs)
+    const entry = ownedKey === undefined ? undefined : this._keys.get(ownedKey)
+    if (choice === undefined || entry === undefined) {
+      const final = this.finish(run.runId, { kind: 'not-started', reason: 'draining' }, nowMs)
+      return { kind: 'answer', runId: run.runId, answer: final }
+    }
+    // A new id, so that the process cannot end the delegated run when it drops the queued one.
+    const moved = this._runs.move(run, 'delegate')
+    this._admission.queue.remove(run.runId)
+    entry.runId = moved.runId
+    return { kind: 'delegate', runId: run.runId, delegateRunId: moved.runId, to: choice.nodeId, address: choice.address }
+  }
+}
+
+type KeyedCall = messages.CallMessage & { readonly key: string }
+
+function identityOf (call: { readonly service: string, readonly fingerprint: string }): { service: string, fingerprint: string } {
+  return { service: call.service, fingerprint: call.fingerprint }
+}
+
+function isStale (call: messages.CallMessage, nowMs: base.Millis): boolean {
+  return nowMs - call.sentAtMs > MAX_SEND_AGE_MS
+}
+
+function answer (final: types.FinalAnswer): types.HostDecision {
+  return { kind: 'answer', answer: final }
+}
+
+function refused (reason: types.OutcomeReason): Place {
+  return { kind: 'refused', reason, retryAfterMs: RETRY_AFTER_MS }
+}
--- /dev/null
+++ b/packages/common/src/hosting/OwnedWindows.ts
@@ -0,0 +1,76 @@
+import type * as base from '../base/Types.js'
+import * as keys from './Keys.js'
+import type * as services from './Services.js'
+import type * as types from './Types.js'
+
+/** Inherited windows are dropped when every key in them is older than the largest retention. */
+const KEEP_INHERITED_MS = 7_200_000
+
+export interface OwnedWindowsOptions {
+  readonly self: types.PartitionOwner
+  readonly table: services.IOwnershipTable
+  /** Whether the `ownership` stream was read to its end after this process started. */
+  readonly isCaughtUp: () => boolean
+}
+
+/** Whether this process owns a key, and up to which time of issue its memory of such keys has gaps. */
+export type Ownership =
+  | { readonly kind: 'own', readonly forgottenUntilMs: base.Millis }
+  | { readonly kind: 'not-own', readonly retryAfterMs: base.Millis }
+
+const OWN: Ownership = { kind: 'own', forgottenUntilMs: 0 }
+const NOT_OWN: Ownership = { kind: 'not-own', retryAfterMs: 0 }
+
+/**
+ * The windows that this process may run keys of: its own by the table, those of its predecessor at the same address,
+ * and those inherited from an owner that stopped.
+ *
+ * Windows of a predecessor are adopted only after the `ownership` stream was read to its end once. A predecessor that
+ * handed its windows over has waited for its `release` record to be in the log before the successor took them whole, so
+ * this process finds the record. Until then the successor owns only keys issued up to 2 s after the handover, and this
+ * process answers `unknown` for all keys issued up to 2 s after its start, which is later on the same clock.
+ */
+export class OwnedWindows {
+  private readonly _inherited = new Map<string, types.Handover>()
+
+  constructor (private readonly _options: OwnedWindowsOptions) {}
+
+  public of (service: string, key: string, keyTimeMs: base.Millis): Ownership {
+    const lookup = this._options.table.ownerOf(service, key).unwrapOr(undefined)
+    if (lookup === undefined || lookup.kind === 'no-table') return NOT_OWN
+    if (lookup.kind === 'beyond-horizon') return { kind: 'not-own', retryAfterMs: lookup.retryAfterMs }
+    if (this._isOwn(lookup.owner)) return OWN
+    for (const handover of this._inherited.values()) {
+      if (covers(handover, lookup.owner, keyTimeMs)) return { kind: 'own', forgottenUntilMs: handover.forgottenUntilMs }
+    }
+    return NOT_OWN
+  }
+
+  /** Returns false for a handover that is meant for another process. */
+  public inherit (handover: types.Handover): boolean {
+    const { self } = this._options
+    if (handover.to.nodeId !== self.nodeId || handover.to.incarnation !== self.incarnation) return false
+    const id = `${handover.from.nodeId} ${handover.from.incarnation}`
+    const released = handover.released || this._inherited.get(id)?.released === true
+    this._inherited.set(id, { ...handover, released, keys: [] })
+    return true
+  }
+
+  public tick (nowMs: base.Millis): void {
+    for (const [id, { atMs }] of this._inherited) {
+      if (atMs + KEEP_INHERITED_MS <= nowMs) this._inherited.delete(id)
+    }
+  }
+
+  private _isOwn (owner: types.PartitionOwner): boolean {
+    const { self, table, isCaughtUp } = this._options
+    if (owner.nodeId !== self.nodeId || owner.incarnation > self.incarnation) return false
+    return owner.incarnation === self.incarnation || (isCaughtUp() && !table.isReleased(owner))
+  }
+}
+
+function covers (handover: types.Handover, owner: types.PartitionOwner, keyTimeMs: base.Millis): boolean {
+  const { from, released, atMs } = handover
+  if (owner.nodeId !== from.nodeId || owner.incarnation > from.incarnation) return false
+  return released || keyTimeMs <= atMs + keys.MAX_KEY_AHEAD_MS
+}
--- /dev/null
+++ b/packages/common/src/hosting/OwnershipTable.test.ts
@@ -0,0 +1,68 @@
+import * as assert from 'node:assert/strict'
+import * as fixture from './testing/Fixture.js'
+import * as ownership from './OwnershipTable.js'
+import * as test from 'node:test'
+import type * as types from './Types.js'
+
+const A = { nodeId: 'a', incarnation: 1 }
+const B = { nodeId: 'b', incarnation: 1 }
+const FIRST: types.OwnershipRecord = { kind: 'partitions', baseTableVersion: 0, startsAtMs: 100, services: fixture.wholeTable(A, 100) }
+
+function move (baseTableVersion: number, startsAtMs: number): types.OwnershipRecord {
+  return { kind: 'partitions', baseTableVersion, startsAtMs, services: fixture.wholeTable(B, startsAtMs) }
+}
+
+function folded (...records: readonly types.OwnershipRecord[]): ownership.OwnershipTable {
+  const table = new ownership.OwnershipTable()
+  for (const [offset, record] of records.entries()) table.apply(record, offset)
+  return table
+}
+
+function ownerAt (table: ownership.OwnershipTable, timeMs: number): string {
+  const lookup = table.ownerOf(fixture.SERVICE, fixture.keyAt(timeMs)).unwrap()
+  return lookup.kind === 'owner' ? lookup.owner.nodeId : lookup.kind
+}
+
+test.describe('OwnershipTable', () => {
+  test.describe('apply', () => {
+    test.it('moves only keys at or after the horizon, so that a node that has not read the change owns nothing twice', () => {
+      const table = folded(FIRST, { kind: 'horizon', untilMs: 1_000 }, move(1, 999))
+      assert.equal(table.tableVersion, 1)
+      table.apply(move(1, 1_000), 3)
+      table.apply({ kind: 'horizon', untilMs: 2_000 }, 4)
+      assert.deepEqual([50, 100, 999, 1_000, 2_000].map(timeMs => ownerAt(table, timeMs)), ['no-table', 'a', 'a', 'b', 'beyond-horizon'])
+    })
+
+    test.it('ignores a change that was computed on another version, so that racing readers do not undo each other', () => {
+      const table = folded(FIRST, move(1, 500), move(1, 600))
+      assert.equal(table.tableVersion, 2)
+    })
+
+    test.it('does not raise the horizon past a gap, because a change of owners may be in it', () => {
+      const table = folded(FIRST, { kind: 'horizon', untilMs: 1_000 })
+      table.apply({ kind: 'horizon', untilMs: 5_000 }, 3)
+      assert.equal(table.horizonMs, 1_000)
+    })
+
+    test.it('adopts a snapshot past a gap and continues behind the prefix that it stands for', () => {
+      const snapshot: types.OwnershipRecord = { kind: 'table-snapshot', ...folded(FIRST, move(1, 500)).updateSince(0) }
+      const table = new ownership.OwnershipTable()
+      table.apply({ kind: 'horizon', untilMs: 900 }, 2)
+      assert.ok(table.apply(snapshot, 3))
+      assert.deepEqual([table.asOfOffset, table.horizonMs], [2, 0])
+    })
+  })
+
+  test.describe('merge', () => {
+    test.it('takes the changes since the own version and never an older state', () => {
+      const older = folded(FIRST, { kind: 'horizon', untilMs: 1_000 })
+      const newer = folded(FIRST, { kind: 'horizon', untilMs: 1_000 }, move(1, 1_000), { kind: 'horizon', untilMs: 3_000 })
+      const update = newer.updateSince(older.tableVersion)
+      assert.ok(older.merge(update))
+      assert.deepEqual([ownerAt(older, 999), ownerAt(older, 1_000)], ['a', 'b'])
+      assert.equal(older.merge(update), false)
+      assert.equal(newer.merge(folded(FIRST).updateSince(0)), false)
+      assert.deepEqual(older.updateSince(0), newer.updateSince(0))
+    })
+  })
+})
--- /dev/null
+++ b/packages/common/src/hosting/OwnershipTable.ts
@@ -0,0 +1,256 @@
+import * as results from 'ts-results-es'
+import type * as base from '../base/Types.js'
+import * as codec from './WindowCodec.js'
+import * as keys from './Keys.js'
+import type * as services from './Services.js'
+import type * as types from './Types.js'
+
+/** Retry time given for keys that nobody owns yet; readers renew the horizon within this time. */
+const BEYOND_HORIZON_RETRY_MS = 1_000
+
+/** Windows that ended earlier than this before the horizon are dropped; it exceeds the largest key retention. */
+const KEEP_WINDOWS_MS = 7_200_000
+
+/** Nodes that handed over; beyond it those without windows are dropped. */
+const MAX_RELEASED = 1_024
+
+interface Window {
+  readonly startsAtMs: base.Millis
+  readonly owner: types.PartitionOwner
+}
+
+interface Partition {
+  version: number
+  /** Newest first. */
+  windows: Window[]
+}
+
+/**
+ * Fold of the `ownership` stream: for each service and partition the owners by key issue time.
+ *
+ * Every state of a table on any node is exactly the fold of a prefix of the stream; `asOfOffset` is the length of that
+ * prefix. Records are folded only in sequence, and updates and snapshots carry the prefix that they stand for. This is
+ * what makes it safe to adopt a horizon: the horizon of a prefix never comes without the owners of the same prefix.
+ * A record that is not next in sequence (the log dropped earlier ones) changes nothing, unless it is a snapshot.
+ *
+ * Why two nodes never own the same key: a `partitions` record only adds windows that start at or after the horizon of
+ * its prefix. A node at an earlier prefix has that horizon or a lower one and owns no key at or after it. The first window
+ * of a partition takes nothing from anyone, so it may start earlier.
+ */
+export class OwnershipTable implements services.IOwnershipTable {
+  private readonly _services = new Map<string, Partition[]>()
+  /** Highest incarnation of each node that handed over its windows. */
+  private readonly _released = new Map<base.NodeId, base.Incarnation>()
+  private _asOfOffset = 0
+  private _tableVersion = 0
+  private _resetVersion = 0
+  private _horizonMs = 0
+  private _floorMs = 0
+  private _lastChangeMs = 0
+  /** Offset after the last record that is neither a snapshot nor void by itself, folded or not. */
+  private _lastChangeOffset = 0
+  /** Every record from here to `_seenUntil` was seen. */
+  private _seenFrom = 0
+  private _seenUntil = 0
+
+  public get tableVersion (): number {
+    return this._tableVersion
+  }
+
+  public get horizonMs (): base.Millis {
+    return this._horizonMs
+  }
+
+  public get asOfOffset (): number {
+    return this._asOfOffset
+  }
+
+  public get lastChangeMs (): base.Millis {
+    return this._lastChangeMs
+  }
+
+  public get floorMs (): base.Millis {
+    return this._floorMs
+  }
+
+  public ownerOf (service: string, key: string): results.Result<services.OwnerLookup, Error> {
+    return keys.keyTimeMs(key).map(timeMs => this._lookup(service, key, timeMs))
+  }
+
+  /** Whether the process handed its windows over, so that a later process at its address must not adopt them. */
+  public isReleased (owner: types.PartitionOwner): boolean {
+    return owner.incarnation <= (this._released.get(owner.nodeId) ?? 0)
+  }
+
+  /** Owner of the newest window of each partition, or an empty list without a table. */
+  public newestOwners (service: string): readonly (types.PartitionOwner | undefined)[] {
+    return (this._services.get(service) ?? []).map(partition => partition.windows[0]?.owner)
+  }
+
+  public apply (record: types.OwnershipRecord, offset: number): boolean {
+    this._see(offset)
+    const inSequence = offset === this._asOfOffset
+    if (offset >= this._asOfOffset && record.kind === 'table-reset') return this._reset(record, offset, inSequence)
+    if (record.kind === 'table-snapshot') {
+      if (inSequence) this._asOfOffset = offset + 1
+      return record.sinceVersion === 0 && this.merge(record)
+    }
+    this._lastChangeOffset = Math.max(this._lastChangeOffset, offset + 1)
+    if (!inSequence) return false
+    this._asOfOffset = offset + 1
+    if (record.kind === 'horizon') return this._raiseHorizon(record.untilMs)
+    if (record.kind === 'partitions') return this._addWindows(record, offset + 1)
+    if (record.kind === 'release') return this._release(record.owner, offset + 1)
+    return false
+  }
+
+  /** A record that cannot be decoded; it is part of the sequence and changes nothing. */
+  public skip (offset: number): void {
+    this._see(offset)
+    if (offset === this._asOfOffset) this._asOfOffset = offset + 1
+  }
+
+  public merge (update: types.OwnershipUpdate): boolean {
+    if (update.asOfOffset <= this._asOfOffset) return false
+    if (update.sinceVersion > this._tableVersion) return false
+    const changed = update.tableVersion !== this._tableVersion || update.horizonMs !== this._horizonMs
+    if (update.sinceVersion === 0) this._services.clear()
+    this._released.clear()
+    for (const { nodeId, incarnation } of update.released) this._released.set(nodeId, incarnation)
+    this._replace(update)
+    this._asOfOffset = update.asOfOffset
+    this._tableVersion = update.tableVersion
+    this._horizonMs = update.horizonMs
+    this._floorMs = update.floorMs
+    this._lastChangeMs = update.lastChangeMs
+    this._lastChangeOffset = Math.max(this._lastChangeOffset, update.lastChangeOffset)
+    if (update.sinceVersion === 0) this._resetVersion = update.tableVersion
+    return changed
+  }
+
+  public updateSince (tableVersion: number): types.OwnershipUpdate {
+    // Versions before a reset or a full update are not told apart here, so such a peer gets everything.
+    const sinceVersion = tableVersion >= this._resetVersion ? Math.min(tableVersion, this._tableVersion) : 0
+    return {
+      asOfOffset: this._asOfOffset,
+      tableVersion: this._tableVersion,
+      horizonMs: this._horizonMs,
+      floorMs: this._floorMs,
+      lastChangeMs: this._lastChangeMs,
+      lastChangeOffset: this._lastChangeOffset,
+      released: [...this._released].map(([nodeId, incarnation]) => ({ nodeId, incarnation })),
+      sinceVersion,
+      services: codec.pack(this._entriesSince(sinceVersion))
+    }
+  }
+
+  private _see (offset: number): void {
+    if (offset !== this._seenUntil) this._seenFrom = offset
+    this._seenUntil = offset + 1
+  }
+
+  private _lookup (service: string, key: string, timeMs: base.Millis): services.OwnerLookup {
+    const partitions = this._services.get(service)
+    if (partitions === undefined) return { kind: 'no-table' }
+    if (timeMs >= this._horizonMs) return { kind: 'beyond-horizon', retryAfterMs: BEYOND_HORIZON_RETRY_MS }
+    const windows = partitions[keys.partitionOf(key)]?.windows ?? []
+    const window = windows.find(candidate => candidate.startsAtMs <= timeMs)
+    return window === undefined ? { kind: 'no-table' } : { kind: 'owner', owner: window.owner }
+  }
+
+  private _raiseHorizon (untilMs: base.Millis): boolean {
+    if (untilMs <= this._horizonMs) return false
+    this._horizonMs = untilMs
+    return true
+  }
+
+  private _addWindows (record: types.PartitionsRecord, version: number): boolean {
+    if (record.baseTableVersion !== this._tableVersion) return false
+    const entries = [...codec.unpack(record.services)]
+    if (!entries.every(entry => this._isAllowed(entry, record.startsAtMs))) return false
+    for (const entry of entries) this._push(entry, version)
+    this._tableVersion = version
+    this._lastChangeMs = Math.max(this._lastChangeMs, record.startsAtMs)
+    if (this._released.size > MAX_RELEASED) this._pruneReleased()
+    return true
+  }
+
+  private _isAllowed (entry: types.PartitionEntry, startsAtMs: base.Millis): boolean {
+    if (entry.startsAtMs !== startsAtMs || startsAtMs < this._floorMs) return false
+    if (entry.partition < 0 || entry.partition >= keys.PARTITIONS) return false
+    const newest = this._services.get(entry.service)?.[entry.partition]?.windows[0]
+    // The first window of a partition takes nothing from another node, so it need not wait for the horizon.
+    return newest === undefined || (startsAtMs >= this._horizonMs && startsAtMs >= newest.startsAtMs)
+  }
+
+  /** The windows stay in place: entry nodes find the successor by the row of the owner. */
+  private _release (owner: types.PartitionOwner, version: number): boolean {
+    if (owner.incarnation <= (this._released.get(owner.nodeId) ?? 0)) return false
+    this._released.set(owner.nodeId, owner.incarnation)
+    this._tableVersion = version
+    return true
+  }
+
+  /** A reset is void if a record was appended that its author had not read; both sides of a gap see this alike. */
+  private _reset (record: types.TableResetRecord, offset: number, inSequence: boolean): boolean {
+    if (inSequence) this._asOfOffset = offset + 1
+    if (record.asOfOffset < this._lastChangeOffset) return false
+    if (!inSequence && record.asOfOffset < this._seenFrom) return false
+    this._services.clear()
+    this._released.clear()
+    this._lastChangeOffset = offset + 1
+    this._asOfOffset = offset + 1
+    this._tableVersion = offset + 1
+    this._resetVersion = offset + 1
+    this._floorMs = Math.max(this._floorMs, this._horizonMs, record.floorMs)
+    this._horizonMs = this._floorMs
+    return true
+  }
+
+  private _push (entry: types.PartitionEntry, version: number): void {
+    const partition = this._partition(entry.service, entry.partition)
+    if (partition.windows[0]?.startsAtMs === entry.startsAtMs) partition.windows.shift()
+    partition.windows.unshift({ startsAtMs: entry.startsAtMs, owner: entry.owner })
+    partition.version = version
+    const current = partition.windows.findIndex(window => window.startsAtMs <= this._horizonMs - KEEP_WINDOWS_MS)
+    if (current >= 0) partition.windows.length = current + 1
+  }
+
+  private _replace (update: types.OwnershipUpdate): void {
+    const replaced = new Set<Partition>()
+    for (const entry of codec.unpack(update.services)) {
+      const partition = this._partition(entry.service, entry.partition)
+      if (!replaced.has(partition)) partition.windows = []
+      replaced.add(partition)
+      partition.windows.push({ startsAtMs: entry.startsAtMs, owner: entry.owner })
+      partition.version = update.tableVersion
+    }
+    for (const { windows } of replaced) windows.sort((a, b) => b.startsAtMs - a.startsAtMs)
+  }
+
+  private _pruneReleased (): void {
+    const owners = new Set<base.NodeId>()
+    for (const entry of this._entriesSince(0)) owners.add(entry.owner.nodeId)
+    for (const nodeId of this._released.keys()) {
+      if (!owners.has(nodeId)) this._released.delete(nodeId)
+    }
+  }
+
+  private _partition (service: string, index: number): Partition {
+    let partitions = this._services.get(service)
+    if (partitions === undefined) {
+      partitions = Array.from({ length: keys.PARTITIONS }, () => ({ version: 0, windows: [] }))
+      this._services.set(service, partitions)
+    }
+    return partitions[index] ?? { version: 0, windows: [] }
+  }
+
+  private * _entriesSince (version: number): Generator<types.PartitionEntry> {
+    for (const [service, partitions] of this._services) {
+      for (const [partition, { version: changed, windows }] of partitions.entries()) {
+        if (version !== 0 && changed <= version) continue
+        for (const { startsAtMs, owner } of windows) yield { service, partition, startsAtMs, owner }
+      }
+    }
+  }
+}
--- a/packages/common/src/hosting/Services.ts
+++ b/packages/common/src/hosting/Services.ts
@@ -5,34 +5,61 @@
 
 export type OwnerLookup =
   | { readonly kind: 'owner', readonly owner: types.PartitionOwner }
-  /** Nobody owns keys issued at this time yet; the call is certainly not run. */
+  /**
+   * This node knows no owner for keys issued at this time. Another node may know more, so only a key that was never
+   * sent before is certainly not run; for a key that the caller sends again the outcome is `unknown`.
+   */
   | { readonly kind: 'beyond-horizon', readonly retryAfterMs: base.Millis }
-  /** No table is known for the service. */
+  /** No table is known for the service, or the key was issued before its first window. */
   | { readonly kind: 'no-table' }
 
 /** Maps idempotency keys to their owners by key issue time. */
 export interface IOwnershipTable {
+  /** Offset of the first record of the `ownership` stream that the table does not include. */
+  readonly asOfOffset: number
   readonly tableVersion: number
   readonly horizonMs: base.Millis
+  readonly floorMs: base.Millis
+  readonly lastChangeMs: base.Millis
   ownerOf(service: string, key: string): results.Result<OwnerLookup, Error>
+  /** Whether the process handed its windows over, so that a later process at its address must not adopt them. */
+  isReleased(owner: types.PartitionOwner): boolean
+  /** Owners of the newest windows by partition; empty without a table. */
+  newestOwners(service: string): readonly (types.PartitionOwner | undefined)[]
   /** Folds a record of the `ownership` stream. Returns whether it changed the table. */
-  apply(record: types.OwnershipRecord): boolean
+  apply(record: types.OwnershipRecord, offset: number): boolean
+  /** Passes over a record that cannot be decoded. */
+  skip(offset: number): void
   /** Takes an update from a peer. Returns whether it changed the table. */
   merge(update: types.OwnershipUpdate): boolean
   updateSince(tableVersion: number): types.OwnershipUpdate
 }
 
-/** Appends horizon and partition records when this node is a reader. */
+/** Reads the `ownership` stream, and appends to it when this node is a reader. */
 export interface IOwnershipLog {
+  /** Whether the stream was read to its end after this process started. */
+  readonly isCaughtUp: boolean
   tick(nowMs: base.Millis, isReader: boolean): void
   logRead(result: messages.LogReadResult, nowMs: base.Millis): void
   logAppended(result: messages.LogAppendResult, nowMs: base.Millis): void
 }
 
+/** Finds a less loaded node of the service that may run a call for this owner. */
+export interface IDelegateSelector {
+  select(service: string, nowMs: base.Millis): DelegateChoice | undefined
+}
+
+export interface DelegateChoice {
+  readonly nodeId: base.NodeId
+  readonly address: string
+}
+
 /** Remembers which requests crashed targets. */
 export interface ICrashTable {
   /** Whether the call must be refused as `crashes-target`. */
   isBlocked(key: string | undefined, fingerprint: string, nowMs: base.Millis): boolean
+  /** Whether the fingerprint ran on enough crashed targets to be run apart from other suspects. */
+  isSuspect(fingerprint: string, nowMs: base.Millis): boolean
   record(record: types.CrashRecord, nowMs: base.Millis): boolean
   /** Records that peers may not know yet; each is handed out a bounded number of times. */
   pending(limit: number): readonly types.CrashRecord[]
@@ -42,6 +69,8 @@
 /** Calls that run on the target beside this node. */
 export interface IHostCalls {
   readonly load: types.LoadReport
+  /** True when nothing is queued, running or delegated. */
+  readonly isIdle: boolean
   /** Decides at once what happens to a call. */
   accept(from: base.NodeId, call: messages.CallMessage, nowMs: base.Millis): types.HostDecision
   /** Must be called right before the request is written to the target. False: drop it as `not-started`. */
@@ -50,15 +79,29 @@
   finish(runId: number, result: types.RunResult, nowMs: base.Millis): types.FinalAnswer
   /** The caller is gone. Returns whether the run must be aborted; owners of keys let a started run finish. */
   cancel(runId: number, nowMs: base.Millis): boolean
-  tick(nowMs: base.Millis): void
+  /** Takes no new work for the target. Returns what becomes of the queued calls. */
+  beginDrain(nowMs: base.Millis): readonly types.HostUpdate[]
+  /** Takes new work again. */
+  endDrain(): void
+  /** Stops running keyed calls for good and returns the key table for the successor. */
+  release(to: types.PartitionOwner, nowMs: base.Millis): types.Handover
+  /** Takes over the key table of an owner that stops. False: it was meant for another process, or this one stops too. */
+  inherit(handover: types.Handover, nowMs: base.Millis): boolean
+  /** Returns the final answers of queued calls that can no longer start. */
+  tick(nowMs: base.Millis): readonly types.HostUpdate[]
 }
 
 /** Drain and planned stop of this node. */
 export interface ILifecycle {
   readonly isDraining: boolean
-  beginDrain(nowMs: base.Millis): void
+  /** Returns what becomes of the queued calls. */
+  beginDrain(nowMs: base.Millis): readonly types.HostUpdate[]
+  /** Takes work again. Fails after the key table was handed over. */
+  undrain(nowMs: base.Millis): results.Result<void, Error>
   /** True when nothing is queued or running, the key table is handed over or the drain time is over. */
   canExit(nowMs: base.Millis): boolean
   receive(from: base.NodeId, message: messages.HandoverMessage | messages.HandoverAckMessage, nowMs: base.Millis): void
+  /** Result of the append of the `release` record. */
+  logAppended(result: messages.LogAppendResult, nowMs: base.Millis): void
   tick(nowMs: base.Millis): void
 }
--- a/packages/common/src/hosting/Types.ts
+++ b/packages/common/src/hosting/Types.ts
@@ -55,6 +55,21 @@
   readonly owner: PartitionOwner
 }
 
+/**
+ * Windows of one service in a compact form: the whole table of a large fleet has to fit into one log record.
+ * Each group holds the entries with the same start as pairs `partition, index into owners`.
+ */
+export interface ServiceWindows {
+  readonly service: string
+  readonly owners: readonly PartitionOwner[]
+  readonly groups: readonly WindowGroup[]
+}
+
+export interface WindowGroup {
+  readonly startsAtMs: base.Millis
+  readonly pairs: readonly number[]
+}
+
 export interface HorizonRecord {
   readonly kind: 'horizon'
   readonly untilMs: base.Millis
@@ -65,26 +80,53 @@
   /** Version of the table that the change was computed on; a record on another version is ignored. */
   readonly baseTableVersion: number
   readonly startsAtMs: base.Millis
-  readonly entries: readonly PartitionEntry[]
+  readonly services: readonly ServiceWindows[]
+}
+
+/**
+ * The process has handed its windows to a successor. A later process at its address must not adopt them.
+ * Only the owner itself appends it, after it has stopped running keys.
+ */
+export interface ReleaseRecord {
+  readonly kind: 'release'
+  readonly owner: PartitionOwner
 }
 
 /** The whole table, re-appended before the log drops the records that made it. */
-export interface TableSnapshotRecord {
+export interface TableSnapshotRecord extends OwnershipUpdate {
   readonly kind: 'table-snapshot'
-  readonly tableVersion: number
-  readonly horizonMs: base.Millis
-  readonly entries: readonly PartitionEntry[]
 }
 
-export type OwnershipRecord = HorizonRecord | PartitionsRecord | TableSnapshotRecord
+/**
+ * Starts again after the log has dropped every record and no peer holds the table.
+ * `floorMs` is not below any horizon that a lost table can have had.
+ */
+export interface TableResetRecord {
+  readonly kind: 'table-reset'
+  readonly asOfOffset: number
+  readonly floorMs: base.Millis
+}
+
+export type OwnershipRecord = HorizonRecord | PartitionsRecord | ReleaseRecord | TableSnapshotRecord | TableResetRecord
 
 /** State of the ownership table on its way between nodes. */
 export interface OwnershipUpdate {
+  /** Offset of the first log record that the state does not include. Orders all states of the table. */
+  readonly asOfOffset: number
+  /** Offset of the last record that changed the owners, plus 1. */
   readonly tableVersion: number
   readonly horizonMs: base.Millis
-  /** Entries changed since `sinceVersion`; all entries if it is 0. */
+  /** No window starts earlier. */
+  readonly floorMs: base.Millis
+  /** Newest start of a window that moved. */
+  readonly lastChangeMs: base.Millis
+  /** Offset after the last record that was not a snapshot. */
+  readonly lastChangeOffset: number
+  /** Processes that handed over their windows. */
+  readonly released: readonly PartitionOwner[]
+  /** `services` holds what changed since this version; everything if it is 0. */
   readonly sinceVersion: number
-  readonly entries: readonly PartitionEntry[]
+  readonly services: readonly ServiceWindows[]
 }
 
 /** A request that was running when its target died. */
@@ -102,7 +144,16 @@
 /** What a stopping owner passes to its successor. */
 export interface Handover {
   readonly from: PartitionOwner
+  readonly to: PartitionOwner
+  /**
+   * False: the successor owns keys issued up to `atMs` + 2 s; a later process of the owner refuses exactly these.
+   * True: the `release` record is in the log, so no later process of the owner adopts its windows, and the successor
+   * owns them whole.
+   */
+  readonly released: boolean
   readonly atMs: base.Millis
+  /** Keys issued up to this time may have been run although `keys` does not hold them. */
+  readonly forgottenUntilMs: base.Millis
   readonly keys: readonly HandoverKey[]
 }
 
@@ -111,6 +162,7 @@
   readonly service: string
   readonly fingerprint: string
   readonly state: KeyState
+  readonly reason: OutcomeReason
   readonly status: number
   readonly headers: Readonly<Record<string, string>>
   readonly body: Uint8Array | undefined
@@ -118,7 +170,7 @@
 
 /** What the host does with a call that has arrived. */
 export type HostDecision =
-  /** Put into the target's queue; `cancelBeforeMs` is the latest start. */
+  /** Put into the target's queue; it must not start after `latestStartMs`. */
   | { readonly kind: 'run', readonly runId: number, readonly latestStartMs: base.Millis }
   /** Ask another node to run it once. */
   | { readonly kind: 'delegate', readonly runId: number, readonly to: base.NodeId, readonly address: string }
@@ -143,3 +195,9 @@
   | { readonly kind: 'not-started', readonly reason: OutcomeReason }
   /** The request reached the target, and its answer did not come back whole. */
   | { readonly kind: 'lost', readonly reason: OutcomeReason, readonly targetDied: boolean }
+
+/** A change of a call that was accepted earlier: its final answer, or a new place to run it. */
+export type HostUpdate =
+  | { readonly kind: 'answer', readonly runId: number, readonly answer: FinalAnswer }
+  /** Those who wait for `runId` wait for `delegateRunId` now. */
+  | { readonly kind: 'delegate', readonly runId: number, readonly delegateRunId: number, readonly to: base.NodeId, readonly address: string }
--- a/packages/common/src/node/Messages.ts
+++ b/packages/common/src/node/Messages.ts
@@ -124,7 +124,10 @@
   readonly headers: Readonly<Record<string, string>>
   readonly body: Uint8Array | undefined
   readonly remainingMs: base.Millis
-  /** Sender's clock when the message was written. */
+  /**
+   * Entry node's clock when the call arrived from its caller, unchanged when the node sends the call again; the owner's
+   * clock when it delegates. An owner refuses old sends, so that a refusal stays true.
+   */
   readonly sentAtMs: base.Millis
   readonly key: string | undefined
   readonly fingerprint: string
