--- /dev/null
+++ b/packages/common/src/distribution/Distribution.ts
@@ -0,0 +1,374 @@
+import * as digests from '../base/Digest.js'
+import * as disposable from '../base/Disposable.js'
+import type * as base from '../base/Types.js'
+import type * as configServices from '../config/Services.js'
+import type * as config from '../config/Types.js'
+import type * as hosting from '../hosting/Services.js'
+import * as malformed from '../membership/MalformedMessageError.js'
+import type * as membershipServices from '../membership/Services.js'
+import type * as memberTypes from '../membership/Types.js'
+import type * as messages from '../node/Messages.js'
+import * as audits from './AuditTrail.js'
+import * as logs from './LogReading.js'
+import * as messageRules from './MessageRules.js'
+import * as ownerships from './OwnershipExchange.js'
+import * as repairs from './PullRepair.js'
+import * as pushers from './Pusher.js'
+import * as evidences from './RestartEvidence.js'
+import type * as services from './Services.js'
+import * as snapshots from './SnapshotKeeper.js'
+import * as slots from './SnapshotSlots.js'
+import * as histories from './StateHistory.js'
+import * as terms from './Terms.js'
+import type * as types from './Types.js'
+
+const SNAPSHOTS_AT_ONCE = 4
+/** Time for which a whole state counts as being sent; the core does not see when the connection has taken it. */
+const SNAPSHOT_HOLD_MS = 250
+const BUSY_RETRY_MS = 500
+/** Time by which the second reader leaves the push to the first one when control bytes come first. */
+const SECOND_READER_DELAY_MS = 300
+const MAX_VERDICTS = 16
+
+type Source = 'log' | 'push' | 'peer'
+
+export interface DistributionOptions {
+  readonly membership: membershipServices.IMembership
+  readonly enforcement: services.IEnforcement
+  readonly readers: services.IReaderSelection
+  readonly acceptance: configServices.IAcceptance
+  readonly delta: configServices.IConfigDelta
+  readonly random: base.IRandom
+  readonly effects: messages.IEffects
+  /** The ownership table, whose changes travel with the configuration. */
+  readonly ownership?: hosting.IOwnershipTable
+  /** `hybrid` if absent. */
+  readonly strategy?: types.DistributionStrategy
+  /** Told of each message or state that was ignored, for the log and the metrics. */
+  readonly onMalformed?: (error: Error) => void
+}
+
+/** Brings accepted versions to this node and its zone: log reading, push, repair and restart. */
+export class Distribution extends disposable.Disposable implements services.IDistribution {
+  private readonly _options: DistributionOptions
+  private readonly _strategy: types.DistributionStrategy
+  private readonly _history: histories.StateHistory
+  private readonly _pusher: pushers.Pusher
+  private readonly _repair: repairs.PullRepair
+  private readonly _ownership: ownerships.OwnershipExchange
+  private readonly _log: logs.LogReading
+  private readonly _audit: audits.AuditTrail
+  private readonly _snapshots: snapshots.SnapshotKeeper
+  private readonly _evidence: evidences.RestartEvidence
+  private readonly _slots = new slots.SnapshotSlots(SNAPSHOTS_AT_ONCE, SNAPSHOT_HOLD_MS)
+  private readonly _verdicts: config.Verdict[] = []
+  /** Highest state received while the restart evidence is being collected. */
+  private _candidate: { readonly state: config.AcceptedState, readonly source: Source } | undefined
+  private _enforcedAtMs = 0
+  private _pushDueMs: base.Millis | undefined
+  private _hasReadToEnd = false
+  private _retentionMs = 0
+  private _nowMs = 0
+
+  constructor (options: DistributionOptions) {
+    super()
+    const { membership, random, effects } = options
+    const selfId = membership.self.nodeId
+    this._options = options
+    this._strategy = options.strategy ?? 'hybrid'
+    this._history = new histories.StateHistory(options.delta)
+    this._log = new logs.LogReading({ random, effects })
+    this._audit = new audits.AuditTrail({ selfId, random, effects })
+    this._snapshots = new snapshots.SnapshotKeeper({ selfId, random, effects })
+    this._ownership = new ownerships.OwnershipExchange(options.ownership)
+    this._evidence = new evidences.RestartEvidence({
+      membership,
+      random,
+      ask: to => this._sendPull(to, Number.MAX_SAFE_INTEGER),
+      raiseFloor: version => options.enforcement.raiseFloor(version)
+    })
+    this._repair = new repairs.PullRepair({
+      random,
+      preference: () => this.terms.preference,
+      isAhead: peer => peer.version > this._bestVersion || this._ownership.isBehind(peer),
+      pull: (to, wantsWhole) => this._sendPull(to, wantsWhole ? 0 : this._bestVersion)
+    })
+    this._pusher = new pushers.Pusher({
+      membership,
+      send: (to, message) => this._send(to, message),
+      fanout: () => this.terms.pushFanout,
+      enforced: () => ({ version: options.enforcement.current?.version ?? 0, atMs: this._enforcedAtMs }),
+      onSummary: summary => this._audit.add({ kind: 'enforced', zone: membership.self.zone, ...summary })
+    })
+    this._register(membership.onPeerVersion(peer => this._notice(peer)))
+  }
+
+  public get isReader (): boolean {
+    return this._options.membership.isSettled && this._options.readers.ownRank >= 0
+  }
+
+  /** Terms of the state in force, or the defaults. */
+  public get terms (): config.DistributionTerms {
+    return terms.termsOf(this._options.enforcement.current)
+  }
+
+  /** The latest verdicts that this node reached as a reader, oldest first. */
+  public get lastVerdicts (): readonly config.Verdict[] {
+    return this._verdicts
+  }
+
+  public tick (nowMs: base.Millis): void {
+    this._nowMs = nowMs
+    this._tickEvidence(nowMs)
+    const isReader = this.isReader
+    const wantsLog = isReader || this._evidence.wantsLog
+    if (wantsLog) this._prepareFold()
+    this._log.tick(wantsLog, isReader && this._hasReadToEnd, nowMs)
+    if (this._strategy !== 'tree' || !this._evidence.isComplete) this._repair.tick(nowMs)
+    this._pusher.tick(nowMs)
+    this._pushIfDue(isReader, nowMs)
+    this._audit.tick(nowMs)
+    if (isReader && this._hasReadToEnd) this._snapshots.tick(() => this._options.acceptance.snapshot(), this._retentionMs, nowMs)
+  }
+
+  public receive (from: base.NodeId, message: messages.DistributionMessage, nowMs: base.Millis): void {
+    this._nowMs = nowMs
+    const problem = messageRules.messageProblem(message)
+    if (problem !== undefined) {
+      this._options.onMalformed?.(new malformed.MalformedMessageError(from, message?.kind ?? 'without kind', problem))
+      return
+    }
+    switch (message.kind) {
+      case 'push': return this._receivePush(from, message, nowMs)
+      case 'push-ack': return this._pusher.receiveAck(from, message, nowMs)
+      case 'pull': return this._receivePull(from, message, nowMs)
+      case 'state': return this._receiveState(from, message, nowMs)
+      case 'busy': return this._receiveBusy(from, message, nowMs)
+    }
+  }
+
+  public logRead (result: messages.LogReadResult, nowMs: base.Millis): void {
+    if (result.stream !== 'config') return
+    this._nowMs = nowMs
+    if (!this._log.received(result, nowMs)) return
+    this._retentionMs = result.retentionMs
+    this._prepareFold()
+    for (const record of result.records) this._fold(record, nowMs)
+    if (this._log.isAtEnd) this._hasReadToEnd = true
+    const { state } = this._options.acceptance
+    if (state !== undefined && state.version > this._bestVersion) this._offer(state, undefined, 'log', nowMs)
+  }
+
+  public logAppended (result: messages.LogAppendResult, nowMs: base.Millis): void {
+    this._audit.appended(result, nowMs)
+    this._snapshots.appended(result, this._retentionMs, nowMs)
+  }
+
+  public readiness (): types.Readiness {
+    const { enforcement } = this._options
+    const enforcedVersion = enforcement.current?.version ?? 0
+    const { floorVersion } = enforcement
+    return { ready: enforcedVersion > 0 && enforcedVersion >= floorVersion, reason: this._reason(enforcedVersion, floorVersion), floorVersion, enforcedVersion }
+  }
+
+  private _reason (enforcedVersion: number, floorVersion: number): types.ReadinessReason {
+    if (enforcedVersion > 0 && enforcedVersion >= floorVersion) return 'ready'
+    if (floorVersion > this._bestVersion) return 'behind-version-in-force'
+    return this._options.membership.isJoined && this._bestVersion === 0 ? 'no-configuration-known' : 'joining'
+  }
+
+  private get _bestState (): config.AcceptedState | undefined {
+    return this._candidate?.state ?? this._options.enforcement.current
+  }
+
+  private get _bestVersion (): number {
+    return this._bestState?.version ?? 0
+  }
+
+  private _tickEvidence (nowMs: base.Millis): void {
+    if (this._evidence.isComplete) return
+    this._evidence.tick(this._bestVersion, this._log.checkedAtMs, nowMs)
+    if (this._evidence.isComplete) this._enforceCandidate(nowMs)
+  }
+
+  private _notice (peer: memberTypes.PeerVersion): void {
+    if (this._strategy === 'tree' && this._evidence.isComplete) return
+    this._repair.noticed(peer, this._nowMs)
+  }
+
+  private _receivePush (from: base.NodeId, message: messages.PushMessage, nowMs: base.Millis): void {
+    if (!this._pusher.accept(from, message, nowMs)) return
+    this._takeOwnership(from, message, nowMs)
+    this._ownership.pushed()
+    if (message.version >= this._bestVersion) this._pushDueMs = undefined
+    this._takeUpdate(from, message, 'push', nowMs)
+    this._noteLog(message, nowMs)
+    this._pusher.proceed(message, nowMs)
+  }
+
+  private _receivePull (from: base.NodeId, message: messages.PullMessage, nowMs: base.Millis): void {
+    const current = this._options.enforcement.current
+    const ownership = this._ownership.updateFor(message.haveOwnershipVersion)
+    const answer: messages.StateMessage = { kind: 'state', ...this._evidenceFor(from, nowMs), ...ownership }
+    if (current === undefined || message.haveVersion >= current.version) return this._send(from, answer)
+    const delta = this._history.deltaFrom(message.haveVersion, message.haveDigest, current)
+    if (delta !== undefined) return this._send(from, { ...answer, delta })
+    if (this._slots.take(nowMs)) return this._send(from, { ...answer, state: current })
+    const retryAfterMs = BUSY_RETRY_MS + this._options.random.nextInt(BUSY_RETRY_MS)
+    this._send(from, { kind: 'busy', ...this._evidenceFor(from, nowMs), retryAfterMs })
+  }
+
+  private _receiveState (from: base.NodeId, message: messages.StateMessage, nowMs: base.Millis): void {
+    this._evidence.answered(from, message)
+    this._repair.answered(from)
+    this._takeOwnership(from, message, nowMs)
+    this._takeUpdate(from, message, 'peer', nowMs)
+    this._noteLog(message, nowMs)
+    if (message.version > this._bestVersion) this._repair.noticed(peerOf(from, message.version), nowMs)
+  }
+
+  private _receiveBusy (from: base.NodeId, message: messages.BusyMessage, nowMs: base.Millis): void {
+    this._evidence.answered(from, message)
+    this._repair.busy(peerOf(from, message.version), message.retryAfterMs, nowMs)
+  }
+
+  private _takeUpdate (from: base.NodeId, message: messages.PushMessage | messages.StateMessage, source: Source, nowMs: base.Millis): void {
+    const { delta, state } = message
+    if (delta !== undefined && delta.version > this._bestVersion) this._takeDelta(from, delta, source, nowMs)
+    if (state !== undefined && state.version > this._bestVersion) this._takeWhole(from, state, source, nowMs)
+  }
+
+  private _takeDelta (from: base.NodeId, delta: config.ConfigDeltaMessage, source: Source, nowMs: base.Millis): void {
+    const best = this._bestState
+    const peer = peerOf(from, delta.version)
+    if (best === undefined || best.version !== delta.baseVersion) return this._repair.mismatched(peer, best === undefined, nowMs)
+    const applied = this._options.delta.apply(best, delta)
+    if (applied.isOk()) return this._offer(applied.value, delta, source, nowMs)
+    this._options.onMalformed?.(applied.error)
+    this._repair.mismatched(peer, true, nowMs)
+  }
+
+  private _takeWhole (from: base.NodeId, state: config.AcceptedState, source: Source, nowMs: base.Millis): void {
+    if (digests.digestJson(state.document) === state.digest) return this._offer(state, undefined, source, nowMs)
+    this._options.onMalformed?.(new malformed.MalformedMessageError(from, 'state', 'digest does not match the document'))
+  }
+
+  /** A state that is newer than the best one and whose digest has been checked. */
+  private _offer (state: config.AcceptedState, delta: config.ConfigDeltaMessage | undefined, source: Source, nowMs: base.Millis): void {
+    if (this._evidence.isComplete) return this._enforce(state, delta, source, nowMs)
+    this._candidate = { state, source }
+  }
+
+  private _enforceCandidate (nowMs: base.Millis): void {
+    if (this._candidate !== undefined) this._enforce(this._candidate.state, undefined, this._candidate.source, nowMs)
+  }
+
+  private _enforce (state: config.AcceptedState, delta: config.ConfigDeltaMessage | undefined, source: Source, nowMs: base.Millis): void {
+    const { enforcement, membership } = this._options
+    const previous = enforcement.current
+    if (!enforcement.enforce(state, nowMs)) {
+      if (state.version < enforcement.floorVersion) this._candidate = { state, source }
+      return
+    }
+    this._candidate = undefined
+    this._enforcedAtMs = nowMs
+    this._history.add(previous, enforcement.current ?? state, delta)
+    membership.announce({ enforcedVersion: state.version }, nowMs)
+    this._pusher.enforced(nowMs)
+    if (source === 'log' || (source === 'peer' && previous !== undefined)) this._schedulePush(nowMs)
+  }
+
+  private _schedulePush (nowMs: base.Millis): void {
+    const mustWait = this._options.readers.ownRank > 0 && this.terms.preference === 'control-bytes'
+    this._pushDueMs = nowMs + (mustWait ? SECOND_READER_DELAY_MS : 0)
+    this._pushIfDue(this.isReader, nowMs)
+  }
+
+  private _pushIfDue (isReader: boolean, nowMs: base.Millis): void {
+    if (!isReader || this._strategy === 'gossip') {
+      this._pushDueMs = undefined
+      return
+    }
+    if (this._ownership.hasUnpushed && this._pushDueMs === undefined) {
+      this._pushDueMs = nowMs + (this._options.readers.ownRank > 0 ? SECOND_READER_DELAY_MS : 0)
+    }
+    if (this._pushDueMs === undefined || nowMs < this._pushDueMs) return
+    this._pushDueMs = undefined
+    this._push(nowMs)
+  }
+
+  private _push (nowMs: base.Millis): void {
+    const current = this._options.enforcement.current
+    const payload = current === undefined || nowMs - this._enforcedAtMs > SECOND_READER_DELAY_MS * 4 ? {} : this._payload(current)
+    const { logCheckedAgoMs } = this._evidenceFor('', nowMs)
+    const ownership = this._ownership.takeUnpushed()
+    this._pusher.start({ version: current?.version ?? 0, logCheckedAgoMs, ...payload, ...ownership }, nowMs)
+  }
+
+  private _payload (current: config.AcceptedState): Pick<messages.PushMessage, 'delta' | 'state'> {
+    const delta = this._history.lastDelta(current)
+    return delta === undefined ? { state: current } : { delta }
+  }
+
+  /** Lets the fold of the log start from the best state of peers. Only nodes that read the log need it. */
+  private _prepareFold (): void {
+    const best = this._bestState
+    const { acceptance } = this._options
+    if (best === undefined || best.version <= (acceptance.state?.version ?? 0)) return
+    acceptance.adopt(best)
+    if (best.asOfOffset !== undefined) this._log.skipTo(best.asOfOffset + 1)
+  }
+
+  private _fold (record: config.LogRecord, nowMs: base.Millis): void {
+    const { acceptance, readers } = this._options
+    const verdict = acceptance.apply(record)
+    this._verdicts.push(verdict)
+    if (this._verdicts.length > MAX_VERDICTS) this._verdicts.shift()
+    const data = record.data as Partial<config.ProposalRecord> | Partial<config.SnapshotRecord> | null
+    const state = acceptance.state
+    if (state !== undefined && data?.version === state.version && data.digest === state.digest) {
+      this._snapshots.recordSeen(state.version, this._appendedAtMs(data, nowMs), this._retentionMs)
+    }
+    if (data?.kind !== 'proposal' || !this._hasReadToEnd || !this.isReader || !readers.isFirstOfFleet) return
+    if (verdict.kind !== 'duplicate') this._audit.addVerdict(data as config.ProposalRecord, verdict, nowMs)
+  }
+
+  /** Records carry no time of append. One that was there before this node read the log may be old. */
+  private _appendedAtMs (data: { readonly kind?: string }, nowMs: base.Millis): base.Millis {
+    if (this._hasReadToEnd) return nowMs
+    const proposedAtMs = data.kind === 'proposal' ? (data as config.ProposalRecord).proposedAtMs : 0
+    return Math.min(nowMs, Math.max(proposedAtMs, nowMs - this._retentionMs / 2))
+  }
+
+  private _takeOwnership (from: base.NodeId, message: { readonly ownership?: messages.PushMessage['ownership'] }, nowMs: base.Millis): void {
+    if (this._ownership.take(message.ownership) === 'gap') this._repair.mismatched(peerOf(from, 0), false, nowMs)
+  }
+
+  private _noteLog (message: messages.PushMessage | messages.StateMessage, nowMs: base.Millis): void {
+    if (message.version > this._bestVersion) return
+    if (message.logCheckedAgoMs >= 0) this._log.checkedBy(nowMs - message.logCheckedAgoMs)
+  }
+
+  private _evidenceFor (to: base.NodeId, nowMs: base.Millis): messages.VersionEvidence {
+    const { checkedAtMs } = this._log
+    return {
+      version: this._options.enforcement.current?.version ?? 0,
+      recordedVersion: this._options.membership.get(to)?.enforcedVersion ?? 0,
+      logCheckedAgoMs: checkedAtMs === undefined ? -1 : Math.max(0, nowMs - checkedAtMs)
+    }
+  }
+
+  private _sendPull (to: base.NodeId, haveVersion: number): void {
+    const haveDigest = haveVersion === this._bestVersion ? this._bestState?.digest ?? '' : ''
+    this._send(to, { kind: 'pull', haveVersion, haveDigest, haveOwnershipVersion: this._ownership.version })
+  }
+
+  private _send (to: base.NodeId, message: messages.DistributionMessage): void {
+    const address = this._options.membership.get(to)?.peerAddress ?? ''
+    this._options.effects.push({ kind: 'send', to, address, message })
+  }
+}
+
+function peerOf (nodeId: base.NodeId, version: number): memberTypes.PeerVersion {
+  return { nodeId, version, ownershipVersion: 0, horizonMs: 0 }
+}
--- /dev/null
+++ b/packages/common/src/distribution/MessageRules.ts
@@ -0,0 +1,98 @@
+/** Checks of distribution messages from peers. */
+import * as rules from '../membership/RowRules.js'
+
+const MAX_TEXT_LENGTH = 256
+const MAX_PATCH_OPERATIONS = 65_536
+
+/** Returns what is wrong with a distribution message, or undefined. Documents and patches are checked by digest when used. */
+export function messageProblem (value: unknown): string | undefined {
+  if (!isMap(value)) return 'message is not a map'
+  switch (value['kind']) {
+    case 'push':
+      return originProblem(value) ?? pushProblem(value) ?? payloadProblem(value)
+    case 'push-ack':
+      return originProblem(value) ?? ackProblem(value)
+    case 'pull':
+      return pullProblem(value)
+    case 'state':
+      return evidenceProblem(value) ?? payloadProblem(value)
+    case 'busy':
+      return evidenceProblem(value) ?? (rules.isCount(value['retryAfterMs']) ? undefined : 'retryAfterMs is not a duration')
+    default:
+      return 'kind is unknown'
+  }
+}
+
+function originProblem (message: Record<string, unknown>): string | undefined {
+  if (!isText(message['rootId']) || message['rootId'] === '') return 'rootId is not a text'
+  return rules.isCount(message['sequence']) ? undefined : 'sequence is not a count'
+}
+
+function pushProblem (message: Record<string, unknown>): string | undefined {
+  if (!isText(message['untilId'])) return 'untilId is not a text'
+  return logProblem(message)
+}
+
+function ackProblem (message: Record<string, unknown>): string | undefined {
+  if (typeof message['final'] !== 'boolean') return 'final is not a boolean'
+  const counts = [message['count'], message['firstAtMs'], message['lastAtMs']]
+  return counts.every(rules.isCount) ? undefined : 'a count or time of the summary is wrong'
+}
+
+function pullProblem (message: Record<string, unknown>): string | undefined {
+  if (!rules.isCount(message['haveVersion']) || !rules.isCount(message['haveOwnershipVersion'])) return 'a version is not a count'
+  return isText(message['haveDigest']) ? undefined : 'haveDigest is not a text'
+}
+
+function evidenceProblem (message: Record<string, unknown>): string | undefined {
+  if (!rules.isCount(message['recordedVersion'])) return 'recordedVersion is not a count'
+  return logProblem(message)
+}
+
+function logProblem (message: Record<string, unknown>): string | undefined {
+  if (!rules.isCount(message['version'])) return 'version is not a count'
+  const agoMs = message['logCheckedAgoMs']
+  return agoMs === -1 || rules.isCount(agoMs) ? undefined : 'logCheckedAgoMs is not a duration'
+}
+
+function payloadProblem (message: Record<string, unknown>): string | undefined {
+  const { delta, state, ownership } = message
+  if (delta !== undefined && state !== undefined) return 'both delta and state are present'
+  if (delta !== undefined && !isDelta(delta)) return 'delta has a wrong field'
+  if (state !== undefined && !isState(state)) return 'state has a wrong field'
+  return ownership === undefined || isOwnership(ownership) ? undefined : 'ownership has a wrong field'
+}
+
+function isDelta (value: unknown): boolean {
+  return isMap(value) && rules.isCount(value['version']) && rules.isCount(value['rulesVersion']) &&
+    rules.isCount(value['baseVersion']) && isText(value['baseDigest']) && isText(value['digest']) &&
+    isOffset(value['asOfOffset']) && Array.isArray(value['patch']) && value['patch'].length <= MAX_PATCH_OPERATIONS
+}
+
+function isState (value: unknown): boolean {
+  return isMap(value) && rules.isCount(value['version']) && rules.isCount(value['rulesVersion']) &&
+    isText(value['digest']) && isOffset(value['asOfOffset']) && isMap(value['document'])
+}
+
+function isOwnership (value: unknown): boolean {
+  return isMap(value) && rules.isCount(value['tableVersion']) && rules.isCount(value['horizonMs']) &&
+    rules.isCount(value['sinceVersion']) && Array.isArray(value['entries']) && value['entries'].every(isEntry)
+}
+
+function isEntry (value: unknown): boolean {
+  if (!isMap(value) || !isMap(value['owner'])) return false
+  return isText(value['service']) && rules.isCount(value['partition']) && rules.isCount(value['startsAtMs']) &&
+    isText(value['owner']['nodeId']) && rules.isCount(value['owner']['incarnation'])
+}
+
+function isOffset (value: unknown): boolean {
+  return value === undefined || rules.isCount(value)
+}
+
+function isMap (value: unknown): value is Record<string, unknown> {
+  return value !== null && typeof value === 'object' && !Array.isArray(value)
+}
+
+function isText (value: unknown): value is string {
+  return typeof value === 'string' && value.length <= MAX_TEXT_LENGTH
+}
--- a/packages/common/src/distribution/Services.ts
+++ b/packages/common/src/distribution/Services.ts
@@ -3,6 +3,16 @@
 import type * as messages from '../node/Messages.js'
 import type * as types from './Types.js'
 
+/** Chooses the nodes of this node's zone that read the log. */
+export interface IReaderSelection {
+  /** Readers of this node's zone, the first one first. */
+  readonly readers: readonly base.NodeId[]
+  /** Position of this node among the readers of its zone; -1 if it is none. */
+  readonly ownRank: number
+  /** Whether this node is the one that writes fleet-wide records. */
+  readonly isFirstOfFleet: boolean
+}
+
 /** Holds the state in force. Versions never go down. */
 export interface IEnforcement {
   readonly onEnforced: base.IEvent<types.VersionEnforced>
--- /dev/null
+++ b/packages/common/src/distribution/StateHistory.ts
@@ -0,0 +1,50 @@
+import type * as configServices from '../config/Services.js'
+import type * as config from '../config/Types.js'
+
+/** Versions back to which peers get a delta instead of the whole state. */
+const MAX_STEPS = 32
+/** A patch with more operations than this is sent as the whole state. */
+const MAX_OPERATIONS = 512
+
+interface Step {
+  readonly baseVersion: number
+  readonly baseDigest: string
+  readonly version: number
+  readonly patch: readonly unknown[]
+}
+
+/**
+ * Patches between the versions that this node enforced. Old documents are not kept: the patches of
+ * consecutive steps, one after the other, lead from any kept base to the current version.
+ */
+export class StateHistory {
+  private _steps: Step[] = []
+
+  constructor (private readonly _delta: configServices.IConfigDelta) {}
+
+  /** Records the step to a newly enforced state. `delta` is the one it was made with, if any. */
+  public add (previous: config.AcceptedState | undefined, next: config.AcceptedState, delta: config.ConfigDeltaMessage | undefined): void {
+    if (previous === undefined) return
+    const isOwnStep = delta?.baseVersion === previous.version && delta.version === next.version
+    const patch = isOwnStep ? delta.patch : this._delta.make(previous, next).patch
+    this._steps.push({ baseVersion: previous.version, baseDigest: previous.digest, version: next.version, patch })
+    if (this._steps.length > MAX_STEPS) this._steps.shift()
+  }
+
+  /** Delta from the base to the current state, if the base is among the kept versions. */
+  public deltaFrom (baseVersion: number, baseDigest: string, current: config.AcceptedState): config.ConfigDeltaMessage | undefined {
+    const first = this._steps.findIndex(step => step.baseVersion === baseVersion && step.baseDigest === baseDigest)
+    if (first < 0) return undefined
+    const patch = this._steps.slice(first).flatMap(step => step.patch)
+    if (patch.length > MAX_OPERATIONS) return undefined
+    const { version, rulesVersion, digest, asOfOffset } = current
+    return { version, rulesVersion, baseVersion, baseDigest, digest, patch, ...(asOfOffset === undefined ? {} : { asOfOffset }) }
+  }
+
+  /** Delta of the last step. */
+  public lastDelta (current: config.AcceptedState): config.ConfigDeltaMessage | undefined {
+    const last = this._steps.at(-1)
+    if (last === undefined || last.version !== current.version) return undefined
+    return this.deltaFrom(last.baseVersion, last.baseDigest, current)
+  }
+}
--- a/packages/common/src/distribution/Types.ts
+++ b/packages/common/src/distribution/Types.ts
@@ -1,5 +1,6 @@
 /** Shapes of the distribution of configuration between nodes. */
 import type * as base from '../base/Types.js'
+import type * as config from '../config/Types.js'
 
 export type ReadinessReason =
   | 'ready'
@@ -22,3 +23,15 @@
   readonly digest: string
   readonly atMs: base.Millis
 }
+
+/** Records of the stream `audit`. */
+export type AuditRecord =
+  | { readonly kind: 'proposed', readonly proposalId: string, readonly version: number, readonly author: string, readonly atMs: base.Millis }
+  | { readonly kind: 'accepted' | 'rejected', readonly proposalId: string, readonly version: number, readonly verdict: config.VerdictKind, readonly reason: string, readonly offset: number, readonly atMs: base.Millis }
+  | { readonly kind: 'enforced', readonly zone: string, readonly version: number, readonly count: number, readonly firstAtMs: base.Millis, readonly lastAtMs: base.Millis }
+
+/**
+ * How versions travel between nodes. `hybrid` is the product; the others exist for comparison in the benchmark:
+ * `tree` never pulls while it runs, `gossip` never pushes.
+ */
+export type DistributionStrategy = 'hybrid' | 'tree' | 'gossip'
--- /dev/null
+++ b/packages/common/src/membership/FailureDetector.ts
@@ -0,0 +1,209 @@
+import type * as base from '../base/Types.js'
+
+/** Time within which a probed member must answer. */
+export const PROBE_TIMEOUT_MS = 500
+/** Time for the answers to indirect probes. */
+export const INDIRECT_TIMEOUT_MS = 300
+/** Time that a suspect has to refute. */
+export const SUSPICION_MS = 3_000
+const INDIRECT_PROBES = 3
+/** A longer gap between ticks means that this process was paused: missing answers prove nothing. */
+const PAUSE_MS = 1_000
+const RELAY_TTL_MS = 1_000
+const MAX_OUTSTANDING = 256
+const RANDOM_TRIES = 8
+
+/** What the detector needs to know and to have done. */
+export interface IDetectorHost {
+  isProbed(nodeId: base.NodeId): boolean
+  sendProbe(nodeId: base.NodeId, sequence: number): void
+  sendProbeRequest(helper: base.NodeId, target: base.NodeId, sequence: number): void
+  relayAck(requester: base.NodeId, target: base.NodeId, sequence: number): void
+  suspect(nodeId: base.NodeId): void
+  declareDead(nodeId: base.NodeId): void
+}
+
+interface Outstanding {
+  readonly target: base.NodeId
+  readonly stage: 'direct' | 'indirect'
+  readonly deadlineMs: base.Millis
+}
+
+interface Relay {
+  readonly requester: base.NodeId
+  readonly sequence: number
+  readonly deadlineMs: base.Millis
+}
+
+export interface FailureDetectorOptions {
+  readonly host: IDetectorHost
+  readonly random: base.IRandom
+  readonly intervalMs: () => base.Millis
+}
+
+/** Probes members in a shuffled round-robin order and decides when one is suspect or dead. */
+export class FailureDetector {
+  private readonly _host: IDetectorHost
+  private readonly _random: base.IRandom
+  private readonly _intervalMs: () => base.Millis
+  private _ids: base.NodeId[] = []
+  private _position = 0
+  private _sequence = 0
+  private _nextProbeAtMs: base.Millis | undefined
+  private _lastTickMs: base.Millis | undefined
+  private readonly _outstanding = new Map<number, Outstanding>()
+  private readonly _relays = new Map<number, Relay>()
+  /** In the order of their deadlines, because all suspicions last equally long. */
+  private readonly _suspects = new Map<base.NodeId, base.Millis>()
+
+  constructor (options: FailureDetectorOptions) {
+    this._host = options.host
+    this._random = options.random
+    this._intervalMs = options.intervalMs
+  }
+
+  /** Adds a member at a random place of the order. */
+  public add (nodeId: base.NodeId): void {
+    const at = this._random.nextInt(this._ids.length + 1)
+    const moved = this._ids[at]
+    this._ids[at] = nodeId
+    if (moved !== undefined) this._ids.push(moved)
+  }
+
+  /** A random probed member that the filter accepts. */
+  public randomMember (accepts: (nodeId: base.NodeId) => boolean): base.NodeId | undefined {
+    for (let i = 0; i < RANDOM_TRIES && this._ids.length > 0; i++) {
+      const id = this._ids[this._random.nextInt(this._ids.length)]
+      if (id !== undefined && this._host.isProbed(id) && accepts(id)) return id
+    }
+    return undefined
+  }
+
+  public startSuspicion (nodeId: base.NodeId, nowMs: base.Millis): void {
+    if (!this._suspects.has(nodeId)) this._suspects.set(nodeId, nowMs + SUSPICION_MS)
+  }
+
+  public endSuspicion (nodeId: base.NodeId): void {
+    this._suspects.delete(nodeId)
+  }
+
+  /** Probes a member now, outside of the order. */
+  public probe (nodeId: base.NodeId, nowMs: base.Millis): void {
+    if (this._outstanding.size >= MAX_OUTSTANDING || !this._host.isProbed(nodeId)) return
+    const sequence = this._nextSequence()
+    this._outstanding.set(sequence, { target: nodeId, stage: 'direct', deadlineMs: nowMs + PROBE_TIMEOUT_MS })
+    this._host.sendProbe(nodeId, sequence)
+  }
+
+  /** Another member asks to probe `target` on its behalf. */
+  public probeFor (requester: base.NodeId, target: base.NodeId, requestSequence: number, nowMs: base.Millis): void {
+    if (this._relays.size >= MAX_OUTSTANDING || !this._host.isProbed(target)) return
+    const sequence = this._nextSequence()
+    this._relays.set(sequence, { requester, sequence: requestSequence, deadlineMs: nowMs + RELAY_TTL_MS })
+    this._host.sendProbe(target, sequence)
+  }
+
+  public acknowledged (target: base.NodeId, sequence: number): void {
+    if (this._outstanding.get(sequence)?.target === target) this._outstanding.delete(sequence)
+    const relay = this._relays.get(sequence)
+    if (relay === undefined) return
+    this._relays.delete(sequence)
+    this._host.relayAck(relay.requester, target, relay.sequence)
+  }
+
+  public tick (nowMs: base.Millis): void {
+    this._forgivePause(nowMs)
+    this._expireRelays(nowMs)
+    this._expireProbes(nowMs)
+    this._expireSuspicions(nowMs)
+    this._probeNext(nowMs)
+  }
+
+  private _forgivePause (nowMs: base.Millis): void {
+    const gapMs = nowMs - (this._lastTickMs ?? nowMs)
+    this._lastTickMs = nowMs
+    if (gapMs <= PAUSE_MS) return
+    this._outstanding.clear()
+    this._relays.clear()
+    for (const nodeId of this._suspects.keys()) this._suspects.set(nodeId, nowMs + SUSPICION_MS)
+  }
+
+  private _expireRelays (nowMs: base.Millis): void {
+    for (const [sequence, relay] of this._relays) {
+      if (relay.deadlineMs > nowMs) return
+      this._relays.delete(sequence)
+    }
+  }
+
+  private _expireProbes (nowMs: base.Millis): void {
+    for (const [sequence, probe] of this._outstanding) {
+      if (probe.deadlineMs > nowMs) continue
+      this._outstanding.delete(sequence)
+      if (probe.stage === 'direct') this._probeIndirectly(probe.target, nowMs)
+      else this._host.suspect(probe.target)
+    }
+  }
+
+  private _probeIndirectly (target: base.NodeId, nowMs: base.Millis): void {
+    const sequence = this._nextSequence()
+    this._outstanding.set(sequence, { target, stage: 'indirect', deadlineMs: nowMs + INDIRECT_TIMEOUT_MS })
+    for (let i = 0; i < INDIRECT_PROBES; i++) {
+      const helper = this.randomMember(id => id !== target)
+      if (helper !== undefined) this._host.sendProbeRequest(helper, target, sequence)
+    }
+  }
+
+  private _expireSuspicions (nowMs: base.Millis): void {
+    for (const [nodeId, deadlineMs] of this._suspects) {
+      if (deadlineMs > nowMs) return
+      this._suspects.delete(nodeId)
+      this._host.declareDead(nodeId)
+    }
+  }
+
+  private _probeNext (nowMs: base.Millis): void {
+    const intervalMs = this._intervalMs()
+    this._nextProbeAtMs ??= nowMs + this._random.nextInt(intervalMs)
+    if (nowMs < this._nextProbeAtMs) return
+    this._nextProbeAtMs = Math.max(this._nextProbeAtMs + intervalMs, nowMs)
+    const next = this._nextId()
+    if (next !== undefined) this.probe(next, nowMs)
+  }
+
+  private _nextId (): base.NodeId | undefined {
+    if (this._position >= this._ids.length) this._shuffle()
+    while (this._position < this._ids.length) {
+      const id = this._ids[this._position]
+      if (id !== undefined && this._host.isProbed(id)) {
+        this._position++
+        return id
+      }
+      this._removeAt(this._position)
+    }
+    return undefined
+  }
+
+  private _removeAt (position: number): void {
+    const last = this._ids.pop()
+    if (last !== undefined && position < this._ids.length) this._ids[position] = last
+  }
+
+  /** A member that died and came back may be listed twice until here. */
+  private _shuffle (): void {
+    this._position = 0
+    this._ids = [...new Set(this._ids)]
+    for (let i = this._ids.length - 1; i > 0; i--) {
+      const j = this._random.nextInt(i + 1)
+      const a = this._ids[i]
+      const b = this._ids[j]
+      if (a === undefined || b === undefined) continue
+      this._ids[i] = b
+      this._ids[j] = a
+    }
+  }
+
+  private _nextSequence (): number {
+    this._sequence = (this._sequence + 1) % Number.MAX_SAFE_INTEGER
+    return this._sequence
+  }
+}
--- /dev/null
+++ b/packages/common/src/membership/MalformedMessageError.ts
@@ -0,0 +1,7 @@
+/** A message from a peer had a field of the wrong type or out of range. It was ignored as a whole. */
+export class MalformedMessageError extends Error {
+  constructor (from: string, kind: string, problem: string) {
+    super(`message ${kind} from ${from || 'unknown peer'} ignored: ${problem}; check that both nodes run compatible versions of elmpost`)
+    this.name = 'MalformedMessageError'
+  }
+}
--- /dev/null
+++ b/packages/common/src/membership/MemberTable.ts
@@ -0,0 +1,201 @@
+import * as digest from '../base/Digest.js'
+import type * as base from '../base/Types.js'
+import * as rules from './RowRules.js'
+import type * as types from './Types.js'
+
+/** Buckets kept; smaller counts are folded from them. */
+export const MAX_BUCKETS = 256
+
+const EMPTY: readonly types.MemberRow[] = []
+
+/** Rows of all known nodes, with the indexes that routing, repair and reader selection need. */
+export class MemberTable {
+  private readonly _rows = new Map<base.NodeId, types.MemberRow>()
+  private readonly _bucketIds: base.NodeId[][] = Array.from({ length: MAX_BUCKETS }, () => [])
+  private readonly _bucketHashes = new Uint32Array(MAX_BUCKETS)
+  private readonly _liveIds = new Map<string, base.NodeId[]>()
+  private readonly _liveRows = new Map<string, readonly types.MemberRow[]>()
+  private readonly _serviceIds = new Map<string, Set<base.NodeId>>()
+  private readonly _targets = new Map<string, readonly types.MemberRow[]>()
+  private _zones: readonly string[] | undefined
+
+  public get size (): number {
+    return this._rows.size
+  }
+
+  public get (nodeId: base.NodeId): types.MemberRow | undefined {
+    return this._rows.get(nodeId)
+  }
+
+  public all (): Iterable<types.MemberRow> {
+    return this._rows.values()
+  }
+
+  /** Stores the row if it takes precedence over the known one. */
+  public merge (row: types.MemberRow): types.MemberChange | undefined {
+    const previous = this._rows.get(row.nodeId)
+    if (previous !== undefined && !rules.isNewer(row, previous)) return undefined
+    const current = keepVersion(previous, row)
+    this._rows.set(row.nodeId, current)
+    this._updateBucket(previous, current)
+    this._updateZone(previous, current)
+    this._updateService(previous, current)
+    return { previous, current, forgotten: false }
+  }
+
+  /** Records a higher version of a node without counting it as a change of the row. */
+  public recordVersion (nodeId: base.NodeId, version: number): void {
+    const row = this._rows.get(nodeId)
+    if (row === undefined || version <= row.enforcedVersion) return
+    this._rows.set(nodeId, { ...row, enforcedVersion: version })
+  }
+
+  public forget (nodeId: base.NodeId): types.MemberChange | undefined {
+    const row = this._rows.get(nodeId)
+    if (row === undefined) return undefined
+    this._rows.delete(nodeId)
+    this._removeFromBucket(row)
+    if (rules.isLive(row)) this._removeLive(row)
+    this._serviceIds.get(row.service)?.delete(nodeId)
+    this._targets.delete(row.service)
+    return { previous: row, current: row, forgotten: true }
+  }
+
+  /** Ids of the live rows of a zone, sorted. Changes in place. */
+  public liveIdsInZone (zone: string): readonly base.NodeId[] {
+    return this._liveIds.get(zone) ?? []
+  }
+
+  public liveInZone (zone: string): readonly types.MemberRow[] {
+    const known = this._liveRows.get(zone)
+    if (known !== undefined) return known
+    const rows = this.liveIdsInZone(zone).flatMap(id => this._rows.get(id) ?? [])
+    this._liveRows.set(zone, rows)
+    return rows
+  }
+
+  public zones (): readonly string[] {
+    this._zones ??= [...this._liveIds.keys()].sort()
+    return this._zones
+  }
+
+  public targetsOf (service: string): readonly types.MemberRow[] {
+    const known = this._targets.get(service)
+    if (known !== undefined) return known
+    const ids = this._serviceIds.get(service)
+    if (ids === undefined) return EMPTY
+    const rows = [...ids].sort().flatMap(id => this._rows.get(id) ?? []).filter(row => row.state === 'ready' && row.targetReady)
+    this._targets.set(service, rows)
+    return rows
+  }
+
+  /** Hash of the rows of each bucket, folded to `count` buckets (a power of two). */
+  public bucketHashes (count: number): number[] {
+    const folded = new Uint32Array(count)
+    for (let i = 0; i < MAX_BUCKETS; i++) folded[i % count] = (folded[i % count] ?? 0) ^ (this._bucketHashes[i] ?? 0)
+    return Array.from(folded)
+  }
+
+  /** Rows of a bucket out of `count` buckets. */
+  public rowsInBucket (bucket: number, count: number): types.MemberRow[] {
+    const rows: types.MemberRow[] = []
+    for (let i = bucket; i < MAX_BUCKETS; i += count) {
+      for (const id of this._bucketIds[i] ?? []) {
+        const row = this._rows.get(id)
+        if (row !== undefined) rows.push(row)
+      }
+    }
+    return rows
+  }
+
+  private _updateBucket (previous: types.MemberRow | undefined, current: types.MemberRow): void {
+    const idHash = digest.placementHash(current.nodeId)
+    const bucket = idHash % MAX_BUCKETS
+    if (previous === undefined) this._bucketIds[bucket]?.push(current.nodeId)
+    const removed = previous === undefined ? 0 : rowHash(idHash, previous)
+    this._bucketHashes[bucket] = (this._bucketHashes[bucket] ?? 0) ^ removed ^ rowHash(idHash, current)
+  }
+
+  private _removeFromBucket (row: types.MemberRow): void {
+    const idHash = digest.placementHash(row.nodeId)
+    const bucket = idHash % MAX_BUCKETS
+    this._bucketHashes[bucket] = (this._bucketHashes[bucket] ?? 0) ^ rowHash(idHash, row)
+    const ids = this._bucketIds[bucket]
+    if (ids !== undefined) ids.splice(ids.indexOf(row.nodeId), 1)
+  }
+
+  private _updateZone (previous: types.MemberRow | undefined, current: types.MemberRow): void {
+    const wasLive = previous !== undefined && rules.isLive(previous)
+    const isLive = rules.isLive(current)
+    if (wasLive && (!isLive || previous.zone !== current.zone)) this._removeLive(previous)
+    if (isLive && (!wasLive || previous.zone !== current.zone)) this._addLive(current)
+    this._liveRows.delete(current.zone)
+  }
+
+  private _addLive (row: types.MemberRow): void {
+    let ids = this._liveIds.get(row.zone)
+    if (ids === undefined) {
+      ids = []
+      this._liveIds.set(row.zone, ids)
+      this._zones = undefined
+    }
+    ids.splice(lowerBound(ids, row.nodeId), 0, row.nodeId)
+  }
+
+  private _removeLive (row: types.MemberRow): void {
+    this._liveRows.delete(row.zone)
+    const ids = this._liveIds.get(row.zone)
+    if (ids === undefined) return
+    ids.splice(lowerBound(ids, row.nodeId), 1)
+    if (ids.length > 0) return
+    this._liveIds.delete(row.zone)
+    this._zones = undefined
+  }
+
+  private _updateService (previous: types.MemberRow | undefined, current: types.MemberRow): void {
+    if (previous !== undefined && previous.service !== current.service) {
+      this._serviceIds.get(previous.service)?.delete(current.nodeId)
+      this._targets.delete(previous.service)
+    }
+    if (previous === undefined || previous.service !== current.service) {
+      const ids = this._serviceIds.get(current.service)
+      if (ids === undefined) this._serviceIds.set(current.service, new Set([current.nodeId]))
+      else ids.add(current.nodeId)
+    }
+    this._targets.delete(current.service)
+  }
+}
+
+/** First index of the sorted list whose id is not below `id`. */
+export function lowerBound (ids: readonly base.NodeId[], id: base.NodeId): number {
+  let low = 0
+  let high = ids.length
+  const last = ids[high - 1]
+  if (last !== undefined && last < id) return high
+  while (low < high) {
+    const middle = (low + high) >>> 1
+    if ((ids[middle] ?? '') < id) low = middle + 1
+    else high = middle
+  }
+  return low
+}
+
+/** The version of a node is known to each peer on its own and never goes down, so it takes no part in the hash. */
+function keepVersion (previous: types.MemberRow | undefined, row: types.MemberRow): types.MemberRow {
+  if (previous === undefined || previous.enforcedVersion <= row.enforcedVersion) return row
+  return { ...row, enforcedVersion: previous.enforcedVersion }
+}
+
+function rowHash (idHash: number, row: types.MemberRow): number {
+  let hash = idHash
+  hash = mix(hash ^ (row.incarnation | 0))
+  hash = mix(hash ^ Math.floor(row.incarnation / 2 ** 32))
+  hash = mix(hash ^ rules.stateRank(row.state))
+  return mix(hash ^ row.revision) >>> 0
+}
+
+function mix (value: number): number {
+  let hash = Math.imul(value ^ (value >>> 16), 0x85ebca6b)
+  hash = Math.imul(hash ^ (hash >>> 13), 0xc2b2ae35)
+  return hash ^ (hash >>> 16)
+}
--- /dev/null
+++ b/packages/common/src/membership/Membership.ts
@@ -0,0 +1,385 @@
+import * as emitter from '../base/Emitter.js'
+import * as disposable from '../base/Disposable.js'
+import type * as base from '../base/Types.js'
+import type * as config from '../config/Types.js'
+import type * as hosting from '../hosting/Services.js'
+import type * as messages from '../node/Messages.js'
+import * as detectors from './FailureDetector.js'
+import * as gossips from './Gossip.js'
+import * as malformed from './MalformedMessageError.js'
+import * as tables from './MemberTable.js'
+import * as messageRules from './MessageRules.js'
+import * as rules from './RowRules.js'
+import * as seeds from './SeedProbe.js'
+import type * as services from './Services.js'
+import * as repairs from './TableRepair.js'
+import type * as types from './Types.js'
+
+/** Rows on one heartbeat. */
+const PIGGYBACK_ROWS = 8
+/** Rows on one heartbeat while a mass event is being told. */
+const PIGGYBACK_ROWS_BURST = 32
+const BURST_BACKLOG = 64
+const CRASHES_PER_MESSAGE = 8
+/** Members told at once of a change. With 4, a rumour reaches about 98 % of the members before heartbeats carry it on. */
+const URGENT_FANOUT: Readonly<Record<config.DistributionPreference, number>> = { 'convergence-time': 4, 'control-bytes': 2 }
+const FORGET_AFTER_MS = 3_600_000
+/** The table counts as settled when it has not grown for this time. */
+const SETTLE_MS = 1_000
+const MAX_SETTLE_MS = 15_000
+
+type Versions = Pick<messages.ProbeMessage, 'version' | 'ownershipVersion' | 'horizonMs'>
+
+export interface MembershipOptions {
+  readonly self: types.SelfAnnouncement
+  /** Peer addresses from the settings. This node's own address is left out. */
+  readonly seeds: readonly string[]
+  readonly random: base.IRandom
+  readonly effects: messages.IEffects
+  /** Terms of the configuration in force; read at each use. */
+  readonly terms: () => config.DistributionTerms
+  /** Versions of the ownership table, told on heartbeats. */
+  readonly ownership?: Pick<hosting.IOwnershipTable, 'tableVersion' | 'horizonMs'>
+  readonly crashes?: Pick<hosting.ICrashTable, 'pending' | 'record'>
+  /** Told of each malformed message, for the log and the metrics. */
+  readonly onMalformed?: (error: malformed.MalformedMessageError) => void
+}
+
+/** SWIM-style membership: probes, suspicion, piggybacked updates and repair of the member table. */
+export class Membership extends disposable.Disposable implements services.IMembership {
+  public readonly onChange: base.IEvent<types.MemberChange>
+  public readonly onPeerVersion: base.IEvent<types.PeerVersion>
+  private readonly _options: MembershipOptions
+  private readonly _table = new tables.MemberTable()
+  private readonly _gossip = new gossips.Gossip(nodeId => this._table.get(nodeId))
+  private readonly _detector: detectors.FailureDetector
+  private readonly _repair: repairs.TableRepair
+  private readonly _seedProbe: seeds.SeedProbe
+  private readonly _changes = this._register(new emitter.Emitter<types.MemberChange>())
+  private readonly _versions = this._register(new emitter.Emitter<types.PeerVersion>())
+  /** Time at which each row died or left, oldest first. */
+  private readonly _gone = new Map<base.NodeId, base.Millis>()
+  private _self: types.MemberRow
+  private _recordedSelfVersion = 0
+  private _startedAtMs: base.Millis | undefined
+  private _lastGrowthMs = 0
+  private _nowMs = 0
+
+  constructor (options: MembershipOptions) {
+    super()
+    this._options = options
+    this.onChange = this._changes.event
+    this.onPeerVersion = this._versions.event
+    this._self = { ...options.self, state: 'joining', revision: 0, successor: '' }
+    this._detector = new detectors.FailureDetector({
+      host: this._detectorHost(),
+      random: options.random,
+      intervalMs: () => options.terms().gossipIntervalMs
+    })
+    this._repair = new repairs.TableRepair(this._table, options.random)
+    this._seedProbe = new seeds.SeedProbe({
+      seeds: options.seeds.filter(address => address !== options.self.peerAddress),
+      random: options.random
+    })
+    this._table.merge(this._self)
+    this._gossip.add(this._self.nodeId)
+  }
+
+  public get self (): types.MemberRow {
+    return this._self
+  }
+
+  public get recordedSelfVersion (): number {
+    return this._recordedSelfVersion
+  }
+
+  public get size (): number {
+    return this._table.size
+  }
+
+  public get isJoined (): boolean {
+    return this._seedProbe.isJoined
+  }
+
+  public get isSettled (): boolean {
+    if (!this.isJoined || this._startedAtMs === undefined) return false
+    return this._nowMs - this._lastGrowthMs >= SETTLE_MS || this._nowMs - this._startedAtMs >= MAX_SETTLE_MS
+  }
+
+  public get (nodeId: base.NodeId): types.MemberRow | undefined {
+    return this._table.get(nodeId)
+  }
+
+  public all (): Iterable<types.MemberRow> {
+    return this._table.all()
+  }
+
+  public targetsOf (service: string): readonly types.MemberRow[] {
+    return this._table.targetsOf(service)
+  }
+
+  public liveInZone (zone: string): readonly types.MemberRow[] {
+    return this._table.liveInZone(zone)
+  }
+
+  public liveIdsInZone (zone: string): readonly base.NodeId[] {
+    return this._table.liveIdsInZone(zone)
+  }
+
+  public zones (): readonly string[] {
+    return this._table.zones()
+  }
+
+  public randomPeer (): types.MemberRow | undefined {
+    const id = this._detector.randomMember(nodeId => {
+      const row = this._table.get(nodeId)
+      return row !== undefined && rules.isLive(row)
+    })
+    return id === undefined ? undefined : this._table.get(id)
+  }
+
+  public announce (change: Partial<Pick<types.MemberRow, 'targetReady' | 'targetReadySinceMs' | 'enforcedVersion'>>, nowMs: base.Millis): void {
+    const { enforcedVersion, ...fields } = change
+    if (enforcedVersion !== undefined) {
+      this._table.recordVersion(this._self.nodeId, enforcedVersion)
+      this._self = this._table.get(this._self.nodeId) ?? this._self
+    }
+    if (Object.keys(fields).length > 0) this._changeSelf({ ...fields, revision: this._self.revision + 1 }, nowMs)
+  }
+
+  public setState (state: 'ready' | 'draining' | 'left', nowMs: base.Millis, successor: base.NodeId = ''): void {
+    if (state === this._self.state && successor === this._self.successor) return
+    const goesBack = rules.stateRank(state) < rules.stateRank(this._self.state)
+    const incarnation = this._self.incarnation + (goesBack ? 1 : 0)
+    this._changeSelf({ state, successor, incarnation, revision: this._self.revision + 1 }, nowMs)
+  }
+
+  public connectionLost (nodeId: base.NodeId, nowMs: base.Millis): void {
+    this._nowMs = nowMs
+    this._detector.probe(nodeId, nowMs)
+  }
+
+  public tick (nowMs: base.Millis): void {
+    this._nowMs = nowMs
+    if (this._startedAtMs === undefined) {
+      this._startedAtMs = nowMs
+      this._lastGrowthMs = nowMs
+    }
+    this._probeSeeds(nowMs)
+    if (this._self.state !== 'left') this._detector.tick(nowMs)
+    this._sendUrgent()
+    this._sendDigest(nowMs)
+    this._forgetGone(nowMs)
+  }
+
+  public receive (from: base.NodeId, message: messages.MembershipMessage, nowMs: base.Millis): void {
+    this._nowMs = nowMs
+    const problem = messageRules.messageProblem(message, nowMs)
+    if (problem !== undefined) {
+      this._options.onMalformed?.(new malformed.MalformedMessageError(from, kindOf(message), problem))
+      return
+    }
+    switch (message.kind) {
+      case 'join': return this._receiveJoin(from, message, nowMs)
+      case 'gossip': return this._receiveNews(from, message, nowMs)
+      case 'probe': return this._receiveProbe(from, message, nowMs)
+      case 'probe-request': return this._detector.probeFor(from, message.target, message.sequence, nowMs)
+      case 'probe-ack': return this._receiveAck(from, message, nowMs)
+      case 'table-digest': return this._receiveDigest(from, message, nowMs)
+      case 'table-rows': return this._receiveRows(from, message, nowMs)
+    }
+  }
+
+  private _receiveJoin (from: base.NodeId, message: messages.JoinMessage, nowMs: base.Millis): void {
+    this._merge(message.row, nowMs)
+    const known = this._table.get(from)
+    const rows = [this._self]
+    if (known !== undefined && from !== this._self.nodeId) rows.push(known)
+    if (message.wantsRows) rows.push(...this._repair.joinPage(nowMs).slice(0, messageRules.MAX_ROWS - rows.length))
+    this._send(from, { kind: 'table-rows', rows, wantedBuckets: [], bucketCount: 0 }, message.row.peerAddress)
+  }
+
+  private _receiveProbe (from: base.NodeId, message: messages.ProbeMessage, nowMs: base.Millis): void {
+    this._receiveNews(from, message, nowMs)
+    if (this._self.state === 'left') return
+    this._send(from, { kind: 'probe-ack', sequence: message.sequence, target: this._self.nodeId, ...this._news(from) })
+  }
+
+  private _receiveAck (from: base.NodeId, message: messages.ProbeAckMessage, nowMs: base.Millis): void {
+    this._receiveUpdates(message, nowMs)
+    this._noteVersion(message.target, message)
+    this._detector.acknowledged(message.target, message.sequence)
+    if (from !== message.target) return
+    const claim = this._table.get(from)
+    if (claim?.state === 'suspect') this._send(from, { kind: 'table-rows', rows: [claim], wantedBuckets: [], bucketCount: 0 })
+  }
+
+  private _receiveNews (from: base.NodeId, message: messages.ProbeMessage | messages.GossipMessage, nowMs: base.Millis): void {
+    this._receiveUpdates(message, nowMs)
+    this._noteVersion(from, message)
+  }
+
+  private _receiveUpdates (message: messages.ProbeMessage | messages.ProbeAckMessage | messages.GossipMessage, nowMs: base.Millis): void {
+    for (const row of message.updates) this._merge(row, nowMs)
+    for (const crash of message.crashes) this._options.crashes?.record(crash, nowMs)
+  }
+
+  private _receiveDigest (from: base.NodeId, message: messages.TableDigestMessage, nowMs: base.Millis): void {
+    const answer = this._repair.answerDigest(message.buckets, nowMs)
+    if (answer !== undefined) this._send(from, answer)
+  }
+
+  private _receiveRows (from: base.NodeId, message: messages.TableRowsMessage, nowMs: base.Millis): void {
+    if (!this.isJoined) this._repair.hurry(nowMs)
+    this._seedProbe.answered()
+    const answer = this._repair.answerRows(message)
+    const sizeBefore = this._table.size
+    for (const row of message.rows) this._mergeRepaired(row, nowMs)
+    this._repair.received(message.rows.length, this._table.size - sizeBefore, nowMs)
+    if (answer !== undefined) this._send(from, answer)
+    const claim = this._table.get(from)
+    if (claim !== undefined && !rules.isLive(claim) && claim.state !== 'left') {
+      this._send(from, { kind: 'table-rows', rows: [claim], wantedBuckets: [], bucketCount: 0 })
+    }
+  }
+
+  /**
+   * A repaired row may say that a member is gone that this node believes to be live: the other side of a partition
+   * still says so after healing. The member is asked before it is believed, so that it can refute first.
+   */
+  private _mergeRepaired (row: types.MemberRow, nowMs: base.Millis): void {
+    const known = this._table.get(row.nodeId)
+    const isDoubtful = known !== undefined && row.nodeId !== this._self.nodeId && rules.isLive(known) &&
+      (row.state === 'suspect' || row.state === 'dead') && row.incarnation === known.incarnation
+    if (!isDoubtful) return this._merge(row, nowMs)
+    this._send(row.nodeId, { kind: 'table-rows', rows: [row], wantedBuckets: [], bucketCount: 0 })
+    this._detector.probe(row.nodeId, nowMs)
+  }
+
+  private _merge (row: types.MemberRow, nowMs: base.Millis): void {
+    if (row.nodeId === this._self.nodeId) return this._mergeSelf(row, nowMs)
+    const change = this._table.merge(row)
+    if (change === undefined) this._table.recordVersion(row.nodeId, row.enforcedVersion)
+    else this._applyChange(change, nowMs)
+  }
+
+  /** What peers say about this node: an earlier process, or a wrong suspicion, which is refuted. */
+  private _mergeSelf (row: types.MemberRow, nowMs: base.Millis): void {
+    this._recordedSelfVersion = Math.max(this._recordedSelfVersion, row.enforcedVersion)
+    if (!rules.isNewer(row, this._self) || this._self.state === 'left') return
+    this._changeSelf({ incarnation: row.incarnation + 1 }, nowMs)
+  }
+
+  private _changeSelf (change: Partial<types.MemberRow>, nowMs: base.Millis): void {
+    this._self = { ...this._self, ...change }
+    const merged = this._table.merge(this._self)
+    if (merged === undefined) return
+    this._self = merged.current
+    this._applyChange(merged, nowMs)
+  }
+
+  private _applyChange (change: types.MemberChange, nowMs: base.Millis): void {
+    const row = change.current
+    if (change.previous === undefined) this._lastGrowthMs = nowMs
+    this._gossip.add(row.nodeId)
+    if (row.nodeId !== this._self.nodeId) this._updateDetector(change, nowMs)
+    this._gone.delete(row.nodeId)
+    if (!rules.isProbed(row)) this._gone.set(row.nodeId, nowMs)
+    this._changes.fire(change)
+  }
+
+  private _updateDetector (change: types.MemberChange, nowMs: base.Millis): void {
+    const row = change.current
+    const wasProbed = change.previous !== undefined && rules.isProbed(change.previous)
+    if (rules.isProbed(row) && !wasProbed) this._detector.add(row.nodeId)
+    if (row.state === 'suspect') this._detector.startSuspicion(row.nodeId, nowMs)
+    else this._detector.endSuspicion(row.nodeId)
+  }
+
+  private _noteVersion (nodeId: base.NodeId, versions: Versions): void {
+    const { version, ownershipVersion, horizonMs } = versions
+    this._table.recordVersion(nodeId, version)
+    this._versions.fire({ nodeId, version, ownershipVersion, horizonMs })
+  }
+
+  private _ownVersions (): Versions {
+    return {
+      version: this._self.enforcedVersion,
+      ownershipVersion: this._options.ownership?.tableVersion ?? 0,
+      horizonMs: this._options.ownership?.horizonMs ?? 0
+    }
+  }
+
+  private _probeSeeds (nowMs: base.Millis): void {
+    const address = this._seedProbe.due(nowMs, this._table.size)
+    if (address === undefined) return
+    const message: messages.JoinMessage = { kind: 'join', row: this._self, wantsRows: !this.isJoined || this._table.size === 1 }
+    this._options.effects.push({ kind: 'send', to: '', address, message })
+  }
+
+  private _sendUrgent (): void {
+    if (!this._gossip.hasUrgent) return
+    const updates = this._gossip.takeUrgent(PIGGYBACK_ROWS_BURST)
+    const message: messages.GossipMessage = { kind: 'gossip', ...this._ownVersions(), updates, crashes: [] }
+    for (let i = 0; i < URGENT_FANOUT[this._options.terms().preference]; i++) {
+      const peer = this.randomPeer()
+      if (peer !== undefined) this._send(peer.nodeId, message)
+    }
+  }
+
+  private _sendDigest (nowMs: base.Millis): void {
+    const message = this._repair.due(nowMs)
+    if (message === undefined) return
+    const peer = this.randomPeer()
+    if (peer !== undefined) this._send(peer.nodeId, message)
+  }
+
+  private _forgetGone (nowMs: base.Millis): void {
+    for (const [nodeId, sinceMs] of this._gone) {
+      if (nowMs - sinceMs < FORGET_AFTER_MS) return
+      this._gone.delete(nodeId)
+      const change = this._table.forget(nodeId)
+      if (change !== undefined) this._changes.fire(change)
+    }
+  }
+
+  /** Fields common to heartbeats. A peer that is believed suspect or dead is told so first, for it to refute. */
+  private _news (to: base.NodeId): Versions & Pick<messages.ProbeMessage, 'updates' | 'crashes'> {
+    const limit = this._gossip.backlog > BURST_BACKLOG ? PIGGYBACK_ROWS_BURST : PIGGYBACK_ROWS
+    const updates = this._gossip.take(limit, this._table.size)
+    const claim = this._table.get(to)
+    if (claim !== undefined && !rules.isLive(claim)) updates.unshift(claim)
+    const crashes = this._options.crashes?.pending(CRASHES_PER_MESSAGE) ?? []
+    return { ...this._ownVersions(), updates, crashes }
+  }
+
+  private _send (to: base.NodeId, message: messages.MembershipMessage, address = this._table.get(to)?.peerAddress ?? ''): void {
+    this._options.effects.push({ kind: 'send', to, address, message })
+  }
+
+  private _detectorHost (): detectors.IDetectorHost {
+    return {
+      isProbed: nodeId => {
+        const row = this._table.get(nodeId)
+        return row !== undefined && rules.isProbed(row)
+      },
+      sendProbe: (nodeId, sequence) => this._send(nodeId, { kind: 'probe', sequence, ...this._news(nodeId) }),
+      sendProbeRequest: (helper, target, sequence) => this._send(helper, { kind: 'probe-request', sequence, target }),
+      relayAck: (requester, target, sequence) => this._send(requester, {
+        kind: 'probe-ack', sequence, target, version: this._table.get(target)?.enforcedVersion ?? 0, ownershipVersion: 0, horizonMs: 0, updates: [], crashes: []
+      }),
+      suspect: nodeId => this._mark(nodeId, 'suspect'),
+      declareDead: nodeId => this._mark(nodeId, 'dead')
+    }
+  }
+
+  private _mark (nodeId: base.NodeId, state: 'suspect' | 'dead'): void {
+    const row = this._table.get(nodeId)
+    if (row !== undefined) this._merge({ ...row, state, revision: 0 }, this._nowMs)
+  }
+}
+
+function kindOf (message: unknown): string {
+  const kind = (message as { kind?: unknown } | undefined)?.kind
+  return typeof kind === 'string' ? kind.slice(0, 32) : 'without kind'
+}
--- /dev/null
+++ b/packages/common/src/membership/MessageRules.ts
@@ -0,0 +1,91 @@
+/** Checks of membership messages from peers. */
+import type * as base from '../base/Types.js'
+import * as tables from './MemberTable.js'
+import * as rules from './RowRules.js'
+
+/** Rows in one message. */
+export const MAX_ROWS = 256
+const MAX_CRASHES = 64
+const MAX_TEXT_LENGTH = 256
+
+/** Returns what is wrong with a membership message, or undefined. */
+export function messageProblem (value: unknown, nowMs: base.Millis): string | undefined {
+  if (value === null || typeof value !== 'object') return 'message is not a map'
+  const message = value as Record<string, unknown>
+  switch (message['kind']) {
+    case 'join':
+      return typeof message['wantsRows'] === 'boolean' ? rules.rowProblem(message['row'], nowMs) : 'wantsRows is not a boolean'
+    case 'gossip':
+      return newsProblem(message, nowMs)
+    case 'probe':
+      return sequenceProblem(message) ?? newsProblem(message, nowMs)
+    case 'probe-request':
+      return sequenceProblem(message) ?? targetProblem(message)
+    case 'probe-ack':
+      return sequenceProblem(message) ?? targetProblem(message) ?? newsProblem(message, nowMs)
+    case 'table-digest':
+      return bucketsProblem(message['buckets'])
+    case 'table-rows':
+      return rowsProblem(message['rows'], nowMs) ?? wantedProblem(message)
+    default:
+      return 'kind is unknown'
+  }
+}
+
+function sequenceProblem (message: Record<string, unknown>): string | undefined {
+  return rules.isCount(message['sequence']) ? undefined : 'sequence is not a count'
+}
+
+function targetProblem (message: Record<string, unknown>): string | undefined {
+  return isText(message['target']) ? undefined : 'target is not a text'
+}
+
+function newsProblem (message: Record<string, unknown>, nowMs: base.Millis): string | undefined {
+  if (!rules.isCount(message['version']) || !rules.isCount(message['ownershipVersion'])) return 'a version is not a count'
+  if (!rules.isCount(message['horizonMs'])) return 'horizonMs is not a time'
+  return rowsProblem(message['updates'], nowMs) ?? crashesProblem(message['crashes'])
+}
+
+function rowsProblem (rows: unknown, nowMs: base.Millis): string | undefined {
+  if (!Array.isArray(rows)) return 'rows are not a list'
+  if (rows.length > MAX_ROWS) return 'too many rows'
+  for (const row of rows) {
+    const problem = rules.rowProblem(row, nowMs)
+    if (problem !== undefined) return problem
+  }
+  return undefined
+}
+
+function crashesProblem (crashes: unknown): string | undefined {
+  if (!Array.isArray(crashes) || crashes.length > MAX_CRASHES) return 'crashes are not a short list'
+  return crashes.every(isCrash) ? undefined : 'a crash record has a wrong field'
+}
+
+function isCrash (value: unknown): boolean {
+  if (value === null || typeof value !== 'object') return false
+  const crash = value as Record<string, unknown>
+  return isText(crash['key']) && isText(crash['fingerprint']) && isText(crash['nodeId']) &&
+    rules.isCount(crash['atMs']) && rules.isCount(crash['concurrent'])
+}
+
+function bucketsProblem (buckets: unknown): string | undefined {
+  if (!Array.isArray(buckets) || !isBucketCount(buckets.length)) return 'number of buckets is not a power of two in range'
+  return buckets.every(rules.isCount) ? undefined : 'a bucket hash is not a count'
+}
+
+function wantedProblem (message: Record<string, unknown>): string | undefined {
+  const wanted = message['wantedBuckets']
+  const count = message['bucketCount']
+  if (!Array.isArray(wanted) || !rules.isCount(count)) return 'wanted buckets are not a list'
+  if (wanted.length === 0) return undefined
+  if (!isBucketCount(count) || wanted.length > count) return 'bucket count is out of range'
+  return wanted.every(bucket => rules.isCount(bucket) && bucket < count) ? undefined : 'a wanted bucket is out of range'
+}
+
+function isBucketCount (count: number): boolean {
+  return count >= 1 && count <= tables.MAX_BUCKETS && (count & (count - 1)) === 0
+}
+
+function isText (value: unknown): value is string {
+  return typeof value === 'string' && value.length <= MAX_TEXT_LENGTH
+}
--- a/packages/common/src/membership/Services.ts
+++ b/packages/common/src/membership/Services.ts
@@ -4,7 +4,10 @@
 
 /** Knows the nodes of the mesh and detects failures. */
 export interface IMembership {
+  /** A row was added, changed or forgotten. Heartbeat versions alone do not fire it. */
   readonly onChange: base.IEvent<types.MemberChange>
+  /** A peer told the configuration version that it enforces. */
+  readonly onPeerVersion: base.IEvent<types.PeerVersion>
   readonly self: types.MemberRow
   get(nodeId: base.NodeId): types.MemberRow | undefined
   all(): Iterable<types.MemberRow>
@@ -12,6 +15,20 @@
   targetsOf(service: string): readonly types.MemberRow[]
   /** Live rows (`joining`, `ready` or `draining`) of a zone, sorted by id. */
   liveInZone(zone: string): readonly types.MemberRow[]
+  /** Ids of `liveInZone`, as an index that changes in place; not to be kept. */
+  liveIdsInZone(zone: string): readonly base.NodeId[]
+  /** Number of rows of any state, this node's included. */
+  readonly size: number
+  /** Zones that have live rows, sorted. */
+  zones(): readonly string[]
+  /** A random live member other than this node. */
+  randomPeer(): types.MemberRow | undefined
+  /** Highest version that peers have recorded for earlier processes of this node. */
+  readonly recordedSelfVersion: number
+  /** Whether a peer has answered, or the time to wait for one has passed. */
+  readonly isJoined: boolean
+  /** Whether the table has not grown for a while after the join, so that choices over all members are meaningful. */
+  readonly isSettled: boolean
   announce(change: Partial<Pick<types.MemberRow, 'targetReady' | 'targetReadySinceMs' | 'enforcedVersion'>>, nowMs: base.Millis): void
   setState(state: 'ready' | 'draining' | 'left', nowMs: base.Millis, successor?: base.NodeId): void
   /** The connection to a peer broke; it is probed at once. */
--- a/packages/common/src/membership/Types.ts
+++ b/packages/common/src/membership/Types.ts
@@ -33,5 +33,15 @@
 
 export interface MemberChange {
   readonly previous: MemberRow | undefined
+  /** The row in force; for a forgotten row, the last one. */
   readonly current: MemberRow
+  /** The row was removed from the table. */
+  readonly forgotten: boolean
+}
+
+export interface PeerVersion {
+  readonly nodeId: base.NodeId
+  readonly version: number
+  readonly ownershipVersion: number
+  readonly horizonMs: base.Millis
 }
--- a/packages/common/src/node/Messages.ts
+++ b/packages/common/src/node/Messages.ts
@@ -18,10 +18,33 @@
   readonly sentAtMs: base.Millis
 }
 
+/**
+ * Asks a seed for rows. Sent with an empty `to`, because only the address of a seed is known;
+ * the process delivers it after the `hello` exchange. Answered by `table-rows`.
+ */
+export interface JoinMessage {
+  readonly kind: 'join'
+  readonly row: membership.MemberRow
+  /** The sender knows few rows and asks for a page of them. */
+  readonly wantsRows: boolean
+}
+
+/** New rows on their way to a few random members, ahead of the heartbeats. */
+export interface GossipMessage {
+  readonly kind: 'gossip'
+  readonly version: number
+  readonly ownershipVersion: number
+  readonly horizonMs: base.Millis
+  readonly updates: readonly membership.MemberRow[]
+  readonly crashes: readonly hosting.CrashRecord[]
+}
+
 export interface ProbeMessage {
   readonly kind: 'probe'
   readonly sequence: number
   readonly version: number
+  readonly ownershipVersion: number
+  readonly horizonMs: base.Millis
   readonly updates: readonly membership.MemberRow[]
   readonly crashes: readonly hosting.CrashRecord[]
 }
@@ -38,62 +61,102 @@
   /** Node that was probed; differs from the sender for indirect probes. */
   readonly target: base.NodeId
   readonly version: number
+  readonly ownershipVersion: number
+  readonly horizonMs: base.Millis
   readonly updates: readonly membership.MemberRow[]
   readonly crashes: readonly hosting.CrashRecord[]
 }
 
 export interface TableDigestMessage {
   readonly kind: 'table-digest'
-  /** One hash per bucket of the member table. */
+  /** One hash per bucket of the member table; the length is a power of two. */
   readonly buckets: readonly number[]
 }
 
 export interface TableRowsMessage {
   readonly kind: 'table-rows'
+  /** At most one page of rows. */
   readonly rows: readonly membership.MemberRow[]
   /** Buckets whose rows the sender wants in return. */
   readonly wantedBuckets: readonly number[]
+  /** Number of buckets that `wantedBuckets` refers to; 0 if it is empty. */
+  readonly bucketCount: number
 }
 
 export type MembershipMessage =
+  | JoinMessage
+  | GossipMessage
   | ProbeMessage
   | ProbeRequestMessage
   | ProbeAckMessage
   | TableDigestMessage
   | TableRowsMessage
 
-/** A new version on its way down the push tree. Exactly one of `delta` and `state` is present. */
+/**
+ * A new version, or a change of the ownership table, on its way down the push tree.
+ * At most one of `delta` and `state` is present; neither if only the ownership table changed.
+ */
 export interface PushMessage {
   readonly kind: 'push'
   readonly version: number
-  /** Members of the sender's zone, or all, that this receiver has to forward to, by tree position. */
+  /** Reader at which the tree starts. */
   readonly rootId: base.NodeId
+  /** Number of the push at its root. */
+  readonly sequence: number
+  /** The receiver forwards to the members of its zone after itself up to this id, in circular id order; empty for a leaf. */
+  readonly untilId: base.NodeId
+  /** Time since the root had read the log to its end; -1 if not known. */
+  readonly logCheckedAgoMs: base.Millis
   readonly delta?: config.ConfigDeltaMessage
   readonly state?: config.AcceptedState
   readonly ownership?: hosting.OwnershipUpdate
 }
 
+/** Answer to a push: a receipt (`final` is false), and later the summary of the subtree. */
+export interface PushAckMessage {
+  readonly kind: 'push-ack'
+  readonly rootId: base.NodeId
+  readonly sequence: number
+  readonly final: boolean
+  /** Nodes of the subtree that enforce the version. */
+  readonly count: number
+  readonly firstAtMs: base.Millis
+  readonly lastAtMs: base.Millis
+}
+
 export interface PullMessage {
   readonly kind: 'pull'
+  /** Only a newer version is sent. A starting node sends `Number.MAX_SAFE_INTEGER` to learn the version alone. */
   readonly haveVersion: number
   readonly haveDigest: string
   readonly haveOwnershipVersion: number
 }
 
-export interface StateMessage {
-  readonly kind: 'state'
+/** What a peer knows of versions; on each answer to `pull`. */
+export interface VersionEvidence {
+  /** Version that the sender enforces; 0 if none. */
   readonly version: number
+  /** Highest version that the sender has seen the receiver, or an earlier process of it, enforce. */
+  readonly recordedVersion: number
+  /** Time since the log was read to its end by the sender or by the node its state came from; -1 if not known. */
+  readonly logCheckedAgoMs: base.Millis
+}
+
+/** Answer to `pull`. Without `delta` and `state` the sender has nothing newer. */
+export interface StateMessage extends VersionEvidence {
+  readonly kind: 'state'
   readonly delta?: config.ConfigDeltaMessage
   readonly state?: config.AcceptedState
   readonly ownership?: hosting.OwnershipUpdate
 }
 
-export interface BusyMessage {
+/** Answer to `pull` when too many whole states are being sent. */
+export interface BusyMessage extends VersionEvidence {
   readonly kind: 'busy'
   readonly retryAfterMs: base.Millis
 }
 
-export type DistributionMessage = PushMessage | PullMessage | StateMessage | BusyMessage
+export type DistributionMessage = PushMessage | PushAckMessage | PullMessage | StateMessage | BusyMessage
 
 export interface OwnershipMessage {
   readonly kind: 'ownership'
@@ -178,6 +241,7 @@
 
 /** What the core asks its process to do. */
 export type Effect =
+  /** An empty `to` addresses whoever answers at `address`; an empty `address` means the open connection to `to`. */
   | { readonly kind: 'send', readonly to: base.NodeId, readonly address: string, readonly message: ControlMessage }
   | { readonly kind: 'read-log', readonly stream: StreamName, readonly fromOffset: number, readonly limit: number, readonly waitMs: base.Millis }
   | { readonly kind: 'append-log', readonly stream: StreamName, readonly requestId: string, readonly data: unknown }
--- /dev/null
+++ b/packages/testbed/src/network/SteppedFleet.ts
@@ -0,0 +1,132 @@
+import * as randoms from '@elmpost/common/base/Random.js'
+import type * as base from '@elmpost/common/base/Types.js'
+import * as acceptances from '@elmpost/common/config/Acceptance.js'
+import * as deltas from '@elmpost/common/config/ConfigDelta.js'
+import * as validators from '@elmpost/common/config/ConfigValidator.js'
+import * as documents from '@elmpost/common/config/TestDocuments.js'
+import type * as config from '@elmpost/common/config/Types.js'
+import type * as distributionTypes from '@elmpost/common/distribution/Types.js'
+import type * as hosting from '@elmpost/common/hosting/Services.js'
+import * as fakeLogs from './FakeLog.js'
+import * as networks from './FakeNetwork.js'
+import * as nodes from './SteppedNode.js'
+
+const START_MS = 1_700_000_000_000
+const SEED_COUNT = 3
+
+export interface SteppedFleetOptions {
+  readonly size: number
+  readonly zones: readonly string[]
+  readonly seed: number
+  readonly retentionMs?: base.Millis
+  readonly terms?: Partial<config.DistributionTerms>
+  readonly strategy?: distributionTypes.DistributionStrategy
+  readonly ownership?: (nodeId: base.NodeId) => hosting.IOwnershipTable
+}
+
+/** A fleet of stepped nodes with a log and an operator, for tests. */
+export class SteppedFleet {
+  public readonly random: randoms.Random
+  public readonly log: fakeLogs.FakeLog
+  public readonly network: networks.FakeNetwork
+  public readonly nodes = new Map<base.NodeId, nodes.SteppedNode>()
+  /** Highest version that each node has enforced, over all its processes. */
+  public readonly highest = new Map<base.NodeId, number>()
+  /** Each time that a node enforced a lower version than before, over all its processes. */
+  public readonly reversals: string[] = []
+  /** States by version, as the operator proposed them. */
+  public readonly accepted: config.AcceptedState[] = []
+  private readonly _options: SteppedFleetOptions
+  private readonly _validator = new validators.ConfigValidator()
+  private readonly _delta = new deltas.ConfigDelta(this._validator)
+  private _serial = 0
+
+  constructor (options: SteppedFleetOptions) {
+    this._options = options
+    this.random = new randoms.Random(options.seed)
+    this.log = new fakeLogs.FakeLog({ retentionMs: options.retentionMs ?? 3_600_000 })
+    this.network = new networks.FakeNetwork({ random: this.random, startMs: START_MS, log: this.log })
+  }
+
+  /** Ids of all nodes of the fleet, started or not. */
+  public get ids (): readonly base.NodeId[] {
+    return Array.from({ length: this._options.size }, (_, i) => `node-${String(i).padStart(4, '0')}`)
+  }
+
+  public startAll (): void {
+    for (const id of this.ids) this.start(id)
+  }
+
+  /** Starts a process of the node; a running one is killed first. */
+  public start (nodeId: base.NodeId): nodes.SteppedNode {
+    this.kill(nodeId)
+    const node = new nodes.SteppedNode({
+      nodeId,
+      zone: this._zoneOf(nodeId),
+      incarnation: this.network.nowMs,
+      seeds: this.ids.slice(0, SEED_COUNT).map(nodes.addressOf),
+      seed: this._options.seed,
+      acceptance: new acceptances.Acceptance(this._validator),
+      validator: this._validator,
+      delta: this._delta,
+      strategy: this._options.strategy ?? 'hybrid',
+      ...(this._options.ownership === undefined ? {} : { ownership: this._options.ownership(nodeId) })
+    })
+    node.enforcement.onEnforced(({ version }) => this._checkVersion(nodeId, version))
+    this.nodes.set(nodeId, node)
+    this.network.add(node)
+    return node
+  }
+
+  public kill (nodeId: base.NodeId): void {
+    const node = this.nodes.get(nodeId)
+    if (node === undefined) return
+    this.network.remove(node)
+    this.nodes.delete(nodeId)
+  }
+
+  public get (nodeId: base.NodeId): nodes.SteppedNode {
+    const node = this.nodes.get(nodeId)
+    if (node === undefined) throw new Error(`${nodeId} is not running; start it first`)
+    return node
+  }
+
+  /** Appends a proposal for the next version and returns the version. */
+  public propose (): number {
+    const baseState = this.accepted.at(-1)
+    this._serial++
+    const document = this._document(1000 + this._serial)
+    const proposal = { ...documents.testProposal(this._serial, baseState, document), proposedAtMs: this.network.nowMs }
+    const asOfOffset = this.log.append('config', proposal, this.network.nowMs)
+    this.accepted.push(documents.testState(proposal.version, document, asOfOffset))
+    return proposal.version
+  }
+
+  public allEnforce (version: number): boolean {
+    for (const node of this.nodes.values()) if (node.version !== version) return false
+    return true
+  }
+
+  /** Advances until all running nodes enforce the version. Returns the time taken, or undefined. */
+  public converge (version: number, maxMs: base.Millis): base.Millis | undefined {
+    const startMs = this.network.nowMs
+    const isDone = this.network.advanceUntil(() => this.allEnforce(version), maxMs)
+    return isDone ? this.network.nowMs - startMs : undefined
+  }
+
+  private _document (coldStartMs: number): config.ConfigDocument {
+    const document = documents.testDocument(coldStartMs)
+    const distribution = { ...document.terms.distribution, ...this._options.terms }
+    return { ...document, terms: { ...document.terms, distribution } }
+  }
+
+  private _zoneOf (nodeId: base.NodeId): string {
+    return this._options.zones[this.ids.indexOf(nodeId) % this._options.zones.length] ?? ''
+  }
+
+  private _checkVersion (nodeId: base.NodeId, version: number): void {
+    const before = this.highest.get(nodeId) ?? 0
+    if (version < before) this.reversals.push(`${nodeId} enforced ${version} after ${before}`)
+    this.highest.set(nodeId, Math.max(before, version))
+  }
+}
