Follow owners across a handover and a restart, and run the benchmark on HostCalls

Cause: a host that does not own a key answers unknown with not-owner, which ended the call; a restart of the owner replaces the row that names its successor; the benchmark had its own model of the host. Change: answers not-owner and key-before-start lead to the next possible owner; OwnerLocator remembers the last handover of each node and respects isReleased; GoodputRun uses HostCalls, OwnershipTable and CrashTable. With the new rules switched off the tests saw a final answer instead of a send, and the restarted owner instead of the successor.

--- a/packages/common/src/routing/Answers.ts
+++ b/packages/common/src/routing/Answers.ts
@@ -1,6 +1,7 @@
 import type * as base from '../base/Types.js'
 import type * as hosting from '../hosting/Types.js'
 import type * as messages from '../node/Messages.js'
+import type * as types from './Types.js'
 
 /** Time after which a caller may try again when nothing better is known. */
 const DEFAULT_RETRY_AFTER_MS = 1_000
@@ -20,12 +21,23 @@
 
 const DEFAULT_STATUS = 503
 
+/** Failures of the target, as its host saw them. */
+const targetFailures: ReadonlySet<hosting.OutcomeReason> = new Set<hosting.OutcomeReason>(['target-lost', 'no-target'])
+
+/** Refusals that say that the host takes no calls at the moment. */
+const hostRefusals: ReadonlySet<hosting.OutcomeReason> = new Set<hosting.OutcomeReason>(['overloaded', 'draining'])
+
+const FIRST_FAILURE_STATUS = 500
+
+/** Status with which a target sheds load; it is not a failure. */
+const SHEDDING_STATUS = 503
+
 /** Final answer of a call that brought no answer of a target. */
 export function withoutAnswer (outcome: 'not-run' | 'unknown', reason: hosting.OutcomeReason, retryAfterMs: base.Millis = DEFAULT_RETRY_AFTER_MS): hosting.FinalAnswer {
   return {
     outcome,
     reason,
-    status: statusByReason[reason] ?? DEFAULT_STATUS,
+    status: statusOf(reason),
     headers: {},
     body: undefined,
     retryAfterMs: retryAfterMs > 0 ? retryAfterMs : DEFAULT_RETRY_AFTER_MS
@@ -37,7 +49,7 @@
   return {
     outcome: answer.outcome,
     reason: answer.reason,
-    status: answer.status,
+    status: answer.status > 0 ? answer.status : statusOf(answer.reason),
     headers: answer.headers,
     body: answer.body,
     retryAfterMs: answer.outcome === 'answered' || answer.retryAfterMs > 0 ? answer.retryAfterMs : DEFAULT_RETRY_AFTER_MS
@@ -48,3 +60,17 @@
 export function withKey (answer: hosting.FinalAnswer, key: string): hosting.FinalAnswer {
   return { ...answer, headers: { ...answer.headers, 'idempotency-key': key } }
 }
+
+/** What an answer says about its target. */
+export function resultOf (answer: Pick<messages.AnswerMessage, 'outcome' | 'reason' | 'status'>): types.SendResult {
+  if (answer.outcome === 'answered') {
+    if (answer.status === SHEDDING_STATUS) return 'refused'
+    return answer.status >= FIRST_FAILURE_STATUS ? 'failure' : 'success'
+  }
+  if (targetFailures.has(answer.reason)) return 'failure'
+  return hostRefusals.has(answer.reason) ? 'refused' : 'neutral'
+}
+
+function statusOf (reason: hosting.OutcomeReason): number {
+  return statusByReason[reason] ?? DEFAULT_STATUS
+}
--- a/packages/common/src/routing/EntryCalls.rules.test.ts
+++ b/packages/common/src/routing/EntryCalls.rules.test.ts
@@ -81,6 +81,30 @@
     })
   })
 
+  test.describe('host that does not own the key', () => {
+    test.it('is passed by on the way to the successor, although it answers unknown', () => {
+      const mesh = meshOf(3)
+      const calls = mesh.entryCalls(1)
+      const sent = fake.asSend(calls.begin(fake.requestOf({ ...charge, key: suppliedKey }), 1_000))
+      const heir = sent.to === 'till-0' ? 'till-1' : 'till-0'
+      mesh.put({ nodeId: sent.to, state: 'left', successor: heir })
+      mesh.put({ nodeId: sent.to, state: 'ready', successor: '', incarnation: 2 })
+      const answer = fake.answerOf(sent.callId, { outcome: 'unknown', reason: 'key-before-start', status: 0 })
+      assert.equal(fake.asSend(calls.answered(sent.callId, sent.to, answer, 1_001)).to, heir)
+    })
+
+    test.it('ends a generated key as not-run and a caller\'s key as unknown, because only the latter may be known elsewhere', () => {
+      for (const [key, outcome] of [[undefined, 'not-run'], [suppliedKey, 'unknown']] as const) {
+        const calls = meshOf(1).entryCalls(1)
+        const sent = fake.asSend(calls.begin(fake.requestOf({ ...charge, key }), 1_000))
+        const answer = fake.answerOf(sent.callId, { outcome: 'unknown', reason: 'not-owner', status: 0 })
+        const final = fake.asAnswer(calls.answered(sent.callId, sent.to, answer, 1_001))
+        assert.equal(final.outcome, outcome)
+        assert.equal(final.status, 503)
+      }
+    })
+  })
+
   test.describe('refusal', () => {
     test.it('as overloaded is final, so that a full service does not receive more calls', () => {
       const calls = meshOf(3).entryCalls(1)
--- a/packages/common/src/routing/EntryCalls.ts
+++ b/packages/common/src/routing/EntryCalls.ts
@@ -37,16 +37,8 @@
   'no-route', 'no-target', 'no-configuration', 'target-lost', 'peer-lost', 'stale-send'
 ])
 
-/** Failures of the target, as its host saw them. */
-const targetFailures: ReadonlySet<hosting.OutcomeReason> = new Set<hosting.OutcomeReason>(['target-lost', 'no-target'])
-
-/** Refusals that say that the host takes no calls at the moment. */
-const hostRefusals: ReadonlySet<hosting.OutcomeReason> = new Set<hosting.OutcomeReason>(['overloaded', 'draining'])
-
-const FIRST_FAILURE_STATUS = 500
-
-/** Status with which a target sheds load; it is not a failure. */
-const SHEDDING_STATUS = 503
+/** Answers of a host that another owner of the key may not share. */
+const unownedReasons: ReadonlySet<hosting.OutcomeReason> = new Set<hosting.OutcomeReason>(['not-owner', 'key-before-start'])
 
 const KEY_VERSION = 7
 
@@ -56,7 +48,7 @@
 export interface EntryCallsOptions {
   readonly membership: Pick<membershipServices.IMembership, 'self' | 'get' | 'onChange'>
   readonly enforcement: Pick<distributionServices.IEnforcement, 'current'>
-  readonly ownership: Pick<hostingServices.IOwnershipTable, 'ownerOf'>
+  readonly ownership: Pick<hostingServices.IOwnershipTable, 'ownerOf' | 'isReleased'>
   readonly selector: services.ITargetSelector
   /** Random bits of generated keys come from here; the process seeds it from a secure source. */
   readonly random: base.IRandom
@@ -147,9 +139,9 @@
   public answered (callId: number, from: base.NodeId, answer: messages.AnswerMessage, nowMs: base.Millis): types.EntryDecision | undefined {
     const call = this._calls.get(callId)
     if (call === undefined || call.to !== from) return undefined
-    this._options.selector.observe(from, resultOf(answer), answer.load, nowMs)
+    this._options.selector.observe(from, answers.resultOf(answer), answer.load, nowMs)
     if (answer.outcome === 'answered') return this._targetAnswered(call, answer, nowMs)
-    if (answer.outcome === 'not-run') return this._refusedByHost(call, answer, nowMs)
+    if (answer.outcome === 'not-run' || isUnowned(call, answer)) return this._refusedByHost(call, answer, nowMs)
     call.mayHaveRun = true
     return this._retry(call, nowMs) ?? this._finish(call, answers.fromHost(answer))
   }
@@ -195,13 +187,13 @@
 
   private _refusedByHost (call: Call, answer: messages.AnswerMessage, nowMs: base.Millis): types.EntryDecision {
     // The owner of a key speaks for all earlier sends of it; another node does not.
-    if (call.key !== undefined) call.mayHaveRun = answer.reason === 'not-owner' && !call.keyIsMinted
-    const next = answer.reason === 'draining' || answer.reason === 'not-owner'
+    const isOwnedElsewhere = isUnowned(call, answer)
+    if (call.key !== undefined) call.mayHaveRun = isOwnedElsewhere && !call.keyIsMinted
+    const next = answer.reason === 'draining' || isOwnedElsewhere
       ? this._redirect(call, nowMs)
       : retriedReasons.has(answer.reason) ? this._retry(call, nowMs) : undefined
     if (next !== undefined) return next
-    const final = answers.fromHost(answer)
-    return this._finish(call, call.mayHaveRun ? { ...final, outcome: 'unknown' } : final)
+    return this._finish(call, { ...answers.fromHost(answer), outcome: call.mayHaveRun ? 'unknown' : 'not-run' })
   }
 
   private _redirect (call: Call, nowMs: base.Millis): types.EntryDecision | undefined {
@@ -268,7 +260,7 @@
       call.key = minted.key
       return minted.location
     }
-    const located = this._locator.locate(call.route.service.config.name, call.key ?? '')
+    const located = this._locator.locate(call.route.service.config.name, call.key ?? '', exclude)
     return located.unwrapOr<Location>({ kind: 'bad-key' })
   }
 
@@ -338,14 +330,9 @@
   return digest.digestBytes(bytes)
 }
 
-/** What an answer says about its target. */
-function resultOf (answer: messages.AnswerMessage): types.SendResult {
-  if (answer.outcome === 'answered') {
-    if (answer.status === SHEDDING_STATUS) return 'refused'
-    return answer.status >= FIRST_FAILURE_STATUS ? 'failure' : 'success'
-  }
-  if (targetFailures.has(answer.reason)) return 'failure'
-  return hostRefusals.has(answer.reason) ? 'refused' : 'neutral'
+/** The host did not run this send because it does not own the key; the owner may have run an earlier one. */
+function isUnowned (call: Call, answer: messages.AnswerMessage): boolean {
+  return call.key !== undefined && answer.outcome !== 'answered' && unownedReasons.has(answer.reason)
 }
 
 /** A short deadline of the caller says little about the target. */
--- a/packages/common/src/routing/FakeMesh.ts
+++ b/packages/common/src/routing/FakeMesh.ts
@@ -69,6 +69,8 @@
 
 /** A mesh as one entry node sees it. Owners of keys are the targets of the service, by a hash of the key. */
 export class FakeMesh {
+  /** Incarnations up to which nodes have handed over their windows for good. */
+  public readonly released = new Map<base.NodeId, base.Incarnation>()
   public lookup: hostingServices.OwnerLookup | undefined
   public self = rowOf({ nodeId: 'entry', service: '' })
   public current: config.AcceptedState | undefined
@@ -126,6 +128,10 @@
     return results.Ok(owner === undefined ? { kind: 'no-table' } : { kind: 'owner', owner })
   }
 
+  public isReleased (owner: hosting.PartitionOwner): boolean {
+    return owner.incarnation <= (this.released.get(owner.nodeId) ?? 0)
+  }
+
   public selector (seed: number, subsetSize?: number): targetSelector.TargetSelector {
     const size = subsetSize === undefined ? {} : { subsetSize }
     return new targetSelector.TargetSelector({ membership: this, enforcement: this, random: new random.Random(seed), ...size })
--- a/packages/common/src/routing/KeyMint.ts
+++ b/packages/common/src/routing/KeyMint.ts
@@ -14,6 +14,8 @@
 /** Rank of owners whose own target cannot run the call; above every utilization. */
 const BUSIEST_RANK = 1_000_000
 
+const NOTHING_EXCLUDED: ReadonlySet<base.NodeId> = new Set()
+
 const KEY_BYTES = 16
 
 export interface KeyMintOptions {
@@ -69,7 +71,7 @@
 
   private _draw (service: types.ServiceTargets, nowMs: base.Millis): MintedKey {
     const key = uuid.v7({ msecs: nowMs, random: this._randomBytes() })
-    const located = this._options.locator.locate(service.config.name, key)
+    const located = this._options.locator.locate(service.config.name, key, NOTHING_EXCLUDED)
     return { key, location: located.unwrapOr<ownerLocator.OwnerLocation>({ kind: 'no-table' }) }
   }
 
--- a/packages/common/src/routing/OwnerLocator.test.ts
+++ b/packages/common/src/routing/OwnerLocator.test.ts
@@ -3,12 +3,12 @@
 import * as fake from './FakeMesh.js'
 import * as ownerLocator from './OwnerLocator.js'
 
-function setUp (incarnation = 10): { mesh: fake.FakeMesh, locate: () => string } {
+function setUp (incarnation = 10): { mesh: fake.FakeMesh, locate: (...exclude: string[]) => string } {
   const mesh = new fake.FakeMesh([fake.rowOf({ nodeId: 'owner', incarnation }), fake.rowOf({ nodeId: 'heir' })])
   mesh.lookup = { kind: 'owner', owner: { nodeId: 'owner', incarnation } }
   const locator = new ownerLocator.OwnerLocator({ membership: mesh, ownership: mesh })
-  const locate = (): string => {
-    const location = locator.locate('till', 'key').unwrap()
+  const locate = (...exclude: string[]): string => {
+    const location = locator.locate('till', 'key', new Set(exclude)).unwrap()
     return location.kind === 'found' ? location.row.nodeId : location.kind
   }
   return { mesh, locate }
@@ -51,5 +51,16 @@
     const { mesh, locate } = setUp()
     mesh.put({ nodeId: 'owner', incarnation: 9, state: 'left', successor: 'heir' })
     assert.equal(locate(), 'owner')
+    assert.equal(locate('owner'), 'unreachable')
+  })
+
+  test.it('finds the successor after the owner has restarted, because the restart replaces the row that named it', () => {
+    const { mesh, locate } = setUp()
+    mesh.put({ nodeId: 'owner', state: 'left', successor: 'heir' })
+    mesh.put({ nodeId: 'owner', incarnation: 11, state: 'ready', successor: '' })
+    assert.equal(locate(), 'owner')
+    assert.equal(locate('owner'), 'heir')
+    mesh.released.set('owner', 10)
+    assert.equal(locate(), 'heir')
   })
 })
--- a/packages/testbed/src/bench/BaselinePolicy.ts
+++ b/packages/testbed/src/bench/BaselinePolicy.ts
@@ -2,6 +2,7 @@
 import * as connections from './Connections.js'
 import type * as eventQueue from './EventQueue.js'
 import type * as modelFleet from './ModelFleet.js'
+import * as slotQueue from './SlotQueue.js'
 import type * as types from './Types.js'
 
 const MOST_ATTEMPTS = 3
@@ -34,11 +35,13 @@
   private readonly _connections = new connections.Connections(CONNECTION_MS)
   private readonly _unhealthy = new Set<modelFleet.ModelNode>()
 
+  private readonly _queues = new Map<modelFleet.ModelNode, slotQueue.SlotQueue>()
   private readonly _attemptTimeoutMs: number
 
   constructor (options: PolicyOptions, isPatient: boolean) {
     this._options = options
     this._attemptTimeoutMs = options.institution.deadlineMs / (isPatient ? 1 : MOST_ATTEMPTS)
+    for (const node of options.fleet.nodes) this._queues.set(node, new slotQueue.SlotQueue(options.events, node))
   }
 
   public submit (call: types.ClientCall, entry: modelFleet.ModelNode, reply: (end: types.CallEnd) => void): void {
@@ -46,7 +49,7 @@
   }
 
   public broken (node: modelFleet.ModelNode): void {
-    if (node.fault === 'killed') this._options.events.after(HEALTH_DELAY_MS, () => { this._unhealthy.add(node) })
+    if (node.isDead) this._options.events.after(HEALTH_DELAY_MS, () => { this._unhealthy.add(node) })
   }
 
   private _attempt (call: types.ClientCall, entry: modelFleet.ModelNode, reply: (end: types.CallEnd) => void, attempt: number): void {
@@ -64,19 +67,17 @@
     events.after(this._attemptTimeoutMs, () => { end(0) })
     const delayMs = fleet.delayMs(entry, target)
     events.after(delayMs + this._connections.take(entry.nodeId, target.nodeId), () => {
-      if (target.queue.isDead) {
+      if (target.isDead) {
         events.after(delayMs, () => { end(0) })
         return
       }
-      target.queue.offer({
-        deadlineAtMs: Infinity,
+      this._queues.get(target)?.offer({
         onStart: () => { call.runs += 1 },
-        onDropped: () => undefined,
         onEnd: status => {
           this._connections.release(entry.nodeId, target.nodeId)
           events.after(delayMs, () => { end(status) })
         }
-      }, Infinity, Infinity)
+      })
     })
   }
 
--- a/packages/testbed/src/bench/ElmpostPolicy.ts
+++ b/packages/testbed/src/bench/ElmpostPolicy.ts
@@ -1,12 +1,20 @@
+import * as crashTable from '@elmpost/common/hosting/CrashTable.js'
+import * as hostCalls from '@elmpost/common/hosting/HostCalls.js'
+import * as keys from '@elmpost/common/hosting/Keys.js'
+import * as ownershipTable from '@elmpost/common/hosting/OwnershipTable.js'
+import type * as hostingServices from '@elmpost/common/hosting/Services.js'
 import type * as hosting from '@elmpost/common/hosting/Types.js'
+import * as windowCodec from '@elmpost/common/hosting/WindowCodec.js'
 import type * as membership from '@elmpost/common/membership/Types.js'
 import type * as messages from '@elmpost/common/node/Messages.js'
+import * as answers from '@elmpost/common/routing/Answers.js'
 import * as entryCalls from '@elmpost/common/routing/EntryCalls.js'
 import * as fakeMesh from '@elmpost/common/routing/FakeMesh.js'
 import type * as routing from '@elmpost/common/routing/Types.js'
 import * as targetSelector from '@elmpost/common/routing/TargetSelector.js'
 import type * as baselinePolicy from './BaselinePolicy.js'
 import * as institutions from './institutions.js'
+import * as hostModel from './HostModel.js'
 import type * as modelFleet from './ModelFleet.js'
 import type * as types from './Types.js'
 
@@ -21,12 +29,17 @@
 /** Share of non-idempotent calls whose caller supplies the key. */
 const SUPPLIED_KEY_SHARE = 0.5
 
+const INCARNATION = 1
+
+const HORIZON_MS = 600_000
+
 type Send = Extract<routing.EntryDecision, { kind: 'send' }>
 
 interface EntryNode {
   readonly node: modelFleet.ModelNode
   readonly calls: entryCalls.EntryCalls
   readonly selector: targetSelector.TargetSelector
+  readonly host: hostModel.HostModel
   readonly pending: Map<number, PendingCall>
 }
 
@@ -36,16 +49,15 @@
   to: modelFleet.ModelNode | undefined
 }
 
-/** What a host node answers. */
-type HostAnswer = Pick<messages.AnswerMessage, 'outcome' | 'reason' | 'status'>
-
-const overloaded: HostAnswer = { outcome: 'not-run', reason: 'overloaded', status: 503 }
-const lost: HostAnswer = { outcome: 'unknown', reason: 'target-lost', status: 502 }
+/** A delegate that cannot be reached has not run the call. */
+const NOT_SENT: hosting.FinalAnswer = { outcome: 'not-run', reason: 'no-target', status: 0, headers: {}, body: undefined, retryAfterMs: 0 }
 
-/** Real EntryCalls and TargetSelector of every node against a model of the hosts. */
+/** EntryCalls, TargetSelector and HostCalls of every node, with modelled connections and targets. */
 export class ElmpostPolicy implements baselinePolicy.IPolicy {
   private readonly _options: baselinePolicy.PolicyOptions
   private readonly _mesh: fakeMesh.FakeMesh
+  private readonly _table = new ownershipTable.OwnershipTable()
+  private readonly _calls = new Map<string, types.ClientCall>()
   private readonly _entries = new Map<string, EntryNode>()
   private readonly _peerConnections = new Set<string>()
 
@@ -54,16 +66,20 @@
     const rows = options.fleet.nodes.map(node => fakeMesh.rowOf({ nodeId: node.nodeId, zone: node.zone, service: node.service.name }))
     this._mesh = new fakeMesh.FakeMesh(rows, institutions.documentOf(options.institution))
     for (const [index, node] of options.fleet.nodes.entries()) this._addEntry(node, rows[index])
+    this._makeTable()
     this._scheduleTick()
   }
 
   public submit (call: types.ClientCall, entry: modelFleet.ModelNode, reply: (end: types.CallEnd) => void): void {
     const entryNode = this._entry(entry)
     const { institution, events } = this._options
+    const number = `${this._calls.size}`
+    this._calls.set(number, call)
     const decision = entryNode.calls.begin({
       method: call.route.method,
       path: call.route.path,
-      headers: {},
+      // The fingerprint of the modelled calls is this number, so that their runs can be counted.
+      headers: { number },
       body: undefined,
       remainingMs: institution.deadlineMs - 2 * institution.clientDelayMs,
       key: this._suppliedKey(call),
@@ -75,7 +91,7 @@
   }
 
   public broken (node: modelFleet.ModelNode): void {
-    if (node.fault !== 'killed') return
+    if (!node.isDead) return
     const { events, fleet } = this._options
     for (const pending of this._entry(node).pending.values()) pending.reply('unknown')
     this._entry(node).pending.clear()
@@ -86,6 +102,22 @@
     events.after(DEAD_AFTER_MS, () => { this._mesh.put({ nodeId: node.nodeId, state: 'dead' }) })
   }
 
+  /** Gives the partitions of each service to its nodes in turn. */
+  private _makeTable (): void {
+    const { institution, fleet, events } = this._options
+    const services = institution.services.flatMap(service => {
+      const nodes = fleet.of(service)
+      return windowCodec.pack(Array.from({ length: keys.PARTITIONS }, (_, partition) => ({
+        service: service.name,
+        partition,
+        startsAtMs: 0,
+        owner: { nodeId: nodes[partition % nodes.length]?.nodeId ?? '', incarnation: INCARNATION }
+      })))
+    })
+    this._table.apply({ kind: 'partitions', baseTableVersion: 0, startsAtMs: 0, services }, 0)
+    this._table.apply({ kind: 'horizon', untilMs: events.nowMs + HORIZON_MS }, 1)
+  }
+
   private _addEntry (node: modelFleet.ModelNode, self: membership.MemberRow | undefined): void {
     if (self === undefined) return
     const mesh = this._mesh
@@ -97,8 +129,41 @@
     }
     const common = { membership: view, enforcement: mesh, random: this._options.random }
     const selector = new targetSelector.TargetSelector(common)
-    const calls = new entryCalls.EntryCalls({ ...common, ownership: mesh, selector, fingerprint: () => '' })
-    this._entries.set(node.nodeId, { node, calls, selector, pending: new Map() })
+    const calls = new entryCalls.EntryCalls({ ...common, ownership: this._table, selector, fingerprint: request => request.headers.number ?? '' })
+    const host = this._hostOf(node, selector)
+    this._entries.set(node.nodeId, { node, calls, selector, host, pending: new Map() })
+  }
+
+  private _hostOf (node: modelFleet.ModelNode, selector: targetSelector.TargetSelector): hostModel.HostModel {
+    const host = new hostCalls.HostCalls({
+      self: { nodeId: node.nodeId, incarnation: INCARNATION },
+      service: node.service.name,
+      startedAtMs: 0,
+      configuration: () => this._mesh.current?.document,
+      targetReady: () => !node.isDead,
+      table: this._table,
+      isCaughtUp: () => true,
+      crashes: new crashTable.CrashTable(),
+      delegates: { select: service => this._delegateOf(service, node, selector) }
+    })
+    return new hostModel.HostModel({
+      events: this._options.events,
+      node,
+      host,
+      delegate: (to, message, reply) => { this._delegate(this._entry(node), to, message, reply) },
+      onRun: message => {
+        const call = this._calls.get(message.fingerprint)
+        if (call !== undefined) call.runs += 1
+      }
+    })
+  }
+
+  /** A node of the service with a free slot, as far as this node knows. */
+  private _delegateOf (service: string, node: modelFleet.ModelNode, selector: targetSelector.TargetSelector): hostingServices.DelegateChoice | undefined {
+    const { nowMs } = this._options.events
+    const nodeId = selector.select(service, new Set([node.nodeId]), nowMs)
+    if (nodeId === undefined || selector.utilizationOf(nodeId, node.service.slots, nowMs) >= 1) return undefined
+    return { nodeId, address: '' }
   }
 
   private _entry (node: modelFleet.ModelNode): EntryNode {
@@ -116,6 +181,7 @@
   private _scheduleTick (): void {
     this._options.events.after(TICK_MS, () => {
       for (const entry of this._entries.values()) {
+        entry.host.tick()
         for (const decision of entry.calls.tick(this._options.events.nowMs)) this._carryOut(entry, decision)
       }
       this._scheduleTick()
@@ -146,69 +212,72 @@
     if (host === undefined) return
     pending.call.sends += 1
     pending.to = host.node
-    if (host.node.queue.isDead) {
+    if (host.node.isDead) {
       events.after(0, () => { this._carryOut(entry, entry.calls.failed(send.callId, 'not-sent', events.nowMs, send.to)) })
       return
     }
     const delayMs = fleet.delayMs(entry.node, host.node)
-    const answer = (result: HostAnswer): void => {
-      const load = host.node.queue.load
-      events.after(delayMs, () => {
-        const message = fakeMesh.answerOf(send.callId, { ...result, load, retryAfterMs: 100 })
-        this._carryOut(entry, entry.calls.answered(send.callId, send.to, message, events.nowMs))
+    const sentAtMs = events.nowMs
+    events.after(delayMs + this._peerConnectionMs(entry, host), () => {
+      const message = callMessageOf(pending.call, send, sentAtMs, send.deadlineAtMs - events.nowMs)
+      host.host.accept(entry.node.nodeId, message, answer => {
+        const load = host.host.load
+        events.after(delayMs, () => {
+          const message = fakeMesh.answerOf(send.callId, { ...answer, load })
+          this._carryOut(entry, entry.calls.answered(send.callId, send.to, message, events.nowMs))
+        })
       })
-    }
-    events.after(delayMs + this._peerConnectionMs(entry, host), () => { this._accept(host, pending.call, send, answer) })
-  }
-
-  private _peerConnectionMs (entry: EntryNode, host: EntryNode): number {
-    const pair = `${entry.node.nodeId}>${host.node.nodeId}`
-    if (entry === host || this._peerConnections.has(pair)) return 0
-    this._peerConnections.add(pair)
-    return CONNECTION_MS
+    })
   }
 
-  /** The owner of a key may let a less loaded node run the call; it stays the owner and passes the answer on. */
-  private _accept (host: EntryNode, call: types.ClientCall, send: Send, answer: (result: HostAnswer) => void): void {
+  /** Carries a keyed call from its owner to the node that runs it, and the answer back. */
+  private _delegate (owner: EntryNode, to: string, message: messages.CallMessage, reply: hostModel.Reply): void {
     const { events, fleet } = this._options
-    const load = host.node.queue.load
-    if (send.key === undefined || load.inFlight < load.slots) {
-      this._run(host, call, send.deadlineAtMs, answer)
-      return
-    }
-    const nodeId = host.selector.select(call.service.name, new Set([host.node.nodeId]), events.nowMs)
-    const other = this._entries.get(nodeId ?? '')
-    const ownUtilization = (load.inFlight + load.queued) / load.slots
-    if (other === undefined || other.node.queue.isDead || host.selector.utilizationOf(other.node.nodeId, load.slots, events.nowMs) >= ownUtilization) {
-      this._run(host, call, send.deadlineAtMs, answer)
+    const other = this._entries.get(to)
+    if (other === undefined) return
+    if (other.node.isDead) {
+      events.after(0, () => { reply(NOT_SENT) })
       return
     }
-    host.selector.sent(other.node.nodeId, events.nowMs)
-    const delayMs = fleet.delayMs(host.node, other.node)
+    const delayMs = fleet.delayMs(owner.node, other.node)
+    owner.selector.sent(to, events.nowMs)
     events.after(delayMs, () => {
-      this._run(other, call, send.deadlineAtMs, result => {
-        const otherLoad = other.node.queue.load
+      const arrived = { ...message, remainingMs: message.remainingMs - delayMs }
+      other.host.accept(owner.node.nodeId, arrived, answer => {
+        const load = other.host.load
         events.after(delayMs, () => {
-          host.selector.observe(other.node.nodeId, result.outcome === 'answered' ? 'success' : 'refused', otherLoad, events.nowMs)
-          answer(result)
+          owner.selector.observe(to, answers.resultOf(answer), load, events.nowMs)
+          reply(answer)
         })
       })
     })
   }
 
-  private _run (host: EntryNode, call: types.ClientCall, deadlineAtMs: number, answer: (result: HostAnswer) => void): void {
-    const { events } = this._options
-    const queue = host.node.queue
-    if (queue.isDead) return
-    const isTaken = queue.offer({
-      deadlineAtMs,
-      onStart: () => { call.runs += 1 },
-      onDropped: () => { answer(overloaded) },
-      onEnd: status => {
-        answer(status === 0 ? lost : { outcome: 'answered', reason: 'ok', status })
-      }
-    }, deadlineAtMs - events.nowMs, this._options.institution.maxQueueMs)
-    if (!isTaken) answer(overloaded)
+  private _peerConnectionMs (entry: EntryNode, host: EntryNode): number {
+    const pair = `${entry.node.nodeId}>${host.node.nodeId}`
+    if (entry === host || this._peerConnections.has(pair)) return 0
+    this._peerConnections.add(pair)
+    return CONNECTION_MS
+  }
+}
+
+function callMessageOf (call: types.ClientCall, send: Send, sentAtMs: number, remainingMs: number): messages.CallMessage {
+  return {
+    kind: 'call',
+    callId: send.callId,
+    route: send.route.name,
+    service: send.route.service,
+    version: send.version,
+    method: call.route.method,
+    path: call.route.path,
+    headers: {},
+    body: undefined,
+    remainingMs,
+    sentAtMs,
+    key: send.key,
+    fingerprint: send.fingerprint,
+    depth: 0,
+    attempt: send.attempt
   }
 }
 
--- a/packages/testbed/src/bench/GoodputRun.ts
+++ b/packages/testbed/src/bench/GoodputRun.ts
@@ -32,12 +32,7 @@
     this._options = options
     const { institution, seed } = options
     this._arrivals = new random.Random(seed)
-    this._fleet = new modelFleet.ModelFleet({
-      events: this._events,
-      institution,
-      isBounded: options.policy === 'elmpost',
-      random: new random.Random(seed + 1)
-    })
+    this._fleet = new modelFleet.ModelFleet(institution, new random.Random(seed + 1))
     const policyOptions = { events: this._events, fleet: this._fleet, institution, random: new random.Random(seed + 2) }
     this._policy = options.policy === 'elmpost'
       ? new elmpostPolicy.ElmpostPolicy(policyOptions)
@@ -109,7 +104,7 @@
 
   /** Callers use any live node. */
   private _entryNode (): modelFleet.ModelNode {
-    const nodes = this._fleet.nodes.filter(node => !node.queue.isDead)
+    const nodes = this._fleet.nodes.filter(node => !node.isDead)
     const node = nodes[this._arrivals.nextInt(nodes.length)]
     if (node === undefined) throw new Error('No node is alive; use a fault that leaves some.')
     return node
--- /dev/null
+++ b/packages/testbed/src/bench/HostModel.ts
@@ -0,0 +1,121 @@
+import type * as hostingServices from '@elmpost/common/hosting/Services.js'
+import type * as hosting from '@elmpost/common/hosting/Types.js'
+import type * as messages from '@elmpost/common/node/Messages.js'
+import type * as eventQueue from './EventQueue.js'
+import type * as modelFleet from './ModelFleet.js'
+
+export type Reply = (answer: hosting.FinalAnswer) => void
+
+export interface HostModelOptions {
+  readonly events: eventQueue.EventQueue
+  readonly node: modelFleet.ModelNode
+  readonly host: hostingServices.IHostCalls
+  /** Carries a call to another node, which answers to `reply`. */
+  readonly delegate: (to: string, call: messages.CallMessage, reply: Reply) => void
+  readonly onRun: (call: messages.CallMessage) => void
+}
+
+interface Run {
+  readonly call: messages.CallMessage
+  readonly deadlineAtMs: number
+  readonly replies: Reply[]
+}
+
+/** The process around `HostCalls`: a queue by slots, the modelled target and the answers to everyone who waits. */
+export class HostModel {
+  private readonly _options: HostModelOptions
+  private readonly _runs = new Map<number, Run>()
+  private readonly _queue: number[] = []
+  private _running = 0
+
+  constructor (options: HostModelOptions) {
+    this._options = options
+  }
+
+  public get load (): hosting.LoadReport {
+    return this._options.host.load
+  }
+
+  public accept (from: string, call: messages.CallMessage, reply: Reply): void {
+    const { events, host, node } = this._options
+    if (node.isDead) return
+    const decision = host.accept(from, call, events.nowMs)
+    if (decision.kind === 'answer') {
+      reply(decision.answer)
+      return
+    }
+    if (decision.kind === 'join') {
+      this._runs.get(decision.runId)?.replies.push(reply)
+      return
+    }
+    this._runs.set(decision.runId, { call, deadlineAtMs: events.nowMs + call.remainingMs, replies: [reply] })
+    if (decision.kind === 'delegate') {
+      this._delegate(decision.runId, decision.to, call)
+      return
+    }
+    this._queue.push(decision.runId)
+    this._startNext()
+  }
+
+  public tick (): void {
+    const { events, host, node } = this._options
+    if (node.isDead) return
+    for (const update of host.tick(events.nowMs)) {
+      if (update.kind === 'answer') this._reply(update.runId, update.answer)
+    }
+  }
+
+  private _delegate (runId: number, to: string, call: messages.CallMessage): void {
+    const { node, delegate, events } = this._options
+    delegate(to, { ...call, delegatedBy: node.nodeId, sentAtMs: events.nowMs }, answer => { this._finish(runId, resultOf(answer)) })
+  }
+
+  private _startNext (): void {
+    const { node, events, host } = this._options
+    while (this._running < node.service.slots) {
+      const runId = this._queue.shift()
+      if (runId === undefined) return
+      const run = this._runs.get(runId)
+      if (run === undefined) continue
+      if (host.start(runId, events.nowMs)) this._run(runId, run)
+      else this._finish(runId, { kind: 'not-started', reason: 'overloaded' })
+    }
+  }
+
+  /** The process aborts a run at its deadline. */
+  private _run (runId: number, run: Run): void {
+    const { node, events, onRun } = this._options
+    this._running += 1
+    onRun(run.call)
+    const { serviceMs, status } = node.serve()
+    const limitMs = run.deadlineAtMs - events.nowMs
+    const result: hosting.RunResult = serviceMs <= limitMs
+      ? { kind: 'answered', status, headers: {}, body: undefined, streamed: false, serviceMs }
+      : { kind: 'lost', reason: 'deadline', targetDied: false }
+    events.after(Math.min(serviceMs, limitMs), () => {
+      this._running -= 1
+      this._finish(runId, result)
+      this._startNext()
+    })
+  }
+
+  private _finish (runId: number, result: hosting.RunResult): void {
+    const { node, events, host } = this._options
+    if (node.isDead) return
+    this._reply(runId, host.finish(runId, result, events.nowMs))
+  }
+
+  private _reply (runId: number, answer: hosting.FinalAnswer): void {
+    const run = this._runs.get(runId)
+    this._runs.delete(runId)
+    for (const reply of run?.replies ?? []) reply(answer)
+  }
+}
+
+/** What a delegate's answer means to the owner. */
+function resultOf (answer: hosting.FinalAnswer): hosting.RunResult {
+  const { status, headers, body } = answer
+  if (answer.outcome === 'answered') return { kind: 'answered', status, headers, body, streamed: false, serviceMs: 0 }
+  if (answer.outcome === 'not-run') return { kind: 'not-started', reason: answer.reason }
+  return { kind: 'lost', reason: answer.reason, targetDied: false }
+}
