--- a/packages/common/src/routing/Ejection.test.ts
+++ b/packages/common/src/routing/Ejection.test.ts
@@ -37,6 +37,19 @@
     })
   })
 
+  test.describe('end of an ejection', () => {
+    test.it('is tried with one call, so that a target that stays broken fails one call and not five', () => {
+      const subject = new ejection.Ejection()
+      subject.setCandidates('till', nodes, 0)
+      failTimes(subject, 'a', 5, 0)
+      failTimes(subject, 'a', 1, 1_000)
+      assert.equal(subject.isEjected('a', 1_001), true)
+      subject.succeeded('a', 3_000)
+      failTimes(subject, 'a', 4, 3_000)
+      assert.equal(subject.isEjected('a', 3_001), false)
+    })
+  })
+
   test.describe('cap', () => {
     test.it('never ejects more than a third of the candidates, whatever fails and however the service shrinks', () => {
       const step = fastCheck.record({ node: fastCheck.nat(nodes.length - 1), size: fastCheck.nat(nodes.length), afterMs: fastCheck.nat(700), resize: fastCheck.nat(9) })
--- a/packages/common/src/routing/Ejection.ts
+++ b/packages/common/src/routing/Ejection.ts
@@ -90,5 +90,4 @@
   const durationMs = Math.min(LONGEST_EJECTION_MS, FIRST_EJECTION_MS * 2 ** record.ejections)
   record.ejectedUntilMs = nowMs + durationMs
   record.ejections += 1
-  record.consecutive = 0
 }
--- a/packages/common/src/routing/EntryCalls.test.ts
+++ b/packages/common/src/routing/EntryCalls.test.ts
@@ -21,6 +21,15 @@
       assert.equal(second.deadlineAtMs, first.deadlineAtMs)
     })
 
+    for (const status of [500, 502, 503, 504]) {
+      test.it(`is sent elsewhere after the answer ${status}, because a target that fails fast looks idle`, () => {
+        const calls = meshOf(3).entryCalls(1)
+        const first = fake.asSend(calls.begin(fake.requestOf({}), 0))
+        const second = fake.asSend(calls.answered(first.callId, first.to, fake.answerOf(first.callId, { status }), 10))
+        assert.notEqual(second.to, first.to)
+      })
+    }
+
     test.it('ends as unknown when a later attempt is refused, because the lost one may have run', () => {
       const calls = meshOf(3).entryCalls(1)
       const first = fake.asSend(calls.begin(fake.requestOf({}), 0))
--- a/packages/common/src/routing/EntryCalls.ts
+++ b/packages/common/src/routing/EntryCalls.ts
@@ -28,7 +28,7 @@
 const NOTHING_EXCLUDED: ReadonlySet<base.NodeId> = new Set()
 
 /** Answers of a target that say that another target may do better. */
-const retriedStatuses: ReadonlySet<number> = new Set([502, 503, 504])
+const retriedStatuses: ReadonlySet<number> = new Set([500, 502, 503, 504])
 
 const REASON_HEADER = 'elmpost-reason'
 
@@ -139,7 +139,7 @@
   public answered (callId: number, from: base.NodeId, answer: messages.AnswerMessage, nowMs: base.Millis): types.EntryDecision | undefined {
     const call = this._calls.get(callId)
     if (call === undefined || call.to !== from) return undefined
-    this._options.selector.observe(from, answers.resultOf(answer), answer.load, nowMs)
+    this._options.selector.observe(from, answers.resultOf(answer), answer.load, nowMs, nowMs - call.sentAtMs)
     if (answer.outcome === 'answered') return this._targetAnswered(call, answer, nowMs)
     if (answer.outcome === 'not-run' || isUnowned(call, answer)) return this._refusedByHost(call, answer, nowMs)
     call.mayHaveRun = true
--- a/packages/common/src/routing/Services.ts
+++ b/packages/common/src/routing/Services.ts
@@ -26,8 +26,8 @@
   selectFor(service: types.ServiceTargets, exclude: ReadonlySet<base.NodeId>, nowMs: base.Millis): base.NodeId | undefined
   /** A call was handed out for sending to the node. */
   sent(nodeId: base.NodeId, nowMs: base.Millis): void
-  /** The call on the node ended, with the load of its answer if there was one. */
-  observe(nodeId: base.NodeId, result: types.SendResult, load: hosting.LoadReport | undefined, nowMs: base.Millis): void
+  /** The call on the node ended, with the load of its answer if there was one, and the time since it was sent if known. */
+  observe(nodeId: base.NodeId, result: types.SendResult, load: hosting.LoadReport | undefined, nowMs: base.Millis, elapsedMs?: base.Millis): void
   /** Estimated `(inFlight + queued) / slots` of a node; infinite while it is ejected. */
   utilizationOf(nodeId: base.NodeId, slots: number, nowMs: base.Millis): number
   /** Forgets targets that are no longer used. */
--- a/packages/common/src/routing/TargetSelector.test.ts
+++ b/packages/common/src/routing/TargetSelector.test.ts
@@ -43,6 +43,25 @@
     })
   })
 
+  test.describe('small pool', () => {
+    test.it('of two always gives the less utilized one, because zones often have no more', () => {
+      const selector = new fake.FakeMesh(rows(2, 'vake')).selector(1)
+      selector.sent('vake-0', 0)
+      assert.equal(count(selector, 500, 0).get('vake-0'), undefined)
+    })
+
+    test.it('avoids a target that answers much later than the others, although it is not busier', () => {
+      const selector = new fake.FakeMesh(rows(4, 'vake')).selector(1)
+      count(selector, 1, 0)
+      for (let i = 0; i < 200; i++) {
+        const nodeId = `vake-${i % 4}`
+        selector.sent(nodeId, 0)
+        selector.observe(nodeId, 'success', { inFlight: 0, queued: 0, slots: 15 }, 0, nodeId === 'vake-0' ? 400 : 40)
+      }
+      assert.equal(count(selector, 500, 0).get('vake-0'), undefined)
+    })
+  })
+
   test.describe('distance', () => {
     test.it('sends to other zones before its own is saturated, but not while it has room', () => {
       const selector = new fake.FakeMesh([...rows(2, 'vake'), ...rows(2, 'didube')]).selector(1)
--- a/packages/common/src/routing/TargetSelector.ts
+++ b/packages/common/src/routing/TargetSelector.ts
@@ -2,6 +2,7 @@
 import type * as configServices from '../distribution/Services.js'
 import * as ejection from './Ejection.js'
 import type * as hosting from '../hosting/Types.js'
+import * as latencyTable from './LatencyTable.js'
 import * as loadTable from './LoadTable.js'
 import type * as membershipServices from '../membership/Services.js'
 import type * as membership from '../membership/Types.js'
@@ -53,6 +54,8 @@
 export class TargetSelector implements services.ITargetSelector {
   private readonly _options: TargetSelectorOptions
   private readonly _loads = new loadTable.LoadTable()
+  private readonly _latencies = new latencyTable.LatencyTable()
+  private readonly _serviceOf = new Map<base.NodeId, string>()
   private readonly _ejection = new ejection.Ejection()
   private readonly _subset: subset.Subset
   private readonly _views = new Map<string, View>()
@@ -85,9 +88,11 @@
     this._loads.sent(nodeId, nowMs)
   }
 
-  public observe (nodeId: base.NodeId, result: types.SendResult, load: hosting.LoadReport | undefined, nowMs: base.Millis): void {
+  public observe (nodeId: base.NodeId, result: types.SendResult, load: hosting.LoadReport | undefined, nowMs: base.Millis, elapsedMs?: base.Millis): void {
     this._loads.ended(nodeId)
     if (load !== undefined) this._loads.report(nodeId, load, nowMs)
+    const service = this._serviceOf.get(nodeId)
+    if (service !== undefined && elapsedMs !== undefined && result === 'success') this._latencies.record(service, nodeId, elapsedMs, nowMs)
     if (result === 'success') this._ejection.succeeded(nodeId, nowMs)
     else if (result === 'failure') this._ejection.failed(nodeId, nowMs)
     else if (result === 'refused') this._loads.refused(nodeId, nowMs)
@@ -95,12 +100,13 @@
 
   public utilizationOf (nodeId: base.NodeId, slots: number, nowMs: base.Millis): number {
     if (this._ejection.isEjected(nodeId, nowMs)) return Infinity
-    return this._loads.utilization(nodeId, slots, nowMs)
+    return this._cost(nodeId, slots, nowMs)
   }
 
   public tick (nowMs: base.Millis): void {
     this._loads.tick(nowMs)
     this._ejection.tick(nowMs)
+    this._latencies.tick(nowMs)
   }
 
   private _view (service: types.ServiceTargets, nowMs: base.Millis): View {
@@ -110,6 +116,7 @@
     if (known !== undefined && known.rows === rows && known.service === service) return known
     const view = this._build(service, rows)
     this._views.set(name, view)
+    for (const row of rows) this._serviceOf.set(row.nodeId, name)
     this._ejection.setCandidates(name, candidatesOf(view).map(candidate => candidate.nodeId), nowMs)
     return view
   }
@@ -151,20 +158,23 @@
 
   /** The less utilized of two random candidates. */
   private _better (pool: readonly Candidate[], choice: Choice): Candidate | undefined {
-    const first = this._draw(pool, choice, undefined)
-    if (first === undefined || pool.length === 1) return first
-    return this._lowest([first, this._draw(pool, choice, first)], choice)
+    const first = this._draw(pool, choice, -1)
+    const second = first < 0 || pool.length === 1 ? -1 : this._draw(pool, choice, first)
+    return this._lowest([pool[first], pool[second]], choice)
   }
 
-  private _draw (pool: readonly Candidate[], choice: Choice, other: Candidate | undefined): Candidate | undefined {
+  /** Index of a random usable candidate other than `taken`, or -1. Small pools need the exclusion to be exact. */
+  private _draw (pool: readonly Candidate[], choice: Choice, taken: number): number {
+    const count = taken < 0 ? pool.length : pool.length - 1
     // More draws than candidates would let a starting target pass its slow start too often.
-    const draws = Math.min(MOST_DRAWS, pool.length)
+    const draws = Math.min(MOST_DRAWS, count)
     for (let i = 0; i < draws; i++) {
-      const candidate = pool[this._options.random.nextInt(pool.length)]
-      if (candidate === undefined || candidate === other) continue
-      if (this._isUsable(candidate, choice) && this._passesSlowStart(candidate, choice)) return candidate
+      const drawn = this._options.random.nextInt(count)
+      const index = taken >= 0 && drawn >= taken ? drawn + 1 : drawn
+      const candidate = pool[index]
+      if (candidate !== undefined && this._isUsable(candidate, choice) && this._passesSlowStart(candidate, choice)) return index
     }
-    return undefined
+    return -1
   }
 
   private _lowest (candidates: ReadonlyArray<Candidate | undefined>, choice: Choice): Candidate | undefined {
@@ -193,8 +203,14 @@
   }
 
   private _score (candidate: Candidate, choice: Choice): number {
-    const utilization = this._loads.utilization(candidate.nodeId, choice.view.service.config.slots, choice.nowMs)
-    return utilization / weightOf(candidate, choice)
+    return this._cost(candidate.nodeId, choice.view.service.config.slots, choice.nowMs) / weightOf(candidate, choice)
+  }
+
+  /** Utilization, raised for a target that answers notably slower than its service. */
+  private _cost (nodeId: base.NodeId, slots: number, nowMs: base.Millis): number {
+    const utilization = this._loads.utilization(nodeId, slots, nowMs)
+    const slowness = this._latencies.slowness(this._serviceOf.get(nodeId) ?? '', nodeId, nowMs)
+    return utilization * slowness + (slowness - 1) / Math.max(1, slots)
   }
 
   /** A target with weight w is drawn with w times the probability of a warm one. */
