Tell readers which record new readers need

Then the log holds no start for a new reader. A log whose records had all expired was also taken for an empty one. Change: Acceptance.anchorOffset and Acceptance.skipTo.

--- a/packages/common/src/config/Acceptance.test.ts
+++ b/packages/common/src/config/Acceptance.test.ts
@@ -58,6 +58,30 @@
       assert.deepEqual(fold(node, [documents.testProposal(4, state2, documents.testDocument(4))], 3), ['accepted'])
     })
 
+    test.it('tells which record new readers need, so that a log that changes all the time gets snapshots too', () => {
+      const node = new acceptance.Acceptance(validator)
+      fold(node, [first, second, snapshot1])
+      assert.equal(node.anchorOffset, 0)
+      const snapshot2 = node.snapshot()
+      fold(node, [{ ...snapshot2, document: {} }], 3)
+      assert.equal(node.anchorOffset, 0)
+      fold(node, [snapshot2], 4)
+      assert.equal(node.anchorOffset, 3)
+      const late = new acceptance.Acceptance(validator)
+      late.skipTo(3)
+      assert.equal(late.snapshot(), undefined)
+      fold(late, [{}, snapshot2], 3)
+      assert.deepEqual(late.state?.digest, node.state?.digest)
+      assert.equal(late.anchorOffset, 3)
+    })
+
+    test.it('does not take an expired log for an empty one, so that the first version is not made twice', () => {
+      const node = new acceptance.Acceptance(validator)
+      node.skipTo(9)
+      assert.deepEqual(fold(node, [first], 9), ['not-judged'])
+      assert.equal(node.state, undefined)
+    })
+
     test.it('notices that it missed records, so that a long pause cannot fork the configuration', () => {
       const node = new acceptance.Acceptance(validator)
       fold(node, [first])
--- a/packages/common/src/config/Acceptance.ts
+++ b/packages/common/src/config/Acceptance.ts
@@ -24,7 +24,7 @@
   private _nextOffset = 0
 
   constructor (private readonly _validator: services.IConfigValidator) {
-    this._fold = new fold.Fold(_validator, this._verdicts, undefined)
+    this._fold = new fold.Fold(_validator, this._verdicts, undefined, 0)
   }
 
   public get state (): types.AcceptedState | undefined {
@@ -35,6 +35,10 @@
     return this._nextOffset
   }
 
+  public get anchorOffset (): number | undefined {
+    return this._fold?.anchorOffset
+  }
+
   public get upgradeReason (): string | undefined {
     return this._block === undefined ? undefined : fold.upgradeReason(this._block)
   }
@@ -53,6 +57,13 @@
     return verdict
   }
 
+  public skipTo (firstOffset: number): void {
+    if (!Number.isSafeInteger(firstOffset) || firstOffset <= this._nextOffset) return
+    this._loseTrack(firstOffset)
+    this._nextOffset = firstOffset
+    this._startFromPeer()
+  }
+
   public adopt (state: types.AcceptedState): boolean {
     if (!this._isValidState(state)) return false
     const isNewer = this._raise(state)
@@ -107,7 +118,7 @@
     const checked = documentCheck.checkDocument(this._validator, record)
     if (checked.kind !== 'valid') return fold.verdict(checked.kind, offset, record, checked.reason)
     const state = { ...fold.stateOf(record, checked.document, record.asOfOffset), asOfOffset: record.asOfOffset }
-    return this._startFrom(state)
+    return this._startFrom(state, record.asOfOffset + 1)
       ? fold.verdict('snapshot-adopted', offset, record, `Records after offset ${record.asOfOffset} are judged on this version.`)
       : fold.verdict('stale-snapshot', offset, record, `Records between offset ${record.asOfOffset} and this snapshot are gone or need newer rules.`)
   }
@@ -117,10 +128,10 @@
   }
 
   /** Folds the kept records onto a state, if all records after its place are there. */
-  private _startFrom (state: PlacedState): boolean {
+  private _startFrom (state: PlacedState, anchorOffset?: number): boolean {
     if (state.asOfOffset + 1 < this._tail.startOffset || state.asOfOffset >= this._nextOffset) return false
     if (state.version < (this._block?.version ?? 0)) return false
-    const started = new fold.Fold(this._validator, this._verdicts, state)
+    const started = new fold.Fold(this._validator, this._verdicts, state, anchorOffset)
     this._fold = started
     this._block = undefined
     this._raise(state)
--- a/packages/common/src/config/Fold.ts
+++ b/packages/common/src/config/Fold.ts
@@ -1,3 +1,4 @@
+import * as digests from '../base/Digest.js'
 import * as documentCheck from './DocumentCheck.js'
 import * as recordDecoder from './RecordDecoder.js'
 import type * as services from './Services.js'
@@ -20,11 +21,12 @@
 export class Fold {
   private _block: Block | undefined
 
-  /** Without a state, the fold starts before the first record of the log. */
+  /** Without a state, the fold starts before the first record of the log, which is an anchor too. */
   constructor (
     private readonly _validator: services.IConfigValidator,
     private readonly _verdicts: verdictTable.VerdictTable,
-    private _state: types.AcceptedState | undefined
+    private _state: types.AcceptedState | undefined,
+    private _anchorOffset: number | undefined
   ) {}
 
   public get state (): types.AcceptedState | undefined {
@@ -36,6 +38,11 @@
     return this._block
   }
 
+  /** The first record of the log, or the record after the place of the newest snapshot that matches the state. */
+  public get anchorOffset (): number | undefined {
+    return this._anchorOffset
+  }
+
   public judge (offset: number, record: recordDecoder.DecodedRecord): types.Verdict {
     return record.kind === 'proposal' ? this._judgeProposal(offset, record) : this._judgeSnapshot(offset, record)
   }
@@ -50,6 +57,18 @@
   }
 
   private _judgeSnapshot (offset: number, record: recordDecoder.DecodedRecord): types.Verdict {
+    const judged = this._judgeVersion(offset, record)
+    if (this._isAnchor(offset, record)) this._anchorOffset = Math.max(this._anchorOffset ?? 0, record.asOfOffset + 1)
+    return judged
+  }
+
+  /** Whether a reader that starts at this snapshot adopts the state in force. */
+  private _isAnchor (offset: number, record: recordDecoder.DecodedRecord): boolean {
+    return record.version === this._version && record.digest === this._state?.digest && record.asOfOffset < offset &&
+      digests.digestText(record.documentText) === record.digest
+  }
+
+  private _judgeVersion (offset: number, record: recordDecoder.DecodedRecord): types.Verdict {
     if (record.version <= this._version) return verdict('stale-snapshot', offset, record, `Version ${this._version} is in force.`)
     if (!record.isSupported) return this._blocked(offset, record)
     if (record.asOfOffset >= offset) return verdict('invalid', offset, record, 'The asOfOffset is not below the offset of the snapshot.')
--- a/packages/common/src/config/Services.ts
+++ b/packages/common/src/config/Services.ts
@@ -14,10 +14,17 @@
   readonly state: types.AcceptedState | undefined
   /** Offset of the next record to read. */
   readonly nextOffset: number
+  /**
+   * A reader that starts at or before this offset comes to the accepted state without help.
+   * Undefined if no such offset is known. A snapshot must be appended before the log drops this record.
+   */
+  readonly anchorOffset: number | undefined
   /** Why records cannot be judged by this software; undefined while they can. */
   readonly upgradeReason: string | undefined
   /** Never throws, whatever the record holds. */
   apply(record: types.LogRecord): types.Verdict
+  /** Notes that the log has dropped every record before an offset, although it may hold none after it. */
+  skipTo(firstOffset: number): void
   /** Adopts a state that peers hold, if it is newer. Returns whether it was adopted. */
   adopt(state: types.AcceptedState): boolean
   /** The record that keeps the accepted state in the log; undefined while the state is not known from the log. */
