--- /dev/null
+++ b/packages/cli/src/Appender.ts
@@ -0,0 +1,36 @@
+import type * as base from '@elmpost/common/base/Types.js'
+import type * as services from './Services.js'
+import type * as types from './Types.js'
+
+/** First bound of the wait between two attempts; it doubles with each attempt. */
+const FIRST_BACKOFF_MS = 200
+
+export interface AppendAttempts {
+  readonly last: types.AppendResult
+  /** Whether a record may be in the log although no offset is known. */
+  readonly isUncertain: boolean
+  readonly attempts: number
+}
+
+/** Appends a record, and appends the same record again while the answer is lost. */
+export class Appender {
+  constructor (
+    private readonly _client: services.ILogClient,
+    private readonly _clock: services.ICliClock,
+    private readonly _random: base.IRandom,
+    private readonly _maxAttempts: number
+  ) {}
+
+  /** `isSettled` is asked before each further attempt; the answer may have become known in another way. */
+  public async append (stream: types.StreamName, record: unknown, isSettled: () => Promise<boolean>): Promise<AppendAttempts> {
+    let isUncertain = false
+    for (let attempts = 1; ; attempts++) {
+      const last = await this._client.append(stream, record)
+      if (last.kind === 'appended' || last.kind === 'refused') return { last, isUncertain, attempts }
+      isUncertain ||= last.kind === 'unknown'
+      if (attempts >= this._maxAttempts) return { last, isUncertain, attempts }
+      await this._clock.sleep(this._random.nextFloat() * FIRST_BACKOFF_MS * 2 ** (attempts - 1))
+      if (isUncertain && await isSettled()) return { last, isUncertain, attempts }
+    }
+  }
+}
--- /dev/null
+++ b/packages/cli/src/Cli.test.ts
@@ -0,0 +1,66 @@
+import * as assert from 'node:assert/strict'
+import * as cli from './Cli.js'
+import * as documents from '@elmpost/common/config/TestDocuments.js'
+import * as test from 'node:test'
+import * as testEnvironment from './TestEnvironment.js'
+
+async function run (log: testEnvironment.FakeLog, nodes: testEnvironment.FakeNodes, ...args: string[]): Promise<testEnvironment.TestEnvironment & { exitCode: number }> {
+  const environment = new testEnvironment.TestEnvironment(log, { 'a.json': JSON.stringify(documents.testDocument()) }, nodes)
+  const exitCode = await new cli.Cli(environment).run(args)
+  return Object.assign(environment, { exitCode })
+}
+
+test.describe('Cli', () => {
+  const nodes = new testEnvironment.FakeNodes([testEnvironment.fakeRow('till-1', 'vake', 1, 7071), testEnvironment.fakeRow('till-2', 'didube', 1, 7072)])
+  const log = new testEnvironment.FakeLog()
+
+  test.it('refuses what it does not know, so that a misspelt option is not ignored', async () => {
+    for (const args of [[], ['aply', 'a.json'], ['apply'], ['apply', 'a.json', '--dry'], ['apply', 'a.json', '--attempts', '0'], ['history', '--limit', 'x'], ['status', '--output', 'xml']]) {
+      assert.deepEqual([args, (await run(log, nodes, ...args)).exitCode], [args, 4])
+    }
+    assert.deepEqual(log.streams.config, [])
+  })
+
+  test.it('completes commands, so that shells can offer them', async () => {
+    assert.match((await run(log, nodes, 'completion')).stdout, /elmpost --get-yargs-completions/)
+  })
+
+  test.it('prints errors as JSON too, so that scripts need no second parser', async () => {
+    const { stdout, exitCode } = await run(log, nodes, 'drain', 'x', '--output', 'json')
+    assert.deepEqual([exitCode, (JSON.parse(stdout) as { error: { kind: string } }).error.kind], [4, 'invalid-input'])
+  })
+
+  test.describe('status', () => {
+    test.it('works without the log, so that an outage of the log does not blind the operators', async () => {
+      const down = new testEnvironment.FakeLog()
+      down.isReadDown = true
+      const result = await run(down, nodes, 'status', '--check')
+      assert.equal(result.exitCode, 0)
+      assert.match(result.stderr, /the log does not tell it/)
+    })
+
+    test.it('tries all addresses, so that one stopped node does not hide the others', async () => {
+      assert.equal((await run(log, nodes, 'status', '--admin', '127.0.0.1:1', '127.0.0.1:7072')).exitCode, 0)
+      assert.equal((await run(log, nodes, 'status', '--admin', '127.0.0.1:1')).exitCode, 5)
+    })
+  })
+
+  test.describe('drain', () => {
+    test.it('reaches the named node through any other, so that operators need no list of addresses', async () => {
+      await run(log, nodes, 'drain', 'till-2')
+      await run(log, nodes, 'undrain', 'till-2')
+      assert.deepEqual(nodes.posts, ['127.0.0.1:7072 drain', '127.0.0.1:7072 undrain'])
+    })
+  })
+
+  test.describe('snapshot', () => {
+    test.it('appends what a late reader needs, and nothing if no version is in force', async () => {
+      const fresh = new testEnvironment.FakeLog()
+      assert.equal((await run(fresh, nodes, 'snapshot')).exitCode, 2)
+      await run(fresh, nodes, 'apply', 'a.json')
+      assert.equal((await run(fresh, nodes, 'snapshot')).exitCode, 0)
+      fresh.firstOffset = 1
+      assert.match((await run(fresh, nodes, 'diff', 'a.json')).stdout, /No changes against version 1/)
+    })
+  })
+})
--- /dev/null
+++ b/packages/cli/src/ConsoleOutput.ts
@@ -0,0 +1,27 @@
+import type * as services from './Services.js'
+import type * as types from './Types.js'
+
+export type WriteText = (text: string) => void
+
+/** Writes results to the standard output and remarks to the standard error. */
+export class ConsoleOutput implements services.IOutput {
+  constructor (
+    private readonly _format: types.OutputFormat,
+    private readonly _writeResult: WriteText,
+    private readonly _writeNote: WriteText
+  ) {}
+
+  public result (value: unknown, lines: readonly string[]): void {
+    const text = this._format === 'json' ? JSON.stringify(value) : lines.map(printable).join('\n')
+    this._writeResult(`${text}\n`)
+  }
+
+  public note (line: string): void {
+    this._writeNote(`${printable(line)}\n`)
+  }
+}
+
+/** Texts from the log and from nodes must not control the terminal. */
+function printable (text: string): string {
+  return text.replace(/[\p{Cc}\p{Cf}]/gu, '?')
+}
--- /dev/null
+++ b/packages/cli/src/DocumentFile.ts
@@ -0,0 +1,28 @@
+import * as configErrors from '@elmpost/common/config/ConfigErrors.js'
+import * as configValidator from '@elmpost/common/config/ConfigValidator.js'
+import * as results from 'ts-results-es'
+import * as ruleSets from '@elmpost/common/config/RuleSets.js'
+import * as cliError from './CliError.js'
+import type * as config from '@elmpost/common/config/Types.js'
+import type * as services from './Services.js'
+
+/** Reads and checks a document. The error lists every problem with its file. */
+export async function readDocument (files: services.IFiles, path: string): Promise<results.Result<config.ConfigDocument, cliError.CliError>> {
+  const text = await results.Result.wrapAsync(() => files.readText(path))
+  if (text.isErr()) return invalid(`${path} cannot be read (${messageOf(text.error)}). Check the path and its permissions.`)
+  const parsed = results.Result.wrap<unknown, unknown>(() => JSON.parse(text.value))
+  if (parsed.isErr()) return invalid(`${path} is not JSON (${messageOf(parsed.error)}). Correct the syntax.`)
+  return new configValidator.ConfigValidator()
+    .validate(parsed.value, ruleSets.CURRENT_RULES_VERSION)
+    .mapErr(problems => new cliError.CliError('invalid-input',
+      `${path} has ${problems.length === 1 ? '1 problem' : `${problems.length} problems`}. Correct the file and try again.`,
+      problems.map(problem => `${path}: ${configErrors.formatProblem(problem)}`)))
+}
+
+function invalid (message: string): results.Result<never, cliError.CliError> {
+  return results.Err(new cliError.CliError('invalid-input', message))
+}
+
+function messageOf (error: unknown): string {
+  return error instanceof Error ? error.message : String(error)
+}
--- /dev/null
+++ b/packages/cli/src/Nodes.ts
@@ -0,0 +1,27 @@
+/** Finds nodes through the member table of any node. */
+import * as cliError from './CliError.js'
+import * as results from 'ts-results-es'
+import type * as adminStatus from '@elmpost/common/node/AdminStatus.js'
+import type * as services from './Services.js'
+
+/** Asks one address after the other until a node answers. */
+export async function anyStatus (admin: services.IAdminClient, addresses: readonly string[]): Promise<results.Result<adminStatus.AdminStatus, cliError.CliError>> {
+  const problems: string[] = []
+  for (const address of addresses) {
+    const status = await admin.status(address)
+    if (status.isOk()) return status
+    problems.push(status.error.message)
+  }
+  return results.Err(new cliError.CliError('unreachable', 'No node answered. Name a running one with --admin.', problems))
+}
+
+/** The administration address of a node. */
+export async function adminAddressOf (admin: services.IAdminClient, addresses: readonly string[], nodeId: string): Promise<results.Result<string, cliError.CliError>> {
+  const status = await anyStatus(admin, addresses)
+  return status.andThen(({ members }) => {
+    const row = members.find(member => member.nodeId === nodeId)
+    if (row === undefined) return results.Err(new cliError.CliError('invalid-input', `No node has the id '${nodeId}'. List the nodes with 'elmpost status'.`))
+    if (row.adminAddress === '') return results.Err(new cliError.CliError('invalid-input', `The node '${nodeId}' announces no administration address. Set adminAddress in its settings.`))
+    return results.Ok(row.adminAddress)
+  })
+}
--- /dev/null
+++ b/packages/cli/src/Services.ts
@@ -0,0 +1,49 @@
+/** Everything outside the process that commands use, so that tests run them without processes. */
+import type * as base from '@elmpost/common/base/Types.js'
+import type * as adminStatus from '@elmpost/common/node/AdminStatus.js'
+import type * as results from 'ts-results-es'
+import type * as cliError from './CliError.js'
+import type * as types from './Types.js'
+
+/** The log service. */
+export interface ILogClient {
+  append(stream: types.StreamName, data: unknown): Promise<types.AppendResult>
+  read(stream: types.StreamName, fromOffset: number): Promise<results.Result<types.LogPage, cliError.CliError>>
+}
+
+/** The administration endpoints of nodes. */
+export interface IAdminClient {
+  status(address: string): Promise<results.Result<adminStatus.AdminStatus, cliError.CliError>>
+  /** Asks a node to start or to end its drain. */
+  post(address: string, action: 'drain' | 'undrain'): Promise<results.Result<void, cliError.CliError>>
+}
+
+export interface ICliClock extends base.IClock {
+  sleep(durationMs: base.Millis): Promise<void>
+}
+
+export interface IOutput {
+  /** Prints the result of the command, as lines or as one JSON document. */
+  result(value: unknown, lines: readonly string[]): void
+  /** Prints a remark that is not part of the result. */
+  note(line: string): void
+}
+
+export interface IFiles {
+  /** `-` is the standard input. */
+  readText(path: string): Promise<string>
+}
+
+/** What the command line gets from its process. */
+export interface ICliEnvironment {
+  readonly files: IFiles
+  readonly clock: ICliClock
+  readonly random: base.IRandom
+  readonly userName: string
+  readonly version: string
+  readonly variables: Readonly<Record<string, string | undefined>>
+  newId(): string
+  output(format: types.OutputFormat): IOutput
+  logClient(url: string, timeoutMs: base.Millis): ILogClient
+  adminClient(timeoutMs: base.Millis): IAdminClient
+}
--- /dev/null
+++ b/packages/cli/src/TestEnvironment.ts
@@ -0,0 +1,152 @@
+/** Stand-ins for tests of the command line: a log, nodes, files, a clock and an output in memory. */
+import * as cliError from './CliError.js'
+import * as consoleOutput from './ConsoleOutput.js'
+import * as random from '@elmpost/common/base/Random.js'
+import * as results from 'ts-results-es'
+import type * as adminStatus from '@elmpost/common/node/AdminStatus.js'
+import type * as config from '@elmpost/common/config/Types.js'
+import type * as membership from '@elmpost/common/membership/Types.js'
+import type * as services from './Services.js'
+import type * as types from './Types.js'
+
+/** What happens to one append. A delayed record arrives when `deliverDelayed` is called. */
+export type AppendFault = 'none' | 'lost-answer' | 'lost-request' | 'delayed' | 'refused' | 'down'
+
+/** A log service in memory. */
+export class FakeLog implements services.ILogClient {
+  public readonly streams: Record<types.StreamName, unknown[]> = { config: [], audit: [] }
+  public firstOffset = 0
+  public isReadDown = false
+  /** Faults of the next appends to the config stream, in order; none after the last one. */
+  public faults: AppendFault[] = []
+  private readonly _delayed: unknown[] = []
+
+  /** Called before each append to the config stream. */
+  constructor (public onAppend: (log: FakeLog) => void = () => {}) {}
+
+  public async append (stream: types.StreamName, data: unknown): Promise<types.AppendResult> {
+    if (stream === 'config') this.onAppend(this)
+    const fault = stream === 'config' ? this.faults.shift() ?? 'none' : 'none'
+    if (fault === 'none' || fault === 'lost-answer') this.streams[stream].push(structuredClone(data))
+    if (fault === 'delayed') this._delayed.push(structuredClone(data))
+    switch (fault) {
+      case 'none': return { kind: 'appended', offset: this.streams[stream].length - 1 }
+      case 'refused': return { kind: 'refused', problem: 'The record is over the size limit of the log.' }
+      case 'down': return { kind: 'not-sent', problem: 'The log gave no answer (ECONNREFUSED).' }
+      default: return { kind: 'unknown', problem: 'The log gave no answer (timeout).' }
+    }
+  }
+
+  public async read (stream: types.StreamName, fromOffset: number): Promise<results.Result<types.LogPage, cliError.CliError>> {
+    if (this.isReadDown) return results.Err(new cliError.CliError('unreachable', 'The log gave no answer (ECONNREFUSED). Check --log-url and try again.'))
+    const from = Math.max(fromOffset, this.firstOffset)
+    const records: config.LogRecord[] = this.streams[stream].map((data, offset) => ({ offset, data })).slice(from, from + 2)
+    return results.Ok({ records, firstOffset: this.firstOffset })
+  }
+
+  public deliverDelayed (): void {
+    this.streams.config.push(...this._delayed.splice(0))
+  }
+}
+
+/** Nodes that know each other completely. */
+export class FakeNodes implements services.IAdminClient {
+  public readonly posts: string[] = []
+
+  constructor (private readonly _members: readonly membership.MemberRow[]) {}
+
+  public async status (address: string): Promise<results.Result<adminStatus.AdminStatus, cliError.CliError>> {
+    const self = this._members.find(row => row.adminAddress === address)
+    if (self === undefined) return results.Err(new cliError.CliError('unreachable', `The node at ${address} gave no answer (ECONNREFUSED).`))
+    return results.Ok({
+      self,
+      readiness: { ready: true, reason: 'ready', floorVersion: self.enforcedVersion, enforcedVersion: self.enforcedVersion },
+      version: self.enforcedVersion,
+      digest: '',
+      verdicts: [],
+      members: this._members,
+      atMs: 0
+    })
+  }
+
+  public async post (address: string, action: 'drain' | 'undrain'): Promise<results.Result<void, cliError.CliError>> {
+    this.posts.push(`${address} ${action}`)
+    return results.Ok(undefined)
+  }
+}
+
+export function fakeRow (nodeId: string, zone: string, enforcedVersion: number, port: number, state: membership.MemberState = 'ready'): membership.MemberRow {
+  return {
+    nodeId,
+    incarnation: 1,
+    state,
+    peerAddress: `127.0.0.1:${port + 1000}`,
+    callerAddress: `127.0.0.1:${port + 2000}`,
+    zone,
+    service: 'till',
+    targetReady: true,
+    targetReadySinceMs: 0,
+    enforcedVersion,
+    adminAddress: `127.0.0.1:${port}`,
+    revision: 0,
+    successor: ''
+  }
+}
+
+/** Runs without processes. Time passes only in `sleep`. */
+export class TestEnvironment implements services.ICliEnvironment {
+  public readonly userName = 'nino'
+  public readonly version = '0.1.0'
+  public readonly variables = {}
+  public readonly random = new random.Random(1)
+  public stdout = ''
+  public stderr = ''
+  /** Both outputs in the order in which they were written. */
+  public transcript = ''
+  private _nowMs = Date.UTC(2026, 0, 5, 9, 0, 0)
+  private _ids = 0
+
+  public readonly clock: services.ICliClock = {
+    nowMs: () => this._nowMs,
+    sleep: async durationMs => { this._nowMs += durationMs }
+  }
+
+  public readonly files: services.IFiles = {
+    readText: async path => {
+      const text = this.texts[path]
+      if (text === undefined) throw new Error('ENOENT: no such file or directory')
+      return text
+    }
+  }
+
+  constructor (
+    public readonly log: services.ILogClient,
+    public readonly texts: Record<string, string> = {},
+    private readonly _nodes: services.IAdminClient = new FakeNodes([])
+  ) {}
+
+  public newId (): string {
+    this._ids++
+    return `00000000-0000-4000-8000-${String(this._ids).padStart(12, '0')}`
+  }
+
+  public output (format: types.OutputFormat): services.IOutput {
+    const toStdout = (text: string): void => {
+      this.stdout += text
+      this.transcript += text
+    }
+    const toStderr = (text: string): void => {
+      this.stderr += text
+      this.transcript += text
+    }
+    return new consoleOutput.ConsoleOutput(format, toStdout, toStderr)
+  }
+
+  public logClient (): services.ILogClient {
+    return this.log
+  }
+
+  public adminClient (): services.IAdminClient {
+    return this._nodes
+  }
+}
--- /dev/null
+++ b/packages/cli/src/commands/ApplyCommand.test.ts
@@ -0,0 +1,148 @@
+import * as assert from 'node:assert/strict'
+import * as cli from '../Cli.js'
+import * as configLog from '../ConfigLog.js'
+import * as documents from '@elmpost/common/config/TestDocuments.js'
+import * as fc from 'fast-check'
+import * as test from 'node:test'
+import * as testEnvironment from '../TestEnvironment.js'
+
+interface Printed {
+  readonly outcome: string
+  readonly reason: string
+  readonly version?: number
+  readonly proposalId?: string
+  readonly findOutWith?: string
+  readonly details: readonly string[]
+}
+
+const FILES = {
+  'a.json': JSON.stringify(documents.testDocument(1)),
+  'b.json': JSON.stringify(documents.testDocument(2)),
+  'bad.json': JSON.stringify({ ...documents.testDocument(1), routes: [{}], extra: 1 }),
+  'text.json': '{'
+}
+
+const rival = documents.testProposal(99, undefined, documents.testDocument(9))
+
+async function apply (log: testEnvironment.FakeLog, ...args: string[]): Promise<[exitCode: number, printed: Printed]> {
+  const environment = new testEnvironment.TestEnvironment(log, FILES)
+  const exitCode = await new cli.Cli(environment).run(['apply', ...args, '--output', 'json'])
+  return [exitCode, JSON.parse(environment.stdout) as Printed]
+}
+
+test.describe('ApplyCommand', () => {
+  test.describe('accepted', () => {
+    test.it('takes the verdict from the log, so that it is the one that nodes come to', async () => {
+      const log = new testEnvironment.FakeLog()
+      const [exitCode, printed] = await apply(log, 'a.json')
+      assert.deepEqual([exitCode, printed.outcome, printed.version], [0, 'accepted', 1])
+      assert.deepEqual(log.streams.audit.map(entry => (entry as Printed).proposalId), [printed.proposalId])
+    })
+
+    test.it('proposes nothing if the document is in force, so that repeated runs make no versions', async () => {
+      const log = new testEnvironment.FakeLog()
+      await apply(log, 'a.json')
+      assert.deepEqual((await apply(log, 'a.json'))[0], 0)
+      assert.equal(log.streams.config.length, 1)
+    })
+
+    test.it('finds its record after a lost answer, so that a change is not made twice', async () => {
+      const log = new testEnvironment.FakeLog()
+      log.faults = ['lost-answer']
+      assert.deepEqual((await apply(log, 'a.json'))[0], 0)
+      assert.equal(log.streams.config.length, 1)
+    })
+
+    test.it('sends the same proposalId again after a lost request, so that both records are one change', async () => {
+      const log = new testEnvironment.FakeLog()
+      log.faults = ['delayed', 'lost-request']
+      const [exitCode, printed] = await apply(log, 'a.json')
+      log.deliverDelayed()
+      assert.equal(exitCode, 0)
+      assert.deepEqual(log.streams.config.map(record => (record as Printed).proposalId), [printed.proposalId, printed.proposalId])
+    })
+  })
+
+  test.describe('rejected', () => {
+    test.it('reports the loser of a race, so that no operator believes a lost change', async () => {
+      const [exitCode, printed] = await apply(new testEnvironment.FakeLog(log => { if (log.streams.config.length === 0) log.streams.config.push(rival) }), 'a.json')
+      assert.deepEqual([exitCode, printed.outcome], [2, 'rejected'])
+    })
+
+    test.it('is certain once another version is in force, so that a lost request need not stay unknown', async () => {
+      const log = new testEnvironment.FakeLog(fake => { if (fake.streams.config.length === 0) fake.streams.config.push(rival) })
+      log.faults = ['lost-request', 'lost-request', 'lost-request', 'lost-request', 'lost-request']
+      const [exitCode, printed] = await apply(log, 'a.json')
+      assert.deepEqual([exitCode, printed.outcome], [2, 'rejected'])
+      assert.match(printed.reason, /Version 1 was accepted first/)
+    })
+
+    test.it('lists all problems of a file and sends nothing, so that bad input never reaches the log', async () => {
+      const log = new testEnvironment.FakeLog()
+      const [exitCode, printed] = await apply(log, 'bad.json')
+      assert.deepEqual([exitCode, printed.outcome], [4, 'rejected'])
+      assert.ok(printed.details.length >= 8)
+      assert.ok(printed.details.every(line => line.startsWith('bad.json: /')))
+      assert.deepEqual([(await apply(log, 'text.json'))[0], (await apply(log, 'none.json'))[0]], [4, 4])
+      assert.deepEqual(log.streams, { config: [], audit: [] })
+    })
+
+    test.it('tells an unreachable log from a refusal, so that scripts know when to try again', async () => {
+      const down = new testEnvironment.FakeLog()
+      down.isReadDown = true
+      const refusing = new testEnvironment.FakeLog()
+      refusing.faults = ['refused']
+      const failing = new testEnvironment.FakeLog()
+      failing.faults = ['down', 'down']
+      assert.deepEqual([(await apply(down, 'a.json'))[0], (await apply(refusing, 'a.json'))[0], (await apply(failing, 'a.json', '--attempts', '2'))[0]], [5, 2, 5])
+    })
+
+    test.it('refuses another base than the operator has seen, so that a reviewed difference is the one that is applied', async () => {
+      const log = new testEnvironment.FakeLog()
+      await apply(log, 'a.json')
+      const [exitCode, printed] = await apply(log, 'b.json', '--base-version', '0')
+      assert.deepEqual([exitCode, printed.outcome, log.streams.config.length], [2, 'rejected', 1])
+    })
+
+    test.it('does not guess the base when the log has dropped it, so that versions are not made twice', async () => {
+      const log = new testEnvironment.FakeLog()
+      await apply(log, 'a.json')
+      log.firstOffset = 1
+      const [exitCode, printed] = await apply(log, 'b.json')
+      assert.deepEqual([exitCode, printed.outcome], [5, 'rejected'])
+    })
+  })
+
+  test.describe('unknown', () => {
+    test.it('names the command that finds out, so that the operator is not left alone', async () => {
+      const log = new testEnvironment.FakeLog()
+      log.faults = ['lost-request', 'lost-request']
+      const [exitCode, printed] = await apply(log, 'a.json', '--attempts', '2')
+      assert.deepEqual([exitCode, printed.outcome], [3, 'unknown'])
+      assert.equal(printed.findOutWith, `elmpost history --proposal ${printed.proposalId}`)
+    })
+  })
+
+  test.it('never contradicts the log, whatever is lost, delayed or raced', async () => {
+    const fault = fc.constantFrom<testEnvironment.AppendFault>('none', 'lost-answer', 'lost-request', 'delayed', 'refused', 'down')
+    const outcomes = new Set<string>()
+    await fc.assert(fc.asyncProperty(fc.array(fault, { maxLength: 6 }), fc.nat({ max: 6 }), fc.nat({ max: 6 }), async (faults, rivalAt, downAt) => {
+      let appends = 0
+      const log = new testEnvironment.FakeLog(fake => {
+        appends++
+        if (appends === rivalAt) fake.streams.config.push(rival)
+        fake.isReadDown = appends === downAt
+      })
+      log.faults = faults
+      const [, printed] = await apply(log, 'a.json', '--attempts', '4')
+      outcomes.add(printed.outcome)
+      log.isReadDown = false
+      log.deliverDelayed()
+      const truth = new configLog.ConfigLog(log)
+      await truth.catchUp()
+      const isAccepted = printed.proposalId !== undefined && truth.verdictOf(printed.proposalId)?.kind === 'accepted'
+      if (printed.outcome !== 'unknown') assert.equal(isAccepted, printed.outcome === 'accepted')
+    }), { seed: 20261203, numRuns: 500 })
+    assert.deepEqual([...outcomes].sort(), ['accepted', 'rejected', 'unknown'])
+  })
+})
--- /dev/null
+++ b/packages/cli/src/commands/HistoryCommand.ts
@@ -0,0 +1,162 @@
+import * as cliError from '../CliError.js'
+import * as configDiff from '@elmpost/common/config/ConfigDiff.js'
+import * as configValidator from '@elmpost/common/config/ConfigValidator.js'
+import * as configLog from '../ConfigLog.js'
+import * as results from 'ts-results-es'
+import * as types from '../Types.js'
+import type * as config from '@elmpost/common/config/Types.js'
+import type * as services from '../Services.js'
+
+/** Documents of recent versions are kept for differences; older bases are shown without one. */
+const KEPT_DOCUMENTS = 32
+
+export interface HistoryOptions {
+  readonly proposalId: string | undefined
+  /** Number of newest entries to print. */
+  readonly limit: number
+}
+
+/** One proposal as the log tells it. */
+interface HistoryEntry {
+  readonly offset: number
+  readonly proposalId: string
+  readonly author: string
+  readonly proposedAt: string
+  readonly version: number
+  readonly baseVersion: number
+  readonly verdict: config.VerdictKind
+  readonly reason: string
+  /** Undefined if the base is no longer in the log or the document is not valid. */
+  readonly changes: readonly configDiff.ConfigChange[] | undefined
+}
+
+/** Tells who proposed what, when, on which base, and what became of it. */
+export class HistoryCommand {
+  private readonly _log: configLog.ConfigLog
+  private readonly _entries: HistoryEntry[] = []
+  private readonly _validator = new configValidator.ConfigValidator()
+  private readonly _documents = new Map<string, config.ConfigDocument>()
+
+  constructor (private readonly _client: services.ILogClient, private readonly _output: services.IOutput) {
+    this._log = new configLog.ConfigLog(_client, (record, before, verdict) => { this._onRecord(record, before, verdict) })
+  }
+
+  public async run (options: HistoryOptions): Promise<results.Result<types.ExitCode, cliError.CliError>> {
+    const read = await this._log.catchUp()
+    if (read.isErr()) return read
+    if (this._log.gap !== undefined) this._output.note(this._log.gap)
+    if (options.proposalId !== undefined) return results.Ok(await this._printProposal(options.proposalId))
+    const entries = this._entries.slice(-options.limit).map(entry => this._withFirstVerdict(entry))
+    this._output.result({ entries }, entries.length === 0 ? ['The log holds no proposals.'] : entries.flatMap(formatEntry))
+    return results.Ok(types.EXIT_CODES.ok)
+  }
+
+  private _onRecord (record: config.LogRecord, before: config.AcceptedState | undefined, verdict: config.Verdict): void {
+    if (before !== undefined) this._keepDocument(before)
+    const proposal = readable(record.data)
+    if (proposal === undefined) return
+    this._entries.push({
+      offset: record.offset,
+      proposalId: proposal.proposalId,
+      author: proposal.author,
+      proposedAt: isoTime(proposal.proposedAtMs),
+      version: proposal.version,
+      baseVersion: proposal.baseVersion,
+      verdict: verdict.kind,
+      reason: verdict.reason,
+      changes: this._changes(proposal)
+    })
+  }
+
+  /** Documents that were not accepted may have any content. */
+  private _changes (proposal: config.ProposalRecord): HistoryEntry['changes'] {
+    const base = this._documents.get(proposal.baseDigest)
+    if (base === undefined && proposal.baseVersion !== 0) return undefined
+    return this._validator.validate(proposal.document, proposal.rulesVersion)
+      .map(document => new configDiff.ConfigDiff().compare(base, document))
+      .unwrapOr(undefined)
+  }
+
+  private _keepDocument (state: config.AcceptedState): void {
+    this._documents.delete(state.digest)
+    this._documents.set(state.digest, state.document)
+    const oldest = this._documents.keys().next()
+    if (this._documents.size > KEPT_DOCUMENTS && oldest.done !== true) this._documents.delete(oldest.value)
+  }
+
+  /** A record that could not be judged when it was read may have been judged since. */
+  private _withFirstVerdict (entry: HistoryEntry): HistoryEntry {
+    const verdict = this._log.verdictOf(entry.proposalId)
+    if (entry.verdict !== 'not-judged' || verdict === undefined || verdict.offset !== entry.offset) return entry
+    return { ...entry, verdict: verdict.kind, reason: verdict.reason }
+  }
+
+  private async _printProposal (proposalId: string): Promise<types.ExitCode> {
+    const entries = this._entries.filter(entry => entry.proposalId === proposalId).map(entry => this._withFirstVerdict(entry))
+    const audit = await this._audit(proposalId)
+    const verdict = entries.find(entry => entry.verdict === 'accepted')?.verdict ?? entries[0]?.verdict ?? auditVerdict(audit)
+    const outcome = outcomeOf(verdict)
+    const lines = [`${outcome} (proposal ${proposalId})`, ...entries.flatMap(formatEntry), ...audit.map(entry => `audit: ${JSON.stringify(entry)}`)]
+    if (verdict === undefined) lines.push('Neither the config stream nor the audit stream tells a verdict. The proposal may still arrive, or the log has dropped it. Compare with: elmpost diff FILE')
+    this._output.result({ proposalId, outcome, entries, audit }, lines)
+    return EXIT_CODE_OF[outcome]
+  }
+
+  /** Entries of the audit stream outlive nothing else, so a failure to read them is only a remark. */
+  private async _audit (proposalId: string): Promise<readonly Readonly<Record<string, unknown>>[]> {
+    const found: Array<Readonly<Record<string, unknown>>> = []
+    for (let offset = 0; ;) {
+      const page = await this._client.read('audit', offset)
+      if (page.isErr()) {
+        this._output.note(page.error.message)
+        return found
+      }
+      for (const { data } of page.value.records) {
+        if (isObject(data) && data['proposalId'] === proposalId) found.push(data)
+      }
+      const last = page.value.records.at(-1)
+      if (last === undefined || last.offset < offset) return found
+      offset = last.offset + 1
+    }
+  }
+}
+
+const EXIT_CODE_OF: Readonly<Record<types.ApplyOutcome, types.ExitCode>> = {
+  accepted: types.EXIT_CODES.ok,
+  rejected: types.EXIT_CODES.rejected,
+  unknown: types.EXIT_CODES.unknown
+}
+
+function outcomeOf (verdict: config.VerdictKind | undefined): types.ApplyOutcome {
+  if (verdict === 'accepted') return 'accepted'
+  return verdict === undefined || verdict === 'not-judged' || verdict === 'unsupported-rules' ? 'unknown' : 'rejected'
+}
+
+/** The verdict that readers wrote to the audit stream, for proposals that the config stream has dropped. */
+function auditVerdict (entries: readonly Readonly<Record<string, unknown>>[]): config.VerdictKind | undefined {
+  if (entries.some(entry => entry['kind'] === 'accepted')) return 'accepted'
+  return entries.some(entry => entry['kind'] === 'rejected') ? 'conflict' : undefined
+}
+
+/** Anybody can append to the log, so only records with the right types are listed. */
+function readable (data: unknown): config.ProposalRecord | undefined {
+  if (!isObject(data) || data['kind'] !== 'proposal') return undefined
+  const hasTexts = ['proposalId', 'author', 'baseDigest'].every(name => typeof data[name] === 'string')
+  const hasNumbers = ['version', 'baseVersion', 'proposedAtMs'].every(name => Number.isSafeInteger(data[name]))
+  return hasTexts && hasNumbers ? data as unknown as config.ProposalRecord : undefined
+}
+
+function isObject (value: unknown): value is Readonly<Record<string, unknown>> {
+  return typeof value === 'object' && value !== null
+}
+
+function isoTime (timeMs: number): string {
+  const time = new Date(timeMs)
+  return Number.isNaN(time.getTime()) ? String(timeMs) : time.toISOString()
+}
+
+function formatEntry (entry: HistoryEntry): string[] {
+  const head = `${entry.proposedAt} ${entry.verdict} version ${entry.version} on ${entry.baseVersion} by ${entry.author} (proposal ${entry.proposalId}, offset ${entry.offset})`
+  const changes = entry.changes?.map(change => `    ${configDiff.formatChange(change)}`) ?? ['    (no changes shown: the base is no longer in the log, or the document is not valid)']
+  return [head, ...(entry.verdict === 'accepted' ? [] : [`    ${entry.reason}`]), ...changes]
+}
