--- a/addons/addon-metrics/src/index.ts
+++ b/addons/addon-metrics/src/index.ts
@@ -1,1 +1,1 @@
-export {}
+export * as metricsAddon from './MetricsAddon.js'
--- a/packages/common/src/hosting/Services.ts
+++ b/packages/common/src/hosting/Services.ts
@@ -57,6 +57,8 @@
 export interface ILifecycle {
   readonly isDraining: boolean
   beginDrain(nowMs: base.Millis): void
+  /** Takes work again after a drain that was not followed by a stop. */
+  endDrain?(nowMs: base.Millis): void
   /** True when nothing is queued or running, the key table is handed over or the drain time is over. */
   canExit(nowMs: base.Millis): boolean
   receive(from: base.NodeId, message: messages.HandoverMessage | messages.HandoverAckMessage, nowMs: base.Millis): void
--- a/packages/common/src/hosting/Types.ts
+++ b/packages/common/src/hosting/Types.ts
@@ -27,6 +27,7 @@
   | 'body-too-large'
   | 'too-deep'
   | 'answer-not-kept'
+  | 'bad-request'
   | 'running'
 
 /** Load of a target, carried on every answer of its host node. */
--- a/packages/common/src/node/Messages.ts
+++ b/packages/common/src/node/Messages.ts
@@ -151,6 +151,8 @@
   readonly last: boolean
   readonly retryAfterMs: base.Millis
   readonly load: hosting.LoadReport
+  /** Time from writing the request to the target until the answer was complete; 0 if it was not run. */
+  readonly targetMs: base.Millis
 }
 
 export interface ChunkMessage {
@@ -163,7 +165,14 @@
   readonly failed: boolean
 }
 
-export type CallPathMessage = CallMessage | CancelMessage | AnswerMessage | ChunkMessage
+/** The caller has taken the chunks up to `sequence`; the host sends only a bounded number ahead of it. */
+export interface ChunkCreditMessage {
+  readonly kind: 'chunk-credit'
+  readonly callId: number
+  readonly sequence: number
+}
+
+export type CallPathMessage = CallMessage | CancelMessage | AnswerMessage | ChunkMessage | ChunkCreditMessage
 
 export type ControlMessage =
   | MembershipMessage
--- /dev/null
+++ b/packages/common/src/node/NodeCore.ts
@@ -0,0 +1,108 @@
+import * as disposable from '../base/Disposable.js'
+import type * as base from '../base/Types.js'
+import type * as distributionTypes from '../distribution/Types.js'
+import type * as messages from './Messages.js'
+import type * as routing from '../routing/Types.js'
+import type * as services from './Services.js'
+
+export interface NodeCoreOptions {
+  readonly services: services.NodeServices
+  /** Earliest time at which the node may become ready, so that the keys of its predecessor have been issued. */
+  readonly earliestReadyMs: base.Millis
+}
+
+/**
+ * Composes the services of one node: hands each message to its service and runs the systems in each tick.
+ * The process drains the effects after each call.
+ */
+export class NodeCore extends disposable.Disposable {
+  public readonly services: services.NodeServices
+  private readonly _earliestReadyMs: base.Millis
+
+  constructor (options: NodeCoreOptions) {
+    super()
+    this.services = options.services
+    this._earliestReadyMs = options.earliestReadyMs
+    const { membership, enforcement } = this.services
+    this._register(enforcement.onEnforced(event => { membership.announce({ enforcedVersion: event.version }, event.atMs) }))
+  }
+
+  /** Hands a control message to the service that owns its kind. */
+  public receive (from: base.NodeId, message: messages.ControlMessage, nowMs: base.Millis): void {
+    const { membership, distribution, ownershipTable, lifecycle } = this.services
+    switch (message.kind) {
+      case 'probe':
+      case 'probe-ack':
+        for (const crash of message.crashes) this.services.crashTable.record(crash, nowMs)
+        membership.receive(from, message, nowMs)
+        return
+      case 'probe-request':
+      case 'table-digest':
+      case 'table-rows':
+        membership.receive(from, message, nowMs)
+        return
+      case 'push':
+      case 'pull':
+      case 'state':
+      case 'busy':
+        distribution.receive(from, message, nowMs)
+        return
+      case 'ownership':
+        ownershipTable.merge(message.update)
+        return
+      case 'handover':
+      case 'handover-ack':
+        lifecycle.receive(from, message, nowMs)
+    }
+  }
+
+  public logRead (result: messages.LogReadResult, nowMs: base.Millis): void {
+    if (result.stream === 'ownership') this.services.ownershipLog.logRead(result, nowMs)
+    else this.services.distribution.logRead(result, nowMs)
+  }
+
+  public logAppended (result: messages.LogAppendResult, nowMs: base.Millis): void {
+    if (result.stream === 'ownership') this.services.ownershipLog.logAppended(result, nowMs)
+    else this.services.distribution.logAppended(result, nowMs)
+  }
+
+  /** The target beside the node came up or went down. */
+  public targetChanged (ready: boolean, nowMs: base.Millis): void {
+    const { membership } = this.services
+    if (membership.self.targetReady === ready) return
+    if (ready) membership.announce({ targetReady: true, targetReadySinceMs: nowMs }, nowMs)
+    else membership.announce({ targetReady: false }, nowMs)
+  }
+
+  /** Runs every system once. Returns the final answers of calls whose deadline has passed. */
+  public tick (nowMs: base.Millis): readonly routing.EntryDecision[] {
+    const { membership, distribution, ownershipLog, crashTable, host, lifecycle, entry } = this.services
+    membership.tick(nowMs)
+    distribution.tick(nowMs)
+    ownershipLog.tick(nowMs, distribution.isReader)
+    crashTable.tick(nowMs)
+    host.tick(nowMs)
+    lifecycle.tick(nowMs)
+    this._join(nowMs)
+    return entry.tick(nowMs)
+  }
+
+  /** Whether the node can take calls, and if not, why. */
+  public readiness (nowMs: base.Millis): distributionTypes.Readiness {
+    const { membership, distribution, lifecycle } = this.services
+    const readiness = distribution.readiness(nowMs)
+    if (lifecycle.isDraining) return { ...readiness, ready: false, reason: 'draining' }
+    if (!readiness.ready) return readiness
+    const self = membership.self
+    if (self.state !== 'ready') return { ...readiness, ready: false, reason: 'joining' }
+    if (self.service !== '' && !self.targetReady) return { ...readiness, ready: false, reason: 'target-not-ready' }
+    return readiness
+  }
+
+  private _join (nowMs: base.Millis): void {
+    const { membership, distribution, lifecycle } = this.services
+    if (membership.self.state !== 'joining' || lifecycle.isDraining) return
+    if (nowMs < this._earliestReadyMs || !distribution.readiness(nowMs).ready) return
+    membership.setState('ready', nowMs)
+  }
+}
--- /dev/null
+++ b/packages/node/src/CallerExchange.ts
@@ -0,0 +1,106 @@
+import * as headers from './Headers.js'
+import * as reasons from './Reasons.js'
+import type * as hosting from '@elmpost/common/hosting/Types.js'
+import type * as http from 'node:http'
+import type * as routing from '@elmpost/common/routing/Types.js'
+import type * as services from './Services.js'
+
+const MS_PER_S = 1000
+const VALID_VALUE = /^[\t\x20-\x7e\x80-\xff]*$/
+const VALID_NAME = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+$/
+const NO_BODY = Buffer.alloc(0)
+
+export interface IExchangeOwner {
+  begin(sink: services.ICallSink): services.ICallHandle
+  cancel(call: services.ICallHandle): void
+  drained(call: services.ICallHandle): void
+}
+
+/** One request of a caller and its answer. */
+export class CallerExchange implements services.ICallSink {
+  public request!: routing.EntryRequest
+  private _call: services.ICallHandle | undefined
+  private _isAnswered = false
+
+  constructor (private readonly _response: http.ServerResponse, private readonly _owner: IExchangeOwner) {}
+
+  /** Hands the complete request to the mesh. */
+  public begin (request: routing.EntryRequest): void {
+    this.request = request
+    this._response.on('close', () => { this._closed() })
+    this._call = this._owner.begin(this)
+  }
+
+  /** Refuses a request that was not handed to the mesh. */
+  public refuse (method: string, answer: hosting.FinalAnswer, closes = false): void {
+    this.request = { method, path: '', headers: {}, body: undefined, remainingMs: undefined, key: undefined, depth: 0, attempt: 1 }
+    if (closes) this._response.shouldKeepAlive = false
+    this.answer(answer, undefined)
+  }
+
+  public answer (answer: hosting.FinalAnswer, key: string | undefined): void {
+    this._isAnswered = true
+    if (this._response.destroyed) return
+    if (answer.outcome === 'answered') {
+      const body = answer.body ?? NO_BODY
+      this._writeHead(answer, key, this._lengthOf(answer, body))
+      this._response.end(body)
+      return
+    }
+    const body = answer.body ?? reasons.bodyOf(answer.outcome, answer.reason)
+    this._writeHead(answer, key, body.length)
+    this._response.end(body)
+  }
+
+  public head (answer: hosting.FinalAnswer, key: string | undefined): void {
+    if (this._response.destroyed) return
+    this._writeHead(answer, key, undefined)
+    this._response.on('drain', () => { if (this._call !== undefined) this._owner.drained(this._call) })
+  }
+
+  public chunk (body: Uint8Array): boolean {
+    return this._response.destroyed || this._response.write(body)
+  }
+
+  public end (): void {
+    this._isAnswered = true
+    this._response.end()
+  }
+
+  public destroy (): void {
+    this._isAnswered = true
+    this._response.destroy()
+  }
+
+  private _closed (): void {
+    if (this._call !== undefined && !this._isAnswered) this._owner.cancel(this._call)
+  }
+
+  /** A `HEAD` answer keeps the length that the target gave; 204 and 304 have none. */
+  private _lengthOf (answer: hosting.FinalAnswer, body: Uint8Array): number | undefined {
+    if (this.request.method === 'HEAD' || answer.status === 204 || answer.status === 304) return undefined
+    return body.length
+  }
+
+  private _writeHead (answer: hosting.FinalAnswer, key: string | undefined, lengthBytes: number | undefined): void {
+    const list: (string | string[])[] = []
+    for (const name in answer.headers) {
+      const value = answer.headers[name] ?? ''
+      if (name !== headers.KEY_HEADER && isValid(name, value)) list.push(name, headers.toResponseValue(name, value))
+    }
+    if (answer.outcome !== 'answered') list.push('content-type', 'application/json')
+    if (lengthBytes !== undefined) list.push('content-length', String(lengthBytes))
+    list.push('elmpost-outcome', answer.outcome, 'elmpost-reason', answer.reason)
+    if (answer.retryAfterMs > 0) list.push('retry-after', String(Math.ceil(answer.retryAfterMs / MS_PER_S)))
+    const echoedKey = key ?? answer.headers[headers.KEY_HEADER]
+    if (echoedKey !== undefined) list.push(headers.KEY_HEADER, echoedKey)
+    const isFromTarget = answer.outcome === 'answered' && answer.status >= 200 && answer.status <= 999
+    const status = isFromTarget ? answer.status : reasons.statusOf(answer.outcome, answer.reason)
+    this._response.writeHead(status, list as string[])
+  }
+}
+
+/** Node.js rejects a whole head for one invalid header; such a header is left out instead. */
+function isValid (name: string, value: string): boolean {
+  return VALID_NAME.test(name) && (VALID_VALUE.test(value) || name === 'set-cookie')
+}
--- /dev/null
+++ b/packages/node/src/EntryGateway.ts
@@ -0,0 +1,217 @@
+import type * as base from '@elmpost/common/base/Types.js'
+import type * as hosting from '@elmpost/common/hosting/Types.js'
+import type * as messages from '@elmpost/common/node/Messages.js'
+import type * as nodeServices from '@elmpost/common/node/Services.js'
+import type * as routing from '@elmpost/common/routing/Types.js'
+import type * as routingServices from '@elmpost/common/routing/Services.js'
+import type * as services from './Services.js'
+
+/** A call that entered at this node and has not got its whole answer. */
+interface EntryCall extends services.ICallHandle {
+  callId: number
+  readonly sink: services.ICallSink
+  readonly beganAtMs: number
+  link: services.IPeerLink | undefined
+  key: string | undefined
+  deadlineAtMs: base.Millis
+  /** Next chunk that is expected; -1 until a streamed answer has begun. */
+  nextSequence: number
+  /** The caller is slow; the last chunk is credited when it has caught up. */
+  isCreditDue: boolean
+}
+
+export interface EntryGatewayOptions {
+  readonly entry: routingServices.IEntryCalls
+  readonly links: services.IPeerLinks
+  readonly nowMs: () => base.Millis
+  /** Called after each step, so that the process carries out effects. */
+  readonly stepped: () => void
+  readonly finished: (call: nodeServices.CallFinished) => void
+}
+
+/** Carries out the entry node's decisions: sends calls to hosts and hands answers to callers. */
+export class EntryGateway {
+  private readonly _options: EntryGatewayOptions
+  private readonly _calls = new Map<number, EntryCall>()
+  private _ignoredAnswers = 0
+
+  constructor (options: EntryGatewayOptions) {
+    this._options = options
+  }
+
+  /** Calls without a whole answer. */
+  public get size (): number {
+    return this._calls.size
+  }
+
+  /** Answers that came late or from a node that was not asked. */
+  public get ignoredAnswers (): number {
+    return this._ignoredAnswers
+  }
+
+  /** Starts a call. Returns the handle by which its caller can cancel it. */
+  public begin (sink: services.ICallSink): services.ICallHandle {
+    const decision = this._options.entry.begin(sink.request, this._options.nowMs())
+    const call: EntryCall = {
+      callId: decision.callId,
+      sink,
+      beganAtMs: performance.now(),
+      link: undefined,
+      key: sink.request.key,
+      deadlineAtMs: 0,
+      nextSequence: -1,
+      isCreditDue: false
+    }
+    this._calls.set(decision.callId, call)
+    this._carryOut(call, decision)
+    this._options.stepped()
+    return call
+  }
+
+  /** Takes the head of an answer. Answers of nodes that were not asked are ignored. */
+  public answered (link: services.IPeerLink, answer: messages.AnswerMessage): void {
+    const call = this._calls.get(answer.callId)
+    if (call === undefined || call.link !== link || call.nextSequence >= 0) {
+      this._ignoredAnswers++
+      return
+    }
+    const decision = this._options.entry.answered(answer.callId, link.nodeId, answer, this._options.nowMs())
+    if (decision === undefined) this._ignoredAnswers++
+    else if (decision.kind === 'answer' && !answer.last && answer.outcome === 'answered') this._beginStream(call, decision.answer)
+    else this._carryOut(call, decision, answer.targetMs)
+    this._options.stepped()
+  }
+
+  /** Takes a part of a streamed answer. */
+  public chunk (link: services.IPeerLink, chunk: messages.ChunkMessage): void {
+    const call = this._calls.get(chunk.callId)
+    if (call === undefined || call.link !== link || call.nextSequence < 0) return
+    if (chunk.failed || chunk.sequence !== call.nextSequence) {
+      this._breakStream(call, 'target-lost')
+      return
+    }
+    call.nextSequence++
+    const isTaken = chunk.body === undefined || call.sink.chunk(chunk.body)
+    if (chunk.last) {
+      call.sink.end()
+      this._forget(call)
+      this._report(call, 'answered', 'ok', 0)
+    } else if (isTaken) {
+      link.send({ kind: 'chunk-credit', callId: call.callId, sequence: chunk.sequence })
+    } else {
+      call.isCreditDue = true
+    }
+  }
+
+  /** A slow caller has taken what was written to it. */
+  public drained (handle: services.ICallHandle): void {
+    const call = this._calls.get(handle.callId)
+    if (call === undefined || !call.isCreditDue) return
+    call.isCreditDue = false
+    call.link?.send({ kind: 'chunk-credit', callId: call.callId, sequence: call.nextSequence - 1 })
+  }
+
+  /** A send did not bring an answer. */
+  public failed (callId: number, failure: routing.SendFailure, from: services.IPeerLink | undefined): void {
+    const call = this._calls.get(callId)
+    if (call === undefined || call.link !== from) return
+    if (call.nextSequence >= 0) {
+      this._breakStream(call, 'peer-lost')
+      return
+    }
+    const decision = this._options.entry.failed(callId, failure, this._options.nowMs())
+    if (decision !== undefined) this._carryOut(call, decision)
+    this._options.stepped()
+  }
+
+  /** The caller is gone. */
+  public cancel (handle: services.ICallHandle): void {
+    const { callId } = handle
+    const call = this._calls.get(callId)
+    if (call === undefined) return
+    if (call.nextSequence < 0) this._options.entry.cancel(callId, this._options.nowMs())
+    call.link?.send({ kind: 'cancel', callId })
+    this._forget(call)
+    this._report(call, 'unknown', 'canceled', 0)
+    this._options.stepped()
+  }
+
+  /** Carries out decisions on calls whose deadline has passed. */
+  public expire (decisions: readonly routing.EntryDecision[]): void {
+    for (const decision of decisions) {
+      const call = this._calls.get(decision.callId)
+      if (call === undefined) continue
+      if (decision.kind === 'answer') call.link?.send({ kind: 'cancel', callId: call.callId })
+      this._carryOut(call, decision)
+    }
+  }
+
+  private _carryOut (call: EntryCall, decision: routing.EntryDecision, targetMs = 0): void {
+    if (decision.kind === 'answer') this._answer(call, decision.answer, targetMs)
+    else this._send(call, decision)
+  }
+
+  private _answer (call: EntryCall, answer: hosting.FinalAnswer, targetMs: number): void {
+    this._forget(call)
+    call.sink.answer(answer, call.key)
+    this._report(call, answer.outcome, answer.reason, targetMs)
+  }
+
+  private _send (call: EntryCall, decision: routing.EntryDecision & { readonly kind: 'send' }): void {
+    call.link?.release(call.callId)
+    if (decision.callId !== call.callId) {
+      this._calls.delete(call.callId)
+      call.callId = decision.callId
+      this._calls.set(call.callId, call)
+    }
+    call.key = decision.key
+    call.deadlineAtMs = decision.deadlineAtMs
+    const link = this._options.links.linkTo(decision.to, decision.address)
+    call.link = link
+    const status = link.sendCall(this._messageOf(call, decision))
+    if (status === 'not-sent') this.failed(call.callId, 'not-sent', link)
+  }
+
+  private _messageOf (call: EntryCall, decision: routing.EntryDecision & { readonly kind: 'send' }): messages.CallMessage {
+    const { request } = call.sink
+    const nowMs = this._options.nowMs()
+    return {
+      kind: 'call',
+      callId: decision.callId,
+      route: decision.route.name,
+      service: decision.route.service,
+      version: decision.version,
+      method: request.method,
+      path: request.path,
+      headers: request.headers,
+      body: request.body,
+      remainingMs: decision.deadlineAtMs - nowMs,
+      sentAtMs: nowMs,
+      key: decision.key,
+      fingerprint: decision.fingerprint,
+      depth: request.depth,
+      attempt: Math.max(decision.attempt, request.attempt)
+    }
+  }
+
+  private _beginStream (call: EntryCall, answer: hosting.FinalAnswer): void {
+    call.nextSequence = 0
+    call.sink.head(answer, call.key)
+  }
+
+  private _breakStream (call: EntryCall, reason: hosting.OutcomeReason): void {
+    call.sink.destroy()
+    call.link?.send({ kind: 'cancel', callId: call.callId })
+    this._forget(call)
+    this._report(call, 'unknown', reason, 0)
+  }
+
+  private _forget (call: EntryCall): void {
+    this._calls.delete(call.callId)
+    call.link?.release(call.callId)
+  }
+
+  private _report (call: EntryCall, outcome: hosting.Outcome, reason: hosting.OutcomeReason, targetMs: number): void {
+    this._options.finished({ outcome, reason, totalMs: performance.now() - call.beganAtMs, targetMs })
+  }
+}
--- /dev/null
+++ b/packages/node/src/HostGateway.ts
@@ -0,0 +1,208 @@
+import * as hostRun from './HostRun.js'
+import type * as base from '@elmpost/common/base/Types.js'
+import type * as hosting from '@elmpost/common/hosting/Types.js'
+import type * as hostingServices from '@elmpost/common/hosting/Services.js'
+import type * as messages from '@elmpost/common/node/Messages.js'
+import type * as services from './Services.js'
+import type * as types from './Types.js'
+
+export interface HostGatewayOptions {
+  readonly nodeId: base.NodeId
+  readonly host: hostingServices.IHostCalls
+  readonly links: services.IPeerLinks
+  readonly nowMs: () => base.Millis
+  /** Called after each step, so that the process carries out effects. */
+  readonly stepped: () => void
+  /** A reason to log a call. */
+  readonly targetDied: (call: messages.CallMessage) => void
+}
+
+/** Carries out the host's decisions: runs calls on the target or delegates them, and answers everyone who waits. */
+export class HostGateway implements types.IRunListener {
+  private readonly _options: HostGatewayOptions
+  private readonly _runs = new Map<number, hostRun.HostRun>()
+  private _runner: services.ITargetRunner | undefined
+
+  constructor (options: HostGatewayOptions) {
+    this._options = options
+  }
+
+  /** Runs without a whole answer. */
+  public get size (): number {
+    return this._runs.size
+  }
+
+  public setRunner (runner: services.ITargetRunner): void {
+    this._runner = runner
+  }
+
+  /** Takes a call from an entry node or from the owner of its key. */
+  public accept (link: services.IPeerLink, call: messages.CallMessage): void {
+    const nowMs = this._options.nowMs()
+    const decision = this._options.host.accept(link.nodeId, call, nowMs)
+    switch (decision.kind) {
+      case 'answer':
+        hostRun.reply(link, call.callId, decision.answer, this._options.host.load, 0)
+        break
+      case 'join':
+        this._join(link, call, decision.runId)
+        break
+      case 'run':
+        this._begin(link, call, decision.runId, nowMs, decision.latestStartMs)
+        break
+      case 'delegate':
+        this._delegate(link, call, decision, nowMs)
+    }
+    this._options.stepped()
+  }
+
+  /** The caller of a run is gone, or an entry node has given it up. */
+  public cancel (link: services.IPeerLink, callId: number): void {
+    const runId = link.runs.get(callId)
+    if (runId === undefined) return
+    link.runs.delete(callId)
+    const run = this._runs.get(runId)
+    if (run === undefined) return
+    const mayResume = run.leave(link, callId)
+    if (!run.hasWaiters && this._options.host.cancel(runId, this._options.nowMs())) this._abort(run)
+    else if (mayResume) this._runner?.resume(runId)
+    this._options.stepped()
+  }
+
+  /** The connection to an entry node is gone: nobody waits there any more. */
+  public linkLost (link: services.IPeerLink): void {
+    for (const callId of [...link.runs.keys()]) this.cancel(link, callId)
+  }
+
+  /** A caller has taken the chunks up to `sequence`. */
+  public credit (link: services.IPeerLink, callId: number, sequence: number): void {
+    const runId = link.runs.get(callId)
+    if (runId === undefined) return
+    const run = this._runs.get(runId)
+    if (run === undefined || !run.credit(link, callId, sequence)) return
+    if (run.delegate === undefined) this._runner?.resume(runId)
+    else run.delegate.send({ kind: 'chunk-credit', callId: -runId, sequence })
+  }
+
+  /** Takes the answer of a node that was asked to run a call for this owner. */
+  public delegateAnswered (link: services.IPeerLink, answer: messages.AnswerMessage): void {
+    const run = this._delegatedRun(link, answer.callId)
+    if (run === undefined) return
+    if (answer.outcome === 'not-run') this._finish(run, { kind: 'not-started', reason: answer.reason }, 0)
+    else if (answer.outcome === 'unknown') this._finish(run, { kind: 'lost', reason: answer.reason, targetDied: false }, 0)
+    else if (!answer.last) run.head(answer.status, answer.headers, this._options.host.load)
+    else this.whole(run.request, answer.status, answer.headers, answer.body, answer.targetMs)
+  }
+
+  /** Takes a part of a streamed answer of a delegated run. */
+  public delegateChunk (link: services.IPeerLink, chunk: messages.ChunkMessage): void {
+    const run = this._delegatedRun(link, chunk.callId)
+    if (run === undefined) return
+    if (chunk.failed) {
+      this._finish(run, { kind: 'lost', reason: 'target-lost', targetDied: false }, 0)
+      return
+    }
+    const isTaken = chunk.body === undefined || run.chunk(chunk.body)
+    if (chunk.last) this.ended(run.request, 0)
+    else if (isTaken) link.send({ kind: 'chunk-credit', callId: chunk.callId, sequence: chunk.sequence })
+  }
+
+  /** A delegated call did not bring an answer. */
+  public delegateFailed (link: services.IPeerLink, callId: number, failure: 'not-sent' | 'peer-lost'): void {
+    const run = this._delegatedRun(link, callId)
+    if (run === undefined) return
+    const result: hosting.RunResult = failure === 'not-sent'
+      ? { kind: 'not-started', reason: 'overloaded' }
+      : { kind: 'lost', reason: 'peer-lost', targetDied: false }
+    this._finish(run, result, 0)
+  }
+
+  public tick (nowMs: base.Millis): void {
+    this._runner?.tick(nowMs)
+    for (const run of this._runs.values()) {
+      if (run.delegate === undefined || nowMs < run.request.deadlineAtMs) continue
+      this._finish(run, { kind: 'lost', reason: 'deadline', targetDied: false }, 0)
+    }
+  }
+
+  public starting (request: types.TargetRequest): boolean {
+    return this._options.host.start(request.runId, this._options.nowMs())
+  }
+
+  public whole (request: types.TargetRequest, status: number, headers: Record<string, string>, body: Uint8Array | undefined, serviceMs: number): void {
+    const run = this._runs.get(request.runId)
+    if (run !== undefined) this._finish(run, { kind: 'answered', status, headers, body, streamed: false, serviceMs }, serviceMs)
+  }
+
+  public head (request: types.TargetRequest, status: number, headers: Record<string, string>): void {
+    this._runs.get(request.runId)?.head(status, headers, this._options.host.load)
+  }
+
+  public chunk (request: types.TargetRequest, body: Uint8Array): boolean {
+    return this._runs.get(request.runId)?.chunk(body) ?? true
+  }
+
+  public ended (request: types.TargetRequest, serviceMs: number): void {
+    const run = this._runs.get(request.runId)
+    if (run === undefined) return
+    const { status, headers } = run
+    this._finish(run, { kind: 'answered', status, headers, body: undefined, streamed: true, serviceMs }, serviceMs)
+  }
+
+  public failed (request: types.TargetRequest, result: hosting.RunResult): void {
+    const run = this._runs.get(request.runId)
+    if (run === undefined) return
+    if (result.kind === 'lost' && result.targetDied) this._options.targetDied(run.call)
+    this._finish(run, result, 0)
+  }
+
+  private _join (link: services.IPeerLink, call: messages.CallMessage, runId: number): void {
+    const run = this._runs.get(runId)
+    if (run?.join(link, call.callId) === true) link.runs.set(call.callId, runId)
+    else hostRun.replyNotKept(link, call.callId, this._options.host.load)
+  }
+
+  private _begin (link: services.IPeerLink, call: messages.CallMessage, runId: number, nowMs: base.Millis, latestStartMs: base.Millis): hostRun.HostRun {
+    const run = new hostRun.HostRun(runId, call, latestStartMs, nowMs + call.remainingMs)
+    this._runs.set(runId, run)
+    run.join(link, call.callId)
+    link.runs.set(call.callId, runId)
+    if (this._runner === undefined) this._finish(run, { kind: 'not-started', reason: 'no-target' }, 0)
+    else this._runner.run(run.request)
+    return run
+  }
+
+  private _delegate (link: services.IPeerLink, call: messages.CallMessage, decision: hosting.HostDecision & { readonly kind: 'delegate' }, nowMs: base.Millis): void {
+    const { runId } = decision
+    const run = new hostRun.HostRun(runId, call, nowMs, nowMs + call.remainingMs)
+    this._runs.set(runId, run)
+    run.join(link, call.callId)
+    link.runs.set(call.callId, runId)
+    const delegate = this._options.links.linkTo(decision.to, decision.address)
+    run.delegate = delegate
+    const status = delegate.sendCall({ ...call, callId: -runId, sentAtMs: nowMs, delegatedBy: this._options.nodeId })
+    if (status === 'not-sent') this.delegateFailed(delegate, -runId, 'not-sent')
+  }
+
+  private _delegatedRun (link: services.IPeerLink, callId: number): hostRun.HostRun | undefined {
+    const run = this._runs.get(-callId)
+    return run?.delegate === link ? run : undefined
+  }
+
+  private _abort (run: hostRun.HostRun): void {
+    if (run.delegate === undefined) {
+      this._runner?.abort(run.runId, 'canceled')
+      return
+    }
+    run.delegate.send({ kind: 'cancel', callId: -run.runId })
+    this._finish(run, { kind: 'lost', reason: 'canceled', targetDied: false }, 0)
+  }
+
+  private _finish (run: hostRun.HostRun, result: hosting.RunResult, targetMs: number): void {
+    this._runs.delete(run.runId)
+    run.delegate?.release(-run.runId)
+    const answer = this._options.host.finish(run.runId, result, this._options.nowMs())
+    run.finish(answer, result.kind === 'answered', this._options.host.load, targetMs)
+    this._options.stepped()
+  }
+}
--- /dev/null
+++ b/packages/node/src/LogAnswers.ts
@@ -0,0 +1,58 @@
+/** Defensive decoding of the log service's answers. */
+import * as errors from './Errors.js'
+import * as jsonSchema from '@elmpost/common/base/JsonSchema.js'
+import * as results from 'ts-results-es'
+import type * as messages from '@elmpost/common/node/Messages.js'
+
+type Page = Pick<messages.LogReadResult, 'records' | 'firstOffset' | 'nextOffset' | 'retentionMs'>
+
+const OFFSET = { type: 'integer', minimum: 0 }
+const PAGE_SCHEMA = {
+  type: 'object',
+  required: ['records', 'firstOffset', 'nextOffset'],
+  properties: {
+    records: {
+      type: 'array',
+      items: { type: 'object', required: ['offset', 'data'], properties: { offset: OFFSET } }
+    },
+    firstOffset: OFFSET,
+    nextOffset: OFFSET,
+    retentionMs: { type: 'number', minimum: 0 }
+  }
+}
+const APPENDED_SCHEMA = { type: 'object', required: ['offset'], properties: { offset: OFFSET } }
+
+const schemas = new jsonSchema.JsonSchema({ allErrors: false })
+const checkPage = schemas.compile(PAGE_SCHEMA)
+const checkAppended = schemas.compile(APPENDED_SCHEMA)
+
+/** Decodes a page of records, whose offsets must ascend. */
+export function decodePage (text: string): results.Result<Page, errors.LogAnswerError> {
+  const decoded = decode(text, checkPage)
+  if (decoded.isErr()) return decoded
+  const { records, firstOffset, nextOffset, retentionMs = 0 } = decoded.value as Page
+  for (let i = 1; i < records.length; i++) {
+    if ((records[i]?.offset ?? 0) <= (records[i - 1]?.offset ?? 0)) return refuse('the offsets of its records do not ascend')
+  }
+  return new results.Ok({ records, firstOffset, nextOffset, retentionMs })
+}
+
+/** Decodes the answer to an append into the offset of the record. */
+export function decodeAppended (text: string): results.Result<number, errors.LogAnswerError> {
+  const decoded = decode(text, checkAppended)
+  return decoded.isErr() ? decoded : new results.Ok((decoded.value as { offset: number }).offset)
+}
+
+function decode (text: string, check: jsonSchema.Check): results.Result<unknown, errors.LogAnswerError> {
+  let value: unknown
+  try {
+    value = JSON.parse(text)
+  } catch {
+    return refuse('its body is not JSON')
+  }
+  return check(value) ? new results.Ok(value) : refuse(schemas.describe(check))
+}
+
+function refuse (detail: string): results.Err<errors.LogAnswerError> {
+  return new results.Err(new errors.LogAnswerError(detail))
+}
--- /dev/null
+++ b/packages/node/src/MessageSchemas.ts
@@ -0,0 +1,117 @@
+/** JSON Schemas of the messages between nodes. `isBytes` is a keyword of `PeerCodec`. */
+import type * as messages from '@elmpost/common/node/Messages.js'
+
+type Schema = Readonly<Record<string, unknown>>
+
+const TEXT: Schema = { type: 'string', maxLength: 4096 }
+const PATH: Schema = { type: 'string', maxLength: 65_536 }
+const COUNT: Schema = { type: 'integer', minimum: 0 }
+const INTEGER: Schema = { type: 'integer' }
+const NUMBER: Schema = { type: 'number' }
+const FLAG: Schema = { type: 'boolean' }
+const BYTES: Schema = { isBytes: true }
+const OBJECT: Schema = { type: 'object' }
+const HEADERS: Schema = { type: 'object', additionalProperties: { type: 'string' } }
+const OUTCOME: Schema = { enum: ['answered', 'not-run', 'unknown'] }
+
+const LOAD = object({ inFlight: COUNT, queued: COUNT, slots: COUNT })
+
+const ROW = object({
+  nodeId: TEXT,
+  incarnation: COUNT,
+  state: { enum: ['joining', 'ready', 'draining', 'left', 'suspect', 'dead'] },
+  peerAddress: TEXT,
+  callerAddress: TEXT,
+  zone: TEXT,
+  service: TEXT,
+  targetReady: FLAG,
+  targetReadySinceMs: NUMBER,
+  enforcedVersion: COUNT,
+  adminAddress: TEXT,
+  revision: COUNT,
+  successor: TEXT
+})
+const ROWS: Schema = { type: 'array', items: ROW }
+
+const CRASH = object({ key: TEXT, fingerprint: TEXT, nodeId: TEXT, atMs: NUMBER, concurrent: COUNT })
+const CRASHES: Schema = { type: 'array', items: CRASH }
+
+const STATE = object({ version: COUNT, digest: TEXT, rulesVersion: COUNT, document: OBJECT })
+const DELTA = object({
+  version: COUNT,
+  rulesVersion: COUNT,
+  baseVersion: COUNT,
+  baseDigest: TEXT,
+  digest: TEXT,
+  patch: { type: 'array', items: OBJECT }
+})
+
+const OWNER = object({ nodeId: TEXT, incarnation: COUNT })
+const ENTRY = object({ service: TEXT, partition: COUNT, startsAtMs: NUMBER, owner: OWNER })
+const OWNERSHIP = object({
+  tableVersion: COUNT,
+  horizonMs: NUMBER,
+  sinceVersion: COUNT,
+  entries: { type: 'array', items: ENTRY }
+})
+
+const HANDOVER_KEY = object({
+  key: TEXT,
+  service: TEXT,
+  fingerprint: TEXT,
+  state: { enum: ['running', 'answered', 'refused', 'unknown'] },
+  status: COUNT,
+  headers: HEADERS
+}, { body: BYTES })
+const HANDOVER = object({ from: OWNER, atMs: NUMBER, keys: { type: 'array', items: HANDOVER_KEY } })
+
+const PROBE_FIELDS = { sequence: COUNT, version: COUNT, updates: ROWS, crashes: CRASHES }
+
+export const MESSAGE_SCHEMAS: Readonly<Record<messages.PeerMessage['kind'], Schema>> = {
+  hello: object({ nodeId: TEXT, incarnation: COUNT, zone: TEXT, version: COUNT, sentAtMs: NUMBER }),
+  probe: object(PROBE_FIELDS),
+  'probe-request': object({ sequence: COUNT, target: TEXT }),
+  'probe-ack': object({ ...PROBE_FIELDS, target: TEXT }),
+  'table-digest': object({ buckets: { type: 'array', items: INTEGER } }),
+  'table-rows': object({ rows: ROWS, wantedBuckets: { type: 'array', items: COUNT } }),
+  push: object({ version: COUNT, rootId: TEXT }, { delta: DELTA, state: STATE, ownership: OWNERSHIP }),
+  pull: object({ haveVersion: COUNT, haveDigest: TEXT, haveOwnershipVersion: COUNT }),
+  state: object({ version: COUNT }, { delta: DELTA, state: STATE, ownership: OWNERSHIP }),
+  busy: object({ retryAfterMs: NUMBER }),
+  ownership: object({ update: OWNERSHIP }),
+  handover: object({ handover: HANDOVER }),
+  'handover-ack': object({ fromNodeId: TEXT, incarnation: COUNT }),
+  call: object({
+    callId: INTEGER,
+    route: TEXT,
+    service: TEXT,
+    version: COUNT,
+    method: TEXT,
+    path: PATH,
+    headers: HEADERS,
+    remainingMs: NUMBER,
+    sentAtMs: NUMBER,
+    fingerprint: TEXT,
+    depth: COUNT,
+    attempt: COUNT
+  }, { body: BYTES, key: TEXT, delegatedBy: TEXT }),
+  cancel: object({ callId: INTEGER }),
+  answer: object({
+    callId: INTEGER,
+    outcome: OUTCOME,
+    reason: TEXT,
+    status: COUNT,
+    headers: HEADERS,
+    last: FLAG,
+    retryAfterMs: NUMBER,
+    load: LOAD,
+    targetMs: NUMBER
+  }, { body: BYTES }),
+  chunk: object({ callId: INTEGER, sequence: COUNT, last: FLAG, failed: FLAG }, { body: BYTES }),
+  'chunk-credit': object({ callId: INTEGER, sequence: COUNT })
+}
+
+/** Unknown fields are allowed, so that a newer version of elmpost can add some. */
+function object (required: Readonly<Record<string, Schema>>, optional: Readonly<Record<string, Schema>> = {}): Schema {
+  return { type: 'object', required: Object.keys(required), properties: { ...required, ...optional } }
+}
--- /dev/null
+++ b/packages/node/src/NodeRuntime.ts
@@ -0,0 +1,169 @@
+import * as entryGateway from './EntryGateway.js'
+import * as hostGateway from './HostGateway.js'
+import * as localLink from './LocalLink.js'
+import * as nodeEvents from './NodeEvents.js'
+import * as peerCodec from './PeerCodec.js'
+import * as peerLinks from './PeerLinks.js'
+import type * as base from '@elmpost/common/base/Types.js'
+import type * as messages from '@elmpost/common/node/Messages.js'
+import type * as nodeCore from '@elmpost/common/node/NodeCore.js'
+import type * as nodeServices from '@elmpost/common/node/Services.js'
+import type * as services from './Services.js'
+
+export interface NodeRuntimeOptions {
+  readonly core: nodeCore.NodeCore
+  readonly effects: nodeServices.IEffectQueue
+  readonly logClient: services.ILogClient
+  readonly logger: services.ILogger
+  readonly random: base.IRandom
+  readonly nowMs: () => base.Millis
+}
+
+/** Connects the core to links, gateways and the log: hands messages in and carries effects out. */
+export class NodeRuntime implements services.ILinkReceiver, base.IDisposable {
+  public readonly events = new nodeEvents.NodeEvents()
+  public readonly links: peerLinks.PeerLinks
+  public readonly entry: entryGateway.EntryGateway
+  public readonly host: hostGateway.HostGateway
+  private readonly _options: NodeRuntimeOptions
+
+  constructor (options: NodeRuntimeOptions) {
+    this._options = options
+    const { core, logger, random, nowMs } = options
+    const { membership, entry, host } = core.services
+    const nodeId = membership.self.nodeId
+    const stepped = (): void => { this._carryOut() }
+    this.links = new peerLinks.PeerLinks({
+      local: new localLink.LocalLink(nodeId, this),
+      hello: () => this._hello(),
+      codec: new peerCodec.PeerCodec(),
+      receiver: this,
+      random,
+      nowMs,
+      logger
+    })
+    this.entry = new entryGateway.EntryGateway({
+      entry,
+      links: this.links,
+      nowMs,
+      stepped,
+      finished: call => { this.events.fireCallFinished(call) }
+    })
+    this.host = new hostGateway.HostGateway({
+      nodeId,
+      host,
+      links: this.links,
+      nowMs,
+      stepped,
+      targetDied: call => { logger.log('error', 'target-died', { requestId: call.key, route: call.route, path: call.path }) }
+    })
+    membership.onChange(change => {
+      if (change.current.state === 'dead') this.links.terminate(change.current.nodeId)
+    })
+  }
+
+  /** Runs every system once. */
+  public tick (): void {
+    const nowMs = this._options.nowMs()
+    this.entry.expire(this._options.core.tick(nowMs))
+    this.host.tick(nowMs)
+    this.links.tick(nowMs)
+    this._carryOut()
+  }
+
+  public targetChanged (ready: boolean): void {
+    this._options.core.targetChanged(ready, this._options.nowMs())
+    this._carryOut()
+  }
+
+  public received (link: services.IPeerLink, message: messages.PeerMessage): void {
+    switch (message.kind) {
+      case 'call':
+        this.host.accept(link, message)
+        return
+      case 'answer':
+        // Calls that this node delegates have negative ids.
+        if (message.callId < 0) this.host.delegateAnswered(link, message)
+        else this.entry.answered(link, message)
+        return
+      case 'chunk':
+        if (message.callId < 0) this.host.delegateChunk(link, message)
+        else this.entry.chunk(link, message)
+        return
+      case 'cancel':
+        this.host.cancel(link, message.callId)
+        return
+      case 'chunk-credit':
+        this.host.credit(link, message.callId, message.sequence)
+        return
+      case 'hello':
+        return
+      default:
+        this._options.core.receive(link.nodeId, message, this._options.nowMs())
+        this._carryOut()
+    }
+  }
+
+  public lost (link: services.IPeerLink, calls: Iterable<number>, unsent: readonly messages.CallMessage[], planned: boolean): void {
+    this.host.linkLost(link)
+    for (const call of unsent) this._failed(link, call.callId, 'not-sent')
+    // After a planned close the peer accepts no call that was still on its way.
+    for (const callId of [...calls]) this._failed(link, callId, planned ? 'not-sent' : 'peer-lost')
+    if (planned || link.nodeId === '') return
+    this._options.logger.log('debug', 'peer-lost', { peer: link.nodeId })
+    this._options.core.services.membership.connectionLost(link.nodeId, this._options.nowMs())
+    this._carryOut()
+  }
+
+  public refused (link: services.IPeerLink, error: Error): void {
+    this._options.logger.log('warn', 'peer-message-refused', { peer: link.nodeId, problem: error.message })
+    this.events.fireMessageRefused({ source: 'peer', reason: error.message })
+  }
+
+  public bytes (direction: 'sent' | 'received', kind: messages.PeerMessage['kind'], bytes: number): void {
+    this.events.fireBytes(direction, kind, bytes)
+  }
+
+  public dispose (): void {
+    this.links.dispose()
+    this.events.dispose()
+  }
+
+  private _failed (link: services.IPeerLink, callId: number, failure: 'not-sent' | 'peer-lost'): void {
+    if (callId < 0) this.host.delegateFailed(link, callId, failure)
+    else this.entry.failed(callId, failure, link)
+  }
+
+  private _carryOut (): void {
+    if (this._options.effects.length === 0) return
+    for (const effect of this._options.effects.drain()) {
+      if (effect.kind === 'send') this.links.sendControl(effect.to, effect.address, effect.message)
+      else if (effect.kind === 'read-log') this._run(this._readLog(effect))
+      else this._run(this._appendLog(effect))
+    }
+  }
+
+  private async _readLog (effect: messages.Effect & { readonly kind: 'read-log' }): Promise<void> {
+    const result = await this._options.logClient.read(effect.stream, effect.fromOffset, effect.limit, effect.waitMs)
+    if (!result.ok) this._options.logger.log('debug', 'log-read-failed', { stream: effect.stream })
+    this._options.core.logRead(result, this._options.nowMs())
+    this._carryOut()
+  }
+
+  private async _appendLog (effect: messages.Effect & { readonly kind: 'append-log' }): Promise<void> {
+    const result = await this._options.logClient.append(effect.stream, effect.requestId, effect.data)
+    if (result.status !== 'appended') this._options.logger.log('warn', 'log-append-failed', { stream: effect.stream, requestId: effect.requestId, status: result.status })
+    this._options.core.logAppended(result, this._options.nowMs())
+    this._carryOut()
+  }
+
+  /** The log client never rejects, so a rejection is a fault of the core. */
+  private _run (work: Promise<void>): void {
+    work.catch(error => { this._options.logger.log('error', 'unexpected-error', { problem: String(error) }) })
+  }
+
+  private _hello (): messages.HelloMessage {
+    const { nodeId, incarnation, zone, enforcedVersion } = this._options.core.services.membership.self
+    return { kind: 'hello', nodeId, incarnation, zone, version: enforcedVersion, sentAtMs: this._options.nowMs() }
+  }
+}
--- /dev/null
+++ b/packages/node/src/PeerServer.ts
@@ -0,0 +1,42 @@
+import * as addresses from './Addresses.js'
+import * as http from 'node:http'
+import * as peerLinks from './PeerLinks.js'
+import * as ws from 'ws'
+import type * as base from '@elmpost/common/base/Types.js'
+import type * as types from './Types.js'
+
+export interface PeerServerOptions {
+  readonly address: types.Address
+  readonly accept: (socket: ws.WebSocket) => void
+}
+
+/** Accepts connections of other nodes. */
+export class PeerServer implements base.IDisposable {
+  private readonly _options: PeerServerOptions
+  private readonly _http = http.createServer()
+  private readonly _server: ws.WebSocketServer
+
+  constructor (options: PeerServerOptions) {
+    this._options = options
+    this._server = new ws.WebSocketServer({
+      server: this._http,
+      perMessageDeflate: false,
+      clientTracking: false,
+      maxPayload: peerLinks.MAX_MESSAGE_BYTES,
+      skipUTF8Validation: true
+    })
+    this._server.on('connection', options.accept)
+    // The listening promise reports the error.
+    this._server.on('error', () => {})
+  }
+
+  /** Listens and returns the port. */
+  public listen (): Promise<number> {
+    return addresses.listen(this._http, this._options.address)
+  }
+
+  public dispose (): void {
+    this._server.close()
+    this._http.close()
+  }
+}
--- /dev/null
+++ b/packages/node/src/Services.ts
@@ -0,0 +1,78 @@
+/** Interfaces between the parts of the node process. */
+import type * as base from '@elmpost/common/base/Types.js'
+import type * as hosting from '@elmpost/common/hosting/Types.js'
+import type * as messages from '@elmpost/common/node/Messages.js'
+import type * as routing from '@elmpost/common/routing/Types.js'
+import type * as types from './Types.js'
+
+/** Writes structured log lines. */
+export interface ILogger {
+  isEnabled(level: types.LogLevel): boolean
+  /** `event` is a message kind that `docs/operators.md` lists. */
+  log(level: types.LogLevel, event: string, context?: types.LogContext): void
+}
+
+/** A connection to another node, or this node itself. Carries calls and control messages in both directions. */
+export interface IPeerLink {
+  readonly nodeId: base.NodeId
+  /** Runs on this host that the node at the other end asked for, by its call id. */
+  readonly runs: Map<number, number>
+  /** Writes a call and tracks it until `release`, or queues it until the connection is open. */
+  sendCall(call: messages.CallMessage): types.SendStatus
+  /** The call has its final answer or is given up. */
+  release(callId: number): void
+  /** Writes a message at once. False if it was certainly not written. */
+  send(message: messages.PeerMessage): boolean
+}
+
+/** Opens connections to other nodes when they are needed. */
+export interface IPeerLinks {
+  linkTo(nodeId: base.NodeId, address: string): IPeerLink
+  sendControl(to: base.NodeId, address: string, message: messages.ControlMessage): void
+}
+
+/** Takes the messages of links. */
+export interface ILinkReceiver {
+  received(link: IPeerLink, message: messages.PeerMessage): void
+  /** The connection is gone; `calls` were sent on it and have no final answer, `unsent` were never written. */
+  lost(link: IPeerLink, calls: Iterable<number>, unsent: readonly messages.CallMessage[], planned: boolean): void
+  refused(link: IPeerLink, error: Error): void
+  /** Counts bytes of the traffic between nodes. */
+  bytes(direction: 'sent' | 'received', kind: messages.PeerMessage['kind'], bytes: number): void
+}
+
+/** Runs requests on the target. */
+export interface ITargetRunner {
+  run(request: types.TargetRequest): void
+  /** Drops a queued request or aborts a started one. */
+  abort(runId: number, reason: hosting.OutcomeReason): void
+  /** Continues a streamed answer that its listener has paused. */
+  resume(runId: number): void
+  setLimits(slots: number, connections: number): void
+  tick(nowMs: base.Millis): void
+}
+
+/** Names a call that entered at this node. Its id changes when it is sent again. */
+export interface ICallHandle {
+  readonly callId: number
+}
+
+/** The caller's side of one call. */
+export interface ICallSink {
+  readonly request: routing.EntryRequest
+  /** Sends a whole answer. */
+  answer(answer: hosting.FinalAnswer, key: string | undefined): void
+  /** Sends the head of a streamed answer. */
+  head(answer: hosting.FinalAnswer, key: string | undefined): void
+  /** Sends a part of a streamed body. False if the caller is slow; `EntryGateway.drained` follows. */
+  chunk(body: Uint8Array): boolean
+  end(): void
+  /** Destroys the caller's connection, so that a truncated answer cannot be taken for a complete one. */
+  destroy(): void
+}
+
+/** Client of the log service. */
+export interface ILogClient extends base.IDisposable {
+  read(stream: messages.StreamName, fromOffset: number, limit: number, waitMs: base.Millis): Promise<messages.LogReadResult>
+  append(stream: messages.StreamName, requestId: string, data: unknown): Promise<messages.LogAppendResult>
+}
--- /dev/null
+++ b/packages/node/src/Settings.ts
@@ -0,0 +1,140 @@
+import * as addresses from './Addresses.js'
+import * as errors from './Errors.js'
+import * as fs from 'node:fs'
+import * as jsonSchema from '@elmpost/common/base/JsonSchema.js'
+import * as results from 'ts-results-es'
+import type * as types from './Types.js'
+
+const ENVIRONMENT_PREFIX = 'ELMPOST_'
+const ADDRESS_PATTERN = '^(\\[[0-9a-fA-F:]+\\]|[^:\\s]+):[0-9]{1,5}$'
+const URL_PATTERN = '^https?://[^/\\s]+'
+const ADDRESS = { type: 'string', pattern: ADDRESS_PATTERN }
+const NAME = { type: 'string', pattern: '^[A-Za-z0-9._-]{1,128}$' }
+
+const DEFAULTS: Readonly<Record<string, unknown>> = {
+  service: '',
+  targetUrl: '',
+  targetHealthPath: '/healthz',
+  seeds: [],
+  logLevel: 'info'
+}
+
+const SCHEMA = {
+  type: 'object',
+  additionalProperties: false,
+  required: ['nodeId', 'institution', 'zone', 'callerAddress', 'peerAddress', 'adminAddress', 'logUrl'],
+  properties: {
+    nodeId: NAME,
+    institution: NAME,
+    zone: NAME,
+    service: { type: 'string', pattern: '^[A-Za-z0-9._-]{0,128}$' },
+    callerAddress: ADDRESS,
+    peerAddress: ADDRESS,
+    adminAddress: ADDRESS,
+    targetUrl: { type: 'string', pattern: `^$|${URL_PATTERN}` },
+    targetHealthPath: { type: 'string', pattern: '^/' },
+    logUrl: { type: 'string', pattern: URL_PATTERN },
+    seeds: { type: 'array', items: ADDRESS },
+    logLevel: { enum: ['trace', 'debug', 'info', 'warn', 'error', 'fatal'] }
+  }
+}
+
+const REMEDIES: Readonly<Record<string, string>> = {
+  required: 'Add the setting to the file or set its ELMPOST_ variable',
+  additionalProperties: 'Remove it, or check its spelling against docs/operators.md',
+  type: 'Give a value of that type',
+  enum: 'Use one of trace, debug, info, warn, error, fatal'
+}
+
+const PATTERN_REMEDIES: Readonly<Record<string, string>> = {
+  [ADDRESS_PATTERN]: 'Write it as host:port, for example 127.0.0.1:7100',
+  [URL_PATTERN]: 'Write it as an http URL, for example http://127.0.0.1:7000',
+  [SCHEMA.properties.targetUrl.pattern]: 'Write it as an http URL, for example http://127.0.0.1:8080, or leave it empty',
+  [SCHEMA.properties.targetHealthPath.pattern]: 'Begin the path with /'
+}
+const NAME_REMEDY = 'Use letters, digits, dots, hyphens and underscores only'
+
+type Environment = Readonly<Record<string, string | undefined>>
+
+/** Reads the settings file, applies the environment and checks the result. */
+export function load (file: string, environment: Environment): results.Result<types.NodeSettings, errors.SettingsError> {
+  let text: string
+  try {
+    text = fs.readFileSync(file, 'utf8')
+  } catch (error) {
+    return refuse(file, [{ pointer: '', message: `the file cannot be read (${(error as NodeJS.ErrnoException).code ?? 'unknown error'})`, remedy: 'Check the path given with --settings and its permissions' }])
+  }
+  return parse(file, text, environment)
+}
+
+/** Checks the text of a settings file, with every problem at once. */
+export function parse (source: string, text: string, environment: Environment): results.Result<types.NodeSettings, errors.SettingsError> {
+  let value: unknown
+  try {
+    value = JSON.parse(text)
+  } catch (error) {
+    return refuse(source, [{ pointer: '', message: `it is not JSON: ${(error as Error).message}`, remedy: 'Correct the syntax at that position' }])
+  }
+  if (value === null || typeof value !== 'object' || Array.isArray(value)) {
+    return refuse(source, [{ pointer: '', message: 'it is not a JSON object', remedy: 'Write the settings as fields of one object' }])
+  }
+  const settings = { ...DEFAULTS, ...value, ...overrides(environment) } as Record<string, unknown>
+  const problems = [...schemaProblems(settings), ...ruleProblems(settings)]
+  if (problems.length > 0) return refuse(source, problems)
+  return new results.Ok(settings as unknown as types.NodeSettings)
+}
+
+/** Name of the environment variable that overrides a setting. */
+export function environmentNameOf (setting: string): string {
+  return ENVIRONMENT_PREFIX + setting.replace(/[A-Z]/g, letter => `_${letter}`).toUpperCase()
+}
+
+function overrides (environment: Environment): Record<string, unknown> {
+  const found: Record<string, unknown> = {}
+  for (const setting of Object.keys(SCHEMA.properties)) {
+    const value = environment[environmentNameOf(setting)]
+    if (value === undefined) continue
+    found[setting] = setting === 'seeds' ? value.split(',').map(seed => seed.trim()).filter(seed => seed !== '') : value
+  }
+  return found
+}
+
+function schemaProblems (settings: Record<string, unknown>): errors.SettingsProblem[] {
+  const check = new jsonSchema.JsonSchema({ allErrors: true }).compile(SCHEMA)
+  if (check(settings)) return []
+  return (check.errors ?? []).map(describe)
+}
+
+function describe (error: jsonSchema.SchemaError): errors.SettingsProblem {
+  const params = error.params as { missingProperty?: string, additionalProperty?: string, pattern?: string }
+  const name = params.missingProperty ?? params.additionalProperty
+  const pointer = name === undefined ? error.instancePath : `${error.instancePath}/${name}`
+  const message = error.keyword === 'required'
+    ? 'it is missing'
+    : error.keyword === 'additionalProperties' ? 'there is no such setting' : error.message ?? error.keyword
+  const remedy = params.pattern === undefined ? REMEDIES[error.keyword] : PATTERN_REMEDIES[params.pattern] ?? NAME_REMEDY
+  return { pointer, message, remedy: remedy ?? 'See docs/operators.md' }
+}
+
+/** Rules that involve more than one setting or the meaning of a value. */
+function ruleProblems (settings: Record<string, unknown>): errors.SettingsProblem[] {
+  const problems: errors.SettingsProblem[] = []
+  const { adminAddress, service, targetUrl } = settings
+  if (typeof adminAddress === 'string' && adminAddress.includes(':') && !addresses.isLoopback(adminAddress)) {
+    problems.push({ pointer: '/adminAddress', message: 'it is not a loopback address', remedy: 'Use 127.0.0.1, [::1] or localhost; the endpoint has no access control' })
+  }
+  if (typeof service === 'string' && service !== '' && targetUrl === '') {
+    problems.push({ pointer: '/targetUrl', message: 'it is empty although a service is set', remedy: 'Set the URL of the target beside the node, or leave service empty' })
+  }
+  for (const name of ['callerAddress', 'peerAddress', 'adminAddress']) problems.push(...portProblems(name, settings[name]))
+  return problems
+}
+
+function portProblems (name: string, address: unknown): errors.SettingsProblem[] {
+  if (typeof address !== 'string' || addresses.parse(address).port <= 65_535) return []
+  return [{ pointer: `/${name}`, message: 'the port is above 65535', remedy: 'Use a port from 1 to 65535' }]
+}
+
+function refuse (source: string, problems: readonly errors.SettingsProblem[]): results.Err<errors.SettingsError> {
+  return new results.Err(new errors.SettingsError(source, problems))
+}
--- /dev/null
+++ b/packages/node/src/TargetRun.ts
@@ -0,0 +1,166 @@
+import * as headers from './Headers.js'
+import type * as hosting from '@elmpost/common/hosting/Types.js'
+import type * as http from 'node:http'
+import type * as types from './Types.js'
+import type * as undici from 'undici'
+
+/** Answers up to this size are passed on whole. */
+export const MAX_WHOLE_BODY_BYTES = 256 * 1024
+
+const NO_RETRY_MESSAGE = 'the request may already have been written once'
+
+/** What a run needs from its runner. */
+export interface IRunOwner {
+  readonly listener: types.IRunListener
+  /** The target refused a connection. */
+  refused(): void
+  /** Whether the target has died, after it broke a connection. */
+  confirmDeath(): Promise<boolean>
+  ended(run: TargetRun): void
+}
+
+type Phase = 'waiting' | 'written' | 'streaming' | 'done'
+
+/** One request on the target: the handler of its exchange, and its place in the queue. */
+export class TargetRun implements undici.Dispatcher.DispatchHandler {
+  private _phase: Phase = 'waiting'
+  private _controller: undici.Dispatcher.DispatchController | undefined
+  private _release: (() => void) | undefined
+  private _status = 0
+  private _headers: Record<string, string> = {}
+  private _parts: Buffer[] = []
+  private _sizeBytes = 0
+  private _writtenAtMs = 0
+
+  constructor (public readonly request: types.TargetRequest, private readonly _owner: IRunOwner) {}
+
+  public get isDone (): boolean {
+    return this._phase === 'done'
+  }
+
+  public get isWritten (): boolean {
+    return this._phase === 'written' || this._phase === 'streaming'
+  }
+
+  /** Holds the slot until the exchange is over. */
+  public hold (release: () => void): void {
+    this._release = release
+  }
+
+  public onRequestStart (controller: undici.Dispatcher.DispatchController): void {
+    if (this._phase === 'waiting' && this._owner.listener.starting(this.request)) {
+      this._controller = controller
+      this._phase = 'written'
+      this._writtenAtMs = performance.now()
+      return
+    }
+    const wasWaiting = this._phase === 'waiting'
+    controller.abort(new Error(NO_RETRY_MESSAGE))
+    if (wasWaiting) this._fail({ kind: 'not-started', reason: 'deadline' })
+    else if (this._phase !== 'done') this._fail({ kind: 'lost', reason: 'target-lost', targetDied: false })
+  }
+
+  public onResponseStart (controller: undici.Dispatcher.DispatchController, status: number, received: http.IncomingHttpHeaders): void {
+    if (status < 200 || this._phase !== 'written') return
+    this._status = status
+    this._headers = headers.forwardable(received)
+    const length = received['content-length']
+    if (this.request.method === 'HEAD' && length !== undefined) this._headers['content-length'] = length
+    else if (length !== undefined && Number(length) > MAX_WHOLE_BODY_BYTES) this._beginStream(controller)
+  }
+
+  public onResponseData (controller: undici.Dispatcher.DispatchController, chunk: Buffer): void {
+    if (this._phase === 'written') {
+      this._parts.push(chunk)
+      this._sizeBytes += chunk.length
+      if (this._sizeBytes > MAX_WHOLE_BODY_BYTES) this._beginStream(controller)
+    } else if (this._phase === 'streaming' && !this._owner.listener.chunk(this.request, chunk)) {
+      controller.pause()
+    }
+  }
+
+  public onResponseEnd (): void {
+    const serviceMs = performance.now() - this._writtenAtMs
+    const phase = this._phase
+    this._finish()
+    if (phase === 'streaming') this._owner.listener.ended(this.request, serviceMs)
+    else if (phase === 'written') this._owner.listener.whole(this.request, this._status, this._headers, this._takeBody(), serviceMs)
+  }
+
+  public onResponseError (_controller: undici.Dispatcher.DispatchController | null, error: Error): void {
+    const code = codeOf(error)
+    if (this._phase === 'done') this._finish()
+    else if (this._phase === 'waiting') this._failBeforeWrite(code)
+    else this._failAfterWrite()
+  }
+
+  /** Ends the run from this side. A request that waits is certainly not written any more. */
+  public abort (reason: hosting.OutcomeReason): void {
+    if (this._phase === 'done') return
+    const result: hosting.RunResult = this._phase === 'waiting'
+      ? { kind: 'not-started', reason }
+      : { kind: 'lost', reason, targetDied: false }
+    const controller = this._controller
+    this._fail(result)
+    controller?.abort(new Error(`aborted: ${reason}`))
+  }
+
+  public resume (): void {
+    if (this._phase === 'streaming') this._controller?.resume()
+  }
+
+  /** Reports that the request was not written, for a reason found before it was handed to the connection. */
+  public reject (reason: hosting.OutcomeReason): void {
+    if (this._phase === 'waiting') this._fail({ kind: 'not-started', reason })
+    this._finish()
+  }
+
+  private _beginStream (controller: undici.Dispatcher.DispatchController): void {
+    this._phase = 'streaming'
+    const { listener } = this._owner
+    listener.head(this.request, this._status, this._headers)
+    let isTaken = true
+    for (const part of this._parts.splice(0)) isTaken = listener.chunk(this.request, part)
+    if (!isTaken) controller.pause()
+  }
+
+  private _takeBody (): Buffer | undefined {
+    if (this._parts.length === 0) return undefined
+    return this._parts.length === 1 ? this._parts[0] : Buffer.concat(this._parts, this._sizeBytes)
+  }
+
+  private _failBeforeWrite (code: string): void {
+    if (code === 'ECONNREFUSED') this._owner.refused()
+    this._fail({ kind: 'not-started', reason: code === 'ECONNREFUSED' || code === 'ECONNRESET' ? 'target-lost' : 'overloaded' })
+    this._finish()
+  }
+
+  private _failAfterWrite (): void {
+    const end = (targetDied: boolean): void => {
+      this._fail({ kind: 'lost', reason: 'target-lost', targetDied })
+      this._finish()
+    }
+    this._owner.confirmDeath().then(end, () => { end(false) })
+  }
+
+  private _fail (result: hosting.RunResult): void {
+    if (this._phase === 'done') return
+    this._phase = 'done'
+    this._owner.listener.failed(this.request, result)
+    if (this._controller !== undefined) this._finish()
+  }
+
+  /** Frees the slot. A run that failed while it waits for a connection frees it when the connection ends the wait. */
+  private _finish (): void {
+    this._phase = 'done'
+    const release = this._release
+    this._release = undefined
+    this._owner.ended(this)
+    release?.()
+  }
+}
+
+function codeOf (error: Error): string {
+  const code = (error as NodeJS.ErrnoException).code
+  return typeof code === 'string' ? code : ''
+}
--- /dev/null
+++ b/packages/node/src/Types.ts
@@ -0,0 +1,67 @@
+/** Shapes of the node process. */
+import type * as hosting from '@elmpost/common/hosting/Types.js'
+
+export type LogLevel = 'trace' | 'debug' | 'info' | 'warn' | 'error' | 'fatal'
+
+/** Settings of one node, as read from its file and the environment. */
+export interface NodeSettings {
+  readonly nodeId: string
+  readonly institution: string
+  readonly zone: string
+  /** Service of the target beside the node; empty if it has none. */
+  readonly service: string
+  /** `host:port` of the endpoint for callers. */
+  readonly callerAddress: string
+  /** `host:port` of the endpoint for other nodes. */
+  readonly peerAddress: string
+  /** `host:port` of the administration endpoint, loopback only. */
+  readonly adminAddress: string
+  readonly targetUrl: string
+  readonly targetHealthPath: string
+  readonly logUrl: string
+  /** Peer addresses of nodes to join through. */
+  readonly seeds: readonly string[]
+  readonly logLevel: LogLevel
+}
+
+export interface Address {
+  readonly host: string
+  readonly port: number
+}
+
+/** Fields of a log line beside level, node, zone and version. */
+export type LogContext = Readonly<Record<string, string | number | boolean | undefined>>
+
+/** Whether a message was given to the connection. */
+export type SendStatus = 'sent' | 'queued' | 'not-sent'
+
+/** What a run on the target gives back. Exactly one of `whole`, `ended` or `failed` is called last. */
+export interface IRunListener {
+  /** Called right before the request is written. False drops the run as not started. */
+  starting(run: TargetRequest): boolean
+  /** The whole answer. */
+  whole(run: TargetRequest, status: number, headers: Record<string, string>, body: Uint8Array | undefined, serviceMs: number): void
+  /** Head of an answer that is too large to be buffered. */
+  head(run: TargetRequest, status: number, headers: Record<string, string>): void
+  /** Part of the body. False asks the runner to pause until `TargetRequest.resume` is called. */
+  chunk(run: TargetRequest, body: Uint8Array): boolean
+  /** The last part of a streamed body was handed over. */
+  ended(run: TargetRequest, serviceMs: number): void
+  failed(run: TargetRequest, result: hosting.RunResult): void
+}
+
+/** A request for the target beside the node. */
+export interface TargetRequest {
+  readonly runId: number
+  readonly method: string
+  readonly path: string
+  readonly headers: Readonly<Record<string, string>>
+  readonly body: Uint8Array | undefined
+  /** Latest start by the clock of this node. */
+  readonly latestStartMs: number
+  /** Latest end by the clock of this node. */
+  readonly deadlineAtMs: number
+  readonly key: string | undefined
+  readonly depth: number
+  readonly attempt: number
+}
