--- a/packages/common/src/node/Messages.ts
+++ b/packages/common/src/node/Messages.ts
@@ -154,8 +154,8 @@
   readonly last: boolean
   readonly retryAfterMs: base.Millis
   readonly load: hosting.LoadReport
-  /** Time from writing the request to the target until the answer was complete; 0 if it was not run. */
-  readonly targetMs: base.Millis
+  /** Time from writing the request to the target until the answer was complete. */
+  readonly targetMs?: base.Millis
 }
 
 export interface ChunkMessage {
--- a/packages/common/src/node/NodeCore.ts
+++ b/packages/common/src/node/NodeCore.ts
@@ -1,6 +1,7 @@
 import * as disposable from '../base/Disposable.js'
 import type * as base from '../base/Types.js'
 import type * as distributionTypes from '../distribution/Types.js'
+import type * as hosting from '../hosting/Types.js'
 import type * as messages from './Messages.js'
 import type * as routing from '../routing/Types.js'
 import type * as services from './Services.js'
@@ -11,6 +12,12 @@
   readonly earliestReadyMs: base.Millis
 }
 
+/** Changes of calls that a tick brought about. */
+export interface TickResult {
+  readonly decisions: readonly routing.EntryDecision[]
+  readonly updates: readonly hosting.HostUpdate[]
+}
+
 /**
  * Composes the services of one node: hands each message to its service and runs the systems in each tick.
  * The process drains the effects after each call.
@@ -62,8 +69,14 @@
   }
 
   public logAppended (result: messages.LogAppendResult, nowMs: base.Millis): void {
-    if (result.stream === 'ownership') this.services.ownershipLog.logAppended(result, nowMs)
-    else this.services.distribution.logAppended(result, nowMs)
+    const { ownershipLog, lifecycle, distribution } = this.services
+    if (result.stream !== 'ownership') {
+      distribution.logAppended(result, nowMs)
+      return
+    }
+    // Each knows its own records by their request ids.
+    ownershipLog.logAppended(result, nowMs)
+    lifecycle.logAppended(result, nowMs)
   }
 
   /** The target beside the node came up or went down. */
@@ -74,17 +87,16 @@
     else membership.announce({ targetReady: false }, nowMs)
   }
 
-  /** Runs every system once. Returns the final answers of calls whose deadline has passed. */
-  public tick (nowMs: base.Millis): readonly routing.EntryDecision[] {
-    const { membership, distribution, ownershipLog, crashTable, host, lifecycle, entry } = this.services
+  /** Runs every system once. Returns what became of calls without a message, for example by their deadlines. */
+  public tick (nowMs: base.Millis): TickResult {
+    const { membership, distribution, ownershipLog, host, lifecycle, entry } = this.services
     membership.tick(nowMs)
     distribution.tick(nowMs)
     ownershipLog.tick(nowMs, distribution.isReader)
-    crashTable.tick(nowMs)
-    host.tick(nowMs)
+    const updates = host.tick(nowMs)
     lifecycle.tick(nowMs)
     this._join(nowMs)
-    return entry.tick(nowMs)
+    return { decisions: entry.tick(nowMs), updates }
   }
 
   /** Whether the node can take calls, and if not, why. */
--- a/packages/node/src/EntryGateway.ts
+++ b/packages/node/src/EntryGateway.ts
@@ -11,6 +11,8 @@
   callId: number
   readonly sink: services.ICallSink
   readonly beganAtMs: number
+  /** Wall-clock time of the arrival, the same for every send. */
+  readonly arrivedAtMs: base.Millis
   link: services.IPeerLink | undefined
   key: string | undefined
   deadlineAtMs: base.Millis
@@ -51,11 +53,13 @@
 
   /** Starts a call. Returns the handle by which its caller can cancel it. */
   public begin (sink: services.ICallSink): services.ICallHandle {
-    const decision = this._options.entry.begin(sink.request, this._options.nowMs())
+    const arrivedAtMs = this._options.nowMs()
+    const decision = this._options.entry.begin(sink.request, arrivedAtMs)
     const call: EntryCall = {
       callId: decision.callId,
       sink,
       beganAtMs: performance.now(),
+      arrivedAtMs,
       link: undefined,
       key: sink.request.key,
       deadlineAtMs: 0,
@@ -78,7 +82,7 @@
     const decision = this._options.entry.answered(answer.callId, link.nodeId, answer, this._options.nowMs())
     if (decision === undefined) this._ignoredAnswers++
     else if (decision.kind === 'answer' && !answer.last && answer.outcome === 'answered') this._beginStream(call, decision.answer)
-    else this._carryOut(call, decision, answer.targetMs)
+    else this._carryOut(call, decision, answer.targetMs ?? 0)
     this._options.stepped()
   }
 
@@ -186,7 +190,7 @@
       headers: request.headers,
       body: request.body,
       remainingMs: decision.deadlineAtMs - nowMs,
-      sentAtMs: nowMs,
+      sentAtMs: call.arrivedAtMs,
       key: decision.key,
       fingerprint: decision.fingerprint,
       depth: request.depth,
--- a/packages/node/src/HostGateway.ts
+++ b/packages/node/src/HostGateway.ts
@@ -48,7 +48,7 @@
         this._join(link, call, decision.runId)
         break
       case 'run':
-        this._begin(link, call, decision.runId, nowMs, decision.latestStartMs)
+        this._begin(link, call, decision.runId, nowMs)
         break
       case 'delegate':
         this._delegate(link, call, decision, nowMs)
@@ -91,7 +91,7 @@
     if (answer.outcome === 'not-run') this._finish(run, { kind: 'not-started', reason: answer.reason }, 0)
     else if (answer.outcome === 'unknown') this._finish(run, { kind: 'lost', reason: answer.reason, targetDied: false }, 0)
     else if (!answer.last) run.head(answer.status, answer.headers, this._options.host.load)
-    else this.whole(run.request, answer.status, answer.headers, answer.body, answer.targetMs)
+    else this.whole(run.request, answer.status, answer.headers, answer.body, answer.targetMs ?? 0)
   }
 
   /** Takes a part of a streamed answer of a delegated run. */
@@ -117,6 +117,18 @@
     this._finish(run, result, 0)
   }
 
+  /** Carries out changes of runs that no message brought about. */
+  public update (updates: readonly hosting.HostUpdate[]): void {
+    for (const update of updates) {
+      const run = this._runs.get(update.runId)
+      if (run === undefined) continue
+      this._runs.delete(update.runId)
+      this._runner?.abort(update.runId, 'canceled')
+      if (update.kind === 'answer') run.finish(update.answer, false, this._options.host.load, 0)
+      else this._redirect(run, update)
+    }
+  }
+
   public tick (nowMs: base.Millis): void {
     this._runner?.tick(nowMs)
     for (const run of this._runs.values()) {
@@ -158,30 +170,41 @@
 
   private _join (link: services.IPeerLink, call: messages.CallMessage, runId: number): void {
     const run = this._runs.get(runId)
-    if (run?.join(link, call.callId) === true) link.runs.set(call.callId, runId)
-    else hostRun.replyNotKept(link, call.callId, this._options.host.load)
+    if (run?.join(link, call.callId) === true) {
+      run.extend(this._options.nowMs() + call.remainingMs)
+      link.runs.set(call.callId, runId)
+    } else hostRun.replyNotKept(link, call.callId, this._options.host.load)
   }
 
-  private _begin (link: services.IPeerLink, call: messages.CallMessage, runId: number, nowMs: base.Millis, latestStartMs: base.Millis): hostRun.HostRun {
-    const run = new hostRun.HostRun(runId, call, latestStartMs, nowMs + call.remainingMs)
+  private _begin (link: services.IPeerLink, call: messages.CallMessage, runId: number, nowMs: base.Millis): void {
+    const run = new hostRun.HostRun(runId, call, nowMs + call.remainingMs)
     this._runs.set(runId, run)
     run.join(link, call.callId)
     link.runs.set(call.callId, runId)
     if (this._runner === undefined) this._finish(run, { kind: 'not-started', reason: 'no-target' }, 0)
     else this._runner.run(run.request)
-    return run
   }
 
   private _delegate (link: services.IPeerLink, call: messages.CallMessage, decision: hosting.HostDecision & { readonly kind: 'delegate' }, nowMs: base.Millis): void {
-    const { runId } = decision
-    const run = new hostRun.HostRun(runId, call, nowMs, nowMs + call.remainingMs)
-    this._runs.set(runId, run)
+    const run = new hostRun.HostRun(decision.runId, call, nowMs + call.remainingMs)
     run.join(link, call.callId)
-    link.runs.set(call.callId, runId)
-    const delegate = this._options.links.linkTo(decision.to, decision.address)
+    link.runs.set(call.callId, decision.runId)
+    this._sendToDelegate(run, decision.to, decision.address, nowMs)
+  }
+
+  /** Moves a queued run of this owner to another node, with everyone who waits for it. */
+  private _redirect (run: hostRun.HostRun, update: hosting.HostUpdate & { readonly kind: 'delegate' }): void {
+    const moved = run.moveTo(update.delegateRunId)
+    this._sendToDelegate(moved, update.to, update.address, this._options.nowMs())
+  }
+
+  private _sendToDelegate (run: hostRun.HostRun, to: base.NodeId, address: string, nowMs: base.Millis): void {
+    this._runs.set(run.runId, run)
+    const delegate = this._options.links.linkTo(to, address)
     run.delegate = delegate
-    const status = delegate.sendCall({ ...call, callId: -runId, sentAtMs: nowMs, delegatedBy: this._options.nodeId })
-    if (status === 'not-sent') this.delegateFailed(delegate, -runId, 'not-sent')
+    const remainingMs = run.request.deadlineAtMs - nowMs
+    const status = delegate.sendCall({ ...run.call, callId: -run.runId, remainingMs, sentAtMs: nowMs, delegatedBy: this._options.nodeId })
+    if (status === 'not-sent') this.delegateFailed(delegate, -run.runId, 'not-sent')
   }
 
   private _delegatedRun (link: services.IPeerLink, callId: number): hostRun.HostRun | undefined {
--- a/packages/node/src/HostRun.ts
+++ b/packages/node/src/HostRun.ts
@@ -15,7 +15,7 @@
 
 /** A call that runs on the target or on a delegate, and everyone who waits for its answer. */
 export class HostRun {
-  public readonly request: types.TargetRequest
+  public readonly request: types.TargetRequest & { deadlineAtMs: base.Millis }
   /** Node that was asked to run the call, if it was delegated. */
   public delegate: services.IPeerLink | undefined
   public status = 0
@@ -25,9 +25,9 @@
   private _nextSequence = -1
   private _isPaused = false
 
-  constructor (public readonly runId: number, public readonly call: messages.CallMessage, latestStartMs: base.Millis, deadlineAtMs: base.Millis) {
+  constructor (public readonly runId: number, public readonly call: messages.CallMessage, deadlineAtMs: base.Millis) {
     const { method, path, headers, body, key, depth, attempt } = call
-    this.request = { runId, method, path, headers, body, key, depth, attempt, latestStartMs, deadlineAtMs }
+    this.request = { runId, method, path, headers, body, key, depth, attempt, deadlineAtMs }
   }
 
   public get hasWaiters (): boolean {
@@ -41,6 +41,21 @@
     return true
   }
 
+  /** A caller that joined may allow more time. */
+  public extend (deadlineAtMs: base.Millis): void {
+    if (deadlineAtMs > this.request.deadlineAtMs) this.request.deadlineAtMs = deadlineAtMs
+  }
+
+  /** Gives the run, which has not started, and its waiters another id. */
+  public moveTo (runId: number): HostRun {
+    const moved = new HostRun(runId, this.call, this.request.deadlineAtMs)
+    for (const { link, callId } of this._waiters.splice(0)) {
+      moved.join(link, callId)
+      link.runs.set(callId, runId)
+    }
+    return moved
+  }
+
   /** Removes a waiter. True if a paused answer may go on without it. */
   public leave (link: services.IPeerLink, callId: number): boolean {
     const index = this._waiters.findIndex(waiter => waiter.link === link && waiter.callId === callId)
--- a/packages/node/src/MessageSchemas.ts
+++ b/packages/node/src/MessageSchemas.ts
@@ -47,12 +47,19 @@
 })
 
 const OWNER = object({ nodeId: TEXT, incarnation: COUNT })
-const ENTRY = object({ service: TEXT, partition: COUNT, startsAtMs: NUMBER, owner: OWNER })
+const OWNERS: Schema = { type: 'array', items: OWNER }
+const GROUP = object({ startsAtMs: NUMBER, pairs: { type: 'array', items: COUNT } })
+const WINDOWS = object({ service: TEXT, owners: OWNERS, groups: { type: 'array', items: GROUP } })
 const OWNERSHIP = object({
+  asOfOffset: COUNT,
   tableVersion: COUNT,
   horizonMs: NUMBER,
+  floorMs: NUMBER,
+  lastChangeMs: NUMBER,
+  lastChangeOffset: COUNT,
+  released: OWNERS,
   sinceVersion: COUNT,
-  entries: { type: 'array', items: ENTRY }
+  services: { type: 'array', items: WINDOWS }
 })
 
 const HANDOVER_KEY = object({
@@ -60,10 +67,11 @@
   service: TEXT,
   fingerprint: TEXT,
   state: { enum: ['running', 'answered', 'refused', 'unknown'] },
+  reason: TEXT,
   status: COUNT,
   headers: HEADERS
 }, { body: BYTES })
-const HANDOVER = object({ from: OWNER, atMs: NUMBER, keys: { type: 'array', items: HANDOVER_KEY } })
+const HANDOVER = object({ from: OWNER, to: OWNER, released: FLAG, atMs: NUMBER, forgottenUntilMs: NUMBER, keys: { type: 'array', items: HANDOVER_KEY } })
 
 const PROBE_FIELDS = { sequence: COUNT, version: COUNT, updates: ROWS, crashes: CRASHES }
 
@@ -104,9 +112,8 @@
     headers: HEADERS,
     last: FLAG,
     retryAfterMs: NUMBER,
-    load: LOAD,
-    targetMs: NUMBER
-  }, { body: BYTES }),
+    load: LOAD
+  }, { body: BYTES, targetMs: NUMBER }),
   chunk: object({ callId: INTEGER, sequence: COUNT, last: FLAG, failed: FLAG }, { body: BYTES }),
   'chunk-credit': object({ callId: INTEGER, sequence: COUNT })
 }
--- a/packages/node/src/NodeProcess.ts
+++ b/packages/node/src/NodeProcess.ts
@@ -116,20 +116,18 @@
     this._isStopping = true
     this._options.logger.log('info', 'stopping')
     this._callers.beginClosing()
-    this._options.core.services.lifecycle.beginDrain(this._options.nowMs())
+    this._runtime.beginDrain()
     this._tick()
   }
 
   public drain (): void {
     this._options.logger.log('info', 'draining')
-    this._options.core.services.lifecycle.beginDrain(this._options.nowMs())
+    this._runtime.beginDrain()
     this._tick()
   }
 
   public undrain (): boolean {
-    const { lifecycle } = this._options.core.services
-    if (this._isStopping || lifecycle.endDrain === undefined) return false
-    lifecycle.endDrain(this._options.nowMs())
+    if (this._isStopping || this._options.core.services.lifecycle.undrain(this._options.nowMs()).isErr()) return false
     this._options.logger.log('info', 'undrained')
     this._tick()
     return true
--- a/packages/node/src/NodeRuntime.ts
+++ b/packages/node/src/NodeRuntime.ts
@@ -65,12 +65,20 @@
   /** Runs every system once. */
   public tick (): void {
     const nowMs = this._options.nowMs()
-    this.entry.expire(this._options.core.tick(nowMs))
+    const { decisions, updates } = this._options.core.tick(nowMs)
+    this.host.update(updates)
+    this.entry.expire(decisions)
     this.host.tick(nowMs)
     this.links.tick(nowMs)
     this._carryOut()
   }
 
+  /** Takes no new work for the target. */
+  public beginDrain (): void {
+    this.host.update(this._options.core.services.lifecycle.beginDrain(this._options.nowMs()))
+    this._carryOut()
+  }
+
   public targetChanged (ready: boolean): void {
     this._options.core.targetChanged(ready, this._options.nowMs())
     this._carryOut()
--- a/packages/node/src/PeerLink.ts
+++ b/packages/node/src/PeerLink.ts
@@ -30,6 +30,11 @@
   readonly closed: (link: PeerLink) => void
 }
 
+interface UnsentCall {
+  readonly call: messages.CallMessage
+  readonly queuedAtMs: base.Millis
+}
+
 type Phase = 'connecting' | 'greeting' | 'open' | 'closing' | 'closed'
 
 /** A `ws` connection to another node. */
@@ -43,7 +48,7 @@
   private readonly _options: PeerLinkOptions
   private readonly _socket: ws.WebSocket
   private readonly _calls = new Set<number>()
-  private _unsentCalls: messages.CallMessage[] = []
+  private _unsentCalls: UnsentCall[] = []
   private _unsentControl: messages.ControlMessage[] = []
   private _phase: Phase = 'connecting'
   private _helloAtMs: base.Millis = 0
@@ -90,13 +95,13 @@
       return 'sent'
     }
     if (!this.isAlive || this._unsentCalls.length >= MAX_UNSENT_MESSAGES) return 'not-sent'
-    this._unsentCalls.push(call)
+    this._unsentCalls.push({ call, queuedAtMs: this._options.nowMs() })
     return 'queued'
   }
 
   public release (callId: number): void {
     if (this._calls.delete(callId) || this._unsentCalls.length === 0) return
-    this._unsentCalls = this._unsentCalls.filter(call => call.callId !== callId)
+    this._unsentCalls = this._unsentCalls.filter(unsent => unsent.call.callId !== callId)
   }
 
   public send (message: messages.PeerMessage): boolean {
@@ -184,9 +189,9 @@
   private _flush (): void {
     for (const message of this._unsentControl.splice(0)) this.send(message)
     const nowMs = this._options.nowMs()
-    for (const call of this._unsentCalls.splice(0)) {
+    for (const { call, queuedAtMs } of this._unsentCalls.splice(0)) {
       this._calls.add(call.callId)
-      this._write({ ...call, remainingMs: call.remainingMs - (nowMs - call.sentAtMs), sentAtMs: nowMs })
+      this._write({ ...call, remainingMs: call.remainingMs - (nowMs - queuedAtMs) })
     }
   }
 
@@ -206,6 +211,6 @@
   private _closed (code: number): void {
     this._phase = 'closed'
     this._options.closed(this)
-    this._options.receiver.lost(this, this._calls, this._unsentCalls, code === CLOSE_PLANNED)
+    this._options.receiver.lost(this, this._calls, this._unsentCalls.map(unsent => unsent.call), code === CLOSE_PLANNED)
   }
 }
--- a/packages/node/src/TargetRunner.ts
+++ b/packages/node/src/TargetRunner.ts
@@ -65,11 +65,10 @@
     previous.close().catch(() => {})
   }
 
-  /** Ends runs whose time is over. */
+  /** Ends runs whose time is over. Runs that wait are ended by the core. */
   public tick (nowMs: base.Millis): void {
     for (const run of this._runs.values()) {
-      const { request } = run
-      if (run.isWritten ? nowMs >= request.deadlineAtMs : nowMs > request.latestStartMs) run.abort('deadline')
+      if (run.isWritten && nowMs >= run.request.deadlineAtMs) run.abort('deadline')
     }
   }
 
--- a/packages/node/src/Types.ts
+++ b/packages/node/src/Types.ts
@@ -57,8 +57,6 @@
   readonly path: string
   readonly headers: Readonly<Record<string, string>>
   readonly body: Uint8Array | undefined
-  /** Latest start by the clock of this node. */
-  readonly latestStartMs: number
   /** Latest end by the clock of this node. */
   readonly deadlineAtMs: number
   readonly key: string | undefined
