Test the call path with real processes on loopback

Cause: an answer must reach its own caller whole, whatever fails on the way. Change: fakes for membership, configuration and ownership, tests of the path, refusals, streams, failures and the planned stop. The answer of a closing node now ends its connection, which kept a stop waiting for ever before.

--- a/packages/node/src/CallerExchange.ts
+++ b/packages/node/src/CallerExchange.ts
@@ -16,13 +16,19 @@
   drained(call: services.ICallHandle): void
 }
 
+/** The server of an exchange. */
+export interface IExchangeServer {
+  /** Whether connections end with their next answer. */
+  readonly isClosing: boolean
+}
+
 /** One request of a caller and its answer. */
 export class CallerExchange implements services.ICallSink {
   public request!: routing.EntryRequest
   private _call: services.ICallHandle | undefined
   private _isAnswered = false
 
-  constructor (private readonly _response: http.ServerResponse, private readonly _owner: IExchangeOwner) {}
+  constructor (private readonly _response: http.ServerResponse, private readonly _owner: IExchangeOwner, private readonly _server: IExchangeServer) {}
 
   /** Hands the complete request to the mesh. */
   public begin (request: routing.EntryRequest): void {
@@ -96,6 +102,7 @@
     if (echoedKey !== undefined) list.push(headers.KEY_HEADER, echoedKey)
     const isFromTarget = answer.outcome === 'answered' && answer.status >= 200 && answer.status <= 999
     const status = isFromTarget ? answer.status : reasons.statusOf(answer.outcome, answer.reason)
+    if (this._server.isClosing) this._response.shouldKeepAlive = false
     this._response.writeHead(status, list as string[])
   }
 }
--- a/packages/node/src/CallerServer.ts
+++ b/packages/node/src/CallerServer.ts
@@ -20,7 +20,7 @@
 }
 
 /** Takes calls over HTTP. Every method and path belongs to the configuration's routes. */
-export class CallerServer implements base.IDisposable {
+export class CallerServer implements callerExchange.IExchangeServer, base.IDisposable {
   private readonly _options: CallerServerOptions
   private readonly _http = http.createServer({ keepAliveTimeout: KEEP_ALIVE_MS, noDelay: true })
   private _isClosing = false
@@ -32,6 +32,10 @@
     this._http.on('request', app.handler.bind(app) as unknown as http.RequestListener)
   }
 
+  public get isClosing (): boolean {
+    return this._isClosing
+  }
+
   public listen (): Promise<number> {
     return addresses.listen(this._http, this._options.address)
   }
@@ -44,11 +48,6 @@
     this._isClosing = true
   }
 
-  /** Ends `beginClosing`. */
-  public resumeOpen (): void {
-    this._isClosing = false
-  }
-
   /** Takes no more connections; resolves when the last answer is written. */
   public async close (): Promise<void> {
     this.beginClosing()
@@ -57,14 +56,18 @@
     })
   }
 
+  /** Ends connections whose callers do not take their answers. */
+  public closeAll (): void {
+    this._http.closeAllConnections()
+  }
+
   public dispose (): void {
     this._http.close()
     this._http.closeAllConnections()
   }
 
   private _handle (request: http.IncomingMessage, response: http.ServerResponse): void {
-    if (this._isClosing) response.shouldKeepAlive = false
-    const exchange = new callerExchange.CallerExchange(response, this._options.owner)
+    const exchange = new callerExchange.CallerExchange(response, this._options.owner, this)
     const lengthBytes = Number(request.headers['content-length'] ?? 0)
     if (lengthBytes > this._options.maxBodyBytes()) this._refuseBody(request, exchange)
     else if (lengthBytes === 0 && request.headers['transfer-encoding'] === undefined) this._begin(request, exchange, undefined)
--- /dev/null
+++ b/packages/node/src/NodeProcess.test.ts
@@ -0,0 +1,226 @@
+import * as assert from 'node:assert/strict'
+import * as crypto from 'node:crypto'
+import * as http from 'node:http'
+import * as test from 'node:test'
+import * as testMesh from './testing/TestMesh.js'
+import * as undici from 'undici'
+import * as uuid from 'uuid'
+
+test.describe('NodeProcess', () => {
+  let mesh: testMesh.TestMesh
+
+  test.beforeEach(() => { mesh = new testMesh.TestMesh() })
+  test.afterEach(() => { mesh.stop() })
+
+  /** A node that only takes calls, and a node with the target. */
+  async function start (handler: http.RequestListener): Promise<testMesh.TestNode> {
+    const entry = await mesh.addNode('entry')
+    await mesh.addNode('host', handler)
+    mesh.introduce()
+    return entry
+  }
+
+  test.describe('path of a call', () => {
+    test.it('passes an answer from the target to the caller whole, with the outcome', async () => {
+      const entry = await start((_request, response) => { response.writeHead(201, { 'x-a': 'b', 'set-cookie': ['c=1', 'd=2'] }).end('hello') })
+      const answer = await undici.request(`${entry.callerUrl}/price/visa?x=1`)
+      assert.equal(answer.statusCode, 201)
+      assert.equal(answer.headers['elmpost-outcome'], 'answered')
+      assert.equal(answer.headers['x-a'], 'b')
+      assert.deepEqual(answer.headers['set-cookie'], ['c=1', 'd=2'])
+      assert.equal(await answer.body.text(), 'hello')
+      assert.deepEqual(mesh.target().paths, ['/price/visa?x=1'])
+    })
+
+    test.it('sends a call to the own target without a connection to itself', async () => {
+      const host = await mesh.addNode('host', (_request, response) => { response.end('local') })
+      mesh.introduce()
+      const answer = await undici.request(`${host.callerUrl}/price`)
+      assert.equal(await answer.body.text(), 'local')
+      assert.equal(host.process.gauges().openLinks, 0)
+    })
+
+    test.it('passes the key, the deadline, the depth and the attempt to the target, so that it can pass them on', async () => {
+      const entry = await start((_request, response) => { response.end() })
+      const key = uuid.v7()
+      const answer = await undici.request(`${entry.callerUrl}/charge`, {
+        method: 'POST',
+        body: 'money',
+        headers: { 'idempotency-key': key, 'elmpost-depth': '3', 'elmpost-attempt': '2', 'elmpost-deadline-ms': '4000' }
+      })
+      assert.equal(answer.headers['idempotency-key'], key)
+      const seen = mesh.target().headers[0] ?? {}
+      assert.equal(seen['idempotency-key'], key)
+      assert.equal(seen['elmpost-depth'], '4')
+      assert.equal(seen['elmpost-attempt'], '2')
+      assert.ok(Number(seen['elmpost-deadline-ms']) <= 4000)
+    })
+
+    test.it('gives each caller its own answer when answers come in the opposite order', async () => {
+      const held: http.ServerResponse[] = []
+      const entry = await start((request, response) => {
+        held.push(Object.assign(response, { label: request.url }))
+        if (held.length < 2) return
+        for (const waiting of held.reverse()) waiting.end((waiting as http.ServerResponse & { label: string }).label)
+      })
+      const paths = ['/price/a', '/price/b']
+      const texts = await Promise.all(paths.map(async path => await (await undici.request(entry.callerUrl + path)).body.text()))
+      assert.deepEqual(texts, paths)
+    })
+  })
+
+  test.describe('refusals', () => {
+    test.it('names the reason and the remedy for a path without a route', async () => {
+      const entry = await start((_request, response) => { response.end() })
+      const answer = await undici.request(`${entry.callerUrl}/nothing`)
+      assert.equal(answer.statusCode, 404)
+      assert.equal(answer.headers['elmpost-outcome'], 'not-run')
+      const body = await answer.body.json() as { reason: string, remedy: string }
+      assert.equal(body.reason, 'no-route')
+      assert.match(body.remedy, /routes of the configuration/)
+    })
+
+    test.it('refuses a body above the limit of every route without reading it to its end', async () => {
+      const entry = await start((_request, response) => { response.end() })
+      const answer = await undici.request(`${entry.callerUrl}/charge`, { method: 'POST', body: Buffer.alloc(70_000) })
+      assert.equal(answer.statusCode, 413)
+      assert.equal(answer.headers['elmpost-outcome'], 'not-run')
+      await answer.body.dump()
+      assert.deepEqual(mesh.target().paths, [])
+    })
+
+    test.it('refuses a deadline that is not a number, instead of treating it as no deadline', async () => {
+      const entry = await start((_request, response) => { response.end() })
+      const answer = await undici.request(`${entry.callerUrl}/price`, { headers: { 'elmpost-deadline-ms': 'soon' } })
+      assert.equal(answer.statusCode, 400)
+      assert.equal(answer.headers['elmpost-reason'], 'bad-request')
+      await answer.body.dump()
+    })
+  })
+
+  test.describe('streamed answers', () => {
+    test.it('passes a large answer whole although the caller reads slowly', async () => {
+      const large = crypto.randomBytes(6 * 1024 * 1024)
+      const entry = await start((_request, response) => { response.end(large) })
+      const answer = await undici.request(`${entry.callerUrl}/price`)
+      const hash = crypto.createHash('sha256')
+      for await (const part of answer.body) {
+        hash.update(part as Buffer)
+        await new Promise(resolve => { setImmediate(resolve) })
+      }
+      assert.equal(hash.digest('hex'), crypto.createHash('sha256').update(large).digest('hex'))
+    })
+
+    test.it('breaks the connection of the caller when the target breaks off in mid body', async () => {
+      const entry = await start((_request, response) => {
+        response.writeHead(200, { 'content-length': 1_000_000 })
+        response.write(Buffer.alloc(400_000), () => { response.destroy() })
+      })
+      const answer = await undici.request(`${entry.callerUrl}/price`)
+      await assert.rejects(answer.body.arrayBuffer())
+    })
+
+    test.it('breaks the connection of the caller when the host node is lost in mid body', async () => {
+      const entry = await start((_request, response) => {
+        response.writeHead(200, { 'content-length': 1_000_000 })
+        response.write(Buffer.alloc(400_000))
+      })
+      const answer = await undici.request(`${entry.callerUrl}/price`)
+      mesh.nodes[1]?.process.dispose()
+      await assert.rejects(answer.body.arrayBuffer())
+    })
+  })
+
+  test.describe('failures', () => {
+    test.it('answers a small body that breaks off as unknown, never as a short answer', async () => {
+      const entry = await start((_request, response) => {
+        response.writeHead(200, { 'content-length': 1000 })
+        response.write('part', () => { response.destroy() })
+      })
+      const answer = await undici.request(`${entry.callerUrl}/charge`, { method: 'POST', body: 'x' })
+      assert.equal(answer.statusCode, 502)
+      assert.equal(answer.headers['elmpost-outcome'], 'unknown')
+      assert.equal((await answer.body.json() as { reason: string }).reason, 'target-lost')
+    })
+
+    test.it('answers as unknown at once when the host node dies while it runs a call', async () => {
+      const entry = await start(() => { mesh.nodes[1]?.process.dispose() })
+      const answer = await undici.request(`${entry.callerUrl}/charge`, { method: 'POST', body: 'x' })
+      assert.equal(answer.headers['elmpost-outcome'], 'unknown')
+      assert.equal(answer.headers['elmpost-reason'], 'peer-lost')
+      await answer.body.dump()
+      assert.deepEqual(entry.services.membership.lost, ['host'])
+    })
+
+    test.it('answers as not run when the target refuses the connection', async () => {
+      const entry = await start((_request, response) => { response.end() })
+      mesh.target().die()
+      const answer = await undici.request(`${entry.callerUrl}/charge`, { method: 'POST', body: 'x' })
+      assert.equal(answer.statusCode, 503)
+      assert.equal(answer.headers['elmpost-outcome'], 'not-run')
+      await answer.body.dump()
+      assert.equal(mesh.nodes[1]?.services.membership.self.targetReady, false)
+    })
+
+    test.it('passes the cancellation of a caller to the target, so that its slot becomes free', async () => {
+      let canceled = 0
+      const entry = await start((_request, response) => { response.on('close', () => { canceled++ }) })
+      const abort = new AbortController()
+      const waiting = undici.request(`${entry.callerUrl}/price`, { signal: abort.signal })
+      await testMesh.until(() => mesh.target().paths.length === 1)
+      abort.abort()
+      await assert.rejects(waiting)
+      await testMesh.until(() => canceled === 1)
+      assert.equal(mesh.nodes[1]?.services.host.load.inFlight, 0)
+    })
+
+    test.it('lets a keyed call finish after its caller left, and gives its answer to a resend', async () => {
+      let finish: () => void = () => {}
+      const entry = await start((_request, response) => { finish = () => { response.end('charged') } })
+      const key = uuid.v7()
+      const abort = new AbortController()
+      const options = { method: 'POST' as const, body: 'x', headers: { 'idempotency-key': key } }
+      const waiting = undici.request(`${entry.callerUrl}/charge`, { ...options, signal: abort.signal })
+      await testMesh.until(() => mesh.target().paths.length === 1)
+      abort.abort()
+      await assert.rejects(waiting)
+      const resend = undici.request(`${entry.callerUrl}/charge`, options)
+      await testMesh.until(() => entry.services.entry.inFlight === 1)
+      finish()
+      const answer = await resend
+      assert.equal(await answer.body.text(), 'charged')
+      assert.equal(mesh.target().paths.length, 1)
+    })
+  })
+
+  test.describe('planned stop', () => {
+    test.it('finishes a running call, and a second signal has no effect', async () => {
+      let finish: () => void = () => {}
+      const entry = await start((_request, response) => { finish = () => { response.end('done') } })
+      const host = mesh.nodes[1]
+      assert.ok(host !== undefined)
+      const waiting = undici.request(`${entry.callerUrl}/price`)
+      await testMesh.until(() => mesh.target().paths.length === 1)
+      host.process.stop()
+      host.process.stop()
+      const refused = await undici.request(`${entry.callerUrl}/price`)
+      assert.equal(refused.headers['elmpost-outcome'], 'not-run')
+      await refused.body.dump()
+      finish()
+      assert.equal(await (await waiting).body.text(), 'done')
+      await host.process.stopped
+      assert.equal(host.logger.lines.filter(line => line.event === 'stopping').length, 1)
+    })
+
+    test.it('writes the answers of its own callers before it ends', async () => {
+      let finish: () => void = () => {}
+      const entry = await start((_request, response) => { finish = () => { response.end('done') } })
+      const waiting = undici.request(`${entry.callerUrl}/price`)
+      await testMesh.until(() => mesh.target().paths.length === 1)
+      entry.process.stop()
+      finish()
+      assert.equal(await (await waiting).body.text(), 'done')
+      await entry.process.stopped
+    })
+  })
+})
--- a/packages/node/src/NodeProcess.ts
+++ b/packages/node/src/NodeProcess.ts
@@ -59,6 +59,8 @@
   private _maxBodyBytes = 0
   private _isStopping = false
   private _isFinishing = false
+  /** Answers that callers have not taken by then are cut off. */
+  private _closeAllAtMs = 0
   private _resolveStopped: () => void = () => {}
 
   constructor (options: NodeProcessOptions) {
@@ -116,6 +118,7 @@
     this._isStopping = true
     this._options.logger.log('info', 'stopping')
     this._callers.beginClosing()
+    this._closeAllAtMs = this._options.nowMs() + (this._options.core.services.enforcement.current?.document.terms.drainMs ?? 0)
     this._runtime.beginDrain()
     this._tick()
   }
@@ -215,7 +218,10 @@
 
   private _tick (): void {
     this._runtime.tick()
-    if (this._isStopping && !this._isFinishing && this._options.core.services.lifecycle.canExit(this._options.nowMs())) this._finish().catch(error => { this._options.logger.log('error', 'stop-failed', { problem: String(error) }) })
+    if (!this._isStopping) return
+    const nowMs = this._options.nowMs()
+    if (nowMs >= this._closeAllAtMs) this._callers.closeAll()
+    if (!this._isFinishing && this._options.core.services.lifecycle.canExit(nowMs)) this._finish().catch(error => { this._options.logger.log('error', 'stop-failed', { problem: String(error) }) })
   }
 
   /** The mesh sends no more work; answers to callers are still written. */
