--- a/packages/common/src/node/NodeCore.ts
+++ b/packages/common/src/node/NodeCore.ts
@@ -38,17 +38,17 @@
   public receive (from: base.NodeId, message: messages.ControlMessage, nowMs: base.Millis): void {
     const { membership, distribution, ownershipTable, lifecycle } = this.services
     switch (message.kind) {
+      case 'join':
+      case 'gossip':
       case 'probe':
       case 'probe-ack':
-        for (const crash of message.crashes) this.services.crashTable.record(crash, nowMs)
-        membership.receive(from, message, nowMs)
-        return
       case 'probe-request':
       case 'table-digest':
       case 'table-rows':
         membership.receive(from, message, nowMs)
         return
       case 'push':
+      case 'push-ack':
       case 'pull':
       case 'state':
       case 'busy':
--- a/packages/node/src/MessageSchemas.ts
+++ b/packages/node/src/MessageSchemas.ts
@@ -73,19 +73,23 @@
 }, { body: BYTES })
 const HANDOVER = object({ from: OWNER, to: OWNER, released: FLAG, atMs: NUMBER, forgottenUntilMs: NUMBER, keys: { type: 'array', items: HANDOVER_KEY } })
 
-const PROBE_FIELDS = { sequence: COUNT, version: COUNT, updates: ROWS, crashes: CRASHES }
+const NEWS_FIELDS = { version: COUNT, ownershipVersion: COUNT, horizonMs: NUMBER, updates: ROWS, crashes: CRASHES }
+const EVIDENCE_FIELDS = { version: COUNT, recordedVersion: COUNT, logCheckedAgoMs: NUMBER }
 
 export const MESSAGE_SCHEMAS: Readonly<Record<messages.PeerMessage['kind'], Schema>> = {
   hello: object({ nodeId: TEXT, incarnation: COUNT, zone: TEXT, version: COUNT, sentAtMs: NUMBER }),
-  probe: object(PROBE_FIELDS),
+  join: object({ row: ROW, wantsRows: FLAG }),
+  gossip: object(NEWS_FIELDS),
+  probe: object({ ...NEWS_FIELDS, sequence: COUNT }),
   'probe-request': object({ sequence: COUNT, target: TEXT }),
-  'probe-ack': object({ ...PROBE_FIELDS, target: TEXT }),
+  'probe-ack': object({ ...NEWS_FIELDS, sequence: COUNT, target: TEXT }),
   'table-digest': object({ buckets: { type: 'array', items: INTEGER } }),
-  'table-rows': object({ rows: ROWS, wantedBuckets: { type: 'array', items: COUNT } }),
-  push: object({ version: COUNT, rootId: TEXT }, { delta: DELTA, state: STATE, ownership: OWNERSHIP }),
+  'table-rows': object({ rows: ROWS, wantedBuckets: { type: 'array', items: COUNT }, bucketCount: COUNT }),
+  push: object({ version: COUNT, rootId: TEXT, sequence: COUNT, untilId: TEXT, logCheckedAgoMs: NUMBER }, { delta: DELTA, state: STATE, ownership: OWNERSHIP }),
+  'push-ack': object({ rootId: TEXT, sequence: COUNT, final: FLAG, count: COUNT, firstAtMs: NUMBER, lastAtMs: NUMBER }),
   pull: object({ haveVersion: COUNT, haveDigest: TEXT, haveOwnershipVersion: COUNT }),
-  state: object({ version: COUNT }, { delta: DELTA, state: STATE, ownership: OWNERSHIP }),
-  busy: object({ retryAfterMs: NUMBER }),
+  state: object(EVIDENCE_FIELDS, { delta: DELTA, state: STATE, ownership: OWNERSHIP }),
+  busy: object({ ...EVIDENCE_FIELDS, retryAfterMs: NUMBER }),
   ownership: object({ update: OWNERSHIP }),
   handover: object({ handover: HANDOVER }),
   'handover-ack': object({ fromNodeId: TEXT, incarnation: COUNT }),
--- a/packages/node/src/testing/FakeServices.ts
+++ b/packages/node/src/testing/FakeServices.ts
@@ -50,6 +50,10 @@
 export class FakeMembership implements membershipServices.IMembership {
   public readonly lost: base.NodeId[] = []
   public readonly received: messages.MembershipMessage[] = []
+  public readonly onPeerVersion = new emitter.Emitter<membership.PeerVersion>().event
+  public readonly recordedSelfVersion = 0
+  public readonly isJoined = true
+  public readonly isSettled = true
   private readonly _changes = new emitter.Emitter<membership.MemberChange>()
   private readonly _rows = new Map<base.NodeId, membership.MemberRow>()
 
@@ -68,7 +72,7 @@
   public put (current: membership.MemberRow): void {
     const previous = this._rows.get(current.nodeId)
     this._rows.set(current.nodeId, current)
-    this._changes.fire({ previous, current })
+    this._changes.fire({ previous, current, forgotten: false })
   }
 
   public get (nodeId: base.NodeId): membership.MemberRow | undefined {
@@ -87,6 +91,20 @@
     return [...this._rows.values()].filter(row => row.zone === zone)
   }
 
+  public liveIdsInZone (zone: string): readonly base.NodeId[] {
+    return this.liveInZone(zone).map(row => row.nodeId)
+  }
+
+  public get size (): number {
+    return this._rows.size
+  }
+
+  public zones (): readonly string[] {
+    return [...new Set([...this._rows.values()].map(row => row.zone))]
+  }
+
+  public randomPeer (): undefined {}
+
   public announce (change: Partial<membership.MemberRow>): void {
     this.put({ ...this.self, ...change })
   }
@@ -178,7 +196,7 @@
   public readonly lifecycle: FakeLifecycle
 
   constructor (settings: types.NodeSettings, nowMs: base.Millis) {
-    const { membership, enforcement, ownershipTable, crashTable } = this.addSelf(settings, nowMs)
+    const { membership, enforcement, ownershipTable, crashTable } = this._addSelf(settings, nowMs)
     this.membership = membership
     const self = { nodeId: settings.nodeId, incarnation: membership.self.incarnation }
     this.host = new hostCalls.HostCalls({
@@ -204,7 +222,7 @@
     this.ownershipTable.apply({ kind: 'horizon', untilMs: nowMs + HORIZON_MS }, 1)
   }
 
-  private addSelf (settings: types.NodeSettings, nowMs: base.Millis): Pick<FakeServices, 'membership' | 'enforcement' | 'ownershipTable' | 'crashTable'> {
+  private _addSelf (settings: types.NodeSettings, nowMs: base.Millis): Pick<FakeServices, 'membership' | 'enforcement' | 'ownershipTable' | 'crashTable'> {
     const membership = new FakeMembership(settings.nodeId)
     membership.put({
       nodeId: settings.nodeId,
