--- /dev/null
+++ b/packages/common/src/node/NodeComposition.ts
@@ -0,0 +1,117 @@
+import * as acceptance from '../config/Acceptance.js'
+import * as configDelta from '../config/ConfigDelta.js'
+import * as configValidator from '../config/ConfigValidator.js'
+import * as crashTable from '../hosting/CrashTable.js'
+import * as delegateSelector from './DelegateSelector.js'
+import * as distribution from '../distribution/Distribution.js'
+import * as effectQueue from './EffectQueue.js'
+import * as enforcement from '../distribution/Enforcement.js'
+import * as entryCalls from '../routing/EntryCalls.js'
+import * as hostCalls from '../hosting/HostCalls.js'
+import * as interim from './InterimHosting.js'
+import * as membership from '../membership/Membership.js'
+import * as nodeCore from './NodeCore.js'
+import * as ownershipTable from '../hosting/OwnershipTable.js'
+import * as readerSelection from '../distribution/ReaderSelection.js'
+import * as targetSelector from '../routing/TargetSelector.js'
+import * as terms from '../distribution/Terms.js'
+import type * as base from '../base/Types.js'
+import type * as config from '../config/Types.js'
+import type * as memberTypes from '../membership/Types.js'
+import type * as routing from '../routing/Types.js'
+
+/** A node with a target becomes ready when the keys that its predecessor may have run have been issued. */
+const READY_DELAY_MS = 2000
+
+export interface NodeCompositionOptions {
+  readonly self: memberTypes.SelfAnnouncement
+  /** Peer addresses to join through. */
+  readonly seeds: readonly string[]
+  readonly random: base.IRandom
+  /** SHA-256 of method, path and body. The process may give a faster one than the core has. */
+  readonly fingerprint?: (request: routing.EntryRequest) => string
+  /** Told of each message or state that was refused. */
+  readonly onRefused: (error: Error) => void
+}
+
+/** The services of one node, made from its settings. */
+export class NodeComposition {
+  public readonly effects = new effectQueue.EffectQueue()
+  public readonly core: nodeCore.NodeCore
+  private readonly _distribution: distribution.Distribution
+
+  constructor (options: NodeCompositionOptions) {
+    const { effects } = this
+    const { self, random } = options
+    const validator = new configValidator.ConfigValidator()
+    const enforced = new enforcement.Enforcement({
+      validator,
+      onRefused: (version, reason) => { options.onRefused(new Error(`Version ${version} is not enforced: ${reason}`)) }
+    })
+    const table = new ownershipTable.OwnershipTable()
+    const crashes = new crashTable.CrashTable()
+    const members = new membership.Membership({
+      self,
+      seeds: options.seeds,
+      random,
+      effects,
+      terms: () => terms.termsOf(enforced.current),
+      ownership: table,
+      crashes,
+      onMalformed: options.onRefused
+    })
+    this._distribution = new distribution.Distribution({
+      membership: members,
+      enforcement: enforced,
+      readers: new readerSelection.ReaderSelection({ membership: members }),
+      acceptance: new acceptance.Acceptance(validator),
+      delta: new configDelta.ConfigDelta(validator),
+      random,
+      effects,
+      ownership: table,
+      onMalformed: options.onRefused
+    })
+    const ownershipLog = new interim.InterimOwnershipLog()
+    const selector = new targetSelector.TargetSelector({ membership: members, enforcement: enforced, random })
+    const slotsOf = (service: string): number => enforced.current?.document.services.find(({ name }) => name === service)?.slots ?? 1
+    const host = new hostCalls.HostCalls({
+      self: { nodeId: self.nodeId, incarnation: self.incarnation },
+      service: self.service,
+      startedAtMs: self.incarnation,
+      configuration: () => enforced.current?.document,
+      targetReady: () => members.self.targetReady,
+      table,
+      isCaughtUp: () => ownershipLog.isCaughtUp,
+      crashes,
+      delegates: new delegateSelector.DelegateSelector({ membership: members, selector, slotsOf })
+    })
+    const entry = new entryCalls.EntryCalls({
+      membership: members,
+      enforcement: enforced,
+      ownership: table,
+      selector,
+      random,
+      crashes,
+      ...(options.fingerprint === undefined ? {} : { fingerprint: options.fingerprint })
+    })
+    this.core = new nodeCore.NodeCore({
+      services: {
+        membership: members,
+        enforcement: enforced,
+        distribution: this._distribution,
+        ownershipTable: table,
+        ownershipLog,
+        crashTable: crashes,
+        host,
+        entry,
+        lifecycle: new interim.InterimLifecycle(members, host)
+      },
+      earliestReadyMs: self.service === '' ? 0 : self.incarnation + READY_DELAY_MS
+    })
+  }
+
+  /** Latest verdicts on proposals, for the operators. */
+  public get lastVerdicts (): readonly config.Verdict[] {
+    return this._distribution.lastVerdicts
+  }
+}
--- a/packages/common/src/routing/FakeMesh.ts
+++ b/packages/common/src/routing/FakeMesh.ts
@@ -95,7 +95,7 @@
     const current = previous === undefined ? rowOf(fields) : { ...previous, ...fields }
     this._rows.set(current.nodeId, current)
     this._targets.delete(current.service)
-    this._changes.fire({ previous, current })
+    this._changes.fire({ previous, current, forgotten: false })
   }
 
   public get (nodeId: base.NodeId): membership.MemberRow | undefined {
--- a/packages/node/src/NodeProcess.ts
+++ b/packages/node/src/NodeProcess.ts
@@ -169,6 +169,11 @@
     }
   }
 
+  /** The core refused a message or a state that was well formed. */
+  public refusedByCore (error: Error): void {
+    this._runtime.events.fireMessageRefused({ source: 'peer', reason: error.message })
+  }
+
   public override dispose (): void {
     clearInterval(this._timer)
     super.dispose()
