--- a/packages/testbed/src/standins/logMain.ts
+++ b/packages/testbed/src/standins/logMain.ts
@@ -1,5 +1,4 @@
 /** Runs the log stand-in as a process of its own. Options come as JSON in the first argument. */
-import * as process from 'node:process'
 import * as logServer from './LogServer.js'
 
 const options = JSON.parse(process.argv[2] ?? '{}') as logServer.LogServerOptions
--- a/packages/testbed/src/standins/targetMain.ts
+++ b/packages/testbed/src/standins/targetMain.ts
@@ -2,7 +2,6 @@
  * Runs one target as a process of its own. Options come as JSON in the first argument; runs are reported
  * to the parent over the process channel, so that they are known even when the target is killed.
  */
-import * as process from 'node:process'
 import * as targetServer from './TargetServer.js'
 
 export interface TargetProcessOptions {
