--- a/packages/testbed/src/bench/BenchMesh.ts
+++ b/packages/testbed/src/bench/BenchMesh.ts
@@ -88,8 +88,7 @@
     const file = path.join(this._directory, `${nodeId}.json`)
     const settings = { nodeId, institution: 'kartuli', zone, ...addresses, ...target, logUrl: this._logUrl, seeds: [seed], logLevel: 'warn' }
     await fs.writeFile(file, JSON.stringify(settings))
-    const env = this._options.execArgv.length === 0 ? {} : { NODE_OPTIONS: this._options.execArgv.join(' ') }
-    this.nodes.push(new managed.ManagedProcess({ name: nodeId, modulePath: NODE_PROGRAM, args: ['--settings', file], env }))
+    this.nodes.push(new managed.ManagedProcess({ name: nodeId, modulePath: NODE_PROGRAM, args: ['--settings', file], execArgv: this._options.execArgv }))
     this._adminUrls.push(`http://${addresses.adminAddress}`)
   }
 
--- a/packages/testbed/src/harness/ManagedProcess.ts
+++ b/packages/testbed/src/harness/ManagedProcess.ts
@@ -10,6 +10,8 @@
   readonly modulePath: string
   readonly args: readonly string[]
   readonly env?: Readonly<Record<string, string>>
+  /** Arguments of Node.js itself. */
+  readonly execArgv?: readonly string[]
   readonly onMessage?: (message: unknown) => void
 }
 
@@ -28,6 +30,7 @@
   constructor (private readonly _options: ManagedProcessOptions) {
     this._child = childProcess.fork(resolveModule(_options.modulePath), [..._options.args], {
       env: { ...process.env, ..._options.env },
+      execArgv: [..._options.execArgv ?? []],
       stdio: ['ignore', 'pipe', 'pipe', 'ipc']
     })
     this._child.stdout?.on('data', chunk => { this._keep(String(chunk)) })
