Document the configuration and share unchanged parts between versions

Cause: operators lacked a reference, and each version that a node keeps for deltas was a full copy of the document.

--- a/packages/cli/src/Documentation.test.ts
+++ b/packages/cli/src/Documentation.test.ts
@@ -1,9 +1,9 @@
 import * as assert from 'node:assert/strict'
 import * as cli from './Cli.js'
-import * as documents from '@elmpost/common/config/TestDocuments.js'
 import * as fs from 'node:fs'
 import * as test from 'node:test'
 import * as testEnvironment from './TestEnvironment.js'
+import type * as config from '@elmpost/common/config/Types.js'
 
 const PAGE = new URL('../../../docs/cli.md', import.meta.url)
 
@@ -28,7 +28,8 @@
 
 /** The files that the page describes. */
 function files (): Record<string, string> {
-  const first = documents.testDocument()
+  const reference = fs.readFileSync(new URL('configuration.md', PAGE), 'utf8')
+  const first = JSON.parse(/```json\n([^]*?)```/.exec(reference)?.[1] ?? '') as config.ConfigDocument
   const vault = { name: 'vault', slots: 15, connections: 120, coldStartMs: 1000 }
   const second = {
     ...first,
--- a/packages/common/src/config/ConfigDelta.test.ts
+++ b/packages/common/src/config/ConfigDelta.test.ts
@@ -44,6 +44,15 @@
       assert.deepEqual(deltas.make(base, result).patch.map(operation => (operation as { path: string }).path), ['/services/3', '/targets/3', '/routes/3'])
     })
 
+    test.it('share what did not change, so that the versions that a node keeps fit into its memory', () => {
+      const base = documents.testState(1, documentOf(['a', 'b', 'c'], 1))
+      const services = base.document.services.map(service => service.name === 'b' ? { ...service, slots: 1 } : service)
+      const result = deltas.apply(base, deltas.make(base, documents.testState(2, { ...base.document, services }))).unwrap()
+      assert.equal(result.document.routes, base.document.routes)
+      assert.equal(result.document.services[0], base.document.services[0])
+      assert.deepEqual(base.document.services.map(service => service.slots), [15, 15, 15])
+    })
+
     test.it('leave the message as it was, so that a node can send it on after applying it', () => {
       const services = { op: 'add', path: '/services/1', value: { name: 'x' } }
       const patch = [services, { op: 'remove', path: '/services/1/name' }, { op: 'remove', path: '/services/1' }]
--- a/packages/common/src/config/ConfigDelta.ts
+++ b/packages/common/src/config/ConfigDelta.ts
@@ -1,8 +1,9 @@
-import * as patches from 'fast-json-patch'
 import * as results from 'ts-results-es'
 import * as documentPatch from './DocumentPatch.js'
 import * as errors from './ConfigErrors.js'
 import * as jsonText from './JsonText.js'
+import * as patchedDocument from './PatchedDocument.js'
+import type * as patches from 'fast-json-patch'
 import type * as services from './Services.js'
 import type * as types from './Types.js'
 
@@ -44,9 +45,9 @@
 
   private _patched (base: types.AcceptedState, patch: readonly unknown[]): Outcome<unknown> {
     try {
-      // Later operations can change values of earlier ones, so the patch is copied: it may be sent on to other nodes.
-      const operations = patches.default.deepClone(patch) as patches.Operation[]
-      return results.Ok(patches.default.applyPatch(base.document, operations, true, false).newDocument)
+      const patched = new patchedDocument.PatchedDocument(base.document)
+      for (const operation of patch) patched.apply(operation as patches.Operation)
+      return results.Ok(patched.document)
     } catch (error) {
       return fail('patch-failed', `The patch does not fit the document (${firstLine(error)}).`)
     }
--- a/packages/common/src/config/ConfigValidator.test.ts
+++ b/packages/common/src/config/ConfigValidator.test.ts
@@ -7,6 +7,7 @@
 import * as configSchema from './ConfigSchema.js'
 import * as configValidator from './ConfigValidator.js'
 import * as documents from './TestDocuments.js'
+import * as ruleSets from './RuleSets.js'
 import type * as types from './Types.js'
 
 const validator = new configValidator.ConfigValidator()
@@ -39,6 +40,10 @@
     assert.deepEqual(problems(good, 2).map(problem => problem.kind), ['unsupported-rules'])
   })
 
+  test.it('shares compiled rules between instances, so that thousands of nodes fit into one process', () => {
+    assert.equal(ruleSets.ruleSet(1), ruleSets.ruleSet(1))
+  })
+
   test.describe('schema', () => {
     test.it('is the published one, so that editors and nodes agree', () => {
       const published = fs.readFileSync(new URL('../../../../docs/config.schema.json', import.meta.url), 'utf8')
@@ -84,6 +89,10 @@
   })
 
   test.describe('reference rules', () => {
+    const page = fs.readFileSync(new URL('../../../../docs/configuration.md', import.meta.url), 'utf8')
+    const documented = [...page.matchAll(/^\| ([^`].*?\.) \| .* \|$/gm)].map(([, message = '']) => message)
+    const patterns = documented.map(message => new RegExp(`^${message.replace(/[.*+?^${}()|[\]\\]/g, '\\$&').replace(/\b[XNMIJT]\b/g, '.+')}$`))
+
     const cases: ReadonlyArray<[rule: string, pointer: string, damage: Parameters<typeof damaged>[0]]> = [
       ['an undeclared service of a route', '/routes/0/service', ({ routes }) => { Object.assign(routes[0] as Json, { service: 'tll' }) }],
       ['an undeclared service of a target rule', '/targets/1/service', ({ targets }) => { targets.push({ service: 'tll', zones: ['vake'] }) }],
@@ -98,6 +107,7 @@
     for (const [rule, pointer, damage] of cases) {
       test.it(`find ${rule}, so that no node enforces it`, () => {
         assert.deepEqual(problems(damaged(damage)).map(problem => [problem.kind, problem.pointer]), [['reference', pointer]])
+        for (const problem of problems(damaged(damage))) assert.ok(patterns.some(pattern => pattern.test(problem.message)), problem.message)
       })
     }
 
@@ -107,6 +117,25 @@
     })
   })
 
+  test.describe('docs/configuration.md', () => {
+    test.it('lists every field with its bounds, so that operators need not guess', () => {
+      const page = fs.readFileSync(new URL('../../../../docs/configuration.md', import.meta.url), 'utf8')
+      const visit = (schema: Json, field: string): void => {
+        if (schema['type'] === 'object') {
+          for (const [name, child] of Object.entries(schema['properties'] as Record<string, Json>)) visit(child, field === '' ? name : `${field}.${name}`)
+          return
+        }
+        const row = page.split('\n').find(line => line.startsWith(`| \`${field}\` |`)) ?? assert.fail(`no row for ${field}`)
+        const bounds = [schema['minimum'] ?? schema['minItems'], schema['maximum'] ?? schema['maxItems']]
+        if (bounds[0] !== undefined) assert.ok(row.includes(`| ${bounds[0]} to ${bounds[1]} |`), row)
+        if (schema['enum'] !== undefined) assert.ok(row.includes((schema['enum'] as string[]).map(value => `\`${value}\``).join(', ')), row)
+        const items = schema['items'] as Json | undefined
+        if (items?.['type'] === 'object') visit(items, `${field}[]`)
+      }
+      visit(configSchema.CONFIG_SCHEMA as Json, '')
+    })
+  })
+
   test.it('refuses documents over 1 MiB, so that a proposal always fits into a log record', () => {
     const zones = Array.from({ length: 64 }, (_, index) => `zone-${index}`.padEnd(63, 'x'))
     const names = Array.from({ length: 300 }, (_, index) => `service-${index}`)
--- /dev/null
+++ b/packages/common/src/config/PatchedDocument.ts
@@ -0,0 +1,49 @@
+import * as patches from 'fast-json-patch'
+
+/**
+ * A document under a JSON Patch. Only the parts on the path of an operation are copied: nodes keep the documents of
+ * many versions, and these share everything that did not change.
+ */
+export class PatchedDocument {
+  private _document: unknown
+  /** Parts that belong to this copy alone and may be changed. */
+  private readonly _copied = new WeakSet<object>()
+
+  constructor (document: unknown) {
+    this._document = this._copy(document)
+  }
+
+  public get document (): unknown {
+    return this._document
+  }
+
+  /** Throws if the operation does not fit the document. The operation is not changed, and it may be used again. */
+  public apply (operation: patches.Operation): void {
+    const own = patches.default.deepClone(operation) as patches.Operation
+    this._copyPath(own.path)
+    this._document = patches.default.applyOperation(this._document, own, true, true).newDocument
+  }
+
+  private _copyPath (path: unknown): void {
+    if (typeof path !== 'string') return
+    const names = path.split('/').slice(1, -1).map(patches.default.unescapePathComponent)
+    let parent = this._document
+    for (const name of names) {
+      if (!isContainer(parent) || !Object.hasOwn(parent, name)) return
+      const child = this._copy(parent[name])
+      parent[name] = child
+      parent = child
+    }
+  }
+
+  private _copy (value: unknown): unknown {
+    if (!isContainer(value) || this._copied.has(value)) return value
+    const copy = Array.isArray(value) ? [...value] : { ...value }
+    this._copied.add(copy)
+    return copy
+  }
+}
+
+function isContainer (value: unknown): value is Record<string, unknown> {
+  return typeof value === 'object' && value !== null
+}
