Add elmpost recover

Cause: when all nodes have been stopped for longer than the log keeps its records, nobody knows the version in force, and no proposal can name a base. A forged record with an unknown rule set also stopped all later changes. It refuses while the log tells the version in force, and compares with the versions of nodes that answer.

--- a/packages/cli/src/Cli.test.ts
+++ b/packages/cli/src/Cli.test.ts
@@ -53,6 +53,28 @@
     })
   })
 
+  test.describe('recover', () => {
+    test.it('puts a file in force on an expired log, so that a fleet can start again after a long stop', async () => {
+      const expired = new testEnvironment.FakeLog()
+      await run(expired, nodes, 'apply', 'a.json')
+      assert.equal((await run(expired, nodes, 'recover', 'a.json', '--as-version', '9')).exitCode, 2)
+      expired.firstOffset = 1
+      assert.equal((await run(expired, nodes, 'apply', 'a.json')).exitCode, 5)
+      assert.equal((await run(expired, nodes, 'recover', 'a.json', '--as-version', '1')).exitCode, 2)
+      expired.faults = ['lost-request', 'lost-answer']
+      assert.equal((await run(expired, nodes, 'recover', 'a.json', '--as-version', '9')).exitCode, 0)
+      assert.match((await run(expired, nodes, 'apply', 'a.json')).stdout, /^accepted version 9/)
+    })
+
+    test.it('passes a record that nobody can judge, so that a forged rule set cannot stop all changes', async () => {
+      const blocked = new testEnvironment.FakeLog()
+      blocked.streams.config.push({ ...documents.testProposal(1, undefined, documents.testDocument()), rulesVersion: 99 })
+      assert.equal((await run(blocked, nodes, 'apply', 'a.json')).exitCode, 5)
+      assert.equal((await run(blocked, nodes, 'recover', 'a.json', '--as-version', '2')).exitCode, 0)
+      assert.match((await run(blocked, nodes, 'apply', 'a.json')).stdout, /^accepted version 2/)
+    })
+  })
+
   test.describe('snapshot', () => {
     test.it('appends what a late reader needs, and nothing if no version is in force', async () => {
       const fresh = new testEnvironment.FakeLog()
--- a/packages/cli/src/Cli.ts
+++ b/packages/cli/src/Cli.ts
@@ -13,7 +13,9 @@
   ['timeout-ms', 1, 600_000],
   ['attempts', 1, 20],
   ['limit', 1, 1_000_000],
-  ['base-version', 0, Number.MAX_SAFE_INTEGER]
+  ['base-version', 0, Number.MAX_SAFE_INTEGER],
+  // Leaves room for all versions to come.
+  ['as-version', 1, 2 ** 50]
 ]
 
 type Ending = types.ExitCode | results.Result<types.ExitCode, cliError.CliError>
@@ -100,6 +102,19 @@
         const command = new module.HistoryCommand(this._log(argv), this._output(argv))
         this._end(await command.run({ proposalId: argv['proposal'] as string | undefined, limit: Number(argv['limit']) }), argv)
       })
+      .command('recover <file>', 'Put a file in force when neither the log nor any node can tell the version in force', {
+        'as-version': { type: 'number', demandOption: true, describe: 'Version to make; above every version that was ever in force' },
+        attempts
+      }, async argv => {
+        const module = await import('./commands/RecoverCommand.js')
+        const command = new module.RecoverCommand(this._environment, this._log(argv), this._admin(argv), this._output(argv))
+        this._end(await command.run({
+          file: String(argv['file']),
+          asVersion: Number(argv['as-version']),
+          addresses: argv['admin'] as string[],
+          attempts: Number(argv['attempts'])
+        }), argv)
+      })
       .command('snapshot', 'Append the accepted state again, so that the log keeps it', { attempts }, async argv => {
         const module = await import('./commands/SnapshotCommand.js')
         const command = new module.SnapshotCommand(this._environment, this._log(argv), this._output(argv))
--- a/packages/cli/src/ConfigLog.ts
+++ b/packages/cli/src/ConfigLog.ts
@@ -18,11 +18,16 @@
     return this._acceptance.state
   }
 
+  /** Offset of the next record to read. */
+  public get nextOffset (): number {
+    return this._acceptance.nextOffset
+  }
+
   /** Why the version in force cannot be told from the log, with the remedy; undefined if it can. */
   public get gap (): string | undefined {
     if (this._acceptance.upgradeReason !== undefined) return this._acceptance.upgradeReason
     if (this._acceptance.anchorOffset !== undefined) return undefined
-    return 'The log has dropped the records before the oldest one, and no snapshot replaces them. Wait until a node has appended a snapshot, then try again.'
+    return 'The log has dropped the records before the oldest one, and no snapshot replaces them. Wait until a node has appended a snapshot, then try again. If no node is left that knows the version, use \'elmpost recover\'.'
   }
 
   public snapshot (): config.SnapshotRecord | undefined {
