Check the author and show the proposal id before it is sent

Cause: an author that breaks the record format made a proposal that every node judges invalid, and an interrupted apply left no id to ask for. Change: apply checks the author first and prints the id on the standard error; a byte order mark at the start of a file is ignored.

--- a/packages/cli/src/DocumentFile.ts
+++ b/packages/cli/src/DocumentFile.ts
@@ -6,11 +6,14 @@
 import type * as config from '@elmpost/common/config/Types.js'
 import type * as services from './Services.js'
 
+/** Some editors write one, and JSON does not allow it. */
+const BYTE_ORDER_MARK = /^\uFEFF/
+
 /** Reads and checks a document. The error lists every problem with its file. */
 export async function readDocument (files: services.IFiles, path: string): Promise<results.Result<config.ConfigDocument, cliError.CliError>> {
   const text = await results.Result.wrapAsync(() => files.readText(path))
   if (text.isErr()) return invalid(`${path} cannot be read (${messageOf(text.error)}). Check the path and its permissions.`)
-  const parsed = results.Result.wrap<unknown, unknown>(() => JSON.parse(text.value))
+  const parsed = results.Result.wrap<unknown, unknown>(() => JSON.parse(text.value.replace(BYTE_ORDER_MARK, '')))
   if (parsed.isErr()) return invalid(`${path} is not JSON (${messageOf(parsed.error)}). Correct the syntax.`)
   return new configValidator.ConfigValidator()
     .validate(parsed.value, ruleSets.CURRENT_RULES_VERSION)
--- a/packages/cli/src/commands/ApplyCommand.test.ts
+++ b/packages/cli/src/commands/ApplyCommand.test.ts
@@ -84,6 +84,7 @@
       assert.ok(printed.details.length >= 8)
       assert.ok(printed.details.every(line => line.startsWith('bad.json: /')))
       assert.deepEqual([(await apply(log, 'text.json'))[0], (await apply(log, 'none.json'))[0]], [4, 4])
+      assert.equal((await apply(log, 'a.json', '--author', 'a\nb'))[0], 4)
       assert.deepEqual(log.streams, { config: [], audit: [] })
     })
 
--- a/packages/cli/src/commands/ApplyCommand.ts
+++ b/packages/cli/src/commands/ApplyCommand.ts
@@ -3,6 +3,7 @@
 import * as configLog from '../ConfigLog.js'
 import * as documentFile from '../DocumentFile.js'
 import * as digests from '@elmpost/common/base/Digest.js'
+import * as recordDecoder from '@elmpost/common/config/RecordDecoder.js'
 import * as ruleSets from '@elmpost/common/config/RuleSets.js'
 import * as types from '../Types.js'
 import type * as config from '@elmpost/common/config/Types.js'
@@ -75,6 +76,11 @@
   }
 
   private async _propose (proposal: config.ProposalRecord, options: ApplyOptions): Promise<ApplyResult> {
+    if (recordDecoder.decodeRecord(proposal).kind === 'malformed') {
+      return notSent(new cliError.CliError('invalid-input', `The author '${proposal.author}' is not one line of 1 to 128 characters. Name another one with --author.`))
+    }
+    // Printed before the send, so that an operator who interrupts the command can still ask for the verdict.
+    this._output.note(`Sending proposal ${proposal.proposalId} on version ${proposal.baseVersion}.`)
     const attempts = new appender.Appender(this._client, this._environment.clock, this._environment.random, options.attempts)
     const appended = await attempts.append('config', proposal, async () => await this._isSettled(proposal))
     await this._audit(proposal)
