--- a/packages/common/src/hosting/HostCalls.ts
+++ b/packages/common/src/hosting/HostCalls.ts
@@ -32,7 +32,10 @@
 const INITIAL_SERVICE_MS = 10
 
 export interface HostCallsOptions {
+  /** This process with the incarnation at which it started. */
   readonly self: types.PartitionOwner
+  /** The incarnation now. A process raises it when it refutes a suspicion. */
+  readonly currentIncarnation: () => base.Incarnation
   readonly service: string
   /** This process's clock when it started. Keys issued up to 2 s later may have been run by its predecessor. */
   readonly startedAtMs: base.Millis
@@ -155,7 +158,7 @@
   public release (to: types.PartitionOwner, nowMs: base.Millis): types.Handover {
     this._isReleased = true
     return {
-      from: this._options.self,
+      from: { nodeId: this._options.self.nodeId, incarnation: this._options.currentIncarnation() },
       to,
       released: false,
       atMs: nowMs,
--- /dev/null
+++ b/packages/common/src/hosting/Lifecycle.ts
@@ -0,0 +1,172 @@
+import * as results from 'ts-results-es'
+import type * as base from '../base/Types.js'
+import * as digest from '../base/Digest.js'
+import type * as membership from '../membership/Services.js'
+import type * as messages from '../node/Messages.js'
+import type * as services from './Services.js'
+import type * as types from './Types.js'
+
+/** The handover and the `release` record are repeated at this interval until they are confirmed. */
+const REPEAT_MS = 1_000
+
+/** After it has left, the node answers calls of entry nodes that have not heard of it for this long. */
+const LINGER_MS = 1_000
+
+export interface LifecycleOptions {
+  readonly calls: services.IHostCalls
+  readonly membership: membership.IMembership
+  readonly effects: messages.IEffects
+  /** Empty if there is no target; then there is nothing to hand over. */
+  readonly service: string
+  readonly drainMs: () => base.Millis
+}
+
+/**
+ * `handing`: the successor gets the key table and the keys issued so far. `releasing`: the log gets the record that no
+ * later process at this address adopts the windows. `confirming`: the successor gets the windows whole.
+ */
+type Stage = 'serving' | 'draining' | 'handing' | 'releasing' | 'confirming' | 'left'
+
+/** The key table was handed over, so this process cannot run keyed calls any more. */
+export class HandedOverError extends Error {
+  public readonly kind = 'handed-over'
+
+  constructor () {
+    super('This node has handed its keys to a successor and cannot take work again. Restart the process.')
+    this.name = 'HandedOverError'
+  }
+}
+
+/** Drain and planned stop of this node. */
+export class Lifecycle implements services.ILifecycle {
+  private _stage: Stage = 'serving'
+  private _drainSinceMs = 0
+  private _leftAtMs = 0
+  private _nextSendMs = 0
+  private _requestNumber = 0
+  private _appending: string | undefined
+  private _handover: types.Handover | undefined
+  /** The successor has acknowledged the key table. */
+  private _isHandedOver = false
+
+  constructor (private readonly _options: LifecycleOptions) {}
+
+  public get isDraining (): boolean {
+    return this._stage !== 'serving'
+  }
+
+  public beginDrain (nowMs: base.Millis): readonly types.HostUpdate[] {
+    if (this.isDraining) return []
+    this._stage = 'draining'
+    this._drainSinceMs = nowMs
+    this._options.membership.setState('draining', nowMs)
+    return this._options.calls.beginDrain(nowMs)
+  }
+
+  public undrain (nowMs: base.Millis): results.Result<void, HandedOverError> {
+    if (this._stage === 'serving') return results.Ok(undefined)
+    if (this._stage !== 'draining') return results.Err(new HandedOverError())
+    this._stage = 'serving'
+    this._options.calls.endDrain()
+    this._options.membership.setState('ready', nowMs)
+    return results.Ok(undefined)
+  }
+
+  public canExit (nowMs: base.Millis): boolean {
+    return this._stage === 'left' && nowMs >= this._leftAtMs + LINGER_MS
+  }
+
+  public receive (from: base.NodeId, message: messages.HandoverMessage | messages.HandoverAckMessage, nowMs: base.Millis): void {
+    if (message.kind === 'handover') this._inherit(from, message.handover, nowMs)
+    else this._acknowledged(from, message, nowMs)
+  }
+
+  public logAppended (result: messages.LogAppendResult, nowMs: base.Millis): void {
+    if (result.requestId !== this._appending) return
+    this._appending = undefined
+    if (this._stage !== 'releasing' || result.status !== 'appended') return
+    this._stage = 'confirming'
+    this._nextSendMs = nowMs
+  }
+
+  public tick (nowMs: base.Millis): void {
+    if (this._stage === 'serving' || this._stage === 'left') return
+    if (this._stage === 'draining' && this._options.calls.isIdle) this._beginHandover(nowMs)
+    if (nowMs >= this._drainSinceMs + this._options.drainMs()) this._leave(nowMs)
+    else if (nowMs >= this._nextSendMs) this._send(nowMs)
+  }
+
+  private _beginHandover (nowMs: base.Millis): void {
+    const to = this._chooseSuccessor()
+    if (to === undefined) {
+      this._leave(nowMs)
+      return
+    }
+    this._handover = this._options.calls.release(to, nowMs)
+    this._stage = 'handing'
+  }
+
+  private _chooseSuccessor (): types.PartitionOwner | undefined {
+    const { membership, service } = this._options
+    if (service === '') return undefined
+    const rank = (nodeId: base.NodeId): number => digest.placementHash(`${membership.self.nodeId} ${nodeId}`)
+    const rows = membership.targetsOf(service).filter(row => row.nodeId !== membership.self.nodeId)
+    const row = [...rows].sort((a, b) => rank(b.nodeId) - rank(a.nodeId))[0]
+    return row === undefined ? undefined : { nodeId: row.nodeId, incarnation: row.incarnation }
+  }
+
+  /** There is never a second successor: the first may have taken the keys although its answer was lost. */
+  private _send (nowMs: base.Millis): void {
+    const handover = this._handover
+    const row = handover === undefined ? undefined : this._options.membership.get(handover.to.nodeId)
+    if (handover === undefined || this._stage === 'left') return
+    if (row === undefined || row.state === 'dead' || row.state === 'left') {
+      this._leave(nowMs)
+      return
+    }
+    this._nextSendMs = nowMs + REPEAT_MS
+    if (this._stage === 'releasing') this._appendRelease(handover, nowMs)
+    else this._sendHandover(handover, row.peerAddress)
+  }
+
+  private _sendHandover (handover: types.Handover, address: string): void {
+    const confirmed = this._stage === 'confirming'
+    const sent = confirmed ? { ...handover, released: true, keys: [] } : handover
+    this._options.effects.push({ kind: 'send', to: handover.to.nodeId, address, message: { kind: 'handover', handover: sent } })
+  }
+
+  private _appendRelease (handover: types.Handover, nowMs: base.Millis): void {
+    if (this._appending !== undefined) return
+    this._appending = `release-${nowMs}-${this._requestNumber++}`
+    const data: types.ReleaseRecord = { kind: 'release', owner: handover.from, successor: handover.to }
+    this._options.effects.push({ kind: 'append-log', stream: 'ownership', requestId: this._appending, data })
+  }
+
+  private _inherit (from: base.NodeId, handover: types.Handover, nowMs: base.Millis): void {
+    const row = this._options.membership.get(from)
+    if (handover.from.nodeId !== from || row === undefined) return
+    if (!this._options.calls.inherit(handover, nowMs)) return
+    const { nodeId, incarnation } = handover.from
+    const message: messages.HandoverAckMessage = { kind: 'handover-ack', fromNodeId: nodeId, incarnation, released: handover.released }
+    this._options.effects.push({ kind: 'send', to: from, address: row.peerAddress, message })
+  }
+
+  private _acknowledged (from: base.NodeId, ack: messages.HandoverAckMessage, nowMs: base.Millis): void {
+    const handover = this._handover
+    if (handover === undefined || from !== handover.to.nodeId || ack.incarnation !== handover.from.incarnation) return
+    if (this._stage === 'handing' && !ack.released) {
+      this._isHandedOver = true
+      this._stage = 'releasing'
+      this._nextSendMs = nowMs
+    } else if (this._stage === 'confirming' && ack.released) {
+      this._leave(nowMs)
+    }
+  }
+
+  private _leave (nowMs: base.Millis): void {
+    this._stage = 'left'
+    this._leftAtMs = nowMs
+    const successor = this._isHandedOver ? this._handover?.to.nodeId : undefined
+    this._options.membership.setState('left', nowMs, successor)
+  }
+}
--- a/packages/common/src/hosting/OwnedWindows.ts
+++ b/packages/common/src/hosting/OwnedWindows.ts
@@ -7,7 +7,10 @@
 const KEEP_INHERITED_MS = 7_200_000
 
 export interface OwnedWindowsOptions {
+  /** This process with the incarnation at which it started. */
   readonly self: types.PartitionOwner
+  /** The incarnation now. A process raises it when it refutes a suspicion. */
+  readonly currentIncarnation: () => base.Incarnation
   readonly table: services.IOwnershipTable
   /** Whether the `ownership` stream was read to its end after this process started. */
   readonly isCaughtUp: () => boolean
@@ -48,8 +51,7 @@
 
   /** Returns false for a handover that is meant for another process. */
   public inherit (handover: types.Handover): boolean {
-    const { self } = this._options
-    if (handover.to.nodeId !== self.nodeId || handover.to.incarnation !== self.incarnation) return false
+    if (!this._isThisProcess(handover.to)) return false
     const id = `${handover.from.nodeId} ${handover.from.incarnation}`
     const released = handover.released || this._inherited.get(id)?.released === true
     this._inherited.set(id, { ...handover, released, keys: [] })
@@ -63,9 +65,15 @@
   }
 
   private _isOwn (owner: types.PartitionOwner): boolean {
+    if (this._isThisProcess(owner)) return true
     const { self, table, isCaughtUp } = this._options
     if (owner.nodeId !== self.nodeId || owner.incarnation > self.incarnation) return false
-    return owner.incarnation === self.incarnation || (isCaughtUp() && !table.isReleased(owner))
+    return isCaughtUp() && !table.isReleased(owner)
+  }
+
+  private _isThisProcess ({ nodeId, incarnation }: types.PartitionOwner): boolean {
+    const { self, currentIncarnation } = this._options
+    return nodeId === self.nodeId && incarnation >= self.incarnation && incarnation <= currentIncarnation()
   }
 }
 
--- a/packages/common/src/hosting/OwnershipTable.ts
+++ b/packages/common/src/hosting/OwnershipTable.ts
@@ -39,8 +39,8 @@
  */
 export class OwnershipTable implements services.IOwnershipTable {
   private readonly _services = new Map<string, Partition[]>()
-  /** Highest incarnation of each node that handed over its windows. */
-  private readonly _released = new Map<base.NodeId, base.Incarnation>()
+  /** Newest release of each node. */
+  private readonly _released = new Map<base.NodeId, types.Release>()
   private _asOfOffset = 0
   private _tableVersion = 0
   private _resetVersion = 0
@@ -79,7 +79,7 @@
 
   /** Whether the process handed its windows over, so that a later process at its address must not adopt them. */
   public isReleased (owner: types.PartitionOwner): boolean {
-    return owner.incarnation <= (this._released.get(owner.nodeId) ?? 0)
+    return this._releaseOf(owner) !== undefined
   }
 
   /** Owner of the newest window of each partition, or an empty list without a table. */
@@ -100,7 +100,7 @@
     this._asOfOffset = offset + 1
     if (record.kind === 'horizon') return this._raiseHorizon(record.untilMs)
     if (record.kind === 'partitions') return this._addWindows(record, offset + 1)
-    if (record.kind === 'release') return this._release(record.owner, offset + 1)
+    if (record.kind === 'release') return this._release(record, offset + 1)
     return false
   }
 
@@ -116,7 +116,7 @@
     const changed = update.tableVersion !== this._tableVersion || update.horizonMs !== this._horizonMs
     if (update.sinceVersion === 0) this._services.clear()
     this._released.clear()
-    for (const { nodeId, incarnation } of update.released) this._released.set(nodeId, incarnation)
+    for (const release of update.released) this._released.set(release.owner.nodeId, release)
     this._replace(update)
     this._asOfOffset = update.asOfOffset
     this._tableVersion = update.tableVersion
@@ -138,7 +138,7 @@
       floorMs: this._floorMs,
       lastChangeMs: this._lastChangeMs,
       lastChangeOffset: this._lastChangeOffset,
-      released: [...this._released].map(([nodeId, incarnation]) => ({ nodeId, incarnation })),
+      released: [...this._released.values()],
       sinceVersion,
       services: codec.pack(this._entriesSince(sinceVersion))
     }
@@ -155,7 +155,9 @@
     if (timeMs >= this._horizonMs) return { kind: 'beyond-horizon', retryAfterMs: BEYOND_HORIZON_RETRY_MS }
     const windows = partitions[keys.partitionOf(key)]?.windows ?? []
     const window = windows.find(candidate => candidate.startsAtMs <= timeMs)
-    return window === undefined ? { kind: 'no-table' } : { kind: 'owner', owner: window.owner }
+    if (window === undefined) return { kind: 'no-table' }
+    const { owner } = window
+    return { kind: 'owner', owner, sendTo: this._releaseOf(owner)?.successor.nodeId ?? owner.nodeId }
   }
 
   private _raiseHorizon (untilMs: base.Millis): boolean {
@@ -183,10 +185,15 @@
     return newest === undefined || (startsAtMs >= this._horizonMs && startsAtMs >= newest.startsAtMs)
   }
 
-  /** The windows stay in place: entry nodes find the successor by the row of the owner. */
-  private _release (owner: types.PartitionOwner, version: number): boolean {
-    if (owner.incarnation <= (this._released.get(owner.nodeId) ?? 0)) return false
-    this._released.set(owner.nodeId, owner.incarnation)
+  private _releaseOf (owner: types.PartitionOwner): types.Release | undefined {
+    const release = this._released.get(owner.nodeId)
+    return release !== undefined && owner.incarnation <= release.owner.incarnation ? release : undefined
+  }
+
+  /** The windows stay in place: the successor finds them by their owner. */
+  private _release ({ owner, successor }: types.ReleaseRecord, version: number): boolean {
+    if (this.isReleased(owner)) return false
+    this._released.set(owner.nodeId, { owner, successor })
     this._tableVersion = version
     return true
   }
--- a/packages/common/src/hosting/Services.ts
+++ b/packages/common/src/hosting/Services.ts
@@ -4,7 +4,8 @@
 import type * as types from './Types.js'
 
 export type OwnerLookup =
-  | { readonly kind: 'owner', readonly owner: types.PartitionOwner }
+  /** Calls go to `sendTo`: the owner, or the node that took over its windows. */
+  | { readonly kind: 'owner', readonly owner: types.PartitionOwner, readonly sendTo: base.NodeId }
   /**
    * This node knows no owner for keys issued at this time. Another node may know more, so only a key that was never
    * sent before is certainly not run; for a key that the caller sends again the outcome is `unknown`.
--- a/packages/common/src/hosting/Types.ts
+++ b/packages/common/src/hosting/Types.ts
@@ -87,9 +87,13 @@
  * The process has handed its windows to a successor. A later process at its address must not adopt them.
  * Only the owner itself appends it, after it has stopped running keys.
  */
-export interface ReleaseRecord {
+export interface ReleaseRecord extends Release {
   readonly kind: 'release'
+}
+
+export interface Release {
   readonly owner: PartitionOwner
+  readonly successor: PartitionOwner
 }
 
 /** The whole table, re-appended before the log drops the records that made it. */
@@ -122,8 +126,8 @@
   readonly lastChangeMs: base.Millis
   /** Offset after the last record that was not a snapshot. */
   readonly lastChangeOffset: number
-  /** Processes that handed over their windows. */
-  readonly released: readonly PartitionOwner[]
+  /** Processes that handed over their windows, at most one per node. */
+  readonly released: readonly Release[]
   /** `services` holds what changed since this version; everything if it is 0. */
   readonly sinceVersion: number
   readonly services: readonly ServiceWindows[]
--- a/packages/common/src/hosting/testing/Fixture.ts
+++ b/packages/common/src/hosting/testing/Fixture.ts
@@ -33,9 +33,8 @@
 
 let keyNumber = 0
 
-/** A key issued at the given time; the counter replaces the random part. */
-export function keyAt (timeMs: number): string {
-  const number = ++keyNumber
+/** A key issued at the given time; the number replaces the random part. */
+export function keyAt (timeMs: number, number = ++keyNumber): string {
   const random = Uint8Array.from({ length: 16 }, (_, i) => i < 12 ? 0 : (number >>> (8 * (15 - i))) & 255)
   return uuid.v7({ msecs: timeMs, seq: 0, random })
 }
@@ -88,6 +87,7 @@
     this.table.apply({ kind: 'horizon', untilMs: T0 + 600_000 }, 1)
     this.calls = new hostCalls.HostCalls({
       self: this.self,
+      currentIncarnation: () => this.self.incarnation,
       service: SERVICE,
       startedAtMs: this.self.incarnation,
       configuration: () => this.document,
--- a/packages/common/src/node/Messages.ts
+++ b/packages/common/src/node/Messages.ts
@@ -109,6 +109,8 @@
   readonly kind: 'handover-ack'
   readonly fromNodeId: base.NodeId
   readonly incarnation: base.Incarnation
+  /** Copy of the field of the handover that is acknowledged. */
+  readonly released: boolean
 }
 
 /** A call on its way from the entry node to a host node. */
