Guard restarted processes against late sends, test every hosting class

By reading, the owner had the like gap: a key refused as too new could run within 2 s after a restart.

Change: a delegate answers unknown for messages sent before its start plus 250 ms; an owner runs no key in its first 2 s.

Figures: a request that crashes every target costs 2 targets alone, 1 with a key, 4 when it always runs beside the same popular request.

--- a/packages/common/src/hosting/CrashTable.ts
+++ b/packages/common/src/hosting/CrashTable.ts
@@ -25,24 +25,35 @@
 
 interface Entry {
   readonly record: types.CrashRecord
+  readonly untilMs: base.Millis
   repeatsLeft: number
 }
 
+/** Crashes that a fingerprint was part of, those before it was answered here, and those it is to blame for. */
+interface Seen {
+  parts: number
+  survived: number
+  blames: number
+}
+
 /**
  * Crash records of this node and of its peers.
  *
  * A key is blocked after one crash: a keyed call runs once anyway. A fingerprint is blocked after it was to blame on two
  * crashed targets. It is to blame when it was alone on the target, or the only suspect there (see `isSuspect`); without
  * the second rule a request that always runs beside others would never be blocked. Popular requests become suspects
- * together with the one that crashes the targets, but stay unblocked because suspects are run one at a time per target.
+ * together with the one that crashes the targets. Suspects run one at a time per target, and a node clears one when it is
+ * answered, so popular requests are slowed down for about one service time and are not blocked.
+ *
+ * A request that crashes every target costs at most 2 targets when it runs alone and at most 4 when it always runs beside
+ * others (2 until it is a suspect, 2 as the only suspect), plus those that are lost before the record has reached them.
  */
 export class CrashTable implements services.ICrashTable {
   private readonly _options: CrashTableOptions
   /** In order of arrival; the key names one run on one target. */
   private readonly _entries = new Map<string, Entry>()
   private readonly _keys = new Map<string, number>()
-  /** By fingerprint: crashes it was part of, and crashes it is to blame for. */
-  private readonly _seen = new Map<string, { parts: number, blames: number }>()
+  private readonly _seen = new Map<string, Seen>()
 
   constructor (options: Partial<CrashTableOptions> = {}) {
     this._options = { ...DEFAULT_OPTIONS, ...options }
@@ -54,13 +65,21 @@
   }
 
   public isSuspect (fingerprint: string, _nowMs: base.Millis): boolean {
-    return (this._seen.get(fingerprint)?.parts ?? 0) >= SUSPECT_CRASHES
+    const seen = this._seen.get(fingerprint)
+    return seen !== undefined && seen.parts - seen.survived >= SUSPECT_CRASHES
+  }
+
+  public survived (fingerprint: string): void {
+    const seen = this._seen.get(fingerprint)
+    if (seen !== undefined) seen.survived = seen.parts
   }
 
   public record (record: types.CrashRecord, nowMs: base.Millis): boolean {
     const id = identity(record)
     if (this._entries.has(id) || record.atMs + this._options.blockMs <= nowMs) return false
-    this._entries.set(id, { record, repeatsLeft: this._options.gossipRepeats })
+    // A peer's clock that is ahead must not keep a record for longer.
+    const untilMs = Math.min(record.atMs, nowMs) + this._options.blockMs
+    this._entries.set(id, { record, untilMs, repeatsLeft: this._options.gossipRepeats })
     this._count(record, 1)
     if (this._entries.size > this._options.maxRecords) this._dropOldest()
     return true
@@ -78,8 +97,8 @@
   }
 
   public tick (nowMs: base.Millis): void {
-    for (const [id, { record }] of this._entries) {
-      if (record.atMs + this._options.blockMs <= nowMs) this._drop(id, record)
+    for (const [id, { record, untilMs }] of this._entries) {
+      if (untilMs <= nowMs) this._drop(id, record)
     }
   }
 
@@ -95,8 +114,9 @@
 
   private _count (record: types.CrashRecord, step: 1 | -1): void {
     if (record.key !== '') change(this._keys, record.key, step)
-    const seen = this._seen.get(record.fingerprint) ?? { parts: 0, blames: 0 }
+    const seen = this._seen.get(record.fingerprint) ?? { parts: 0, survived: 0, blames: 0 }
     seen.parts += step
+    seen.survived = Math.min(seen.survived, seen.parts)
     if (record.concurrent === 1) seen.blames += step
     if (seen.parts === 0) this._seen.delete(record.fingerprint)
     else this._seen.set(record.fingerprint, seen)
--- a/packages/common/src/hosting/HostCalls.ts
+++ b/packages/common/src/hosting/HostCalls.ts
@@ -19,6 +19,9 @@
 /** Sends older than this by the owner's clock are refused. With clocks 250 ms apart a send arrives within 1,250 ms. */
 export const MAX_SEND_AGE_MS = 1_000
 
+/** Peers with a larger difference are refused when they connect. */
+const MAX_CLOCK_DIFFERENCE_MS = 250
+
 /** Retry time of a refused key; not below the refusal memory. */
 const KEY_RETRY_AFTER_MS = 2_000
 
@@ -66,7 +69,7 @@
  *    delegated, and whatever the table forgets raises `forgottenUntilMs`.
  * 3. An entry is removed only by a statement that the request was never written (`not-started`). The delegate makes it
  *    only for a message it has not run and will not run again (`DelegationTable`).
- * 4. A later process at the same address starts with `forgottenUntilMs` = its start + 2 s. Its predecessor ran no key
+ * 4. A later process at the same address runs no key for 2 s and starts with `forgottenUntilMs` = its start + 2 s. Its predecessor ran no key
  *    issued more than 2 s ahead of its own clock, which has not stepped back since.
  *
  * Assumed of the target: it starts work only for a request that this node wrote to it. Nothing else.
@@ -193,7 +196,7 @@
     const known = this._delegations.get(id)
     if (known !== undefined) return 'runId' in known ? this._join(known.runId, call, nowMs) : answer(known.answer)
     // An older message may have been run and forgotten, so this is not a statement that it was not run.
-    if (isStale(call, nowMs)) return answer(answers.unknown('stale-send'))
+    if (isStale(call, nowMs) || this._isBeforeStart(call)) return answer(answers.unknown('stale-send'))
     const place = this._place(call, nowMs)
     if (place.kind === 'refused') {
       const refusal = answers.notRun(place.reason, place.retryAfterMs)
@@ -205,6 +208,10 @@
     return decision
   }
 
+  private _isBeforeStart (call: messages.CallMessage): boolean {
+    return call.sentAtMs <= this._options.startedAtMs + MAX_CLOCK_DIFFERENCE_MS
+  }
+
   private _acceptKeyed (call: KeyedCall, nowMs: base.Millis): types.HostDecision {
     const keyTime = keys.keyTimeMs(call.key)
     if (keyTime.isErr()) return answer(answers.notRun('bad-key', 0))
@@ -240,7 +247,9 @@
     if (this._isReleased || ownership.kind === 'not-own') {
       return answers.unknown('not-owner', ownership.kind === 'not-own' ? ownership.retryAfterMs : 0)
     }
-    if (keyTimeMs <= this._options.startedAtMs + keys.MAX_KEY_AHEAD_MS) return answers.unknown('key-before-start')
+    // No key is run in this time either: a send that the predecessor refused as too new may still arrive.
+    const guardedUntilMs = this._options.startedAtMs + keys.MAX_KEY_AHEAD_MS
+    if (Math.min(keyTimeMs, nowMs) <= guardedUntilMs) return answers.unknown('key-before-start')
     const forgottenUntilMs = Math.max(this._keys.forgottenUntilMs, ownership.forgottenUntilMs, nowMs - this._retentionMs)
     return keyTimeMs <= forgottenUntilMs ? answers.unknown('key-too-old') : undefined
   }
@@ -322,6 +331,7 @@
   private _settle (run: runs.Run, result: types.RunResult, nowMs: base.Millis): types.FinalAnswer {
     const ownedKey = run.delegation === undefined ? run.key : undefined
     if (result.kind === 'answered') {
+      this._options.crashes.survived(run.fingerprint)
       const { status, headers, body, streamed } = result
       if (ownedKey !== undefined) this._keys.answered(ownedKey, streamed ? undefined : { status, headers, body })
       return answers.answered(status, headers, body)
--- /dev/null
+++ b/packages/common/src/hosting/Lifecycle.test.ts
@@ -0,0 +1,132 @@
+import * as assert from 'node:assert/strict'
+import * as fake from './testing/FakeMembership.js'
+import * as fixture from './testing/Fixture.js'
+import * as lifecycles from './Lifecycle.js'
+import type * as messages from '../node/Messages.js'
+import * as test from 'node:test'
+
+const T0 = fixture.T0
+
+class Node {
+  public readonly effects: messages.Effect[] = []
+  public readonly membership: fake.FakeMembership
+  public readonly host: fixture.Host
+  public readonly lifecycle: lifecycles.Lifecycle
+
+  constructor (nodeId: string, owner?: { nodeId: string, incarnation: number }) {
+    this.host = new fixture.Host({ self: { nodeId, incarnation: T0 - 10_000 } }, owner)
+    this.membership = new fake.FakeMembership(nodeId)
+    for (const id of ['a', 'b']) this.membership.set(fake.memberRow(id, T0 - 10_000))
+    const { effects, membership } = this
+    this.lifecycle = new lifecycles.Lifecycle({ calls: this.host.calls, membership, effects, service: fixture.SERVICE, drainMs: () => 10_000 })
+  }
+
+  public kinds (): readonly string[] {
+    return this.effects.map(effect => effect.kind === 'send' ? effect.message.kind : effect.kind)
+  }
+
+  /** Delivers what the node has sent to the other one. */
+  public deliverTo (other: Node, nowMs: number): void {
+    for (const effect of this.effects.splice(0)) {
+      if (effect.kind !== 'send') continue
+      const { message } = effect
+      if (message.kind === 'handover' || message.kind === 'handover-ack') other.lifecycle.receive(this.membership.self.nodeId, message, nowMs)
+    }
+  }
+}
+
+test.describe('Lifecycle', () => {
+  test.describe('drain', () => {
+    test.it('waits for running calls before the handover, so that the successor gets their answers', () => {
+      const node = new Node('a')
+      const key = fixture.keyAt(T0)
+      const runId = node.host.run(fixture.call(T0, { key }), T0)
+      node.host.calls.start(runId, T0)
+      node.lifecycle.beginDrain(T0)
+      node.lifecycle.tick(T0 + 100)
+      assert.deepEqual([node.membership.self.state, node.kinds()], ['draining', []])
+      node.host.calls.finish(runId, fixture.ANSWER, T0 + 200)
+      node.lifecycle.tick(T0 + 300)
+      assert.deepEqual(node.kinds(), ['handover'])
+    })
+
+    test.it('hands the key table over, logs the release and names the successor', () => {
+      const [from, to] = [new Node('a'), new Node('b', { nodeId: 'a', incarnation: T0 - 10_000 })]
+      const key = fixture.keyAt(T0)
+      const runId = from.host.run(fixture.call(T0, { key }), T0)
+      from.host.calls.start(runId, T0)
+      from.host.calls.finish(runId, fixture.ANSWER, T0)
+      from.lifecycle.beginDrain(T0)
+      from.lifecycle.tick(T0)
+      from.deliverTo(to, T0)
+      to.deliverTo(from, T0)
+      from.lifecycle.tick(T0)
+      const [append] = from.effects.splice(0)
+      assert.ok(append?.kind === 'append-log')
+      assert.equal(to.host.verdict(fixture.call(T0, { key: fixture.keyAt(T0 + 2_001) }), T0), 'unknown not-owner')
+      from.lifecycle.logAppended({ stream: 'ownership', requestId: append.requestId, status: 'appended', offset: 2 }, T0)
+      from.lifecycle.tick(T0)
+      from.deliverTo(to, T0)
+      to.deliverTo(from, T0)
+      assert.deepEqual([from.membership.self.state, from.membership.self.successor], ['left', 'b'])
+      assert.deepEqual([from.lifecycle.canExit(T0 + 999), from.lifecycle.canExit(T0 + 1_000)], [false, true])
+      assert.equal(to.host.verdict(fixture.call(T0, { key }), T0), 'answered ok')
+      to.host.run(fixture.call(T0 + 10, { key: fixture.keyAt(T0 + 2_005) }), T0 + 10)
+    })
+
+    test.it('runs no new key after it has sent the handover, whether or not the successor answers', () => {
+      const node = new Node('a')
+      node.lifecycle.beginDrain(T0)
+      node.lifecycle.tick(T0)
+      assert.equal(node.host.verdict(fixture.call(T0, { key: fixture.keyAt(T0) }), T0), 'unknown not-owner')
+      assert.ok(node.lifecycle.undrain(T0).isErr())
+    })
+
+    test.it('sends to one process only, because the first may have taken the keys although its answer was lost', () => {
+      const node = new Node('a')
+      node.lifecycle.beginDrain(T0)
+      node.lifecycle.tick(T0)
+      node.membership.set(fake.memberRow('c', T0))
+      node.membership.set(fake.memberRow('b', T0 - 10_000, { state: 'dead' }))
+      node.lifecycle.tick(T0 + 1_000)
+      assert.deepEqual([node.kinds(), node.membership.self.successor], [['handover'], ''])
+      const restarted = new Node('b')
+      const handover = node.effects[0]
+      assert.ok(handover?.kind === 'send' && handover.message.kind === 'handover')
+      const wrong = { ...handover.message.handover, to: { nodeId: 'b', incarnation: T0 - 20_000 } }
+      restarted.lifecycle.receive('a', { kind: 'handover', handover: wrong }, T0)
+      assert.deepEqual(restarted.effects, [])
+    })
+
+    test.it('ends after the drain time when the successor or the log does not answer', () => {
+      const node = new Node('a')
+      node.lifecycle.beginDrain(T0)
+      for (let ms = 0; ms < 10_000; ms += 500) node.lifecycle.tick(T0 + ms)
+      assert.equal(node.kinds().length, 10)
+      node.lifecycle.tick(T0 + 10_000)
+      assert.equal(node.membership.self.state, 'left')
+    })
+
+    test.it('has no effect the second time, so that a second SIGTERM does not restart the drain', () => {
+      const node = new Node('a')
+      node.lifecycle.beginDrain(T0)
+      node.lifecycle.tick(T0)
+      assert.deepEqual(node.lifecycle.beginDrain(T0 + 9_000), [])
+      node.lifecycle.tick(T0 + 10_000)
+      assert.equal(node.membership.self.state, 'left')
+    })
+  })
+
+  test.describe('undrain', () => {
+    test.it('takes work again while calls still run', () => {
+      const node = new Node('a')
+      node.host.run(fixture.call(T0, { key: fixture.keyAt(T0) }), T0)
+      node.host.delegate = { nodeId: 'b', address: 'b:1' }
+      node.lifecycle.beginDrain(T0)
+      node.lifecycle.tick(T0)
+      assert.ok(node.lifecycle.undrain(T0).isOk())
+      assert.equal(node.membership.self.state, 'ready')
+      node.host.run(fixture.call(T0), T0)
+    })
+  })
+})
--- /dev/null
+++ b/packages/common/src/hosting/OwnershipLog.test.ts
@@ -0,0 +1,235 @@
+import * as assert from 'node:assert/strict'
+import * as fake from './testing/FakeMembership.js'
+import * as fixture from './testing/Fixture.js'
+import type * as messages from '../node/Messages.js'
+import * as modelLog from './testing/ModelLog.js'
+import * as ownership from './OwnershipTable.js'
+import * as ownershipLog from './OwnershipLog.js'
+import * as random from '../base/Random.js'
+import * as test from 'node:test'
+import type * as types from './Types.js'
+
+const T0 = fixture.T0
+const TICK_MS = 100
+
+class Reader {
+  public readonly table = new ownership.OwnershipTable()
+  public readonly membership = new fake.FakeMembership('n0')
+  public readonly effects: messages.Effect[] = []
+  public readonly appended: types.OwnershipRecord[] = []
+  public isReader = true
+  public readonly log: ownershipLog.OwnershipLog
+
+  constructor (seed = 1) {
+    const configuration = (): typeof fixture.DOCUMENT => fixture.DOCUMENT
+    this.log = new ownershipLog.OwnershipLog({ ...this, random: new random.Random(seed), configuration })
+  }
+
+  public ready (...nodeIds: readonly string[]): void {
+    for (const nodeId of nodeIds) this.membership.set(fake.memberRow(nodeId, 1))
+  }
+
+  public owners (): readonly string[] {
+    return this.table.newestOwners(fixture.SERVICE).map(owner => owner?.nodeId ?? '')
+  }
+
+  public counts (): Record<string, number> {
+    const counts: Record<string, number> = {}
+    for (const nodeId of this.owners()) counts[nodeId] = (counts[nodeId] ?? 0) + 1
+    return counts
+  }
+}
+
+/** Readers and the log they share. */
+class World {
+  public readonly log: modelLog.ModelLog
+  public nowMs = T0
+
+  constructor (public readonly readers: readonly Reader[], retentionMs = 3_600_000) {
+    this.log = new modelLog.ModelLog(retentionMs)
+  }
+
+  public run (ms: number): void {
+    for (let passedMs = 0; passedMs < ms; passedMs += TICK_MS) {
+      this.nowMs += TICK_MS
+      this.log.expire(this.nowMs)
+      for (const reader of this.readers) {
+        reader.log.tick(this.nowMs, reader.isReader)
+        for (const effect of reader.effects.splice(0)) this._perform(reader, effect)
+      }
+    }
+  }
+
+  private _perform (reader: Reader, effect: messages.Effect): void {
+    if (effect.kind === 'read-log') reader.log.logRead(this.log.read(effect.fromOffset, effect.limit), this.nowMs)
+    if (effect.kind !== 'append-log') return
+    reader.appended.push(effect.data as types.OwnershipRecord)
+    const offset = this.log.isUp ? this.log.append(effect.data, this.nowMs) : -1
+    const status = this.log.isUp ? 'appended' : 'unknown'
+    reader.log.logAppended({ stream: 'ownership', requestId: effect.requestId, status, offset }, this.nowMs)
+  }
+}
+
+function ofKind<K extends types.OwnershipRecord['kind']> (reader: Reader, kind: K): readonly (types.OwnershipRecord & { kind: K })[] {
+  return reader.appended.filter((record): record is types.OwnershipRecord & { kind: K } => record.kind === kind)
+}
+
+test.describe('OwnershipLog', () => {
+  test.describe('first table', () => {
+    test.it('is made 3 s after the last member came, so that a starting fleet is not split over its first node', () => {
+      const reader = new Reader()
+      const world = new World([reader])
+      reader.ready('n0')
+      world.run(2_000)
+      reader.ready('n1')
+      world.run(2_900)
+      assert.equal(reader.table.tableVersion, 0)
+      world.run(1_000)
+      assert.deepEqual(reader.counts(), { n0: 32, n1: 32 })
+    })
+
+    test.it('of a new service does not wait for the horizon, which protects nothing there', () => {
+      const reader = new Reader()
+      const world = new World([reader])
+      reader.ready('n0')
+      world.run(700_000)
+      reader.membership.set(fake.memberRow('v0', 1, { service: 'vault' }))
+      world.run(4_000)
+      const lookup = reader.table.ownerOf('vault', fixture.keyAt(world.nowMs)).unwrap()
+      assert.equal(lookup.kind, 'owner')
+    })
+  })
+
+  test.describe('moves', () => {
+    test.it('touch only the partitions of the dead owner and start at the horizon', () => {
+      const reader = new Reader()
+      const world = new World([reader])
+      reader.ready('n0', 'n1', 'n2', 'n3')
+      world.run(10_000)
+      const before = reader.owners()
+      reader.membership.set(fake.memberRow('n3', 1, { state: 'dead' }))
+      const horizonMs = reader.table.horizonMs
+      world.run(4_000)
+      const moved = reader.owners().filter((owner, i) => owner !== before[i]).length
+      assert.deepEqual([moved, reader.counts()], [16, { n0: 22, n1: 21, n2: 21 }])
+      assert.ok((ofKind(reader, 'partitions').at(-1)?.startsAtMs ?? 0) >= horizonMs)
+    })
+
+    test.it('leave draining and suspected owners alone, because most of them come back', () => {
+      const reader = new Reader()
+      const world = new World([reader])
+      reader.ready('n0', 'n1', 'n2')
+      world.run(10_000)
+      reader.membership.set(fake.memberRow('n1', 1, { state: 'draining' }))
+      reader.membership.set(fake.memberRow('n2', 1, { state: 'suspect' }))
+      world.run(10_000)
+      assert.equal(ofKind(reader, 'partitions').length, 1)
+    })
+
+    test.it('stop as soon as the table fits, also with readers that race, so that the table does not swing', () => {
+      const readers = [1, 2, 3, 4].map(seed => new Reader(seed))
+      const world = new World(readers)
+      for (const reader of readers) reader.ready('n0', 'n1', 'n2')
+      world.run(10_000)
+      for (const reader of readers) reader.ready('n3')
+      world.run(30_000)
+      assert.ok(readers.reduce((sum, reader) => sum + ofKind(reader, 'partitions').length, 0) <= 2 * readers.length)
+      for (const reader of readers) {
+        assert.deepEqual(reader.counts(), { n0: 16, n1: 16, n2: 16, n3: 16 })
+        assert.deepEqual(reader.table.updateSince(0), readers[0]?.table.updateSince(0))
+      }
+    })
+  })
+
+  test.describe('horizon', () => {
+    test.it('is short while the table is young and grows with its age up to the configured length', () => {
+      const reader = new Reader()
+      const world = new World([reader])
+      reader.ready('n0')
+      world.run(8_000)
+      assert.ok(reader.table.horizonMs - world.nowMs <= 5_000)
+      world.run(1_200_000)
+      assert.ok(reader.table.horizonMs - world.nowMs >= 400_000 && reader.table.horizonMs - world.nowMs <= 600_000)
+    })
+
+    test.it('never runs out while the log is up, so that no keyed call is refused', () => {
+      const reader = new Reader()
+      const world = new World([reader])
+      reader.ready('n0')
+      world.run(5_000)
+      for (let i = 0; i < 1_000; i++) {
+        world.run(100)
+        assert.ok(reader.table.horizonMs > world.nowMs)
+      }
+    })
+
+    test.it('is renewed soon after a log outage', () => {
+      const reader = new Reader()
+      const world = new World([reader])
+      reader.ready('n0')
+      world.run(8_000)
+      world.log.isUp = false
+      world.run(60_000)
+      assert.ok(reader.table.horizonMs < world.nowMs)
+      world.log.isUp = true
+      world.run(12_000)
+      assert.ok(reader.table.horizonMs > world.nowMs)
+    })
+  })
+
+  test.describe('retention', () => {
+    test.it('leaves a snapshot in the log at any time, so that a new node needs no peer', () => {
+      const reader = new Reader()
+      const world = new World([reader], 60_000)
+      reader.ready('n0', 'n1')
+      for (let i = 0; i < 10; i++) {
+        world.run(47_000)
+        const late = new Reader(7)
+        late.isReader = false
+        const lateWorld = new World([late], 60_000)
+        Object.assign(lateWorld, { log: world.log, nowMs: world.nowMs })
+        lateWorld.run(1_000)
+        assert.ok(late.log.isCaughtUp)
+        assert.deepEqual(late.table.newestOwners(fixture.SERVICE), reader.table.newestOwners(fixture.SERVICE))
+      }
+    })
+
+    test.it('restarts the table behind every lost horizon when the log and all nodes have lost it', () => {
+      const old = new Reader()
+      const world = new World([old], 60_000)
+      old.ready('n0')
+      world.run(30_000)
+      const late = new Reader(7)
+      const lateWorld = new World([late], 60_000)
+      Object.assign(lateWorld, { log: world.log, nowMs: world.nowMs + 100_000 })
+      late.ready('n9')
+      lateWorld.run(20_000)
+      const [reset] = ofKind(late, 'table-reset')
+      assert.ok(reset !== undefined && reset.floorMs >= old.table.horizonMs)
+      assert.equal(late.table.ownerOf(fixture.SERVICE, fixture.keyAt(reset.floorMs - 1)).unwrap().kind, 'no-table')
+      assert.deepEqual(late.counts(), { n9: 64 })
+    })
+  })
+
+  test.describe('reading', () => {
+    test.it('passes over records of an unknown form, so that one bad record does not stop the table', () => {
+      const reader = new Reader()
+      const world = new World([reader])
+      world.log.append({ kind: 'partitions', services: 'all' }, T0)
+      world.log.append('nonsense', T0)
+      reader.ready('n0')
+      world.run(5_000)
+      assert.deepEqual(reader.counts(), { n0: 64 })
+    })
+
+    test.it('is done once by nodes that are no readers and then left to the readers', () => {
+      const node = new Reader()
+      node.isReader = false
+      const world = new World([node])
+      world.run(5_000)
+      node.log.tick(world.nowMs, false)
+      assert.ok(node.log.isCaughtUp)
+      assert.deepEqual([node.effects, node.appended], [[], []])
+    })
+  })
+})
--- a/packages/common/src/hosting/OwnershipLog.ts
+++ b/packages/common/src/hosting/OwnershipLog.ts
@@ -80,7 +80,7 @@
 
   public tick (nowMs: base.Millis, isReader: boolean): void {
     this._reader.tick(nowMs, isReader)
-    if (isReader && !this._wasReader) this._becomeReader(nowMs)
+    if (isReader && !this._wasReader) this._becomeReader()
     this._wasReader = isReader
     if (!isReader || !this._mayAppend(nowMs)) return
     const record = this._nextRecord(nowMs)
@@ -101,10 +101,9 @@
     this._holdUntilOffset = result.status === 'appended' ? result.offset + 1 : Infinity
   }
 
-  private _becomeReader (nowMs: base.Millis): void {
+  private _becomeReader (): void {
     for (const row of this._options.membership.all()) this._stable.mark(row.service)
-    // The age of the snapshot in the log is not known, so another one is due soon.
-    this._snapshotDueMs = nowMs + this._options.random.nextFloat() * this._reader.retentionMs / 4
+    this._snapshotDueMs = undefined
     this._snapshotsSeen = this._reader.snapshots
   }
 
@@ -199,7 +198,9 @@
       this._snapshotsSeen = this._reader.snapshots
       this._snapshotDueMs = nowMs + this._reader.retentionMs / 2
     }
-    if (this._options.table.tableVersion === 0 || this._snapshotDueMs === undefined || nowMs < this._snapshotDueMs) return undefined
+    // The age of the snapshot in the log is not known to a new reader, so another one is due soon.
+    this._snapshotDueMs ??= nowMs + this._options.random.nextFloat() * this._reader.retentionMs / 4
+    if (this._options.table.tableVersion === 0 || nowMs < this._snapshotDueMs) return undefined
     return { kind: 'table-snapshot', ...this._options.table.updateSince(0) }
   }
 
--- a/packages/common/src/hosting/Services.ts
+++ b/packages/common/src/hosting/Services.ts
@@ -61,6 +61,8 @@
   isBlocked(key: string | undefined, fingerprint: string, nowMs: base.Millis): boolean
   /** Whether the fingerprint ran on enough crashed targets to be run apart from other suspects. */
   isSuspect(fingerprint: string, nowMs: base.Millis): boolean
+  /** A run with the fingerprint was answered: on this node it is no suspect until the next crash. */
+  survived(fingerprint: string): void
   record(record: types.CrashRecord, nowMs: base.Millis): boolean
   /** Records that peers may not know yet; each is handed out a bounded number of times. */
   pending(limit: number): readonly types.CrashRecord[]
--- a/packages/common/src/hosting/testing/Fixture.ts
+++ b/packages/common/src/hosting/testing/Fixture.ts
@@ -66,7 +66,7 @@
   }
 }
 
-export const ANSWER: types.RunResult = {
+export const ANSWER: types.RunResult & { kind: 'answered' } = {
   kind: 'answered', status: 200, headers: { 'x-a': 'b' }, body: new Uint8Array([1]), streamed: false, serviceMs: 20
 }
 
