--- a/packages/common/src/hosting/Services.ts
+++ b/packages/common/src/hosting/Services.ts
@@ -4,7 +4,8 @@
 import type * as types from './Types.js'
 
 export type OwnerLookup =
-  | { readonly kind: 'owner', readonly owner: types.PartitionOwner }
+  /** Calls go to `sendTo`: the owner, or the node that took over its windows. */
+  | { readonly kind: 'owner', readonly owner: types.PartitionOwner, readonly sendTo: base.NodeId }
   /**
    * This node knows no owner for keys issued at this time. Another node may know more, so only a key that was never
    * sent before is certainly not run; for a key that the caller sends again the outcome is `unknown`.
@@ -60,6 +61,8 @@
   isBlocked(key: string | undefined, fingerprint: string, nowMs: base.Millis): boolean
   /** Whether the fingerprint ran on enough crashed targets to be run apart from other suspects. */
   isSuspect(fingerprint: string, nowMs: base.Millis): boolean
+  /** A run with the fingerprint was answered: on this node it is no suspect until the next crash. */
+  survived(fingerprint: string): void
   record(record: types.CrashRecord, nowMs: base.Millis): boolean
   /** Records that peers may not know yet; each is handed out a bounded number of times. */
   pending(limit: number): readonly types.CrashRecord[]
