Add the convergence benchmark; bound the traffic of mass changes

Cause: with 1,000 nodes the heartbeats carried 8 KB each after a fleet start, and a restart of the whole fleet cost 1.49 MB per node. Change: rows travel as tuples without field names; joining rows, and rows of large pages, are not gossiped at once; a row that peers tell back is told no more; the backlog is bounded; table comparison catches up with a doubling interval; seeds are probed at 5 messages/s fleet-wide.

--- a/packages/common/src/distribution/Distribution.ts
+++ b/packages/common/src/distribution/Distribution.ts
@@ -42,6 +42,8 @@
   readonly effects: messages.IEffects
   /** The ownership table, whose changes travel with the configuration. */
   readonly ownership?: hosting.IOwnershipTable
+  /** Digest of a document; `digestJson` if absent. */
+  readonly digestOf?: (document: config.ConfigDocument) => string
   /** `hybrid` if absent. */
   readonly strategy?: types.DistributionStrategy
   /** Told of each message or state that was ignored, for the log and the metrics. */
@@ -249,7 +251,8 @@
   }
 
   private _takeWhole (from: base.NodeId, state: config.AcceptedState, source: Source, nowMs: base.Millis): void {
-    if (digests.digestJson(state.document) === state.digest) return this._offer(state, undefined, source, nowMs)
+    const digestOf = this._options.digestOf ?? digests.digestJson
+    if (digestOf(state.document) === state.digest) return this._offer(state, undefined, source, nowMs)
     this._options.onMalformed?.(new malformed.MalformedMessageError(from, 'state', 'digest does not match the document'))
   }
 
--- a/packages/common/src/membership/Gossip.ts
+++ b/packages/common/src/membership/Gossip.ts
@@ -3,6 +3,10 @@
 
 /** Each update is sent this many times log2 of the number of members, as in SWIM. */
 const RETRANSMIT_FACTOR = 3
+/** Peers that have to tell a row back to this node before it stops to tell it: the row is widely known then. */
+const MAX_DUPLICATES = 2
+/** Rows that wait for heartbeats. In a mass event the oldest are left to the table repair, which sends no duplicates. */
+const MAX_BACKLOG = 256
 /** Rows that wait to be sent ahead of the heartbeats. More changes than that at once travel on heartbeats. */
 const MAX_URGENT = 512
 
@@ -22,11 +26,19 @@
     return this._urgent.length > 0
   }
 
-  /** Starts over with the row of this node. */
-  public add (nodeId: base.NodeId): void {
+  /** Starts over with the row of this node. An urgent one is told to a few members at once, ahead of the heartbeats. */
+  public add (nodeId: base.NodeId, isUrgent: boolean): void {
     this._sent.delete(nodeId)
     this._fresh.add(nodeId)
-    if (this._urgent.length < MAX_URGENT) this._urgent.push(nodeId)
+    if (isUrgent && this._urgent.length < MAX_URGENT) this._urgent.push(nodeId)
+    if (this.backlog > MAX_BACKLOG) this._dropOldest()
+  }
+
+  /** A peer told the same row. The row is then told less often. */
+  public heard (nodeId: base.NodeId, memberCount: number): void {
+    if (!this._sent.has(nodeId)) return
+    const maxSends = retransmitLimit(memberCount)
+    this._countSend(nodeId, maxSends / MAX_DUPLICATES, maxSends)
   }
 
   /** Rows for one message, never-sent rows first. */
@@ -55,6 +67,13 @@
     return rows
   }
 
+  private _dropOldest (): void {
+    const [oldest] = this._sent.size > 0 ? this._sent.keys() : this._fresh
+    if (oldest === undefined) return
+    this._sent.delete(oldest)
+    this._fresh.delete(oldest)
+  }
+
   private _countSend (id: base.NodeId, sends: number, maxSends: number): void {
     const count = (this._sent.get(id) ?? 0) + sends
     this._fresh.delete(id)
--- /dev/null
+++ b/packages/common/src/membership/Growth.ts
@@ -0,0 +1,27 @@
+import type * as base from '../base/Types.js'
+
+/** The table counts as settled when it has not grown for this time. */
+const SETTLE_MS = 1_000
+/** In a fleet that grows all the time a node does not wait longer than this. */
+const MAX_SETTLE_MS = 15_000
+
+/** Tells whether the member table of a node that has joined is complete enough for choices over all members. */
+export class Growth {
+  private _startedAtMs: base.Millis | undefined
+  private _grownAtMs = 0
+
+  public started (nowMs: base.Millis): void {
+    if (this._startedAtMs !== undefined) return
+    this._startedAtMs = nowMs
+    this._grownAtMs = nowMs
+  }
+
+  public grown (nowMs: base.Millis): void {
+    this._grownAtMs = nowMs
+  }
+
+  public isSettled (nowMs: base.Millis): boolean {
+    if (this._startedAtMs === undefined) return false
+    return nowMs - this._grownAtMs >= SETTLE_MS || nowMs - this._startedAtMs >= MAX_SETTLE_MS
+  }
+}
--- a/packages/common/src/membership/MemberTable.ts
+++ b/packages/common/src/membership/MemberTable.ts
@@ -1,13 +1,11 @@
-import * as digest from '../base/Digest.js'
 import type * as base from '../base/Types.js'
+import * as hashes from './RowHash.js'
 import * as rules from './RowRules.js'
 import type * as types from './Types.js'
 
 /** Buckets kept; smaller counts are folded from them. */
 export const MAX_BUCKETS = 256
 
-const EMPTY: readonly types.MemberRow[] = []
-
 /** Rows of all known nodes, with the indexes that routing, repair and reader selection need. */
 export class MemberTable {
   private readonly _rows = new Map<base.NodeId, types.MemberRow>()
@@ -15,6 +13,7 @@
   private readonly _bucketHashes = new Uint32Array(MAX_BUCKETS)
   private readonly _liveIds = new Map<string, base.NodeId[]>()
   private readonly _liveRows = new Map<string, readonly types.MemberRow[]>()
+  /** Only of services that were asked for, because a node routes to few of them. */
   private readonly _serviceIds = new Map<string, Set<base.NodeId>>()
   private readonly _targets = new Map<string, readonly types.MemberRow[]>()
   private _zones: readonly string[] | undefined
@@ -82,8 +81,7 @@
   public targetsOf (service: string): readonly types.MemberRow[] {
     const known = this._targets.get(service)
     if (known !== undefined) return known
-    const ids = this._serviceIds.get(service)
-    if (ids === undefined) return EMPTY
+    const ids = this._serviceIds.get(service) ?? this._indexService(service)
     const rows = [...ids].sort().flatMap(id => this._rows.get(id) ?? []).filter(row => row.state === 'ready' && row.targetReady)
     this._targets.set(service, rows)
     return rows
@@ -109,17 +107,17 @@
   }
 
   private _updateBucket (previous: types.MemberRow | undefined, current: types.MemberRow): void {
-    const idHash = digest.placementHash(current.nodeId)
-    const bucket = idHash % MAX_BUCKETS
+    const { bucketHash, hash } = hashes.rowHash(current)
+    const bucket = bucketHash % MAX_BUCKETS
     if (previous === undefined) this._bucketIds[bucket]?.push(current.nodeId)
-    const removed = previous === undefined ? 0 : rowHash(idHash, previous)
-    this._bucketHashes[bucket] = (this._bucketHashes[bucket] ?? 0) ^ removed ^ rowHash(idHash, current)
+    const removed = previous === undefined ? 0 : hashes.rowHash(previous).hash
+    this._bucketHashes[bucket] = (this._bucketHashes[bucket] ?? 0) ^ removed ^ hash
   }
 
   private _removeFromBucket (row: types.MemberRow): void {
-    const idHash = digest.placementHash(row.nodeId)
-    const bucket = idHash % MAX_BUCKETS
-    this._bucketHashes[bucket] = (this._bucketHashes[bucket] ?? 0) ^ rowHash(idHash, row)
+    const { bucketHash, hash } = hashes.rowHash(row)
+    const bucket = bucketHash % MAX_BUCKETS
+    this._bucketHashes[bucket] = (this._bucketHashes[bucket] ?? 0) ^ hash
     const ids = this._bucketIds[bucket]
     if (ids !== undefined) ids.splice(ids.indexOf(row.nodeId), 1)
   }
@@ -152,16 +150,19 @@
     this._zones = undefined
   }
 
+  private _indexService (service: string): Set<base.NodeId> {
+    const ids = new Set<base.NodeId>()
+    for (const row of this._rows.values()) if (row.service === service) ids.add(row.nodeId)
+    this._serviceIds.set(service, ids)
+    return ids
+  }
+
   private _updateService (previous: types.MemberRow | undefined, current: types.MemberRow): void {
     if (previous !== undefined && previous.service !== current.service) {
       this._serviceIds.get(previous.service)?.delete(current.nodeId)
       this._targets.delete(previous.service)
     }
-    if (previous === undefined || previous.service !== current.service) {
-      const ids = this._serviceIds.get(current.service)
-      if (ids === undefined) this._serviceIds.set(current.service, new Set([current.nodeId]))
-      else ids.add(current.nodeId)
-    }
+    this._serviceIds.get(current.service)?.add(current.nodeId)
     this._targets.delete(current.service)
   }
 }
@@ -185,17 +186,3 @@
   if (previous === undefined || previous.enforcedVersion <= row.enforcedVersion) return row
   return { ...row, enforcedVersion: previous.enforcedVersion }
 }
-
-function rowHash (idHash: number, row: types.MemberRow): number {
-  let hash = idHash
-  hash = mix(hash ^ (row.incarnation | 0))
-  hash = mix(hash ^ Math.floor(row.incarnation / 2 ** 32))
-  hash = mix(hash ^ rules.stateRank(row.state))
-  return mix(hash ^ row.revision) >>> 0
-}
-
-function mix (value: number): number {
-  let hash = Math.imul(value ^ (value >>> 16), 0x85ebca6b)
-  hash = Math.imul(hash ^ (hash >>> 13), 0xc2b2ae35)
-  return hash ^ (hash >>> 16)
-}
--- a/packages/common/src/membership/Membership.ts
+++ b/packages/common/src/membership/Membership.ts
@@ -5,7 +5,9 @@
 import type * as hosting from '../hosting/Services.js'
 import type * as messages from '../node/Messages.js'
 import * as detectors from './FailureDetector.js'
+import * as goneRows from './GoneRows.js'
 import * as gossips from './Gossip.js'
+import * as growths from './Growth.js'
 import * as malformed from './MalformedMessageError.js'
 import * as tables from './MemberTable.js'
 import * as messageRules from './MessageRules.js'
@@ -14,19 +16,23 @@
 import type * as services from './Services.js'
 import * as repairs from './TableRepair.js'
 import type * as types from './Types.js'
+import * as wires from './WireRow.js'
 
 /** Rows on one heartbeat. */
 const PIGGYBACK_ROWS = 8
 /** Rows on one heartbeat while a mass event is being told. */
-const PIGGYBACK_ROWS_BURST = 32
+const PIGGYBACK_ROWS_BURST = 16
 const BURST_BACKLOG = 64
 const CRASHES_PER_MESSAGE = 8
+/** Rows in one message to members that are told of changes at once. */
+const URGENT_ROWS = 32
+/** In a mass event each change is told to fewer members at once; the table repair, which sends no duplicates, does the rest. */
+const MASS_FANOUT = 2
+const MASS_ROWS = 8
 /** Members told at once of a change. With 4, a rumour reaches about 98 % of the members before heartbeats carry it on. */
 const URGENT_FANOUT: Readonly<Record<config.DistributionPreference, number>> = { 'convergence-time': 4, 'control-bytes': 2 }
-const FORGET_AFTER_MS = 3_600_000
-/** The table counts as settled when it has not grown for this time. */
-const SETTLE_MS = 1_000
-const MAX_SETTLE_MS = 15_000
+/** Rows of a larger page are known to many members, so they are not gossiped on. */
+const MAX_GOSSIPED_PAGE = 16
 
 type Versions = Pick<messages.ProbeMessage, 'version' | 'ownershipVersion' | 'horizonMs'>
 
@@ -57,13 +63,13 @@
   private readonly _seedProbe: seeds.SeedProbe
   private readonly _changes = this._register(new emitter.Emitter<types.MemberChange>())
   private readonly _versions = this._register(new emitter.Emitter<types.PeerVersion>())
-  /** Time at which each row died or left, oldest first. */
-  private readonly _gone = new Map<base.NodeId, base.Millis>()
+  private readonly _gone = new goneRows.GoneRows()
+  private readonly _growth = new growths.Growth()
   private _self: types.MemberRow
   private _recordedSelfVersion = 0
-  private _startedAtMs: base.Millis | undefined
-  private _lastGrowthMs = 0
   private _nowMs = 0
+  /** A page of the table is being merged. */
+  private _isBulk = false
 
   constructor (options: MembershipOptions) {
     super()
@@ -82,7 +88,7 @@
       random: options.random
     })
     this._table.merge(this._self)
-    this._gossip.add(this._self.nodeId)
+    this._gossip.add(this._self.nodeId, false)
   }
 
   public get self (): types.MemberRow {
@@ -102,8 +108,7 @@
   }
 
   public get isSettled (): boolean {
-    if (!this.isJoined || this._startedAtMs === undefined) return false
-    return this._nowMs - this._lastGrowthMs >= SETTLE_MS || this._nowMs - this._startedAtMs >= MAX_SETTLE_MS
+    return this.isJoined && this._growth.isSettled(this._nowMs)
   }
 
   public get (nodeId: base.NodeId): types.MemberRow | undefined {
@@ -161,10 +166,7 @@
 
   public tick (nowMs: base.Millis): void {
     this._nowMs = nowMs
-    if (this._startedAtMs === undefined) {
-      this._startedAtMs = nowMs
-      this._lastGrowthMs = nowMs
-    }
+    this._growth.started(nowMs)
     this._probeSeeds(nowMs)
     if (this._self.state !== 'left') this._detector.tick(nowMs)
     this._sendUrgent()
@@ -191,12 +193,13 @@
   }
 
   private _receiveJoin (from: base.NodeId, message: messages.JoinMessage, nowMs: base.Millis): void {
-    this._merge(message.row, nowMs)
+    const row = wires.fromWire(message.row)
+    this._merge(row, nowMs)
     const known = this._table.get(from)
     const rows = [this._self]
     if (known !== undefined && from !== this._self.nodeId) rows.push(known)
     if (message.wantsRows) rows.push(...this._repair.joinPage(nowMs).slice(0, messageRules.MAX_ROWS - rows.length))
-    this._send(from, { kind: 'table-rows', rows, wantedBuckets: [], bucketCount: 0 }, message.row.peerAddress)
+    this._sendRows(from, rows, row.peerAddress)
   }
 
   private _receiveProbe (from: base.NodeId, message: messages.ProbeMessage, nowMs: base.Millis): void {
@@ -211,7 +214,7 @@
     this._detector.acknowledged(message.target, message.sequence)
     if (from !== message.target) return
     const claim = this._table.get(from)
-    if (claim?.state === 'suspect') this._send(from, { kind: 'table-rows', rows: [claim], wantedBuckets: [], bucketCount: 0 })
+    if (claim?.state === 'suspect') this._sendRows(from, [claim])
   }
 
   private _receiveNews (from: base.NodeId, message: messages.ProbeMessage | messages.GossipMessage, nowMs: base.Millis): void {
@@ -220,7 +223,7 @@
   }
 
   private _receiveUpdates (message: messages.ProbeMessage | messages.ProbeAckMessage | messages.GossipMessage, nowMs: base.Millis): void {
-    for (const row of message.updates) this._merge(row, nowMs)
+    for (const wire of message.updates) this._merge(wires.fromWire(wire), nowMs)
     for (const crash of message.crashes) this._options.crashes?.record(crash, nowMs)
   }
 
@@ -234,13 +237,13 @@
     this._seedProbe.answered()
     const answer = this._repair.answerRows(message)
     const sizeBefore = this._table.size
-    for (const row of message.rows) this._mergeRepaired(row, nowMs)
-    this._repair.received(message.rows.length, this._table.size - sizeBefore, nowMs)
+    this._isBulk = message.rows.length > MAX_GOSSIPED_PAGE
+    for (const wire of message.rows) this._mergeRepaired(wires.fromWire(wire), nowMs)
+    this._isBulk = false
+    this._repair.received(this._table.size - sizeBefore, nowMs)
     if (answer !== undefined) this._send(from, answer)
     const claim = this._table.get(from)
-    if (claim !== undefined && !rules.isLive(claim) && claim.state !== 'left') {
-      this._send(from, { kind: 'table-rows', rows: [claim], wantedBuckets: [], bucketCount: 0 })
-    }
+    if (claim !== undefined && !rules.isLive(claim) && claim.state !== 'left') this._sendRows(from, [claim])
   }
 
   /**
@@ -252,17 +255,23 @@
     const isDoubtful = known !== undefined && row.nodeId !== this._self.nodeId && rules.isLive(known) &&
       (row.state === 'suspect' || row.state === 'dead') && row.incarnation === known.incarnation
     if (!isDoubtful) return this._merge(row, nowMs)
-    this._send(row.nodeId, { kind: 'table-rows', rows: [row], wantedBuckets: [], bucketCount: 0 })
+    this._sendRows(row.nodeId, [row])
     this._detector.probe(row.nodeId, nowMs)
   }
 
   private _merge (row: types.MemberRow, nowMs: base.Millis): void {
     if (row.nodeId === this._self.nodeId) return this._mergeSelf(row, nowMs)
     const change = this._table.merge(row)
-    if (change === undefined) this._table.recordVersion(row.nodeId, row.enforcedVersion)
+    if (change === undefined) this._heardAgain(row)
     else this._applyChange(change, nowMs)
   }
 
+  private _heardAgain (row: types.MemberRow): void {
+    const known = this._table.get(row.nodeId)
+    if (known !== undefined && !rules.isNewer(known, row)) this._gossip.heard(row.nodeId, this._table.size)
+    this._table.recordVersion(row.nodeId, row.enforcedVersion)
+  }
+
   /** What peers say about this node: an earlier process, or a wrong suspicion, which is refuted. */
   private _mergeSelf (row: types.MemberRow, nowMs: base.Millis): void {
     this._recordedSelfVersion = Math.max(this._recordedSelfVersion, row.enforcedVersion)
@@ -280,11 +289,10 @@
 
   private _applyChange (change: types.MemberChange, nowMs: base.Millis): void {
     const row = change.current
-    if (change.previous === undefined) this._lastGrowthMs = nowMs
-    this._gossip.add(row.nodeId)
+    if (change.previous === undefined) this._growth.grown(nowMs)
+    if (!this._isBulk || row.nodeId === this._self.nodeId) this._gossip.add(row.nodeId, row.state !== 'joining')
     if (row.nodeId !== this._self.nodeId) this._updateDetector(change, nowMs)
-    this._gone.delete(row.nodeId)
-    if (!rules.isProbed(row)) this._gone.set(row.nodeId, nowMs)
+    this._gone.changed(row.nodeId, !rules.isProbed(row), nowMs)
     this._changes.fire(change)
   }
 
@@ -313,15 +321,16 @@
   private _probeSeeds (nowMs: base.Millis): void {
     const address = this._seedProbe.due(nowMs, this._table.size)
     if (address === undefined) return
-    const message: messages.JoinMessage = { kind: 'join', row: this._self, wantsRows: !this.isJoined || this._table.size === 1 }
+    const message: messages.JoinMessage = { kind: 'join', row: wires.toWire(this._self), wantsRows: !this.isJoined || this._table.size === 1 }
     this._options.effects.push({ kind: 'send', to: '', address, message })
   }
 
   private _sendUrgent (): void {
     if (!this._gossip.hasUrgent) return
-    const updates = this._gossip.takeUrgent(PIGGYBACK_ROWS_BURST)
+    const updates = this._gossip.takeUrgent(URGENT_ROWS).map(wires.toWire)
+    const fanout = updates.length > MASS_ROWS ? MASS_FANOUT : URGENT_FANOUT[this._options.terms().preference]
     const message: messages.GossipMessage = { kind: 'gossip', ...this._ownVersions(), updates, crashes: [] }
-    for (let i = 0; i < URGENT_FANOUT[this._options.terms().preference]; i++) {
+    for (let i = 0; i < fanout; i++) {
       const peer = this.randomPeer()
       if (peer !== undefined) this._send(peer.nodeId, message)
     }
@@ -335,9 +344,7 @@
   }
 
   private _forgetGone (nowMs: base.Millis): void {
-    for (const [nodeId, sinceMs] of this._gone) {
-      if (nowMs - sinceMs < FORGET_AFTER_MS) return
-      this._gone.delete(nodeId)
+    for (const nodeId of this._gone.takeExpired(nowMs)) {
       const change = this._table.forget(nodeId)
       if (change !== undefined) this._changes.fire(change)
     }
@@ -350,7 +357,11 @@
     const claim = this._table.get(to)
     if (claim !== undefined && !rules.isLive(claim)) updates.unshift(claim)
     const crashes = this._options.crashes?.pending(CRASHES_PER_MESSAGE) ?? []
-    return { ...this._ownVersions(), updates, crashes }
+    return { ...this._ownVersions(), updates: updates.map(wires.toWire), crashes }
+  }
+
+  private _sendRows (to: base.NodeId, rows: readonly types.MemberRow[], address?: string): void {
+    this._send(to, { kind: 'table-rows', rows: rows.map(wires.toWire), wantedBuckets: [], bucketCount: 0 }, address)
   }
 
   private _send (to: base.NodeId, message: messages.MembershipMessage, address = this._table.get(to)?.peerAddress ?? ''): void {
--- a/packages/common/src/membership/MessageRules.ts
+++ b/packages/common/src/membership/MessageRules.ts
@@ -2,6 +2,7 @@
 import type * as base from '../base/Types.js'
 import * as tables from './MemberTable.js'
 import * as rules from './RowRules.js'
+import * as wires from './WireRow.js'
 
 /** Rows in one message. */
 export const MAX_ROWS = 256
@@ -14,7 +15,7 @@
   const message = value as Record<string, unknown>
   switch (message['kind']) {
     case 'join':
-      return typeof message['wantsRows'] === 'boolean' ? rules.rowProblem(message['row'], nowMs) : 'wantsRows is not a boolean'
+      return typeof message['wantsRows'] === 'boolean' ? wires.wireProblem(message['row'], nowMs) : 'wantsRows is not a boolean'
     case 'gossip':
       return newsProblem(message, nowMs)
     case 'probe':
@@ -50,7 +51,7 @@
   if (!Array.isArray(rows)) return 'rows are not a list'
   if (rows.length > MAX_ROWS) return 'too many rows'
   for (const row of rows) {
-    const problem = rules.rowProblem(row, nowMs)
+    const problem = wires.wireProblem(row, nowMs)
     if (problem !== undefined) return problem
   }
   return undefined
--- a/packages/common/src/membership/SeedProbe.ts
+++ b/packages/common/src/membership/SeedProbe.ts
@@ -5,8 +5,8 @@
 /** A node whose seeds do not answer counts as joined after this time, so that the first node of a mesh can start. */
 const JOIN_WAIT_MS = 3_000
 const MIN_PROBE_INTERVAL_MS = 10_000
-/** Keeps the load of all nodes' probes on the seeds at about 17 messages per second at any fleet size. */
-const PROBE_INTERVAL_PER_MEMBER_MS = 60
+/** Keeps the load of all nodes' probes on the seeds at about 5 messages per second at any fleet size. */
+const PROBE_INTERVAL_PER_MEMBER_MS = 200
 
 export interface SeedProbeOptions {
   readonly seeds: readonly string[]
--- a/packages/common/src/membership/TableRepair.ts
+++ b/packages/common/src/membership/TableRepair.ts
@@ -4,10 +4,16 @@
 import * as messageRules from './MessageRules.js'
 import * as rules from './RowRules.js'
 import type * as types from './Types.js'
+import * as wires from './WireRow.js'
 
 const REPAIR_INTERVAL_MS = 10_000
-/** Interval while pages come back full, so that a node that has just joined completes its table within seconds. */
+/**
+ * Interval after a page with many new rows, so that a node that has just joined completes its table within seconds.
+ * It doubles with each comparison that brings few.
+ */
 const CATCH_UP_INTERVAL_MS = 200
+/** So many rows of unknown nodes in one page show that the table is far from complete. */
+const MANY_NEW_ROWS = 8
 /** Pages served per second; a peer that gets no answer asks another one. */
 const MAX_PAGES_PER_SECOND = 8
 const ROWS_PER_BUCKET = 8
@@ -17,6 +23,7 @@
 /** Compares bucket hashes of the member table with peers and exchanges the rows that differ. */
 export class TableRepair {
   private _nextAtMs: base.Millis | undefined
+  private _intervalMs = REPAIR_INTERVAL_MS
   private _windowStartMs = 0
   private _servedInWindow = 0
 
@@ -29,19 +36,20 @@
   public due (nowMs: base.Millis): messages.TableDigestMessage | undefined {
     this._nextAtMs ??= nowMs + this._random.nextInt(REPAIR_INTERVAL_MS)
     if (nowMs < this._nextAtMs) return undefined
-    this._nextAtMs = nowMs + REPAIR_INTERVAL_MS
+    this._nextAtMs = nowMs + this._intervalMs
+    this._intervalMs = Math.min(REPAIR_INTERVAL_MS, this._intervalMs * 2)
     return { kind: 'table-digest', buckets: this._table.bucketHashes(this._bucketCount()) }
   }
 
-  /** A page of rows arrived and `newRows` of them were news. */
-  public received (rowCount: number, newRows: number, nowMs: base.Millis): void {
-    if (newRows === 0 || rowCount < PAGE_ROWS / 2) return
-    this.hurry(nowMs)
+  /** A page of rows arrived and `newRows` of them were of unknown nodes. */
+  public received (newRows: number, nowMs: base.Millis): void {
+    if (newRows >= MANY_NEW_ROWS) this.hurry(nowMs)
   }
 
   /** Compares again soon. */
   public hurry (nowMs: base.Millis): void {
     this._nextAtMs = nowMs + this._random.nextInt(CATCH_UP_INTERVAL_MS)
+    this._intervalMs = CATCH_UP_INTERVAL_MS
   }
 
   /** Rows of the buckets that differ, or undefined if none differ or too many pages were served lately. */
@@ -51,19 +59,19 @@
     for (let i = 0; i < own.length; i++) if (own[i] !== buckets[i]) different.push(i)
     if (different.length === 0 || !this._mayServe(nowMs)) return undefined
     const page = this._page(different, buckets.length, () => true)
-    return { kind: 'table-rows', rows: page.rows, wantedBuckets: page.buckets, bucketCount: buckets.length }
+    return { kind: 'table-rows', rows: page.rows.map(wires.toWire), wantedBuckets: page.buckets, bucketCount: buckets.length }
   }
 
   /** Rows of the wanted buckets that the peer's page lacks or has in an older form. */
   public answerRows (message: messages.TableRowsMessage): messages.TableRowsMessage | undefined {
     if (message.wantedBuckets.length === 0) return undefined
-    const theirs = new Map(message.rows.map(row => [row.nodeId, row]))
+    const theirs = new Map(message.rows.map(wire => [wire[0], wires.fromWire(wire)]))
     const page = this._page(message.wantedBuckets, message.bucketCount, row => {
       const known = theirs.get(row.nodeId)
       return known === undefined || rules.isNewer(row, known)
     })
     if (page.rows.length === 0) return undefined
-    return { kind: 'table-rows', rows: page.rows, wantedBuckets: [], bucketCount: 0 }
+    return { kind: 'table-rows', rows: page.rows.map(wires.toWire), wantedBuckets: [], bucketCount: 0 }
   }
 
   /** A page of rows for a node that joins, spread over the table. */
--- a/packages/common/src/membership/Types.ts
+++ b/packages/common/src/membership/Types.ts
@@ -28,6 +28,15 @@
   readonly successor: string
 }
 
+/**
+ * A row in a message: nodeId, incarnation, state, peerAddress, callerAddress, adminAddress, zone, service,
+ * targetReady, targetReadySinceMs, enforcedVersion, revision, successor.
+ */
+export type WireRow = readonly [
+  base.NodeId, base.Incarnation, MemberState, string, string, string, string, string,
+  boolean, base.Millis, number, number, string
+]
+
 /** Fields that a node announces about itself. */
 export type SelfAnnouncement = Omit<MemberRow, 'state' | 'revision' | 'successor'>
 
--- /dev/null
+++ b/packages/common/src/membership/WireRow.ts
@@ -0,0 +1,75 @@
+/** Member rows as they travel: without field names, which would be more than half of their bytes. */
+import type * as base from '../base/Types.js'
+import * as rules from './RowRules.js'
+import type * as types from './Types.js'
+
+const FIELD_COUNT = 13
+const MAX_TEXT_LENGTH = 256
+/** A peer's clock may be ahead; an incarnation further ahead could never be refuted by a restart. */
+const MAX_INCARNATION_AHEAD_MS = 86_400_000
+
+/** A row is sent many times, and nodes of one process (tests, benchmarks) hand each other the same object. */
+const wireOfRow = new WeakMap<types.MemberRow, types.WireRow>()
+const rowOfWire = new WeakMap<object, types.MemberRow>()
+
+export function toWire (row: types.MemberRow): types.WireRow {
+  const known = wireOfRow.get(row)
+  if (known !== undefined) return known
+  const wire: types.WireRow = [
+    row.nodeId, row.incarnation, row.state, row.peerAddress, row.callerAddress, row.adminAddress, row.zone, row.service,
+    row.targetReady, row.targetReadySinceMs, row.enforcedVersion, row.revision, row.successor
+  ]
+  wireOfRow.set(row, wire)
+  rowOfWire.set(wire, row)
+  return wire
+}
+
+/** The row, whose fields have been checked before by `wireProblem`. */
+export function fromWire (wire: types.WireRow): types.MemberRow {
+  const known = rowOfWire.get(wire)
+  if (known !== undefined) return known
+  const [
+    nodeId, incarnation, state, peerAddress, callerAddress, adminAddress, zone, service,
+    targetReady, targetReadySinceMs, enforcedVersion, revision, successor
+  ] = wire
+  const row: types.MemberRow = {
+    nodeId,
+    incarnation,
+    state,
+    peerAddress,
+    callerAddress,
+    zone,
+    service,
+    targetReady,
+    targetReadySinceMs,
+    enforcedVersion,
+    adminAddress,
+    revision,
+    successor
+  }
+  rowOfWire.set(wire, row)
+  return row
+}
+
+/** Returns what is wrong with a row from a peer, or undefined. */
+export function wireProblem (value: unknown, nowMs: base.Millis): string | undefined {
+  if (!Array.isArray(value) || value.length !== FIELD_COUNT) return `a row is not a list of ${FIELD_COUNT} fields`
+  const fields = value as unknown[]
+  const incarnation = fields[1]
+  if (!rules.isCount(incarnation)) return 'incarnation of a row is not a number'
+  if (incarnation > nowMs + MAX_INCARNATION_AHEAD_MS) return 'incarnation of a row is too far in the future'
+  return rowOfWire.has(value) ? undefined : fieldsProblem(fields)
+}
+
+function fieldsProblem (fields: readonly unknown[]): string | undefined {
+  const texts = [fields[0], fields[3], fields[4], fields[5], fields[6], fields[7], fields[12]]
+  if (!texts.every(isText) || fields[0] === '') return 'an id, address, zone, service or successor of a row is not a text'
+  if (!rules.isState(fields[2])) return 'state of a row is unknown'
+  if (typeof fields[8] !== 'boolean') return 'targetReady of a row is not a boolean'
+  const counts = [fields[9], fields[10], fields[11]]
+  return counts.every(rules.isCount) ? undefined : 'a time, version or revision of a row is not a count'
+}
+
+function isText (value: unknown): value is string {
+  return typeof value === 'string' && value.length <= MAX_TEXT_LENGTH
+}
--- a/packages/common/src/node/Messages.ts
+++ b/packages/common/src/node/Messages.ts
@@ -24,7 +24,7 @@
  */
 export interface JoinMessage {
   readonly kind: 'join'
-  readonly row: membership.MemberRow
+  readonly row: membership.WireRow
   /** The sender knows few rows and asks for a page of them. */
   readonly wantsRows: boolean
 }
@@ -35,7 +35,7 @@
   readonly version: number
   readonly ownershipVersion: number
   readonly horizonMs: base.Millis
-  readonly updates: readonly membership.MemberRow[]
+  readonly updates: readonly membership.WireRow[]
   readonly crashes: readonly hosting.CrashRecord[]
 }
 
@@ -45,7 +45,7 @@
   readonly version: number
   readonly ownershipVersion: number
   readonly horizonMs: base.Millis
-  readonly updates: readonly membership.MemberRow[]
+  readonly updates: readonly membership.WireRow[]
   readonly crashes: readonly hosting.CrashRecord[]
 }
 
@@ -63,7 +63,7 @@
   readonly version: number
   readonly ownershipVersion: number
   readonly horizonMs: base.Millis
-  readonly updates: readonly membership.MemberRow[]
+  readonly updates: readonly membership.WireRow[]
   readonly crashes: readonly hosting.CrashRecord[]
 }
 
@@ -76,7 +76,7 @@
 export interface TableRowsMessage {
   readonly kind: 'table-rows'
   /** At most one page of rows. */
-  readonly rows: readonly membership.MemberRow[]
+  readonly rows: readonly membership.WireRow[]
   /** Buckets whose rows the sender wants in return. */
   readonly wantedBuckets: readonly number[]
   /** Number of buckets that `wantedBuckets` refers to; 0 if it is empty. */
--- /dev/null
+++ b/packages/testbed/src/bench/ConvergenceCase.ts
@@ -0,0 +1,254 @@
+import * as hdr from 'hdr-histogram-js'
+import type * as networks from '../network/FakeNetwork.js'
+import type * as nodes from '../network/SteppedNode.js'
+import * as benchDocuments from './benchDocument.js'
+import * as benchFleets from './BenchFleet.js'
+import type * as types from './Types.js'
+
+const SMALL_FLEET = 100
+const START_LIMIT_MS = 60_000
+const SETTLE_MS = 15_000
+const CONVERGENCE_LIMIT_MS = 30_000
+const IDLE_MS = 20_000
+const LOADED_MS = 60_000
+const CHANGES_PER_DAY = 11_000
+const DAY_MS = 86_400_000
+const DETECTION_KILLS = 10
+const DETECTION_GAP_MS = 1_500
+const DETECTION_LIMIT_MS = 30_000
+/** Peers that have a connection to the killed process and see it break. */
+const CONNECTED_PEERS = 3
+const RESTART_LIMIT_MS = 120_000
+
+/** Measures one strategy on one fleet, step by step in virtual time. */
+export class ConvergenceCase {
+  private readonly _spec: types.CaseSpec
+  private readonly _fleet: benchFleets.BenchFleet
+  private readonly _enforcedAtMs = new Map<string, number>()
+  private readonly _unreachable = new Set<networks.INetworkNode>()
+
+  constructor (spec: types.CaseSpec) {
+    this._spec = spec
+    const isBytes = spec.strategy === 'hybrid-bytes'
+    this._fleet = new benchFleets.BenchFleet({
+      size: spec.size,
+      zoneCount: zoneCount(spec.size),
+      seed: spec.seed,
+      strategy: spec.strategy === 'tree' || spec.strategy === 'gossip' ? spec.strategy : 'hybrid',
+      preference: isBytes ? 'control-bytes' : 'convergence-time'
+    })
+    this._fleet.network.isLost = (from, to) => this._unreachable.has(from) || this._unreachable.has(to)
+  }
+
+  public run (): types.CaseResult {
+    const startedMs = performance.now()
+    const { size, strategy, withBytes, withDetection, withRestart } = this._spec
+    this._start()
+    const cpuMsPerNodeS = this._cpu()
+    const idle = withBytes ? this._idle() : undefined
+    const loaded = withBytes ? this._loaded() : undefined
+    const convergence = this._spec.deadRatios.map(ratio => this._convergence(ratio))
+    const detection = withDetection ? this._detection(false) : undefined
+    const detectionConnected = withDetection ? this._detection(true) : undefined
+    const restart = withRestart ? this._restart() : undefined
+    return {
+      size,
+      strategy,
+      preference: strategy === 'hybrid-bytes' ? 'control-bytes' : 'convergence-time',
+      documentBytes: documentBytes(size),
+      convergence,
+      cpuMsPerNodeS,
+      ...(idle === undefined ? {} : { idle }),
+      ...(loaded === undefined ? {} : { loaded }),
+      ...(detection === undefined ? {} : { detection }),
+      ...(detectionConnected === undefined ? {} : { detectionConnected }),
+      ...(restart === undefined ? {} : { restart }),
+      wallS: (performance.now() - startedMs) / 1_000,
+      peakRssMb: process.resourceUsage().maxRSS / 1_024
+    }
+  }
+
+  private _start (): void {
+    this._fleet.propose()
+    this._fleet.startAll()
+    this._fleet.fillTables()
+    this._fleet.network.advanceUntil(() => this._fleet.countBelow(1) === 0, START_LIMIT_MS)
+    this._watch()
+    this._fleet.network.advance(SETTLE_MS * 2)
+  }
+
+  private _watch (): void {
+    for (const node of this._fleet.running.values()) {
+      node.enforcement.onEnforced(({ version, atMs }) => { this._enforcedAtMs.set(`${node.nodeId}/${version}`, atMs) })
+    }
+  }
+
+  private _cpu (): number {
+    const before = process.cpuUsage()
+    this._fleet.network.advance(IDLE_MS)
+    const used = process.cpuUsage(before)
+    return (used.user + used.system) / 1_000 / this._spec.size / (IDLE_MS / 1_000)
+  }
+
+  private _idle (): types.TrafficFigures {
+    return this._traffic(IDLE_MS, () => undefined)
+  }
+
+  private _loaded (): types.TrafficFigures {
+    return this._traffic(LOADED_MS, () => { this._fleet.propose() })
+  }
+
+  /** Advances and runs `change` at the rate of configuration changes of the design size. */
+  private _traffic (durationMs: number, change: () => void): types.TrafficFigures {
+    const { meter, network } = this._fleet
+    const gapMs = Math.round(DAY_MS / CHANGES_PER_DAY)
+    meter.reset()
+    this._fleet.isMetering = true
+    for (let leftMs = durationMs; leftMs > 0; leftMs -= gapMs) {
+      change()
+      network.advance(Math.min(gapMs, leftMs))
+    }
+    this._fleet.isMetering = false
+    const totals = [...this._fleet.running.keys()].map(id => meter.totalOf(id))
+    const sum = totals.reduce((a, b) => a + b, 0)
+    const messages = [...meter.byKind.values()].reduce((count, kind) => count + kind.count, 0)
+    const seconds = durationMs / 1_000
+    return {
+      meanBytesPerS: sum / totals.length / seconds,
+      maxBytesPerS: totals.reduce((a, b) => Math.max(a, b), 0) / seconds,
+      messagesPerS: messages / totals.length / seconds
+    }
+  }
+
+  private _convergence (deadRatio: number): types.ConvergenceFigures {
+    const { network, running, meter } = this._fleet
+    meter.reset()
+    this._fleet.isMetering = true
+    const version = this._fleet.propose()
+    const startMs = network.nowMs
+    const victims = this._fleet.pick(Math.floor(running.size * deadRatio))
+    while (this._countAt(version) === 0 && network.nowMs < startMs + CONVERGENCE_LIMIT_MS) network.advance(1)
+    // The readers have sent the first pushes, and none has arrived.
+    for (const node of victims) this._cut(node)
+    const live = [...running.values()].filter(node => !this._unreachable.has(node))
+    network.advanceUntil(() => live.every(node => node.version >= version), CONVERGENCE_LIMIT_MS)
+    this._fleet.isMetering = false
+    const figures = this._figures(live, version, startMs, deadRatio)
+    for (const node of victims) this._restore(node)
+    network.advance(SETTLE_MS)
+    return figures
+  }
+
+  private _figures (live: readonly nodes.SteppedNode[], version: number, startMs: number, deadRatio: number): types.ConvergenceFigures {
+    const histogram = hdr.build()
+    const times = live.map(node => this._enforcedAtMs.get(`${node.nodeId}/${version}`)).filter(atMs => atMs !== undefined)
+    for (const atMs of times) histogram.recordValue(atMs - startMs)
+    const { meter } = this._fleet
+    const bytes = ['push', 'push-ack', 'pull', 'state', 'busy'].reduce((sum, kind) => sum + (meter.byKind.get(kind)?.bytes ?? 0), 0)
+    const unreached = live.length - times.length
+    return {
+      deadRatio,
+      p50Ms: histogram.getValueAtPercentile(50),
+      p99Ms: histogram.getValueAtPercentile(99),
+      lastMs: unreached === 0 ? Math.max(...times) - startMs : undefined,
+      unreached,
+      bytesPerNode: 2 * bytes / live.length
+    }
+  }
+
+  private _countAt (version: number): number {
+    return this._fleet.running.size - this._fleet.countBelow(version)
+  }
+
+  /** The node stops and nothing reaches it or comes from it, as after the failure of its VM. */
+  private _cut (node: nodes.SteppedNode): void {
+    this._unreachable.add(node)
+    this._fleet.network.pause(node)
+  }
+
+  private _restore (node: nodes.SteppedNode): void {
+    this._unreachable.delete(node)
+    this._fleet.network.resume(node)
+  }
+
+  private _detection (isConnected: boolean): types.DetectionFigures {
+    const first = hdr.build()
+    const all = hdr.build()
+    const victims = this._fleet.pick(Math.min(DETECTION_KILLS, Math.floor(this._spec.size / 3)))
+    for (const node of victims) {
+      const [firstMs, allMs] = this._detect(node, isConnected)
+      first.recordValue(firstMs)
+      all.recordValue(allMs)
+      this._fleet.network.advance(DETECTION_GAP_MS)
+    }
+    return {
+      killed: victims.length,
+      firstDeadP50Ms: first.getValueAtPercentile(50),
+      firstDeadMaxMs: first.maxValue,
+      allDeadP50Ms: all.getValueAtPercentile(50),
+      allDeadMaxMs: all.maxValue
+    }
+  }
+
+  private _detect (node: nodes.SteppedNode, isConnected: boolean): readonly [number, number] {
+    const { network, running } = this._fleet
+    const startMs = network.nowMs
+    this._fleet.kill(node)
+    for (const peer of isConnected ? this._fleet.pick(CONNECTED_PEERS) : []) {
+      peer.membership.connectionLost(node.nodeId, startMs)
+      network.flush(peer)
+    }
+    let firstMs: number | undefined
+    network.advanceUntil(() => {
+      const dead = [...running.values()].filter(peer => peer.membership.get(node.nodeId)?.state === 'dead').length
+      if (dead > 0) firstMs ??= network.nowMs - startMs
+      return dead === running.size
+    }, DETECTION_LIMIT_MS)
+    return [firstMs ?? DETECTION_LIMIT_MS, network.nowMs - startMs]
+  }
+
+  /** Every process ends and starts again at the same moment. */
+  private _restart (): types.RestartFigures {
+    const { network, log, meter } = this._fleet
+    for (const node of [...this._fleet.running.values()]) this._fleet.kill(node)
+    network.advance(1_000)
+    this._fleet.startAll()
+    const version = this._fleet.version
+    const readsBefore = log.readCount
+    const recordsBefore = log.recordsRead
+    const startMs = network.nowMs
+    let peakReads = 0
+    let peakBytes = 0
+    let totalBytes = 0
+    this._fleet.isMetering = true
+    while (this._fleet.countBelow(version) > 0 && network.nowMs < startMs + RESTART_LIMIT_MS) {
+      const reads = log.readCount
+      meter.reset()
+      network.advance(1_000)
+      peakReads = Math.max(peakReads, log.readCount - reads)
+      for (const id of this._fleet.running.keys()) {
+        const bytes = meter.totalOf(id)
+        totalBytes += bytes
+        peakBytes = Math.max(peakBytes, bytes)
+      }
+    }
+    this._fleet.isMetering = false
+    const isDone = this._fleet.countBelow(version) === 0
+    return {
+      allEnforceMs: isDone ? this._fleet.lastEnforcedMs(startMs) : undefined,
+      logReads: log.readCount - readsBefore,
+      peakLogReadsPerS: peakReads,
+      recordsRead: log.recordsRead - recordsBefore,
+      peakNodeBytesPerS: peakBytes,
+      meanNodeBytes: totalBytes / this._fleet.running.size
+    }
+  }
+}
+
+export function zoneCount (size: number): number {
+  return size < SMALL_FLEET ? 3 : 7
+}
+
+export function documentBytes (size: number): number {
+  return JSON.stringify(benchDocuments.benchDocument(size, zoneCount(size), 1, 'convergence-time')).length
+}
--- /dev/null
+++ b/packages/testbed/src/bench/convergence.ts
@@ -0,0 +1,70 @@
+/**
+ * Convergence benchmark. Steps whole fleets in virtual time and measures convergence, bytes, detection and restart.
+ * Prints tables; writes JSON and a plot if asked to.
+ */
+import * as fs from 'node:fs/promises'
+import * as workerThreads from 'node:worker_threads'
+import * as yargs from 'yargs'
+import * as helpers from 'yargs/helpers'
+import * as micro from './microFigures.js'
+import * as plots from './ConvergencePlot.js'
+import * as reports from './convergenceReport.js'
+import type * as types from './Types.js'
+
+const STRATEGIES: readonly types.BenchStrategy[] = ['tree', 'gossip', 'hybrid', 'hybrid-bytes', 'every-node-polls']
+/** Memory of one worker. A fleet of 6,900 needs most of it. */
+const MAX_HEAP_MB = 8_192
+
+const options = await yargs.default(helpers.hideBin(process.argv))
+  .scriptName('convergence')
+  .option('sizes', { type: 'string', default: '10,100,1000,6900', describe: 'Fleet sizes, comma-separated' })
+  .option('strategies', { type: 'string', default: STRATEGIES.join(','), describe: 'Strategies, comma-separated' })
+  .option('dead', { type: 'string', default: '0,0.05,0.3', describe: 'Shares of nodes that die during a push' })
+  .option('restart-up-to', { type: 'number', default: 1_000, describe: 'Largest fleet whose restart as a whole is measured' })
+  .option('seed', { type: 'number', default: 1, describe: 'Seed of the random choices' })
+  .option('json', { type: 'string', describe: 'File for the results' })
+  .option('text', { type: 'string', describe: 'File for the tables' })
+  .option('svg', { type: 'string', describe: 'File for the plot' })
+  .strict()
+  .parseAsync()
+
+const results: types.CaseResult[] = []
+for (const size of numbers(options.sizes)) {
+  for (const strategy of options.strategies.split(',') as types.BenchStrategy[]) {
+    const result = await runCase(specOf(size, strategy))
+    results.push(result)
+    console.error(`${size} ${strategy}: ${result.wallS.toFixed(0)} s, ${result.peakRssMb.toFixed(0)} MB`)
+  }
+}
+const output = { seed: options.seed, results, micro: numbers(options.sizes).map(size => micro.measure(size)) }
+const text = reports.render(output)
+console.log(text)
+if (options.json !== undefined) await fs.writeFile(options.json, JSON.stringify(output, null, 2) + '\n')
+if (options.text !== undefined) await fs.writeFile(options.text, text)
+if (options.svg !== undefined) await fs.writeFile(options.svg, new plots.ConvergencePlot(results).render())
+
+function specOf (size: number, strategy: types.BenchStrategy): types.CaseSpec {
+  const isProduct = strategy === 'hybrid' || strategy === 'hybrid-bytes'
+  return {
+    size,
+    strategy,
+    seed: options.seed,
+    deadRatios: numbers(options.dead),
+    withBytes: true,
+    withDetection: strategy === 'hybrid',
+    withRestart: isProduct && size <= options['restart-up-to']
+  }
+}
+
+function numbers (list: string): readonly number[] {
+  return list.split(',').map(Number)
+}
+
+async function runCase (spec: types.CaseSpec): Promise<types.CaseResult> {
+  const url = new URL('./convergenceWorker.js', import.meta.url)
+  const worker = new workerThreads.Worker(url, { workerData: spec, resourceLimits: { maxOldGenerationSizeMb: MAX_HEAP_MB } })
+  return await new Promise((resolve, reject) => {
+    worker.once('message', resolve)
+    worker.once('error', reject)
+  })
+}
--- a/packages/testbed/src/network/FakeLog.ts
+++ b/packages/testbed/src/network/FakeLog.ts
@@ -3,8 +3,6 @@
 import * as logStore from '../standins/LogStore.js'
 import type * as networks from './FakeNetwork.js'
 
-const POLL_STEP_MS = 50
-
 export interface FakeLogOptions {
   readonly retentionMs: base.Millis
 }
@@ -17,16 +15,23 @@
 type ReadEffect = Extract<messages.Effect, { kind: 'read-log' }>
 type AppendEffect = Extract<messages.Effect, { kind: 'append-log' }>
 
+interface Poll {
+  readonly node: ILogReaderNode
+  readonly effect: ReadEffect
+  readonly network: networks.FakeNetwork
+  readonly untilMs: base.Millis
+}
+
 /** The log service in virtual time: streams with retention, long polls, outages and slow periods. */
 export class FakeLog implements networks.ILogPort {
-  /** During an outage every request fails. */
-  public isDown = false
   /** Time for one request, on top of the long poll. */
   public delayMs: base.Millis = 2
   /** Nodes that cannot reach the log. */
   public isUnreachable: (node: networks.INetworkNode) => boolean = () => false
   public readCount = 0
   public recordsRead = 0
+  private readonly _waiting = new Set<Poll>()
+  private _isDown = false
   private readonly _streams: Readonly<Record<messages.StreamName, logStore.LogStore>>
 
   constructor (private readonly _options: FakeLogOptions) {
@@ -38,8 +43,20 @@
     }
   }
 
+  /** During an outage every request fails, long polls that wait included. */
+  public get isDown (): boolean {
+    return this._isDown
+  }
+
+  public set isDown (isDown: boolean) {
+    this._isDown = isDown
+    if (isDown) this._answerWaiting()
+  }
+
   public append (stream: messages.StreamName, data: unknown, nowMs: base.Millis): number {
-    return this._streams[stream].append(data, nowMs)
+    const offset = this._streams[stream].append(data, nowMs)
+    this._answerWaiting()
+    return offset
   }
 
   /** All records that are still kept. */
@@ -55,17 +72,25 @@
 
   private _read (node: ILogReaderNode, effect: ReadEffect, network: networks.FakeNetwork, untilMs: base.Millis): void {
     this.readCount++
-    network.schedule(this.delayMs, () => this._poll(node, effect, network, untilMs))
+    const poll: Poll = { node, effect, network, untilMs }
+    network.schedule(this.delayMs, () => this._answer(poll))
+    if (effect.waitMs > 0) network.schedule(effect.waitMs + this.delayMs, () => { if (this._waiting.has(poll)) this._answer(poll) })
+  }
+
+  private _answerWaiting (): void {
+    for (const poll of this._waiting) poll.network.schedule(this.delayMs, () => { if (this._waiting.has(poll)) this._answer(poll) })
   }
 
-  private _poll (node: ILogReaderNode, effect: ReadEffect, network: networks.FakeNetwork, untilMs: base.Millis): void {
+  private _answer (poll: Poll): void {
+    const { node, effect, network } = poll
     const { stream } = effect
-    if (this.isDown || this.isUnreachable(node)) {
+    this._waiting.delete(poll)
+    if (this._isDown || this.isUnreachable(node)) {
       return this._reply(node, network, { stream, ok: false, records: [], firstOffset: 0, nextOffset: 0, retentionMs: 0 })
     }
     const page = this._streams[stream].read(effect.fromOffset, effect.limit, network.nowMs)
-    if (page.records.length === 0 && network.nowMs < untilMs) {
-      network.schedule(POLL_STEP_MS, () => this._poll(node, effect, network, untilMs))
+    if (page.records.length === 0 && network.nowMs < poll.untilMs) {
+      this._waiting.add(poll)
       return
     }
     this.recordsRead += page.records.length
@@ -81,8 +106,8 @@
   private _append (node: ILogReaderNode, effect: AppendEffect, network: networks.FakeNetwork): void {
     const { stream, requestId } = effect
     network.schedule(this.delayMs, () => {
-      const isLost = this.isDown || this.isUnreachable(node)
-      const offset = isLost ? -1 : this._streams[stream].append(effect.data, network.nowMs)
+      const isLost = this._isDown || this.isUnreachable(node)
+      const offset = isLost ? -1 : this.append(stream, effect.data, network.nowMs)
       if (!network.isRunning(node)) return
       node.logAppended({ stream, requestId, status: isLost ? 'unknown' : 'appended', offset }, network.nowMs)
       network.flush(node)
--- a/packages/testbed/src/network/SteppedNode.ts
+++ b/packages/testbed/src/network/SteppedNode.ts
@@ -2,6 +2,7 @@
 import * as randoms from '@elmpost/common/base/Random.js'
 import type * as base from '@elmpost/common/base/Types.js'
 import type * as configServices from '@elmpost/common/config/Services.js'
+import type * as config from '@elmpost/common/config/Types.js'
 import * as distributions from '@elmpost/common/distribution/Distribution.js'
 import * as enforcements from '@elmpost/common/distribution/Enforcement.js'
 import * as readerSelections from '@elmpost/common/distribution/ReaderSelection.js'
@@ -24,6 +25,7 @@
   readonly delta: configServices.IConfigDelta
   readonly strategy?: distributionTypes.DistributionStrategy
   readonly ownership?: hosting.IOwnershipTable
+  readonly digestOf?: (document: config.ConfigDocument) => string
 }
 
 /** Membership and distribution of one node, without calls, to be stepped over a `FakeNetwork`. */
@@ -67,7 +69,8 @@
       effects,
       strategy: options.strategy ?? 'hybrid',
       onMalformed,
-      ...ownership
+      ...ownership,
+      ...(options.digestOf === undefined ? {} : { digestOf: options.digestOf })
     })
   }
 
