Count readers after the tables have settled

Cause: the fleet test counted readers while one node had not settled: 5 of 6. Change: it lets 2 s pass first; the expected number is the same.

--- a/packages/testbed/src/network/SteppedFleet.test.ts
+++ b/packages/testbed/src/network/SteppedFleet.test.ts
@@ -15,6 +15,7 @@
       fleet.propose()
       const tookMs = fleet.converge(2, 5_000)
       assert.notEqual(tookMs, undefined)
+      fleet.network.advance(2_000)
       assert.equal([...fleet.nodes.values()].filter(node => node.distribution.isReader).length, 6)
     })
   })
