--- a/packages/common/src/hosting/OwnershipLog.ts
+++ b/packages/common/src/hosting/OwnershipLog.ts
@@ -2,7 +2,6 @@
 import * as codec from './WindowCodec.js'
 import type * as config from '../config/Types.js'
 import * as disposable from '../base/Disposable.js'
-import type * as membership from '../membership/Services.js'
 import type * as memberTypes from '../membership/Types.js'
 import type * as messages from '../node/Messages.js'
 import * as plans from './PartitionPlan.js'
@@ -41,7 +40,7 @@
 
 export interface OwnershipLogOptions {
   readonly table: services.IOwnershipTable
-  readonly membership: membership.IMembership
+  readonly membership: services.HostMembership
   readonly effects: messages.IEffects
   readonly random: base.IRandom
   readonly configuration: () => config.ConfigDocument | undefined
--- a/packages/common/src/hosting/Services.ts
+++ b/packages/common/src/hosting/Services.ts
@@ -1,8 +1,12 @@
 import type * as results from 'ts-results-es'
 import type * as base from '../base/Types.js'
+import type * as membership from '../membership/Services.js'
 import type * as messages from '../node/Messages.js'
 import type * as types from './Types.js'
 
+/** The part of the membership that the host side uses. */
+export type HostMembership = Pick<membership.IMembership, 'onChange' | 'self' | 'get' | 'all' | 'targetsOf' | 'setState'>
+
 export type OwnerLookup =
   /** Calls go to `sendTo`: the owner, or the node that took over its windows. */
   | { readonly kind: 'owner', readonly owner: types.PartitionOwner, readonly sendTo: base.NodeId }
--- a/packages/common/src/hosting/testing/FakeMembership.ts
+++ b/packages/common/src/hosting/testing/FakeMembership.ts
@@ -1,10 +1,10 @@
 import type * as base from '../../base/Types.js'
 import * as emitter from '../../base/Emitter.js'
-import type * as membership from '../../membership/Services.js'
+import type * as services from '../Services.js'
 import type * as types from '../../membership/Types.js'
 
 /** Member rows that a test sets. Rows are told to other instances only by `sync`. */
-export class FakeMembership implements membership.IMembership {
+export class FakeMembership implements services.HostMembership {
   private readonly _changes = new emitter.Emitter<types.MemberChange>()
   private readonly _rows = new Map<base.NodeId, types.MemberRow>()
   public readonly onChange = this._changes.event
@@ -29,27 +29,17 @@
     return [...this._rows.values()].filter(row => row.service === service && row.state === 'ready' && row.targetReady)
   }
 
-  public liveInZone (zone: string): readonly types.MemberRow[] {
-    return [...this._rows.values()].filter(row => row.zone === zone && row.state === 'ready')
-  }
-
-  public announce (): void {}
-
   public setState (state: 'ready' | 'draining' | 'left', _nowMs: base.Millis, successor = ''): void {
     const row = { ...this.self, state, successor }
     this.set(row)
     this._announced(row)
   }
 
-  public connectionLost (): void {}
-  public tick (): void {}
-  public receive (): void {}
-
   public set (current: types.MemberRow): void {
     const previous = this._rows.get(current.nodeId)
     if (previous === current) return
     this._rows.set(current.nodeId, current)
-    this._changes.fire({ previous, current })
+    this._changes.fire({ previous, current, forgotten: false })
   }
 
   public sync (rows: Iterable<types.MemberRow>): void {
--- a/packages/common/src/node/NodeComposition.ts
+++ b/packages/common/src/node/NodeComposition.ts
@@ -8,9 +8,10 @@
 import * as enforcement from '../distribution/Enforcement.js'
 import * as entryCalls from '../routing/EntryCalls.js'
 import * as hostCalls from '../hosting/HostCalls.js'
-import * as interim from './InterimHosting.js'
+import * as lifecycle from '../hosting/Lifecycle.js'
 import * as membership from '../membership/Membership.js'
 import * as nodeCore from './NodeCore.js'
+import * as ownershipLog from '../hosting/OwnershipLog.js'
 import * as ownershipTable from '../hosting/OwnershipTable.js'
 import * as readerSelection from '../distribution/ReaderSelection.js'
 import * as targetSelector from '../routing/TargetSelector.js'
@@ -71,17 +72,24 @@
       ownership: table,
       onMalformed: options.onRefused
     })
-    const ownershipLog = new interim.InterimOwnershipLog()
+    const ownership = new ownershipLog.OwnershipLog({
+      table,
+      membership: members,
+      effects,
+      random,
+      configuration: () => enforced.current?.document
+    })
     const selector = new targetSelector.TargetSelector({ membership: members, enforcement: enforced, random })
     const slotsOf = (service: string): number => enforced.current?.document.services.find(({ name }) => name === service)?.slots ?? 1
     const host = new hostCalls.HostCalls({
       self: { nodeId: self.nodeId, incarnation: self.incarnation },
+      currentIncarnation: () => members.self.incarnation,
       service: self.service,
       startedAtMs: self.incarnation,
       configuration: () => enforced.current?.document,
       targetReady: () => members.self.targetReady,
       table,
-      isCaughtUp: () => ownershipLog.isCaughtUp,
+      isCaughtUp: () => ownership.isCaughtUp,
       crashes,
       delegates: new delegateSelector.DelegateSelector({ membership: members, selector, slotsOf })
     })
@@ -100,11 +108,17 @@
         enforcement: enforced,
         distribution: this._distribution,
         ownershipTable: table,
-        ownershipLog,
+        ownershipLog: ownership,
         crashTable: crashes,
         host,
         entry,
-        lifecycle: new interim.InterimLifecycle(members, host)
+        lifecycle: new lifecycle.Lifecycle({
+          calls: host,
+          membership: members,
+          effects,
+          service: self.service,
+          drainMs: () => enforced.current?.document.terms.drainMs ?? 0
+        })
       },
       earliestReadyMs: self.service === '' ? 0 : self.incarnation + READY_DELAY_MS
     })
