Report not ready while no key owners are known

Cause: nodes said ready before the first ownership table existed, and keyed calls then ended as unknown for several seconds after a fleet had started. Change: readiness has the reason no-key-owners for services that have targets and non-idempotent routes.

--- a/packages/common/src/distribution/Types.ts
+++ b/packages/common/src/distribution/Types.ts
@@ -9,6 +9,8 @@
   | 'joining'
   | 'target-not-ready'
   | 'draining'
+  /** No owner of idempotency keys is known for a service that has targets; keyed calls would end `unknown`. */
+  | 'no-key-owners'
 
 export interface Readiness {
   readonly ready: boolean
