Load only the needed parts of undici and compare with bare relays

Cause: the whole of undici takes about 8 MB of resident memory, and wake-ups on a virtual machine hide the cost of elmpost. Change: HttpClients loads the pool, the client and the request API; the benchmark also measures a path through two processes that only forward bytes.

--- a/packages/node/src/LogClient.ts
+++ b/packages/node/src/LogClient.ts
@@ -1,6 +1,7 @@
 import * as logAnswers from './LogAnswers.js'
 import * as pQueue from 'p-queue'
-import * as undici from 'undici'
+import * as httpClients from './HttpClients.js'
+import type * as undici from 'undici'
 import type * as base from '@elmpost/common/base/Types.js'
 import type * as messages from '@elmpost/common/node/Messages.js'
 import type * as services from './Services.js'
@@ -35,7 +36,7 @@
     this._options = options
     const url = new URL(options.logUrl)
     this._basePath = url.pathname.replace(/\/$/, '')
-    this._pool = new undici.Pool(url.origin, {
+    this._pool = new httpClients.Pool(url.origin, {
       connections: MAX_READS_IN_FLIGHT + MAX_APPENDS_IN_FLIGHT,
       pipelining: 1,
       connect: { timeout: CONNECT_TIMEOUT_MS }
--- a/packages/node/src/TargetMonitor.ts
+++ b/packages/node/src/TargetMonitor.ts
@@ -1,4 +1,4 @@
-import * as undici from 'undici'
+import * as httpClients from './HttpClients.js'
 import type * as base from '@elmpost/common/base/Types.js'
 import type * as services from './Services.js'
 
@@ -80,7 +80,7 @@
 
   /** Opens a connection of its own, because a kept one tells nothing about a restarted target. */
   private async _probe (): Promise<Health> {
-    const client = new undici.Client(this._options.targetUrl, { connect: { timeout: HEALTH_TIMEOUT_MS }, headersTimeout: HEALTH_TIMEOUT_MS })
+    const client = new httpClients.Client(this._options.targetUrl, { connect: { timeout: HEALTH_TIMEOUT_MS }, headersTimeout: HEALTH_TIMEOUT_MS })
     try {
       const answer = await client.request({ path: this._options.healthPath, method: 'GET', signal: AbortSignal.timeout(HEALTH_TIMEOUT_MS) })
       await answer.body.dump()
--- a/packages/node/src/TargetRunner.ts
+++ b/packages/node/src/TargetRunner.ts
@@ -1,7 +1,8 @@
 import * as headers from './Headers.js'
 import * as pQueue from 'p-queue'
 import * as targetRun from './TargetRun.js'
-import * as undici from 'undici'
+import * as httpClients from './HttpClients.js'
+import type * as undici from 'undici'
 import type * as base from '@elmpost/common/base/Types.js'
 import type * as hosting from '@elmpost/common/hosting/Types.js'
 import type * as services from './Services.js'
@@ -123,7 +124,7 @@
   }
 
   private _openPool (): undici.Pool {
-    return new undici.Pool(this._options.targetUrl, {
+    return new httpClients.Pool(this._options.targetUrl, {
       // One connection is left for `TargetMonitor`.
       connections: Math.max(1, this._connections - 1),
       pipelining: 1,
--- a/packages/testbed/src/bench/BenchMesh.ts
+++ b/packages/testbed/src/bench/BenchMesh.ts
@@ -44,6 +44,8 @@
   public readonly nodes: managed.ManagedProcess[] = []
   public directUrl = ''
   public entryUrl = ''
+  /** Path through two processes that only forward bytes. */
+  public relayUrl = ''
   private readonly _others: managed.ManagedProcess[] = []
   private readonly _adminUrls: string[] = []
   private _logUrl = ''
@@ -56,6 +58,8 @@
     const free = await ports.findFreePorts(7)
     const targetPort = await this._startHelper('target', 'bench/benchTarget.js', {})
     this.directUrl = `http://127.0.0.1:${targetPort}`
+    const innerPort = await this._startHelper('relay', 'bench/benchRelay.js', { port: targetPort })
+    this.relayUrl = `http://127.0.0.1:${await this._startHelper('relay', 'bench/benchRelay.js', { port: innerPort })}`
     this._logUrl = `http://127.0.0.1:${await this._startHelper('log', 'standins/logMain.js', { port: free[6], retentionMs: RETENTION_MS })}`
     const host = addressesOf(free.slice(0, 3))
     const entry = addressesOf(free.slice(3, 6))
--- a/packages/testbed/src/bench/LoadRun.ts
+++ b/packages/testbed/src/bench/LoadRun.ts
@@ -7,37 +7,41 @@
 
 export interface LoadRunOptions {
   readonly directUrl: string
+  readonly relayUrl: string
   readonly entryUrl: string
-  /** Calls per second on each of the two paths. */
+  /** Calls per second on each of the paths. */
   readonly callsPerS: number
   readonly durationMs: number
   readonly path: string
 }
 
 export interface PathResult {
+  readonly pool: undici.Pool
   readonly histogram: hdr.Histogram
   failures: number
 }
 
-/** One caller that sends calls at a fixed rate, in turn to the target itself and to the entry node. */
+/** One caller that sends calls at a fixed rate, in turn to the target itself, to the bare relays and to the entry node. */
 export class LoadRun {
-  public readonly direct: PathResult = { histogram: newHistogram(), failures: 0 }
-  public readonly mesh: PathResult = { histogram: newHistogram(), failures: 0 }
+  public readonly direct: PathResult
+  public readonly relay: PathResult
+  public readonly mesh: PathResult
   private readonly _options: LoadRunOptions
-  private readonly _directPool: undici.Pool
-  private readonly _meshPool: undici.Pool
+  private readonly _paths: readonly PathResult[]
   private _sent = 0
   private _ended = 0
 
   constructor (options: LoadRunOptions) {
     this._options = options
-    this._directPool = newPool(options.directUrl)
-    this._meshPool = newPool(options.entryUrl)
+    this.direct = newPath(options.directUrl)
+    this.relay = newPath(options.relayUrl)
+    this.mesh = newPath(options.entryUrl)
+    this._paths = [this.direct, this.relay, this.mesh]
   }
 
   public async run (): Promise<void> {
     const startedAtMs = performance.now()
-    const callsPerMs = 2 * this._options.callsPerS / 1000
+    const callsPerMs = this._paths.length * this._options.callsPerS / 1000
     for (;;) {
       const elapsedMs = performance.now() - startedAtMs
       if (elapsedMs >= this._options.durationMs) break
@@ -45,13 +49,12 @@
       await new Promise(resolve => { setTimeout(resolve, TICK_MS) })
     }
     while (this._ended < this._sent) await new Promise(resolve => { setTimeout(resolve, TICK_MS) })
-    await Promise.all([this._directPool.close(), this._meshPool.close()])
+    await Promise.all(this._paths.map(async path => { await path.pool.close() }))
   }
 
   private _send (): void {
-    const isDirect = this._sent++ % 2 === 0
-    const pool = isDirect ? this._directPool : this._meshPool
-    pool.dispatch({ path: this._options.path, method: 'GET' }, new Call(isDirect ? this.direct : this.mesh, () => { this._ended++ }))
+    const path = this._paths[this._sent++ % this._paths.length]
+    path?.pool.dispatch({ path: this._options.path, method: 'GET' }, new Call(path, () => { this._ended++ }))
   }
 }
 
@@ -82,8 +85,8 @@
   }
 }
 
-function newPool (origin: string): undici.Pool {
-  return new undici.Pool(origin, { connections: 32, pipelining: 1 })
+function newPath (origin: string): PathResult {
+  return { pool: new undici.Pool(origin, { connections: 32, pipelining: 1 }), histogram: newHistogram(), failures: 0 }
 }
 
 function newHistogram (): hdr.Histogram {
--- /dev/null
+++ b/packages/testbed/src/bench/benchRelay.ts
@@ -0,0 +1,18 @@
+/**
+ * Forwards bytes between a caller and a target without looking at them. Two of them in a row are the floor of what two
+ * more processes on the path cost on a machine. Started by the latency benchmark.
+ */
+import * as net from 'node:net'
+
+const options = JSON.parse(process.argv[2] ?? '{}') as { readonly port: number }
+
+const server = net.createServer({ noDelay: true }, socket => {
+  const upstream = net.connect({ port: options.port, host: '127.0.0.1', noDelay: true })
+  socket.pipe(upstream).pipe(socket)
+  socket.on('error', () => { upstream.destroy() })
+  upstream.on('error', () => { socket.destroy() })
+})
+process.on('disconnect', () => { process.exit(0) })
+server.listen(0, '127.0.0.1', () => {
+  process.send?.({ kind: 'listening', port: (server.address() as net.AddressInfo).port })
+})
--- a/packages/testbed/src/bench/latency.ts
+++ b/packages/testbed/src/bench/latency.ts
@@ -1,6 +1,6 @@
 /**
- * Measures what elmpost adds to a call: one caller alternates in the same run between the target itself and the path
- * through two nodes (entry and host).
+ * Measures what elmpost adds to a call: one caller alternates in the same run between the target itself, a path through
+ * two processes that only forward bytes, and the path through two nodes (entry and host).
  */
 import * as yargs from 'yargs'
 import * as benchMesh from './BenchMesh.js'
@@ -15,6 +15,8 @@
   readonly callsPerS: number
   readonly directP50Ms: string
   readonly directP99Ms: string
+  readonly relayP50Ms: string
+  readonly relayP99Ms: string
   readonly meshP50Ms: string
   readonly meshP99Ms: string
   readonly addedP50Ms: string
@@ -49,17 +51,19 @@
 }
 
 async function measure (mesh: benchMesh.BenchMesh, usages: readonly processUsage.ProcessUsage[], callsPerS: number, durationMs: number): Promise<Row> {
-  const run = new loadRun.LoadRun({ directUrl: mesh.directUrl, entryUrl: mesh.entryUrl, callsPerS, durationMs, path: '/till/price/visa' })
+  const run = new loadRun.LoadRun({ directUrl: mesh.directUrl, relayUrl: mesh.relayUrl, entryUrl: mesh.entryUrl, callsPerS, durationMs, path: '/till/price/visa' })
   const before = usages.map(usage => usage.cpuUs())
   await run.run()
   const calls = run.mesh.histogram.totalCount
   const cpu = usages.map((usage, i) => ((usage.cpuUs() - (before[i] ?? 0)) / calls).toFixed(0))
   const resident = usages.map(usage => usage.residentMb().toFixed(1))
-  const [directP50, directP99, meshP50, meshP99] = [run.direct, run.mesh].flatMap(({ histogram }) => [50, 99].map(percentile => histogram.getValueAtPercentile(percentile)))
+  const [directP50, directP99, relayP50, relayP99, meshP50, meshP99] = [run.direct, run.relay, run.mesh].flatMap(({ histogram }) => [50, 99].map(percentile => histogram.getValueAtPercentile(percentile)))
   return {
     callsPerS,
     directP50Ms: toMs(directP50),
     directP99Ms: toMs(directP99),
+    relayP50Ms: toMs(relayP50),
+    relayP99Ms: toMs(relayP99),
     meshP50Ms: toMs(meshP50),
     meshP99Ms: toMs(meshP99),
     addedP50Ms: toMs((meshP50 ?? 0) - (directP50 ?? 0)),
@@ -68,7 +72,7 @@
     entryCpuUsPerCall: cpu[1] ?? '',
     hostMb: resident[0] ?? '',
     entryMb: resident[1] ?? '',
-    failures: run.mesh.failures + run.direct.failures
+    failures: run.mesh.failures + run.relay.failures + run.direct.failures
   }
 }
 
