--- a/packages/common/src/hosting/testing/FakeMembership.ts
+++ b/packages/common/src/hosting/testing/FakeMembership.ts
@@ -8,6 +8,10 @@
   private readonly _changes = new emitter.Emitter<types.MemberChange>()
   private readonly _rows = new Map<base.NodeId, types.MemberRow>()
   public readonly onChange = this._changes.event
+  public readonly onPeerVersion = new emitter.Emitter<types.PeerVersion>().event
+  public readonly recordedSelfVersion = 0
+  public readonly isJoined = true
+  public readonly isSettled = true
 
   constructor (private readonly _nodeId: base.NodeId, private readonly _announced: (row: types.MemberRow) => void = () => {}) {}
 
@@ -33,6 +37,20 @@
     return [...this._rows.values()].filter(row => row.zone === zone && row.state === 'ready')
   }
 
+  public get size (): number {
+    return this._rows.size
+  }
+
+  public liveIdsInZone (zone: string): readonly base.NodeId[] {
+    return this.liveInZone(zone).map(row => row.nodeId)
+  }
+
+  public zones (): readonly string[] {
+    return [...new Set([...this._rows.values()].map(row => row.zone))]
+  }
+
+  public randomPeer (): undefined {}
+
   public announce (): void {}
 
   public setState (state: 'ready' | 'draining' | 'left', _nowMs: base.Millis, successor = ''): void {
@@ -49,7 +67,7 @@
     const previous = this._rows.get(current.nodeId)
     if (previous === current) return
     this._rows.set(current.nodeId, current)
-    this._changes.fire({ previous, current })
+    this._changes.fire({ previous, current, forgotten: false })
   }
 
   public sync (rows: Iterable<types.MemberRow>): void {
--- a/packages/common/src/node/NodeComposition.ts
+++ b/packages/common/src/node/NodeComposition.ts
@@ -8,9 +8,10 @@
 import * as enforcement from '../distribution/Enforcement.js'
 import * as entryCalls from '../routing/EntryCalls.js'
 import * as hostCalls from '../hosting/HostCalls.js'
-import * as interim from './InterimHosting.js'
+import * as lifecycle from '../hosting/Lifecycle.js'
 import * as membership from '../membership/Membership.js'
 import * as nodeCore from './NodeCore.js'
+import * as ownershipLogs from '../hosting/OwnershipLog.js'
 import * as ownershipTable from '../hosting/OwnershipTable.js'
 import * as readerSelection from '../distribution/ReaderSelection.js'
 import * as targetSelector from '../routing/TargetSelector.js'
@@ -23,6 +24,9 @@
 /** A node with a target becomes ready when the keys that its predecessor may have run have been issued. */
 const READY_DELAY_MS = 2000
 
+/** Used until a configuration is known. */
+const DEFAULT_DRAIN_MS = 10_000
+
 export interface NodeCompositionOptions {
   readonly self: memberTypes.SelfAnnouncement
   /** Peer addresses to join through. */
@@ -71,14 +75,15 @@
       ownership: table,
       onMalformed: options.onRefused
     })
-    const ownershipLog = new interim.InterimOwnershipLog()
+    const configuration = (): config.ConfigDocument | undefined => enforced.current?.document
+    const ownershipLog = new ownershipLogs.OwnershipLog({ table, membership: members, effects, random, configuration })
     const selector = new targetSelector.TargetSelector({ membership: members, enforcement: enforced, random })
     const slotsOf = (service: string): number => enforced.current?.document.services.find(({ name }) => name === service)?.slots ?? 1
     const host = new hostCalls.HostCalls({
       self: { nodeId: self.nodeId, incarnation: self.incarnation },
       service: self.service,
       startedAtMs: self.incarnation,
-      configuration: () => enforced.current?.document,
+      configuration,
       targetReady: () => members.self.targetReady,
       table,
       isCaughtUp: () => ownershipLog.isCaughtUp,
@@ -104,7 +109,13 @@
         crashTable: crashes,
         host,
         entry,
-        lifecycle: new interim.InterimLifecycle(members, host)
+        lifecycle: new lifecycle.Lifecycle({
+          calls: host,
+          membership: members,
+          effects,
+          service: self.service,
+          drainMs: () => configuration()?.terms.drainMs ?? DEFAULT_DRAIN_MS
+        })
       },
       earliestReadyMs: self.service === '' ? 0 : self.incarnation + READY_DELAY_MS
     })
