--- a/packages/common/src/node/NodeComposition.ts
+++ b/packages/common/src/node/NodeComposition.ts
@@ -81,6 +81,7 @@
     const slotsOf = (service: string): number => enforced.current?.document.services.find(({ name }) => name === service)?.slots ?? 1
     const host = new hostCalls.HostCalls({
       self: { nodeId: self.nodeId, incarnation: self.incarnation },
+      currentIncarnation: () => members.self.incarnation,
       service: self.service,
       startedAtMs: self.incarnation,
       configuration,
--- a/packages/common/src/routing/FakeMesh.ts
+++ b/packages/common/src/routing/FakeMesh.ts
@@ -125,7 +125,7 @@
     if (this.lookup !== undefined) return results.Ok(this.lookup)
     const owners = this._owners.get(service) ?? []
     const owner = owners[(digest.placementHash(key) % PARTITIONS) % owners.length]
-    return results.Ok(owner === undefined ? { kind: 'no-table' } : { kind: 'owner', owner })
+    return results.Ok(owner === undefined ? { kind: 'no-table' } : { kind: 'owner', owner, sendTo: owner.nodeId })
   }
 
   public isReleased (owner: hosting.PartitionOwner): boolean {
--- a/packages/common/src/routing/OwnerLocator.test.ts
+++ b/packages/common/src/routing/OwnerLocator.test.ts
@@ -5,7 +5,7 @@
 
 function setUp (incarnation = 10): { mesh: fake.FakeMesh, locate: (...exclude: string[]) => string } {
   const mesh = new fake.FakeMesh([fake.rowOf({ nodeId: 'owner', incarnation }), fake.rowOf({ nodeId: 'heir' })])
-  mesh.lookup = { kind: 'owner', owner: { nodeId: 'owner', incarnation } }
+  mesh.lookup = { kind: 'owner', owner: { nodeId: 'owner', incarnation }, sendTo: 'owner' }
   const locator = new ownerLocator.OwnerLocator({ membership: mesh, ownership: mesh })
   const locate = (...exclude: string[]): string => {
     const location = locator.locate('till', 'key', new Set(exclude)).unwrap()
@@ -43,7 +43,7 @@
     assert.equal(locate(), 'unreachable')
     mesh.put({ nodeId: 'owner', incarnation: 12 })
     assert.equal(locate(), 'unreachable')
-    mesh.lookup = { kind: 'owner', owner: { nodeId: 'owner', incarnation: 11 } }
+    mesh.lookup = { kind: 'owner', owner: { nodeId: 'owner', incarnation: 11 }, sendTo: 'owner' }
     assert.equal(locate(), 'owner')
   })
 
--- a/packages/node/src/testing/FakeServices.ts
+++ b/packages/node/src/testing/FakeServices.ts
@@ -201,6 +201,7 @@
     const self = { nodeId: settings.nodeId, incarnation: membership.self.incarnation }
     this.host = new hostCalls.HostCalls({
       self,
+      currentIncarnation: () => membership.self.incarnation,
       service: settings.service,
       startedAtMs: self.incarnation,
       configuration: () => enforcement.current?.document,
--- a/packages/testbed/src/bench/ElmpostPolicy.ts
+++ b/packages/testbed/src/bench/ElmpostPolicy.ts
@@ -137,6 +137,7 @@
   private _hostOf (node: modelFleet.ModelNode, selector: targetSelector.TargetSelector): hostModel.HostModel {
     const host = new hostCalls.HostCalls({
       self: { nodeId: node.nodeId, incarnation: INCARNATION },
+      currentIncarnation: () => INCARNATION,
       service: node.service.name,
       startedAtMs: 0,
       configuration: () => this._mesh.current?.document,
