--- a/packages/node/src/Logger.ts
+++ b/packages/node/src/Logger.ts
@@ -1,3 +1,4 @@
+import './RoarrEnvironment.js'
 import * as roarr from 'roarr'
 import type * as services from './Services.js'
 import type * as types from './Types.js'
--- a/packages/node/src/Settings.ts
+++ b/packages/node/src/Settings.ts
@@ -131,7 +131,7 @@
 }
 
 function portProblems (name: string, address: unknown): errors.SettingsProblem[] {
-  if (typeof address !== 'string' || addresses.parse(address).port <= 65_535) return []
+  if (typeof address !== 'string' || !(addresses.parse(address).port > 65_535)) return []
   return [{ pointer: `/${name}`, message: 'the port is above 65535', remedy: 'Use a port from 1 to 65535' }]
 }
 
--- a/packages/node/src/TargetRun.ts
+++ b/packages/node/src/TargetRun.ts
@@ -9,6 +9,14 @@
 
 const NO_RETRY_MESSAGE = 'the request may already have been written once'
 
+/** Reasons by error code; a connection that cannot be had for another reason is a sign of load. */
+const REASONS_BEFORE_WRITE: Readonly<Record<string, hosting.OutcomeReason>> = {
+  ECONNREFUSED: 'target-lost',
+  ECONNRESET: 'target-lost',
+  UND_ERR_SOCKET: 'target-lost',
+  UND_ERR_INVALID_ARG: 'bad-request'
+}
+
 /** What a run needs from its runner. */
 export interface IRunOwner {
   readonly listener: types.IRunListener
@@ -54,10 +62,10 @@
       this._writtenAtMs = performance.now()
       return
     }
-    const wasWaiting = this._phase === 'waiting'
+    // Reported first, because the abort reports an error of its own.
+    if (this._phase === 'waiting') this._fail({ kind: 'not-started', reason: 'deadline' })
+    else this._fail({ kind: 'lost', reason: 'target-lost', targetDied: false })
     controller.abort(new Error(NO_RETRY_MESSAGE))
-    if (wasWaiting) this._fail({ kind: 'not-started', reason: 'deadline' })
-    else if (this._phase !== 'done') this._fail({ kind: 'lost', reason: 'target-lost', targetDied: false })
   }
 
   public onResponseStart (controller: undici.Dispatcher.DispatchController, status: number, received: http.IncomingHttpHeaders): void {
@@ -131,7 +139,7 @@
 
   private _failBeforeWrite (code: string): void {
     if (code === 'ECONNREFUSED') this._owner.refused()
-    this._fail({ kind: 'not-started', reason: code === 'ECONNREFUSED' || code === 'ECONNRESET' ? 'target-lost' : 'overloaded' })
+    this._fail({ kind: 'not-started', reason: REASONS_BEFORE_WRITE[code] ?? 'overloaded' })
     this._finish()
   }
 
--- /dev/null
+++ b/packages/node/src/TargetRunner.test.ts
@@ -0,0 +1,153 @@
+import * as assert from 'node:assert/strict'
+import * as http from 'node:http'
+import * as targetRunner from './TargetRunner.js'
+import * as test from 'node:test'
+import * as testMesh from './testing/TestMesh.js'
+import type * as hosting from '@elmpost/common/hosting/Types.js'
+import type * as types from './Types.js'
+
+/** Records what the runner reports. */
+class Listener implements types.IRunListener {
+  public readonly reports: string[] = []
+  public mayStart = true
+
+  public starting (run: types.TargetRequest): boolean {
+    this.reports.push(`start ${run.runId}`)
+    return this.mayStart
+  }
+
+  public whole (run: types.TargetRequest, status: number): void {
+    this.reports.push(`whole ${run.runId} ${status}`)
+  }
+
+  public head (run: types.TargetRequest): void {
+    this.reports.push(`head ${run.runId}`)
+  }
+
+  public chunk (): boolean {
+    return true
+  }
+
+  public ended (run: types.TargetRequest): void {
+    this.reports.push(`ended ${run.runId}`)
+  }
+
+  public failed (run: types.TargetRequest, result: hosting.RunResult): void {
+    const reason = result.kind === 'answered' ? '' : result.reason
+    this.reports.push(`${result.kind} ${run.runId} ${reason}${result.kind === 'lost' && result.targetDied ? ' died' : ''}`)
+  }
+}
+
+function requestOf (runId: number, deadlineAtMs = Date.now() + 60_000): types.TargetRequest {
+  return { runId, method: 'GET', path: '/price', headers: {}, body: undefined, deadlineAtMs, key: undefined, depth: 0, attempt: 1 }
+}
+
+test.describe('TargetRunner', () => {
+  let listener: Listener
+  let target: testMesh.TestTarget
+  let runner: targetRunner.TargetRunner
+  let isDead: boolean
+  let refused: number
+
+  async function start (handler: http.RequestListener, slots = 1): Promise<void> {
+    listener = new Listener()
+    isDead = false
+    refused = 0
+    target = new testMesh.TestTarget(handler)
+    runner = new targetRunner.TargetRunner({
+      targetUrl: await target.listen(),
+      slots,
+      connections: 4,
+      listener,
+      refused: () => { refused++ },
+      confirmDeath: () => Promise.resolve(isDead),
+      nowMs: Date.now
+    })
+  }
+
+  test.afterEach(() => {
+    runner.dispose()
+    target.die()
+  })
+
+  async function reported (count: number): Promise<readonly string[]> {
+    await testMesh.until(() => listener.reports.length >= count)
+    return listener.reports
+  }
+
+  test.it('asks right before each write, and runs no more requests at once than the target has slots', async () => {
+    const held: http.ServerResponse[] = []
+    await start((_request, response) => { held.push(response) })
+    runner.run(requestOf(1))
+    runner.run(requestOf(2))
+    await testMesh.until(() => held.length === 1)
+    assert.deepEqual(listener.reports, ['start 1'])
+    held[0]?.end()
+    await testMesh.until(() => held.length === 2)
+    held[1]?.end()
+    assert.deepEqual(await reported(4), ['start 1', 'whole 1 200', 'start 2', 'whole 2 200'])
+  })
+
+  test.it('writes nothing when the start is denied, and frees the slot', async () => {
+    await start((_request, response) => { response.end() })
+    listener.mayStart = false
+    runner.run(requestOf(1))
+    assert.deepEqual(await reported(2), ['start 1', 'not-started 1 deadline'])
+    listener.mayStart = true
+    runner.run(requestOf(2))
+    assert.deepEqual((await reported(4)).slice(2), ['start 2', 'whole 2 200'])
+    assert.equal(target.paths.length, 1)
+  })
+
+  test.it('reports a broken connection after the write as lost, never as not started', async () => {
+    await start((_request, response) => { response.destroy() })
+    runner.run(requestOf(1))
+    assert.deepEqual(await reported(2), ['start 1', 'lost 1 target-lost'])
+  })
+
+  test.it('reports the death of the target that broke the connection', async () => {
+    await start((_request, response) => {
+      isDead = true
+      response.destroy()
+    })
+    runner.run(requestOf(1))
+    assert.deepEqual(await reported(2), ['start 1', 'lost 1 target-lost died'])
+  })
+
+  test.it('reports a refused connection as not started, because nothing was written', async () => {
+    await start((_request, response) => { response.end() })
+    target.die()
+    runner.run(requestOf(1))
+    assert.deepEqual(await reported(1), ['not-started 1 target-lost'])
+    assert.equal(refused, 1)
+  })
+
+  test.it('drops a queued request that is aborted, and never writes it', async () => {
+    const held: http.ServerResponse[] = []
+    await start((_request, response) => { held.push(response) })
+    runner.run(requestOf(1))
+    runner.run(requestOf(2))
+    await testMesh.until(() => held.length === 1)
+    runner.abort(2, 'canceled')
+    held[0]?.end()
+    runner.run(requestOf(3))
+    await testMesh.until(() => held.length === 2)
+    assert.deepEqual(listener.reports, ['start 1', 'not-started 2 canceled', 'whole 1 200', 'start 3'])
+  })
+
+  test.it('ends a request whose deadline has passed as lost and closes its connection, so that the target notices', async () => {
+    let closed = 0
+    await start((_request, response) => { response.on('close', () => { closed++ }) })
+    runner.run(requestOf(1, 1000))
+    await testMesh.until(() => target.paths.length === 1)
+    runner.tick(1000)
+    assert.deepEqual(await reported(2), ['start 1', 'lost 1 deadline'])
+    await testMesh.until(() => closed === 1)
+  })
+
+  test.it('refuses a request that cannot be written as HTTP without a crash', async () => {
+    await start((_request, response) => { response.end() })
+    runner.run({ ...requestOf(1), path: '/a b\r\nx: y' })
+    assert.deepEqual(await reported(1), ['not-started 1 bad-request'])
+  })
+})
