Drop a needless copy of patch operations

Cause: the parts on the path of an operation are copied already, so the values of a received patch cannot be changed by later operations. Change: operations are applied without a copy of their own.

--- a/packages/common/src/config/PatchedDocument.ts
+++ b/packages/common/src/config/PatchedDocument.ts
@@ -17,11 +17,10 @@
     return this._document
   }
 
-  /** Throws if the operation does not fit the document. The operation is not changed, and it may be used again. */
+  /** Throws if the operation does not fit the document. Its value becomes part of the document and must not be changed later. */
   public apply (operation: patches.Operation): void {
-    const own = patches.default.deepClone(operation) as patches.Operation
-    this._copyPath(own.path)
-    this._document = patches.default.applyOperation(this._document, own, true, true).newDocument
+    this._copyPath(operation.path)
+    this._document = patches.default.applyOperation(this._document, operation, true, true).newDocument
   }
 
   private _copyPath (path: unknown): void {
