--- a/packages/common/src/distribution/MessageRules.ts
+++ b/packages/common/src/distribution/MessageRules.ts
@@ -41,6 +41,7 @@
 
 function pullProblem (message: Record<string, unknown>): string | undefined {
   if (!rules.isCount(message['haveVersion']) || !rules.isCount(message['haveOwnershipVersion'])) return 'a version is not a count'
+  if (!rules.isCount(message['haveOwnershipOffset'])) return 'haveOwnershipOffset is not a count'
   return isText(message['haveDigest']) ? undefined : 'haveDigest is not a text'
 }
 
@@ -75,14 +76,30 @@
 }
 
 function isOwnership (value: unknown): boolean {
-  return isMap(value) && rules.isCount(value['tableVersion']) && rules.isCount(value['horizonMs']) &&
-    rules.isCount(value['sinceVersion']) && Array.isArray(value['entries']) && value['entries'].every(isEntry)
+  if (!isMap(value)) return false
+  const counts = [value['asOfOffset'], value['tableVersion'], value['sinceVersion'], value['lastChangeOffset']]
+  const times = [value['horizonMs'], value['floorMs'], value['lastChangeMs']]
+  return counts.every(rules.isCount) && times.every(isTime) && isListOf(value['released'], isOwner) && isListOf(value['services'], isWindows)
 }
 
-function isEntry (value: unknown): boolean {
-  if (!isMap(value) || !isMap(value['owner'])) return false
-  return isText(value['service']) && rules.isCount(value['partition']) && rules.isCount(value['startsAtMs']) &&
-    isText(value['owner']['nodeId']) && rules.isCount(value['owner']['incarnation'])
+function isWindows (value: unknown): boolean {
+  return isMap(value) && isText(value['service']) && isListOf(value['owners'], isOwner) && isListOf(value['groups'], isGroup)
+}
+
+function isGroup (value: unknown): boolean {
+  return isMap(value) && isTime(value['startsAtMs']) && isListOf(value['pairs'], rules.isCount)
+}
+
+function isOwner (value: unknown): boolean {
+  return isMap(value) && isText(value['nodeId']) && rules.isCount(value['incarnation'])
+}
+
+function isListOf (value: unknown, isItem: (item: unknown) => boolean): boolean {
+  return Array.isArray(value) && value.every(isItem)
+}
+
+function isTime (value: unknown): boolean {
+  return typeof value === 'number' && Number.isFinite(value) && value >= 0
 }
 
 function isOffset (value: unknown): boolean {
--- a/packages/common/src/node/Messages.ts
+++ b/packages/common/src/node/Messages.ts
@@ -33,8 +33,8 @@
 export interface GossipMessage {
   readonly kind: 'gossip'
   readonly version: number
-  readonly ownershipVersion: number
-  readonly horizonMs: base.Millis
+  /** Length of the `ownership` stream that the sender's table includes. */
+  readonly ownershipOffset: number
   readonly updates: readonly membership.WireRow[]
   readonly crashes: readonly hosting.CrashRecord[]
 }
@@ -43,8 +43,8 @@
   readonly kind: 'probe'
   readonly sequence: number
   readonly version: number
-  readonly ownershipVersion: number
-  readonly horizonMs: base.Millis
+  /** Length of the `ownership` stream that the sender's table includes. */
+  readonly ownershipOffset: number
   readonly updates: readonly membership.WireRow[]
   readonly crashes: readonly hosting.CrashRecord[]
 }
@@ -61,8 +61,8 @@
   /** Node that was probed; differs from the sender for indirect probes. */
   readonly target: base.NodeId
   readonly version: number
-  readonly ownershipVersion: number
-  readonly horizonMs: base.Millis
+  /** Length of the `ownership` stream that the sender's table includes. */
+  readonly ownershipOffset: number
   readonly updates: readonly membership.WireRow[]
   readonly crashes: readonly hosting.CrashRecord[]
 }
@@ -130,6 +130,8 @@
   readonly haveVersion: number
   readonly haveDigest: string
   readonly haveOwnershipVersion: number
+  /** Only a table that includes more of the `ownership` stream is sent. */
+  readonly haveOwnershipOffset: number
 }
 
 /** What a peer knows of versions; on each answer to `pull`. */
@@ -187,7 +189,10 @@
   readonly headers: Readonly<Record<string, string>>
   readonly body: Uint8Array | undefined
   readonly remainingMs: base.Millis
-  /** Sender's clock when the message was written. */
+  /**
+   * Entry node's clock when the call arrived from its caller, unchanged when the node sends the call again; the owner's
+   * clock when it delegates. An owner refuses old sends, so that a refusal stays true.
+   */
   readonly sentAtMs: base.Millis
   readonly key: string | undefined
   readonly fingerprint: string
@@ -214,6 +219,8 @@
   readonly last: boolean
   readonly retryAfterMs: base.Millis
   readonly load: hosting.LoadReport
+  /** Time from writing the request to the target until the answer was complete. */
+  readonly targetMs?: base.Millis
 }
 
 export interface ChunkMessage {
@@ -226,7 +233,14 @@
   readonly failed: boolean
 }
 
-export type CallPathMessage = CallMessage | CancelMessage | AnswerMessage | ChunkMessage
+/** The caller has taken the chunks up to `sequence`; the host sends only a bounded number ahead of it. */
+export interface ChunkCreditMessage {
+  readonly kind: 'chunk-credit'
+  readonly callId: number
+  readonly sequence: number
+}
+
+export type CallPathMessage = CallMessage | CancelMessage | AnswerMessage | ChunkMessage | ChunkCreditMessage
 
 export type ControlMessage =
   | MembershipMessage
--- a/packages/testbed/src/bench/Types.ts
+++ b/packages/testbed/src/bench/Types.ts
@@ -1,82 +1,63 @@
-/** Results of the convergence benchmark. */
-import type * as config from '@elmpost/common/config/Types.js'
-import type * as distributionTypes from '@elmpost/common/distribution/Types.js'
+/** Shapes of the goodput benchmark. */
 
-export type BenchStrategy = distributionTypes.DistributionStrategy | 'hybrid-bytes' | 'every-node-polls'
+export type Fault = 'none' | 'killed' | 'slow' | 'fails-fast' | 'hangs'
 
-export interface CaseSpec {
-  readonly size: number
-  readonly strategy: BenchStrategy
-  readonly seed: number
-  readonly deadRatios: readonly number[]
-  /** Parts besides the convergence to measure. */
-  readonly withBytes: boolean
-  readonly withDetection: boolean
-  readonly withRestart: boolean
-}
+/** `baseline-patient` gives each attempt the whole deadline instead of a third of it. */
+export type PolicyName = 'elmpost' | 'baseline' | 'baseline-patient'
 
-export interface ConvergenceFigures {
-  readonly deadRatio: number
-  readonly p50Ms: number
-  readonly p99Ms: number
-  /** Time until the last live node enforces the version; undefined if some did not within the limit. */
-  readonly lastMs: number | undefined
-  readonly unreached: number
-  /** Configuration messages, sent and received, per node. */
-  readonly bytesPerNode: number
-}
+export type InstitutionName = 'kartuli' | 'lakeshore'
 
-export interface TrafficFigures {
-  /** Bytes sent and received per node and second. */
-  readonly meanBytesPerS: number
-  readonly maxBytesPerS: number
-  readonly messagesPerS: number
+/** Route of a service with its share of the service's calls. */
+export interface BenchRoute {
+  readonly method: string
+  readonly path: string
+  readonly idempotent: boolean
+  readonly share: number
 }
 
-export interface DetectionFigures {
-  readonly killed: number
-  readonly firstDeadP50Ms: number
-  readonly firstDeadMaxMs: number
-  /** Time until all live nodes hold the row as dead. */
-  readonly allDeadP50Ms: number
-  readonly allDeadMaxMs: number
+export interface BenchService {
+  readonly name: string
+  readonly workers: number
+  readonly slots: number
+  readonly connections: number
+  readonly meanServiceMs: number
+  readonly routes: readonly BenchRoute[]
 }
 
-export interface RestartFigures {
-  readonly allEnforceMs: number | undefined
-  readonly logReads: number
-  readonly peakLogReadsPerS: number
-  readonly recordsRead: number
-  /** Bytes sent and received by the busiest node in its busiest second. */
-  readonly peakNodeBytesPerS: number
-  readonly meanNodeBytes: number
+export interface BenchInstitution {
+  readonly name: InstitutionName
+  readonly zones: readonly string[]
+  /** One-way delays. */
+  readonly zoneDelayMs: number
+  readonly clientDelayMs: number
+  /** Time that a caller waits for its answer. */
+  readonly deadlineMs: number
+  /** Longest expected wait in a target's queue, as the routes state it. */
+  readonly maxQueueMs: number
+  readonly services: readonly BenchService[]
 }
 
-export interface CaseResult {
-  readonly size: number
-  readonly strategy: BenchStrategy
-  readonly preference: config.DistributionPreference
-  readonly documentBytes: number
-  readonly convergence: readonly ConvergenceFigures[]
-  readonly idle?: TrafficFigures
-  readonly loaded?: TrafficFigures
-  /** Processor time per node and second, idle, the network of the benchmark included. */
-  readonly cpuMsPerNodeS?: number
-  /** The VM vanishes; nobody is told. */
-  readonly detection?: DetectionFigures
-  /** The process is killed and 3 peers see their connection break. */
-  readonly detectionConnected?: DetectionFigures
-  readonly restart?: RestartFigures
-  readonly wallS: number
-  readonly peakRssMb: number
+export interface RunOptions {
+  readonly institution: BenchInstitution
+  readonly policy: PolicyName
+  readonly fault: Fault
+  /** Offered calls as a multiple of what the slots can run. */
+  readonly load: number
+  readonly warmUpMs: number
+  readonly measureMs: number
+  readonly seed: number
 }
 
-export interface MicroFigures {
-  readonly size: number
-  /** Heap of one member table with rows of its own. */
-  readonly memberTableMb: number
-  /** Heap of one document. */
-  readonly documentMb: number
-  /** Processor time to apply one delta and enforce it. */
-  readonly applyMs: number
+/** How a call ended for its caller. */
+export type CallEnd = 'answered' | 'failed' | 'refused' | 'unknown'
+
+/** One call of a caller. */
+export interface ClientCall {
+  readonly service: BenchService
+  readonly route: BenchRoute
+  readonly startedAtMs: number
+  sends: number
+  /** Times that a target began to run it. */
+  runs: number
+  ended: boolean
 }
--- a/packages/testbed/src/bench/convergenceReport.ts
+++ b/packages/testbed/src/bench/convergenceReport.ts
@@ -1,5 +1,5 @@
 /** Tables of the convergence benchmark, in Markdown. */
-import type * as types from './Types.js'
+import type * as types from './ConvergenceTypes.js'
 
 export interface BenchOutput {
   readonly seed: number
