Test distribution and membership under faults on the fake network

Cause: the invariants on versions and the repair paths had no tests. FakeNetwork can rewrite messages and ticks a resumed node first; FakeLog can leave reads unanswered.

--- /dev/null
+++ b/packages/testbed/src/network/DistributionFaults.test.ts
@@ -0,0 +1,244 @@
+import * as assert from 'node:assert/strict'
+import * as test from 'node:test'
+import type * as messages from '@elmpost/common/node/Messages.js'
+import * as documents from '@elmpost/common/config/TestDocuments.js'
+import * as fleets from './SteppedFleet.js'
+
+const ZONES = ['vake', 'saburtalo', 'didube']
+
+function started (size: number, options: Partial<fleets.SteppedFleetOptions> = {}): fleets.SteppedFleet {
+  const fleet = new fleets.SteppedFleet({ size, zones: ZONES, seed: 11, ...options })
+  fleet.propose()
+  fleet.startAll()
+  assert.notEqual(fleet.converge(1, 20_000), undefined)
+  fleet.network.advance(3_000)
+  return fleet
+}
+
+const CONFIG_KINDS: readonly string[] = ['push', 'state', 'busy']
+
+test.describe('Distribution', () => {
+  test.describe('restart', () => {
+    test.it('enforces nothing below what a peer saw the earlier process enforce, while the log is down and that peer is behind', () => {
+      const fleet = started(3)
+      const [behind = '', other = '', restarted = ''] = fleet.ids
+      fleet.network.isLost = (_from, to, message) => to.nodeId === behind && CONFIG_KINDS.includes(message.kind)
+      fleet.log.isUnreachable = node => node.nodeId === behind
+      const version = fleet.propose()
+      fleet.network.advance(10_000)
+      assert.deepEqual([behind, other, restarted].map(id => fleet.get(id).version), [1, version, version])
+      fleet.log.isDown = true
+      fleet.network.isLost = (from, to) => from.nodeId === other || to.nodeId === other
+      const node = fleet.start(restarted)
+      fleet.network.advance(20_000)
+      assert.equal(node.distribution.readiness().reason, 'behind-version-in-force')
+      assert.deepEqual(fleet.reversals, [])
+      fleet.network.isLost = () => false
+      assert.notEqual(fleet.converge(version, 30_000), undefined)
+      assert.deepEqual(fleet.reversals, [])
+    })
+
+    test.it('waits for all asked peers, so that the first answer of a peer that is behind does not decide', () => {
+      const fleet = started(3)
+      const [behind = '', slow = '', restarted = ''] = fleet.ids
+      fleet.network.isLost = (_from, to, message) => to.nodeId === behind && CONFIG_KINDS.includes(message.kind)
+      fleet.log.isUnreachable = node => node.nodeId === behind
+      const version = fleet.propose()
+      fleet.network.advance(1_000)
+      fleet.network.isLost = (from, to) => from.nodeId === behind && to.nodeId === slow
+      fleet.log.isDown = true
+      fleet.network.rewrite = withoutRecords
+      fleet.network.delayMs = from => from.nodeId === slow ? 400 : 1
+      const node = fleet.start(restarted)
+      assert.ok(fleet.network.advanceUntil(() => node.version > 0, 30_000))
+      assert.equal(node.version, version)
+      assert.deepEqual(fleet.reversals, [])
+    })
+
+    test.it('stays not ready without any evidence, because a guess could be older than what was in force', () => {
+      const fleet = new fleets.SteppedFleet({ size: 3, zones: ZONES, seed: 12 })
+      fleet.log.isDown = true
+      fleet.propose()
+      fleet.startAll()
+      fleet.network.advance(30_000)
+      for (const node of fleet.nodes.values()) {
+        assert.deepEqual(node.distribution.readiness(), { ready: false, reason: 'no-configuration-known', floorVersion: 0, enforcedVersion: 0 })
+      }
+    })
+
+    test.it('recovers when all nodes restart at once, without a read of the log by each of them', () => {
+      const fleet = started(50)
+      const version = fleet.propose()
+      fleet.network.advance(2_000)
+      const readsBefore = fleet.log.readCount
+      fleet.startAll()
+      assert.notEqual(fleet.converge(version, 15_000), undefined)
+      assert.ok(fleet.log.readCount - readsBefore < 30, `${fleet.log.readCount - readsBefore} reads`)
+      assert.deepEqual(fleet.reversals, [])
+    })
+  })
+
+  test.describe('updates', () => {
+    test.it('ignores a delta for a lower version, which would take a version back', () => {
+      const fleet = started(3)
+      const [first] = fleet.accepted
+      for (let version = 2; version <= 10; version++) fleet.propose()
+      fleet.converge(10, 5_000)
+      const node = fleet.get(fleet.ids[0] ?? '')
+      const ninth = fleet.accepted[8]
+      assert.ok(first !== undefined && ninth !== undefined)
+      node.receive(fleet.ids[1] ?? '', stateMessage(9, { state: ninth }), fleet.network.nowMs)
+      node.receive(fleet.ids[1] ?? '', push(9, { state: ninth }), fleet.network.nowMs)
+      assert.equal(node.version, 10)
+      assert.equal(node.enforcement.enforce(ninth, fleet.network.nowMs), false)
+      assert.deepEqual(fleet.reversals, [])
+    })
+
+    test.it('pulls from the sender when the base of a delta is not in force, instead of waiting for a heartbeat', () => {
+      const fleet = started(3)
+      const [id = '', peer = ''] = fleet.ids
+      fleet.network.isLost = (_from, to) => to.nodeId === id
+      fleet.log.isUnreachable = node => node.nodeId === id
+      fleet.propose()
+      fleet.propose()
+      fleet.network.advance(500)
+      const [, second, third] = fleet.accepted
+      assert.ok(second !== undefined && third !== undefined)
+      const node = fleet.get(id)
+      node.receive(peer, push(3, { delta: { ...third, baseVersion: 2, baseDigest: second.digest, patch: [] } }), fleet.network.nowMs)
+      node.tick(fleet.network.nowMs)
+      const pulls = node.drain().flatMap(effect => effect.kind === 'send' && effect.message.kind === 'pull' ? [effect] : [])
+      assert.deepEqual(pulls.map(pull => pull.to), [peer])
+      assert.equal(node.version, 1)
+    })
+
+    test.it('pulls the whole state when the digest of a delta does not match, and enforces none of it', () => {
+      const fleet = started(3)
+      const [id = '', peer = ''] = fleet.ids
+      const [first] = fleet.accepted
+      assert.ok(first !== undefined)
+      const node = fleet.get(id)
+      const changed = documents.testDocument(4_000)
+      const corrupted = { ...documents.testState(2, changed), digest: 'f'.repeat(64), baseVersion: 1, baseDigest: first.digest, patch: [] }
+      node.receive(peer, push(2, { delta: corrupted }), fleet.network.nowMs)
+      node.tick(fleet.network.nowMs)
+      const pulls = node.drain().flatMap(effect => effect.kind === 'send' && effect.message.kind === 'pull' ? [effect.message] : [])
+      assert.deepEqual(pulls.map(pull => pull.haveVersion), [0])
+      assert.equal(node.version, 1)
+      assert.equal(node.malformed.length, 1)
+    })
+
+    test.it('ignores a whole state whose digest does not match, which would enforce a document that nobody accepted', () => {
+      const fleet = started(3)
+      const node = fleet.get(fleet.ids[0] ?? '')
+      const forged = { ...documents.testState(5, documents.testDocument(4_000)), digest: 'f'.repeat(64) }
+      node.receive(fleet.ids[1] ?? '', stateMessage(5, { state: forged }), fleet.network.nowMs)
+      assert.equal(node.version, 1)
+      assert.equal(node.malformed.length, 1)
+    })
+  })
+
+  test.describe('push', () => {
+    test.it('reaches all live nodes when the readers of a zone die in the middle of a push', () => {
+      const fleet = started(30)
+      const readers = [...fleet.nodes.values()].filter(node => node.zone === 'vake' && node.distribution.isReader)
+      assert.equal(readers.length, 2)
+      const reached = new Set<string>()
+      fleet.network.isLost = (from, to, message) => {
+        if (message.kind !== 'push' || !readers.some(reader => reader === from)) return false
+        if (reached.size === 0) reached.add(to.nodeId)
+        return !reached.has(to.nodeId)
+      }
+      const version = fleet.propose()
+      assert.ok(advanceByMs(fleet, () => reached.size > 0))
+      for (const reader of readers) fleet.kill(reader.nodeId)
+      assert.notEqual(fleet.converge(version, 2_000), undefined)
+    })
+
+    test.it('goes past dead inner nodes without a pull, within the time of a receipt per level', () => {
+      const fleet = started(30, { strategy: 'tree', terms: { pushFanout: 2 } })
+      const dead = [...fleet.nodes.values()].filter(node => node.zone === 'vake' && !node.distribution.isReader).slice(0, 4)
+      for (const node of dead) fleet.kill(node.nodeId)
+      const version = fleet.propose()
+      assert.notEqual(fleet.converge(version, 2_500), undefined)
+    })
+
+    test.it('adds up how many nodes of a zone enforce a version, for the audit trail', () => {
+      const fleet = started(12)
+      const version = fleet.propose()
+      fleet.network.advance(10_000)
+      const audit = fleet.log.records('audit', fleet.network.nowMs) as { kind: string, version: number, zone: string, count: number }[]
+      const counts = audit.filter(record => record.kind === 'enforced' && record.version === version).map(({ zone, count }) => `${zone} ${count}`)
+      assert.deepEqual(counts.sort(), ['didube 4', 'saburtalo 4', 'vake 4'])
+      assert.equal(audit.filter(record => record.kind === 'proposed' && record.version === version).length, 1)
+      assert.equal(audit.filter(record => record.kind === 'accepted' && record.version === version).length, 1)
+    })
+  })
+
+  test.describe('log', () => {
+    test.it('keeps the accepted version during an outage and reads the backlog afterwards', () => {
+      const fleet = started(9)
+      fleet.log.isDown = true
+      for (let i = 0; i < 40; i++) fleet.propose()
+      fleet.network.advance(120_000)
+      assert.ok(fleet.allEnforce(1))
+      const before = { reads: fleet.log.readCount, records: fleet.log.recordsRead }
+      fleet.log.isDown = false
+      assert.notEqual(fleet.converge(41, 40_000), undefined)
+      const pages = fleet.log.readCount - before.reads
+      assert.ok(fleet.log.recordsRead - before.records <= pages * 16, 'a page is larger than its bound')
+      assert.deepEqual(fleet.reversals, [])
+    })
+
+    test.it('brings new versions through a slow log that has left reads without an answer', () => {
+      const fleet = started(9)
+      fleet.log.isSilent = true
+      fleet.network.advance(60_000)
+      fleet.log.isSilent = false
+      fleet.log.delayMs = 8_000
+      const version = fleet.propose()
+      assert.notEqual(fleet.converge(version, 40_000), undefined)
+    })
+
+    test.it('keeps a snapshot in the log when retention drops the accepted record, so that a fleet can start again', () => {
+      const fleet = started(9, { retentionMs: 120_000 })
+      fleet.network.advance(600_000)
+      const snapshots = fleet.log.records('config', fleet.network.nowMs)
+      assert.ok(snapshots.length >= 1 && snapshots.length <= 6, `${snapshots.length} records`)
+      fleet.startAll()
+      assert.notEqual(fleet.converge(1, 20_000), undefined)
+    })
+
+    test.it('stays at the newer version when a snapshot of the older one is appended after it', () => {
+      const fleet = started(6)
+      const version = fleet.propose()
+      fleet.converge(version, 5_000)
+      const [first] = fleet.accepted
+      fleet.log.append('config', { kind: 'snapshot', ...first }, fleet.network.nowMs)
+      fleet.start(fleet.ids[0] ?? '')
+      fleet.network.advance(20_000)
+      assert.ok(fleet.allEnforce(version))
+      assert.deepEqual(fleet.reversals, [])
+    })
+  })
+})
+
+/** Advances in steps of 1 ms, so that a push is stopped between two levels. */
+function advanceByMs (fleet: fleets.SteppedFleet, condition: () => boolean): boolean {
+  for (let i = 0; i < 5_000 && !condition(); i++) fleet.network.advance(1)
+  return condition()
+}
+
+function push (version: number, payload: Pick<messages.PushMessage, 'delta' | 'state'>): messages.PushMessage {
+  return { kind: 'push', version, rootId: 'root', sequence: version, untilId: '', logCheckedAgoMs: -1, ...payload }
+}
+
+function stateMessage (version: number, payload: Pick<messages.StateMessage, 'delta' | 'state'>): messages.StateMessage {
+  return { kind: 'state', version, recordedVersion: 0, logCheckedAgoMs: -1, ...payload }
+}
+
+/** Peers have forgotten what the earlier process enforced. */
+function withoutRecords (message: messages.ControlMessage): messages.ControlMessage {
+  if (message.kind === 'state' || message.kind === 'busy') return { ...message, recordedVersion: 0 }
+  return message.kind === 'table-rows' ? { ...message, rows: message.rows.map(row => row.with(10, 0) as unknown as typeof row) } : message
+}
--- a/packages/testbed/src/network/FakeLog.ts
+++ b/packages/testbed/src/network/FakeLog.ts
@@ -26,6 +26,8 @@
 export class FakeLog implements networks.ILogPort {
   /** Time for one request, on top of the long poll. */
   public delayMs: base.Millis = 2
+  /** Requests are taken and never answered. */
+  public isSilent = false
   /** Nodes that cannot reach the log. */
   public isUnreachable: (node: networks.INetworkNode) => boolean = () => false
   public readCount = 0
@@ -72,6 +74,7 @@
 
   private _read (node: ILogReaderNode, effect: ReadEffect, network: networks.FakeNetwork, untilMs: base.Millis): void {
     this.readCount++
+    if (this.isSilent) return
     const poll: Poll = { node, effect, network, untilMs }
     network.schedule(this.delayMs, () => this._answer(poll))
     if (effect.waitMs > 0) network.schedule(effect.waitMs + this.delayMs, () => { if (this._waiting.has(poll)) this._answer(poll) })
--- a/packages/testbed/src/network/FakeNetwork.ts
+++ b/packages/testbed/src/network/FakeNetwork.ts
@@ -36,6 +36,8 @@
 export class FakeNetwork {
   public isLost: (from: INetworkNode, to: INetworkNode, message: messages.ControlMessage) => boolean
   public delayMs: (from: INetworkNode, to: INetworkNode) => base.Millis
+  /** Changes messages on their way. */
+  public rewrite: (message: messages.ControlMessage) => messages.ControlMessage = message => message
   private readonly _options: FakeNetworkOptions
   private readonly _tickMs: base.Millis
   private readonly _events = new Map<base.Millis, (() => void)[]>()
@@ -77,9 +79,12 @@
     this._paused.set(node, [])
   }
 
+  /** The timers of the process run before it reads what has arrived in the meantime. */
   public resume (node: INetworkNode): void {
     const held = this._paused.get(node) ?? []
     this._paused.delete(node)
+    node.tick(this._nowMs)
+    this.flush(node)
     for (const deliver of held) deliver()
   }
 
@@ -135,7 +140,8 @@
     if (target === undefined) return
     this._options.onSend?.(from, target, message)
     if (this.isLost(from, target, message)) return
-    this.schedule(this.delayMs(from, target), () => this._arrive(from.nodeId, target, message))
+    const arriving = this.rewrite(message)
+    this.schedule(this.delayMs(from, target), () => this._arrive(from.nodeId, target, arriving))
   }
 
   private _arrive (from: base.NodeId, target: INetworkNode, message: messages.ControlMessage): void {
