--- a/packages/common/src/distribution/Distribution.ts
+++ b/packages/common/src/distribution/Distribution.ts
@@ -201,7 +201,7 @@
   private _receivePush (from: base.NodeId, message: messages.PushMessage, nowMs: base.Millis): void {
     if (!this._pusher.accept(from, message, nowMs)) return
     this._takeOwnership(from, message, nowMs)
-    this._ownership.pushed()
+    if ((message.ownership?.asOfOffset ?? -1) >= this._ownership.offset) this._ownership.pushed()
     if (message.version >= this._bestVersion) this._pushDueMs = undefined
     this._takeUpdate(from, message, 'push', nowMs)
     this._noteLog(message, nowMs)
@@ -210,7 +210,7 @@
 
   private _receivePull (from: base.NodeId, message: messages.PullMessage, nowMs: base.Millis): void {
     const current = this._options.enforcement.current
-    const ownership = this._ownership.updateFor(message.haveOwnershipVersion)
+    const ownership = this._ownership.updateFor(message.haveOwnershipVersion, message.haveOwnershipOffset)
     const answer: messages.StateMessage = { kind: 'state', ...this._evidenceFor(from, nowMs), ...ownership }
     if (current === undefined || message.haveVersion >= current.version) return this._send(from, answer)
     const delta = this._history.deltaFrom(message.haveVersion, message.haveDigest, current)
@@ -363,7 +363,9 @@
 
   private _sendPull (to: base.NodeId, haveVersion: number): void {
     const haveDigest = haveVersion === this._bestVersion ? this._bestState?.digest ?? '' : ''
-    this._send(to, { kind: 'pull', haveVersion, haveDigest, haveOwnershipVersion: this._ownership.version })
+    const isQuestion = haveVersion === Number.MAX_SAFE_INTEGER
+    const haveOwnershipOffset = isQuestion ? Number.MAX_SAFE_INTEGER : this._ownership.offset
+    this._send(to, { kind: 'pull', haveVersion, haveDigest, haveOwnershipVersion: this._ownership.version, haveOwnershipOffset })
   }
 
   private _send (to: base.NodeId, message: messages.DistributionMessage): void {
@@ -373,5 +375,5 @@
 }
 
 function peerOf (nodeId: base.NodeId, version: number): memberTypes.PeerVersion {
-  return { nodeId, version, ownershipVersion: 0, horizonMs: 0 }
+  return { nodeId, version, ownershipOffset: 0 }
 }
--- a/packages/common/src/membership/Membership.ts
+++ b/packages/common/src/membership/Membership.ts
@@ -34,7 +34,7 @@
 /** Rows of a larger page are known to many members, so they are not gossiped on. */
 const MAX_GOSSIPED_PAGE = 16
 
-type Versions = Pick<messages.ProbeMessage, 'version' | 'ownershipVersion' | 'horizonMs'>
+type Versions = Pick<messages.ProbeMessage, 'version' | 'ownershipOffset'>
 
 export interface MembershipOptions {
   readonly self: types.SelfAnnouncement
@@ -44,8 +44,8 @@
   readonly effects: messages.IEffects
   /** Terms of the configuration in force; read at each use. */
   readonly terms: () => config.DistributionTerms
-  /** Versions of the ownership table, told on heartbeats. */
-  readonly ownership?: Pick<hosting.IOwnershipTable, 'tableVersion' | 'horizonMs'>
+  /** Place of the ownership table in its stream, told on heartbeats. */
+  readonly ownership?: Pick<hosting.IOwnershipTable, 'asOfOffset'>
   readonly crashes?: Pick<hosting.ICrashTable, 'pending' | 'record'>
   /** Told of each malformed message, for the log and the metrics. */
   readonly onMalformed?: (error: malformed.MalformedMessageError) => void
@@ -305,17 +305,13 @@
   }
 
   private _noteVersion (nodeId: base.NodeId, versions: Versions): void {
-    const { version, ownershipVersion, horizonMs } = versions
+    const { version, ownershipOffset } = versions
     this._table.recordVersion(nodeId, version)
-    this._versions.fire({ nodeId, version, ownershipVersion, horizonMs })
+    this._versions.fire({ nodeId, version, ownershipOffset })
   }
 
   private _ownVersions (): Versions {
-    return {
-      version: this._self.enforcedVersion,
-      ownershipVersion: this._options.ownership?.tableVersion ?? 0,
-      horizonMs: this._options.ownership?.horizonMs ?? 0
-    }
+    return { version: this._self.enforcedVersion, ownershipOffset: this._options.ownership?.asOfOffset ?? 0 }
   }
 
   private _probeSeeds (nowMs: base.Millis): void {
@@ -377,7 +373,7 @@
       sendProbe: (nodeId, sequence) => this._send(nodeId, { kind: 'probe', sequence, ...this._news(nodeId) }),
       sendProbeRequest: (helper, target, sequence) => this._send(helper, { kind: 'probe-request', sequence, target }),
       relayAck: (requester, target, sequence) => this._send(requester, {
-        kind: 'probe-ack', sequence, target, version: this._table.get(target)?.enforcedVersion ?? 0, ownershipVersion: 0, horizonMs: 0, updates: [], crashes: []
+        kind: 'probe-ack', sequence, target, version: this._table.get(target)?.enforcedVersion ?? 0, ownershipOffset: 0, updates: [], crashes: []
       }),
       suspect: nodeId => this._mark(nodeId, 'suspect'),
       declareDead: nodeId => this._mark(nodeId, 'dead')
--- a/packages/node/src/MessageSchemas.ts
+++ b/packages/node/src/MessageSchemas.ts
@@ -16,8 +16,16 @@
 
 const LOAD = object({ inFlight: COUNT, queued: COUNT, slots: COUNT })
 
-/** Rows travel as tuples; the membership checks each field. */
-const ROW: Schema = { type: 'array' }
+/** Fields in the order of `WireRow`. */
+const ROW: Schema = {
+  type: 'array',
+  items: [
+    TEXT, COUNT, { enum: ['joining', 'ready', 'draining', 'left', 'suspect', 'dead'] }, TEXT, TEXT, TEXT, TEXT, TEXT,
+    FLAG, NUMBER, COUNT, COUNT, TEXT
+  ],
+  minItems: 13,
+  maxItems: 13
+}
 const ROWS: Schema = { type: 'array', items: ROW }
 
 const CRASH = object({ key: TEXT, fingerprint: TEXT, nodeId: TEXT, atMs: NUMBER, concurrent: COUNT })
@@ -34,20 +42,8 @@
 })
 
 const OWNER = object({ nodeId: TEXT, incarnation: COUNT })
-const OWNERS: Schema = { type: 'array', items: OWNER }
-const GROUP = object({ startsAtMs: NUMBER, pairs: { type: 'array', items: COUNT } })
-const WINDOWS = object({ service: TEXT, owners: OWNERS, groups: { type: 'array', items: GROUP } })
-const OWNERSHIP = object({
-  asOfOffset: COUNT,
-  tableVersion: COUNT,
-  horizonMs: NUMBER,
-  floorMs: NUMBER,
-  lastChangeMs: NUMBER,
-  lastChangeOffset: COUNT,
-  released: { type: 'array', items: object({ owner: OWNER, successor: OWNER }) },
-  sinceVersion: COUNT,
-  services: { type: 'array', items: WINDOWS }
-})
+/** Checked by the decoder of ownership updates. */
+const OWNERSHIP = OBJECT
 
 const HANDOVER_KEY = object({
   key: TEXT,
@@ -60,7 +56,7 @@
 }, { body: BYTES })
 const HANDOVER = object({ from: OWNER, to: OWNER, released: FLAG, atMs: NUMBER, forgottenUntilMs: NUMBER, keys: { type: 'array', items: HANDOVER_KEY } })
 
-const NEWS_FIELDS = { version: COUNT, ownershipVersion: COUNT, horizonMs: NUMBER, updates: ROWS, crashes: CRASHES }
+const NEWS_FIELDS = { version: COUNT, ownershipOffset: COUNT, updates: ROWS, crashes: CRASHES }
 const EVIDENCE_FIELDS = { version: COUNT, recordedVersion: COUNT, logCheckedAgoMs: NUMBER }
 
 export const MESSAGE_SCHEMAS: Readonly<Record<messages.PeerMessage['kind'], Schema>> = {
@@ -74,10 +70,9 @@
   'table-rows': object({ rows: ROWS, wantedBuckets: { type: 'array', items: COUNT }, bucketCount: COUNT }),
   push: object({ version: COUNT, rootId: TEXT, sequence: COUNT, untilId: TEXT, logCheckedAgoMs: NUMBER }, { delta: DELTA, state: STATE, ownership: OWNERSHIP }),
   'push-ack': object({ rootId: TEXT, sequence: COUNT, final: FLAG, count: COUNT, firstAtMs: NUMBER, lastAtMs: NUMBER }),
-  pull: object({ haveVersion: COUNT, haveDigest: TEXT, haveOwnershipVersion: COUNT }),
+  pull: object({ haveVersion: COUNT, haveDigest: TEXT, haveOwnershipVersion: COUNT, haveOwnershipOffset: COUNT }),
   state: object(EVIDENCE_FIELDS, { delta: DELTA, state: STATE, ownership: OWNERSHIP }),
   busy: object({ ...EVIDENCE_FIELDS, retryAfterMs: NUMBER }),
-  ownership: object({ update: OWNERSHIP }),
   handover: object({ handover: HANDOVER }),
   'handover-ack': object({ fromNodeId: TEXT, incarnation: COUNT }),
   call: object({
--- a/packages/testbed/src/network/SteppedNode.ts
+++ b/packages/testbed/src/network/SteppedNode.ts
@@ -92,7 +92,6 @@
       case 'state':
       case 'busy':
         return this.distribution.receive(from, message, nowMs)
-      case 'ownership':
       case 'handover':
       case 'handover-ack':
         return
