--- a/packages/common/src/hosting/HostCalls.ts
+++ b/packages/common/src/hosting/HostCalls.ts
@@ -8,6 +8,7 @@
 import * as keys from './Keys.js'
 import * as keyTables from './KeyTable.js'
 import * as limits from './CallLimits.js'
+import * as requests from './Requests.js'
 import * as runs from './RunTable.js'
 import type * as services from './Services.js'
 import type * as types from './Types.js'
@@ -216,7 +217,7 @@
     const keyTime = keys.keyTimeMs(call.key)
     if (keyTime.isErr()) return answer(answers.notRun('bad-key', 0))
     const keyTimeMs = keyTime.value
-    const remembered = this._remembered(call, keyTimeMs, nowMs)
+    const remembered = this._remembered(call, nowMs)
     if (remembered !== undefined) return remembered
     const unowned = this._unowned(call, keyTimeMs, nowMs)
     if (unowned !== undefined) return answer(unowned)
@@ -226,10 +227,10 @@
   }
 
   /** What the key table says. The refusal is renewed because it speaks for every send made until now. */
-  private _remembered (call: KeyedCall, keyTimeMs: base.Millis, nowMs: base.Millis): types.HostDecision | undefined {
+  private _remembered (call: KeyedCall, nowMs: base.Millis): types.HostDecision | undefined {
     const entry = this._keys.get(call.key)
     if (entry !== undefined) {
-      if (entry.fingerprint !== call.fingerprint || entry.service !== call.service) return answer(answers.notRun('key-reused', 0))
+      if (!requests.isSameRequest(entry, call)) return answer(answers.notRun('key-reused', 0))
       if (entry.state === 'running') return this._join(entry.runId, call, nowMs)
       if (entry.state === 'unknown') return answer(answers.unknown(entry.reason))
       const stored = entry.answer
@@ -237,8 +238,8 @@
     }
     const refusal = this._keys.refusal(call.key, nowMs)
     if (refusal === undefined) return undefined
-    const reason = refusal.fingerprint === call.fingerprint ? refusal.reason : 'key-reused'
-    return this._refuseKey({ ...call, fingerprint: refusal.fingerprint }, keyTimeMs, reason, 0, nowMs)
+    this._keys.refuse(call.key, { ...refusal, untilMs: nowMs + REFUSAL_MEMORY_MS })
+    return answer(answers.notRun(requests.isSameRequest(refusal, call) ? refusal.reason : 'key-reused', KEY_RETRY_AFTER_MS))
   }
 
   /** Another process may have run the key, so these answers are never `not-run`. */
@@ -271,13 +272,13 @@
     const place = this._place(call, nowMs)
     if (place.kind === 'refused') return this._refuseKey(call, keyTimeMs, place.reason, place.retryAfterMs, nowMs)
     const decision = this._enqueue(call, place, undefined, nowMs)
-    this._keys.begin(call.key, { ...identityOf(call), keyTimeMs, runId: decision.runId }, nowMs)
+    this._keys.begin(call.key, { ...requests.identityOf(call), keyTimeMs, runId: decision.runId }, nowMs)
     return decision
   }
 
   private _delegate (call: KeyedCall, keyTimeMs: base.Millis, target: admissions.TargetLimits, choice: services.DelegateChoice, nowMs: base.Millis): types.HostDecision {
     const { runId } = this._runs.add(call, 'delegate', target, undefined, nowMs)
-    this._keys.begin(call.key, { ...identityOf(call), keyTimeMs, runId }, nowMs)
+    this._keys.begin(call.key, { ...requests.identityOf(call), keyTimeMs, runId }, nowMs)
     return { kind: 'delegate', runId, to: choice.nodeId, address: choice.address }
   }
 
@@ -310,7 +311,7 @@
   }
 
   private _refuseKey (call: KeyedCall, keyTimeMs: base.Millis, reason: types.OutcomeReason, retryAfterMs: base.Millis, nowMs: base.Millis): types.HostDecision {
-    this._keys.refuse(call.key, { ...identityOf(call), keyTimeMs, reason, untilMs: nowMs + REFUSAL_MEMORY_MS })
+    this._keys.refuse(call.key, { ...requests.identityOf(call), keyTimeMs, reason, untilMs: nowMs + REFUSAL_MEMORY_MS })
     return answer(answers.notRun(reason, Math.max(KEY_RETRY_AFTER_MS, retryAfterMs)))
   }
 
@@ -343,7 +344,7 @@
     const reason = run.dropReason ?? result.reason
     if (ownedKey === undefined) return answers.notRun(reason, RETRY_AFTER_MS)
     const keyTimeMs = this._keys.get(ownedKey)?.keyTimeMs ?? 0
-    this._keys.refuse(ownedKey, { ...identityOf(run), keyTimeMs, reason, untilMs: nowMs + REFUSAL_MEMORY_MS })
+    this._keys.refuse(ownedKey, { ...requests.identityOf(run), keyTimeMs, reason, untilMs: nowMs + REFUSAL_MEMORY_MS })
     return answers.notRun(reason, KEY_RETRY_AFTER_MS)
   }
 
@@ -372,10 +373,6 @@
 
 type KeyedCall = messages.CallMessage & { readonly key: string }
 
-function identityOf (call: { readonly service: string, readonly fingerprint: string }): { service: string, fingerprint: string } {
-  return { service: call.service, fingerprint: call.fingerprint }
-}
-
 function isStale (call: messages.CallMessage, nowMs: base.Millis): boolean {
   return nowMs - call.sentAtMs > MAX_SEND_AGE_MS
 }
--- a/packages/common/src/hosting/KeyTable.ts
+++ b/packages/common/src/hosting/KeyTable.ts
@@ -10,7 +10,8 @@
   readonly maxAnswerBytes: number
 }
 
-export const DEFAULT_LIMITS = { maxKeys: 250_000, maxAnswerBytes: 16 * 1024 * 1024 }
+/** Keys take 270 bytes each (32 MB). At 319 calls/s they last for 10 minutes if up to 62 % of the calls are keyed. */
+export const DEFAULT_LIMITS = { maxKeys: 120_000, maxAnswerBytes: 12 * 1024 * 1024 }
 
 /** An answer with empty headers and body still takes some memory. */
 const ANSWER_OVERHEAD_BYTES = 200
@@ -23,7 +24,7 @@
 
 export interface KeyEntry {
   readonly service: string
-  readonly fingerprint: string
+  readonly fingerprint: number
   readonly keyTimeMs: base.Millis
   readonly seenAtMs: base.Millis
   state: types.KeyState
@@ -34,7 +35,7 @@
 }
 
 export interface Refusal {
-  readonly fingerprint: string
+  readonly fingerprint: number
   readonly service: string
   readonly keyTimeMs: base.Millis
   readonly reason: types.OutcomeReason
@@ -56,7 +57,11 @@
   private readonly _refusals = new Map<string, Refusal>()
   /** Keys with a stored answer, oldest first. */
   private readonly _answered = new Set<string>()
+  // Kept between calls: a new iterator would pass over all entries deleted since the last rehash.
+  private _oldestAnswers: Iterator<string> | undefined
+  private _oldestEntries: Iterator<[string, KeyEntry]> | undefined
   private _answerBytes = 0
+  private _service = ''
   private _forgottenUntilMs: base.Millis
 
   constructor (options: Pick<KeyTableOptions, 'forgottenUntilMs'> & Partial<KeyTableOptions>) {
@@ -87,7 +92,9 @@
 
   public begin (key: string, entry: Pick<KeyEntry, 'service' | 'fingerprint' | 'keyTimeMs' | 'runId'>, nowMs: base.Millis): void {
     this._refusals.delete(key)
-    this._entries.set(key, { ...entry, seenAtMs: nowMs, state: 'running', reason: 'running', answer: undefined })
+    // Calls bring their own copies of the name; remembered keys share one.
+    if (entry.service !== this._service) this._service = entry.service
+    this._entries.set(key, { ...entry, service: this._service, seenAtMs: nowMs, state: 'running', reason: 'running', answer: undefined })
     this._bound()
   }
 
@@ -170,25 +177,42 @@
   }
 
   private _boundAnswers (): void {
-    for (const key of this._answered) {
-      if (this._answerBytes <= this._options.maxAnswerBytes) return
-      const entry = this._entries.get(key)
-      if (entry !== undefined) this._dropAnswer(key, entry)
+    while (this._answerBytes > this._options.maxAnswerBytes) {
+      this._oldestAnswers ??= this._answered.values()
+      const next = this._oldestAnswers.next()
+      if (next.done === true) {
+        this._oldestAnswers = undefined
+        continue
+      }
+      const entry = this._entries.get(next.value)
+      if (entry !== undefined) this._dropAnswer(next.value, entry)
     }
   }
 
   private _bound (): void {
     if (this.size <= this._options.maxKeys) return
-    for (const [key, entry] of this._entries) {
-      if (entry.state === 'running') continue
-      this._forget(key, entry)
-      return
-    }
+    if (this._forgetOldestEntry()) return
     const oldest = this._refusals.entries().next().value
     if (oldest === undefined) return
     this._refusals.delete(oldest[0])
     this._forgottenUntilMs = Math.max(this._forgottenUntilMs, oldest[1].keyTimeMs)
   }
+
+  /** A key that runs is passed over; it is looked at again when the iterator starts anew. */
+  private _forgetOldestEntry (): boolean {
+    for (let starts = 0; starts < 2;) {
+      this._oldestEntries ??= this._entries.entries()
+      const next = this._oldestEntries.next()
+      if (next.done === true) {
+        this._oldestEntries = undefined
+        starts++
+      } else if (next.value[1].state !== 'running') {
+        this._forget(...next.value)
+        return true
+      }
+    }
+    return false
+  }
 }
 
 function toHandoverKey (key: string, entry: KeyEntry): types.HandoverKey {
--- a/packages/common/src/hosting/OwnershipTable.ts
+++ b/packages/common/src/hosting/OwnershipTable.ts
@@ -3,6 +3,7 @@
 import * as codec from './WindowCodec.js'
 import * as keys from './Keys.js'
 import type * as services from './Services.js'
+import * as serviceTables from './ServiceTable.js'
 import type * as types from './Types.js'
 
 /** Retry time given for keys that nobody owns yet; readers renew the horizon within this time. */
@@ -14,17 +15,6 @@
 /** Nodes that handed over; beyond it those without windows are dropped. */
 const MAX_RELEASED = 1_024
 
-interface Window {
-  readonly startsAtMs: base.Millis
-  readonly owner: types.PartitionOwner
-}
-
-interface Partition {
-  version: number
-  /** Newest first. */
-  windows: Window[]
-}
-
 /**
  * Fold of the `ownership` stream: for each service and partition the owners by key issue time.
  *
@@ -38,7 +28,7 @@
  * of a partition takes nothing from anyone, so it may start earlier.
  */
 export class OwnershipTable implements services.IOwnershipTable {
-  private readonly _services = new Map<string, Partition[]>()
+  private readonly _services = new Map<string, serviceTables.ServiceTable>()
   /** Newest release of each node. */
   private readonly _released = new Map<base.NodeId, types.Release>()
   private _asOfOffset = 0
@@ -84,7 +74,9 @@
 
   /** Owner of the newest window of each partition, or an empty list without a table. */
   public newestOwners (service: string): readonly (types.PartitionOwner | undefined)[] {
-    return (this._services.get(service) ?? []).map(partition => partition.windows[0]?.owner)
+    const table = this._services.get(service)
+    if (table === undefined) return []
+    return Array.from({ length: keys.PARTITIONS }, (_, partition) => table.newest(partition)?.owner)
   }
 
   public apply (record: types.OwnershipRecord, offset: number): boolean {
@@ -115,9 +107,11 @@
     if (update.sinceVersion > this._tableVersion) return false
     const changed = update.tableVersion !== this._tableVersion || update.horizonMs !== this._horizonMs
     if (update.sinceVersion === 0) this._services.clear()
+    for (const windows of update.services) {
+      this._services.set(windows.service, serviceTables.ServiceTable.unpack(windows, update.tableVersion))
+    }
     this._released.clear()
     for (const release of update.released) this._released.set(release.owner.nodeId, release)
-    this._replace(update)
     this._asOfOffset = update.asOfOffset
     this._tableVersion = update.tableVersion
     this._horizonMs = update.horizonMs
@@ -140,7 +134,7 @@
       lastChangeOffset: this._lastChangeOffset,
       released: [...this._released.values()],
       sinceVersion,
-      services: codec.pack(this._entriesSince(sinceVersion))
+      services: this._packSince(sinceVersion)
     }
   }
 
@@ -150,13 +144,11 @@
   }
 
   private _lookup (service: string, key: string, timeMs: base.Millis): services.OwnerLookup {
-    const partitions = this._services.get(service)
-    if (partitions === undefined) return { kind: 'no-table' }
+    const table = this._services.get(service)
+    if (table === undefined) return { kind: 'no-table' }
     if (timeMs >= this._horizonMs) return { kind: 'beyond-horizon', retryAfterMs: BEYOND_HORIZON_RETRY_MS }
-    const windows = partitions[keys.partitionOf(key)]?.windows ?? []
-    const window = windows.find(candidate => candidate.startsAtMs <= timeMs)
-    if (window === undefined) return { kind: 'no-table' }
-    const { owner } = window
+    const owner = table.ownerAt(keys.partitionOf(key), timeMs)
+    if (owner === undefined) return { kind: 'no-table' }
     return { kind: 'owner', owner, sendTo: this._releaseOf(owner)?.successor.nodeId ?? owner.nodeId }
   }
 
@@ -170,7 +162,8 @@
     if (record.baseTableVersion !== this._tableVersion) return false
     const entries = [...codec.unpack(record.services)]
     if (!entries.every(entry => this._isAllowed(entry, record.startsAtMs))) return false
-    for (const entry of entries) this._push(entry, version)
+    for (const { service, partition, startsAtMs, owner } of entries) this._service(service).set(partition, startsAtMs, owner)
+    for (const { service } of record.services) this._changed(service, version)
     this._tableVersion = version
     this._lastChangeMs = Math.max(this._lastChangeMs, record.startsAtMs)
     if (this._released.size > MAX_RELEASED) this._pruneReleased()
@@ -180,7 +173,7 @@
   private _isAllowed (entry: types.PartitionEntry, startsAtMs: base.Millis): boolean {
     if (entry.startsAtMs !== startsAtMs || startsAtMs < this._floorMs) return false
     if (entry.partition < 0 || entry.partition >= keys.PARTITIONS) return false
-    const newest = this._services.get(entry.service)?.[entry.partition]?.windows[0]
+    const newest = this._services.get(entry.service)?.newest(entry.partition)
     // The first window of a partition takes nothing from another node, so it need not wait for the horizon.
     return newest === undefined || (startsAtMs >= this._horizonMs && startsAtMs >= newest.startsAtMs)
   }
@@ -214,50 +207,34 @@
     return true
   }
 
-  private _push (entry: types.PartitionEntry, version: number): void {
-    const partition = this._partition(entry.service, entry.partition)
-    if (partition.windows[0]?.startsAtMs === entry.startsAtMs) partition.windows.shift()
-    partition.windows.unshift({ startsAtMs: entry.startsAtMs, owner: entry.owner })
-    partition.version = version
-    const current = partition.windows.findIndex(window => window.startsAtMs <= this._horizonMs - KEEP_WINDOWS_MS)
-    if (current >= 0) partition.windows.length = current + 1
+  private _changed (service: string, version: number): void {
+    const table = this._service(service)
+    table.version = version
+    table.prune(this._horizonMs - KEEP_WINDOWS_MS)
   }
 
-  private _replace (update: types.OwnershipUpdate): void {
-    const replaced = new Set<Partition>()
-    for (const entry of codec.unpack(update.services)) {
-      const partition = this._partition(entry.service, entry.partition)
-      if (!replaced.has(partition)) partition.windows = []
-      replaced.add(partition)
-      partition.windows.push({ startsAtMs: entry.startsAtMs, owner: entry.owner })
-      partition.version = update.tableVersion
+  private _packSince (version: number): readonly types.ServiceWindows[] {
+    if (version === this._tableVersion && version !== 0) return []
+    const packed: types.ServiceWindows[] = []
+    for (const [service, table] of this._services) {
+      if (version === 0 || table.version > version) packed.push(table.pack(service))
     }
-    for (const { windows } of replaced) windows.sort((a, b) => b.startsAtMs - a.startsAtMs)
+    return packed
+  }
+
+  private _service (service: string): serviceTables.ServiceTable {
+    let table = this._services.get(service)
+    if (table === undefined) this._services.set(service, table = new serviceTables.ServiceTable(0))
+    return table
   }
 
   private _pruneReleased (): void {
     const owners = new Set<base.NodeId>()
-    for (const entry of this._entriesSince(0)) owners.add(entry.owner.nodeId)
+    for (const table of this._services.values()) {
+      for (const nodeId of table.nodeIds()) owners.add(nodeId)
+    }
     for (const nodeId of this._released.keys()) {
       if (!owners.has(nodeId)) this._released.delete(nodeId)
     }
   }
-
-  private _partition (service: string, index: number): Partition {
-    let partitions = this._services.get(service)
-    if (partitions === undefined) {
-      partitions = Array.from({ length: keys.PARTITIONS }, () => ({ version: 0, windows: [] }))
-      this._services.set(service, partitions)
-    }
-    return partitions[index] ?? { version: 0, windows: [] }
-  }
-
-  private * _entriesSince (version: number): Generator<types.PartitionEntry> {
-    for (const [service, partitions] of this._services) {
-      for (const [partition, { version: changed, windows }] of partitions.entries()) {
-        if (version !== 0 && changed <= version) continue
-        for (const { startsAtMs, owner } of windows) yield { service, partition, startsAtMs, owner }
-      }
-    }
-  }
 }
--- a/packages/common/src/hosting/Types.ts
+++ b/packages/common/src/hosting/Types.ts
@@ -128,7 +128,7 @@
   readonly lastChangeOffset: number
   /** Processes that handed over their windows, at most one per node. */
   readonly released: readonly Release[]
-  /** `services` holds what changed since this version; everything if it is 0. */
+  /** `services` holds the services that changed since this version, each whole; all of them if it is 0. */
   readonly sinceVersion: number
   readonly services: readonly ServiceWindows[]
 }
@@ -164,7 +164,8 @@
 export interface HandoverKey {
   readonly key: string
   readonly service: string
-  readonly fingerprint: string
+  /** 53 bits of the fingerprint. */
+  readonly fingerprint: number
   readonly state: KeyState
   readonly reason: OutcomeReason
   readonly status: number
