Pass inherited windows on to the next successor

Cause: in a rolling restart the successor of the first node stops next.

Change: a handover names the windows that the stopping node inherited, and the table follows a chain of successors.

Figures: 30 of 30 keys are answered after two stops in a row.

Conclusion: a rolling restart makes no key unavailable while the log is up.

--- a/packages/common/src/hosting/HostCalls.ts
+++ b/packages/common/src/hosting/HostCalls.ts
@@ -167,6 +167,7 @@
       released: false,
       atMs: nowMs,
       forgottenUntilMs: this._keys.forgottenUntilMs,
+      inherited: this._windows.inherited,
       keys: this._keys.export(nowMs)
     }
   }
--- a/packages/common/src/hosting/OwnedWindows.ts
+++ b/packages/common/src/hosting/OwnedWindows.ts
@@ -34,7 +34,7 @@
  * process answers `unknown` for all keys issued up to 2 s after its start, which is later on the same clock.
  */
 export class OwnedWindows {
-  private readonly _inherited = new Map<string, types.Handover>()
+  private readonly _inherited = new Map<string, types.InheritedWindows>()
 
   constructor (private readonly _options: OwnedWindowsOptions) {}
 
@@ -43,18 +43,23 @@
     if (lookup === undefined || lookup.kind === 'no-table') return NOT_OWN
     if (lookup.kind === 'beyond-horizon') return { kind: 'not-own', retryAfterMs: lookup.retryAfterMs }
     if (this._isOwn(lookup.owner)) return OWN
-    for (const handover of this._inherited.values()) {
-      if (covers(handover, lookup.owner, keyTimeMs)) return { kind: 'own', forgottenUntilMs: handover.forgottenUntilMs }
+    for (const windows of this._inherited.values()) {
+      if (covers(windows, lookup.owner, keyTimeMs)) return { kind: 'own', forgottenUntilMs: windows.forgottenUntilMs }
     }
     return NOT_OWN
   }
 
+  /** What a successor of this process takes over besides its own windows. */
+  public get inherited (): readonly types.InheritedWindows[] {
+    return [...this._inherited.values()]
+  }
+
   /** Returns false for a handover that is meant for another process. */
   public inherit (handover: types.Handover): boolean {
     if (!this._isThisProcess(handover.to)) return false
-    const id = `${handover.from.nodeId} ${handover.from.incarnation}`
-    const released = handover.released || this._inherited.get(id)?.released === true
-    this._inherited.set(id, { ...handover, released, keys: [] })
+    this._take(handover, handover.forgottenUntilMs)
+    // The stopping owner kept the keys of all its windows in one table, so its gaps count for all of them.
+    for (const windows of handover.inherited) this._take(windows, handover.forgottenUntilMs)
     return true
   }
 
@@ -64,6 +69,14 @@
     }
   }
 
+  private _take (windows: types.InheritedWindows, leastForgottenMs: base.Millis): void {
+    const { from, atMs } = windows
+    const id = `${from.nodeId} ${from.incarnation}`
+    const released = windows.released || this._inherited.get(id)?.released === true
+    const forgottenUntilMs = Math.max(windows.forgottenUntilMs, leastForgottenMs)
+    this._inherited.set(id, { from, atMs, released, forgottenUntilMs })
+  }
+
   private _isOwn (owner: types.PartitionOwner): boolean {
     if (this._isThisProcess(owner)) return true
     const { self, table, isCaughtUp } = this._options
@@ -77,8 +90,8 @@
   }
 }
 
-function covers (handover: types.Handover, owner: types.PartitionOwner, keyTimeMs: base.Millis): boolean {
-  const { from, released, atMs } = handover
+function covers (windows: types.InheritedWindows, owner: types.PartitionOwner, keyTimeMs: base.Millis): boolean {
+  const { from, released, atMs } = windows
   if (owner.nodeId !== from.nodeId || owner.incarnation > from.incarnation) return false
   return released || keyTimeMs <= atMs + keys.MAX_KEY_AHEAD_MS
 }
--- a/packages/common/src/hosting/OwnershipTable.ts
+++ b/packages/common/src/hosting/OwnershipTable.ts
@@ -12,6 +12,9 @@
 /** Windows that ended earlier than this before the horizon are dropped; it exceeds the largest key retention. */
 const KEEP_WINDOWS_MS = 7_200_000
 
+/** Bounds the way through successors. */
+const MAX_SUCCESSORS = 16
+
 /** Nodes that handed over; beyond it those without windows are dropped. */
 const MAX_RELEASED = 1_024
 
@@ -149,7 +152,7 @@
     if (timeMs >= this._horizonMs) return { kind: 'beyond-horizon', retryAfterMs: BEYOND_HORIZON_RETRY_MS }
     const owner = table.ownerAt(keys.partitionOf(key), timeMs)
     if (owner === undefined) return { kind: 'no-table' }
-    return { kind: 'owner', owner, sendTo: this._releaseOf(owner)?.successor.nodeId ?? owner.nodeId }
+    return { kind: 'owner', owner, sendTo: this._successorOf(owner).nodeId }
   }
 
   private _raiseHorizon (untilMs: base.Millis): boolean {
@@ -178,6 +181,17 @@
     return newest === undefined || (startsAtMs >= this._horizonMs && startsAtMs >= newest.startsAtMs)
   }
 
+  /** A successor can itself have stopped and handed over. */
+  private _successorOf (owner: types.PartitionOwner): types.PartitionOwner {
+    let current = owner
+    for (let hops = 0; hops < MAX_SUCCESSORS; hops++) {
+      const release = this._releaseOf(current)
+      if (release === undefined) break
+      current = release.successor
+    }
+    return current
+  }
+
   private _releaseOf (owner: types.PartitionOwner): types.Release | undefined {
     const release = this._released.get(owner.nodeId)
     return release !== undefined && owner.incarnation <= release.owner.incarnation ? release : undefined
--- a/packages/common/src/hosting/PlannedStop.test.ts
+++ b/packages/common/src/hosting/PlannedStop.test.ts
@@ -11,13 +11,17 @@
   const real = new mesh.MeshModel(3, new Set(off))
   real.advance(20_000)
   real.lag(1, bystanderLags)
-  real.drain(STOPPING)
+  stop(real, STOPPING)
+  return real
+}
+
+function stop (real: mesh.MeshModel, index: number): void {
+  real.drain(index)
   for (let tick = 0; tick < 5; tick++) {
     real.advance(500)
     real.deliverAll()
     real.deliverAll()
   }
-  return real
 }
 
 function runAll (real: mesh.MeshModel): void {
@@ -48,6 +52,20 @@
       assert.equal(sendToBoth(real, 500), KEYS)
     })
 
+    test.it('passes on what the successor inherited, so that a rolling restart makes no key unavailable', () => {
+      const real = stopped([], false)
+      real.restart(STOPPING)
+      real.advance(2_100)
+      stop(real, 0)
+      real.restart(0)
+      real.advance(2_100)
+      for (let i = 0; i < KEYS; i++) {
+        real.sendNew(1, 200, false)
+        runAll(real)
+      }
+      assert.deepEqual(real.ledger.answers, { answered: KEYS, 'not-run': 0, unknown: 0 })
+    })
+
     test.it('keeps a new process at the old address from adopting the windows that the successor owns', () => {
       const restarted = (off: readonly processes.Mechanism[]): mesh.MeshModel => {
         const real = stopped(off, false)
--- a/packages/common/src/hosting/Types.ts
+++ b/packages/common/src/hosting/Types.ts
@@ -145,10 +145,9 @@
 
 export type KeyState = 'running' | 'answered' | 'refused' | 'unknown'
 
-/** What a stopping owner passes to its successor. */
-export interface Handover {
+/** Windows that a node took over from an owner that stopped. */
+export interface InheritedWindows {
   readonly from: PartitionOwner
-  readonly to: PartitionOwner
   /**
    * False: the successor owns keys issued up to `atMs` + 2 s; a later process of the owner refuses exactly these.
    * True: the `release` record is in the log, so no later process of the owner adopts its windows, and the successor
@@ -158,6 +157,13 @@
   readonly atMs: base.Millis
   /** Keys issued up to this time may have been run although `keys` does not hold them. */
   readonly forgottenUntilMs: base.Millis
+}
+
+/** What a stopping owner passes to its successor. */
+export interface Handover extends InheritedWindows {
+  readonly to: PartitionOwner
+  /** Windows that the stopping owner itself took over earlier. */
+  readonly inherited: readonly InheritedWindows[]
   readonly keys: readonly HandoverKey[]
 }
 
