--- a/packages/common/src/distribution/MessageRules.ts
+++ b/packages/common/src/distribution/MessageRules.ts
@@ -1,4 +1,5 @@
 /** Checks of distribution messages from peers. */
+import * as ownershipDecoder from '../hosting/OwnershipDecoder.js'
 import * as rules from '../membership/RowRules.js'
 
 const MAX_TEXT_LENGTH = 256
@@ -41,6 +42,7 @@
 
 function pullProblem (message: Record<string, unknown>): string | undefined {
   if (!rules.isCount(message['haveVersion']) || !rules.isCount(message['haveOwnershipVersion'])) return 'a version is not a count'
+  if (!rules.isCount(message['haveOwnershipOffset'])) return 'haveOwnershipOffset is not a count'
   return isText(message['haveDigest']) ? undefined : 'haveDigest is not a text'
 }
 
@@ -60,7 +62,7 @@
   if (delta !== undefined && state !== undefined) return 'both delta and state are present'
   if (delta !== undefined && !isDelta(delta)) return 'delta has a wrong field'
   if (state !== undefined && !isState(state)) return 'state has a wrong field'
-  return ownership === undefined || isOwnership(ownership) ? undefined : 'ownership has a wrong field'
+  return ownership === undefined || ownershipDecoder.decodeUpdate(ownership).isOk() ? undefined : 'ownership has a wrong field'
 }
 
 function isDelta (value: unknown): boolean {
@@ -74,17 +76,6 @@
     isText(value['digest']) && isOffset(value['asOfOffset']) && isMap(value['document'])
 }
 
-function isOwnership (value: unknown): boolean {
-  return isMap(value) && rules.isCount(value['tableVersion']) && rules.isCount(value['horizonMs']) &&
-    rules.isCount(value['sinceVersion']) && Array.isArray(value['entries']) && value['entries'].every(isEntry)
-}
-
-function isEntry (value: unknown): boolean {
-  if (!isMap(value) || !isMap(value['owner'])) return false
-  return isText(value['service']) && rules.isCount(value['partition']) && rules.isCount(value['startsAtMs']) &&
-    isText(value['owner']['nodeId']) && rules.isCount(value['owner']['incarnation'])
-}
-
 function isOffset (value: unknown): boolean {
   return value === undefined || rules.isCount(value)
 }
--- a/packages/common/src/hosting/HostCalls.ts
+++ b/packages/common/src/hosting/HostCalls.ts
@@ -8,6 +8,7 @@
 import * as keys from './Keys.js'
 import * as keyTables from './KeyTable.js'
 import * as limits from './CallLimits.js'
+import * as requests from './Requests.js'
 import * as runs from './RunTable.js'
 import type * as services from './Services.js'
 import type * as types from './Types.js'
@@ -19,6 +20,9 @@
 /** Sends older than this by the owner's clock are refused. With clocks 250 ms apart a send arrives within 1,250 ms. */
 export const MAX_SEND_AGE_MS = 1_000
 
+/** Peers with a larger difference are refused when they connect. */
+const MAX_CLOCK_DIFFERENCE_MS = 250
+
 /** Retry time of a refused key; not below the refusal memory. */
 const KEY_RETRY_AFTER_MS = 2_000
 
@@ -32,7 +36,10 @@
 const INITIAL_SERVICE_MS = 10
 
 export interface HostCallsOptions {
+  /** This process with the incarnation at which it started. */
   readonly self: types.PartitionOwner
+  /** The incarnation now. A process raises it when it refutes a suspicion. */
+  readonly currentIncarnation: () => base.Incarnation
   readonly service: string
   /** This process's clock when it started. Keys issued up to 2 s later may have been run by its predecessor. */
   readonly startedAtMs: base.Millis
@@ -63,7 +70,7 @@
  *    delegated, and whatever the table forgets raises `forgottenUntilMs`.
  * 3. An entry is removed only by a statement that the request was never written (`not-started`). The delegate makes it
  *    only for a message it has not run and will not run again (`DelegationTable`).
- * 4. A later process at the same address starts with `forgottenUntilMs` = its start + 2 s. Its predecessor ran no key
+ * 4. A later process at the same address runs no key for 2 s and starts with `forgottenUntilMs` = its start + 2 s. Its predecessor ran no key
  *    issued more than 2 s ahead of its own clock, which has not stepped back since.
  *
  * Assumed of the target: it starts work only for a request that this node wrote to it. Nothing else.
@@ -155,11 +162,12 @@
   public release (to: types.PartitionOwner, nowMs: base.Millis): types.Handover {
     this._isReleased = true
     return {
-      from: this._options.self,
+      from: { nodeId: this._options.self.nodeId, incarnation: this._options.currentIncarnation() },
       to,
       released: false,
       atMs: nowMs,
       forgottenUntilMs: this._keys.forgottenUntilMs,
+      inherited: this._windows.inherited,
       keys: this._keys.export(nowMs)
     }
   }
@@ -190,7 +198,7 @@
     const known = this._delegations.get(id)
     if (known !== undefined) return 'runId' in known ? this._join(known.runId, call, nowMs) : answer(known.answer)
     // An older message may have been run and forgotten, so this is not a statement that it was not run.
-    if (isStale(call, nowMs)) return answer(answers.unknown('stale-send'))
+    if (isStale(call, nowMs) || this._isBeforeStart(call)) return answer(answers.unknown('stale-send'))
     const place = this._place(call, nowMs)
     if (place.kind === 'refused') {
       const refusal = answers.notRun(place.reason, place.retryAfterMs)
@@ -202,11 +210,15 @@
     return decision
   }
 
+  private _isBeforeStart (call: messages.CallMessage): boolean {
+    return call.sentAtMs <= this._options.startedAtMs + MAX_CLOCK_DIFFERENCE_MS
+  }
+
   private _acceptKeyed (call: KeyedCall, nowMs: base.Millis): types.HostDecision {
     const keyTime = keys.keyTimeMs(call.key)
     if (keyTime.isErr()) return answer(answers.notRun('bad-key', 0))
     const keyTimeMs = keyTime.value
-    const remembered = this._remembered(call, keyTimeMs, nowMs)
+    const remembered = this._remembered(call, nowMs)
     if (remembered !== undefined) return remembered
     const unowned = this._unowned(call, keyTimeMs, nowMs)
     if (unowned !== undefined) return answer(unowned)
@@ -216,10 +228,10 @@
   }
 
   /** What the key table says. The refusal is renewed because it speaks for every send made until now. */
-  private _remembered (call: KeyedCall, keyTimeMs: base.Millis, nowMs: base.Millis): types.HostDecision | undefined {
+  private _remembered (call: KeyedCall, nowMs: base.Millis): types.HostDecision | undefined {
     const entry = this._keys.get(call.key)
     if (entry !== undefined) {
-      if (entry.fingerprint !== call.fingerprint || entry.service !== call.service) return answer(answers.notRun('key-reused', 0))
+      if (!requests.isSameRequest(entry, call)) return answer(answers.notRun('key-reused', 0))
       if (entry.state === 'running') return this._join(entry.runId, call, nowMs)
       if (entry.state === 'unknown') return answer(answers.unknown(entry.reason))
       const stored = entry.answer
@@ -227,8 +239,8 @@
     }
     const refusal = this._keys.refusal(call.key, nowMs)
     if (refusal === undefined) return undefined
-    const reason = refusal.fingerprint === call.fingerprint ? refusal.reason : 'key-reused'
-    return this._refuseKey({ ...call, fingerprint: refusal.fingerprint }, keyTimeMs, reason, 0, nowMs)
+    this._keys.refuse(call.key, { ...refusal, untilMs: nowMs + REFUSAL_MEMORY_MS })
+    return answer(answers.notRun(requests.isSameRequest(refusal, call) ? refusal.reason : 'key-reused', KEY_RETRY_AFTER_MS))
   }
 
   /** Another process may have run the key, so these answers are never `not-run`. */
@@ -237,7 +249,9 @@
     if (this._isReleased || ownership.kind === 'not-own') {
       return answers.unknown('not-owner', ownership.kind === 'not-own' ? ownership.retryAfterMs : 0)
     }
-    if (keyTimeMs <= this._options.startedAtMs + keys.MAX_KEY_AHEAD_MS) return answers.unknown('key-before-start')
+    // No key is run in this time either: a send that the predecessor refused as too new may still arrive.
+    const guardedUntilMs = this._options.startedAtMs + keys.MAX_KEY_AHEAD_MS
+    if (Math.min(keyTimeMs, nowMs) <= guardedUntilMs) return answers.unknown('key-before-start')
     const forgottenUntilMs = Math.max(this._keys.forgottenUntilMs, ownership.forgottenUntilMs, nowMs - this._retentionMs)
     return keyTimeMs <= forgottenUntilMs ? answers.unknown('key-too-old') : undefined
   }
@@ -259,13 +273,13 @@
     const place = this._place(call, nowMs)
     if (place.kind === 'refused') return this._refuseKey(call, keyTimeMs, place.reason, place.retryAfterMs, nowMs)
     const decision = this._enqueue(call, place, undefined, nowMs)
-    this._keys.begin(call.key, { ...identityOf(call), keyTimeMs, runId: decision.runId }, nowMs)
+    this._keys.begin(call.key, { ...requests.identityOf(call), keyTimeMs, runId: decision.runId }, nowMs)
     return decision
   }
 
   private _delegate (call: KeyedCall, keyTimeMs: base.Millis, target: admissions.TargetLimits, choice: services.DelegateChoice, nowMs: base.Millis): types.HostDecision {
     const { runId } = this._runs.add(call, 'delegate', target, undefined, nowMs)
-    this._keys.begin(call.key, { ...identityOf(call), keyTimeMs, runId }, nowMs)
+    this._keys.begin(call.key, { ...requests.identityOf(call), keyTimeMs, runId }, nowMs)
     return { kind: 'delegate', runId, to: choice.nodeId, address: choice.address }
   }
 
@@ -298,7 +312,7 @@
   }
 
   private _refuseKey (call: KeyedCall, keyTimeMs: base.Millis, reason: types.OutcomeReason, retryAfterMs: base.Millis, nowMs: base.Millis): types.HostDecision {
-    this._keys.refuse(call.key, { ...identityOf(call), keyTimeMs, reason, untilMs: nowMs + REFUSAL_MEMORY_MS })
+    this._keys.refuse(call.key, { ...requests.identityOf(call), keyTimeMs, reason, untilMs: nowMs + REFUSAL_MEMORY_MS })
     return answer(answers.notRun(reason, Math.max(KEY_RETRY_AFTER_MS, retryAfterMs)))
   }
 
@@ -319,6 +333,7 @@
   private _settle (run: runs.Run, result: types.RunResult, nowMs: base.Millis): types.FinalAnswer {
     const ownedKey = run.delegation === undefined ? run.key : undefined
     if (result.kind === 'answered') {
+      this._options.crashes.survived(run.fingerprint)
       const { status, headers, body, streamed } = result
       if (ownedKey !== undefined) this._keys.answered(ownedKey, streamed ? undefined : { status, headers, body })
       return answers.answered(status, headers, body)
@@ -330,7 +345,7 @@
     const reason = run.dropReason ?? result.reason
     if (ownedKey === undefined) return answers.notRun(reason, RETRY_AFTER_MS)
     const keyTimeMs = this._keys.get(ownedKey)?.keyTimeMs ?? 0
-    this._keys.refuse(ownedKey, { ...identityOf(run), keyTimeMs, reason, untilMs: nowMs + REFUSAL_MEMORY_MS })
+    this._keys.refuse(ownedKey, { ...requests.identityOf(run), keyTimeMs, reason, untilMs: nowMs + REFUSAL_MEMORY_MS })
     return answers.notRun(reason, KEY_RETRY_AFTER_MS)
   }
 
@@ -359,10 +374,6 @@
 
 type KeyedCall = messages.CallMessage & { readonly key: string }
 
-function identityOf (call: { readonly service: string, readonly fingerprint: string }): { service: string, fingerprint: string } {
-  return { service: call.service, fingerprint: call.fingerprint }
-}
-
 function isStale (call: messages.CallMessage, nowMs: base.Millis): boolean {
   return nowMs - call.sentAtMs > MAX_SEND_AGE_MS
 }
--- a/packages/common/src/hosting/OwnedWindows.ts
+++ b/packages/common/src/hosting/OwnedWindows.ts
@@ -7,7 +7,10 @@
 const KEEP_INHERITED_MS = 7_200_000
 
 export interface OwnedWindowsOptions {
+  /** This process with the incarnation at which it started. */
   readonly self: types.PartitionOwner
+  /** The incarnation now. A process raises it when it refutes a suspicion. */
+  readonly currentIncarnation: () => base.Incarnation
   readonly table: services.IOwnershipTable
   /** Whether the `ownership` stream was read to its end after this process started. */
   readonly isCaughtUp: () => boolean
@@ -31,7 +34,7 @@
  * process answers `unknown` for all keys issued up to 2 s after its start, which is later on the same clock.
  */
 export class OwnedWindows {
-  private readonly _inherited = new Map<string, types.Handover>()
+  private readonly _inherited = new Map<string, types.InheritedWindows>()
 
   constructor (private readonly _options: OwnedWindowsOptions) {}
 
@@ -40,19 +43,23 @@
     if (lookup === undefined || lookup.kind === 'no-table') return NOT_OWN
     if (lookup.kind === 'beyond-horizon') return { kind: 'not-own', retryAfterMs: lookup.retryAfterMs }
     if (this._isOwn(lookup.owner)) return OWN
-    for (const handover of this._inherited.values()) {
-      if (covers(handover, lookup.owner, keyTimeMs)) return { kind: 'own', forgottenUntilMs: handover.forgottenUntilMs }
+    for (const windows of this._inherited.values()) {
+      if (covers(windows, lookup.owner, keyTimeMs)) return { kind: 'own', forgottenUntilMs: windows.forgottenUntilMs }
     }
     return NOT_OWN
   }
 
+  /** What a successor of this process takes over besides its own windows. */
+  public get inherited (): readonly types.InheritedWindows[] {
+    return [...this._inherited.values()]
+  }
+
   /** Returns false for a handover that is meant for another process. */
   public inherit (handover: types.Handover): boolean {
-    const { self } = this._options
-    if (handover.to.nodeId !== self.nodeId || handover.to.incarnation !== self.incarnation) return false
-    const id = `${handover.from.nodeId} ${handover.from.incarnation}`
-    const released = handover.released || this._inherited.get(id)?.released === true
-    this._inherited.set(id, { ...handover, released, keys: [] })
+    if (!this._isThisProcess(handover.to)) return false
+    this._take(handover, handover.forgottenUntilMs)
+    // The stopping owner kept the keys of all its windows in one table, so its gaps count for all of them.
+    for (const windows of handover.inherited) this._take(windows, handover.forgottenUntilMs)
     return true
   }
 
@@ -62,15 +69,29 @@
     }
   }
 
+  private _take (windows: types.InheritedWindows, leastForgottenMs: base.Millis): void {
+    const { from, atMs } = windows
+    const id = `${from.nodeId} ${from.incarnation}`
+    const released = windows.released || this._inherited.get(id)?.released === true
+    const forgottenUntilMs = Math.max(windows.forgottenUntilMs, leastForgottenMs)
+    this._inherited.set(id, { from, atMs, released, forgottenUntilMs })
+  }
+
   private _isOwn (owner: types.PartitionOwner): boolean {
+    if (this._isThisProcess(owner)) return true
     const { self, table, isCaughtUp } = this._options
     if (owner.nodeId !== self.nodeId || owner.incarnation > self.incarnation) return false
-    return owner.incarnation === self.incarnation || (isCaughtUp() && !table.isReleased(owner))
+    return isCaughtUp() && !table.isReleased(owner)
+  }
+
+  private _isThisProcess ({ nodeId, incarnation }: types.PartitionOwner): boolean {
+    const { self, currentIncarnation } = this._options
+    return nodeId === self.nodeId && incarnation >= self.incarnation && incarnation <= currentIncarnation()
   }
 }
 
-function covers (handover: types.Handover, owner: types.PartitionOwner, keyTimeMs: base.Millis): boolean {
-  const { from, released, atMs } = handover
+function covers (windows: types.InheritedWindows, owner: types.PartitionOwner, keyTimeMs: base.Millis): boolean {
+  const { from, released, atMs } = windows
   if (owner.nodeId !== from.nodeId || owner.incarnation > from.incarnation) return false
   return released || keyTimeMs <= atMs + keys.MAX_KEY_AHEAD_MS
 }
--- a/packages/common/src/hosting/Types.ts
+++ b/packages/common/src/hosting/Types.ts
@@ -27,6 +27,7 @@
   | 'body-too-large'
   | 'too-deep'
   | 'answer-not-kept'
+  | 'bad-request'
   | 'running'
 
 /** Load of a target, carried on every answer of its host node. */
@@ -87,9 +88,13 @@
  * The process has handed its windows to a successor. A later process at its address must not adopt them.
  * Only the owner itself appends it, after it has stopped running keys.
  */
-export interface ReleaseRecord {
+export interface ReleaseRecord extends Release {
   readonly kind: 'release'
+}
+
+export interface Release {
   readonly owner: PartitionOwner
+  readonly successor: PartitionOwner
 }
 
 /** The whole table, re-appended before the log drops the records that made it. */
@@ -122,9 +127,9 @@
   readonly lastChangeMs: base.Millis
   /** Offset after the last record that was not a snapshot. */
   readonly lastChangeOffset: number
-  /** Processes that handed over their windows. */
-  readonly released: readonly PartitionOwner[]
-  /** `services` holds what changed since this version; everything if it is 0. */
+  /** Processes that handed over their windows, at most one per node. */
+  readonly released: readonly Release[]
+  /** `services` holds the services that changed since this version, each whole; all of them if it is 0. */
   readonly sinceVersion: number
   readonly services: readonly ServiceWindows[]
 }
@@ -141,10 +146,9 @@
 
 export type KeyState = 'running' | 'answered' | 'refused' | 'unknown'
 
-/** What a stopping owner passes to its successor. */
-export interface Handover {
+/** Windows that a node took over from an owner that stopped. */
+export interface InheritedWindows {
   readonly from: PartitionOwner
-  readonly to: PartitionOwner
   /**
    * False: the successor owns keys issued up to `atMs` + 2 s; a later process of the owner refuses exactly these.
    * True: the `release` record is in the log, so no later process of the owner adopts its windows, and the successor
@@ -154,13 +158,21 @@
   readonly atMs: base.Millis
   /** Keys issued up to this time may have been run although `keys` does not hold them. */
   readonly forgottenUntilMs: base.Millis
+}
+
+/** What a stopping owner passes to its successor. */
+export interface Handover extends InheritedWindows {
+  readonly to: PartitionOwner
+  /** Windows that the stopping owner itself took over earlier. */
+  readonly inherited: readonly InheritedWindows[]
   readonly keys: readonly HandoverKey[]
 }
 
 export interface HandoverKey {
   readonly key: string
   readonly service: string
-  readonly fingerprint: string
+  /** 53 bits of the fingerprint. */
+  readonly fingerprint: number
   readonly state: KeyState
   readonly reason: OutcomeReason
   readonly status: number
--- a/packages/common/src/membership/Types.ts
+++ b/packages/common/src/membership/Types.ts
@@ -28,6 +28,15 @@
   readonly successor: string
 }
 
+/**
+ * A row in a message: nodeId, incarnation, state, peerAddress, callerAddress, adminAddress, zone, service,
+ * targetReady, targetReadySinceMs, enforcedVersion, revision, successor.
+ */
+export type WireRow = readonly [
+  base.NodeId, base.Incarnation, MemberState, string, string, string, string, string,
+  boolean, base.Millis, number, number, string
+]
+
 /** Fields that a node announces about itself. */
 export type SelfAnnouncement = Omit<MemberRow, 'state' | 'revision' | 'successor'>
 
@@ -42,6 +51,6 @@
 export interface PeerVersion {
   readonly nodeId: base.NodeId
   readonly version: number
-  readonly ownershipVersion: number
-  readonly horizonMs: base.Millis
+  /** Length of the `ownership` stream that the peer's table includes. */
+  readonly ownershipOffset: number
 }
--- a/packages/common/src/node/Messages.ts
+++ b/packages/common/src/node/Messages.ts
@@ -24,7 +24,7 @@
  */
 export interface JoinMessage {
   readonly kind: 'join'
-  readonly row: membership.MemberRow
+  readonly row: membership.WireRow
   /** The sender knows few rows and asks for a page of them. */
   readonly wantsRows: boolean
 }
@@ -33,9 +33,9 @@
 export interface GossipMessage {
   readonly kind: 'gossip'
   readonly version: number
-  readonly ownershipVersion: number
-  readonly horizonMs: base.Millis
-  readonly updates: readonly membership.MemberRow[]
+  /** Length of the `ownership` stream that the sender's table includes. */
+  readonly ownershipOffset: number
+  readonly updates: readonly membership.WireRow[]
   readonly crashes: readonly hosting.CrashRecord[]
 }
 
@@ -43,9 +43,9 @@
   readonly kind: 'probe'
   readonly sequence: number
   readonly version: number
-  readonly ownershipVersion: number
-  readonly horizonMs: base.Millis
-  readonly updates: readonly membership.MemberRow[]
+  /** Length of the `ownership` stream that the sender's table includes. */
+  readonly ownershipOffset: number
+  readonly updates: readonly membership.WireRow[]
   readonly crashes: readonly hosting.CrashRecord[]
 }
 
@@ -61,9 +61,9 @@
   /** Node that was probed; differs from the sender for indirect probes. */
   readonly target: base.NodeId
   readonly version: number
-  readonly ownershipVersion: number
-  readonly horizonMs: base.Millis
-  readonly updates: readonly membership.MemberRow[]
+  /** Length of the `ownership` stream that the sender's table includes. */
+  readonly ownershipOffset: number
+  readonly updates: readonly membership.WireRow[]
   readonly crashes: readonly hosting.CrashRecord[]
 }
 
@@ -76,7 +76,7 @@
 export interface TableRowsMessage {
   readonly kind: 'table-rows'
   /** At most one page of rows. */
-  readonly rows: readonly membership.MemberRow[]
+  readonly rows: readonly membership.WireRow[]
   /** Buckets whose rows the sender wants in return. */
   readonly wantedBuckets: readonly number[]
   /** Number of buckets that `wantedBuckets` refers to; 0 if it is empty. */
@@ -130,6 +130,8 @@
   readonly haveVersion: number
   readonly haveDigest: string
   readonly haveOwnershipVersion: number
+  /** Only a table that includes more of the `ownership` stream is sent. */
+  readonly haveOwnershipOffset: number
 }
 
 /** What a peer knows of versions; on each answer to `pull`. */
@@ -158,11 +160,6 @@
 
 export type DistributionMessage = PushMessage | PushAckMessage | PullMessage | StateMessage | BusyMessage
 
-export interface OwnershipMessage {
-  readonly kind: 'ownership'
-  readonly update: hosting.OwnershipUpdate
-}
-
 export interface HandoverMessage {
   readonly kind: 'handover'
   readonly handover: hosting.Handover
@@ -172,6 +169,8 @@
   readonly kind: 'handover-ack'
   readonly fromNodeId: base.NodeId
   readonly incarnation: base.Incarnation
+  /** Copy of the field of the handover that is acknowledged. */
+  readonly released: boolean
 }
 
 /** A call on its way from the entry node to a host node. */
@@ -217,6 +216,8 @@
   readonly last: boolean
   readonly retryAfterMs: base.Millis
   readonly load: hosting.LoadReport
+  /** Time from writing the request to the target until the answer was complete. */
+  readonly targetMs?: base.Millis
 }
 
 export interface ChunkMessage {
@@ -229,12 +230,18 @@
   readonly failed: boolean
 }
 
-export type CallPathMessage = CallMessage | CancelMessage | AnswerMessage | ChunkMessage
+/** The caller has taken the chunks up to `sequence`; the host sends only a bounded number ahead of it. */
+export interface ChunkCreditMessage {
+  readonly kind: 'chunk-credit'
+  readonly callId: number
+  readonly sequence: number
+}
+
+export type CallPathMessage = CallMessage | CancelMessage | AnswerMessage | ChunkMessage | ChunkCreditMessage
 
 export type ControlMessage =
   | MembershipMessage
   | DistributionMessage
-  | OwnershipMessage
   | HandoverMessage
   | HandoverAckMessage
 
