Do not retry streamed answers and stale sends

Cause: a retry after the head of a streamed 503 would leave the first host sending its body; the time of a send does not change when a call is sent again, so a stale one stays stale; the node of a target was kept in memory after the target left. Change: only whole answers are retried, stale-send is final, and the selector forgets nodes with their rows.

--- a/packages/common/src/routing/EntryCalls.rules.test.ts
+++ b/packages/common/src/routing/EntryCalls.rules.test.ts
@@ -105,7 +105,23 @@
     })
   })
 
+  test.describe('streamed answer', () => {
+    test.it('with status 503 is passed on, because its host already sends the body', () => {
+      const calls = meshOf(3).entryCalls(1)
+      const sent = fake.asSend(calls.begin(fake.requestOf({}), 0))
+      const head = fake.answerOf(sent.callId, { status: 503, last: false })
+      assert.equal(fake.asAnswer(calls.answered(sent.callId, sent.to, head, 1)).status, 503)
+    })
+  })
+
   test.describe('refusal', () => {
+    test.it('as stale-send is final, because a later send of the call is staler still', () => {
+      const document = fake.documentOf({ routes: [fake.routeOf({ match: { method: 'POST', pathPrefix: '/till/charge' }, idempotent: false })] })
+      const calls = meshOf(3, document).entryCalls(1)
+      const sent = fake.asSend(calls.begin(fake.requestOf(charge), 0))
+      assert.equal(fake.asAnswer(calls.answered(sent.callId, sent.to, refusalOf(sent.callId, 'stale-send'), 1_100)).outcome, 'not-run')
+    })
+
     test.it('as overloaded is final, so that a full service does not receive more calls', () => {
       const calls = meshOf(3).entryCalls(1)
       const sent = fake.asSend(calls.begin(fake.requestOf({}), 0))
--- a/packages/common/src/routing/EntryCalls.ts
+++ b/packages/common/src/routing/EntryCalls.ts
@@ -32,9 +32,9 @@
 
 const REASON_HEADER = 'elmpost-reason'
 
-/** Refusals by one host that another host may not share. */
+/** Refusals by one host that another host may not share. `stale-send` is none: a later send is not younger. */
 const retriedReasons: ReadonlySet<hosting.OutcomeReason> = new Set<hosting.OutcomeReason>([
-  'no-route', 'no-target', 'no-configuration', 'target-lost', 'peer-lost', 'stale-send'
+  'no-route', 'no-target', 'no-configuration', 'target-lost', 'peer-lost'
 ])
 
 /** Answers of a host that another owner of the key may not share. */
@@ -176,6 +176,8 @@
   }
 
   private _targetAnswered (call: Call, answer: messages.AnswerMessage, nowMs: base.Millis): types.EntryDecision {
+    // The host of a streamed answer has begun to send its body, and would go on.
+    if (!answer.last) return this._finish(call, answers.fromHost(answer))
     // A target that passes on an `overloaded` refusal of a lower level is not asked again at this level either.
     if (retriedStatuses.has(answer.status) && answer.headers[REASON_HEADER] !== 'overloaded') {
       call.mayHaveRun = true
--- a/packages/common/src/routing/TargetSelector.ts
+++ b/packages/common/src/routing/TargetSelector.ts
@@ -116,6 +116,9 @@
     if (known !== undefined && known.rows === rows && known.service === service) return known
     const view = this._build(service, rows)
     this._views.set(name, view)
+    for (const row of known?.rows ?? []) {
+      if (this._serviceOf.get(row.nodeId) === name) this._serviceOf.delete(row.nodeId)
+    }
     for (const row of rows) this._serviceOf.set(row.nodeId, name)
     this._ejection.setCandidates(name, candidatesOf(view).map(candidate => candidate.nodeId), nowMs)
     return view
