--- a/packages/common/src/hosting/Lifecycle.ts
+++ b/packages/common/src/hosting/Lifecycle.ts
@@ -1,7 +1,6 @@
 import * as results from 'ts-results-es'
 import type * as base from '../base/Types.js'
 import * as digest from '../base/Digest.js'
-import type * as membership from '../membership/Services.js'
 import type * as messages from '../node/Messages.js'
 import type * as services from './Services.js'
 import type * as types from './Types.js'
@@ -14,7 +13,7 @@
 
 export interface LifecycleOptions {
   readonly calls: services.IHostCalls
-  readonly membership: membership.IMembership
+  readonly membership: services.HostMembership
   readonly effects: messages.IEffects
   /** Empty if there is no target; then there is nothing to hand over. */
   readonly service: string
--- a/packages/common/src/routing/OwnerLocator.ts
+++ b/packages/common/src/routing/OwnerLocator.ts
@@ -44,11 +44,18 @@
   public locate (service: string, key: string, exclude: ReadonlySet<base.NodeId>): results.Result<OwnerLocation, Error> {
     return this._options.ownership.ownerOf(service, key).map(lookup => {
       if (lookup.kind !== 'owner') return lookup
-      const row = this._find(lookup.owner, exclude)
+      const row = this._heir(lookup, exclude) ?? this._find(lookup.owner, exclude)
       return row === undefined ? { kind: 'unreachable' } : { kind: 'found', row }
     })
   }
 
+  /** The node that the ownership table names instead of an owner that handed its windows over. */
+  private _heir (lookup: { readonly owner: hosting.PartitionOwner, readonly sendTo: base.NodeId }, exclude: ReadonlySet<base.NodeId>): membership.MemberRow | undefined {
+    if (lookup.sendTo === lookup.owner.nodeId || exclude.has(lookup.sendTo)) return undefined
+    const row = this._options.membership.get(lookup.sendTo)
+    return row === undefined || row.state === 'dead' || row.state === 'left' ? undefined : row
+  }
+
   /**
    * The process at the owner's address, or the successor of the owner. After a handover and a restart both may be
    * right, depending on the key's time; the process asked first says whether it owns the key.
