--- a/packages/common/src/node/NodeComposition.ts
+++ b/packages/common/src/node/NodeComposition.ts
@@ -11,7 +11,7 @@
 import * as lifecycle from '../hosting/Lifecycle.js'
 import * as membership from '../membership/Membership.js'
 import * as nodeCore from './NodeCore.js'
-import * as ownershipLog from '../hosting/OwnershipLog.js'
+import * as ownershipLogs from '../hosting/OwnershipLog.js'
 import * as ownershipTable from '../hosting/OwnershipTable.js'
 import * as readerSelection from '../distribution/ReaderSelection.js'
 import * as targetSelector from '../routing/TargetSelector.js'
@@ -24,6 +24,9 @@
 /** A node with a target becomes ready when the keys that its predecessor may have run have been issued. */
 const READY_DELAY_MS = 2000
 
+/** Used until a configuration is known. */
+const DEFAULT_DRAIN_MS = 10_000
+
 export interface NodeCompositionOptions {
   readonly self: memberTypes.SelfAnnouncement
   /** Peer addresses to join through. */
@@ -72,13 +75,8 @@
       ownership: table,
       onMalformed: options.onRefused
     })
-    const ownership = new ownershipLog.OwnershipLog({
-      table,
-      membership: members,
-      effects,
-      random,
-      configuration: () => enforced.current?.document
-    })
+    const configuration = (): config.ConfigDocument | undefined => enforced.current?.document
+    const ownershipLog = new ownershipLogs.OwnershipLog({ table, membership: members, effects, random, configuration })
     const selector = new targetSelector.TargetSelector({ membership: members, enforcement: enforced, random })
     const slotsOf = (service: string): number => enforced.current?.document.services.find(({ name }) => name === service)?.slots ?? 1
     const host = new hostCalls.HostCalls({
@@ -86,10 +84,10 @@
       currentIncarnation: () => members.self.incarnation,
       service: self.service,
       startedAtMs: self.incarnation,
-      configuration: () => enforced.current?.document,
+      configuration,
       targetReady: () => members.self.targetReady,
       table,
-      isCaughtUp: () => ownership.isCaughtUp,
+      isCaughtUp: () => ownershipLog.isCaughtUp,
       crashes,
       delegates: new delegateSelector.DelegateSelector({ membership: members, selector, slotsOf })
     })
@@ -108,7 +106,7 @@
         enforcement: enforced,
         distribution: this._distribution,
         ownershipTable: table,
-        ownershipLog: ownership,
+        ownershipLog,
         crashTable: crashes,
         host,
         entry,
@@ -117,7 +115,7 @@
           membership: members,
           effects,
           service: self.service,
-          drainMs: () => enforced.current?.document.terms.drainMs ?? 0
+          drainMs: () => configuration()?.terms.drainMs ?? DEFAULT_DRAIN_MS
         })
       },
       earliestReadyMs: self.service === '' ? 0 : self.incarnation + READY_DELAY_MS
