--- a/packages/common/src/membership/MessageRules.ts
+++ b/packages/common/src/membership/MessageRules.ts
@@ -42,8 +42,7 @@
 }
 
 function newsProblem (message: Record<string, unknown>, nowMs: base.Millis): string | undefined {
-  if (!rules.isCount(message['version']) || !rules.isCount(message['ownershipVersion'])) return 'a version is not a count'
-  if (!rules.isCount(message['horizonMs'])) return 'horizonMs is not a time'
+  if (!rules.isCount(message['version']) || !rules.isCount(message['ownershipOffset'])) return 'version or offset is not a count'
   return rowsProblem(message['updates'], nowMs) ?? crashesProblem(message['crashes'])
 }
 
--- a/packages/common/src/membership/Types.ts
+++ b/packages/common/src/membership/Types.ts
@@ -51,6 +51,6 @@
 export interface PeerVersion {
   readonly nodeId: base.NodeId
   readonly version: number
-  readonly ownershipVersion: number
-  readonly horizonMs: base.Millis
+  /** Length of the `ownership` stream that the peer's table includes. */
+  readonly ownershipOffset: number
 }
--- a/packages/common/src/node/Messages.ts
+++ b/packages/common/src/node/Messages.ts
@@ -33,8 +33,8 @@
 export interface GossipMessage {
   readonly kind: 'gossip'
   readonly version: number
-  readonly ownershipVersion: number
-  readonly horizonMs: base.Millis
+  /** Length of the `ownership` stream that the sender's table includes. */
+  readonly ownershipOffset: number
   readonly updates: readonly membership.WireRow[]
   readonly crashes: readonly hosting.CrashRecord[]
 }
@@ -43,8 +43,8 @@
   readonly kind: 'probe'
   readonly sequence: number
   readonly version: number
-  readonly ownershipVersion: number
-  readonly horizonMs: base.Millis
+  /** Length of the `ownership` stream that the sender's table includes. */
+  readonly ownershipOffset: number
   readonly updates: readonly membership.WireRow[]
   readonly crashes: readonly hosting.CrashRecord[]
 }
@@ -61,8 +61,8 @@
   /** Node that was probed; differs from the sender for indirect probes. */
   readonly target: base.NodeId
   readonly version: number
-  readonly ownershipVersion: number
-  readonly horizonMs: base.Millis
+  /** Length of the `ownership` stream that the sender's table includes. */
+  readonly ownershipOffset: number
   readonly updates: readonly membership.WireRow[]
   readonly crashes: readonly hosting.CrashRecord[]
 }
@@ -130,6 +130,8 @@
   readonly haveVersion: number
   readonly haveDigest: string
   readonly haveOwnershipVersion: number
+  /** Only a table that includes more of the `ownership` stream is sent. */
+  readonly haveOwnershipOffset: number
 }
 
 /** What a peer knows of versions; on each answer to `pull`. */
