--- a/packages/common/src/hosting/Types.ts
+++ b/packages/common/src/hosting/Types.ts
@@ -129,7 +129,7 @@
   readonly lastChangeOffset: number
   /** Processes that handed over their windows, at most one per node. */
   readonly released: readonly Release[]
-  /** `services` holds what changed since this version; everything if it is 0. */
+  /** `services` holds the services that changed since this version, each whole; all of them if it is 0. */
   readonly sinceVersion: number
   readonly services: readonly ServiceWindows[]
 }
@@ -146,10 +146,9 @@
 
 export type KeyState = 'running' | 'answered' | 'refused' | 'unknown'
 
-/** What a stopping owner passes to its successor. */
-export interface Handover {
+/** Windows that a node took over from an owner that stopped. */
+export interface InheritedWindows {
   readonly from: PartitionOwner
-  readonly to: PartitionOwner
   /**
    * False: the successor owns keys issued up to `atMs` + 2 s; a later process of the owner refuses exactly these.
    * True: the `release` record is in the log, so no later process of the owner adopts its windows, and the successor
@@ -159,13 +158,21 @@
   readonly atMs: base.Millis
   /** Keys issued up to this time may have been run although `keys` does not hold them. */
   readonly forgottenUntilMs: base.Millis
+}
+
+/** What a stopping owner passes to its successor. */
+export interface Handover extends InheritedWindows {
+  readonly to: PartitionOwner
+  /** Windows that the stopping owner itself took over earlier. */
+  readonly inherited: readonly InheritedWindows[]
   readonly keys: readonly HandoverKey[]
 }
 
 export interface HandoverKey {
   readonly key: string
   readonly service: string
-  readonly fingerprint: string
+  /** 53 bits of the fingerprint. */
+  readonly fingerprint: number
   readonly state: KeyState
   readonly reason: OutcomeReason
   readonly status: number
