--- a/packages/testbed/src/bench/ConvergenceCase.ts
+++ b/packages/testbed/src/bench/ConvergenceCase.ts
@@ -3,7 +3,7 @@
 import type * as nodes from '../network/SteppedNode.js'
 import * as benchDocuments from './benchDocument.js'
 import * as benchFleets from './BenchFleet.js'
-import type * as types from './ConvergenceTypes.js'
+import type * as types from './convergenceTypes.js'
 
 const SMALL_FLEET = 100
 const START_LIMIT_MS = 60_000
--- a/packages/testbed/src/bench/ConvergencePlot.ts
+++ b/packages/testbed/src/bench/ConvergencePlot.ts
@@ -1,4 +1,4 @@
-import type * as types from './ConvergenceTypes.js'
+import type * as types from './convergenceTypes.js'
 
 const WIDTH = 720
 const HEIGHT = 420
--- a/packages/testbed/src/bench/PollingBaseline.ts
+++ b/packages/testbed/src/bench/PollingBaseline.ts
@@ -7,7 +7,7 @@
 import * as networks from '../network/FakeNetwork.js'
 import * as benchDocuments from './benchDocument.js'
 import * as cases from './ConvergenceCase.js'
-import type * as types from './ConvergenceTypes.js'
+import type * as types from './convergenceTypes.js'
 
 const START_MS = 1_700_000_000_000
 const SETTLE_MS = 10_000
--- a/packages/testbed/src/bench/convergence.ts
+++ b/packages/testbed/src/bench/convergence.ts
@@ -9,7 +9,7 @@
 import * as micro from './microFigures.js'
 import * as plots from './ConvergencePlot.js'
 import * as reports from './convergenceReport.js'
-import type * as types from './ConvergenceTypes.js'
+import type * as types from './convergenceTypes.js'
 
 const STRATEGIES: readonly types.BenchStrategy[] = ['tree', 'gossip', 'hybrid', 'hybrid-bytes', 'every-node-polls']
 /** Memory of one worker. A fleet of 6,900 needs most of it. */
--- a/packages/testbed/src/bench/convergenceReport.ts
+++ b/packages/testbed/src/bench/convergenceReport.ts
@@ -1,5 +1,5 @@
 /** Tables of the convergence benchmark, in Markdown. */
-import type * as types from './ConvergenceTypes.js'
+import type * as types from './convergenceTypes.js'
 
 export interface BenchOutput {
   readonly seed: number
--- a/packages/testbed/src/bench/convergenceWorker.ts
+++ b/packages/testbed/src/bench/convergenceWorker.ts
@@ -2,7 +2,7 @@
 import * as workerThreads from 'node:worker_threads'
 import * as cases from './ConvergenceCase.js'
 import * as baselines from './PollingBaseline.js'
-import type * as types from './ConvergenceTypes.js'
+import type * as types from './convergenceTypes.js'
 
 const spec = workerThreads.workerData as types.CaseSpec
 const result = spec.strategy === 'every-node-polls' ? baselines.runPollingBaseline(spec) : new cases.ConvergenceCase(spec).run()
--- a/packages/testbed/src/bench/microFigures.ts
+++ b/packages/testbed/src/bench/microFigures.ts
@@ -7,7 +7,7 @@
 import type * as memberTypes from '@elmpost/common/membership/Types.js'
 import * as benchDocuments from './benchDocument.js'
 import * as cases from './ConvergenceCase.js'
-import type * as types from './ConvergenceTypes.js'
+import type * as types from './convergenceTypes.js'
 
 const APPLY_RUNS = 20
 
