--- a/packages/common/src/hosting/Services.ts
+++ b/packages/common/src/hosting/Services.ts
@@ -1,10 +1,15 @@
 import type * as results from 'ts-results-es'
 import type * as base from '../base/Types.js'
+import type * as membership from '../membership/Services.js'
 import type * as messages from '../node/Messages.js'
 import type * as types from './Types.js'
 
+/** The part of the membership that the host side uses. */
+export type HostMembership = Pick<membership.IMembership, 'onChange' | 'self' | 'get' | 'all' | 'targetsOf' | 'setState'>
+
 export type OwnerLookup =
-  | { readonly kind: 'owner', readonly owner: types.PartitionOwner }
+  /** Calls go to `sendTo`: the owner, or the node that took over its windows. */
+  | { readonly kind: 'owner', readonly owner: types.PartitionOwner, readonly sendTo: base.NodeId }
   /**
    * This node knows no owner for keys issued at this time. Another node may know more, so only a key that was never
    * sent before is certainly not run; for a key that the caller sends again the outcome is `unknown`.
@@ -60,6 +65,8 @@
   isBlocked(key: string | undefined, fingerprint: string, nowMs: base.Millis): boolean
   /** Whether the fingerprint ran on enough crashed targets to be run apart from other suspects. */
   isSuspect(fingerprint: string, nowMs: base.Millis): boolean
+  /** A run with the fingerprint was answered: on this node it is no suspect until the next crash. */
+  survived(fingerprint: string): void
   record(record: types.CrashRecord, nowMs: base.Millis): boolean
   /** Records that peers may not know yet; each is handed out a bounded number of times. */
   pending(limit: number): readonly types.CrashRecord[]
--- a/packages/common/src/routing/FakeMesh.ts
+++ b/packages/common/src/routing/FakeMesh.ts
@@ -69,6 +69,8 @@
 
 /** A mesh as one entry node sees it. Owners of keys are the targets of the service, by a hash of the key. */
 export class FakeMesh {
+  /** Incarnations up to which nodes have handed over their windows for good. */
+  public readonly released = new Map<base.NodeId, base.Incarnation>()
   public lookup: hostingServices.OwnerLookup | undefined
   public self = rowOf({ nodeId: 'entry', service: '' })
   public current: config.AcceptedState | undefined
@@ -123,7 +125,11 @@
     if (this.lookup !== undefined) return results.Ok(this.lookup)
     const owners = this._owners.get(service) ?? []
     const owner = owners[(digest.placementHash(key) % PARTITIONS) % owners.length]
-    return results.Ok(owner === undefined ? { kind: 'no-table' } : { kind: 'owner', owner })
+    return results.Ok(owner === undefined ? { kind: 'no-table' } : { kind: 'owner', owner, sendTo: owner.nodeId })
+  }
+
+  public isReleased (owner: hosting.PartitionOwner): boolean {
+    return owner.incarnation <= (this.released.get(owner.nodeId) ?? 0)
   }
 
   public selector (seed: number, subsetSize?: number): targetSelector.TargetSelector {
