Validate each document once; test the classes of membership and distribution

Cause: a change was validated by the delta and again by the enforcement; a node that had left did not refute a claim that it is dead, and the dead row hides its successor. Change: ValidatedOnce remembers valid document objects; nodes that have left refute with their successor; unit and property tests beside the classes. The benchmark fills tables with ready rows, so that its start is no mass event.

--- /dev/null
+++ b/packages/common/src/distribution/ValidatedOnce.test.ts
@@ -0,0 +1,29 @@
+import * as assert from 'node:assert/strict'
+import * as test from 'node:test'
+import * as validators from '../config/ConfigValidator.js'
+import * as documents from '../config/TestDocuments.js'
+import * as validatedOnce from './ValidatedOnce.js'
+
+test.describe('ValidatedOnce', () => {
+  test.describe('validate', () => {
+    test.it('validates an equal copy and another rule set anew, so that nothing unchecked passes', () => {
+      const inner = new validators.ConfigValidator()
+      const seen: unknown[] = []
+      const counting = {
+        supports: (rulesVersion: number) => inner.supports(rulesVersion),
+        validate: (document: unknown, rulesVersion: number) => {
+          seen.push(document)
+          return inner.validate(document, rulesVersion)
+        }
+      }
+      const validator = new validatedOnce.ValidatedOnce({ validator: counting })
+      const document = documents.testDocument()
+      assert.ok(validator.validate(document, 1).isOk())
+      assert.ok(validator.validate(document, 1).isOk())
+      assert.equal(seen.length, 1)
+      assert.ok(validator.validate({ ...document, services: [] }, 1).isErr())
+      assert.ok(validator.validate(document, 99).isErr())
+      assert.equal(seen.length, 3)
+    })
+  })
+})
--- /dev/null
+++ b/packages/common/src/membership/MemberTable.test.ts
@@ -0,0 +1,101 @@
+import * as assert from 'node:assert/strict'
+import * as test from 'node:test'
+import * as fc from 'fast-check'
+import * as tables from './MemberTable.js'
+import type * as types from './Types.js'
+
+const STATES: readonly types.MemberState[] = ['joining', 'ready', 'draining', 'left', 'suspect', 'dead']
+
+function row (change: Partial<types.MemberRow>): types.MemberRow {
+  return {
+    nodeId: 'a',
+    incarnation: 1,
+    state: 'ready',
+    peerAddress: 'a:1',
+    callerAddress: 'a:2',
+    adminAddress: 'a:3',
+    zone: 'vake',
+    service: 'till',
+    targetReady: true,
+    targetReadySinceMs: 0,
+    enforcedVersion: 0,
+    revision: 0,
+    successor: '',
+    ...change
+  }
+}
+
+const anyRow = fc.record({
+  nodeId: fc.constantFrom('a', 'b', 'c', 'd'),
+  incarnation: fc.integer({ min: 1, max: 3 }),
+  state: fc.constantFrom(...STATES),
+  revision: fc.integer({ min: 0, max: 2 })
+}).map(({ nodeId, incarnation, state, revision }) => row({
+  nodeId,
+  incarnation,
+  state,
+  revision,
+  zone: `zone-${incarnation % 2}`,
+  service: `service-${(incarnation + revision) % 2}`,
+  targetReady: revision !== 1
+}))
+
+function tableOf (rows: readonly types.MemberRow[]): tables.MemberTable {
+  const table = new tables.MemberTable()
+  for (const each of rows) table.merge(each)
+  return table
+}
+
+function sorted (rows: Iterable<types.MemberRow>): types.MemberRow[] {
+  return [...rows].sort((a, b) => a.nodeId < b.nodeId ? -1 : 1)
+}
+
+test.describe('MemberTable', () => {
+  test.describe('merge', () => {
+    test.it('ends with the same rows and hashes in any order, so that nodes that heard the same agree', () => {
+      fc.assert(fc.property(fc.array(anyRow, { maxLength: 30 }), fc.infiniteStream(fc.nat()), (rows, keys) => {
+        const shuffled = rows.map(each => ({ each, key: keys.next().value })).sort((a, b) => a.key - b.key).map(({ each }) => each)
+        const one = tableOf(rows)
+        const other = tableOf(shuffled)
+        assert.deepEqual(sorted(one.all()), sorted(other.all()))
+        assert.deepEqual(one.bucketHashes(16), other.bucketHashes(16))
+      }), { seed: 1 })
+    })
+
+    test.it('keeps its indexes equal to a scan of all rows, so that routing and push see each change', () => {
+      fc.assert(fc.property(fc.array(anyRow, { maxLength: 40 }), fc.array(fc.constantFrom('a', 'b', 'c', 'd')), (rows, forgotten) => {
+        const table = new tables.MemberTable()
+        for (const each of rows) {
+          table.merge(each)
+          table.targetsOf('service-0')
+          table.liveInZone('zone-1')
+        }
+        for (const id of forgotten) table.forget(id)
+        const all = sorted(table.all())
+        const live = all.filter(each => each.state === 'joining' || each.state === 'ready' || each.state === 'draining')
+        for (const zone of ['zone-0', 'zone-1']) assert.deepEqual(table.liveInZone(zone), live.filter(each => each.zone === zone))
+        for (const service of ['service-0', 'service-1']) {
+          assert.deepEqual(table.targetsOf(service), all.filter(each => each.service === service && each.state === 'ready' && each.targetReady))
+        }
+        assert.deepEqual(table.zones(), [...new Set(live.map(each => each.zone))].sort())
+        assert.deepEqual(table.bucketHashes(8), tableOf(all).bucketHashes(8))
+      }), { seed: 2 })
+    })
+
+    test.it('keeps the highest version over all processes of a node, which is evidence when it restarts', () => {
+      const table = tableOf([row({ enforcedVersion: 7 }), row({ incarnation: 2, enforcedVersion: 0 })])
+      assert.equal(table.get('a')?.enforcedVersion, 7)
+    })
+  })
+
+  test.describe('recordVersion', () => {
+    test.it('changes no hash, because each peer learns versions on its own', () => {
+      const table = tableOf([row({})])
+      const before = table.bucketHashes(4)
+      table.recordVersion('a', 9)
+      table.recordVersion('a', 8)
+      assert.equal(table.get('a')?.enforcedVersion, 9)
+      assert.deepEqual(table.bucketHashes(4), before)
+    })
+  })
+})
--- /dev/null
+++ b/packages/common/src/membership/Membership.test.ts
@@ -0,0 +1,151 @@
+import * as assert from 'node:assert/strict'
+import * as test from 'node:test'
+import * as fc from 'fast-check'
+import * as randoms from '../base/Random.js'
+import * as terms from '../distribution/Terms.js'
+import type * as messages from '../node/Messages.js'
+import * as memberships from './Membership.js'
+import type * as types from './Types.js'
+import * as wires from './WireRow.js'
+
+const NOW_MS = 1_700_000_000_000
+
+const SELF: types.SelfAnnouncement = {
+  nodeId: 'self',
+  incarnation: NOW_MS,
+  peerAddress: 'self:1',
+  callerAddress: 'self:2',
+  adminAddress: 'self:3',
+  zone: 'vake',
+  service: 'till',
+  targetReady: true,
+  targetReadySinceMs: 0,
+  enforcedVersion: 0
+}
+
+class Probe {
+  public readonly effects: messages.Effect[] = []
+  public readonly errors: Error[] = []
+  public readonly changes: types.MemberChange[] = []
+  public readonly membership: memberships.Membership
+
+  constructor () {
+    this.membership = new memberships.Membership({
+      self: SELF,
+      seeds: [],
+      random: new randoms.Random(1),
+      effects: { push: effect => { this.effects.push(effect) } },
+      terms: () => terms.DEFAULT_TERMS,
+      onMalformed: error => { this.errors.push(error) }
+    })
+    this.membership.onChange(change => { this.changes.push(change) })
+  }
+}
+
+function peerRow (change: Partial<types.MemberRow> = {}): types.MemberRow {
+  return { ...SELF, nodeId: 'peer', peerAddress: 'peer:1', state: 'ready', revision: 0, successor: '', ...change }
+}
+
+function gossip (...rows: readonly types.MemberRow[]): messages.GossipMessage {
+  return { kind: 'gossip', version: 1, ownershipOffset: 0, updates: rows.map(wires.toWire), crashes: [] }
+}
+
+const KINDS = ['join', 'gossip', 'probe', 'probe-request', 'probe-ack', 'table-digest', 'table-rows']
+const badRow = fc.array(fc.oneof(fc.string(), fc.integer(), fc.constant(null), fc.boolean()), { minLength: 0, maxLength: 13 })
+const badMessage = fc.record({
+  kind: fc.constantFrom(...KINDS),
+  sequence: fc.anything(),
+  target: fc.anything(),
+  version: fc.anything(),
+  ownershipOffset: fc.anything(),
+  updates: fc.oneof(fc.array(badRow, { minLength: 1 }), fc.anything()),
+  rows: fc.oneof(fc.array(badRow, { minLength: 1 }), fc.anything()),
+  row: fc.oneof(badRow, fc.anything()),
+  wantsRows: fc.boolean(),
+  buckets: fc.anything(),
+  wantedBuckets: fc.anything(),
+  bucketCount: fc.anything(),
+  crashes: fc.anything()
+}, { requiredKeys: ['kind'] })
+
+test.describe('Membership', () => {
+  test.describe('receive', () => {
+    test.it('neither throws nor changes state on malformed messages, which any peer can send', () => {
+      fc.assert(fc.property(fc.oneof(badMessage, fc.anything()), message => {
+        const probe = new Probe()
+        probe.membership.receive('peer', message as messages.MembershipMessage, NOW_MS)
+        assert.equal(probe.membership.size, 1)
+        assert.deepEqual(probe.changes, [])
+      }), { seed: 3, numRuns: 2_000 })
+    })
+
+    test.it('ignores the whole message when one row is malformed, so that no part of it is applied', () => {
+      const probe = new Probe()
+      const good = wires.toWire(peerRow())
+      const bad = [...wires.toWire(peerRow({ nodeId: 'other' }))].slice(0, 12) as unknown as types.WireRow
+      probe.membership.receive('peer', { ...gossip(), updates: [good, bad] }, NOW_MS)
+      assert.equal(probe.membership.size, 1)
+      assert.equal(probe.errors.length, 1)
+    })
+
+    test.it('refuses an incarnation from the far future, which no restart could ever refute', () => {
+      const probe = new Probe()
+      probe.membership.receive('peer', gossip(peerRow({ incarnation: NOW_MS * 2 })), NOW_MS)
+      assert.equal(probe.membership.get('peer'), undefined)
+    })
+  })
+
+  test.describe('refutation', () => {
+    test.it('takes a higher incarnation than any claim on itself, and keeps its state', () => {
+      const probe = new Probe()
+      probe.membership.setState('ready', NOW_MS)
+      probe.membership.receive('peer', gossip({ ...probe.membership.self, incarnation: NOW_MS + 5, state: 'dead' }), NOW_MS)
+      assert.equal(probe.membership.self.incarnation, NOW_MS + 6)
+      assert.equal(probe.membership.self.state, 'ready')
+    })
+
+    test.it('stays left with its successor against a claim that it is dead, because entry nodes follow the successor', () => {
+      const probe = new Probe()
+      probe.membership.setState('left', NOW_MS, 'peer')
+      probe.membership.receive('peer', gossip({ ...probe.membership.self, state: 'dead', successor: '' }), NOW_MS)
+      const row = probe.membership.get('self')
+      assert.deepEqual([row?.state, row?.successor, row?.incarnation], ['left', 'peer', NOW_MS + 1])
+    })
+  })
+
+  test.describe('setState', () => {
+    test.it('raises the incarnation when a drain is taken back, because peers order the states', () => {
+      const probe = new Probe()
+      probe.membership.setState('draining', NOW_MS)
+      probe.membership.setState('ready', NOW_MS)
+      assert.equal(probe.membership.self.incarnation, NOW_MS + 1)
+      assert.equal(probe.membership.get('self')?.state, 'ready')
+    })
+  })
+
+  test.describe('heartbeats', () => {
+    test.it('carries each change a bounded number of times, so that old news does not use up the budget', () => {
+      const probe = new Probe()
+      probe.membership.receive('peer', gossip(peerRow()), NOW_MS)
+      let carried = 0
+      for (let i = 1; i <= 200; i++) {
+        probe.effects.length = 0
+        probe.membership.receive('peer', { ...gossip(), kind: 'probe', sequence: i }, NOW_MS + i)
+        for (const effect of probe.effects) {
+          if (effect.kind === 'send' && effect.message.kind === 'probe-ack') carried += effect.message.updates.filter(([id]) => id === 'peer').length
+        }
+      }
+      assert.ok(carried > 0 && carried <= 5, `${carried} times`)
+    })
+
+    test.it('forgets a dead row after an hour, so that the table does not grow without end', () => {
+      const probe = new Probe()
+      probe.membership.receive('peer', gossip(peerRow({ state: 'dead' })), NOW_MS)
+      probe.membership.tick(NOW_MS + 3_599_000)
+      assert.equal(probe.membership.size, 2)
+      probe.membership.tick(NOW_MS + 3_600_000)
+      assert.equal(probe.membership.size, 1)
+      assert.equal(probe.changes.at(-1)?.forgotten, true)
+    })
+  })
+})
--- a/packages/common/src/membership/Membership.ts
+++ b/packages/common/src/membership/Membership.ts
@@ -272,10 +272,13 @@
     this._table.recordVersion(row.nodeId, row.enforcedVersion)
   }
 
-  /** What peers say about this node: an earlier process, or a wrong suspicion, which is refuted. */
+  /**
+   * What peers say about this node: an earlier process, or a wrong suspicion, which is refuted. A node that has left
+   * refutes too, because a row that is `dead` does not name the successor.
+   */
   private _mergeSelf (row: types.MemberRow, nowMs: base.Millis): void {
     this._recordedSelfVersion = Math.max(this._recordedSelfVersion, row.enforcedVersion)
-    if (!rules.isNewer(row, this._self) || this._self.state === 'left') return
+    if (!rules.isNewer(row, this._self)) return
     this._changeSelf({ incarnation: row.incarnation + 1 }, nowMs)
   }
 
--- a/packages/testbed/src/bench/BenchFleet.ts
+++ b/packages/testbed/src/bench/BenchFleet.ts
@@ -69,8 +69,9 @@
     for (const [index, id] of this.ids.entries()) this._start(id, index)
   }
 
-  /** Gives each node the rows of all, as after a long run. */
+  /** Makes all nodes ready and gives each the rows of all, as after a long run. */
   public fillTables (): void {
+    for (const node of this.running.values()) node.membership.setState('ready', this.network.nowMs)
     const rows = [...this.running.values()].map(node => wires.toWire(node.membership.self))
     for (const node of this.running.values()) {
       for (let i = 0; i < rows.length; i += ROWS_PER_MESSAGE) {
--- a/packages/testbed/src/bench/microFigures.ts
+++ b/packages/testbed/src/bench/microFigures.ts
@@ -1,8 +1,11 @@
+import * as v8 from 'node:v8'
+import * as vm from 'node:vm'
 import * as randoms from '@elmpost/common/base/Random.js'
 import * as deltas from '@elmpost/common/config/ConfigDelta.js'
 import * as documents from '@elmpost/common/config/TestDocuments.js'
 import * as validators from '@elmpost/common/config/ConfigValidator.js'
 import * as enforcements from '@elmpost/common/distribution/Enforcement.js'
+import * as validatedOnce from '@elmpost/common/distribution/ValidatedOnce.js'
 import * as tables from '@elmpost/common/membership/MemberTable.js'
 import type * as memberTypes from '@elmpost/common/membership/Types.js'
 import * as benchDocuments from './benchDocument.js'
@@ -50,7 +53,7 @@
 
 /** Processor time to apply the delta of one change, validate the result and swap it in. */
 function applyMs (size: number): number {
-  const validator = new validators.ConfigValidator()
+  const validator = new validatedOnce.ValidatedOnce({ validator: new validators.ConfigValidator() })
   const delta = new deltas.ConfigDelta(validator)
   const states = Array.from({ length: APPLY_RUNS + 1 }, (_, i) =>
     documents.testState(i + 1, benchDocuments.benchDocument(size, cases.zoneCount(size), i + 1, 'convergence-time')))
@@ -68,11 +71,16 @@
   return (used.user + used.system) / 1_000 / APPLY_RUNS
 }
 
+function collectGarbage (): void {
+  v8.setFlagsFromString('--expose-gc')
+  vm.runInNewContext('gc')()
+}
+
 function heapMb (make: () => unknown): number {
-  globalThis.gc?.()
+  collectGarbage()
   const before = process.memoryUsage().heapUsed
   const kept = make()
-  globalThis.gc?.()
+  collectGarbage()
   const used = process.memoryUsage().heapUsed - before
   return kept === undefined ? 0 : used / 2 ** 20
 }
