--- a/packages/common/src/hosting/OwnershipTable.ts
+++ b/packages/common/src/hosting/OwnershipTable.ts
@@ -40,8 +40,10 @@
   private _horizonMs = 0
   private _floorMs = 0
   private _lastChangeMs = 0
-  /** Offset after the last record that is neither a snapshot nor void by itself, folded or not. */
+  /** Offset after the last folded record that is not a snapshot. */
   private _lastChangeOffset = 0
+  /** The same for records that were seen behind a gap. */
+  private _lastPassedOffset = 0
   /** Every record from here to `_seenUntil` was seen. */
   private _seenFrom = 0
   private _seenUntil = 0
@@ -90,8 +92,11 @@
       if (inSequence) this._asOfOffset = offset + 1
       return record.sinceVersion === 0 && this.merge(record)
     }
-    this._lastChangeOffset = Math.max(this._lastChangeOffset, offset + 1)
-    if (!inSequence) return false
+    if (!inSequence) {
+      this._lastPassedOffset = Math.max(this._lastPassedOffset, offset + 1)
+      return false
+    }
+    this._lastChangeOffset = offset + 1
     this._asOfOffset = offset + 1
     if (record.kind === 'horizon') return this._raiseHorizon(record.untilMs)
     if (record.kind === 'partitions') return this._addWindows(record, offset + 1)
@@ -120,7 +125,7 @@
     this._horizonMs = update.horizonMs
     this._floorMs = update.floorMs
     this._lastChangeMs = update.lastChangeMs
-    this._lastChangeOffset = Math.max(this._lastChangeOffset, update.lastChangeOffset)
+    this._lastChangeOffset = update.lastChangeOffset
     if (update.sinceVersion === 0) this._resetVersion = update.tableVersion
     return changed
   }
@@ -208,16 +213,18 @@
   /** A reset is void if a record was appended that its author had not read; both sides of a gap see this alike. */
   private _reset (record: types.TableResetRecord, offset: number, inSequence: boolean): boolean {
     if (inSequence) this._asOfOffset = offset + 1
-    if (record.asOfOffset < this._lastChangeOffset) return false
-    if (!inSequence && record.asOfOffset < this._seenFrom) return false
+    const unreadFrom = inSequence ? this._lastChangeOffset : Math.max(this._seenFrom, this._lastPassedOffset)
+    if (record.asOfOffset < unreadFrom) return false
     this._services.clear()
     this._released.clear()
     this._lastChangeOffset = offset + 1
     this._asOfOffset = offset + 1
     this._tableVersion = offset + 1
     this._resetVersion = offset + 1
-    this._floorMs = Math.max(this._floorMs, this._horizonMs, record.floorMs)
-    this._horizonMs = this._floorMs
+    // Nothing of the earlier state is used, so that nodes that do not have it get the same result.
+    this._floorMs = record.floorMs
+    this._horizonMs = record.floorMs
+    this._lastChangeMs = 0
     return true
   }
 
