--- a/packages/node/src/main.ts
+++ b/packages/node/src/main.ts
@@ -64,6 +64,10 @@
       node.refusedByCore(error)
     }
   })
+  process.on('uncaughtException', error => {
+    log.log('fatal', 'unexpected-error', { problem: error.stack ?? String(error) })
+    process.exit(EXIT_FAILED)
+  })
   const node: nodeProcess.NodeProcess = new nodeProcess.NodeProcess({
     settings: nodeSettings,
     core: composition.core,
