--- a/packages/common/src/distribution/MessageRules.ts
+++ b/packages/common/src/distribution/MessageRules.ts
@@ -1,4 +1,5 @@
 /** Checks of distribution messages from peers. */
+import * as ownershipDecoder from '../hosting/OwnershipDecoder.js'
 import * as rules from '../membership/RowRules.js'
 
 const MAX_TEXT_LENGTH = 256
@@ -61,7 +62,7 @@
   if (delta !== undefined && state !== undefined) return 'both delta and state are present'
   if (delta !== undefined && !isDelta(delta)) return 'delta has a wrong field'
   if (state !== undefined && !isState(state)) return 'state has a wrong field'
-  return ownership === undefined || isOwnership(ownership) ? undefined : 'ownership has a wrong field'
+  return ownership === undefined || ownershipDecoder.decodeUpdate(ownership).isOk() ? undefined : 'ownership has a wrong field'
 }
 
 function isDelta (value: unknown): boolean {
@@ -75,33 +76,6 @@
     isText(value['digest']) && isOffset(value['asOfOffset']) && isMap(value['document'])
 }
 
-function isOwnership (value: unknown): boolean {
-  if (!isMap(value)) return false
-  const counts = [value['asOfOffset'], value['tableVersion'], value['sinceVersion'], value['lastChangeOffset']]
-  const times = [value['horizonMs'], value['floorMs'], value['lastChangeMs']]
-  return counts.every(rules.isCount) && times.every(isTime) && isListOf(value['released'], isOwner) && isListOf(value['services'], isWindows)
-}
-
-function isWindows (value: unknown): boolean {
-  return isMap(value) && isText(value['service']) && isListOf(value['owners'], isOwner) && isListOf(value['groups'], isGroup)
-}
-
-function isGroup (value: unknown): boolean {
-  return isMap(value) && isTime(value['startsAtMs']) && isListOf(value['pairs'], rules.isCount)
-}
-
-function isOwner (value: unknown): boolean {
-  return isMap(value) && isText(value['nodeId']) && rules.isCount(value['incarnation'])
-}
-
-function isListOf (value: unknown, isItem: (item: unknown) => boolean): boolean {
-  return Array.isArray(value) && value.every(isItem)
-}
-
-function isTime (value: unknown): boolean {
-  return typeof value === 'number' && Number.isFinite(value) && value >= 0
-}
-
 function isOffset (value: unknown): boolean {
   return value === undefined || rules.isCount(value)
 }
--- a/packages/common/src/node/Messages.ts
+++ b/packages/common/src/node/Messages.ts
@@ -160,11 +160,6 @@
 
 export type DistributionMessage = PushMessage | PushAckMessage | PullMessage | StateMessage | BusyMessage
 
-export interface OwnershipMessage {
-  readonly kind: 'ownership'
-  readonly update: hosting.OwnershipUpdate
-}
-
 export interface HandoverMessage {
   readonly kind: 'handover'
   readonly handover: hosting.Handover
@@ -247,7 +242,6 @@
 export type ControlMessage =
   | MembershipMessage
   | DistributionMessage
-  | OwnershipMessage
   | HandoverMessage
   | HandoverAckMessage
 
--- a/packages/common/src/node/NodeCore.ts
+++ b/packages/common/src/node/NodeCore.ts
@@ -36,7 +36,7 @@
 
   /** Hands a control message to the service that owns its kind. */
   public receive (from: base.NodeId, message: messages.ControlMessage, nowMs: base.Millis): void {
-    const { membership, distribution, ownershipTable, lifecycle } = this.services
+    const { membership, distribution, lifecycle } = this.services
     switch (message.kind) {
       case 'join':
       case 'gossip':
@@ -54,9 +54,6 @@
       case 'busy':
         distribution.receive(from, message, nowMs)
         return
-      case 'ownership':
-        ownershipTable.merge(message.update)
-        return
       case 'handover':
       case 'handover-ack':
         lifecycle.receive(from, message, nowMs)
--- a/packages/node/src/MessageSchemas.ts
+++ b/packages/node/src/MessageSchemas.ts
@@ -18,20 +18,6 @@
 const LOAD = object({ inFlight: COUNT, queued: COUNT, slots: COUNT })
 
 const OWNER = object({ nodeId: TEXT, incarnation: COUNT })
-const OWNERS: Schema = { type: 'array', items: OWNER }
-const GROUP = object({ startsAtMs: NUMBER, pairs: { type: 'array', items: COUNT } })
-const WINDOWS = object({ service: TEXT, owners: OWNERS, groups: { type: 'array', items: GROUP } })
-const OWNERSHIP = object({
-  asOfOffset: COUNT,
-  tableVersion: COUNT,
-  horizonMs: NUMBER,
-  floorMs: NUMBER,
-  lastChangeMs: NUMBER,
-  lastChangeOffset: COUNT,
-  released: OWNERS,
-  sinceVersion: COUNT,
-  services: { type: 'array', items: WINDOWS }
-})
 
 const HANDOVER_KEY = object({
   key: TEXT,
@@ -53,12 +39,11 @@
   'probe-ack': CHECKED_BY_CORE,
   'table-digest': CHECKED_BY_CORE,
   'table-rows': CHECKED_BY_CORE,
-  push: object({}, { ownership: OWNERSHIP }),
+  push: CHECKED_BY_CORE,
   'push-ack': CHECKED_BY_CORE,
   pull: CHECKED_BY_CORE,
-  state: object({}, { ownership: OWNERSHIP }),
+  state: CHECKED_BY_CORE,
   busy: CHECKED_BY_CORE,
-  ownership: object({ update: OWNERSHIP }),
   handover: object({ handover: HANDOVER }),
   'handover-ack': object({ fromNodeId: TEXT, incarnation: COUNT }),
   call: object({
--- a/packages/testbed/src/bench/ConvergencePlot.ts
+++ b/packages/testbed/src/bench/ConvergencePlot.ts
@@ -1,4 +1,4 @@
-import type * as types from './convergenceTypes.js'
+import type * as types from './ConvergenceTypes.js'
 
 const WIDTH = 720
 const HEIGHT = 420
