--- /dev/null
+++ b/packages/testbed/src/bench/convergenceTypes.ts
@@ -0,0 +1,82 @@
+/** Results of the convergence benchmark. */
+import type * as config from '@elmpost/common/config/Types.js'
+import type * as distributionTypes from '@elmpost/common/distribution/Types.js'
+
+export type BenchStrategy = distributionTypes.DistributionStrategy | 'hybrid-bytes' | 'every-node-polls'
+
+export interface CaseSpec {
+  readonly size: number
+  readonly strategy: BenchStrategy
+  readonly seed: number
+  readonly deadRatios: readonly number[]
+  /** Parts besides the convergence to measure. */
+  readonly withBytes: boolean
+  readonly withDetection: boolean
+  readonly withRestart: boolean
+}
+
+export interface ConvergenceFigures {
+  readonly deadRatio: number
+  readonly p50Ms: number
+  readonly p99Ms: number
+  /** Time until the last live node enforces the version; undefined if some did not within the limit. */
+  readonly lastMs: number | undefined
+  readonly unreached: number
+  /** Configuration messages, sent and received, per node. */
+  readonly bytesPerNode: number
+}
+
+export interface TrafficFigures {
+  /** Bytes sent and received per node and second. */
+  readonly meanBytesPerS: number
+  readonly maxBytesPerS: number
+  readonly messagesPerS: number
+}
+
+export interface DetectionFigures {
+  readonly killed: number
+  readonly firstDeadP50Ms: number
+  readonly firstDeadMaxMs: number
+  /** Time until all live nodes hold the row as dead. */
+  readonly allDeadP50Ms: number
+  readonly allDeadMaxMs: number
+}
+
+export interface RestartFigures {
+  readonly allEnforceMs: number | undefined
+  readonly logReads: number
+  readonly peakLogReadsPerS: number
+  readonly recordsRead: number
+  /** Bytes sent and received by the busiest node in its busiest second. */
+  readonly peakNodeBytesPerS: number
+  readonly meanNodeBytes: number
+}
+
+export interface CaseResult {
+  readonly size: number
+  readonly strategy: BenchStrategy
+  readonly preference: config.DistributionPreference
+  readonly documentBytes: number
+  readonly convergence: readonly ConvergenceFigures[]
+  readonly idle?: TrafficFigures
+  readonly loaded?: TrafficFigures
+  /** Processor time per node and second, idle, the network of the benchmark included. */
+  readonly cpuMsPerNodeS?: number
+  /** The VM vanishes; nobody is told. */
+  readonly detection?: DetectionFigures
+  /** The process is killed and 3 peers see their connection break. */
+  readonly detectionConnected?: DetectionFigures
+  readonly restart?: RestartFigures
+  readonly wallS: number
+  readonly peakRssMb: number
+}
+
+export interface MicroFigures {
+  readonly size: number
+  /** Heap of one member table with rows of its own. */
+  readonly memberTableMb: number
+  /** Heap of one document. */
+  readonly documentMb: number
+  /** Processor time to apply one delta and enforce it. */
+  readonly applyMs: number
+}
