Finish a planned stop under a steady stream of keyed calls

Cause: a draining owner delegated each new key and waited until no call was left, which never came at 20 keyed calls/s; after drainMs it left without a handover, and its keys ended unknown. Entry nodes that had not heard of the handover had no way to find the successor. Change: when no call is on the target any more, new keys are refused as draining until the delegated calls have ended; the stopped owner names its successor in its answers, and entry nodes follow it. Conclusion: the handover has to win against the arrival of new keys.

--- a/packages/common/src/hosting/HostCalls.ts
+++ b/packages/common/src/hosting/HostCalls.ts
@@ -87,7 +87,8 @@
   private readonly _windows: windows.OwnedWindows
   private readonly _blame: blames.CrashBlame
   private _isDraining = false
-  private _isReleased = false
+  private _isClosed = false
+  private _successor: types.PartitionOwner | undefined
 
   constructor (private readonly _options: HostCallsOptions) {
     const forgottenUntilMs = _options.startedAtMs + keys.MAX_KEY_AHEAD_MS
@@ -105,6 +106,10 @@
     return this._runs.size === 0
   }
 
+  public get isTargetIdle (): boolean {
+    return this._runs.local().next().done === true
+  }
+
   /** Keys and refusals that are remembered. */
   public get keyCount (): number {
     return this._keys.size
@@ -155,12 +160,17 @@
     return [...this._runs.local()].filter(run => run.place === 'queue').map(run => this._vacate(run, nowMs))
   }
 
+  public close (): void {
+    this._isClosed = true
+  }
+
   public endDrain (): void {
     this._isDraining = false
+    this._isClosed = false
   }
 
   public release (to: types.PartitionOwner, nowMs: base.Millis): types.Handover {
-    this._isReleased = true
+    this._successor = to
     return {
       from: { nodeId: this._options.self.nodeId, incarnation: this._options.currentIncarnation() },
       to,
@@ -173,7 +183,7 @@
   }
 
   public inherit (handover: types.Handover, nowMs: base.Millis): boolean {
-    if (this._isReleased || !this._windows.inherit(handover)) return false
+    if (this._successor !== undefined || !this._windows.inherit(handover)) return false
     for (const handed of handover.keys) {
       const keyTimeMs = keys.keyTimeMs(handed.key).unwrapOr(undefined)
       if (keyTimeMs !== undefined) this._keys.import(handed, keyTimeMs, nowMs, nowMs + REFUSAL_MEMORY_MS)
@@ -245,10 +255,9 @@
 
   /** Another process may have run the key, so these answers are never `not-run`. */
   private _unowned (call: KeyedCall, keyTimeMs: base.Millis, nowMs: base.Millis): types.FinalAnswer | undefined {
+    if (this._successor !== undefined) return { ...answers.unknown('not-owner'), successor: this._successor.nodeId }
     const ownership = this._windows.of(call.service, call.key, keyTimeMs)
-    if (this._isReleased || ownership.kind === 'not-own') {
-      return answers.unknown('not-owner', ownership.kind === 'not-own' ? ownership.retryAfterMs : 0)
-    }
+    if (ownership.kind === 'not-own') return answers.unknown('not-owner', ownership.retryAfterMs)
     // No key is run in this time either: a send that the predecessor refused as too new may still arrive.
     const guardedUntilMs = this._options.startedAtMs + keys.MAX_KEY_AHEAD_MS
     if (Math.min(keyTimeMs, nowMs) <= guardedUntilMs) return answers.unknown('key-before-start')
@@ -259,6 +268,7 @@
   private _keyRefusal (call: KeyedCall, keyTimeMs: base.Millis, nowMs: base.Millis): types.OutcomeReason | undefined {
     if (keyTimeMs > nowMs + keys.MAX_KEY_AHEAD_MS) return 'key-too-new'
     if (isStale(call, nowMs)) return 'stale-send'
+    if (this._isClosed) return 'draining'
     if (call.remainingMs <= 0) return 'deadline'
     return this._options.crashes.isBlocked(call.key, call.fingerprint, nowMs) ? 'crashes-target' : undefined
   }
--- a/packages/common/src/hosting/Lifecycle.test.ts
+++ b/packages/common/src/hosting/Lifecycle.test.ts
@@ -50,6 +50,29 @@
       assert.deepEqual(node.kinds(), ['handover'])
     })
 
+    test.it('ends under a steady stream of keyed calls, which a delegate runs, so that the handover is not put off until the drain time is over', () => {
+      const node = new Node('a')
+      node.host.delegate = { nodeId: 'b', address: 'b:1' }
+      node.lifecycle.beginDrain(T0)
+      for (let nowMs = T0; node.kinds().length === 0; nowMs += 100) {
+        assert.ok(nowMs < T0 + 2_000, 'the handover has not begun')
+        // A call that the delegate runs for 150 ms is on its way at every tick until new ones are refused.
+        const decision = node.host.calls.accept('entry', fixture.call(nowMs, { key: fixture.keyAt(nowMs) }), nowMs)
+        node.lifecycle.tick(nowMs)
+        if (decision.kind === 'delegate') node.host.calls.finish(decision.runId, fixture.ANSWER, nowMs + 150)
+      }
+      assert.deepEqual(node.kinds(), ['handover'])
+    })
+
+    test.it('names the successor to callers of handed-over keys, so that entry nodes that have not heard of it follow', () => {
+      const node = new Node('a')
+      node.lifecycle.beginDrain(T0)
+      node.lifecycle.tick(T0)
+      node.lifecycle.tick(T0)
+      const decision = node.host.calls.accept('entry', fixture.call(T0, { key: fixture.keyAt(T0) }), T0)
+      assert.deepEqual(decision.kind === 'answer' && [decision.answer.reason, decision.answer.successor], ['not-owner', 'b'])
+    })
+
     test.it('hands the key table over, logs the release and names the successor', () => {
       const [from, to] = [new Node('a'), new Node('b', { nodeId: 'a', incarnation: T0 - 10_000 })]
       const key = fixture.keyAt(T0)
--- a/packages/common/src/hosting/Lifecycle.ts
+++ b/packages/common/src/hosting/Lifecycle.ts
@@ -90,11 +90,18 @@
 
   public tick (nowMs: base.Millis): void {
     if (this._stage === 'serving' || this._stage === 'left') return
-    if (this._stage === 'draining' && this._options.calls.isIdle) this._beginHandover(nowMs)
+    if (this._stage === 'draining') this._finishCalls(nowMs)
     if (nowMs >= this._drainSinceMs + this._options.drainMs()) this._leave(nowMs)
     else if (nowMs >= this._nextSendMs) this._send(nowMs)
   }
 
+  /** While calls run on the target, new keys are delegated; then they are refused until the delegated calls have ended. */
+  private _finishCalls (nowMs: base.Millis): void {
+    const { calls } = this._options
+    if (calls.isIdle) this._beginHandover(nowMs)
+    else if (calls.isTargetIdle) calls.close()
+  }
+
   private _beginHandover (nowMs: base.Millis): void {
     const to = this._chooseSuccessor()
     if (to === undefined) {
--- a/packages/common/src/hosting/Services.ts
+++ b/packages/common/src/hosting/Services.ts
@@ -78,6 +78,10 @@
   readonly load: types.LoadReport
   /** True when nothing is queued, running or delegated. */
   readonly isIdle: boolean
+  /** Whether no call is on the target or waits for it. Calls that this node has delegated do not count. */
+  readonly isTargetIdle: boolean
+  /** Refuses new keys as `draining` until `endDrain`, so that delegated calls come to an end. */
+  close(): void
   /** Decides at once what happens to a call. */
   accept(from: base.NodeId, call: messages.CallMessage, nowMs: base.Millis): types.HostDecision
   /** Must be called right before the request is written to the target. False: drop it as `not-started`. */
--- a/packages/common/src/hosting/Types.ts
+++ b/packages/common/src/hosting/Types.ts
@@ -192,6 +192,8 @@
   | { readonly kind: 'answer', readonly answer: FinalAnswer }
 
 export interface FinalAnswer {
+  /** Node that has taken over the keys of this one; only with reason `not-owner`. */
+  readonly successor?: base.NodeId
   readonly outcome: Outcome
   readonly reason: OutcomeReason
   readonly status: number
--- a/packages/common/src/node/Messages.ts
+++ b/packages/common/src/node/Messages.ts
@@ -216,6 +216,8 @@
   readonly last: boolean
   readonly retryAfterMs: base.Millis
   readonly load: hosting.LoadReport
+  /** Node that has taken over the keys of the sender; only with reason `not-owner`. */
+  readonly successor?: base.NodeId
   /** Time from writing the request to the target until the answer was complete. */
   readonly targetMs?: base.Millis
 }
--- a/packages/common/src/routing/EntryCalls.rules.test.ts
+++ b/packages/common/src/routing/EntryCalls.rules.test.ts
@@ -52,6 +52,17 @@
   })
 
   test.describe('redirect', () => {
+    test.it('follows the successor that a stopped owner names, so that a planned stop leaves no key unknown', () => {
+      const calls = meshOf(3).entryCalls(1)
+      const sent = fake.asSend(calls.begin(fake.requestOf({ ...charge, key: suppliedKey }), 0))
+      const successor = ['till-0', 'till-1', 'till-2'].find(nodeId => nodeId !== sent.to) ?? ''
+      const moved = fake.answerOf(sent.callId, { outcome: 'unknown', reason: 'not-owner', status: 502, successor })
+      assert.equal(fake.asSend(calls.answered(sent.callId, sent.to, moved, 0)).to, successor)
+      // The second owner knows nothing either: the outcome stays honest.
+      const last = fake.answerOf(sent.callId, { outcome: 'unknown', reason: 'not-owner', status: 502 })
+      assert.equal(fake.asAnswer(calls.answered(sent.callId, successor, last, 0)).outcome, 'unknown')
+    })
+
     test.it('is followed 3 times without counting as an attempt, and then ends, so that a call does not wander', () => {
       const calls = meshOf(8).entryCalls(1)
       let sent = fake.asSend(calls.begin(fake.requestOf({}), 0))
--- a/packages/common/src/routing/EntryCalls.ts
+++ b/packages/common/src/routing/EntryCalls.ts
@@ -192,15 +192,15 @@
     const isOwnedElsewhere = isUnowned(call, answer)
     if (call.key !== undefined) call.mayHaveRun = isOwnedElsewhere && !call.keyIsMinted
     const next = answer.reason === 'draining' || isOwnedElsewhere
-      ? this._redirect(call, nowMs)
+      ? this._redirect(call, nowMs, answer.successor)
       : retriedReasons.has(answer.reason) ? this._retry(call, nowMs) : undefined
     if (next !== undefined) return next
     return this._finish(call, { ...answers.fromHost(answer), outcome: call.mayHaveRun ? 'unknown' : 'not-run' })
   }
 
-  private _redirect (call: Call, nowMs: base.Millis): types.EntryDecision | undefined {
+  private _redirect (call: Call, nowMs: base.Millis, successor?: base.NodeId): types.EntryDecision | undefined {
     if (call.redirects >= MOST_REDIRECTS || nowMs >= call.deadlineAtMs) return undefined
-    const row = this._next(call, nowMs)
+    const row = this._untried(call, successor) ?? this._next(call, nowMs)
     if (row === undefined) return undefined
     call.redirects += 1
     // The next owner may have run an earlier send that this one does not know of.
@@ -218,6 +218,15 @@
     return this._sendTo(call, row, true, nowMs)
   }
 
+  /** The row of a successor that was not asked yet. */
+  private _untried (call: Call, successor: base.NodeId | undefined): membership.MemberRow | undefined {
+    if (successor === undefined || successor === call.to || call.tried?.has(successor) === true) return undefined
+    const row = this._options.membership.get(successor)
+    if (row === undefined || row.state === 'dead' || row.service !== call.route.service.config.name) return undefined
+    call.tried = (call.tried ?? new Set<base.NodeId>()).add(call.to)
+    return row
+  }
+
   /** Where to send a call that its present node did not run, or that may run twice. */
   private _next (call: Call, nowMs: base.Millis): membership.MemberRow | undefined {
     call.tried ??= new Set<base.NodeId>()
--- a/packages/node/src/MessageSchemas.ts
+++ b/packages/node/src/MessageSchemas.ts
@@ -70,7 +70,7 @@
     last: FLAG,
     retryAfterMs: NUMBER,
     load: LOAD
-  }, { body: BYTES, targetMs: NUMBER }),
+  }, { body: BYTES, targetMs: NUMBER, successor: TEXT }),
   chunk: object({ callId: INTEGER, sequence: COUNT, last: FLAG, failed: FLAG }, { body: BYTES }),
   'chunk-credit': object({ callId: INTEGER, sequence: COUNT })
 }
--- a/packages/testbed/src/harness/Operator.ts
+++ b/packages/testbed/src/harness/Operator.ts
@@ -15,8 +15,8 @@
 export class Operator {
   constructor (private readonly _name: string, private readonly _logUrl: string) {}
 
-  public async apply (file: string): Promise<CommandResult> {
-    return await this.run('apply', file, '--log-url', this._logUrl, '--author', this._name)
+  public async apply (file: string, ...options: readonly string[]): Promise<CommandResult> {
+    return await this.run('apply', file, '--log-url', this._logUrl, '--author', this._name, ...options)
   }
 
   public async run (...args: readonly string[]): Promise<CommandResult> {
--- a/packages/testbed/src/scenarios/configurationSteps.ts
+++ b/packages/testbed/src/scenarios/configurationSteps.ts
@@ -37,7 +37,8 @@
 
 cucumber.When('two operators apply different files at the same time', async function (this: meshWorld.MeshWorld) {
   const files = await Promise.all([100, 200].map(async extraMs => await writeChangedFile(this, document => withLongerTimeouts(document, extraMs))))
-  const results = await Promise.all(files.map(async file => await this.operator.apply(file)))
+  // Both name the base, so that the slower command cannot build on the result of the faster one.
+  const results = await Promise.all(files.map(async file => await this.operator.apply(file, '--base-version', '1')))
   const accepted = results.filter(result => result.exitCode === 0)
   assert.equal(accepted.length, 1, results.map(result => result.stdout + result.stderr).join('\n'))
 })
