--- /dev/null
+++ b/packages/common/src/hosting/Admission.test.ts
@@ -0,0 +1,36 @@
+import * as admissions from './Admission.js'
+import * as assert from 'node:assert/strict'
+import * as test from 'node:test'
+
+const LIMITS: admissions.TargetLimits = { slots: 4, connections: 2, maxQueueMs: 100 }
+
+test.describe('Admission', () => {
+  test.it('counts connections as well as slots, so that a target gets no more connections than it accepts', () => {
+    const admission = new admissions.Admission({ initialServiceMs: 10 })
+    admission.started(1)
+    assert.equal(admission.isBusy(LIMITS), false)
+    admission.started(2)
+    assert.equal(admission.isBusy(LIMITS), true)
+  })
+
+  test.it('admits into the queue only what fits both the queue time and the deadline', () => {
+    const admission = new admissions.Admission({ initialServiceMs: 60 })
+    admission.started(1)
+    admission.started(2)
+    assert.equal(admission.expectedWaitMs(LIMITS), 30)
+    assert.deepEqual(admission.decide(LIMITS, 500, 0), { kind: 'admitted', latestStartMs: 100 })
+    assert.deepEqual(admission.decide(LIMITS, 89, 0), { kind: 'refused', reason: 'overloaded', retryAfterMs: 50 })
+    for (const runId of [3, 4, 5]) admission.queue.add(runId, 100)
+    assert.deepEqual(admission.decide(LIMITS, 500, 0), { kind: 'refused', reason: 'overloaded', retryAfterMs: 120 })
+  })
+
+  test.it('follows the service times of answers and not of lost runs, which may have ended at once', () => {
+    const admission = new admissions.Admission({ initialServiceMs: 100 })
+    admission.started(1)
+    admission.ended(undefined)
+    assert.deepEqual([admission.meanServiceMs, admission.inFlight], [100, 0])
+    admission.started(2)
+    admission.ended(200)
+    assert.equal(admission.meanServiceMs, 110)
+  })
+})
--- a/packages/common/src/hosting/Admission.ts
+++ b/packages/common/src/hosting/Admission.ts
@@ -53,7 +53,9 @@
     if (waitMs > 0 && (waitMs > limits.maxQueueMs || waitMs + this._meanServiceMs > remainingMs)) {
       return { kind: 'refused', reason: 'overloaded', retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, Math.ceil(waitMs)) }
     }
-    return { kind: 'admitted', latestStartMs: nowMs + Math.min(remainingMs, limits.maxQueueMs) }
+    // With a free slot the call starts as soon as the process gets to it, which is no time in the queue.
+    const latestMs = waitMs === 0 ? remainingMs : Math.min(remainingMs, limits.maxQueueMs)
+    return { kind: 'admitted', latestStartMs: nowMs + latestMs }
   }
 
   /** Wait of a call that arrives now: the calls ahead of it that need a slot first, itself included. */
--- a/packages/common/src/hosting/CrashTable.test.ts
+++ b/packages/common/src/hosting/CrashTable.test.ts
@@ -76,6 +76,20 @@
     })
   })
 
+  test.describe('keys', () => {
+    test.it('that ran on a crashed target are never answered not-run, in whatever case they are written', () => {
+      const [owner, delegate] = [new fixture.Host(), new fixture.Host()]
+      const key = fixture.keyAt(T0).toUpperCase()
+      const delegated = fixture.call(T0, { key, delegatedBy: 'a', fingerprint: 'f9' })
+      const runId = delegate.run(delegated, T0)
+      delegate.calls.start(runId, T0)
+      delegate.calls.finish(runId, DIED, T0)
+      share(delegate, [owner], T0)
+      assert.equal(owner.verdict(fixture.call(T0, { key, fingerprint: 'f9' }), T0), 'unknown crashes-target')
+      assert.equal(owner.verdict({ ...delegated, callId: -1 }, T0), 'unknown crashes-target')
+    })
+  })
+
   test.describe('record', () => {
     test.it('counts a record once however often it arrives, and drops it after its time', () => {
       const table = new crashes.CrashTable()
--- a/packages/common/src/hosting/CrashTable.ts
+++ b/packages/common/src/hosting/CrashTable.ts
@@ -60,10 +60,14 @@
   }
 
   public isBlocked (key: string | undefined, fingerprint: string, _nowMs: base.Millis): boolean {
-    if (key !== undefined && key !== '' && this._keys.has(key)) return true
+    if (key !== undefined && this.hasRun(key)) return true
     return (this._seen.get(fingerprint)?.blames ?? 0) >= BLOCKING_CRASHES
   }
 
+  public hasRun (key: string): boolean {
+    return this._keys.has(key)
+  }
+
   public isSuspect (fingerprint: string, _nowMs: base.Millis): boolean {
     const seen = this._seen.get(fingerprint)
     return seen !== undefined && seen.parts - seen.survived >= SUSPECT_CRASHES
--- a/packages/common/src/hosting/DeadlineQueue.ts
+++ b/packages/common/src/hosting/DeadlineQueue.ts
@@ -8,14 +8,10 @@
     return this._latestStartMs.size
   }
 
+  /** A call that is already in the queue may only get more time. */
   public add (runId: number, latestStartMs: base.Millis): void {
-    this._latestStartMs.set(runId, latestStartMs)
-  }
-
-  /** Allows a later start, for a resend with more time left. */
-  public extend (runId: number, latestStartMs: base.Millis): void {
-    const current = this._latestStartMs.get(runId)
-    if (current !== undefined && latestStartMs > current) this._latestStartMs.set(runId, latestStartMs)
+    const current = this._latestStartMs.get(runId) ?? latestStartMs
+    this._latestStartMs.set(runId, Math.max(current, latestStartMs))
   }
 
   public remove (runId: number): boolean {
@@ -36,10 +32,4 @@
     for (const runId of expired) this._latestStartMs.delete(runId)
     return expired
   }
-
-  public takeAll (): readonly number[] {
-    const all = [...this._latestStartMs.keys()]
-    this._latestStartMs.clear()
-    return all
-  }
 }
--- a/packages/common/src/hosting/DelegationTable.ts
+++ b/packages/common/src/hosting/DelegationTable.ts
@@ -36,6 +36,6 @@
   }
 }
 
-export function identity (from: base.NodeId, call: messages.CallMessage): string {
-  return `${from} ${call.callId} ${call.key ?? ''}`
+export function identity (from: base.NodeId, call: messages.CallMessage & { readonly key: string }): string {
+  return `${from} ${call.callId} ${call.key}`
 }
--- a/packages/common/src/hosting/HostCalls.test.ts
+++ b/packages/common/src/hosting/HostCalls.test.ts
@@ -139,6 +139,29 @@
     })
   })
 
+  test.describe('limits', () => {
+    test.it('runs a call on a free slot although the route allows no time in the queue', () => {
+      const host = new fixture.Host()
+      const routes = fixture.DOCUMENT.routes.map(route => ({ ...route, limits: { ...route.limits, maxQueueMs: 0 } }))
+      host.document = { ...fixture.DOCUMENT, routes }
+      const runIds = [host.run(fixture.call(T0), T0), host.run(fixture.call(T0), T0)]
+      assert.deepEqual(runIds.map(runId => host.calls.start(runId, T0 + 1)), [true, true])
+      assert.equal(host.verdict(fixture.call(T0), T0 + 1), 'not-run overloaded')
+    })
+  })
+
+  test.describe('streamed answers', () => {
+    test.it('are not given to those who joined or come later, who would take a part for the whole', () => {
+      const host = new fixture.Host()
+      const key = fixture.keyAt(T0)
+      const runId = host.run(fixture.call(T0, { key }), T0)
+      host.calls.start(runId, T0)
+      const final = host.calls.finish(runId, { ...fixture.ANSWER, body: undefined, streamed: true }, T0)
+      assert.deepEqual([final.outcome, final.reason], ['unknown', 'answer-not-kept'])
+      assert.equal(host.verdict(fixture.call(T0, { key }), T0), 'unknown answer-not-kept')
+    })
+  })
+
   test.describe('cancel', () => {
     test.it('aborts idempotent runs, so that nobody works for a caller that is gone', () => {
       const host = new fixture.Host()
--- a/packages/common/src/hosting/HostCalls.ts
+++ b/packages/common/src/hosting/HostCalls.ts
@@ -70,8 +70,8 @@
  *    delegated, and whatever the table forgets raises `forgottenUntilMs`.
  * 3. An entry is removed only by a statement that the request was never written (`not-started`). The delegate makes it
  *    only for a message it has not run and will not run again (`DelegationTable`).
- * 4. A later process at the same address runs no key for 2 s and starts with `forgottenUntilMs` = its start + 2 s. Its predecessor ran no key
- *    issued more than 2 s ahead of its own clock, which has not stepped back since.
+ * 4. A later process at the same address runs no key for 2 s and starts with `forgottenUntilMs` = its start + 2 s. Its
+ *    predecessor ran no key issued more than 2 s ahead of its own clock, which has not stepped back since.
  *
  * Assumed of the target: it starts work only for a request that this node wrote to it. Nothing else.
  * Assumed of clocks: (a) the clock of a VM does not step back between two processes at its address; (b) for refusals to
@@ -111,8 +111,10 @@
   }
 
   public accept (from: base.NodeId, call: messages.CallMessage, nowMs: base.Millis): types.HostDecision {
-    if (call.delegatedBy !== undefined) return this._acceptDelegated(from, call, nowMs)
-    if (call.key !== undefined) return this._acceptKeyed({ ...call, key: keys.normalizeKey(call.key) }, nowMs)
+    if (call.key !== undefined) {
+      const keyed = { ...call, key: keys.normalizeKey(call.key) }
+      return call.delegatedBy === undefined ? this._acceptKeyed(keyed, nowMs) : this._acceptDelegated(from, keyed, nowMs)
+    }
     if (this._limits.route(call.route)?.idempotent === false) return answer(answers.notRun('bad-key', 0))
     const place = this._place(call, nowMs)
     if (place.kind === 'refused') return answer(answers.notRun(place.reason, place.retryAfterMs))
@@ -193,12 +195,13 @@
     return this._limits.terms?.keyRetentionMs ?? DEFAULT_KEY_RETENTION_MS
   }
 
-  private _acceptDelegated (from: base.NodeId, call: messages.CallMessage, nowMs: base.Millis): types.HostDecision {
+  private _acceptDelegated (from: base.NodeId, call: KeyedCall, nowMs: base.Millis): types.HostDecision {
     const id = delegations.identity(from, call)
     const known = this._delegations.get(id)
     if (known !== undefined) return 'runId' in known ? this._join(known.runId, call, nowMs) : answer(known.answer)
     // An older message may have been run and forgotten, so this is not a statement that it was not run.
     if (isStale(call, nowMs) || this._isBeforeStart(call)) return answer(answers.unknown('stale-send'))
+    if (this._options.crashes.hasRun(call.key)) return answer(answers.unknown('crashes-target'))
     const place = this._place(call, nowMs)
     if (place.kind === 'refused') {
       const refusal = answers.notRun(place.reason, place.retryAfterMs)
@@ -249,6 +252,7 @@
     if (this._isReleased || ownership.kind === 'not-own') {
       return answers.unknown('not-owner', ownership.kind === 'not-own' ? ownership.retryAfterMs : 0)
     }
+    if (this._options.crashes.hasRun(call.key)) return answers.unknown('crashes-target')
     // No key is run in this time either: a send that the predecessor refused as too new may still arrive.
     const guardedUntilMs = this._options.startedAtMs + keys.MAX_KEY_AHEAD_MS
     if (Math.min(keyTimeMs, nowMs) <= guardedUntilMs) return answers.unknown('key-before-start')
@@ -336,7 +340,7 @@
       this._options.crashes.survived(run.fingerprint)
       const { status, headers, body, streamed } = result
       if (ownedKey !== undefined) this._keys.answered(ownedKey, streamed ? undefined : { status, headers, body })
-      return answers.answered(status, headers, body)
+      return streamed ? answers.unknown('answer-not-kept') : answers.answered(status, headers, body)
     }
     if (result.kind === 'lost') {
       if (ownedKey !== undefined) this._keys.unknown(ownedKey, result.reason)
--- a/packages/common/src/hosting/MeshProperty.test.ts
+++ b/packages/common/src/hosting/MeshProperty.test.ts
@@ -6,8 +6,8 @@
 
 const RUNS = Number(process.env['ELMPOST_MESH_RUNS'] ?? 1_000)
 
-/** The rarest counterexample was seen after 636 runs. */
-const RUNS_WITHOUT_MECHANISM = 3_000
+/** Ends at the first counterexample. With seed 31, 3,000 runs did not find the horizon check off. */
+const RUNS_WITHOUT_MECHANISM = 20_000
 const MAX_COMMANDS = 120
 const SEED = Number(process.env['ELMPOST_MESH_SEED'] ?? 20_251)
 
--- a/packages/common/src/hosting/OwnershipLog.test.ts
+++ b/packages/common/src/hosting/OwnershipLog.test.ts
@@ -44,6 +44,8 @@
 class World {
   public readonly log: modelLog.ModelLog
   public nowMs = T0
+  /** The process never reports what became of an append. */
+  public losesAppends = false
 
   constructor (public readonly readers: readonly Reader[], retentionMs = 3_600_000) {
     this.log = new modelLog.ModelLog(retentionMs)
@@ -62,7 +64,7 @@
 
   private _perform (reader: Reader, effect: messages.Effect): void {
     if (effect.kind === 'read-log') reader.log.logRead(this.log.read(effect.fromOffset, effect.limit), this.nowMs)
-    if (effect.kind !== 'append-log') return
+    if (effect.kind !== 'append-log' || this.losesAppends) return
     reader.appended.push(effect.data as types.OwnershipRecord)
     const offset = this.log.isUp ? this.log.append(effect.data, this.nowMs) : -1
     const status = this.log.isUp ? 'appended' : 'unknown'
@@ -177,6 +179,20 @@
     })
   })
 
+  test.describe('appends', () => {
+    test.it('are tried again when the process never reports one, so that a reader does not fall silent', () => {
+      const reader = new Reader()
+      const world = new World([reader])
+      world.losesAppends = true
+      reader.ready('n0')
+      world.run(10_000)
+      world.losesAppends = false
+      assert.equal(reader.table.tableVersion, 0)
+      world.run(25_000)
+      assert.deepEqual(reader.counts(), { n0: 64 })
+    })
+  })
+
   test.describe('retention', () => {
     test.it('leaves a snapshot in the log at any time, so that a new node needs no peer', () => {
       const reader = new Reader()
--- a/packages/common/src/hosting/OwnershipLog.ts
+++ b/packages/common/src/hosting/OwnershipLog.ts
@@ -30,6 +30,9 @@
 /** After an append the reader waits until it has read the record, or this long. */
 const FOLD_WAIT_MS = 2_000
 
+/** The process answers every append; this only limits the harm if it does not. */
+const APPEND_TIMEOUT_MS = 30_000
+
 /** 8,192 entries take about 120 KB, far below the 2 MiB that a record may have. */
 const MAX_ENTRIES_PER_RECORD = 8_192
 
@@ -60,6 +63,7 @@
   private _wasReader = false
   private _requestNumber = 0
   private _appending: string | undefined
+  private _appendTimeoutMs = 0
   private _holdUntilMs = 0
   private _holdUntilOffset = 0
   /** What is to be appended next and when, until a newer decision replaces it. */
@@ -108,7 +112,7 @@
   }
 
   private _mayAppend (nowMs: base.Millis): boolean {
-    if (this._appending !== undefined || !this._reader.isAtEnd) return false
+    if (!this._reader.isAtEnd || (this._appending !== undefined && nowMs < this._appendTimeoutMs)) return false
     return nowMs >= this._holdUntilMs || this._options.table.asOfOffset >= this._holdUntilOffset
   }
 
@@ -128,6 +132,7 @@
 
   private _append (data: types.OwnershipRecord, nowMs: base.Millis): void {
     this._due = undefined
+    this._appendTimeoutMs = nowMs + APPEND_TIMEOUT_MS
     this._appending = `ownership-${nowMs}-${this._requestNumber++}`
     this._options.effects.push({ kind: 'append-log', stream: 'ownership', requestId: this._appending, data })
     if (data.kind === 'table-snapshot') this._snapshotDueMs = nowMs + this._reader.retentionMs / 2
--- a/packages/common/src/hosting/Services.ts
+++ b/packages/common/src/hosting/Services.ts
@@ -59,6 +59,8 @@
 export interface ICrashTable {
   /** Whether the call must be refused as `crashes-target`. */
   isBlocked(key: string | undefined, fingerprint: string, nowMs: base.Millis): boolean
+  /** Whether the key itself ran on a crashed target. Such a call is never answered `not-run`. */
+  hasRun(key: string): boolean
   /** Whether the fingerprint ran on enough crashed targets to be run apart from other suspects. */
   isSuspect(fingerprint: string, nowMs: base.Millis): boolean
   /** A run with the fingerprint was answered: on this node it is no suspect until the next crash. */
@@ -78,7 +80,10 @@
   accept(from: base.NodeId, call: messages.CallMessage, nowMs: base.Millis): types.HostDecision
   /** Must be called right before the request is written to the target. False: drop it as `not-started`. */
   start(runId: number, nowMs: base.Millis): boolean
-  /** Ends a run and returns the answer for everyone who waits for it. */
+  /**
+   * Ends a run and returns the answer for everyone who waits for it. A streamed answer went to one caller only; the
+   * others get what is returned here.
+   */
   finish(runId: number, result: types.RunResult, nowMs: base.Millis): types.FinalAnswer
   /** The caller is gone. Returns whether the run must be aborted; owners of keys let a started run finish. */
   cancel(runId: number, nowMs: base.Millis): boolean
