Accept the present form of a handover between nodes

Cause: the message schema still expected the fingerprint of a handed-over key as text, so successors refused every handover with keys, and a stopping node gave up after its drain time. Change: the schema follows the type, with inherited windows and the release flag; a test passes a handover of the core with keys through the codec.

--- a/packages/common/src/hosting/HostCalls.ts
+++ b/packages/common/src/hosting/HostCalls.ts
@@ -14,12 +14,9 @@
 import type * as types from './Types.js'
 import * as windows from './OwnedWindows.js'
 
-/** A `not-run` refusal holds this long, which is longer than a send can be on its way (see `MAX_SEND_AGE_MS`). */
+/** A `not-run` refusal holds this long, which is longer than a send can be on its way (see `requests.MAX_SEND_AGE_MS`). */
 export const REFUSAL_MEMORY_MS = 1_500
 
-/** Sends older than this by the owner's clock are refused. With clocks 250 ms apart a send arrives within 1,250 ms. */
-export const MAX_SEND_AGE_MS = 1_000
-
 /** Peers with a larger difference are refused when they connect. */
 const MAX_CLOCK_DIFFERENCE_MS = 250
 
@@ -210,7 +207,7 @@
     const known = this._delegations.get(id)
     if (known !== undefined) return 'runId' in known ? this._join(known.runId, call, nowMs) : answer(known.answer)
     // An older message may have been run and forgotten, so this is not a statement that it was not run.
-    if (isStale(call, nowMs) || this._isBeforeStart(call)) return answer(answers.unknown('stale-send'))
+    if (requests.isStale(call, nowMs) || this._isBeforeStart(call)) return answer(answers.unknown('stale-send'))
     if (this._options.crashes.hasRun(call.key)) return answer(answers.unknown('crashes-target'))
     const place = this._place(call, nowMs)
     if (place.kind === 'refused') {
@@ -271,7 +268,7 @@
 
   private _keyRefusal (call: KeyedCall, keyTimeMs: base.Millis, nowMs: base.Millis): types.OutcomeReason | undefined {
     if (keyTimeMs > nowMs + keys.MAX_KEY_AHEAD_MS) return 'key-too-new'
-    if (isStale(call, nowMs)) return 'stale-send'
+    if (requests.isStale(call, nowMs)) return 'stale-send'
     if (this._isClosed) return 'draining'
     if (call.remainingMs <= 0) return 'deadline'
     return this._options.crashes.isBlocked(call.key, call.fingerprint, nowMs) ? 'crashes-target' : undefined
@@ -388,10 +385,6 @@
 
 type KeyedCall = messages.CallMessage & { readonly key: string }
 
-function isStale (call: messages.CallMessage, nowMs: base.Millis): boolean {
-  return nowMs - call.sentAtMs > MAX_SEND_AGE_MS
-}
-
 function answer (final: types.FinalAnswer): types.HostDecision {
   return { kind: 'answer', answer: final }
 }
--- a/packages/common/src/hosting/Requests.ts
+++ b/packages/common/src/hosting/Requests.ts
@@ -1,4 +1,6 @@
+import type * as base from '../base/Types.js'
 import * as digest from '../base/Digest.js'
+import type * as messages from '../node/Messages.js'
 
 /** What tells one request from another that carries the same key. */
 interface Request {
@@ -27,3 +29,11 @@
 export function isSameRequest (known: RequestIdentity, request: Request): boolean {
   return known.service === request.service && known.fingerprint === shortFingerprint(request.fingerprint)
 }
+
+/** Sends older than this by the owner's clock are refused. With clocks 250 ms apart a send arrives within 1,250 ms. */
+export const MAX_SEND_AGE_MS = 1_000
+
+/** Whether the send is so old that a refusal of its key may have been forgotten. */
+export function isStale (call: messages.CallMessage, nowMs: base.Millis): boolean {
+  return nowMs - call.sentAtMs > MAX_SEND_AGE_MS
+}
--- a/packages/node/src/MessageSchemas.ts
+++ b/packages/node/src/MessageSchemas.ts
@@ -22,13 +22,19 @@
 const HANDOVER_KEY = object({
   key: TEXT,
   service: TEXT,
-  fingerprint: TEXT,
+  fingerprint: COUNT,
   state: { enum: ['running', 'answered', 'refused', 'unknown'] },
   reason: TEXT,
   status: COUNT,
   headers: HEADERS
 }, { body: BYTES })
-const HANDOVER = object({ from: OWNER, to: OWNER, released: FLAG, atMs: NUMBER, forgottenUntilMs: NUMBER, keys: { type: 'array', items: HANDOVER_KEY } })
+const INHERITED_FIELDS = { from: OWNER, released: FLAG, atMs: NUMBER, forgottenUntilMs: NUMBER }
+const HANDOVER = object({
+  ...INHERITED_FIELDS,
+  to: OWNER,
+  inherited: { type: 'array', items: object(INHERITED_FIELDS) },
+  keys: { type: 'array', items: HANDOVER_KEY }
+})
 
 export const MESSAGE_SCHEMAS: Readonly<Record<messages.PeerMessage['kind'], Schema>> = {
   hello: object({ nodeId: TEXT, incarnation: COUNT, zone: TEXT, version: COUNT, sentAtMs: NUMBER }),
@@ -45,7 +51,7 @@
   state: CHECKED_BY_CORE,
   busy: CHECKED_BY_CORE,
   handover: object({ handover: HANDOVER }),
-  'handover-ack': object({ fromNodeId: TEXT, incarnation: COUNT }),
+  'handover-ack': object({ fromNodeId: TEXT, incarnation: COUNT, released: FLAG }),
   call: object({
     callId: INTEGER,
     route: TEXT,
--- a/packages/node/src/PeerCodec.test.ts
+++ b/packages/node/src/PeerCodec.test.ts
@@ -1,5 +1,6 @@
 import * as assert from 'node:assert/strict'
 import * as fc from 'fast-check'
+import * as fixture from '@elmpost/common/hosting/testing/Fixture.js'
 import * as msgpackr from 'msgpackr'
 import * as peerCodec from './PeerCodec.js'
 import * as test from 'node:test'
@@ -36,6 +37,23 @@
     })
   })
 
+  test.describe('handover', () => {
+    test.it('accepts what a stopping owner sends, with its keys, so that a planned stop leaves no key unknown', () => {
+      const host = new fixture.Host()
+      const runId = host.run(fixture.call(fixture.T0, { key: fixture.keyAt(fixture.T0) }), fixture.T0)
+      host.calls.start(runId, fixture.T0)
+      host.calls.finish(runId, fixture.ANSWER, fixture.T0)
+      const handover = host.calls.release({ nodeId: 'b', incarnation: 1 }, fixture.T0)
+      assert.equal(handover.keys.length, 1)
+      assert.ok(codec.decode(codec.encode({ kind: 'handover', handover })).isOk())
+    })
+
+    test.it('refuses keys without a state, so that a bad handover changes nothing', () => {
+      const handover = { ...new fixture.Host().calls.release({ nodeId: 'b', incarnation: 1 }, fixture.T0), keys: [{ key: 'a' }] }
+      assert.ok(codec.decode(msgpackr.pack({ kind: 'handover', handover })).isErr())
+    })
+  })
+
   test.describe('malformed input', () => {
     test.it('gives an error for arbitrary bytes and never throws, so that a peer cannot end the process', () => {
       fc.assert(fc.property(fc.uint8Array({ maxLength: 200 }), bytes => {
