Derive the fields of the message schemas from their types

Cause: the schema of a handover still had the fingerprint as a text, so a successor refused the key table, a planned stop took 11 s and the keys of the stopped node were answered unknown (not-owner). Change: each schema is typed by its message, so a field that is added or changes its type does not compile without the schema; a test passes a handover through the codec.

--- a/packages/node/src/MessageSchemas.ts
+++ b/packages/node/src/MessageSchemas.ts
@@ -1,37 +1,55 @@
-/** JSON Schemas of the messages between nodes. `isBytes` is a keyword of `PeerCodec`. */
+/** JSON Schemas of the messages between nodes. `isBytes` is a keyword of `JsonSchema`. */
+import type * as hosting from '@elmpost/common/hosting/Types.js'
 import type * as messages from '@elmpost/common/node/Messages.js'
 
-type Schema = Readonly<Record<string, unknown>>
+/** A JSON Schema for values of type `T`, so that a change of a message without its schema does not compile. */
+type Schema<T> = Readonly<Record<string, unknown>> & { readonly valueType?: T }
 
-const TEXT: Schema = { type: 'string', maxLength: 4096 }
-const PATH: Schema = { type: 'string', maxLength: 65_536 }
-const COUNT: Schema = { type: 'integer', minimum: 0 }
-const INTEGER: Schema = { type: 'integer' }
-const NUMBER: Schema = { type: 'number' }
-const FLAG: Schema = { type: 'boolean' }
-const BYTES: Schema = { isBytes: true }
-/** Membership and distribution check their messages themselves, without a change of state. */
-const CHECKED_BY_CORE: Schema = { type: 'object' }
-const HEADERS: Schema = { type: 'object', additionalProperties: { type: 'string' } }
-const OUTCOME: Schema = { enum: ['answered', 'not-run', 'unknown'] }
+/** Schemas of the fields of `T` without `kind`. */
+type Fields<T> = { readonly [K in Exclude<keyof T, 'kind'>]-?: Schema<Exclude<T[K], undefined>> }
+
+/** Fields of `T` that may be absent. */
+type OptionalField<T> = { [K in keyof T]-?: undefined extends T[K] ? K : never }[keyof T]
 
-const LOAD = object({ inFlight: COUNT, queued: COUNT, slots: COUNT })
+type MessageOf<K extends messages.PeerMessage['kind']> = Extract<messages.PeerMessage, { readonly kind: K }>
 
-const OWNER = object({ nodeId: TEXT, incarnation: COUNT })
+const TEXT: Schema<string> = { type: 'string', maxLength: 4096 }
+const PATH: Schema<string> = { type: 'string', maxLength: 65_536 }
+const COUNT: Schema<number> = { type: 'integer', minimum: 0 }
+const INTEGER: Schema<number> = { type: 'integer' }
+const NUMBER: Schema<number> = { type: 'number' }
+const FLAG: Schema<boolean> = { type: 'boolean' }
+const BYTES: Schema<Uint8Array> = { isBytes: true }
+const HEADERS: Schema<Readonly<Record<string, string>>> = { type: 'object', additionalProperties: { type: 'string' } }
+const OUTCOME: Schema<hosting.Outcome> = { enum: ['answered', 'not-run', 'unknown'] }
+const KEY_STATE: Schema<hosting.KeyState> = { enum: ['running', 'answered', 'refused', 'unknown'] }
+/** Not an enumeration, because a newer version may have more reasons. */
+const REASON: Schema<hosting.OutcomeReason> = { type: 'string', maxLength: 64 }
+/** Membership and distribution check their messages themselves, without a change of state. */
+const CHECKED_BY_CORE: Schema<never> = { type: 'object' }
 
-const HANDOVER_KEY = object({
+const LOAD = object<hosting.LoadReport>({ inFlight: COUNT, queued: COUNT, slots: COUNT })
+const OWNER = object<hosting.PartitionOwner>({ nodeId: TEXT, incarnation: COUNT })
+const WINDOW_FIELDS: Fields<hosting.InheritedWindows> = { from: OWNER, released: FLAG, atMs: NUMBER, forgottenUntilMs: NUMBER }
+const HANDOVER_KEY = object<hosting.HandoverKey>({
   key: TEXT,
   service: TEXT,
-  fingerprint: TEXT,
-  state: { enum: ['running', 'answered', 'refused', 'unknown'] },
-  reason: TEXT,
+  fingerprint: COUNT,
+  state: KEY_STATE,
+  reason: REASON,
   status: COUNT,
-  headers: HEADERS
-}, { body: BYTES })
-const HANDOVER = object({ from: OWNER, to: OWNER, released: FLAG, atMs: NUMBER, forgottenUntilMs: NUMBER, keys: { type: 'array', items: HANDOVER_KEY } })
+  headers: HEADERS,
+  body: BYTES
+}, ['body'])
+const HANDOVER = object<hosting.Handover>({
+  ...WINDOW_FIELDS,
+  to: OWNER,
+  inherited: list(object<hosting.InheritedWindows>(WINDOW_FIELDS)),
+  keys: list(HANDOVER_KEY)
+})
 
-export const MESSAGE_SCHEMAS: Readonly<Record<messages.PeerMessage['kind'], Schema>> = {
-  hello: object({ nodeId: TEXT, incarnation: COUNT, zone: TEXT, version: COUNT, sentAtMs: NUMBER }),
+export const MESSAGE_SCHEMAS: { readonly [K in messages.PeerMessage['kind']]: Schema<MessageOf<K>> } = {
+  hello: object<messages.HelloMessage>({ nodeId: TEXT, incarnation: COUNT, zone: TEXT, version: COUNT, sentAtMs: NUMBER }),
   join: CHECKED_BY_CORE,
   gossip: CHECKED_BY_CORE,
   probe: CHECKED_BY_CORE,
@@ -44,9 +62,9 @@
   pull: CHECKED_BY_CORE,
   state: CHECKED_BY_CORE,
   busy: CHECKED_BY_CORE,
-  handover: object({ handover: HANDOVER }),
-  'handover-ack': object({ fromNodeId: TEXT, incarnation: COUNT }),
-  call: object({
+  handover: object<messages.HandoverMessage>({ handover: HANDOVER }),
+  'handover-ack': object<messages.HandoverAckMessage>({ fromNodeId: TEXT, incarnation: COUNT, released: FLAG }),
+  call: object<messages.CallMessage>({
     callId: INTEGER,
     route: TEXT,
     service: TEXT,
@@ -54,28 +72,38 @@
     method: TEXT,
     path: PATH,
     headers: HEADERS,
+    body: BYTES,
     remainingMs: NUMBER,
     sentAtMs: NUMBER,
+    key: TEXT,
     fingerprint: TEXT,
     depth: COUNT,
-    attempt: COUNT
-  }, { body: BYTES, key: TEXT, delegatedBy: TEXT }),
-  cancel: object({ callId: INTEGER }),
-  answer: object({
+    attempt: COUNT,
+    delegatedBy: TEXT
+  }, ['body', 'key', 'delegatedBy']),
+  cancel: object<messages.CancelMessage>({ callId: INTEGER }),
+  answer: object<messages.AnswerMessage>({
     callId: INTEGER,
     outcome: OUTCOME,
-    reason: TEXT,
+    reason: REASON,
     status: COUNT,
     headers: HEADERS,
+    body: BYTES,
     last: FLAG,
     retryAfterMs: NUMBER,
-    load: LOAD
-  }, { body: BYTES, targetMs: NUMBER }),
-  chunk: object({ callId: INTEGER, sequence: COUNT, last: FLAG, failed: FLAG }, { body: BYTES }),
-  'chunk-credit': object({ callId: INTEGER, sequence: COUNT })
+    load: LOAD,
+    targetMs: NUMBER
+  }, ['body', 'targetMs']),
+  chunk: object<messages.ChunkMessage>({ callId: INTEGER, sequence: COUNT, body: BYTES, last: FLAG, failed: FLAG }, ['body']),
+  'chunk-credit': object<messages.ChunkCreditMessage>({ callId: INTEGER, sequence: COUNT })
+}
+
+function list<T> (items: Schema<T>): Schema<readonly T[]> {
+  return { type: 'array', items }
 }
 
 /** Unknown fields are allowed, so that a newer version of elmpost can add some. */
-function object (required: Readonly<Record<string, Schema>>, optional: Readonly<Record<string, Schema>> = {}): Schema {
-  return { type: 'object', required: Object.keys(required), properties: { ...required, ...optional } }
+function object<T> (fields: Fields<T>, optional: readonly OptionalField<T>[] = []): Schema<T> {
+  const absent = new Set<PropertyKey>(optional)
+  return { type: 'object', required: Object.keys(fields).filter(name => !absent.has(name)), properties: fields }
 }
--- a/packages/node/src/WireRoundTrip.test.ts
+++ b/packages/node/src/WireRoundTrip.test.ts
@@ -1,4 +1,5 @@
 import * as assert from 'node:assert/strict'
+import * as fixture from '@elmpost/common/hosting/testing/Fixture.js'
 import * as nodeComposition from '@elmpost/common/node/NodeComposition.js'
 import * as peerCodec from './PeerCodec.js'
 import * as random from '@elmpost/common/base/Random.js'
@@ -50,4 +51,17 @@
     }
     assert.ok(['join', 'probe', 'probe-ack', 'table-rows'].every(kind => kinds.has(kind)), [...kinds].join())
   })
+
+  test.it('keep a handover whole, because a refused one leaves the keys of a stopped node without an owner', () => {
+    const nowMs = fixture.T0
+    const host = new fixture.Host()
+    const runId = host.run(fixture.call(nowMs, { key: fixture.keyAt(nowMs) }), nowMs)
+    host.calls.start(runId, nowMs)
+    host.calls.finish(runId, fixture.ANSWER, nowMs)
+    const handover = host.calls.release({ nodeId: 'b', incarnation: 1 }, nowMs)
+    assert.equal(handover.keys.length, 1)
+    const codec = new peerCodec.PeerCodec()
+    const received = codec.decode(codec.encode({ kind: 'handover', handover })).unwrap() as messages.HandoverMessage
+    assert.deepEqual(received.handover.keys.map(key => ({ ...key, body: Uint8Array.from(key.body ?? []) })), handover.keys)
+  })
 })
