--- a/packages/common/src/routing/EntryCalls.ts
+++ b/packages/common/src/routing/EntryCalls.ts
@@ -28,13 +28,13 @@
 const NOTHING_EXCLUDED: ReadonlySet<base.NodeId> = new Set()
 
 /** Answers of a target that say that another target may do better. */
-const retriedStatuses: ReadonlySet<number> = new Set([502, 503, 504])
+const retriedStatuses: ReadonlySet<number> = new Set([500, 502, 503, 504])
 
 const REASON_HEADER = 'elmpost-reason'
 
-/** Refusals by one host that another host may not share. */
+/** Refusals by one host that another host may not share. `stale-send` is none: a later send is not younger. */
 const retriedReasons: ReadonlySet<hosting.OutcomeReason> = new Set<hosting.OutcomeReason>([
-  'no-route', 'no-target', 'no-configuration', 'target-lost', 'peer-lost', 'stale-send'
+  'no-route', 'no-target', 'no-configuration', 'target-lost', 'peer-lost'
 ])
 
 /** Answers of a host that another owner of the key may not share. */
@@ -139,7 +139,7 @@
   public answered (callId: number, from: base.NodeId, answer: messages.AnswerMessage, nowMs: base.Millis): types.EntryDecision | undefined {
     const call = this._calls.get(callId)
     if (call === undefined || call.to !== from) return undefined
-    this._options.selector.observe(from, answers.resultOf(answer), answer.load, nowMs)
+    this._options.selector.observe(from, answers.resultOf(answer), answer.load, nowMs, nowMs - call.sentAtMs)
     if (answer.outcome === 'answered') return this._targetAnswered(call, answer, nowMs)
     if (answer.outcome === 'not-run' || isUnowned(call, answer)) return this._refusedByHost(call, answer, nowMs)
     call.mayHaveRun = true
@@ -176,6 +176,8 @@
   }
 
   private _targetAnswered (call: Call, answer: messages.AnswerMessage, nowMs: base.Millis): types.EntryDecision {
+    // The host of a streamed answer has begun to send its body, and would go on.
+    if (!answer.last) return this._finish(call, answers.fromHost(answer))
     // A target that passes on an `overloaded` refusal of a lower level is not asked again at this level either.
     if (retriedStatuses.has(answer.status) && answer.headers[REASON_HEADER] !== 'overloaded') {
       call.mayHaveRun = true
@@ -190,15 +192,15 @@
     const isOwnedElsewhere = isUnowned(call, answer)
     if (call.key !== undefined) call.mayHaveRun = isOwnedElsewhere && !call.keyIsMinted
     const next = answer.reason === 'draining' || isOwnedElsewhere
-      ? this._redirect(call, nowMs)
+      ? this._redirect(call, nowMs, answer.successor)
       : retriedReasons.has(answer.reason) ? this._retry(call, nowMs) : undefined
     if (next !== undefined) return next
     return this._finish(call, { ...answers.fromHost(answer), outcome: call.mayHaveRun ? 'unknown' : 'not-run' })
   }
 
-  private _redirect (call: Call, nowMs: base.Millis): types.EntryDecision | undefined {
+  private _redirect (call: Call, nowMs: base.Millis, successor?: base.NodeId): types.EntryDecision | undefined {
     if (call.redirects >= MOST_REDIRECTS || nowMs >= call.deadlineAtMs) return undefined
-    const row = this._next(call, nowMs)
+    const row = this._untried(call, successor) ?? this._next(call, nowMs)
     if (row === undefined) return undefined
     call.redirects += 1
     // The next owner may have run an earlier send that this one does not know of.
@@ -216,6 +218,15 @@
     return this._sendTo(call, row, true, nowMs)
   }
 
+  /** The row of a successor that was not asked yet. */
+  private _untried (call: Call, successor: base.NodeId | undefined): membership.MemberRow | undefined {
+    if (successor === undefined || successor === call.to || call.tried?.has(successor) === true) return undefined
+    const row = this._options.membership.get(successor)
+    if (row === undefined || row.state === 'dead' || row.service !== call.route.service.config.name) return undefined
+    call.tried = (call.tried ?? new Set<base.NodeId>()).add(call.to)
+    return row
+  }
+
   /** Where to send a call that its present node did not run, or that may run twice. */
   private _next (call: Call, nowMs: base.Millis): membership.MemberRow | undefined {
     call.tried ??= new Set<base.NodeId>()
--- a/packages/node/src/MessageSchemas.ts
+++ b/packages/node/src/MessageSchemas.ts
@@ -92,8 +92,9 @@
     last: FLAG,
     retryAfterMs: NUMBER,
     load: LOAD,
-    targetMs: NUMBER
-  }, ['body', 'targetMs']),
+    targetMs: NUMBER,
+    successor: TEXT
+  }, ['body', 'targetMs', 'successor']),
   chunk: object<messages.ChunkMessage>({ callId: INTEGER, sequence: COUNT, body: BYTES, last: FLAG, failed: FLAG }, ['body']),
   'chunk-credit': object<messages.ChunkCreditMessage>({ callId: INTEGER, sequence: COUNT })
 }
