--- a/packages/common/src/distribution/Pusher.ts
+++ b/packages/common/src/distribution/Pusher.ts
@@ -134,7 +134,7 @@
 
   private _forwardIfEnforced (run: Run, nowMs: base.Millis): void {
     const { version, atMs } = this._options.enforced()
-    if (version < run.message.version) return
+    if (run.isForwarded || version < run.message.version) return
     run.isForwarded = true
     if (run.message.version > 0) addSummary(run, 1, atMs, atMs)
     const isOld = nowMs - atMs > FORWARD_WITHIN_MS && run.message.ownership === undefined
--- a/packages/testbed/src/bench/convergence.ts
+++ b/packages/testbed/src/bench/convergence.ts
@@ -21,28 +21,43 @@
   .option('strategies', { type: 'string', default: STRATEGIES.join(','), describe: 'Strategies, comma-separated' })
   .option('dead', { type: 'string', default: '0,0.05,0.3', describe: 'Shares of nodes that die during a push' })
   .option('restart-up-to', { type: 'number', default: 1_000, describe: 'Largest fleet whose restart as a whole is measured' })
+  .option('detection-up-to', { type: 'number', default: 1_000, describe: 'Largest fleet whose failure detection is measured' })
   .option('seed', { type: 'number', default: 1, describe: 'Seed of the random choices' })
+  .option('include', { type: 'string', default: '', describe: 'JSON files of earlier runs whose results are shown as well, comma-separated' })
   .option('json', { type: 'string', describe: 'File for the results' })
   .option('text', { type: 'string', describe: 'File for the tables' })
   .option('svg', { type: 'string', describe: 'File for the plot' })
   .strict()
   .parseAsync()
 
-const results: types.CaseResult[] = []
+const earlier = await readEarlier()
+const results: types.CaseResult[] = earlier.flatMap(run => run.results)
 for (const size of numbers(options.sizes)) {
   for (const strategy of options.strategies.split(',') as types.BenchStrategy[]) {
     const result = await runCase(specOf(size, strategy))
     results.push(result)
+    await writeJson([])
     console.error(`${size} ${strategy}: ${result.wallS.toFixed(0)} s, ${result.peakRssMb.toFixed(0)} MB`)
   }
 }
-const output = { seed: options.seed, results, micro: numbers(options.sizes).map(size => micro.measure(size)) }
-const text = reports.render(output)
+const figures = [...earlier.flatMap(run => run.micro), ...numbers(options.sizes).map(size => micro.measure(size))]
+await writeJson(figures)
+const text = reports.render({ results, micro: figures })
 console.log(text)
-if (options.json !== undefined) await fs.writeFile(options.json, JSON.stringify(output, null, 2) + '\n')
 if (options.text !== undefined) await fs.writeFile(options.text, text)
 if (options.svg !== undefined) await fs.writeFile(options.svg, new plots.ConvergencePlot(results).render())
 
+async function readEarlier (): Promise<readonly reports.BenchOutput[]> {
+  const files = options.include === '' ? [] : options.include.split(',')
+  return await Promise.all(files.map(async file => JSON.parse(await fs.readFile(file, 'utf8')) as reports.BenchOutput))
+}
+
+/** Written after each case, so that a run that is ended early keeps what it has measured. */
+async function writeJson (singleNode: readonly types.MicroFigures[]): Promise<void> {
+  if (options.json === undefined) return
+  await fs.writeFile(options.json, JSON.stringify({ seed: options.seed, results, micro: singleNode }, null, 2) + '\n')
+}
+
 function specOf (size: number, strategy: types.BenchStrategy): types.CaseSpec {
   const isProduct = strategy === 'hybrid' || strategy === 'hybrid-bytes'
   return {
@@ -51,13 +66,13 @@
     seed: options.seed,
     deadRatios: numbers(options.dead),
     withBytes: true,
-    withDetection: strategy === 'hybrid',
+    withDetection: strategy === 'hybrid' && size <= options['detection-up-to'],
     withRestart: isProduct && size <= options['restart-up-to']
   }
 }
 
 function numbers (list: string): readonly number[] {
-  return list.split(',').map(Number)
+  return list === '' ? [] : list.split(',').map(Number)
 }
 
 async function runCase (spec: types.CaseSpec): Promise<types.CaseResult> {
--- a/packages/testbed/src/bench/convergenceReport.ts
+++ b/packages/testbed/src/bench/convergenceReport.ts
@@ -2,7 +2,6 @@
 import type * as types from './ConvergenceTypes.js'
 
 export interface BenchOutput {
-  readonly seed: number
   readonly results: readonly types.CaseResult[]
   readonly micro: readonly types.MicroFigures[]
 }
