--- a/packages/common/src/hosting/HostCalls.ts
+++ b/packages/common/src/hosting/HostCalls.ts
@@ -14,12 +14,9 @@
 import type * as types from './Types.js'
 import * as windows from './OwnedWindows.js'
 
-/** A `not-run` refusal holds this long, which is longer than a send can be on its way (see `MAX_SEND_AGE_MS`). */
+/** A `not-run` refusal holds this long, which is longer than a send can be on its way (see `requests.MAX_SEND_AGE_MS`). */
 export const REFUSAL_MEMORY_MS = 1_500
 
-/** Sends older than this by the owner's clock are refused. With clocks 250 ms apart a send arrives within 1,250 ms. */
-export const MAX_SEND_AGE_MS = 1_000
-
 /** Peers with a larger difference are refused when they connect. */
 const MAX_CLOCK_DIFFERENCE_MS = 250
 
@@ -70,8 +67,8 @@
  *    delegated, and whatever the table forgets raises `forgottenUntilMs`.
  * 3. An entry is removed only by a statement that the request was never written (`not-started`). The delegate makes it
  *    only for a message it has not run and will not run again (`DelegationTable`).
- * 4. A later process at the same address runs no key for 2 s and starts with `forgottenUntilMs` = its start + 2 s. Its predecessor ran no key
- *    issued more than 2 s ahead of its own clock, which has not stepped back since.
+ * 4. A later process at the same address runs no key for 2 s and starts with `forgottenUntilMs` = its start + 2 s. Its
+ *    predecessor ran no key issued more than 2 s ahead of its own clock, which has not stepped back since.
  *
  * Assumed of the target: it starts work only for a request that this node wrote to it. Nothing else.
  * Assumed of clocks: (a) the clock of a VM does not step back between two processes at its address; (b) for refusals to
@@ -87,7 +84,8 @@
   private readonly _windows: windows.OwnedWindows
   private readonly _blame: blames.CrashBlame
   private _isDraining = false
-  private _isReleased = false
+  private _isClosed = false
+  private _successor: types.PartitionOwner | undefined
 
   constructor (private readonly _options: HostCallsOptions) {
     const forgottenUntilMs = _options.startedAtMs + keys.MAX_KEY_AHEAD_MS
@@ -105,14 +103,20 @@
     return this._runs.size === 0
   }
 
+  public get isTargetIdle (): boolean {
+    return this._runs.local().next().done === true
+  }
+
   /** Keys and refusals that are remembered. */
   public get keyCount (): number {
     return this._keys.size
   }
 
   public accept (from: base.NodeId, call: messages.CallMessage, nowMs: base.Millis): types.HostDecision {
-    if (call.delegatedBy !== undefined) return this._acceptDelegated(from, call, nowMs)
-    if (call.key !== undefined) return this._acceptKeyed({ ...call, key: keys.normalizeKey(call.key) }, nowMs)
+    if (call.key !== undefined) {
+      const keyed = { ...call, key: keys.normalizeKey(call.key) }
+      return call.delegatedBy === undefined ? this._acceptKeyed(keyed, nowMs) : this._acceptDelegated(from, keyed, nowMs)
+    }
     if (this._limits.route(call.route)?.idempotent === false) return answer(answers.notRun('bad-key', 0))
     const place = this._place(call, nowMs)
     if (place.kind === 'refused') return answer(answers.notRun(place.reason, place.retryAfterMs))
@@ -155,12 +159,17 @@
     return [...this._runs.local()].filter(run => run.place === 'queue').map(run => this._vacate(run, nowMs))
   }
 
+  public close (): void {
+    this._isClosed = true
+  }
+
   public endDrain (): void {
     this._isDraining = false
+    this._isClosed = false
   }
 
   public release (to: types.PartitionOwner, nowMs: base.Millis): types.Handover {
-    this._isReleased = true
+    this._successor = to
     return {
       from: { nodeId: this._options.self.nodeId, incarnation: this._options.currentIncarnation() },
       to,
@@ -173,7 +182,7 @@
   }
 
   public inherit (handover: types.Handover, nowMs: base.Millis): boolean {
-    if (this._isReleased || !this._windows.inherit(handover)) return false
+    if (this._successor !== undefined || !this._windows.inherit(handover)) return false
     for (const handed of handover.keys) {
       const keyTimeMs = keys.keyTimeMs(handed.key).unwrapOr(undefined)
       if (keyTimeMs !== undefined) this._keys.import(handed, keyTimeMs, nowMs, nowMs + REFUSAL_MEMORY_MS)
@@ -193,12 +202,13 @@
     return this._limits.terms?.keyRetentionMs ?? DEFAULT_KEY_RETENTION_MS
   }
 
-  private _acceptDelegated (from: base.NodeId, call: messages.CallMessage, nowMs: base.Millis): types.HostDecision {
+  private _acceptDelegated (from: base.NodeId, call: KeyedCall, nowMs: base.Millis): types.HostDecision {
     const id = delegations.identity(from, call)
     const known = this._delegations.get(id)
     if (known !== undefined) return 'runId' in known ? this._join(known.runId, call, nowMs) : answer(known.answer)
     // An older message may have been run and forgotten, so this is not a statement that it was not run.
-    if (isStale(call, nowMs) || this._isBeforeStart(call)) return answer(answers.unknown('stale-send'))
+    if (requests.isStale(call, nowMs) || this._isBeforeStart(call)) return answer(answers.unknown('stale-send'))
+    if (this._options.crashes.hasRun(call.key)) return answer(answers.unknown('crashes-target'))
     const place = this._place(call, nowMs)
     if (place.kind === 'refused') {
       const refusal = answers.notRun(place.reason, place.retryAfterMs)
@@ -245,10 +255,10 @@
 
   /** Another process may have run the key, so these answers are never `not-run`. */
   private _unowned (call: KeyedCall, keyTimeMs: base.Millis, nowMs: base.Millis): types.FinalAnswer | undefined {
+    if (this._successor !== undefined) return { ...answers.unknown('not-owner'), successor: this._successor.nodeId }
     const ownership = this._windows.of(call.service, call.key, keyTimeMs)
-    if (this._isReleased || ownership.kind === 'not-own') {
-      return answers.unknown('not-owner', ownership.kind === 'not-own' ? ownership.retryAfterMs : 0)
-    }
+    if (ownership.kind === 'not-own') return answers.unknown('not-owner', ownership.retryAfterMs)
+    if (this._options.crashes.hasRun(call.key)) return answers.unknown('crashes-target')
     // No key is run in this time either: a send that the predecessor refused as too new may still arrive.
     const guardedUntilMs = this._options.startedAtMs + keys.MAX_KEY_AHEAD_MS
     if (Math.min(keyTimeMs, nowMs) <= guardedUntilMs) return answers.unknown('key-before-start')
@@ -258,7 +268,8 @@
 
   private _keyRefusal (call: KeyedCall, keyTimeMs: base.Millis, nowMs: base.Millis): types.OutcomeReason | undefined {
     if (keyTimeMs > nowMs + keys.MAX_KEY_AHEAD_MS) return 'key-too-new'
-    if (isStale(call, nowMs)) return 'stale-send'
+    if (requests.isStale(call, nowMs)) return 'stale-send'
+    if (this._isClosed) return 'draining'
     if (call.remainingMs <= 0) return 'deadline'
     return this._options.crashes.isBlocked(call.key, call.fingerprint, nowMs) ? 'crashes-target' : undefined
   }
@@ -336,7 +347,7 @@
       this._options.crashes.survived(run.fingerprint)
       const { status, headers, body, streamed } = result
       if (ownedKey !== undefined) this._keys.answered(ownedKey, streamed ? undefined : { status, headers, body })
-      return answers.answered(status, headers, body)
+      return streamed ? answers.unknown('answer-not-kept') : answers.answered(status, headers, body)
     }
     if (result.kind === 'lost') {
       if (ownedKey !== undefined) this._keys.unknown(ownedKey, result.reason)
@@ -374,10 +385,6 @@
 
 type KeyedCall = messages.CallMessage & { readonly key: string }
 
-function isStale (call: messages.CallMessage, nowMs: base.Millis): boolean {
-  return nowMs - call.sentAtMs > MAX_SEND_AGE_MS
-}
-
 function answer (final: types.FinalAnswer): types.HostDecision {
   return { kind: 'answer', answer: final }
 }
