--- a/packages/testbed/src/bench/convergenceReport.ts
+++ b/packages/testbed/src/bench/convergenceReport.ts
@@ -2,7 +2,6 @@
 import type * as types from './convergenceTypes.js'
 
 export interface BenchOutput {
-  readonly seed: number
   readonly results: readonly types.CaseResult[]
   readonly micro: readonly types.MicroFigures[]
 }
