--- a/packages/common/src/distribution/Distribution.ts
+++ b/packages/common/src/distribution/Distribution.ts
@@ -61,6 +61,7 @@
   private readonly _log: logs.LogReading
   private readonly _audit: audits.AuditTrail
   private readonly _snapshots: snapshots.SnapshotKeeper
+  private _anchorOffset: number | undefined
   private readonly _evidence: evidences.RestartEvidence
   private readonly _slots = new slots.SnapshotSlots(SNAPSHOTS_AT_ONCE, SNAPSHOT_HOLD_MS)
   private readonly _verdicts: config.Verdict[] = []
@@ -155,6 +156,8 @@
     if (!this._log.received(result, nowMs)) return
     this._retentionMs = result.retentionMs
     this._prepareFold()
+    // Without this, a log that has dropped every record would look like one that never had any.
+    this._options.acceptance.skipTo(result.firstOffset)
     for (const record of result.records) this._fold(record, nowMs)
     if (this._log.isAtEnd) this._hasReadToEnd = true
     const { state } = this._options.acceptance
@@ -328,18 +331,18 @@
     this._verdicts.push(verdict)
     if (this._verdicts.length > MAX_VERDICTS) this._verdicts.shift()
     const data = record.data as Partial<config.ProposalRecord> | Partial<config.SnapshotRecord> | null
-    const state = acceptance.state
-    if (state !== undefined && data?.version === state.version && data.digest === state.digest) {
-      this._snapshots.recordSeen(state.version, this._appendedAtMs(data, nowMs), this._retentionMs)
+    if (acceptance.anchorOffset !== undefined && acceptance.anchorOffset !== this._anchorOffset) {
+      this._anchorOffset = acceptance.anchorOffset
+      this._snapshots.anchorSeen(this._appendedAtMs(data, nowMs), this._retentionMs)
     }
     if (data?.kind !== 'proposal' || !this._hasReadToEnd || !this.isReader || !readers.isFirstOfFleet) return
     if (verdict.kind !== 'duplicate') this._audit.addVerdict(data as config.ProposalRecord, verdict, nowMs)
   }
 
   /** Records carry no time of append. One that was there before this node read the log may be old. */
-  private _appendedAtMs (data: { readonly kind?: string }, nowMs: base.Millis): base.Millis {
+  private _appendedAtMs (data: { readonly kind?: string } | null, nowMs: base.Millis): base.Millis {
     if (this._hasReadToEnd) return nowMs
-    const proposedAtMs = data.kind === 'proposal' ? (data as config.ProposalRecord).proposedAtMs : 0
+    const proposedAtMs = data?.kind === 'proposal' ? (data as config.ProposalRecord).proposedAtMs : 0
     return Math.min(nowMs, Math.max(proposedAtMs, nowMs - this._retentionMs / 2))
   }
 
--- a/packages/common/src/distribution/SnapshotKeeper.ts
+++ b/packages/common/src/distribution/SnapshotKeeper.ts
@@ -15,12 +15,15 @@
   readonly effects: messages.IEffects
 }
 
-/** Re-appends the accepted state as a snapshot when its newest record has used half of the retention time. */
+/**
+ * Re-appends the accepted state as a snapshot when the anchor has used half of the retention time. The anchor is the
+ * record from which a new reader comes to the accepted state without help. Newer proposals do not renew it: each of
+ * them names a base, and without an anchor nobody knows that base once the log has dropped it.
+ */
 export class SnapshotKeeper {
   private readonly _options: SnapshotKeeperOptions
   private readonly _backoff: backoffs.Backoff
-  private _version = 0
-  private _newestAtMs = 0
+  private _anchoredAtMs: base.Millis | undefined
   private _spreadMs = 0
   private _notBeforeMs = 0
   private _requests = 0
@@ -31,11 +34,10 @@
     this._backoff = new backoffs.Backoff({ random: options.random, firstMs: FIRST_RETRY_MS, maxMs: MAX_RETRY_MS })
   }
 
-  /** A record that holds the accepted state of `version` was read; `atMs` is the latest time at which it cannot have been younger. */
-  public recordSeen (version: number, atMs: base.Millis, retentionMs: base.Millis): void {
-    if (version < this._version || (version === this._version && atMs <= this._newestAtMs)) return
-    this._version = version
-    this._newestAtMs = atMs
+  /** A newer anchor is in the log, which was appended at `atMs` or later. */
+  public anchorSeen (atMs: base.Millis, retentionMs: base.Millis): void {
+    if (this._anchoredAtMs !== undefined && atMs <= this._anchoredAtMs) return
+    this._anchoredAtMs = atMs
     this._spreadMs = this._options.random.nextInt(Math.max(1, Math.floor(retentionMs * SPREAD_RATIO)))
   }
 
@@ -43,9 +45,11 @@
   public tick (snapshot: () => config.SnapshotRecord | undefined, retentionMs: base.Millis, nowMs: base.Millis): void {
     if (this._outstanding !== undefined && nowMs >= this._outstanding.deadlineMs) this._failed(nowMs)
     if (retentionMs <= 0 || this._outstanding !== undefined || nowMs < this._notBeforeMs) return
-    if (nowMs - this._newestAtMs < retentionMs / 2 + this._spreadMs) return
+    // A node that got the state from a peer does not know the age of the anchor, so it takes half of the time as used.
+    if (this._anchoredAtMs === undefined) this.anchorSeen(nowMs - retentionMs / 2, retentionMs)
+    if (nowMs - (this._anchoredAtMs ?? nowMs) < retentionMs / 2 + this._spreadMs) return
     const data = snapshot()
-    if (data === undefined || data.version > this._version) return
+    if (data === undefined) return
     const requestId = `snapshot/${this._options.selfId}/${++this._requests}`
     this._outstanding = { requestId, deadlineMs: nowMs + APPEND_TIMEOUT_MS }
     this._options.effects.push({ kind: 'append-log', stream: 'config', requestId, data })
@@ -56,7 +60,7 @@
     if (result.status !== 'appended') return this._failed(nowMs)
     this._outstanding = undefined
     this._backoff.succeeded()
-    this.recordSeen(this._version, nowMs, retentionMs)
+    this.anchorSeen(nowMs, retentionMs)
   }
 
   private _failed (nowMs: base.Millis): void {
--- a/packages/testbed/src/network/DistributionFaults.test.ts
+++ b/packages/testbed/src/network/DistributionFaults.test.ts
@@ -209,6 +209,19 @@
       assert.notEqual(fleet.converge(1, 20_000), undefined)
     })
 
+    test.it('keeps a snapshot in the log under a steady stream of changes, whose records each name a base that the log has dropped', () => {
+      const fleet = started(9, { retentionMs: 120_000 })
+      let version = 1
+      for (let i = 0; i < 60; i++) {
+        version = fleet.propose()
+        fleet.network.advance(8_000)
+      }
+      fleet.startAll()
+      assert.notEqual(fleet.converge(version, 20_000), undefined)
+      const snapshots = fleet.log.records('config', fleet.network.nowMs).filter(record => (record as { kind?: string }).kind === 'snapshot')
+      assert.ok(snapshots.length <= 6, `${snapshots.length} snapshots`)
+    })
+
     test.it('stays at the newer version when a snapshot of the older one is appended after it', () => {
       const fleet = started(6)
       const version = fleet.propose()
