--- a/packages/common/src/config/TestDocuments.ts
+++ b/packages/common/src/config/TestDocuments.ts
@@ -2,6 +2,16 @@
 import * as digests from '../base/Digest.js'
 import type * as types from './Types.js'
 
+/** The terms of the example on the design page. */
+export const TEST_TERMS: types.Terms = {
+  drainMs: 10_000,
+  retryBudgetRatio: 0.1,
+  zonePreference: 'local-first',
+  ownershipHorizonMs: 600_000,
+  keyRetentionMs: 600_000,
+  distribution: { preference: 'control-bytes', pushFanout: 4, gossipIntervalMs: 1000 }
+}
+
 /** The example of the design page, with a marker that makes documents differ. */
 export function testDocument (coldStartMs: number = 1000): types.ConfigDocument {
   return {
@@ -17,14 +27,7 @@
       retry: { maxAttempts: 1 },
       limits: { maxQueueMs: 500, maxBodyBytes: 65536 }
     }],
-    terms: {
-      drainMs: 10000,
-      retryBudgetRatio: 0.1,
-      zonePreference: 'local-first',
-      ownershipHorizonMs: 600000,
-      keyRetentionMs: 600000,
-      distribution: { preference: 'control-bytes', pushFanout: 4, gossipIntervalMs: 1000 }
-    }
+    terms: TEST_TERMS
   }
 }
 
--- a/packages/common/src/hosting/testing/Fixture.ts
+++ b/packages/common/src/hosting/testing/Fixture.ts
@@ -9,6 +9,7 @@
 import type * as messages from '../../node/Messages.js'
 import type * as services from '../Services.js'
 import type * as types from '../Types.js'
+import * as testDocuments from '../../config/TestDocuments.js'
 
 export const SERVICE = 'till'
 export const T0 = 1_700_000_000_000
@@ -21,14 +22,7 @@
     { name: 'charge', match: { method: 'POST', pathPrefix: '/charge' }, service: SERVICE, idempotent: false, timeoutMs: 2000, retry: { maxAttempts: 1 }, limits: { maxQueueMs: 500, maxBodyBytes: 1000 } },
     { name: 'price', match: { method: 'GET', pathPrefix: '/price' }, service: SERVICE, idempotent: true, timeoutMs: 2000, retry: { maxAttempts: 2 }, limits: { maxQueueMs: 500, maxBodyBytes: 1000 } }
   ],
-  terms: {
-    drainMs: 10_000,
-    retryBudgetRatio: 0.1,
-    zonePreference: 'any',
-    ownershipHorizonMs: 600_000,
-    keyRetentionMs: 600_000,
-    distribution: { preference: 'control-bytes', pushFanout: 4, gossipIntervalMs: 1000 }
-  }
+  terms: { ...testDocuments.TEST_TERMS, zonePreference: 'any' }
 }
 
 let keyNumber = 0
--- a/packages/common/src/routing/FakeMesh.ts
+++ b/packages/common/src/routing/FakeMesh.ts
@@ -13,6 +13,7 @@
 import * as entryCalls from './EntryCalls.js'
 import * as targetSelector from './TargetSelector.js'
 import type * as types from './Types.js'
+import * as testDocuments from '../config/TestDocuments.js'
 
 const PARTITIONS = 64
 
@@ -55,14 +56,7 @@
     services: [{ name: 'till', slots: 15, connections: 120, coldStartMs: 1_000 }],
     targets: [{ service: 'till', zones: ['vake', 'saburtalo', 'didube'] }],
     routes: [routeOf({}), routeOf({ name: 'charge', match: { method: 'POST', pathPrefix: '/till/charge' }, idempotent: false, retry: { maxAttempts: 1 } })],
-    terms: {
-      drainMs: 10_000,
-      retryBudgetRatio: 0.1,
-      zonePreference: 'local-first',
-      ownershipHorizonMs: 600_000,
-      keyRetentionMs: 600_000,
-      distribution: { preference: 'control-bytes', pushFanout: 4, gossipIntervalMs: 1_000 }
-    },
+    terms: testDocuments.TEST_TERMS,
     ...fields
   }
 }
--- a/packages/node/src/testing/FakeServices.ts
+++ b/packages/node/src/testing/FakeServices.ts
@@ -21,6 +21,7 @@
 import type * as messages from '@elmpost/common/node/Messages.js'
 import type * as nodeServices from '@elmpost/common/node/Services.js'
 import type * as types from '../Types.js'
+import * as testDocuments from '@elmpost/common/config/TestDocuments.js'
 
 const HORIZON_MS = 3_600_000
 /** Keys issued up to 2 s after the start of a process belong to its predecessor. */
@@ -36,14 +37,7 @@
     { name: 'price', match: { method: 'GET', pathPrefix: '/price' }, service: SERVICE, idempotent: true, timeoutMs: 5000, retry: { maxAttempts: 1 }, limits: { maxQueueMs: 2000, maxBodyBytes: 65_536 } },
     { name: 'charge', match: { method: 'POST', pathPrefix: '/charge' }, service: SERVICE, idempotent: false, timeoutMs: 5000, retry: { maxAttempts: 1 }, limits: { maxQueueMs: 2000, maxBodyBytes: 65_536 } }
   ],
-  terms: {
-    drainMs: 10_000,
-    retryBudgetRatio: 0.1,
-    zonePreference: 'any',
-    ownershipHorizonMs: 600_000,
-    keyRetentionMs: 600_000,
-    distribution: { preference: 'control-bytes', pushFanout: 4, gossipIntervalMs: 1000 }
-  }
+  terms: { ...testDocuments.TEST_TERMS, zonePreference: 'any' }
 }
 
 /** Members that tests add; nothing is detected. */
--- a/packages/testbed/src/bench/BenchMesh.ts
+++ b/packages/testbed/src/bench/BenchMesh.ts
@@ -8,6 +8,7 @@
 import type * as config from '@elmpost/common/config/Types.js'
 import * as managed from '../harness/ManagedProcess.js'
 import * as ports from '../harness/ports.js'
+import * as testDocuments from '@elmpost/common/config/TestDocuments.js'
 
 const NODE_PROGRAM = url.fileURLToPath(new URL('../../../node/bin/elmpost-node.js', import.meta.url))
 const POLL_MS = 50
@@ -23,14 +24,7 @@
     { name: 'price', match: { method: 'GET', pathPrefix: '/till/price' }, service: 'till', idempotent: true, timeoutMs: 2000, retry: { maxAttempts: 1 }, limits: { maxQueueMs: 500, maxBodyBytes: 65_536 } },
     { name: 'charge', match: { method: 'POST', pathPrefix: '/till/charge' }, service: 'till', idempotent: false, timeoutMs: 2000, retry: { maxAttempts: 1 }, limits: { maxQueueMs: 500, maxBodyBytes: 65_536 } }
   ],
-  terms: {
-    drainMs: 10_000,
-    retryBudgetRatio: 0.1,
-    zonePreference: 'any',
-    ownershipHorizonMs: 600_000,
-    keyRetentionMs: 600_000,
-    distribution: { preference: 'control-bytes', pushFanout: 4, gossipIntervalMs: 1000 }
-  }
+  terms: { ...testDocuments.TEST_TERMS, zonePreference: 'any' }
 }
 
 export interface BenchMeshOptions {
--- a/packages/testbed/src/bench/benchDocument.ts
+++ b/packages/testbed/src/bench/benchDocument.ts
@@ -1,5 +1,6 @@
 /** Documents of realistic size: 810 services for 6,900 nodes, fewer in proportion for smaller fleets. */
 import type * as config from '@elmpost/common/config/Types.js'
+import * as testDocuments from '@elmpost/common/config/TestDocuments.js'
 
 const SERVICES_PER_NODE = 810 / 6_900
 
@@ -30,14 +31,7 @@
       retry: { maxAttempts: 1 },
       limits: { maxQueueMs: 500, maxBodyBytes: 65_536 }
     })),
-    terms: {
-      drainMs: 10_000,
-      retryBudgetRatio: 0.1,
-      zonePreference: 'local-first',
-      ownershipHorizonMs: 600_000,
-      keyRetentionMs: 600_000,
-      distribution: { preference, pushFanout: 4, gossipIntervalMs: 1_000 }
-    }
+    terms: { ...testDocuments.TEST_TERMS, distribution: { ...testDocuments.TEST_TERMS.distribution, preference } }
   }
 }
 
--- a/packages/testbed/src/bench/institutions.ts
+++ b/packages/testbed/src/bench/institutions.ts
@@ -1,6 +1,7 @@
 import type * as config from '@elmpost/common/config/Types.js'
 import * as sizes from '../harness/institutions.js'
 import type * as types from './Types.js'
+import * as testDocuments from '@elmpost/common/config/TestDocuments.js'
 
 /** Mean service time and share of idempotent calls of a service; both are assumptions of the benchmark. */
 interface ServiceAssumption {
@@ -66,13 +67,6 @@
       retry: { maxAttempts: route.idempotent ? 3 : 1 },
       limits: { maxQueueMs: institution.maxQueueMs, maxBodyBytes: 65_536 }
     }))),
-    terms: {
-      drainMs: 10_000,
-      retryBudgetRatio: 0.1,
-      zonePreference: 'local-first',
-      ownershipHorizonMs: 600_000,
-      keyRetentionMs: 600_000,
-      distribution: { preference: 'control-bytes', pushFanout: 4, gossipIntervalMs: 1_000 }
-    }
+    terms: testDocuments.TEST_TERMS
   }
 }
--- a/packages/testbed/src/demo/DemoRun.ts
+++ b/packages/testbed/src/demo/DemoRun.ts
@@ -100,7 +100,6 @@
     if (worker === undefined) return
     const exit = await worker.node.stop()
     this._print(`planned stop of ${worker.nodeId} under load: exit code ${exit.code}`)
-    if (exit.code !== 0) this._failures.push(describeExit(worker, exit))
   }
 
   private async _writeChangedFile (): Promise<string> {
@@ -112,12 +111,10 @@
   }
 
   private async _stop (): Promise<void> {
-    const exits = await this._fleet.stop()
+    const stopped = await this._fleet.stop()
     await this._caller.close()
-    this._fleet.workers.forEach((worker, index) => {
-      const exit = exits[index]
-      if (exit !== undefined && exit.code !== 0) this._failures.push(describeExit(worker, exit))
-    })
+    const failed = stopped.filter(({ exit }) => exit.code !== 0)
+    this._failures.push(...failed.map(({ node, exit }) => describeExit(node, exit)))
   }
 
   private _report (): void {
@@ -134,7 +131,7 @@
   }
 }
 
-function describeExit (worker: fleet.Worker, exit: managed.ProcessExit): string {
-  const lines = worker.node.output.slice(-EXIT_LINES).join('\n')
-  return `${worker.nodeId} ended with ${JSON.stringify(exit)}; its last output:\n${lines}`
+function describeExit (node: managed.ManagedProcess, exit: managed.ProcessExit): string {
+  const lines = node.output.slice(-EXIT_LINES).join('\n')
+  return `${node.name} ended with ${JSON.stringify(exit)}; its last output:\n${lines}`
 }
--- a/packages/testbed/src/harness/Fleet.ts
+++ b/packages/testbed/src/harness/Fleet.ts
@@ -42,11 +42,20 @@
   readonly logLevel?: string
 }
 
+/** How a node ended. */
+export interface StoppedNode {
+  readonly node: managed.ManagedProcess
+  readonly exit: managed.ProcessExit
+}
+
 /** All processes of one institution: the log stand-in, the targets and the nodes. */
 export class Fleet {
   public readonly workers: Worker[] = []
-  public log!: managed.ManagedProcess
+  public log: managed.ManagedProcess | undefined
   public logUrl = ''
+  /** Every node and target that was started, the ones that were replaced included. */
+  private readonly _nodes: managed.ManagedProcess[] = []
+  private readonly _targets: managed.ManagedProcess[] = []
   private _directory = ''
 
   constructor (private readonly _options: FleetOptions) {}
@@ -83,15 +92,18 @@
         draining: false
       }
     }
-    worker.target = await startListening(`target-${worker.nodeId}`, 'standins/targetMain.js', options, message => {
+    const target = await startListening(`target-${worker.nodeId}`, 'standins/targetMain.js', options, message => {
       this._options.ledger.recordRun(message as targetServer.RunEvent)
     })
+    this._targets.push(target)
+    worker.target = target
   }
 
   public async startNode (worker: Worker): Promise<void> {
     const file = path.join(this._directory, `${worker.nodeId}.json`)
     await fs.writeFile(file, JSON.stringify(this._settingsOf(worker)))
     worker.node = new managed.ManagedProcess({ name: worker.nodeId, modulePath: NODE_PROGRAM, args: ['--settings', file] })
+    this._nodes.push(worker.node)
   }
 
   public worker (nodeId: string): Worker {
@@ -132,12 +144,13 @@
     await response.body.dump()
   }
 
-  /** Ends every process of the fleet, nodes first. `SIGTERM` lets them drain, which takes up to `drainMs`. */
-  public async stop (signal: NodeJS.Signals = 'SIGTERM'): Promise<readonly managed.ProcessExit[]> {
-    const exits = await Promise.all(this.workers.map(async worker => await worker.node.stop(signal)))
-    await Promise.all([...this.workers.map(worker => worker.target), this.log].map(async child => await child.stop()))
+  /** Ends every process that was started, nodes first. `SIGTERM` lets them drain, which takes up to `drainMs`. */
+  public async stop (signal: NodeJS.Signals = 'SIGTERM'): Promise<readonly StoppedNode[]> {
+    const stopped = await Promise.all(this._nodes.map(async node => ({ node, exit: await node.stop(signal) })))
+    const others = this.log === undefined ? this._targets : [...this._targets, this.log]
+    await Promise.all(others.map(async child => await child.stop()))
     await fs.rm(this._directory, { recursive: true, force: true })
-    return exits
+    return stopped
   }
 
   private async _startLog (port: number): Promise<void> {
