Add scenarios with two faults at once

Cause: no scenario had a node that dies during an outage of the log, or a zone that dies while the log is slow. Conclusion: cut connections between living processes are still not shown.

--- a/packages/testbed/features/failures.feature
+++ b/packages/testbed/features/failures.feature
@@ -45,3 +45,30 @@
     And the load ends
     Then every call is answered
     And no payment runs twice and no refusal is false
+
+  Scenario: A node dies while the log is down, and starts again before the log is back
+    Given 100 calls per second are sent
+    When the log goes down
+    And the node "till-2" is killed
+    And the node "till-2" starts again
+    And 4 seconds pass
+    And the log comes back
+    And 6 seconds pass
+    And the load ends
+    Then most calls are answered
+    And no payment runs twice and no refusal is false
+
+  Scenario: An availability zone dies while the log is slow
+    Given 100 calls per second are sent
+    When the log answers after 300 milliseconds
+    And the node "till-1" is killed
+    And the node "till-4" is killed
+    And the node "vault-1" is killed
+    And the node "vault-4" is killed
+    And an operator applies longer timeouts
+    Then the file is accepted
+    And version 2 is in force on every node
+    When 3 seconds pass
+    And the load ends
+    Then most calls are answered
+    And no payment runs twice and no refusal is false
