Stay ready when the ownership horizon ends

Cause: readiness compared the horizon with the clock, so in an outage of the log longer than the horizon every node would have said not ready, and a balancer that follows /readyz would have stopped idempotent calls as well. Change: only missing owners, or a horizon that was never set, count. Result: a new test failed before and passes now, with one for the start of a fleet. Conclusion: keyed calls in that time end not-run or unknown one by one.

--- a/packages/common/src/node/NodeCore.test.ts
+++ b/packages/common/src/node/NodeCore.test.ts
@@ -1,4 +1,6 @@
 import * as assert from 'node:assert/strict'
+import * as documents from '../config/TestDocuments.js'
+import * as fixture from '../hosting/testing/Fixture.js'
 import * as nodeComposition from './NodeComposition.js'
 import * as random from '../base/Random.js'
 import * as test from 'node:test'
@@ -24,6 +26,33 @@
     })
   })
 
+  test.describe('readiness for keyed calls', () => {
+    const windows = fixture.wholeTable({ nodeId: 'n', incarnation: STARTED_AT_MS })
+
+    function started (): nodeComposition.NodeComposition['core'] {
+      const { core } = compose(fixture.SERVICE)
+      core.services.enforcement.enforce(documents.testState(1, documents.testDocument()), STARTED_AT_MS)
+      core.services.membership.setState('ready', STARTED_AT_MS)
+      core.targetChanged(true, STARTED_AT_MS)
+      return core
+    }
+
+    test.it('waits for the first owners of keys, so that the first payments of a fleet do not end unknown', () => {
+      const core = started()
+      assert.equal(core.readiness(STARTED_AT_MS).reason, 'no-key-owners')
+      core.services.ownershipTable.apply({ kind: 'partitions', baseTableVersion: 0, startsAtMs: 0, services: windows }, 0)
+      core.services.ownershipTable.apply({ kind: 'horizon', untilMs: STARTED_AT_MS + 5_000 }, 1)
+      assert.equal(core.readiness(STARTED_AT_MS).reason, 'ready')
+    })
+
+    test.it('stays ready when the horizon ends in a log outage, because idempotent calls go on', () => {
+      const core = started()
+      core.services.ownershipTable.apply({ kind: 'partitions', baseTableVersion: 0, startsAtMs: 0, services: windows }, 0)
+      core.services.ownershipTable.apply({ kind: 'horizon', untilMs: STARTED_AT_MS + 5_000 }, 1)
+      assert.equal(core.readiness(STARTED_AT_MS + 60_000).reason, 'ready')
+    })
+  })
+
   test.describe('log', () => {
     test.it('asks for the streams that it needs, so that a node without peers finds its configuration', () => {
       const { core, effects } = compose('till')
--- a/packages/common/src/node/NodeCore.ts
+++ b/packages/common/src/node/NodeCore.ts
@@ -105,17 +105,18 @@
     const self = membership.self
     if (self.state !== 'ready') return { ...readiness, ready: false, reason: 'joining' }
     if (self.service !== '' && !self.targetReady) return { ...readiness, ready: false, reason: 'target-not-ready' }
-    return this._hasKeyOwners(nowMs) ? readiness : { ...readiness, ready: false, reason: 'no-key-owners' }
+    return this._hasKeyOwners() ? readiness : { ...readiness, ready: false, reason: 'no-key-owners' }
   }
 
   /** Services without a target have no owners, so they do not count. */
-  private _hasKeyOwners (nowMs: base.Millis): boolean {
+  private _hasKeyOwners (): boolean {
     const { enforcement, membership, ownershipTable } = this.services
     const routes = enforcement.current?.document.routes ?? []
     const keyed = new Set(routes.filter(route => !route.idempotent).map(route => route.service))
     for (const service of keyed) {
       if (membership.targetsOf(service).length === 0) continue
-      if (ownershipTable.horizonMs <= nowMs || ownershipTable.newestOwners(service).length === 0) return false
+      // A horizon that has ended does not count: idempotent calls go on during an outage of the log.
+      if (ownershipTable.horizonMs === 0 || ownershipTable.newestOwners(service).length === 0) return false
     }
     return true
   }
