Refuse keyed requests as unknown before a configuration is known

A key that another node had run before could be refused this way in the first moments after a restart. The same held for bodies above the limit and for invalid headers.

Ruled out: refusals by hosts (key table, delegation, unwritten runs), lost links, undici's second write, planned closes of links.

Change: one rule in `routing/Answers.ts` for all refusals by an entry node: a valid key makes them `unknown`. A body without a configuration is refused as `no-configuration`. The ledger of the scenarios names the reason and the node of a false refusal.

Conclusion: the statement `not-run` on a key comes from its owner only.

--- a/packages/common/src/hosting/Keys.ts
+++ b/packages/common/src/hosting/Keys.ts
@@ -13,9 +13,14 @@
 const UUID_VERSION = 7
 const TIMESTAMP_HEX_DIGITS = 12
 
+/** Whether the text is a UUIDv7. */
+export function isKey (text: string): boolean {
+  return uuid.validate(text) && uuid.version(text) === UUID_VERSION
+}
+
 /** Time of issue of a UUIDv7 key. */
 export function keyTimeMs (key: string): results.Result<base.Millis, errors.KeyError> {
-  if (!uuid.validate(key) || uuid.version(key) !== UUID_VERSION) {
+  if (!isKey(key)) {
     return results.Err(new errors.KeyError(key))
   }
   return results.Ok(parseInt(key.replace('-', '').slice(0, TIMESTAMP_HEX_DIGITS), 16))
--- a/packages/common/src/routing/Answers.ts
+++ b/packages/common/src/routing/Answers.ts
@@ -1,4 +1,5 @@
 import type * as base from '../base/Types.js'
+import * as keys from '../hosting/Keys.js'
 import type * as hosting from '../hosting/Types.js'
 import type * as messages from '../node/Messages.js'
 import type * as types from './Types.js'
@@ -44,6 +45,11 @@
   }
 }
 
+/** Refusal by the entry node before the owner of the key was asked. An earlier send of the key may have run. */
+export function atEntry (reason: hosting.OutcomeReason, key: string | undefined): hosting.FinalAnswer {
+  return withoutAnswer(key !== undefined && keys.isKey(key) ? 'unknown' : 'not-run', reason)
+}
+
 /** Final answer taken over from a host node. */
 export function fromHost (answer: messages.AnswerMessage): hosting.FinalAnswer {
   return {
--- a/packages/common/src/routing/EntryCalls.ts
+++ b/packages/common/src/routing/EntryCalls.ts
@@ -1,4 +1,3 @@
-import * as uuid from 'uuid'
 import * as digest from '../base/Digest.js'
 import * as disposable from '../base/Disposable.js'
 import type * as base from '../base/Types.js'
@@ -10,6 +9,7 @@
 import type * as membership from '../membership/Types.js'
 import type * as messages from '../node/Messages.js'
 import * as answers from './Answers.js'
+import * as keys from '../hosting/Keys.js'
 import * as keyMint from './KeyMint.js'
 import * as ownerLocator from './OwnerLocator.js'
 import * as retryBudget from './RetryBudget.js'
@@ -40,8 +40,6 @@
 /** Answers of a host that another owner of the key may not share. */
 const unownedReasons: ReadonlySet<hosting.OutcomeReason> = new Set<hosting.OutcomeReason>(['not-owner', 'key-before-start'])
 
-const KEY_VERSION = 7
-
 /** Where a call can go. */
 type Location = ownerLocator.OwnerLocation | { readonly kind: 'bad-key' }
 
@@ -112,7 +110,7 @@
     const remainingMs = Math.min(request.remainingMs ?? Infinity, route.timeoutMs)
     if (!(remainingMs > 0)) return refusal(callId, request, 'deadline', route)
     const key = route.idempotent ? undefined : request.key
-    if (key !== undefined && !isKey(key)) return refusal(callId, request, 'bad-key', route)
+    if (key !== undefined && !keys.isKey(key)) return refusal(callId, request, 'bad-key', route)
     const call: Call = {
       callId,
       route: found,
@@ -321,14 +319,8 @@
   }
 }
 
-function isKey (text: string): boolean {
-  return uuid.validate(text) && uuid.version(text) === KEY_VERSION
-}
-
-/** Answer of a call that was refused before its key could be checked with an owner. */
 function refusal (callId: number, request: types.EntryRequest, reason: hosting.OutcomeReason, route?: config.RouteConfig): types.EntryDecision {
-  const mayHaveRun = route?.idempotent !== true && request.key !== undefined && isKey(request.key)
-  return { kind: 'answer', callId, answer: answers.withoutAnswer(mayHaveRun ? 'unknown' : 'not-run', reason) }
+  return { kind: 'answer', callId, answer: answers.atEntry(reason, route?.idempotent === true ? undefined : request.key) }
 }
 
 function fingerprintOf (request: types.EntryRequest): string {
--- a/packages/node/src/CallerServer.ts
+++ b/packages/node/src/CallerServer.ts
@@ -1,10 +1,11 @@
 import * as addresses from './Addresses.js'
+import * as answers from '@elmpost/common/routing/Answers.js'
 import * as callerExchange from './CallerExchange.js'
 import * as headers from './Headers.js'
 import * as http from 'node:http'
 import * as polka from 'polka'
-import * as reasons from './Reasons.js'
 import type * as base from '@elmpost/common/base/Types.js'
+import type * as hosting from '@elmpost/common/hosting/Types.js'
 import type * as routing from '@elmpost/common/routing/Types.js'
 import type * as types from './Types.js'
 
@@ -15,8 +16,8 @@
 export interface CallerServerOptions {
   readonly address: types.Address
   readonly owner: callerExchange.IExchangeOwner
-  /** Largest body that any route takes. */
-  readonly maxBodyBytes: () => number
+  /** Largest body that any route takes; undefined without a configuration. */
+  readonly maxBodyBytes: () => number | undefined
 }
 
 /** Takes calls over HTTP. Every method and path belongs to the configuration's routes. */
@@ -69,17 +70,18 @@
   private _handle (request: http.IncomingMessage, response: http.ServerResponse): void {
     const exchange = new callerExchange.CallerExchange(response, this._options.owner, this)
     const lengthBytes = Number(request.headers['content-length'] ?? 0)
-    if (lengthBytes > this._options.maxBodyBytes()) this._refuseBody(request, exchange)
-    else if (lengthBytes === 0 && request.headers['transfer-encoding'] === undefined) this._begin(request, exchange, undefined)
-    else this._readBody(request, exchange, lengthBytes)
+    const maxBytes = this._options.maxBodyBytes()
+    if (lengthBytes === 0 && request.headers['transfer-encoding'] === undefined) this._begin(request, exchange, undefined)
+    else if (maxBytes === undefined || lengthBytes > maxBytes) this._refuseBody(request, exchange)
+    else this._readBody(request, exchange, lengthBytes, maxBytes)
   }
 
-  private _readBody (request: http.IncomingMessage, exchange: callerExchange.CallerExchange, lengthBytes: number): void {
+  private _readBody (request: http.IncomingMessage, exchange: callerExchange.CallerExchange, lengthBytes: number, maxBytes: number): void {
     const parts: Buffer[] = []
     let sizeBytes = 0
     request.on('data', (part: Buffer) => {
       sizeBytes += part.length
-      if (sizeBytes > this._options.maxBodyBytes()) {
+      if (sizeBytes > maxBytes) {
         request.removeAllListeners('data').removeAllListeners('end')
         this._refuseBody(request, exchange)
         return
@@ -93,17 +95,26 @@
 
   private _begin (request: http.IncomingMessage, exchange: callerExchange.CallerExchange, body: Buffer | undefined): void {
     const entryRequest = toEntryRequest(request, body)
-    if (entryRequest === undefined) exchange.refuse(request.method ?? 'GET', reasons.refusal('bad-request'))
+    if (entryRequest === undefined) refuse(request, exchange, 'bad-request', false)
     else exchange.begin(entryRequest)
   }
 
   /** The rest of the body is not read, so the connection cannot be used again. */
   private _refuseBody (request: http.IncomingMessage, exchange: callerExchange.CallerExchange): void {
-    exchange.refuse(request.method ?? 'GET', reasons.refusal('body-too-large'), true)
+    refuse(request, exchange, this._options.maxBodyBytes() === undefined ? 'no-configuration' : 'body-too-large', true)
     request.resume()
   }
 }
 
+function refuse (request: http.IncomingMessage, exchange: callerExchange.CallerExchange, reason: hosting.OutcomeReason, closes: boolean): void {
+  exchange.refuse(request.method ?? 'GET', answers.atEntry(reason, keyOf(request)), closes)
+}
+
+function keyOf (request: http.IncomingMessage): string | undefined {
+  const key = request.headers[headers.KEY_HEADER]
+  return typeof key === 'string' ? key : undefined
+}
+
 function join (parts: readonly Buffer[], sizeBytes: number): Buffer | undefined {
   return parts.length <= 1 ? parts[0] : Buffer.concat(parts, sizeBytes)
 }
@@ -115,14 +126,13 @@
   const depth = numberOf(received[headers.DEPTH_HEADER])
   const attempt = numberOf(received[headers.ATTEMPT_HEADER])
   if (Number.isNaN(remainingMs) || Number.isNaN(depth) || Number.isNaN(attempt)) return undefined
-  const key = received[headers.KEY_HEADER]
   return {
     method: request.method ?? 'GET',
     path: request.url ?? '/',
     headers: headers.forwardable(received),
     body,
     remainingMs,
-    key: typeof key === 'string' ? key : undefined,
+    key: keyOf(request),
     depth: depth ?? 0,
     attempt: attempt ?? 1
   }
--- a/packages/node/src/NodeProcess.test.ts
+++ b/packages/node/src/NodeProcess.test.ts
@@ -89,6 +89,27 @@
       assert.deepEqual(mesh.target().paths, [])
     })
 
+    test.it('does not call a key not run while it knows no configuration, because another node may have run it', async () => {
+      const node = await mesh.addBareNode('bare')
+      const answer = await undici.request(`${node.callerUrl}/charge`, { method: 'POST', body: 'money', headers: { 'idempotency-key': uuid.v7() } })
+      assert.equal(answer.headers['elmpost-reason'], 'no-configuration')
+      assert.equal(answer.headers['elmpost-outcome'], 'unknown')
+      await answer.body.dump()
+    })
+
+    for (const [refusal, request] of [
+      ['a body above the limit', { body: Buffer.alloc(70_000), headers: {} }],
+      ['a deadline that is not a number', { body: 'money', headers: { 'elmpost-deadline-ms': 'soon' } }]
+    ] as const) {
+      test.it(`does not call a key not run for ${refusal}, because an earlier send may have passed`, async () => {
+        const entry = await start((_request, response) => { response.end() })
+        const headers = { ...request.headers, 'idempotency-key': uuid.v7() }
+        const answer = await undici.request(`${entry.callerUrl}/charge`, { method: 'POST', body: request.body, headers })
+        assert.equal(answer.headers['elmpost-outcome'], 'unknown')
+        await answer.body.dump()
+      })
+    }
+
     test.it('refuses a deadline that is not a number, instead of treating it as no deadline', async () => {
       const entry = await start((_request, response) => { response.end() })
       const answer = await undici.request(`${entry.callerUrl}/price`, { headers: { 'elmpost-deadline-ms': 'soon' } })
--- a/packages/node/src/NodeProcess.ts
+++ b/packages/node/src/NodeProcess.ts
@@ -56,7 +56,7 @@
   private _runner: targetRunner.TargetRunner | undefined
   private _monitor: targetMonitor.TargetMonitor | undefined
   private _timer: NodeJS.Timeout | undefined
-  private _maxBodyBytes = 0
+  private _maxBodyBytes: number | undefined
   private _isStopping = false
   private _isFinishing = false
   /** Answers that callers have not taken by then are cut off. */
--- a/packages/node/src/Reasons.ts
+++ b/packages/node/src/Reasons.ts
@@ -51,8 +51,3 @@
 export function bodyOf (outcome: hosting.Outcome, reason: hosting.OutcomeReason): Buffer {
   return Buffer.from(JSON.stringify({ outcome, reason, remedy: REMEDIES[reason] ?? '' }))
 }
-
-/** A refusal made by the entry node itself. */
-export function refusal (reason: hosting.OutcomeReason): hosting.FinalAnswer {
-  return { outcome: 'not-run', reason, status: statusOf('not-run', reason), headers: {}, body: undefined, retryAfterMs: 0 }
-}
--- a/packages/node/src/testing/TestMesh.ts
+++ b/packages/node/src/testing/TestMesh.ts
@@ -68,28 +68,18 @@
   public readonly nodes: TestNode[] = []
   private readonly _targets: TestTarget[] = []
 
+  /** Starts a node that knows no configuration. */
+  public addBareNode (nodeId: string): Promise<TestNode> {
+    return this._start(nodeId)
+  }
+
   /** Starts a node with a target; without a handler it only takes calls. */
   public async addNode (nodeId: string, handler?: http.RequestListener): Promise<TestNode> {
     const target = handler === undefined ? undefined : new TestTarget(handler)
     if (target !== undefined) this._targets.push(target)
-    const settings = settingsOf(nodeId, await target?.listen())
-    const services = new fakeServices.FakeServices(settings, Date.now())
-    const logger = new TestLogger()
-    const process = new nodeProcess.NodeProcess({
-      settings,
-      core: new nodeCore.NodeCore({ services, earliestReadyMs: 0 }),
-      effects: services.effects,
-      logger,
-      random: new random.Random(3),
-      nowMs: Date.now,
-      addons: []
-    })
+    const node = await this._start(nodeId, await target?.listen())
+    const { services } = node
     services.enforcement.enforce({ version: 1, digest: 'd', rulesVersion: 1, document: fakeServices.DOCUMENT }, Date.now())
-    const ports = await process.start()
-    const peerAddress = `127.0.0.1:${ports.peer}`
-    services.membership.announce({ peerAddress })
-    const node = { process, services, logger, peerAddress, callerUrl: `http://127.0.0.1:${ports.caller}`, adminUrl: `http://127.0.0.1:${ports.admin}` }
-    this.nodes.push(node)
     if (target !== undefined) await until(() => services.membership.self.targetReady)
     return node
   }
@@ -117,6 +107,27 @@
     for (const node of this.nodes) node.process.dispose()
     for (const target of this._targets) target.die()
   }
+
+  private async _start (nodeId: string, targetUrl?: string): Promise<TestNode> {
+    const settings = settingsOf(nodeId, targetUrl)
+    const services = new fakeServices.FakeServices(settings, Date.now())
+    const logger = new TestLogger()
+    const process = new nodeProcess.NodeProcess({
+      settings,
+      core: new nodeCore.NodeCore({ services, earliestReadyMs: 0 }),
+      effects: services.effects,
+      logger,
+      random: new random.Random(3),
+      nowMs: Date.now,
+      addons: []
+    })
+    const ports = await process.start()
+    const peerAddress = `127.0.0.1:${ports.peer}`
+    services.membership.announce({ peerAddress })
+    const node = { process, services, logger, peerAddress, callerUrl: `http://127.0.0.1:${ports.caller}`, adminUrl: `http://127.0.0.1:${ports.admin}` }
+    this.nodes.push(node)
+    return node
+  }
 }
 
 /** Waits for a state that messages bring about. The test runner's limit ends a wait that does not succeed. */
--- a/packages/testbed/src/harness/Caller.ts
+++ b/packages/testbed/src/harness/Caller.ts
@@ -43,7 +43,7 @@
     const reason = `${result.outcome} ${result.reason}`
     this.reasons.set(reason, (this.reasons.get(reason) ?? 0) + 1)
     if (result.outcome === 'answered') this.elapsedMicros.recordValue(Math.max(1, Math.round(result.elapsedMs * MICROS_PER_MS)))
-    this._compare(spec, result)
+    this._compare(address, spec, result)
     return result
   }
 
@@ -79,9 +79,9 @@
     }
   }
 
-  private _compare (spec: CallSpec, result: CallResult): void {
+  private _compare (address: string, spec: CallSpec, result: CallResult): void {
     if (this._ledger === undefined || spec.key === undefined) return
-    if (result.outcome === 'not-run') this._ledger.recordRefusal(spec.key)
+    if (result.outcome === 'not-run') this._ledger.recordRefusal(spec.key, `${result.reason} from ${address}`)
     if (result.outcome !== 'answered' || result.status !== 200 || spec.headers?.['x-answer-bytes'] !== undefined) return
     const echoed = parseAnswer(result.bodyText)
     if (echoed?.key !== spec.key) this._ledger.recordWrongAnswer(spec.key, result.bodyText.slice(0, 200))
--- a/packages/testbed/src/harness/Ledger.test.ts
+++ b/packages/testbed/src/harness/Ledger.test.ts
@@ -19,16 +19,16 @@
   test.describe('refusals', () => {
     test.it('reports a refused key that ran, whichever came first', () => {
       const runs = new ledger.Ledger()
-      runs.recordRefusal('a')
+      runs.recordRefusal('a', 'draining')
       runs.recordRun(run('a', 'till-1'))
       runs.recordRun(run('b', 'till-1'))
-      runs.recordRefusal('b')
+      runs.recordRefusal('b', 'draining')
       assert.equal(runs.check().length, 2)
     })
 
     test.it('reports a run between a refusal and the next send of the key', () => {
       const runs = new ledger.Ledger()
-      runs.recordRefusal('a')
+      runs.recordRefusal('a', 'draining')
       runs.recordRun(run('a', 'till-1'))
       runs.recordResend('a')
       assert.equal(runs.check().length, 1)
@@ -36,7 +36,7 @@
 
     test.it('allows a run after the key was sent again', () => {
       const runs = new ledger.Ledger()
-      runs.recordRefusal('a')
+      runs.recordRefusal('a', 'draining')
       runs.recordResend('a')
       runs.recordRun(run('a', 'till-1'))
       assert.deepEqual(runs.check(), [])
--- a/packages/testbed/src/harness/Ledger.ts
+++ b/packages/testbed/src/harness/Ledger.ts
@@ -9,7 +9,8 @@
 /** Compares what targets ran with what callers were told. */
 export class Ledger {
   private readonly _runsOfKey = new Map<string, string[]>()
-  private readonly _refusedKeys = new Set<string>()
+  /** Refused keys with the reason given. */
+  private readonly _refusedKeys = new Map<string, string>()
   private readonly _violations: Violation[] = []
 
   /** Runs of requests with a key. */
@@ -32,14 +33,16 @@
   }
 
   /** The caller was told that no send so far has run or will run. */
-  public recordRefusal (key: string): void {
-    this._refusedKeys.add(key)
+  public recordRefusal (key: string, reason: string): void {
+    this._refusedKeys.set(key, reason)
   }
 
   /** The caller sends a refused key again, so from now on it may run. */
   public recordResend (key: string): void {
-    if (!this._refusedKeys.delete(key)) return
-    if (this._runsOfKey.has(key)) this._violations.push(falseRefusal(key))
+    const reason = this._refusedKeys.get(key)
+    if (reason === undefined) return
+    this._refusedKeys.delete(key)
+    if (this._runsOfKey.has(key)) this._violations.push(falseRefusal(key, reason))
   }
 
   public recordWrongAnswer (key: string, detail: string): void {
@@ -48,11 +51,11 @@
 
   /** Checks refusals against the runs. Call it when nothing is in flight any more. */
   public check (): readonly Violation[] {
-    const falseRefusals = [...this._refusedKeys].filter(key => this._runsOfKey.has(key))
-    return [...this._violations, ...falseRefusals.map(falseRefusal)]
+    const falseRefusals = [...this._refusedKeys].filter(([key]) => this._runsOfKey.has(key))
+    return [...this._violations, ...falseRefusals.map(([key, reason]) => falseRefusal(key, reason))]
   }
 }
 
-function falseRefusal (key: string): Violation {
-  return `key ${key} was refused as not run, but it ran`
+function falseRefusal (key: string, reason: string): Violation {
+  return `key ${key} was refused as not run (${reason}), but it ran`
 }
