Answer expired and dropped calls at their deadline, not at the next tick

Cause: deadlines of calls at the entry node, of runs on the target and of delegated runs, and the time limit of the queue were checked only in the tick, so a call that the node had given up on got its answer up to 100 ms late, at each level it had passed.

Change: `DeadlineTimer` wakes the process at the earliest deadline. The cores offer `expire` and `nextDeadlineMs` beside the tick.

Conclusion: the tick keeps only work for which 100 ms do not matter.

--- a/packages/common/src/hosting/DeadlineQueue.ts
+++ b/packages/common/src/hosting/DeadlineQueue.ts
@@ -23,6 +23,13 @@
     return latestStartMs !== undefined && nowMs <= latestStartMs
   }
 
+  /** Earliest time after which a call can no longer start; infinite without calls. */
+  public get earliestMs (): base.Millis {
+    let earliestMs = Infinity
+    for (const latestStartMs of this._latestStartMs.values()) earliestMs = Math.min(earliestMs, latestStartMs)
+    return earliestMs
+  }
+
   /** Removes and returns the calls that can no longer start. */
   public takeExpired (nowMs: base.Millis): readonly number[] {
     const expired: number[] = []
--- a/packages/common/src/hosting/DelegationTable.ts
+++ b/packages/common/src/hosting/DelegationTable.ts
@@ -1,5 +1,5 @@
 import type * as base from '../base/Types.js'
-import type * as messages from '../node/Messages.js'
+import type * as requests from './Requests.js'
 import type * as types from './Types.js'
 
 /** Longer than a message is accepted after it was sent, with clocks that differ by 250 ms. */
@@ -36,6 +36,6 @@
   }
 }
 
-export function identity (from: base.NodeId, call: messages.CallMessage & { readonly key: string }): string {
+export function identity (from: base.NodeId, call: requests.KeyedCall): string {
   return `${from} ${call.callId} ${call.key}`
 }
--- a/packages/common/src/hosting/HostCalls.ts
+++ b/packages/common/src/hosting/HostCalls.ts
@@ -107,6 +107,10 @@
     return this._runs.local().next().done === true
   }
 
+  public get nextDeadlineMs (): base.Millis {
+    return this._admission.queue.earliestMs
+  }
+
   /** Keys and refusals that are remembered. */
   public get keyCount (): number {
     return this._keys.size
@@ -195,6 +199,10 @@
     this._options.crashes.tick(nowMs)
     this._delegations.tick(nowMs)
     this._windows.tick(nowMs)
+    return this.expire(nowMs)
+  }
+
+  public expire (nowMs: base.Millis): readonly types.HostUpdate[] {
     return this._admission.queue.takeExpired(nowMs).map(runId => this._expire(runId, nowMs))
   }
 
@@ -202,7 +210,7 @@
     return this._limits.terms?.keyRetentionMs ?? DEFAULT_KEY_RETENTION_MS
   }
 
-  private _acceptDelegated (from: base.NodeId, call: KeyedCall, nowMs: base.Millis): types.HostDecision {
+  private _acceptDelegated (from: base.NodeId, call: requests.KeyedCall, nowMs: base.Millis): types.HostDecision {
     const id = delegations.identity(from, call)
     const known = this._delegations.get(id)
     if (known !== undefined) return 'runId' in known ? this._join(known.runId, call, nowMs) : answer(known.answer)
@@ -224,7 +232,7 @@
     return call.sentAtMs <= this._options.startedAtMs + MAX_CLOCK_DIFFERENCE_MS
   }
 
-  private _acceptKeyed (call: KeyedCall, nowMs: base.Millis): types.HostDecision {
+  private _acceptKeyed (call: requests.KeyedCall, nowMs: base.Millis): types.HostDecision {
     const keyTime = keys.keyTimeMs(call.key)
     if (keyTime.isErr()) return answer(answers.notRun('bad-key', 0))
     const keyTimeMs = keyTime.value
@@ -238,7 +246,7 @@
   }
 
   /** What the key table says. The refusal is renewed because it speaks for every send made until now. */
-  private _remembered (call: KeyedCall, nowMs: base.Millis): types.HostDecision | undefined {
+  private _remembered (call: requests.KeyedCall, nowMs: base.Millis): types.HostDecision | undefined {
     const entry = this._keys.get(call.key)
     if (entry !== undefined) {
       if (!requests.isSameRequest(entry, call)) return answer(answers.notRun('key-reused', 0))
@@ -254,7 +262,7 @@
   }
 
   /** Another process may have run the key, so these answers are never `not-run`. */
-  private _unowned (call: KeyedCall, keyTimeMs: base.Millis, nowMs: base.Millis): types.FinalAnswer | undefined {
+  private _unowned (call: requests.KeyedCall, keyTimeMs: base.Millis, nowMs: base.Millis): types.FinalAnswer | undefined {
     if (this._successor !== undefined) return { ...answers.unknown('not-owner'), successor: this._successor.nodeId }
     const ownership = this._windows.of(call.service, call.key, keyTimeMs)
     if (ownership.kind === 'not-own') return answers.unknown('not-owner', ownership.retryAfterMs)
@@ -266,7 +274,7 @@
     return keyTimeMs <= forgottenUntilMs ? answers.unknown('key-too-old') : undefined
   }
 
-  private _keyRefusal (call: KeyedCall, keyTimeMs: base.Millis, nowMs: base.Millis): types.OutcomeReason | undefined {
+  private _keyRefusal (call: requests.KeyedCall, keyTimeMs: base.Millis, nowMs: base.Millis): types.OutcomeReason | undefined {
     if (keyTimeMs > nowMs + keys.MAX_KEY_AHEAD_MS) return 'key-too-new'
     if (requests.isStale(call, nowMs)) return 'stale-send'
     if (this._isClosed) return 'draining'
@@ -274,7 +282,7 @@
     return this._options.crashes.isBlocked(call.key, call.fingerprint, nowMs) ? 'crashes-target' : undefined
   }
 
-  private _runOwned (call: KeyedCall, keyTimeMs: base.Millis, nowMs: base.Millis): types.HostDecision {
+  private _runOwned (call: requests.KeyedCall, keyTimeMs: base.Millis, nowMs: base.Millis): types.HostDecision {
     const target = this._limits.of(call.route)
     if (target === undefined) return this._refuseKey(call, keyTimeMs, 'no-configuration', 0, nowMs)
     if (this._isDraining || !this._options.targetReady() || this._admission.isBusy(target)) {
@@ -288,7 +296,7 @@
     return decision
   }
 
-  private _delegate (call: KeyedCall, keyTimeMs: base.Millis, target: admissions.TargetLimits, choice: services.DelegateChoice, nowMs: base.Millis): types.HostDecision {
+  private _delegate (call: requests.KeyedCall, keyTimeMs: base.Millis, target: admissions.TargetLimits, choice: services.DelegateChoice, nowMs: base.Millis): types.HostDecision {
     const { runId } = this._runs.add(call, 'delegate', target, undefined, nowMs)
     this._keys.begin(call.key, { ...requests.identityOf(call), keyTimeMs, runId }, nowMs)
     return { kind: 'delegate', runId, to: choice.nodeId, address: choice.address }
@@ -322,7 +330,7 @@
     return { kind: 'join', runId }
   }
 
-  private _refuseKey (call: KeyedCall, keyTimeMs: base.Millis, reason: types.OutcomeReason, retryAfterMs: base.Millis, nowMs: base.Millis): types.HostDecision {
+  private _refuseKey (call: requests.KeyedCall, keyTimeMs: base.Millis, reason: types.OutcomeReason, retryAfterMs: base.Millis, nowMs: base.Millis): types.HostDecision {
     this._keys.refuse(call.key, { ...requests.identityOf(call), keyTimeMs, reason, untilMs: nowMs + REFUSAL_MEMORY_MS })
     return answer(answers.notRun(reason, Math.max(KEY_RETRY_AFTER_MS, retryAfterMs)))
   }
@@ -383,8 +391,6 @@
   }
 }
 
-type KeyedCall = messages.CallMessage & { readonly key: string }
-
 function answer (final: types.FinalAnswer): types.HostDecision {
   return { kind: 'answer', answer: final }
 }
--- a/packages/common/src/hosting/Requests.ts
+++ b/packages/common/src/hosting/Requests.ts
@@ -2,6 +2,8 @@
 import * as digest from '../base/Digest.js'
 import type * as messages from '../node/Messages.js'
 
+export type KeyedCall = messages.CallMessage & { readonly key: string }
+
 /** What tells one request from another that carries the same key. */
 interface Request {
   readonly service: string
--- a/packages/common/src/hosting/Services.ts
+++ b/packages/common/src/hosting/Services.ts
@@ -103,7 +103,11 @@
   release(to: types.PartitionOwner, nowMs: base.Millis): types.Handover
   /** Takes over the key table of an owner that stops. False: it was meant for another process, or this one stops too. */
   inherit(handover: types.Handover, nowMs: base.Millis): boolean
+  /** Time after which a queued call can no longer start; infinite without one. */
+  readonly nextDeadlineMs: base.Millis
   /** Returns the final answers of queued calls that can no longer start. */
+  expire(nowMs: base.Millis): readonly types.HostUpdate[]
+  /** Forgets what is no longer needed, and expires queued calls. */
   tick(nowMs: base.Millis): readonly types.HostUpdate[]
 }
 
--- a/packages/common/src/routing/EntryCalls.ts
+++ b/packages/common/src/routing/EntryCalls.ts
@@ -162,14 +162,24 @@
     return call.to
   }
 
+  public get nextDeadlineMs (): base.Millis {
+    let earliestMs = Infinity
+    for (const call of this._calls.values()) earliestMs = Math.min(earliestMs, call.deadlineAtMs)
+    return earliestMs
+  }
+
   public tick (nowMs: base.Millis): readonly types.EntryDecision[] {
+    this._options.selector.tick(nowMs)
+    return this.expire(nowMs)
+  }
+
+  public expire (nowMs: base.Millis): readonly types.EntryDecision[] {
     const expired: types.EntryDecision[] = []
     for (const call of this._calls.values()) {
       if (nowMs < call.deadlineAtMs) continue
       const decision = this.failed(call.callId, 'deadline', nowMs)
       if (decision !== undefined) expired.push(decision)
     }
-    this._options.selector.tick(nowMs)
     return expired
   }
 
--- a/packages/common/src/routing/Services.ts
+++ b/packages/common/src/routing/Services.ts
@@ -14,7 +14,11 @@
   failed(callId: number, failure: types.SendFailure, nowMs: base.Millis, from?: base.NodeId): types.EntryDecision | undefined
   /** The caller is gone. Returns the node that has to be told, if any. */
   cancel(callId: number, nowMs: base.Millis): base.NodeId | undefined
-  /** Expires calls whose deadline has passed and returns their final answers. */
+  /** Earliest deadline of a call; infinite without calls. */
+  readonly nextDeadlineMs: base.Millis
+  /** Returns the final answers of calls whose deadline has passed. */
+  expire(nowMs: base.Millis): readonly types.EntryDecision[]
+  /** Expires calls, and forgets what is no longer needed. */
   tick(nowMs: base.Millis): readonly types.EntryDecision[]
 }
 
--- a/packages/node/src/EntryGateway.ts
+++ b/packages/node/src/EntryGateway.ts
@@ -28,6 +28,8 @@
   readonly nowMs: () => base.Millis
   /** Called after each step, so that the process carries out effects. */
   readonly stepped: () => void
+  /** Asks to be woken when a call expires. */
+  readonly deadlineAt: (atMs: base.Millis) => void
   readonly finished: (call: nodeServices.CallFinished) => void
 }
 
@@ -170,6 +172,7 @@
     }
     call.key = decision.key
     call.deadlineAtMs = decision.deadlineAtMs
+    this._options.deadlineAt(decision.deadlineAtMs)
     const link = this._options.links.linkTo(decision.to, decision.address)
     call.link = link
     const status = link.sendCall(this._messageOf(call, decision))
--- a/packages/node/src/HostGateway.ts
+++ b/packages/node/src/HostGateway.ts
@@ -13,6 +13,8 @@
   readonly nowMs: () => base.Millis
   /** Called after each step, so that the process carries out effects. */
   readonly stepped: () => void
+  /** Asks to be woken when a run expires. */
+  readonly deadlineAt: (atMs: base.Millis) => void
   /** A reason to log a call. */
   readonly targetDied: (call: messages.CallMessage) => void
 }
@@ -48,6 +50,7 @@
         this._join(link, call, decision.runId)
         break
       case 'run':
+        this._options.deadlineAt(decision.latestStartMs)
         this._begin(link, call, decision.runId, nowMs)
         break
       case 'delegate':
@@ -129,8 +132,16 @@
     }
   }
 
-  public tick (nowMs: base.Millis): void {
-    this._runner?.tick(nowMs)
+  /** Earliest deadline of a run; infinite without runs. */
+  public get nextDeadlineMs (): base.Millis {
+    let earliestMs = Infinity
+    for (const run of this._runs.values()) earliestMs = Math.min(earliestMs, run.request.deadlineAtMs)
+    return earliestMs
+  }
+
+  /** Ends runs whose deadline has passed. */
+  public expire (nowMs: base.Millis): void {
+    this._runner?.expire(nowMs)
     for (const run of this._runs.values()) {
       if (run.delegate === undefined || nowMs < run.request.deadlineAtMs) continue
       this._finish(run, { kind: 'lost', reason: 'deadline', targetDied: false }, 0)
@@ -179,6 +190,7 @@
   private _begin (link: services.IPeerLink, call: messages.CallMessage, runId: number, nowMs: base.Millis): void {
     const run = new hostRun.HostRun(runId, call, nowMs + call.remainingMs)
     this._runs.set(runId, run)
+    this._options.deadlineAt(run.request.deadlineAtMs)
     run.join(link, call.callId)
     link.runs.set(call.callId, runId)
     if (this._runner === undefined) this._finish(run, { kind: 'not-started', reason: 'no-target' }, 0)
@@ -200,6 +212,7 @@
 
   private _sendToDelegate (run: hostRun.HostRun, to: base.NodeId, address: string, nowMs: base.Millis): void {
     this._runs.set(run.runId, run)
+    this._options.deadlineAt(run.request.deadlineAtMs)
     const delegate = this._options.links.linkTo(to, address)
     run.delegate = delegate
     const remainingMs = run.request.deadlineAtMs - nowMs
--- a/packages/node/src/NodeProcess.test.ts
+++ b/packages/node/src/NodeProcess.test.ts
@@ -214,6 +214,42 @@
     })
   })
 
+  test.describe('deadlines', () => {
+    // Without further ticks, so that nothing but the deadline itself can end a call.
+    test.beforeEach(() => { mesh = new testMesh.TestMesh({ tickMs: 3_600_000 }) })
+
+    const options = { method: 'POST' as const, body: 'x', headersTimeout: 10_000 }
+
+    test.it('end a call without waiting for the next tick, so that its answer is not held back', async () => {
+      const entry = await start(() => {})
+      const answer = await undici.request(`${entry.callerUrl}/charge`, { ...options, headers: { 'elmpost-deadline-ms': '50' } })
+      assert.equal(answer.headers['elmpost-outcome'], 'unknown')
+      assert.equal(answer.headers['elmpost-reason'], 'deadline')
+      await answer.body.dump()
+    })
+
+    test.it('free the slot of a keyed call, which no cancellation reaches', async () => {
+      const entry = await start((request, response) => { if (request.url === '/price') response.end() })
+      await (await undici.request(`${entry.callerUrl}/price`)).body.dump()
+      const headers = { 'elmpost-deadline-ms': '1500', 'idempotency-key': uuid.v7() }
+      await (await undici.request(`${entry.callerUrl}/charge`, { ...options, headers })).body.dump()
+      assert.deepEqual(mesh.target().paths, ['/price', '/charge'])
+      const host = mesh.nodes[1]?.services.host
+      assert.ok(host !== undefined)
+      await testMesh.until(() => host.load.inFlight === 0)
+    })
+
+    test.it('refuse a call that waited in the queue too long, while its caller would still wait', async () => {
+      const entry = await start(() => {})
+      for (let i = 0; i < 2; i++) undici.request(`${entry.callerUrl}/price`).catch(() => {})
+      await testMesh.until(() => mesh.target().paths.length === 2)
+      const answer = await undici.request(`${entry.callerUrl}/quick`, { headersTimeout: 4000 })
+      assert.equal(answer.headers['elmpost-outcome'], 'not-run')
+      assert.equal(answer.headers['elmpost-reason'], 'overloaded')
+      await answer.body.dump()
+    })
+  })
+
   test.describe('planned stop', () => {
     test.it('finishes a running call, and a second signal has no effect', async () => {
       let finish: () => void = () => {}
--- a/packages/node/src/NodeProcess.ts
+++ b/packages/node/src/NodeProcess.ts
@@ -14,7 +14,7 @@
 import type * as services from './Services.js'
 import type * as types from './Types.js'
 
-const TICK_MS = 100
+const DEFAULT_TICK_MS = 100
 /** Until a configuration is known, no route leads here. */
 const INITIAL_SLOTS = 1
 const INITIAL_CONNECTIONS = 2
@@ -26,6 +26,8 @@
   readonly logger: services.ILogger
   readonly random: base.IRandom
   readonly nowMs: () => base.Millis
+  /** Time between two runs of the systems; 100 ms if absent. */
+  readonly tickMs?: base.Millis
   readonly addons: readonly nodeServices.INodeAddon[]
   /** More fields for `/admin/status`. */
   readonly details?: () => object
@@ -100,7 +102,7 @@
     const caller = await this._callers.listen()
     const admin = await this._admin.listen()
     this._monitor?.start()
-    this._timer = setInterval(() => { this._tick() }, TICK_MS)
+    this._timer = setInterval(() => { this._tick() }, this._options.tickMs ?? DEFAULT_TICK_MS)
     this._tick()
     const { settings } = this._options
     this._options.logger.log('info', 'started', {
--- a/packages/node/src/NodeRuntime.ts
+++ b/packages/node/src/NodeRuntime.ts
@@ -1,3 +1,4 @@
+import * as deadlineTimer from './DeadlineTimer.js'
 import * as entryGateway from './EntryGateway.js'
 import * as hostGateway from './HostGateway.js'
 import * as localLink from './LocalLink.js'
@@ -26,6 +27,7 @@
   public readonly entry: entryGateway.EntryGateway
   public readonly host: hostGateway.HostGateway
   private readonly _options: NodeRuntimeOptions
+  private readonly _deadlines: deadlineTimer.DeadlineTimer
 
   constructor (options: NodeRuntimeOptions) {
     this._options = options
@@ -33,6 +35,8 @@
     const { membership, entry, host } = core.services
     const nodeId = membership.self.nodeId
     const stepped = (): void => { this._carryOut() }
+    this._deadlines = new deadlineTimer.DeadlineTimer({ nowMs, expire: () => this._expire() })
+    const deadlineAt = (atMs: base.Millis): void => { this._deadlines.arm(atMs) }
     this.links = new peerLinks.PeerLinks({
       local: new localLink.LocalLink(nodeId, this),
       hello: () => this._hello(),
@@ -47,6 +51,7 @@
       links: this.links,
       nowMs,
       stepped,
+      deadlineAt,
       finished: call => { this.events.fireCallFinished(call) }
     })
     this.host = new hostGateway.HostGateway({
@@ -55,6 +60,7 @@
       links: this.links,
       nowMs,
       stepped,
+      deadlineAt,
       targetDied: call => { logger.log('error', 'target-died', { requestId: call.key, route: call.route, path: call.path }) }
     })
     membership.onChange(change => {
@@ -68,7 +74,7 @@
     const { decisions, updates } = this._options.core.tick(nowMs)
     this.host.update(updates)
     this.entry.expire(decisions)
-    this.host.tick(nowMs)
+    this.host.expire(nowMs)
     this.links.tick(nowMs)
     this._carryOut()
   }
@@ -133,10 +139,22 @@
   }
 
   public dispose (): void {
+    this._deadlines.dispose()
     this.links.dispose()
     this.events.dispose()
   }
 
+  /** Ends calls that are due, and returns the next deadline. */
+  private _expire (): base.Millis {
+    const nowMs = this._options.nowMs()
+    const { entry, host } = this._options.core.services
+    this.host.update(host.expire(nowMs))
+    this.entry.expire(entry.expire(nowMs))
+    this.host.expire(nowMs)
+    this._carryOut()
+    return Math.min(entry.nextDeadlineMs, host.nextDeadlineMs, this.host.nextDeadlineMs)
+  }
+
   private _failed (link: services.IPeerLink, callId: number, failure: 'not-sent' | 'peer-lost'): void {
     if (callId < 0) this.host.delegateFailed(link, callId, failure)
     else this.entry.failed(callId, failure, link)
--- a/packages/node/src/Services.ts
+++ b/packages/node/src/Services.ts
@@ -49,7 +49,8 @@
   /** Continues a streamed answer that its listener has paused. */
   resume(runId: number): void
   setLimits(slots: number, connections: number): void
-  tick(nowMs: base.Millis): void
+  /** Ends started runs whose deadline has passed. */
+  expire(nowMs: base.Millis): void
 }
 
 /** Names a call that entered at this node. Its id changes when it is sent again. */
--- a/packages/node/src/TargetRunner.test.ts
+++ b/packages/node/src/TargetRunner.test.ts
@@ -140,7 +140,7 @@
     await start((_request, response) => { response.on('close', () => { closed++ }) })
     runner.run(requestOf(1, 1000))
     await testMesh.until(() => target.paths.length === 1)
-    runner.tick(1000)
+    runner.expire(1000)
     assert.deepEqual(await reported(2), ['start 1', 'lost 1 deadline'])
     await testMesh.until(() => closed === 1)
   })
--- a/packages/node/src/TargetRunner.ts
+++ b/packages/node/src/TargetRunner.ts
@@ -67,7 +67,7 @@
   }
 
   /** Ends runs whose time is over. Runs that wait are ended by the core. */
-  public tick (nowMs: base.Millis): void {
+  public expire (nowMs: base.Millis): void {
     for (const run of this._runs.values()) {
       if (run.isWritten && nowMs >= run.request.deadlineAtMs) run.abort('deadline')
     }
@@ -130,7 +130,7 @@
       pipelining: 1,
       keepAliveTimeout: KEEP_ALIVE_MS,
       keepAliveMaxTimeout: KEEP_ALIVE_MAX_MS,
-      // Deadlines are checked by `tick`.
+      // Deadlines are checked by `expire`.
       headersTimeout: 0,
       bodyTimeout: 0,
       connect: { timeout: CONNECT_TIMEOUT_MS }
--- a/packages/node/src/testing/FakeServices.ts
+++ b/packages/node/src/testing/FakeServices.ts
@@ -35,6 +35,7 @@
   targets: [{ service: SERVICE, zones: ['vake'] }],
   routes: [
     { name: 'price', match: { method: 'GET', pathPrefix: '/price' }, service: SERVICE, idempotent: true, timeoutMs: 5000, retry: { maxAttempts: 1 }, limits: { maxQueueMs: 2000, maxBodyBytes: 65_536 } },
+    { name: 'quick', match: { method: 'GET', pathPrefix: '/quick' }, service: SERVICE, idempotent: true, timeoutMs: 5000, retry: { maxAttempts: 1 }, limits: { maxQueueMs: 50, maxBodyBytes: 0 } },
     { name: 'charge', match: { method: 'POST', pathPrefix: '/charge' }, service: SERVICE, idempotent: false, timeoutMs: 5000, retry: { maxAttempts: 1 }, limits: { maxQueueMs: 2000, maxBodyBytes: 65_536 } }
   ],
   terms: { ...testDocuments.TEST_TERMS, zonePreference: 'any' }
--- a/packages/node/src/testing/TestMesh.ts
+++ b/packages/node/src/testing/TestMesh.ts
@@ -68,6 +68,8 @@
   public readonly nodes: TestNode[] = []
   private readonly _targets: TestTarget[] = []
 
+  constructor (private readonly _options: Pick<nodeProcess.NodeProcessOptions, 'tickMs'> = {}) {}
+
   /** Starts a node that knows no configuration. */
   public addBareNode (nodeId: string): Promise<TestNode> {
     return this._start(nodeId)
@@ -119,7 +121,8 @@
       logger,
       random: new random.Random(3),
       nowMs: Date.now,
-      addons: []
+      addons: [],
+      ...this._options
     })
     const ports = await process.start()
     const peerAddress = `127.0.0.1:${ports.peer}`
