Delegate keyed calls while the owner's target fails call after call

Cause: entry nodes eject a failing target, but keyed calls go to the node that owns the key, and the owner ran them on its target whatever the target answered. A target that answered 500 after 1 ms looked idle.

While it lasts the owner delegates, if another node has a free slot.

--- a/packages/common/src/hosting/HostCalls.test.ts
+++ b/packages/common/src/hosting/HostCalls.test.ts
@@ -1,6 +1,7 @@
 import * as assert from 'node:assert/strict'
 import * as fixture from './testing/Fixture.js'
 import * as test from 'node:test'
+import type * as types from './Types.js'
 
 const T0 = fixture.T0
 
@@ -76,6 +77,60 @@
     })
   })
 
+  test.describe('failing target', () => {
+    function fail (host: fixture.Host, times: number, result: types.RunResult, nowMs: number): void {
+      for (let i = 0; i < times; i++) {
+        const runId = host.run(fixture.call(nowMs), nowMs)
+        assert.ok(host.calls.start(runId, nowMs))
+        host.calls.finish(runId, result, nowMs)
+      }
+    }
+
+    function placeOf (host: fixture.Host, nowMs: number): string {
+      return host.calls.accept('entry', fixture.call(nowMs, { key: fixture.keyAt(nowMs) }), nowMs).kind
+    }
+
+    const failure: types.RunResult = { ...fixture.ANSWER, status: 500 }
+
+    for (const [name, result] of [['answers 500', failure], ['loses answers', { kind: 'lost', reason: 'target-lost', targetDied: false }]] as const) {
+      test.it(`that ${name} 5 times in a row is passed over for 1 s, so that its keys are run elsewhere`, () => {
+        const host = new fixture.Host()
+        host.delegate = { nodeId: 'b', address: 'b:1' }
+        fail(host, 4, result, T0)
+        assert.equal(placeOf(host, T0), 'run')
+        fail(host, 1, result, T0)
+        assert.equal(placeOf(host, T0 + 999), 'delegate')
+        assert.equal(placeOf(host, T0 + 1_000), 'run')
+      })
+    }
+
+    test.it('runs its keys while no other node can, because a failing target is better than none', () => {
+      const host = new fixture.Host()
+      fail(host, 5, failure, T0)
+      assert.equal(placeOf(host, T0), 'run')
+    })
+
+    test.it('is not seen in shedding, cancellations and short deadlines, which say nothing about the target', () => {
+      const host = new fixture.Host()
+      host.delegate = { nodeId: 'b', address: 'b:1' }
+      fail(host, 6, { ...failure, status: 503 }, T0)
+      fail(host, 6, { kind: 'lost', reason: 'canceled', targetDied: false }, T0)
+      fail(host, 6, { kind: 'lost', reason: 'deadline', targetDied: false }, T0)
+      assert.equal(placeOf(host, T0), 'run')
+    })
+
+    test.it('is seen in calls that got half of their time and no answer', () => {
+      const host = new fixture.Host()
+      host.delegate = { nodeId: 'b', address: 'b:1' }
+      for (let i = 0; i < 5; i++) {
+        const runId = host.run(fixture.call(T0), T0)
+        assert.ok(host.calls.start(runId, T0))
+        host.calls.finish(runId, { kind: 'lost', reason: 'deadline', targetDied: false }, T0 + 1_000)
+      }
+      assert.equal(placeOf(host, T0 + 1_000), 'delegate')
+    })
+  })
+
   test.describe('delegated calls', () => {
     const delegated = { delegatedBy: 'owner', key: fixture.keyAt(T0), callId: 7 }
 
--- a/packages/common/src/hosting/HostCalls.ts
+++ b/packages/common/src/hosting/HostCalls.ts
@@ -5,24 +5,20 @@
 import * as answers from './Answers.js'
 import * as blames from './CrashBlame.js'
 import * as delegations from './DelegationTable.js'
+import * as keyChecks from './KeyCheck.js'
 import * as keys from './Keys.js'
 import * as keyTables from './KeyTable.js'
 import * as limits from './CallLimits.js'
 import * as requests from './Requests.js'
 import * as runs from './RunTable.js'
+import * as targetHealth from './TargetHealth.js'
 import type * as services from './Services.js'
 import type * as types from './Types.js'
 import * as windows from './OwnedWindows.js'
 
-/** A `not-run` refusal holds this long, which is longer than a send can be on its way (see `requests.MAX_SEND_AGE_MS`). */
-export const REFUSAL_MEMORY_MS = 1_500
-
 /** Peers with a larger difference are refused when they connect. */
 const MAX_CLOCK_DIFFERENCE_MS = 250
 
-/** Retry time of a refused key; not below the refusal memory. */
-const KEY_RETRY_AFTER_MS = 2_000
-
 /** Retry time when the target or the node cannot take work now. */
 const RETRY_AFTER_MS = 100
 
@@ -83,6 +79,8 @@
   private readonly _runs = new runs.RunTable()
   private readonly _windows: windows.OwnedWindows
   private readonly _blame: blames.CrashBlame
+  private readonly _check: keyChecks.KeyCheck
+  private readonly _health = new targetHealth.TargetHealth()
   private _isDraining = false
   private _isClosed = false
   private _successor: types.PartitionOwner | undefined
@@ -93,6 +91,8 @@
     this._blame = new blames.CrashBlame(_options.self.nodeId, _options.crashes, this._runs)
     this._limits = new limits.CallLimits(_options.service, _options.configuration)
     this._windows = new windows.OwnedWindows(_options)
+    const { crashes, startedAtMs } = _options
+    this._check = new keyChecks.KeyCheck({ table: this._keys, windows: this._windows, crashes, startedAtMs, retentionMs: () => this._retentionMs })
   }
 
   public get load (): types.LoadReport {
@@ -133,6 +133,8 @@
     run.dropReason = this._dropReason(run, nowMs)
     if (run.dropReason !== undefined) return false
     run.place = 'target'
+    run.startedAtMs = nowMs
+    run.timeoutMs = this._limits.route(run.route)?.timeoutMs
     this._admission.started(runId)
     return true
   }
@@ -142,7 +144,7 @@
     // The run has ended before, and everyone who waited has the answer.
     if (run === undefined) return answers.unknown('answer-not-kept')
     if (result.kind === 'lost' && result.targetDied) this._blame.record(run, nowMs)
-    this._leaveTarget(run, result)
+    this._leaveTarget(run, result, nowMs)
     this._runs.remove(runId)
     const final = this._settle(run, result, nowMs)
     if (run.delegation !== undefined) this._delegations.ended(run.delegation, final, nowMs)
@@ -189,7 +191,7 @@
     if (this._successor !== undefined || !this._windows.inherit(handover)) return false
     for (const handed of handover.keys) {
       const keyTimeMs = keys.keyTimeMs(handed.key).unwrapOr(undefined)
-      if (keyTimeMs !== undefined) this._keys.import(handed, keyTimeMs, nowMs, nowMs + REFUSAL_MEMORY_MS)
+      if (keyTimeMs !== undefined) this._keys.import(handed, keyTimeMs, nowMs, nowMs + keyChecks.REFUSAL_MEMORY_MS)
     }
     return true
   }
@@ -236,44 +238,16 @@
     const keyTime = keys.keyTimeMs(call.key)
     if (keyTime.isErr()) return answer(answers.notRun('bad-key', 0))
     const keyTimeMs = keyTime.value
-    const remembered = this._remembered(call, nowMs)
-    if (remembered !== undefined) return remembered
-    const unowned = this._unowned(call, keyTimeMs, nowMs)
+    const remembered = this._check.remembered(call, nowMs)
+    if (remembered !== undefined) return remembered.kind === 'running' ? this._join(remembered.runId, call, nowMs) : remembered
+    if (this._successor !== undefined) return answer({ ...answers.unknown('not-owner'), successor: this._successor.nodeId })
+    const unowned = this._check.unowned(call, keyTimeMs, nowMs)
     if (unowned !== undefined) return answer(unowned)
     const refused = this._keyRefusal(call, keyTimeMs, nowMs)
     if (refused !== undefined) return this._refuseKey(call, keyTimeMs, refused, RETRY_AFTER_MS, nowMs)
     return this._runOwned(call, keyTimeMs, nowMs)
   }
 
-  /** What the key table says. The refusal is renewed because it speaks for every send made until now. */
-  private _remembered (call: requests.KeyedCall, nowMs: base.Millis): types.HostDecision | undefined {
-    const entry = this._keys.get(call.key)
-    if (entry !== undefined) {
-      if (!requests.isSameRequest(entry, call)) return answer(answers.notRun('key-reused', 0))
-      if (entry.state === 'running') return this._join(entry.runId, call, nowMs)
-      if (entry.state === 'unknown') return answer(answers.unknown(entry.reason))
-      const stored = entry.answer
-      return answer(stored === undefined ? answers.unknown('answer-not-kept') : answers.answered(stored.status, stored.headers, stored.body))
-    }
-    const refusal = this._keys.refusal(call.key, nowMs)
-    if (refusal === undefined) return undefined
-    this._keys.refuse(call.key, { ...refusal, untilMs: nowMs + REFUSAL_MEMORY_MS })
-    return answer(answers.notRun(requests.isSameRequest(refusal, call) ? refusal.reason : 'key-reused', KEY_RETRY_AFTER_MS))
-  }
-
-  /** Another process may have run the key, so these answers are never `not-run`. */
-  private _unowned (call: requests.KeyedCall, keyTimeMs: base.Millis, nowMs: base.Millis): types.FinalAnswer | undefined {
-    if (this._successor !== undefined) return { ...answers.unknown('not-owner'), successor: this._successor.nodeId }
-    const ownership = this._windows.of(call.service, call.key, keyTimeMs)
-    if (ownership.kind === 'not-own') return answers.unknown('not-owner', ownership.retryAfterMs)
-    if (this._options.crashes.hasRun(call.key)) return answers.unknown('crashes-target')
-    // No key is run in this time either: a send that the predecessor refused as too new may still arrive.
-    const guardedUntilMs = this._options.startedAtMs + keys.MAX_KEY_AHEAD_MS
-    if (Math.min(keyTimeMs, nowMs) <= guardedUntilMs) return answers.unknown('key-before-start')
-    const forgottenUntilMs = Math.max(this._keys.forgottenUntilMs, ownership.forgottenUntilMs, nowMs - this._retentionMs)
-    return keyTimeMs <= forgottenUntilMs ? answers.unknown('key-too-old') : undefined
-  }
-
   private _keyRefusal (call: requests.KeyedCall, keyTimeMs: base.Millis, nowMs: base.Millis): types.OutcomeReason | undefined {
     if (keyTimeMs > nowMs + keys.MAX_KEY_AHEAD_MS) return 'key-too-new'
     if (requests.isStale(call, nowMs)) return 'stale-send'
@@ -285,7 +259,7 @@
   private _runOwned (call: requests.KeyedCall, keyTimeMs: base.Millis, nowMs: base.Millis): types.HostDecision {
     const target = this._limits.of(call.route)
     if (target === undefined) return this._refuseKey(call, keyTimeMs, 'no-configuration', 0, nowMs)
-    if (this._isDraining || !this._options.targetReady() || this._admission.isBusy(target)) {
+    if (this._isDraining || !this._options.targetReady() || this._health.isFailing(nowMs) || this._admission.isBusy(target)) {
       const choice = this._options.delegates.select(call.service, nowMs)
       if (choice !== undefined) return this._delegate(call, keyTimeMs, target, choice, nowMs)
     }
@@ -331,8 +305,8 @@
   }
 
   private _refuseKey (call: requests.KeyedCall, keyTimeMs: base.Millis, reason: types.OutcomeReason, retryAfterMs: base.Millis, nowMs: base.Millis): types.HostDecision {
-    this._keys.refuse(call.key, { ...requests.identityOf(call), keyTimeMs, reason, untilMs: nowMs + REFUSAL_MEMORY_MS })
-    return answer(answers.notRun(reason, Math.max(KEY_RETRY_AFTER_MS, retryAfterMs)))
+    this._keys.refuse(call.key, { ...requests.identityOf(call), keyTimeMs, reason, untilMs: nowMs + keyChecks.REFUSAL_MEMORY_MS })
+    return answer(answers.notRun(reason, Math.max(keyChecks.KEY_RETRY_AFTER_MS, retryAfterMs)))
   }
 
   private _dropReason (run: runs.Run, nowMs: base.Millis): types.OutcomeReason | undefined {
@@ -344,9 +318,11 @@
     return this._options.crashes.isBlocked(run.key, run.fingerprint, nowMs) ? 'crashes-target' : undefined
   }
 
-  private _leaveTarget (run: runs.Run, result: types.RunResult): void {
+  private _leaveTarget (run: runs.Run, result: types.RunResult, nowMs: base.Millis): void {
     this._admission.queue.remove(run.runId)
-    if (run.place === 'target') this._admission.ended(result.kind === 'answered' ? result.serviceMs : undefined)
+    if (run.place !== 'target') return
+    this._admission.ended(result.kind === 'answered' ? result.serviceMs : undefined)
+    this._health.ended(run, result, nowMs)
   }
 
   private _settle (run: runs.Run, result: types.RunResult, nowMs: base.Millis): types.FinalAnswer {
@@ -364,8 +340,8 @@
     const reason = run.dropReason ?? result.reason
     if (ownedKey === undefined) return answers.notRun(reason, RETRY_AFTER_MS)
     const keyTimeMs = this._keys.get(ownedKey)?.keyTimeMs ?? 0
-    this._keys.refuse(ownedKey, { ...requests.identityOf(run), keyTimeMs, reason, untilMs: nowMs + REFUSAL_MEMORY_MS })
-    return answers.notRun(reason, KEY_RETRY_AFTER_MS)
+    this._keys.refuse(ownedKey, { ...requests.identityOf(run), keyTimeMs, reason, untilMs: nowMs + keyChecks.REFUSAL_MEMORY_MS })
+    return answers.notRun(reason, keyChecks.KEY_RETRY_AFTER_MS)
   }
 
   private _expire (runId: number, nowMs: base.Millis): types.HostUpdate {
--- a/packages/common/src/hosting/RunTable.ts
+++ b/packages/common/src/hosting/RunTable.ts
@@ -17,6 +17,10 @@
   readonly delegation: string | undefined
   place: RunPlace
   deadlineAtMs: base.Millis
+  /** Valid on the target. */
+  startedAtMs: base.Millis
+  /** Time limit of the route when the run started, if the route is known. */
+  timeoutMs: base.Millis | undefined
   /** Why `start` refused the run. */
   dropReason: types.OutcomeReason | undefined
   /** Callers that still wait for the answer. */
@@ -43,6 +47,8 @@
       delegation,
       place,
       deadlineAtMs: nowMs + call.remainingMs,
+      startedAtMs: 0,
+      timeoutMs: undefined,
       dropReason: undefined,
       waiters: 1
     }
