Count delegated calls as load of their delegate

Cause: an owner that delegates asked the selector for a node, but never told it of the call or of its end. All calls between two load reports could go to one node, a delegate that had lost its connection was chosen again, and its load report was dropped.

Change: `IDelegateSelector.select` counts the call, `ended` takes its answer and the load on it.

--- a/packages/common/src/hosting/HostCalls.test.ts
+++ b/packages/common/src/hosting/HostCalls.test.ts
@@ -77,6 +77,24 @@
     })
   })
 
+  test.describe('delegation', () => {
+    test.it('reports the end of each delegated call once, so that the delegate does not seem busy for ever', () => {
+      const host = new fixture.Host()
+      host.delegate = { nodeId: 'b', address: 'b:1' }
+      host.targetReady = false
+      const results: readonly types.RunResult[] = [
+        fixture.ANSWER, { kind: 'not-started', reason: 'overloaded' }, { kind: 'lost', reason: 'peer-lost', targetDied: false }
+      ]
+      for (const result of results) {
+        const decision = host.calls.accept('entry', fixture.call(T0, { key: fixture.keyAt(T0) }), T0)
+        assert.ok(decision.kind === 'delegate')
+        host.calls.finish(decision.runId, result, T0, { inFlight: 1, queued: 3, slots: 2 })
+        host.calls.finish(decision.runId, result, T0)
+      }
+      assert.deepEqual(host.delegated, ['b answered 3', 'b not-run 3', 'b unknown 3'])
+    })
+  })
+
   test.describe('failing target', () => {
     function fail (host: fixture.Host, times: number, result: types.RunResult, nowMs: number): void {
       for (let i = 0; i < times; i++) {
--- a/packages/common/src/hosting/HostCalls.ts
+++ b/packages/common/src/hosting/HostCalls.ts
@@ -139,7 +139,7 @@
     return true
   }
 
-  public finish (runId: number, result: types.RunResult, nowMs: base.Millis): types.FinalAnswer {
+  public finish (runId: number, result: types.RunResult, nowMs: base.Millis, load?: types.LoadReport): types.FinalAnswer {
     const run = this._runs.get(runId)
     // The run has ended before, and everyone who waited has the answer.
     if (run === undefined) return answers.unknown('answer-not-kept')
@@ -147,6 +147,7 @@
     this._leaveTarget(run, result, nowMs)
     this._runs.remove(runId)
     const final = this._settle(run, result, nowMs)
+    if (run.delegate !== undefined) this._options.delegates.ended(run.delegate, final, load, nowMs)
     if (run.delegation !== undefined) this._delegations.ended(run.delegation, final, nowMs)
     return final
   }
@@ -271,7 +272,9 @@
   }
 
   private _delegate (call: requests.KeyedCall, keyTimeMs: base.Millis, target: admissions.TargetLimits, choice: services.DelegateChoice, nowMs: base.Millis): types.HostDecision {
-    const { runId } = this._runs.add(call, 'delegate', target, undefined, nowMs)
+    const run = this._runs.add(call, 'delegate', target, undefined, nowMs)
+    run.delegate = choice.nodeId
+    const { runId } = run
     this._keys.begin(call.key, { ...requests.identityOf(call), keyTimeMs, runId }, nowMs)
     return { kind: 'delegate', runId, to: choice.nodeId, address: choice.address }
   }
@@ -361,6 +364,7 @@
     }
     // A new id, so that the process cannot end the delegated run when it drops the queued one.
     const moved = this._runs.move(run, 'delegate')
+    moved.delegate = choice.nodeId
     this._admission.queue.remove(run.runId)
     entry.runId = moved.runId
     return { kind: 'delegate', runId: run.runId, delegateRunId: moved.runId, to: choice.nodeId, address: choice.address }
--- a/packages/common/src/hosting/RunTable.ts
+++ b/packages/common/src/hosting/RunTable.ts
@@ -16,6 +16,8 @@
   /** Identity of the message when another node owns the key. */
   readonly delegation: string | undefined
   place: RunPlace
+  /** Node that was asked to run the call. */
+  delegate: base.NodeId | undefined
   deadlineAtMs: base.Millis
   /** Valid on the target. */
   startedAtMs: base.Millis
@@ -46,6 +48,7 @@
       limits,
       delegation,
       place,
+      delegate: undefined,
       deadlineAtMs: nowMs + call.remainingMs,
       startedAtMs: 0,
       timeoutMs: undefined,
--- a/packages/common/src/hosting/Services.ts
+++ b/packages/common/src/hosting/Services.ts
@@ -51,7 +51,10 @@
 
 /** Finds a less loaded node of the service that may run a call for this owner. */
 export interface IDelegateSelector {
+  /** Chooses a node and counts a call as sent to it. `ended` must follow. */
   select(service: string, nowMs: base.Millis): DelegateChoice | undefined
+  /** A delegated call has ended, with the load of the delegate if it answered. */
+  ended(nodeId: base.NodeId, answer: types.FinalAnswer, load: types.LoadReport | undefined, nowMs: base.Millis): void
 }
 
 export interface DelegateChoice {
@@ -90,9 +93,9 @@
   start(runId: number, nowMs: base.Millis): boolean
   /**
    * Ends a run and returns the answer for everyone who waits for it. A streamed answer went to one caller only; the
-   * others get what is returned here.
+   * others get what is returned here. `load` is that of the delegate that answered.
    */
-  finish(runId: number, result: types.RunResult, nowMs: base.Millis): types.FinalAnswer
+  finish(runId: number, result: types.RunResult, nowMs: base.Millis, load?: types.LoadReport): types.FinalAnswer
   /** The caller is gone. Returns whether the run must be aborted; owners of keys let a started run finish. */
   cancel(runId: number, nowMs: base.Millis): boolean
   /** Takes no new work for the target. Returns what becomes of the queued calls. */
--- a/packages/common/src/hosting/testing/Fixture.ts
+++ b/packages/common/src/hosting/testing/Fixture.ts
@@ -74,6 +74,8 @@
   public targetReady = true
   public isCaughtUp = true
   public delegate: services.DelegateChoice | undefined
+  /** Delegated calls that have ended: node, outcome and reported queue. */
+  public readonly delegated: string[] = []
 
   constructor (options: Partial<hostCalls.HostCallsOptions> = {}, owner?: types.PartitionOwner) {
     this.self = options.self ?? { nodeId: 'a', incarnation: T0 - 10_000 }
@@ -89,7 +91,7 @@
       table: this.table,
       isCaughtUp: () => this.isCaughtUp,
       crashes: this.crashes,
-      delegates: { select: () => this.delegate },
+      delegates: { select: () => this.delegate, ended: (nodeId, { outcome }, load) => { this.delegated.push(`${nodeId} ${outcome} ${load?.queued ?? '-'}`) } },
       ...options
     })
   }
--- a/packages/common/src/node/DelegateSelector.ts
+++ b/packages/common/src/node/DelegateSelector.ts
@@ -1,6 +1,8 @@
 import type * as base from '../base/Types.js'
-import type * as hosting from '../hosting/Services.js'
+import type * as hosting from '../hosting/Types.js'
+import type * as hostingServices from '../hosting/Services.js'
 import type * as membership from '../membership/Services.js'
+import * as answers from '../routing/Answers.js'
 import type * as routing from '../routing/Services.js'
 
 /** A node that is this busy would only queue the call that the owner cannot run at once. */
@@ -8,13 +10,13 @@
 
 export interface DelegateSelectorOptions {
   readonly membership: Pick<membership.IMembership, 'self' | 'get'>
-  readonly selector: Pick<routing.ITargetSelector, 'select' | 'utilizationOf'>
+  readonly selector: Pick<routing.ITargetSelector, 'select' | 'utilizationOf' | 'sent' | 'observe'>
   /** Slots of a target of the service, in the configuration in force. */
   readonly slotsOf: (service: string) => number
 }
 
 /** Finds another node of a service that has a free slot. */
-export class DelegateSelector implements hosting.IDelegateSelector {
+export class DelegateSelector implements hostingServices.IDelegateSelector {
   private readonly _options: DelegateSelectorOptions
   private readonly _excluded: ReadonlySet<base.NodeId>
 
@@ -23,11 +25,19 @@
     this._excluded = new Set([options.membership.self.nodeId])
   }
 
-  public select (service: string, nowMs: base.Millis): hosting.DelegateChoice | undefined {
+  public select (service: string, nowMs: base.Millis): hostingServices.DelegateChoice | undefined {
     const { selector, membership, slotsOf } = this._options
     const nodeId = selector.select(service, this._excluded, nowMs)
     if (nodeId === undefined || selector.utilizationOf(nodeId, slotsOf(service), nowMs) >= MAX_UTILIZATION) return undefined
     const row = membership.get(nodeId)
-    return row === undefined ? undefined : { nodeId, address: row.peerAddress }
+    if (row === undefined) return undefined
+    // Without it, all calls between two reports of the load would go to the same node.
+    selector.sent(nodeId, nowMs)
+    return { nodeId, address: row.peerAddress }
+  }
+
+  public ended (nodeId: base.NodeId, answer: hosting.FinalAnswer, load: hosting.LoadReport | undefined, nowMs: base.Millis): void {
+    const result = answer.reason === 'peer-lost' ? 'failure' : answers.resultOf(answer)
+    this._options.selector.observe(nodeId, result, load, nowMs)
   }
 }
--- a/packages/node/src/HostGateway.ts
+++ b/packages/node/src/HostGateway.ts
@@ -91,10 +91,10 @@
   public delegateAnswered (link: services.IPeerLink, answer: messages.AnswerMessage): void {
     const run = this._delegatedRun(link, answer.callId)
     if (run === undefined) return
-    if (answer.outcome === 'not-run') this._finish(run, { kind: 'not-started', reason: answer.reason }, 0)
-    else if (answer.outcome === 'unknown') this._finish(run, { kind: 'lost', reason: answer.reason, targetDied: false }, 0)
+    if (answer.outcome === 'not-run') this._finish(run, { kind: 'not-started', reason: answer.reason }, 0, answer.load)
+    else if (answer.outcome === 'unknown') this._finish(run, { kind: 'lost', reason: answer.reason, targetDied: false }, 0, answer.load)
     else if (!answer.last) run.head(answer.status, answer.headers, this._options.host.load)
-    else this.whole(run.request, answer.status, answer.headers, answer.body, answer.targetMs ?? 0)
+    else this._finish(run, wholeAnswer(answer, answer.targetMs ?? 0), answer.targetMs ?? 0, answer.load)
   }
 
   /** Takes a part of a streamed answer of a delegated run. */
@@ -154,7 +154,7 @@
 
   public whole (request: types.TargetRequest, status: number, headers: Record<string, string>, body: Uint8Array | undefined, serviceMs: number): void {
     const run = this._runs.get(request.runId)
-    if (run !== undefined) this._finish(run, { kind: 'answered', status, headers, body, streamed: false, serviceMs }, serviceMs)
+    if (run !== undefined) this._finish(run, wholeAnswer({ status, headers, body }, serviceMs), serviceMs)
   }
 
   public head (request: types.TargetRequest, status: number, headers: Record<string, string>): void {
@@ -234,11 +234,15 @@
     this._finish(run, { kind: 'lost', reason: 'canceled', targetDied: false }, 0)
   }
 
-  private _finish (run: hostRun.HostRun, result: hosting.RunResult, targetMs: number): void {
+  private _finish (run: hostRun.HostRun, result: hosting.RunResult, targetMs: number, load?: hosting.LoadReport): void {
     this._runs.delete(run.runId)
     run.delegate?.release(-run.runId)
-    const answer = this._options.host.finish(run.runId, result, this._options.nowMs())
+    const answer = this._options.host.finish(run.runId, result, this._options.nowMs(), load)
     run.finish(answer, result.kind === 'answered', this._options.host.load, targetMs)
     this._options.stepped()
   }
 }
+
+function wholeAnswer ({ status, headers, body }: Pick<messages.AnswerMessage, 'status' | 'headers' | 'body'>, serviceMs: number): hosting.RunResult {
+  return { kind: 'answered', status, headers, body, streamed: false, serviceMs }
+}
--- a/packages/testbed/src/bench/ElmpostPolicy.ts
+++ b/packages/testbed/src/bench/ElmpostPolicy.ts
@@ -2,12 +2,11 @@
 import * as hostCalls from '@elmpost/common/hosting/HostCalls.js'
 import * as keys from '@elmpost/common/hosting/Keys.js'
 import * as ownershipTable from '@elmpost/common/hosting/OwnershipTable.js'
-import type * as hostingServices from '@elmpost/common/hosting/Services.js'
 import type * as hosting from '@elmpost/common/hosting/Types.js'
 import * as windowCodec from '@elmpost/common/hosting/WindowCodec.js'
 import type * as membership from '@elmpost/common/membership/Types.js'
 import type * as messages from '@elmpost/common/node/Messages.js'
-import * as answers from '@elmpost/common/routing/Answers.js'
+import * as delegateSelector from '@elmpost/common/node/DelegateSelector.js'
 import * as entryCalls from '@elmpost/common/routing/EntryCalls.js'
 import * as fakeMesh from '@elmpost/common/routing/FakeMesh.js'
 import type * as routing from '@elmpost/common/routing/Types.js'
@@ -130,11 +129,11 @@
     const common = { membership: view, enforcement: mesh, random: this._options.random }
     const selector = new targetSelector.TargetSelector(common)
     const calls = new entryCalls.EntryCalls({ ...common, ownership: this._table, selector, fingerprint: request => request.headers.number ?? '' })
-    const host = this._hostOf(node, selector)
+    const host = this._hostOf(node, self, selector)
     this._entries.set(node.nodeId, { node, calls, selector, host, pending: new Map() })
   }
 
-  private _hostOf (node: modelFleet.ModelNode, selector: targetSelector.TargetSelector): hostModel.HostModel {
+  private _hostOf (node: modelFleet.ModelNode, self: membership.MemberRow, selector: targetSelector.TargetSelector): hostModel.HostModel {
     const host = new hostCalls.HostCalls({
       self: { nodeId: node.nodeId, incarnation: INCARNATION },
       currentIncarnation: () => INCARNATION,
@@ -145,7 +144,7 @@
       table: this._table,
       isCaughtUp: () => true,
       crashes: new crashTable.CrashTable(),
-      delegates: { select: service => this._delegateOf(service, node, selector) }
+      delegates: new delegateSelector.DelegateSelector({ membership: { self, get: nodeId => this._mesh.get(nodeId) }, selector, slotsOf: () => node.service.slots })
     })
     return new hostModel.HostModel({
       events: this._options.events,
@@ -159,14 +158,6 @@
     })
   }
 
-  /** A node of the service with a free slot, as far as this node knows. */
-  private _delegateOf (service: string, node: modelFleet.ModelNode, selector: targetSelector.TargetSelector): hostingServices.DelegateChoice | undefined {
-    const { nowMs } = this._options.events
-    const nodeId = selector.select(service, new Set([node.nodeId]), nowMs)
-    if (nodeId === undefined || selector.utilizationOf(nodeId, node.service.slots, nowMs) >= 1) return undefined
-    return { nodeId, address: '' }
-  }
-
   private _entry (node: modelFleet.ModelNode): EntryNode {
     const entry = this._entries.get(node.nodeId)
     if (entry === undefined) throw new Error(`Node ${node.nodeId} is not part of the fleet; pass nodes of the same run.`)
@@ -241,15 +232,11 @@
       return
     }
     const delayMs = fleet.delayMs(owner.node, other.node)
-    owner.selector.sent(to, events.nowMs)
     events.after(delayMs, () => {
       const arrived = { ...message, remainingMs: message.remainingMs - delayMs }
       other.host.accept(owner.node.nodeId, arrived, answer => {
         const load = other.host.load
-        events.after(delayMs, () => {
-          owner.selector.observe(to, answers.resultOf(answer), load, events.nowMs)
-          reply(answer)
-        })
+        events.after(delayMs, () => { reply(answer, load) })
       })
     })
   }
--- a/packages/testbed/src/bench/HostModel.ts
+++ b/packages/testbed/src/bench/HostModel.ts
@@ -4,7 +4,8 @@
 import type * as eventQueue from './EventQueue.js'
 import type * as modelFleet from './ModelFleet.js'
 
-export type Reply = (answer: hosting.FinalAnswer) => void
+/** `load` is that of the node that answers. */
+export type Reply = (answer: hosting.FinalAnswer, load?: hosting.LoadReport) => void
 
 export interface HostModelOptions {
   readonly events: eventQueue.EventQueue
@@ -67,7 +68,7 @@
 
   private _delegate (runId: number, to: string, call: messages.CallMessage): void {
     const { node, delegate, events } = this._options
-    delegate(to, { ...call, delegatedBy: node.nodeId, sentAtMs: events.nowMs }, answer => { this._finish(runId, resultOf(answer)) })
+    delegate(to, { ...call, delegatedBy: node.nodeId, sentAtMs: events.nowMs }, (answer, load) => { this._finish(runId, resultOf(answer), load) })
   }
 
   private _startNext (): void {
@@ -99,10 +100,10 @@
     })
   }
 
-  private _finish (runId: number, result: hosting.RunResult): void {
+  private _finish (runId: number, result: hosting.RunResult, load?: hosting.LoadReport): void {
     const { node, events, host } = this._options
     if (node.isDead) return
-    this._reply(runId, host.finish(runId, result, events.nowMs))
+    this._reply(runId, host.finish(runId, result, events.nowMs, load))
   }
 
   private _reply (runId: number, answer: hosting.FinalAnswer): void {
