Admit a call only if 1.5 times its expected wait fits

Cause: a call was admitted into the queue if its mean expected wait fit. Service times vary, so some calls were dropped after the whole queue time, and got only then the answer that they were refused.

Tried: a margin by the mean deviation of service times and the square root of the number ahead.

Change: a factor of 1.5 on the expected wait.

--- a/packages/common/src/hosting/Admission.test.ts
+++ b/packages/common/src/hosting/Admission.test.ts
@@ -24,6 +24,17 @@
     assert.deepEqual(admission.decide(LIMITS, 500, 0), { kind: 'refused', reason: 'overloaded', retryAfterMs: 120 })
   })
 
+  test.it('refuses a call whose wait would use up most of the queue time, so that it is not dropped after that wait', () => {
+    const admission = new admissions.Admission({ initialServiceMs: 60 })
+    admission.started(1)
+    admission.started(2)
+    admission.queue.add(3, 100)
+    assert.equal(admission.decide(LIMITS, 500, 0).kind, 'admitted')
+    admission.queue.add(4, 100)
+    assert.equal(admission.expectedWaitMs(LIMITS), 90)
+    assert.equal(admission.decide(LIMITS, 500, 0).kind, 'refused')
+  })
+
   test.it('follows the service times of answers and not of lost runs, which may have ended at once', () => {
     const admission = new admissions.Admission({ initialServiceMs: 100 })
     admission.started(1)
--- a/packages/common/src/hosting/Admission.ts
+++ b/packages/common/src/hosting/Admission.ts
@@ -8,6 +8,12 @@
 /** A hint below this would make callers retry in a tight loop. */
 const MIN_RETRY_AFTER_MS = 50
 
+/**
+ * A call is admitted if it can wait this many times the expected time. At 1, every hundredth refusal at twice the
+ * capacity came only after the whole queue time, because service times vary.
+ */
+const WAIT_MARGIN = 1.5
+
 export interface AdmissionOptions {
   /** Assumed until the first answer; a low value admits calls that a measured one would refuse. */
   readonly initialServiceMs: base.Millis
@@ -50,7 +56,8 @@
   public decide (limits: TargetLimits, remainingMs: base.Millis, nowMs: base.Millis): AdmissionVerdict {
     if (remainingMs <= 0) return { kind: 'refused', reason: 'deadline', retryAfterMs: MIN_RETRY_AFTER_MS }
     const waitMs = this.expectedWaitMs(limits)
-    if (waitMs > 0 && (waitMs > limits.maxQueueMs || waitMs + this._meanServiceMs > remainingMs)) {
+    const longWaitMs = waitMs * WAIT_MARGIN
+    if (waitMs > 0 && (longWaitMs > limits.maxQueueMs || longWaitMs + this._meanServiceMs > remainingMs)) {
       return { kind: 'refused', reason: 'overloaded', retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, Math.ceil(waitMs)) }
     }
     // With a free slot the call starts as soon as the process gets to it, which is no time in the queue.
