Generate the JSON Schema checks ahead of time

Cause: every node loaded ajv and compiled its schemas in the process.

Change: npm run generate writes the checks of settings, configuration, records, ownership, log answers and messages as modules with ajv's standalone code. The schemas moved to files of their own, because the generator reads them. isBytes is now a keyword with code instead of a function; SchemaCompiler.test.ts compares its errors and their text with ajv's own.

--- a/packages/common/src/base/JsonSchema.ts
+++ b/packages/common/src/base/JsonSchema.ts
@@ -1,29 +1,17 @@
-import * as ajv from 'ajv'
-
-/** A compiled JSON Schema. After a call that returned false, `errors` says why. */
-export type Check = ajv.ValidateFunction
+/** Types and texts of JSON Schema checks. The checks themselves are generated ahead of time; see `docs/generated.md`. */
+import type * as ajv from 'ajv'
 
 export type SchemaError = ajv.ErrorObject
 
-/** Compiles JSON Schemas. The keyword `isBytes` accepts a `Uint8Array`. */
-export class JsonSchema {
-  private readonly _ajv: ajv.Ajv
-
-  constructor (options: { readonly allErrors: boolean }) {
-    this._ajv = new ajv.Ajv({ allErrors: options.allErrors })
-    this._ajv.addKeyword({ keyword: 'isBytes', errors: false, validate: isBytes })
-  }
-
-  public compile (schema: Readonly<Record<string, unknown>>): Check {
-    return this._ajv.compile(schema)
-  }
-
-  /** The errors of a failed check in one line. */
-  public describe (check: Check): string {
-    return this._ajv.errorsText(check.errors)
-  }
+/** A compiled JSON Schema. After a call that returned false, `errors` says why. */
+export interface Check<T = unknown> {
+  (data: unknown): data is T
+  errors?: SchemaError[] | null
 }
 
-function isBytes (_schema: unknown, data: unknown): boolean {
-  return data instanceof Uint8Array
+/** The errors of a failed check in one line, as `errorsText` of `ajv` writes them. */
+export function describe (check: Check): string {
+  const errors = check.errors ?? []
+  if (errors.length === 0) return 'No errors'
+  return errors.map(error => `data${error.instancePath} ${error.message}`).join(', ')
 }
--- /dev/null
+++ b/packages/common/src/base/SchemaCompiler.test.ts
@@ -0,0 +1,38 @@
+import * as ajv from 'ajv'
+import * as assert from 'node:assert/strict'
+import * as jsonSchema from './JsonSchema.js'
+import * as schemaCompiler from './SchemaCompiler.js'
+import * as test from 'node:test'
+
+const SCHEMA = {
+  type: 'object',
+  required: ['count', 'body'],
+  properties: { count: { type: 'integer', minimum: 1 }, body: { isBytes: true } }
+}
+const VALUES = [{ count: 1, body: new Uint8Array(1) }, { count: 0, body: 'text' }, { count: 1, body: [1] }, { body: Buffer.from('a') }, {}, null, 'text']
+
+/** The keyword as a function that `ajv` calls, which cannot be part of a generated module. */
+function reference (allErrors: boolean): ajv.Ajv {
+  const reference = new ajv.Ajv({ allErrors })
+  reference.addKeyword({ keyword: 'isBytes', errors: false, validate: (_schema: unknown, data: unknown) => data instanceof Uint8Array })
+  return reference
+}
+
+test.describe('SchemaCompiler', () => {
+  for (const allErrors of [false, true]) {
+    test.it(`describes errors as ajv does (allErrors: ${allErrors}), so that log lines keep their text`, () => {
+      const instance = reference(allErrors)
+      const expected = instance.compile(SCHEMA)
+      const check = new schemaCompiler.SchemaCompiler({ allErrors }).compile(SCHEMA)
+      for (const value of VALUES) {
+        assert.equal(check(value), expected(value))
+        assert.deepEqual(check.errors, expected.errors)
+        assert.equal(jsonSchema.describe(check), instance.errorsText(expected.errors))
+      }
+    })
+  }
+
+  test.it('refuses a schema with a misspelt keyword, so that no bound is silently missing', () => {
+    assert.throws(() => new schemaCompiler.SchemaCompiler({ allErrors: false }).moduleText({ a: { type: 'number', minimun: 1 } }, './JsonSchema.js'), /unknown keyword/)
+  })
+})
--- a/packages/common/src/config/ConfigSchema.ts
+++ b/packages/common/src/config/ConfigSchema.ts
@@ -1,4 +1,4 @@
-/** JSON Schema of rule set 1. It is published as `docs/config.schema.json`. */
+/** JSON Schema of rule set 1. It is published as `docs/config.schema.json`. After a change run `npm run generate`. */
 
 /** Largest canonical JSON text of a document. It leaves room below the log's 2 MiB record limit. */
 export const MAX_DOCUMENT_BYTES = 1024 * 1024
@@ -69,7 +69,7 @@
   distribution
 })
 
-export const CONFIG_SCHEMA: object = {
+export const CONFIG_SCHEMA: Readonly<Record<string, unknown>> = {
   $schema: 'http://json-schema.org/draft-07/schema#',
   title: 'elmpost configuration',
   ...record('Configuration of one institution, rule set 1. Operators apply it as a whole.', {
--- a/packages/common/src/config/RecordDecoder.ts
+++ b/packages/common/src/config/RecordDecoder.ts
@@ -1,16 +1,14 @@
 /** Decodes the records of the `config` stream. Anybody can append to the log, so nothing about a record is taken for granted. */
-import * as ajv from 'ajv'
+import * as configChecks from '../generated/ConfigRecordChecks.js'
 import * as jsonText from './JsonText.js'
+import * as recordSchemas from './RecordSchemas.js'
 import * as ruleSets from './RuleSets.js'
 
 /** Base of the first proposal: no document is in force. */
-export const GENESIS_VERSION = 0
+export const GENESIS_VERSION = recordSchemas.GENESIS_VERSION
 export const GENESIS_DIGEST = ''
 
-/** Leaves room for one more version, so that `version + 1` stays exact. */
-const MAX_VERSION = Number.MAX_SAFE_INTEGER - 1
 const MAX_RULES_VERSION = 1_000_000
-const MAX_TIME_MS = 8.64e15
 
 /** A well-formed envelope. The document in it is not yet checked. */
 export interface DecodedRecord {
@@ -37,13 +35,6 @@
   readonly reason: string
 }
 
-interface EnvelopeSchemas {
-  readonly proposal: ajv.ValidateFunction
-  readonly snapshot: ajv.ValidateFunction
-}
-
-let compiled: EnvelopeSchemas | undefined
-
 /** Decodes the data of one log record. Never throws. */
 export function decodeRecord (data: unknown): DecodedRecord | MalformedRecord {
   if (!jsonText.isObject(data)) return malformed(undefined, 'The record is not an object.')
@@ -63,7 +54,7 @@
 
 function decoded (kind: 'proposal' | 'snapshot', data: Readonly<Record<string, unknown>>, proposalId: string | undefined, rulesVersion: number, documentText: string): DecodedRecord | MalformedRecord {
   const { version, baseVersion, baseDigest, digest, asOfOffset } = data
-  if (!isIntegerIn(version, 1, MAX_VERSION)) return malformed(proposalId, 'The version is not a positive integer.')
+  if (!isIntegerIn(version, 1, recordSchemas.MAX_VERSION)) return malformed(proposalId, 'The version is not a positive integer.')
   if (kind === 'proposal' && (baseVersion !== version - 1 || typeof baseDigest !== 'string')) {
     return malformed(proposalId, 'The version is not baseVersion + 1, or the baseDigest is missing.')
   }
@@ -86,41 +77,12 @@
 }
 
 function envelopeProblem (kind: 'proposal' | 'snapshot', data: unknown): string | undefined {
-  compiled ??= compileEnvelopes()
-  const matches = compiled[kind]
+  const matches = configChecks.CHECKS[kind]
   if (matches(data)) return undefined
   const error = matches.errors?.[0]
   return `The ${kind} is malformed: ${error?.instancePath ?? ''} ${error?.message ?? 'unknown problem'}.`
 }
 
-function compileEnvelopes (): EnvelopeSchemas {
-  const digest = { type: 'string', pattern: '^[0-9a-f]{64}$' }
-  const version = { type: 'integer', minimum: 1, maximum: MAX_VERSION }
-  const common = { version, digest, rulesVersion: { type: 'integer' }, document: true }
-  const schemas = new ajv.Ajv({ strict: true, validateSchema: false })
-  return {
-    proposal: schemas.compile(envelope({
-      ...common,
-      kind: { const: 'proposal' },
-      proposalId: { type: 'string', pattern: '^[0-9a-f]{8}(-[0-9a-f]{4}){3}-[0-9a-f]{12}$' },
-      baseVersion: { type: 'integer', minimum: GENESIS_VERSION, maximum: MAX_VERSION - 1 },
-      baseDigest: { type: 'string', pattern: '^([0-9a-f]{64})?$' },
-      // One line of visible text, because it is printed on terminals.
-      author: { type: 'string', maxLength: 128, pattern: '^[^\\s\\p{C}]([^\\p{C}]*[^\\s\\p{C}])?$' },
-      proposedAtMs: { type: 'integer', minimum: 0, maximum: MAX_TIME_MS }
-    })),
-    snapshot: schemas.compile(envelope({
-      ...common,
-      kind: { const: 'snapshot' },
-      asOfOffset: { type: 'integer', minimum: 0, maximum: Number.MAX_SAFE_INTEGER }
-    }))
-  }
-}
-
-function envelope (properties: Readonly<Record<string, unknown>>): object {
-  return { type: 'object', additionalProperties: false, required: Object.keys(properties), properties }
-}
-
 function isIntegerIn (value: unknown, minimum: number, maximum: number): value is number {
   return Number.isSafeInteger(value) && Number(value) >= minimum && Number(value) <= maximum
 }
--- /dev/null
+++ b/packages/common/src/config/RecordSchemas.ts
@@ -0,0 +1,33 @@
+/** JSON Schemas of the records of the `config` stream. After a change run `npm run generate`. */
+
+/** Version of the base of the first proposal. */
+export const GENESIS_VERSION = 0
+/** Leaves room for one more version, so that `version + 1` stays exact. */
+export const MAX_VERSION = Number.MAX_SAFE_INTEGER - 1
+const MAX_TIME_MS = 8.64e15
+
+const digest = { type: 'string', pattern: '^[0-9a-f]{64}$' }
+const version = { type: 'integer', minimum: 1, maximum: MAX_VERSION }
+const common = { version, digest, rulesVersion: { type: 'integer' }, document: true }
+
+export const RECORD_SCHEMAS = {
+  proposal: envelope({
+    ...common,
+    kind: { const: 'proposal' },
+    proposalId: { type: 'string', pattern: '^[0-9a-f]{8}(-[0-9a-f]{4}){3}-[0-9a-f]{12}$' },
+    baseVersion: { type: 'integer', minimum: GENESIS_VERSION, maximum: MAX_VERSION - 1 },
+    baseDigest: { type: 'string', pattern: '^([0-9a-f]{64})?$' },
+    // One line of visible text, because it is printed on terminals.
+    author: { type: 'string', maxLength: 128, pattern: '^[^\\s\\p{C}]([^\\p{C}]*[^\\s\\p{C}])?$' },
+    proposedAtMs: { type: 'integer', minimum: 0, maximum: MAX_TIME_MS }
+  }),
+  snapshot: envelope({
+    ...common,
+    kind: { const: 'snapshot' },
+    asOfOffset: { type: 'integer', minimum: 0, maximum: Number.MAX_SAFE_INTEGER }
+  })
+}
+
+function envelope (properties: Readonly<Record<string, unknown>>): Readonly<Record<string, unknown>> {
+  return { type: 'object', additionalProperties: false, required: Object.keys(properties), properties }
+}
--- a/packages/common/src/config/RuleSets.ts
+++ b/packages/common/src/config/RuleSets.ts
@@ -1,29 +1,20 @@
-/** The rule sets that this software knows, compiled once per process. */
-import * as ajv from 'ajv'
-import * as configSchema from './ConfigSchema.js'
+/** The rule sets that this software knows. */
+import * as configChecks from '../generated/ConfigChecks.js'
 import * as referenceRules from './ReferenceRules.js'
+import type * as jsonSchema from '../base/JsonSchema.js'
 
 export const CURRENT_RULES_VERSION = 1
 
 /** Everything that decides whether a document is valid under one `rulesVersion`. It must never change once released. */
 export interface RuleSet {
-  readonly matchesSchema: ajv.ValidateFunction
+  readonly matchesSchema: jsonSchema.Check
   readonly references: referenceRules.ReferenceRules
 }
 
-/** Rule sets are shared by all validators of the process, because compiling a schema takes milliseconds. */
-const compiled = new Map<number, RuleSet>()
+/** Rule sets are shared by all validators of the process. */
+const CURRENT: RuleSet = { matchesSchema: configChecks.CHECKS.document, references: new referenceRules.ReferenceRules() }
 
 /** Returns the rule set, or undefined if this software does not know it. */
 export function ruleSet (rulesVersion: number): RuleSet | undefined {
-  const known = compiled.get(rulesVersion)
-  if (known !== undefined || rulesVersion !== CURRENT_RULES_VERSION) return known
-  // A test checks the schema itself. Doing it here would triple the time of the first validation.
-  const schemas = new ajv.Ajv({ allErrors: true, strict: true, validateSchema: false })
-  const created = {
-    matchesSchema: schemas.compile(configSchema.CONFIG_SCHEMA),
-    references: new referenceRules.ReferenceRules()
-  }
-  compiled.set(rulesVersion, created)
-  return created
+  return rulesVersion === CURRENT_RULES_VERSION ? CURRENT : undefined
 }
--- a/packages/common/src/hosting/OwnershipDecoder.ts
+++ b/packages/common/src/hosting/OwnershipDecoder.ts
@@ -1,43 +1,9 @@
-import * as ajv from 'ajv'
+import * as jsonSchema from '../base/JsonSchema.js'
+import * as ownershipChecks from '../generated/OwnershipChecks.js'
 import * as results from 'ts-results-es'
 import type * as types from './Types.js'
 
-const NUMBER = { type: 'number', minimum: 0 }
-const INTEGER = { type: 'integer', minimum: 0 }
-const OWNER = object({ nodeId: { type: 'string', minLength: 1 }, incarnation: NUMBER })
-const RELEASE = { owner: OWNER, successor: OWNER }
-const SERVICES = {
-  type: 'array',
-  items: object({
-    service: { type: 'string' },
-    owners: { type: 'array', items: OWNER },
-    groups: { type: 'array', items: object({ startsAtMs: NUMBER, pairs: { type: 'array', items: INTEGER } }) }
-  })
-}
-const UPDATE_FIELDS = {
-  asOfOffset: INTEGER,
-  tableVersion: INTEGER,
-  horizonMs: NUMBER,
-  floorMs: NUMBER,
-  lastChangeMs: NUMBER,
-  lastChangeOffset: INTEGER,
-  released: { type: 'array', items: object(RELEASE) },
-  sinceVersion: INTEGER,
-  services: SERVICES
-}
-const RECORD = {
-  oneOf: [
-    object({ kind: { const: 'horizon' }, untilMs: NUMBER }),
-    object({ kind: { const: 'partitions' }, baseTableVersion: INTEGER, startsAtMs: NUMBER, services: SERVICES }),
-    object({ kind: { const: 'release' }, ...RELEASE }),
-    object({ kind: { const: 'table-snapshot' }, ...UPDATE_FIELDS }),
-    object({ kind: { const: 'table-reset' }, asOfOffset: INTEGER, floorMs: NUMBER })
-  ]
-}
-
-const compiler = new ajv.Ajv()
-const isRecord = compiler.compile<types.OwnershipRecord>(RECORD)
-const isUpdate = compiler.compile<types.OwnershipUpdate>(object(UPDATE_FIELDS))
+const CHECKS = ownershipChecks.CHECKS
 
 /** A record or a message about ownership does not have the expected form. */
 export class OwnershipDecodeError extends Error {
@@ -50,15 +16,11 @@
 }
 
 export function decodeRecord (data: unknown): results.Result<types.OwnershipRecord, OwnershipDecodeError> {
-  if (isRecord(data)) return results.Ok(data)
-  return results.Err(new OwnershipDecodeError(compiler.errorsText(isRecord.errors)))
+  if (CHECKS.record(data)) return results.Ok(data as types.OwnershipRecord)
+  return results.Err(new OwnershipDecodeError(jsonSchema.describe(CHECKS.record)))
 }
 
 export function decodeUpdate (data: unknown): results.Result<types.OwnershipUpdate, OwnershipDecodeError> {
-  if (isUpdate(data)) return results.Ok(data)
-  return results.Err(new OwnershipDecodeError(compiler.errorsText(isUpdate.errors)))
-}
-
-function object (properties: Record<string, object>): object {
-  return { type: 'object', properties, required: Object.keys(properties) }
+  if (CHECKS.update(data)) return results.Ok(data as types.OwnershipUpdate)
+  return results.Err(new OwnershipDecodeError(jsonSchema.describe(CHECKS.update)))
 }
--- a/packages/node/src/LogAnswers.ts
+++ b/packages/node/src/LogAnswers.ts
@@ -1,34 +1,15 @@
 /** Defensive decoding of the log service's answers. */
 import * as errors from './Errors.js'
 import * as jsonSchema from '@elmpost/common/base/JsonSchema.js'
+import * as logAnswerChecks from './generated/LogAnswerChecks.js'
 import * as results from 'ts-results-es'
 import type * as messages from '@elmpost/common/node/Messages.js'
 
 type Page = Pick<messages.LogReadResult, 'records' | 'firstOffset' | 'nextOffset' | 'retentionMs'>
 
-const OFFSET = { type: 'integer', minimum: 0 }
-const PAGE_SCHEMA = {
-  type: 'object',
-  required: ['records', 'firstOffset', 'nextOffset'],
-  properties: {
-    records: {
-      type: 'array',
-      items: { type: 'object', required: ['offset', 'data'], properties: { offset: OFFSET } }
-    },
-    firstOffset: OFFSET,
-    nextOffset: OFFSET,
-    retentionMs: { type: 'number', minimum: 0 }
-  }
-}
-const APPENDED_SCHEMA = { type: 'object', required: ['offset'], properties: { offset: OFFSET } }
-
-const schemas = new jsonSchema.JsonSchema({ allErrors: false })
-const checkPage = schemas.compile(PAGE_SCHEMA)
-const checkAppended = schemas.compile(APPENDED_SCHEMA)
-
 /** Decodes a page of records, whose offsets must ascend. */
 export function decodePage (text: string): results.Result<Page, errors.LogAnswerError> {
-  const decoded = decode(text, checkPage)
+  const decoded = decode(text, logAnswerChecks.CHECKS.page)
   if (decoded.isErr()) return decoded
   const { records, firstOffset, nextOffset, retentionMs = 0 } = decoded.value as Page
   for (let i = 1; i < records.length; i++) {
@@ -39,7 +20,7 @@
 
 /** Decodes the answer to an append into the offset of the record. */
 export function decodeAppended (text: string): results.Result<number, errors.LogAnswerError> {
-  const decoded = decode(text, checkAppended)
+  const decoded = decode(text, logAnswerChecks.CHECKS.appended)
   return decoded.isErr() ? decoded : new results.Ok((decoded.value as { offset: number }).offset)
 }
 
@@ -50,7 +31,7 @@
   } catch {
     return refuse('its body is not JSON')
   }
-  return check(value) ? new results.Ok(value) : refuse(schemas.describe(check))
+  return check(value) ? new results.Ok(value) : refuse(jsonSchema.describe(check))
 }
 
 function refuse (detail: string): results.Err<errors.LogAnswerError> {
--- a/packages/node/src/MessageSchemas.ts
+++ b/packages/node/src/MessageSchemas.ts
@@ -1,4 +1,4 @@
-/** JSON Schemas of the messages between nodes. `isBytes` is a keyword of `JsonSchema`. */
+/** JSON Schemas of the messages between nodes. `isBytes` is a keyword of `SchemaCompiler`. After a change run `npm run generate`. */
 import type * as hosting from '@elmpost/common/hosting/Types.js'
 import type * as messages from '@elmpost/common/node/Messages.js'
 
--- a/packages/node/src/PeerCodec.ts
+++ b/packages/node/src/PeerCodec.ts
@@ -1,6 +1,6 @@
 import * as errors from './Errors.js'
 import * as jsonSchema from '@elmpost/common/base/JsonSchema.js'
-import * as messageSchemas from './MessageSchemas.js'
+import * as messageChecks from './generated/MessageChecks.js'
 import * as msgpackr from 'msgpackr'
 import * as results from 'ts-results-es'
 import type * as messages from '@elmpost/common/node/Messages.js'
@@ -10,9 +10,6 @@
 /** Encodes messages between nodes and decodes them defensively. */
 export class PeerCodec {
   private readonly _packr = new msgpackr.Packr({ useRecords: false })
-  private readonly _schemas = new jsonSchema.JsonSchema({ allErrors: false })
-  /** Compiled on the first message of each kind, which keeps the start short. */
-  private readonly _validators = new Map<string, jsonSchema.Check>()
 
   public encode (message: messages.PeerMessage): Buffer {
     return this._packr.pack(message)
@@ -25,30 +22,22 @@
     } catch (error) {
       return refuse(error instanceof Error ? error.message : String(error))
     }
-    return this._check(decoded)
-  }
-
-  private _check (decoded: unknown): results.Result<messages.PeerMessage, errors.PeerMessageError> {
-    const kind = kindOf(decoded)
-    if (kind === undefined) return refuse('it is not a map with a known kind')
-    const validate = this._validatorOf(kind)
-    if (validate(decoded)) return new results.Ok(decoded as messages.PeerMessage)
-    return refuse(`${kind}: ${this._schemas.describe(validate)}`)
+    return checked(decoded)
   }
+}
 
-  private _validatorOf (kind: messages.PeerMessage['kind']): jsonSchema.Check {
-    const known = this._validators.get(kind)
-    if (known !== undefined) return known
-    const compiled = this._schemas.compile(messageSchemas.MESSAGE_SCHEMAS[kind])
-    this._validators.set(kind, compiled)
-    return compiled
-  }
+function checked (decoded: unknown): results.Result<messages.PeerMessage, errors.PeerMessageError> {
+  const kind = kindOf(decoded)
+  if (kind === undefined) return refuse('it is not a map with a known kind')
+  const check: jsonSchema.Check = messageChecks.CHECKS[kind]
+  if (check(decoded)) return new results.Ok(decoded as messages.PeerMessage)
+  return refuse(`${kind}: ${jsonSchema.describe(check)}`)
 }
 
 function kindOf (decoded: unknown): messages.PeerMessage['kind'] | undefined {
   if (decoded === null || typeof decoded !== 'object') return undefined
   const kind = (decoded as { kind?: unknown }).kind
-  if (typeof kind !== 'string' || !Object.hasOwn(messageSchemas.MESSAGE_SCHEMAS, kind)) return undefined
+  if (typeof kind !== 'string' || !Object.hasOwn(messageChecks.CHECKS, kind)) return undefined
   return kind as messages.PeerMessage['kind']
 }
 
--- a/packages/node/src/Settings.ts
+++ b/packages/node/src/Settings.ts
@@ -1,15 +1,13 @@
 import * as addresses from './Addresses.js'
 import * as errors from './Errors.js'
 import * as fs from 'node:fs'
-import * as jsonSchema from '@elmpost/common/base/JsonSchema.js'
 import * as results from 'ts-results-es'
+import * as settingsChecks from './generated/SettingsChecks.js'
+import * as settingsSchema from './SettingsSchema.js'
+import type * as jsonSchema from '@elmpost/common/base/JsonSchema.js'
 import type * as types from './Types.js'
 
 const ENVIRONMENT_PREFIX = 'ELMPOST_'
-const ADDRESS_PATTERN = '^(\\[[0-9a-fA-F:]+\\]|[^:\\s]+):[0-9]{1,5}$'
-const URL_PATTERN = '^https?://[^/\\s]+'
-const ADDRESS = { type: 'string', pattern: ADDRESS_PATTERN }
-const NAME = { type: 'string', pattern: '^[A-Za-z0-9._-]{1,128}$' }
 
 const DEFAULTS: Readonly<Record<string, unknown>> = {
   service: '',
@@ -19,26 +17,6 @@
   logLevel: 'info'
 }
 
-const SCHEMA = {
-  type: 'object',
-  additionalProperties: false,
-  required: ['nodeId', 'institution', 'zone', 'callerAddress', 'peerAddress', 'adminAddress', 'logUrl'],
-  properties: {
-    nodeId: NAME,
-    institution: NAME,
-    zone: NAME,
-    service: { type: 'string', pattern: '^[A-Za-z0-9._-]{0,128}$' },
-    callerAddress: ADDRESS,
-    peerAddress: ADDRESS,
-    adminAddress: ADDRESS,
-    targetUrl: { type: 'string', pattern: `^$|${URL_PATTERN}` },
-    targetHealthPath: { type: 'string', pattern: '^/' },
-    logUrl: { type: 'string', pattern: URL_PATTERN },
-    seeds: { type: 'array', items: ADDRESS },
-    logLevel: { enum: ['trace', 'debug', 'info', 'warn', 'error', 'fatal'] }
-  }
-}
-
 const REMEDIES: Readonly<Record<string, string>> = {
   required: 'Add the setting to the file or set its ELMPOST_ variable',
   additionalProperties: 'Remove it, or check its spelling against docs/operators.md',
@@ -47,10 +25,10 @@
 }
 
 const PATTERN_REMEDIES: Readonly<Record<string, string>> = {
-  [ADDRESS_PATTERN]: 'Write it as host:port, for example 127.0.0.1:7100',
-  [URL_PATTERN]: 'Write it as an http URL, for example http://127.0.0.1:7000',
-  [SCHEMA.properties.targetUrl.pattern]: 'Write it as an http URL, for example http://127.0.0.1:8080, or leave it empty',
-  [SCHEMA.properties.targetHealthPath.pattern]: 'Begin the path with /'
+  [settingsSchema.ADDRESS_PATTERN]: 'Write it as host:port, for example 127.0.0.1:7100',
+  [settingsSchema.URL_PATTERN]: 'Write it as an http URL, for example http://127.0.0.1:7000',
+  [settingsSchema.SETTINGS_SCHEMA.properties.targetUrl.pattern]: 'Write it as an http URL, for example http://127.0.0.1:8080, or leave it empty',
+  [settingsSchema.SETTINGS_SCHEMA.properties.targetHealthPath.pattern]: 'Begin the path with /'
 }
 const NAME_REMEDY = 'Use letters, digits, dots, hyphens and underscores only'
 
@@ -91,7 +69,7 @@
 
 function overrides (environment: Environment): Record<string, unknown> {
   const found: Record<string, unknown> = {}
-  for (const setting of Object.keys(SCHEMA.properties)) {
+  for (const setting of Object.keys(settingsSchema.SETTINGS_SCHEMA.properties)) {
     const value = environment[environmentNameOf(setting)]
     if (value === undefined) continue
     found[setting] = setting === 'seeds' ? value.split(',').map(seed => seed.trim()).filter(seed => seed !== '') : value
@@ -100,7 +78,7 @@
 }
 
 function schemaProblems (settings: Record<string, unknown>): errors.SettingsProblem[] {
-  const check = new jsonSchema.JsonSchema({ allErrors: true }).compile(SCHEMA)
+  const check = settingsChecks.CHECKS.settings
   if (check(settings)) return []
   return (check.errors ?? []).map(describe)
 }
--- /dev/null
+++ b/packages/testbed/src/codegen/main.ts
@@ -0,0 +1,10 @@
+/** Writes the generated modules; `npm run generate` runs it. */
+import * as fs from 'node:fs'
+import * as path from 'node:path'
+import * as checkModules from './CheckModules.js'
+
+for (const module of checkModules.CHECK_MODULES) {
+  const file = checkModules.fileOf(module)
+  fs.mkdirSync(path.dirname(file), { recursive: true })
+  fs.writeFileSync(file, checkModules.textOf(module))
+}
