--- a/packages/common/src/config/ConfigDelta.test.ts
+++ b/packages/common/src/config/ConfigDelta.test.ts
@@ -60,6 +60,14 @@
       assert.equal(deltas.apply(from, delta).isOk(), true)
       assert.deepEqual(services.value, { name: 'x' })
     })
+
+    test.it('leave a replaced root as it was, so that a second node that applies the same message gets the same result', () => {
+      const root = { op: 'replace', path: '', value: { ...to.document, institution: 'other' } }
+      const patch = [root, { op: 'replace', path: '/institution', value: to.document.institution }]
+      const delta = { ...deltas.make(from, to), patch }
+      assert.equal(deltas.apply(from, delta).isOk(), true)
+      assert.equal(root.value.institution, 'other')
+    })
   })
 
   test.describe('refusals', () => {
--- a/packages/common/src/config/ConfigDelta.ts
+++ b/packages/common/src/config/ConfigDelta.ts
@@ -44,13 +44,8 @@
   }
 
   private _patched (base: types.AcceptedState, patch: readonly unknown[]): Outcome<unknown> {
-    try {
-      const patched = new patchedDocument.PatchedDocument(base.document)
-      for (const operation of patch) patched.apply(operation as patches.Operation)
-      return results.Ok(patched.document)
-    } catch (error) {
-      return fail('patch-failed', `The patch does not fit the document (${firstLine(error)}).`)
-    }
+    return patchedDocument.applyPatch(base.document, patch as readonly patches.Operation[])
+      .mapErr(problem => new errors.ConfigDeltaError('patch-failed', problem))
   }
 
   private _checkResult (document: unknown, delta: types.ConfigDeltaMessage): Outcome<types.AcceptedState> {
@@ -90,7 +85,3 @@
 function fail (kind: errors.ConfigDeltaErrorKind, problem: string): results.Result<never, errors.ConfigDeltaError> {
   return results.Err(new errors.ConfigDeltaError(kind, problem))
 }
-
-function firstLine (error: unknown): string {
-  return (error instanceof Error ? error.message : String(error)).split('\n', 1)[0] ?? ''
-}
