Accept proposals that hold a patch instead of the whole document

Change: a proposal with rule set 2 holds a JSON Patch against its base and the digest of the result. Acceptance applies it to the document in force, which is its base, and checks size, digest and content of the result as before. Whole proposals keep rule set 1. Rule set 2 is known now, so tests that used it as an unknown one use 3 or 99.

--- a/packages/common/src/config/Acceptance.property.test.ts
+++ b/packages/common/src/config/Acceptance.property.test.ts
@@ -3,9 +3,11 @@
 import * as test from 'node:test'
 import * as acceptance from './Acceptance.js'
 import * as configValidator from './ConfigValidator.js'
+import * as ruleSets from './RuleSets.js'
 import * as histories from './TestHistory.js'
 import type * as types from './Types.js'
 
+const UNKNOWN_RULES_VERSION = 99
 const SETTINGS = { seed: 20261203, numRuns: 400 }
 const validator = new configValidator.ConfigValidator()
 
@@ -22,6 +24,12 @@
   return new Set(history.states.map(place))
 }
 
+/** A record as software sees it that does not know the rule set of patches. */
+function withUnknownRules (data: unknown): unknown {
+  const isDelta = typeof data === 'object' && data !== null && 'rulesVersion' in data && data.rulesVersion === ruleSets.DELTA_RULES_VERSION
+  return isDelta ? { ...data, rulesVersion: UNKNOWN_RULES_VERSION } : data
+}
+
 test.describe('Acceptance over random histories', () => {
   test.it('matches the model record by record, so that no bad, raced or repeated record changes the state', () => {
     fc.assert(fc.property(histories.history, history => {
@@ -82,6 +90,25 @@
     assert.ok(starts > 1_000, `the state was known from the log only ${starts} times`)
   })
 
+  test.it('agrees with software that does not know patches, so that a fleet with two releases cannot fork the configuration', () => {
+    let states = 0
+    let blocked = 0
+    fc.assert(fc.property(histories.history, history => {
+      const older = newNode()
+      const known = truth(history)
+      history.records.forEach((data, offset) => {
+        older.apply({ offset, data: withUnknownRules(data) })
+        if (older.upgradeReason !== undefined) blocked++
+        assert.ok(older.state === undefined || known.has(place(older.state)))
+        const snapshot = older.snapshot()
+        if (snapshot === undefined) return
+        states++
+        assert.equal(`${snapshot.version} ${snapshot.digest}`, place(history.states[offset]))
+      })
+    }), { ...SETTINGS, numRuns: 1_000 })
+    assert.ok(states > 1_000 && blocked > 1_000, `the state was known ${states} times, and judging had stopped ${blocked} times`)
+  })
+
   test.it('survives any JSON as data, as offset and as state of a peer, so that a broken sender cannot stop a node', () => {
     fc.assert(fc.property(fc.array(fc.record({ offset: fc.anything(), data: fc.anything(), peer: fc.anything() })), records => {
       const node = newNode()
--- a/packages/common/src/config/Acceptance.test.ts
+++ b/packages/common/src/config/Acceptance.test.ts
@@ -99,19 +99,19 @@
   })
 
   test.describe('unknown rule sets', () => {
-    const newer = { ...second, rulesVersion: 2 }
+    const newer = { ...second, rulesVersion: 3 }
     const after = documents.testState(2, rival.document, 2)
 
     test.it('stop the judgement, so that this software does not accept what newer software refuses', () => {
       const node = new acceptance.Acceptance(validator)
       assert.deepEqual(fold(node, [first, newer, rival]), ['accepted', 'unsupported-rules', 'unsupported-rules'])
       assert.equal(node.state?.version, 1)
-      assert.match(node.upgradeReason ?? '', /offset 1 needs rule set 2.*Upgrade/)
+      assert.match(node.upgradeReason ?? '', /offset 1 needs rule set 3.*Upgrade/)
     })
 
     test.it('do not stop it on another base, so that a lost race has no effect', () => {
       const node = new acceptance.Acceptance(validator)
-      assert.deepEqual(fold(node, [first, second, { ...rival, rulesVersion: 2 }]), ['accepted', 'accepted', 'conflict'])
+      assert.deepEqual(fold(node, [first, second, { ...rival, rulesVersion: 3 }]), ['accepted', 'accepted', 'conflict'])
       assert.equal(node.upgradeReason, undefined)
     })
 
@@ -157,7 +157,7 @@
 
     test.it('cannot fill the memory while they wait to be judged, so that a late start stays within its budget', () => {
       const tail = new recordTail.RecordTail(100)
-      const record = { documentText: 'x'.repeat(40) } as recordDecoder.DecodedRecord
+      const record = { contentText: 'x'.repeat(40) } as recordDecoder.DecodedRecord
       for (let offset = 0; offset < 5; offset++) tail.add(offset, record)
       assert.equal(tail.startOffset, 3)
       assert.deepEqual(tail.after(3).map(entry => entry.offset), [4])
--- a/packages/common/src/config/DocumentPatch.ts
+++ b/packages/common/src/config/DocumentPatch.ts
@@ -1,7 +1,7 @@
 import * as patches from 'fast-json-patch'
 import type * as types from './Types.js'
 
-type Operation = patches.Operation
+export type Operation = patches.Operation
 type ListName = 'services' | 'targets' | 'routes'
 
 /** Entries of the lists are matched by these names, so that an inserted entry does not change the ones behind it. */
--- a/packages/common/src/config/Fold.ts
+++ b/packages/common/src/config/Fold.ts
@@ -50,7 +50,7 @@
   private _judgeProposal (offset: number, record: recordDecoder.DecodedRecord): types.Verdict {
     if (!this._isBasedOnState(record)) return this._otherBase(offset, record)
     if (!record.isSupported) return this._blocked(offset, record)
-    const checked = documentCheck.checkDocument(this._validator, record)
+    const checked = documentCheck.checkDocument(this._validator, record, this._state?.document)
     if (checked.kind !== 'valid') return verdict(checked.kind, offset, record, checked.reason)
     this._state = stateOf(record, checked.document, offset)
     return verdict('accepted', offset, record, 'The base is the version in force and the document is valid.')
@@ -65,7 +65,7 @@
   /** Whether a reader that starts at this snapshot adopts the state in force. */
   private _isAnchor (offset: number, record: recordDecoder.DecodedRecord): boolean {
     return record.version === this._version && record.digest === this._state?.digest && record.asOfOffset < offset &&
-      digests.digestText(record.documentText) === record.digest
+      digests.digestText(record.contentText) === record.digest
   }
 
   private _judgeVersion (offset: number, record: recordDecoder.DecodedRecord): types.Verdict {
@@ -120,5 +120,5 @@
 
 /** The state that a checked record stands for. */
 export function stateOf (record: recordDecoder.DecodedRecord, document: types.ConfigDocument, asOfOffset: number): types.AcceptedState {
-  return { version: record.version, digest: record.digest, rulesVersion: record.rulesVersion, document, asOfOffset }
+  return { version: record.version, digest: record.digest, rulesVersion: record.documentRulesVersion, document, asOfOffset }
 }
--- a/packages/common/src/config/RecordDecoder.ts
+++ b/packages/common/src/config/RecordDecoder.ts
@@ -2,6 +2,7 @@
 import * as ajv from 'ajv'
 import * as jsonText from './JsonText.js'
 import * as ruleSets from './RuleSets.js'
+import type * as documentPatch from './DocumentPatch.js'
 
 /** Base of the first proposal: no document is in force. */
 export const GENESIS_VERSION = 0
@@ -12,6 +13,15 @@
 const MAX_RULES_VERSION = 1_000_000
 const MAX_TIME_MS = 8.64e15
 
+/** Bounds the time of a patch: each operation can move all entries of a list. A larger change is a whole document. */
+export const MAX_PATCH_OPERATIONS = 10_000
+
+/**
+ * Paths that a patch between documents needs. Special paths (the root, `-`, escapes, prototype names, indices with
+ * leading zeros) are refused, so that the verdict does not depend on how a JSON Patch library treats them.
+ */
+const PATCH_PATH = '^(/([A-Za-z]{1,64}|0|[1-9][0-9]{0,8})){1,8}$'
+
 /** A well-formed envelope. The document in it is not yet checked. */
 export interface DecodedRecord {
   readonly kind: 'proposal' | 'snapshot'
@@ -24,11 +34,16 @@
   readonly rulesVersion: number
   /** Only snapshots have one; -1 for proposals. */
   readonly asOfOffset: number
+  /** Rule set of the document; it differs from `rulesVersion` for a proposal that holds a patch. */
+  readonly documentRulesVersion: number
   /** Whether this software can check the document. If not, only kind, versions and base are meaningful. */
   readonly isSupported: boolean
+  /** Meaningless if there is a patch. */
   readonly document: unknown
-  /** Canonical JSON of the document. */
-  readonly documentText: string
+  /** The patch that makes the document from that of the base, for a proposal that holds one. */
+  readonly patch: readonly documentPatch.Operation[] | undefined
+  /** Canonical JSON of the document or of the patch. */
+  readonly contentText: string
 }
 
 export interface MalformedRecord {
@@ -39,9 +54,12 @@
 
 interface EnvelopeSchemas {
   readonly proposal: ajv.ValidateFunction
+  readonly delta: ajv.ValidateFunction
   readonly snapshot: ajv.ValidateFunction
 }
 
+type EnvelopeKind = keyof EnvelopeSchemas
+
 let compiled: EnvelopeSchemas | undefined
 
 /** Decodes the data of one log record. Never throws. */
@@ -52,16 +70,15 @@
   if (kind !== 'proposal' && kind !== 'snapshot') return malformed(proposalId, 'The record is neither a proposal nor a snapshot.')
   const rulesVersion = data['rulesVersion']
   if (!isIntegerIn(rulesVersion, 1, MAX_RULES_VERSION)) return malformed(proposalId, 'The rulesVersion is not a positive integer.')
-  const documentText = jsonText.canonicalText(data['document'])
-  if (documentText === undefined) return malformed(proposalId, 'The document is missing, is not JSON or is nested too deeply.')
-  if (rulesVersion === ruleSets.CURRENT_RULES_VERSION) {
-    const problem = envelopeProblem(kind, data)
-    if (problem !== undefined) return malformed(proposalId, problem)
-  }
-  return decoded(kind, data, proposalId, rulesVersion, documentText)
+  const content = rulesVersion === ruleSets.DELTA_RULES_VERSION ? 'patch' : 'document'
+  const contentText = jsonText.canonicalText(data[content])
+  if (contentText === undefined) return malformed(proposalId, `The ${content} is missing, is not JSON or is nested too deeply.`)
+  const problem = envelopeProblem(kind, rulesVersion, data)
+  if (problem !== undefined) return malformed(proposalId, problem)
+  return decoded(kind, data, proposalId, rulesVersion, contentText)
 }
 
-function decoded (kind: 'proposal' | 'snapshot', data: Readonly<Record<string, unknown>>, proposalId: string | undefined, rulesVersion: number, documentText: string): DecodedRecord | MalformedRecord {
+function decoded (kind: 'proposal' | 'snapshot', data: Readonly<Record<string, unknown>>, proposalId: string | undefined, rulesVersion: number, contentText: string): DecodedRecord | MalformedRecord {
   const { version, baseVersion, baseDigest, digest, asOfOffset } = data
   if (!isIntegerIn(version, 1, MAX_VERSION)) return malformed(proposalId, 'The version is not a positive integer.')
   if (kind === 'proposal' && (baseVersion !== version - 1 || typeof baseDigest !== 'string')) {
@@ -70,6 +87,7 @@
   if (kind === 'snapshot' && !isIntegerIn(asOfOffset, 0, Number.MAX_SAFE_INTEGER)) {
     return malformed(proposalId, 'The asOfOffset of the snapshot is not an offset.')
   }
+  const isDelta = rulesVersion === ruleSets.DELTA_RULES_VERSION
   return {
     kind,
     proposalId,
@@ -79,15 +97,22 @@
     digest: typeof digest === 'string' ? digest : '',
     rulesVersion,
     asOfOffset: kind === 'snapshot' ? asOfOffset as number : -1,
-    isSupported: rulesVersion === ruleSets.CURRENT_RULES_VERSION,
+    documentRulesVersion: isDelta ? ruleSets.CURRENT_RULES_VERSION : rulesVersion,
+    isSupported: isDelta || rulesVersion === ruleSets.CURRENT_RULES_VERSION,
     document: data['document'],
-    documentText
+    patch: isDelta ? data['patch'] as readonly documentPatch.Operation[] : undefined,
+    contentText
   }
 }
 
-function envelopeProblem (kind: 'proposal' | 'snapshot', data: unknown): string | undefined {
+/** Envelopes of unknown rule sets are not checked. */
+function envelopeProblem (kind: 'proposal' | 'snapshot', rulesVersion: number, data: unknown): string | undefined {
+  if (rulesVersion > ruleSets.DELTA_RULES_VERSION) return undefined
+  const isDelta = rulesVersion === ruleSets.DELTA_RULES_VERSION
+  if (isDelta && kind === 'snapshot') return `A snapshot cannot have rule set ${rulesVersion}, which is for proposals that hold a patch.`
   compiled ??= compileEnvelopes()
-  const matches = compiled[kind]
+  const envelopeKind: EnvelopeKind = isDelta ? 'delta' : kind
+  const matches = compiled[envelopeKind]
   if (matches(data)) return undefined
   const error = matches.errors?.[0]
   return `The ${kind} is malformed: ${error?.instancePath ?? ''} ${error?.message ?? 'unknown problem'}.`
@@ -97,17 +122,25 @@
   const digest = { type: 'string', pattern: '^[0-9a-f]{64}$' }
   const version = { type: 'integer', minimum: 1, maximum: MAX_VERSION }
   const common = { version, digest, rulesVersion: { type: 'integer' }, document: true }
+  const proposal = {
+    ...common,
+    kind: { const: 'proposal' },
+    proposalId: { type: 'string', pattern: '^[0-9a-f]{8}(-[0-9a-f]{4}){3}-[0-9a-f]{12}$' },
+    baseVersion: { type: 'integer', minimum: GENESIS_VERSION, maximum: MAX_VERSION - 1 },
+    baseDigest: { type: 'string', pattern: '^([0-9a-f]{64})?$' },
+    // One line of visible text, because it is printed on terminals.
+    author: { type: 'string', maxLength: 128, pattern: '^[^\\s\\p{C}]([^\\p{C}]*[^\\s\\p{C}])?$' },
+    proposedAtMs: { type: 'integer', minimum: 0, maximum: MAX_TIME_MS }
+  }
   const schemas = new ajv.Ajv({ strict: true, validateSchema: false })
   return {
-    proposal: schemas.compile(envelope({
-      ...common,
-      kind: { const: 'proposal' },
-      proposalId: { type: 'string', pattern: '^[0-9a-f]{8}(-[0-9a-f]{4}){3}-[0-9a-f]{12}$' },
-      baseVersion: { type: 'integer', minimum: GENESIS_VERSION, maximum: MAX_VERSION - 1 },
-      baseDigest: { type: 'string', pattern: '^([0-9a-f]{64})?$' },
-      // One line of visible text, because it is printed on terminals.
-      author: { type: 'string', maxLength: 128, pattern: '^[^\\s\\p{C}]([^\\p{C}]*[^\\s\\p{C}])?$' },
-      proposedAtMs: { type: 'integer', minimum: 0, maximum: MAX_TIME_MS }
+    proposal: schemas.compile(envelope(proposal)),
+    delta: schemas.compile(envelope({
+      ...proposal,
+      baseVersion: { type: 'integer', minimum: GENESIS_VERSION + 1, maximum: MAX_VERSION - 1 },
+      baseDigest: digest,
+      document: { type: 'null' },
+      patch: patchSchema()
     })),
     snapshot: schemas.compile(envelope({
       ...common,
@@ -117,6 +150,12 @@
   }
 }
 
+function patchSchema (): object {
+  const path = { type: 'string', pattern: PATCH_PATH }
+  const operation = { oneOf: [envelope({ op: { enum: ['add', 'replace'] }, path, value: true }), envelope({ op: { const: 'remove' }, path })] }
+  return { type: 'array', maxItems: MAX_PATCH_OPERATIONS, items: operation }
+}
+
 function envelope (properties: Readonly<Record<string, unknown>>): object {
   return { type: 'object', additionalProperties: false, required: Object.keys(properties), properties }
 }
--- a/packages/common/src/config/RecordTail.ts
+++ b/packages/common/src/config/RecordTail.ts
@@ -29,7 +29,7 @@
 
   public add (offset: number, record: recordDecoder.DecodedRecord): void {
     this._records.push({ offset, record })
-    this._characters += record.documentText.length
+    this._characters += record.contentText.length
     while (this._characters > this._capacity) this._dropOldest()
   }
 
@@ -40,7 +40,7 @@
   private _dropOldest (): void {
     const oldest = this._records.shift()
     if (oldest === undefined) return
-    this._characters -= oldest.record.documentText.length
+    this._characters -= oldest.record.contentText.length
     this._startOffset = oldest.offset + 1
   }
 }
--- a/packages/common/src/config/RuleSets.ts
+++ b/packages/common/src/config/RuleSets.ts
@@ -5,6 +5,12 @@
 
 export const CURRENT_RULES_VERSION = 1
 
+/**
+ * Rule set of proposals that hold a patch. It checks the resulting document as rule set 1 does, and the accepted state
+ * has rule set 1. The number of its own makes software that does not know patches stop judging instead of refusing.
+ */
+export const DELTA_RULES_VERSION = 2
+
 /** Everything that decides whether a document is valid under one `rulesVersion`. It must never change once released. */
 export interface RuleSet {
   readonly matchesSchema: ajv.ValidateFunction
--- a/packages/common/src/config/TestDocuments.ts
+++ b/packages/common/src/config/TestDocuments.ts
@@ -1,5 +1,6 @@
 /** Documents and records for tests of the configuration folder and of its users. */
 import * as digests from '../base/Digest.js'
+import * as documentPatch from './DocumentPatch.js'
 import type * as types from './Types.js'
 
 /** The terms of the example on the design page. */
@@ -57,3 +58,20 @@
     document
   }
 }
+
+/** The same proposal with a patch, whether or not that is shorter. */
+export function testDelta (serial: number, base: types.AcceptedState, document: types.ConfigDocument): types.DeltaProposalRecord {
+  const whole = testProposal(serial, base, document)
+  return { ...whole, rulesVersion: 2, document: null, patch: documentPatch.makePatch(base.document, document) }
+}
+
+/** The example with more services, each with a target rule and a route. */
+export function testDocumentWith (names: readonly string[], coldStartMs: number = 1000): types.ConfigDocument {
+  const document = testDocument(coldStartMs)
+  return {
+    ...document,
+    services: [...document.services, ...names.map(name => ({ name, slots: 1, connections: 1, coldStartMs: 0 }))],
+    targets: [...document.targets, ...names.map(service => ({ service, zones: ['vake'] }))],
+    routes: [...document.routes, ...document.routes.flatMap(route => names.map(name => ({ ...route, name, service: name, match: { method: 'GET', pathPrefix: `/${name}` } })))]
+  }
+}
--- a/packages/common/src/config/Types.ts
+++ b/packages/common/src/config/Types.ts
@@ -78,19 +78,32 @@
   readonly asOfOffset?: number
 }
 
-export interface ProposalRecord {
+/** What every proposal states, however it gives its document. */
+export interface ProposalEnvelope {
   readonly kind: 'proposal'
   readonly proposalId: string
   readonly version: number
   readonly baseVersion: number
   readonly baseDigest: string
+  /** SHA-256 of the canonical JSON of the proposed document. */
   readonly digest: string
   readonly rulesVersion: number
   readonly author: string
   readonly proposedAtMs: base.Millis
+}
+
+export interface ProposalRecord extends ProposalEnvelope {
   readonly document: ConfigDocument
 }
 
+/** A proposal that gives its document as a JSON Patch against the document of its base. */
+export interface DeltaProposalRecord extends ProposalEnvelope {
+  /** Software that knows only rule set 1 takes a record without a document for a malformed one and would judge on. */
+  readonly document: null
+  /** `add`, `remove` and `replace` operations of RFC 6902. */
+  readonly patch: readonly unknown[]
+}
+
 /**
  * The accepted state, appended again before the log drops the record that made it.
  * A newer proposal may stand between `asOfOffset` and the snapshot, so a reader that starts here
@@ -105,7 +118,7 @@
   readonly document: ConfigDocument
 }
 
-export type ConfigRecord = ProposalRecord | SnapshotRecord
+export type ConfigRecord = ProposalRecord | DeltaProposalRecord | SnapshotRecord
 
 /** A record of any log stream as the log service returns it. `data` is not yet checked. */
 export interface LogRecord {
--- a/packages/common/src/distribution/AuditTrail.ts
+++ b/packages/common/src/distribution/AuditTrail.ts
@@ -35,7 +35,7 @@
   }
 
   /** Records what was proposed and how it was judged. */
-  public addVerdict (proposal: config.ProposalRecord, verdict: config.Verdict, nowMs: base.Millis): void {
+  public addVerdict (proposal: config.ProposalEnvelope, verdict: config.Verdict, nowMs: base.Millis): void {
     const { proposalId, version, author } = proposal
     this.add({ kind: 'proposed', proposalId, version, author, atMs: proposal.proposedAtMs })
     const kind = verdict.kind === 'accepted' ? 'accepted' : 'rejected'
--- a/packages/common/src/distribution/Distribution.ts
+++ b/packages/common/src/distribution/Distribution.ts
@@ -330,19 +330,19 @@
     const verdict = acceptance.apply(record)
     this._verdicts.push(verdict)
     if (this._verdicts.length > MAX_VERDICTS) this._verdicts.shift()
-    const data = record.data as Partial<config.ProposalRecord> | Partial<config.SnapshotRecord> | null
+    const data = record.data as Partial<config.ProposalEnvelope> | Partial<config.SnapshotRecord> | null
     if (acceptance.anchorOffset !== undefined && acceptance.anchorOffset !== this._anchorOffset) {
       this._anchorOffset = acceptance.anchorOffset
       this._snapshots.anchorSeen(this._appendedAtMs(data, nowMs), this._retentionMs)
     }
     if (data?.kind !== 'proposal' || !this._hasReadToEnd || !this.isReader || !readers.isFirstOfFleet) return
-    if (verdict.kind !== 'duplicate') this._audit.addVerdict(data as config.ProposalRecord, verdict, nowMs)
+    if (verdict.kind !== 'duplicate') this._audit.addVerdict(data as config.ProposalEnvelope, verdict, nowMs)
   }
 
   /** Records carry no time of append. One that was there before this node read the log may be old. */
   private _appendedAtMs (data: { readonly kind?: string } | null, nowMs: base.Millis): base.Millis {
     if (this._hasReadToEnd) return nowMs
-    const proposedAtMs = data?.kind === 'proposal' ? (data as config.ProposalRecord).proposedAtMs : 0
+    const proposedAtMs = data?.kind === 'proposal' ? (data as config.ProposalEnvelope).proposedAtMs : 0
     return Math.min(nowMs, Math.max(proposedAtMs, nowMs - this._retentionMs / 2))
   }
 
