Append a patch in elmpost apply when it is shorter

Cause: elmpost apply sent the whole document with every change. Change: apply makes the proposal with ProposalMaker, which takes the patch if it is shorter and leads to the document, and the whole document otherwise. history shows the difference that a patch makes. SteppedFleet proposes as apply does, so the fault tests run on patches; the test of a steady stream of changes checks that all proposals left in the log are patches whose first base has expired, and that a fleet that starts again still converges.

--- a/packages/cli/src/commands/ApplyCommand.test.ts
+++ b/packages/cli/src/commands/ApplyCommand.test.ts
@@ -5,6 +5,7 @@
 import * as fc from 'fast-check'
 import * as test from 'node:test'
 import * as testEnvironment from '../TestEnvironment.js'
+import type * as config from '@elmpost/common/config/Types.js'
 
 interface Printed {
   readonly outcome: string
@@ -18,6 +19,14 @@
 const FILES = {
   'a.json': JSON.stringify(documents.testDocument(1)),
   'b.json': JSON.stringify(documents.testDocument(2)),
+  'other.json': JSON.stringify({
+    ...documents.testDocument(1),
+    institution: 'lakeshore',
+    services: [{ name: 'vault', slots: 1, connections: 1, coldStartMs: 0 }],
+    targets: [{ service: 'vault', zones: ['ann'] }],
+    routes: documents.testDocument(1).routes.map(route => ({ ...route, name: 'fetch', service: 'vault', match: { method: 'GET', pathPrefix: '/' }, idempotent: true, timeoutMs: 1, limits: { maxQueueMs: 1, maxBodyBytes: 1 } })),
+    terms: { drainMs: 1000, retryBudgetRatio: 0.5, zonePreference: 'any', ownershipHorizonMs: 700000, keyRetentionMs: 700000, distribution: { preference: 'convergence-time', pushFanout: 8, gossipIntervalMs: 2000 } }
+  }),
   'bad.json': JSON.stringify({ ...documents.testDocument(1), routes: [{}], extra: 1 }),
   'text.json': '{'
 }
@@ -63,6 +72,34 @@
     })
   })
 
+  test.describe('form of the proposal', () => {
+    test.it('is the whole document for the first file and a patch after it, so that the log holds few bytes', async () => {
+      const log = new testEnvironment.FakeLog()
+      await apply(log, 'a.json')
+      assert.deepEqual([(await apply(log, 'b.json'))[0], log.streams.config.length], [0, 2])
+      const [first, second] = log.streams.config as [config.ProposalRecord, config.DeltaProposalRecord]
+      assert.deepEqual(first.document, documents.testDocument(1))
+      assert.deepEqual(second.patch, [{ op: 'replace', path: '/services/0/coldStartMs', value: 2 }])
+    })
+
+    test.it('is the whole document if a patch is not shorter, so that a rewrite costs no more than before', async () => {
+      const log = new testEnvironment.FakeLog()
+      await apply(log, 'a.json')
+      assert.equal((await apply(log, 'other.json'))[0], 0)
+      assert.deepEqual((log.streams.config[1] as config.ProposalRecord).document.services[0]?.name, 'vault')
+    })
+
+    test.it('is a patch on a snapshot if the base has expired, so that the log need not keep the record of the base', async () => {
+      const log = new testEnvironment.FakeLog()
+      await apply(log, 'a.json')
+      const { document, digest } = documents.testState(1, documents.testDocument(1))
+      log.streams.config.push({ kind: 'snapshot', version: 1, digest, rulesVersion: 1, asOfOffset: 0, document })
+      log.firstOffset = 1
+      const [exitCode, printed] = await apply(log, 'b.json')
+      assert.deepEqual([exitCode, printed.version, (log.streams.config[2] as config.DeltaProposalRecord).document], [0, 2, null])
+    })
+  })
+
   test.describe('rejected', () => {
     test.it('reports the loser of a race, so that no operator believes a lost change', async () => {
       const [exitCode, printed] = await apply(new testEnvironment.FakeLog(log => { if (log.streams.config.length === 0) log.streams.config.push(rival) }), 'a.json')
--- a/packages/cli/src/commands/ApplyCommand.ts
+++ b/packages/cli/src/commands/ApplyCommand.ts
@@ -1,10 +1,11 @@
 import * as appender from '../Appender.js'
 import * as cliError from '../CliError.js'
 import * as configLog from '../ConfigLog.js'
+import * as configValidator from '@elmpost/common/config/ConfigValidator.js'
 import * as documentFile from '../DocumentFile.js'
 import * as digests from '@elmpost/common/base/Digest.js'
+import * as proposalMaker from '@elmpost/common/config/ProposalMaker.js'
 import * as recordDecoder from '@elmpost/common/config/RecordDecoder.js'
-import * as ruleSets from '@elmpost/common/config/RuleSets.js'
 import * as types from '../Types.js'
 import type * as config from '@elmpost/common/config/Types.js'
 import type * as services from '../Services.js'
@@ -17,6 +18,8 @@
   readonly attempts: number
 }
 
+type Proposal = config.ProposalRecord | config.DeltaProposalRecord
+
 /** The end of an `apply`, as it is printed. */
 interface ApplyResult {
   readonly outcome: types.ApplyOutcome
@@ -29,6 +32,7 @@
 /** Proposes a document and waits for the verdict. It ends with exactly one of accepted, rejected and unknown. */
 export class ApplyCommand {
   private readonly _log: configLog.ConfigLog
+  private readonly _validator = new configValidator.ConfigValidator()
 
   constructor (
     private readonly _environment: services.ICliEnvironment,
@@ -59,23 +63,16 @@
     return await this._propose(this._proposal(document, digest, base, options), options)
   }
 
-  private _proposal (document: config.ConfigDocument, digest: string, base: config.AcceptedState | undefined, options: ApplyOptions): config.ProposalRecord {
-    const baseVersion = base?.version ?? 0
-    return {
-      kind: 'proposal',
+  private _proposal (document: config.ConfigDocument, digest: string, base: config.AcceptedState | undefined, options: ApplyOptions): Proposal {
+    const origin = {
       proposalId: this._environment.newId(),
-      version: baseVersion + 1,
-      baseVersion,
-      baseDigest: base?.digest ?? '',
-      digest,
-      rulesVersion: ruleSets.CURRENT_RULES_VERSION,
       author: options.author ?? this._environment.userName,
-      proposedAtMs: this._environment.clock.nowMs(),
-      document
+      proposedAtMs: this._environment.clock.nowMs()
     }
+    return proposalMaker.makeProposal(this._validator, origin, base, { document, digest })
   }
 
-  private async _propose (proposal: config.ProposalRecord, options: ApplyOptions): Promise<ApplyResult> {
+  private async _propose (proposal: Proposal, options: ApplyOptions): Promise<ApplyResult> {
     if (recordDecoder.decodeRecord(proposal).kind === 'malformed') {
       return notSent(new cliError.CliError('invalid-input', `The author '${proposal.author}' is not one line of 1 to 128 characters. Name another one with --author.`))
     }
@@ -88,17 +85,17 @@
   }
 
   /** Whether the log already tells what became, or can still become, of the proposal. */
-  private async _isSettled (proposal: config.ProposalRecord): Promise<boolean> {
+  private async _isSettled (proposal: Proposal): Promise<boolean> {
     const read = await this._log.catchUp()
     return read.isOk() && (this._log.verdictOf(proposal.proposalId) !== undefined || this._isOvertaken(proposal))
   }
 
   /** A proposal on an older version than the one in force can no longer be accepted. */
-  private _isOvertaken (proposal: config.ProposalRecord): boolean {
+  private _isOvertaken (proposal: Proposal): boolean {
     return this._log.gap === undefined && (this._log.state?.version ?? 0) > proposal.baseVersion
   }
 
-  private async _result (proposal: config.ProposalRecord, appended: appender.AppendAttempts, attempts: number): Promise<ApplyResult> {
+  private async _result (proposal: Proposal, appended: appender.AppendAttempts, attempts: number): Promise<ApplyResult> {
     const result = { version: proposal.version, proposalId: proposal.proposalId }
     if (appended.last.kind !== 'appended' && !appended.isUncertain) {
       const isRefused = appended.last.kind === 'refused'
@@ -114,7 +111,7 @@
   }
 
   /** Reads the log until it shows the proposal, a bounded number of times. */
-  private async _verdict (proposal: config.ProposalRecord, attempts: number): Promise<config.Verdict | undefined> {
+  private async _verdict (proposal: Proposal, attempts: number): Promise<config.Verdict | undefined> {
     for (let attempt = 1; ; attempt++) {
       if (await this._isSettled(proposal) || attempt >= attempts) return this._log.verdictOf(proposal.proposalId)
       await this._environment.clock.sleep(READ_AGAIN_MS * attempt)
@@ -122,7 +119,7 @@
   }
 
   /** Best effort: the verdict does not depend on the audit stream. */
-  private async _audit (proposal: config.ProposalRecord): Promise<void> {
+  private async _audit (proposal: Proposal): Promise<void> {
     const { proposalId, version, baseVersion, digest, author, proposedAtMs } = proposal
     const entry: types.ProposedEntry = { kind: 'proposed', proposalId, version, baseVersion, digest, author, atMs: proposedAtMs }
     const appended = await this._client.append('audit', entry)
--- a/packages/cli/src/commands/HistoryCommand.test.ts
+++ b/packages/cli/src/commands/HistoryCommand.test.ts
@@ -30,6 +30,16 @@
     assert.deepEqual(entries.slice(1).map(entry => entry.changes?.length), [1, 1, 1])
   })
 
+  test.it('shows the difference of a patch, so that operators can read what a short record did', async () => {
+    const log = new testEnvironment.FakeLog()
+    const delta = documents.testDelta(4, state1, documents.testDocument(2))
+    log.streams.config.push(first, delta, { ...delta, proposalId: rival.proposalId, patch: [{ op: 'remove', path: '/services/7' }] })
+    const { stdout } = await history(log, '--output', 'json')
+    const { entries } = JSON.parse(stdout) as { entries: Entry[] }
+    assert.deepEqual(entries.map(entry => entry.verdict), ['accepted', 'accepted', 'conflict'])
+    assert.deepEqual(entries.slice(1).map(entry => entry.changes?.length), [1, undefined])
+  })
+
   test.it('survives forged records, so that nobody can hide the history or control the terminal', async () => {
     const log = new testEnvironment.FakeLog()
     log.streams.config.push('x', { kind: 'proposal' }, { ...first, author: '\u001b[2J' }, { ...first, document: { services: [null] } }, first)
--- a/packages/cli/src/commands/HistoryCommand.ts
+++ b/packages/cli/src/commands/HistoryCommand.ts
@@ -2,7 +2,10 @@
 import * as configDiff from '@elmpost/common/config/ConfigDiff.js'
 import * as configValidator from '@elmpost/common/config/ConfigValidator.js'
 import * as configLog from '../ConfigLog.js'
+import * as patchedDocument from '@elmpost/common/config/PatchedDocument.js'
+import * as recordDecoder from '@elmpost/common/config/RecordDecoder.js'
 import * as results from 'ts-results-es'
+import * as ruleSets from '@elmpost/common/config/RuleSets.js'
 import * as types from '../Types.js'
 import type * as config from '@elmpost/common/config/Types.js'
 import type * as services from '../Services.js'
@@ -16,6 +19,8 @@
   readonly limit: number
 }
 
+type Proposal = config.ProposalRecord | config.DeltaProposalRecord
+
 /** One proposal as the log tells it. */
 interface HistoryEntry {
   readonly offset: number
@@ -69,11 +74,19 @@
   }
 
   /** Documents that were not accepted may have any content. */
-  private _changes (proposal: config.ProposalRecord): HistoryEntry['changes'] {
+  private _changes (proposal: Proposal): HistoryEntry['changes'] {
     const base = this._documents.get(proposal.baseDigest)
     if (base === undefined && proposal.baseVersion !== 0) return undefined
-    return this._validator.validate(proposal.document, proposal.rulesVersion)
-      .map(document => new configDiff.ConfigDiff().compare(base, document))
+    const decoded = recordDecoder.decodeRecord(proposal)
+    const patch = decoded.kind === 'proposal' ? decoded.patch : undefined
+    return patch === undefined
+      ? this._difference(base, proposal.document, proposal.rulesVersion)
+      : this._difference(base, patchedDocument.applyPatch(base, patch).unwrapOr(undefined), ruleSets.CURRENT_RULES_VERSION)
+  }
+
+  private _difference (base: config.ConfigDocument | undefined, document: unknown, rulesVersion: number): HistoryEntry['changes'] {
+    return this._validator.validate(document, rulesVersion)
+      .map(valid => new configDiff.ConfigDiff().compare(base, valid))
       .unwrapOr(undefined)
   }
 
@@ -139,11 +152,11 @@
 }
 
 /** Anybody can append to the log, so only records with the right types are listed. */
-function readable (data: unknown): config.ProposalRecord | undefined {
+function readable (data: unknown): Proposal | undefined {
   if (!isObject(data) || data['kind'] !== 'proposal') return undefined
   const hasTexts = ['proposalId', 'author', 'baseDigest'].every(name => typeof data[name] === 'string')
   const hasNumbers = ['version', 'baseVersion', 'proposedAtMs'].every(name => Number.isSafeInteger(data[name]))
-  return hasTexts && hasNumbers ? data as unknown as config.ProposalRecord : undefined
+  return hasTexts && hasNumbers ? data as unknown as Proposal : undefined
 }
 
 function isObject (value: unknown): value is Readonly<Record<string, unknown>> {
--- a/packages/testbed/src/network/DistributionFaults.test.ts
+++ b/packages/testbed/src/network/DistributionFaults.test.ts
@@ -1,5 +1,6 @@
 import * as assert from 'node:assert/strict'
 import * as test from 'node:test'
+import type * as config from '@elmpost/common/config/Types.js'
 import type * as messages from '@elmpost/common/node/Messages.js'
 import * as documents from '@elmpost/common/config/TestDocuments.js'
 import * as fleets from './SteppedFleet.js'
@@ -216,9 +217,13 @@
         version = fleet.propose()
         fleet.network.advance(8_000)
       }
+      const records = fleet.log.records('config', fleet.network.nowMs) as readonly config.ConfigRecord[]
+      const snapshots = records.filter(record => record.kind === 'snapshot')
+      // Every proposal that is left holds a patch, so the log tells no document but those of the snapshots.
+      assert.ok(records.every(record => record.kind === 'snapshot' || record.document === null))
+      assert.ok((records.find(record => record.kind === 'proposal')?.baseVersion ?? 0) > 1, 'no base has expired')
       fleet.startAll()
       assert.notEqual(fleet.converge(version, 20_000), undefined)
-      const snapshots = fleet.log.records('config', fleet.network.nowMs).filter(record => (record as { kind?: string }).kind === 'snapshot')
       assert.ok(snapshots.length <= 6, `${snapshots.length} snapshots`)
     })
 
--- a/packages/testbed/src/network/SteppedFleet.ts
+++ b/packages/testbed/src/network/SteppedFleet.ts
@@ -3,6 +3,7 @@
 import * as acceptances from '@elmpost/common/config/Acceptance.js'
 import * as deltas from '@elmpost/common/config/ConfigDelta.js'
 import * as validators from '@elmpost/common/config/ConfigValidator.js'
+import * as proposalMaker from '@elmpost/common/config/ProposalMaker.js'
 import * as documents from '@elmpost/common/config/TestDocuments.js'
 import type * as config from '@elmpost/common/config/Types.js'
 import type * as distributionTypes from '@elmpost/common/distribution/Types.js'
@@ -91,12 +92,14 @@
     return node
   }
 
-  /** Appends a proposal for the next version and returns the version. */
+  /** Appends a proposal for the next version, with a patch where `elmpost apply` makes one, and returns the version. */
   public propose (): number {
     const baseState = this.accepted.at(-1)
     this._serial++
     const document = this._document(1000 + this._serial)
-    const proposal = { ...documents.testProposal(this._serial, baseState, document), proposedAtMs: this.network.nowMs }
+    const { proposalId, author } = documents.testProposal(this._serial, baseState, document)
+    const proposed = documents.testState(0, document)
+    const proposal = proposalMaker.makeProposal(this._validator, { proposalId, author, proposedAtMs: this.network.nowMs }, baseState, proposed)
     const asOfOffset = this.log.append('config', proposal, this.network.nowMs)
     this.accepted.push(documents.testState(proposal.version, document, asOfOffset))
     return proposal.version
