--- a/packages/common/src/config/RecordDecoder.ts
+++ b/packages/common/src/config/RecordDecoder.ts
@@ -3,6 +3,7 @@
 import * as jsonText from './JsonText.js'
 import * as recordSchemas from './RecordSchemas.js'
 import * as ruleSets from './RuleSets.js'
+import type * as documentPatch from './DocumentPatch.js'
 
 /** Base of the first proposal: no document is in force. */
 export const GENESIS_VERSION = recordSchemas.GENESIS_VERSION
@@ -22,11 +23,16 @@
   readonly rulesVersion: number
   /** Only snapshots have one; -1 for proposals. */
   readonly asOfOffset: number
+  /** Rule set of the document; it differs from `rulesVersion` for a proposal that holds a patch. */
+  readonly documentRulesVersion: number
   /** Whether this software can check the document. If not, only kind, versions and base are meaningful. */
   readonly isSupported: boolean
+  /** Meaningless if there is a patch. */
   readonly document: unknown
-  /** Canonical JSON of the document. */
-  readonly documentText: string
+  /** The patch that makes the document from that of the base, for a proposal that holds one. */
+  readonly patch: readonly documentPatch.Operation[] | undefined
+  /** Canonical JSON of the document or of the patch. */
+  readonly contentText: string
 }
 
 export interface MalformedRecord {
@@ -43,16 +49,15 @@
   if (kind !== 'proposal' && kind !== 'snapshot') return malformed(proposalId, 'The record is neither a proposal nor a snapshot.')
   const rulesVersion = data['rulesVersion']
   if (!isIntegerIn(rulesVersion, 1, MAX_RULES_VERSION)) return malformed(proposalId, 'The rulesVersion is not a positive integer.')
-  const documentText = jsonText.canonicalText(data['document'])
-  if (documentText === undefined) return malformed(proposalId, 'The document is missing, is not JSON or is nested too deeply.')
-  if (rulesVersion === ruleSets.CURRENT_RULES_VERSION) {
-    const problem = envelopeProblem(kind, data)
-    if (problem !== undefined) return malformed(proposalId, problem)
-  }
-  return decoded(kind, data, proposalId, rulesVersion, documentText)
+  const content = rulesVersion === ruleSets.DELTA_RULES_VERSION ? 'patch' : 'document'
+  const contentText = jsonText.canonicalText(data[content])
+  if (contentText === undefined) return malformed(proposalId, `The ${content} is missing, is not JSON or is nested too deeply.`)
+  const problem = envelopeProblem(kind, rulesVersion, data)
+  if (problem !== undefined) return malformed(proposalId, problem)
+  return decoded(kind, data, proposalId, rulesVersion, contentText)
 }
 
-function decoded (kind: 'proposal' | 'snapshot', data: Readonly<Record<string, unknown>>, proposalId: string | undefined, rulesVersion: number, documentText: string): DecodedRecord | MalformedRecord {
+function decoded (kind: 'proposal' | 'snapshot', data: Readonly<Record<string, unknown>>, proposalId: string | undefined, rulesVersion: number, contentText: string): DecodedRecord | MalformedRecord {
   const { version, baseVersion, baseDigest, digest, asOfOffset } = data
   if (!isIntegerIn(version, 1, recordSchemas.MAX_VERSION)) return malformed(proposalId, 'The version is not a positive integer.')
   if (kind === 'proposal' && (baseVersion !== version - 1 || typeof baseDigest !== 'string')) {
@@ -61,6 +66,7 @@
   if (kind === 'snapshot' && !isIntegerIn(asOfOffset, 0, Number.MAX_SAFE_INTEGER)) {
     return malformed(proposalId, 'The asOfOffset of the snapshot is not an offset.')
   }
+  const isDelta = rulesVersion === ruleSets.DELTA_RULES_VERSION
   return {
     kind,
     proposalId,
@@ -70,14 +76,20 @@
     digest: typeof digest === 'string' ? digest : '',
     rulesVersion,
     asOfOffset: kind === 'snapshot' ? asOfOffset as number : -1,
-    isSupported: rulesVersion === ruleSets.CURRENT_RULES_VERSION,
+    documentRulesVersion: isDelta ? ruleSets.CURRENT_RULES_VERSION : rulesVersion,
+    isSupported: isDelta || rulesVersion === ruleSets.CURRENT_RULES_VERSION,
     document: data['document'],
-    documentText
+    patch: isDelta ? data['patch'] as readonly documentPatch.Operation[] : undefined,
+    contentText
   }
 }
 
-function envelopeProblem (kind: 'proposal' | 'snapshot', data: unknown): string | undefined {
-  const matches = configChecks.CHECKS[kind]
+/** Envelopes of unknown rule sets are not checked. */
+function envelopeProblem (kind: 'proposal' | 'snapshot', rulesVersion: number, data: unknown): string | undefined {
+  if (rulesVersion > ruleSets.DELTA_RULES_VERSION) return undefined
+  const isDelta = rulesVersion === ruleSets.DELTA_RULES_VERSION
+  if (isDelta && kind === 'snapshot') return `A snapshot cannot have rule set ${rulesVersion}, which is for proposals that hold a patch.`
+  const matches = configChecks.CHECKS[isDelta ? 'delta' : kind]
   if (matches(data)) return undefined
   const error = matches.errors?.[0]
   return `The ${kind} is malformed: ${error?.instancePath ?? ''} ${error?.message ?? 'unknown problem'}.`
