Give a replaced key of the entry node its own send time

Cause: when an owner refuses a key that the entry node issued, the call is tried again with a new key, but with the time of the call's arrival. After more than 1 s the next owner refused it as `stale-send`.

Change: the core states the send time of each send: the arrival of the call, or the time of issue of the key that replaced another. No send of a new key can be on its way before that, so the argument about refusals holds. A caller's key keeps the time of its arrival.

Before: the new test failed (100 instead of 1,500). After: it passes, and so does one for callers' keys; 509 of 509 tests.

--- a/packages/common/src/routing/EntryCalls.rules.test.ts
+++ b/packages/common/src/routing/EntryCalls.rules.test.ts
@@ -198,8 +198,8 @@
     })
   })
 
-  test.describe('generated key', () => {
-    test.it('is replaced after its owner refused it, so that a call can be repeated without running twice', () => {
+  test.describe('key', () => {
+    test.it('of the entry node is replaced after its owner refused it, so that a call can be repeated without running twice', () => {
       const document = fake.documentOf({ routes: [fake.routeOf({ match: { method: 'POST', pathPrefix: '/till/charge' }, idempotent: false })] })
       const calls = meshOf(5, document).entryCalls(1)
       const first = fake.asSend(calls.begin(fake.requestOf(charge), 0))
@@ -208,6 +208,22 @@
       assert.notEqual(second.to, first.to)
       assert.equal(fake.asAnswer(calls.failed(second.callId, 'peer-lost', 2)).outcome, 'unknown')
     })
+
+    test.it('of the entry node starts its own time with each replacement, so that a late retry is not refused as a stale send', () => {
+      const document = fake.documentOf({ routes: [fake.routeOf({ match: { method: 'POST', pathPrefix: '/till/charge' }, idempotent: false })] })
+      const calls = meshOf(5, document).entryCalls(1)
+      const first = fake.asSend(calls.begin(fake.requestOf(charge), 100))
+      const second = fake.asSend(calls.answered(first.callId, first.to, refusalOf(first.callId, 'target-lost'), 1_500))
+      assert.deepEqual([first.sentAtMs, second.sentAtMs], [100, 1_500])
+    })
+
+    test.it('of the caller keeps the time of its arrival when it is sent on, so that a refusal of it stays true', () => {
+      const calls = meshOf(5).entryCalls(1)
+      const first = fake.asSend(calls.begin(fake.requestOf({ ...charge, key: suppliedKey }), 100))
+      const moved = fake.answerOf(first.callId, { outcome: 'unknown', reason: 'not-owner', status: 502, successor: first.to === 'till-0' ? 'till-1' : 'till-0' })
+      const second = fake.asSend(calls.answered(first.callId, first.to, moved, 1_500))
+      assert.equal(second.sentAtMs, 100)
+    })
   })
 
   test.describe('configuration', () => {
--- a/packages/common/src/routing/EntryCalls.ts
+++ b/packages/common/src/routing/EntryCalls.ts
@@ -68,6 +68,8 @@
   key: string | undefined
   to: base.NodeId
   sentAtMs: base.Millis
+  /** Since when a send of the present key can be on its way. */
+  keySentAtMs: base.Millis
   /** Nodes that this call was sent to; none is used twice, so that a late answer cannot be mistaken. */
   tried: Set<base.NodeId> | undefined
   attempts: number
@@ -124,6 +126,7 @@
       key: key?.toLowerCase(),
       to: '',
       sentAtMs: nowMs,
+      keySentAtMs: nowMs,
       tried: undefined,
       attempts: 0,
       redirects: 0,
@@ -277,6 +280,7 @@
     if (call.keyIsMinted) {
       const minted = this._mint.mint(call.route.service, exclude, nowMs)
       call.key = minted.key
+      call.keySentAtMs = nowMs
       return minted.location
     }
     const located = this._locator.locate(call.route.service.config.name, call.key ?? '', exclude)
@@ -296,6 +300,7 @@
       // A retry at an outer level stays visible below, so that no lower level retries it again.
       attempt: Math.max(call.outerAttempt, call.attempts),
       deadlineAtMs: call.deadlineAtMs,
+      sentAtMs: call.keySentAtMs,
       route: call.route.route,
       version: call.version,
       key: call.key,
--- a/packages/node/src/EntryGateway.ts
+++ b/packages/node/src/EntryGateway.ts
@@ -11,8 +11,6 @@
   callId: number
   readonly sink: services.ICallSink
   readonly beganAtMs: number
-  /** Wall-clock time of the arrival, the same for every send. */
-  readonly arrivedAtMs: base.Millis
   link: services.IPeerLink | undefined
   key: string | undefined
   deadlineAtMs: base.Millis
@@ -55,13 +53,11 @@
 
   /** Starts a call. Returns the handle by which its caller can cancel it. */
   public begin (sink: services.ICallSink): services.ICallHandle {
-    const arrivedAtMs = this._options.nowMs()
-    const decision = this._options.entry.begin(sink.request, arrivedAtMs)
+    const decision = this._options.entry.begin(sink.request, this._options.nowMs())
     const call: EntryCall = {
       callId: decision.callId,
       sink,
       beganAtMs: performance.now(),
-      arrivedAtMs,
       link: undefined,
       key: sink.request.key,
       deadlineAtMs: 0,
@@ -193,7 +189,7 @@
       headers: request.headers,
       body: request.body,
       remainingMs: decision.deadlineAtMs - nowMs,
-      sentAtMs: call.arrivedAtMs,
+      sentAtMs: decision.sentAtMs,
       key: decision.key,
       fingerprint: decision.fingerprint,
       depth: request.depth,
