--- a/packages/testbed/src/bench/ConvergenceCase.ts
+++ b/packages/testbed/src/bench/ConvergenceCase.ts
@@ -13,13 +13,18 @@
 const LOADED_MS = 60_000
 const CHANGES_PER_DAY = 11_000
 const DAY_MS = 86_400_000
-const DETECTION_KILLS = 10
 const DETECTION_GAP_MS = 1_500
 const DETECTION_LIMIT_MS = 30_000
 /** Peers that have a connection to the killed process and see it break. */
 const CONNECTED_PEERS = 3
 const RESTART_LIMIT_MS = 120_000
 
+interface DetectionTimes {
+  readonly suspectMs: number
+  readonly firstMs: number
+  readonly allMs: number
+}
+
 /** Measures one strategy on one fleet, step by step in virtual time. */
 export class ConvergenceCase {
   private readonly _spec: types.CaseSpec
@@ -172,17 +177,21 @@
   }
 
   private _detection (isConnected: boolean): types.DetectionFigures {
+    const suspect = hdr.build()
     const first = hdr.build()
     const all = hdr.build()
-    const victims = this._fleet.pick(Math.min(DETECTION_KILLS, Math.floor(this._spec.size / 3)))
+    const victims = this._fleet.pick(Math.min(this._spec.detectionKills, Math.floor(this._spec.size / 3)))
     for (const node of victims) {
-      const [firstMs, allMs] = this._detect(node, isConnected)
-      first.recordValue(firstMs)
-      all.recordValue(allMs)
+      const times = this._detect(node, isConnected)
+      suspect.recordValue(times.suspectMs)
+      first.recordValue(times.firstMs)
+      all.recordValue(times.allMs)
       this._fleet.network.advance(DETECTION_GAP_MS)
     }
     return {
       killed: victims.length,
+      firstSuspectP50Ms: suspect.getValueAtPercentile(50),
+      firstSuspectMaxMs: suspect.maxValue,
       firstDeadP50Ms: first.getValueAtPercentile(50),
       firstDeadMaxMs: first.maxValue,
       allDeadP50Ms: all.getValueAtPercentile(50),
@@ -190,7 +199,7 @@
     }
   }
 
-  private _detect (node: nodes.SteppedNode, isConnected: boolean): readonly [number, number] {
+  private _detect (node: nodes.SteppedNode, isConnected: boolean): DetectionTimes {
     const { network, running } = this._fleet
     const startMs = network.nowMs
     this._fleet.kill(node)
@@ -198,13 +207,16 @@
       peer.membership.connectionLost(node.nodeId, startMs)
       network.flush(peer)
     }
+    let suspectMs: number | undefined
     let firstMs: number | undefined
     network.advanceUntil(() => {
-      const dead = [...running.values()].filter(peer => peer.membership.get(node.nodeId)?.state === 'dead').length
+      const states = [...running.values()].map(peer => peer.membership.get(node.nodeId)?.state)
+      const dead = states.filter(state => state === 'dead').length
+      if (dead > 0 || states.includes('suspect')) suspectMs ??= network.nowMs - startMs
       if (dead > 0) firstMs ??= network.nowMs - startMs
       return dead === running.size
     }, DETECTION_LIMIT_MS)
-    return [firstMs ?? DETECTION_LIMIT_MS, network.nowMs - startMs]
+    return { suspectMs: suspectMs ?? DETECTION_LIMIT_MS, firstMs: firstMs ?? DETECTION_LIMIT_MS, allMs: network.nowMs - startMs }
   }
 
   /** Every process ends and starts again at the same moment. */
--- a/packages/testbed/src/bench/convergence.ts
+++ b/packages/testbed/src/bench/convergence.ts
@@ -22,6 +22,7 @@
   .option('dead', { type: 'string', default: '0,0.05,0.3', describe: 'Shares of nodes that die during a push' })
   .option('restart-up-to', { type: 'number', default: 1_000, describe: 'Largest fleet whose restart as a whole is measured' })
   .option('detection-up-to', { type: 'number', default: 1_000, describe: 'Largest fleet whose failure detection is measured' })
+  .option('kills', { type: 'number', default: 10, describe: 'Nodes killed per kind of failure to measure the failure detection' })
   .option('traffic-up-to', { type: 'number', default: 10_000, describe: 'Largest fleet whose idle and loaded traffic is measured' })
   .option('seed', { type: 'number', default: 1, describe: 'Seed of the random choices' })
   .option('include', { type: 'string', default: '', describe: 'JSON files of earlier runs whose results are shown as well, comma-separated' })
@@ -68,6 +69,7 @@
     deadRatios: numbers(options.dead),
     withBytes: size <= options['traffic-up-to'],
     withDetection: strategy === 'hybrid' && size <= options['detection-up-to'],
+    detectionKills: options.kills,
     withRestart: isProduct && size <= options['restart-up-to']
   }
 }
--- a/packages/testbed/src/bench/convergenceReport.ts
+++ b/packages/testbed/src/bench/convergenceReport.ts
@@ -40,13 +40,13 @@
       ...(detectionConnected === undefined ? [] : [detectionRow(result.size, 'process killed, 3 connections break', detectionConnected)])
     ]
   })
-  return table('Detection', ['nodes', 'failure', 'kills', 'first `dead` p50 ms', 'max ms', 'everywhere `dead` p50 ms', 'max ms'], rows)
+  return table('Detection', ['nodes', 'failure', 'kills', 'first `suspect` p50 ms', 'max ms', 'first `dead` p50 ms', 'max ms', 'everywhere `dead` p50 ms', 'max ms'], rows)
 }
 
 function detectionRow (size: number, failure: string, figures: types.DetectionFigures): string[] {
   return [
-    count(size), failure, count(figures.killed), count(figures.firstDeadP50Ms), count(figures.firstDeadMaxMs),
-    count(figures.allDeadP50Ms), count(figures.allDeadMaxMs)
+    count(size), failure, count(figures.killed), count(figures.firstSuspectP50Ms), count(figures.firstSuspectMaxMs),
+    count(figures.firstDeadP50Ms), count(figures.firstDeadMaxMs), count(figures.allDeadP50Ms), count(figures.allDeadMaxMs)
   ]
 }
 
--- a/packages/testbed/src/bench/convergenceTypes.ts
+++ b/packages/testbed/src/bench/convergenceTypes.ts
@@ -12,6 +12,8 @@
   /** Parts besides the convergence to measure. */
   readonly withBytes: boolean
   readonly withDetection: boolean
+  /** Nodes that are killed one after the other for each kind of failure. */
+  readonly detectionKills: number
   readonly withRestart: boolean
 }
 
@@ -35,6 +37,9 @@
 
 export interface DetectionFigures {
   readonly killed: number
+  /** Time until the first live node suspects the killed one: the wait for a probe and the time-outs of the probes. */
+  readonly firstSuspectP50Ms: number
+  readonly firstSuspectMaxMs: number
   readonly firstDeadP50Ms: number
   readonly firstDeadMaxMs: number
   /** Time until all live nodes hold the row as dead. */
