Probe every member once per interval

Cause: each node probed in a shuffled order of its own, so the probes of one member came at random times, and a vanished VM waited for its first probe.

Change: all nodes order the members by hash and shift this ring by an offset that depends on the number of the interval, so each member has one prober per interval. The moment within the interval depends on the probed member, so its probes are one interval apart. Clock differences within the accepted 250 ms lengthen the gap by as much. The time-outs, the suspicion and the refutation are unchanged.

Conclusion: the wait for the first probe is bounded by one interval and one tick, for the same bytes.

--- a/packages/common/src/membership/FailureDetector.ts
+++ b/packages/common/src/membership/FailureDetector.ts
@@ -1,3 +1,5 @@
+import * as rings from './ProbeRing.js'
+import * as schedules from './ProbeSchedule.js'
 import type * as base from '../base/Types.js'
 
 /** Time within which a probed member must answer. */
@@ -15,7 +17,6 @@
 
 /** What the detector needs to know and to have done. */
 export interface IDetectorHost {
-  isProbed(nodeId: base.NodeId): boolean
   sendProbe(nodeId: base.NodeId, sequence: number): void
   sendProbeRequest(helper: base.NodeId, target: base.NodeId, sequence: number): void
   relayAck(requester: base.NodeId, target: base.NodeId, sequence: number): void
@@ -36,20 +37,20 @@
 }
 
 export interface FailureDetectorOptions {
+  readonly selfId: base.NodeId
   readonly host: IDetectorHost
   readonly random: base.IRandom
   readonly intervalMs: () => base.Millis
 }
 
-/** Probes members in a shuffled round-robin order and decides when one is suspect or dead. */
+/** Probes members, one per interval, and decides when one is suspect or dead. */
 export class FailureDetector {
   private readonly _host: IDetectorHost
   private readonly _random: base.IRandom
   private readonly _intervalMs: () => base.Millis
-  private _ids: base.NodeId[] = []
-  private _position = 0
+  private readonly _ring = new rings.ProbeRing()
+  private readonly _schedule: schedules.ProbeSchedule
   private _sequence = 0
-  private _nextProbeAtMs: base.Millis | undefined
   private _lastTickMs: base.Millis | undefined
   private readonly _outstanding = new Map<number, Outstanding>()
   private readonly _relays = new Map<number, Relay>()
@@ -60,21 +61,24 @@
     this._host = options.host
     this._random = options.random
     this._intervalMs = options.intervalMs
+    this._schedule = new schedules.ProbeSchedule(this._ring, options.selfId)
   }
 
-  /** Adds a member at a random place of the order. */
+  /** Begins to probe a member. */
   public add (nodeId: base.NodeId): void {
-    const at = this._random.nextInt(this._ids.length + 1)
-    const moved = this._ids[at]
-    this._ids[at] = nodeId
-    if (moved !== undefined) this._ids.push(moved)
+    this._ring.add(nodeId)
+  }
+
+  /** Probes a member no more. */
+  public remove (nodeId: base.NodeId): void {
+    this._ring.remove(nodeId)
   }
 
   /** A random probed member that the filter accepts. */
   public randomMember (accepts: (nodeId: base.NodeId) => boolean): base.NodeId | undefined {
-    for (let i = 0; i < RANDOM_TRIES && this._ids.length > 0; i++) {
-      const id = this._ids[this._random.nextInt(this._ids.length)]
-      if (id !== undefined && this._host.isProbed(id) && accepts(id)) return id
+    for (let i = 0; i < RANDOM_TRIES && this._ring.size > 0; i++) {
+      const id = this._ring.at(this._random.nextInt(this._ring.size))
+      if (id !== undefined && accepts(id)) return id
     }
     return undefined
   }
@@ -89,7 +93,7 @@
 
   /** Probes a member now, outside of the order. */
   public probe (nodeId: base.NodeId, nowMs: base.Millis): void {
-    if (this._outstanding.size >= MAX_OUTSTANDING || !this._host.isProbed(nodeId)) return
+    if (this._outstanding.size >= MAX_OUTSTANDING || !this._ring.has(nodeId)) return
     const sequence = this._nextSequence()
     this._outstanding.set(sequence, { target: nodeId, stage: 'direct', deadlineMs: nowMs + PROBE_TIMEOUT_MS })
     this._host.sendProbe(nodeId, sequence)
@@ -97,7 +101,7 @@
 
   /** Another member asks to probe `target` on its behalf. */
   public probeFor (requester: base.NodeId, target: base.NodeId, requestSequence: number, nowMs: base.Millis): void {
-    if (this._relays.size >= MAX_OUTSTANDING || !this._host.isProbed(target)) return
+    if (this._relays.size >= MAX_OUTSTANDING || !this._ring.has(target)) return
     const sequence = this._nextSequence()
     this._relays.set(sequence, { requester, sequence: requestSequence, deadlineMs: nowMs + RELAY_TTL_MS })
     this._host.sendProbe(target, sequence)
@@ -163,43 +167,7 @@
 
   private _probeNext (nowMs: base.Millis): void {
     const intervalMs = this._intervalMs()
-    this._nextProbeAtMs ??= nowMs + this._random.nextInt(intervalMs)
-    if (nowMs < this._nextProbeAtMs) return
-    this._nextProbeAtMs = Math.max(this._nextProbeAtMs + intervalMs, nowMs)
-    const next = this._nextId()
-    if (next !== undefined) this.probe(next, nowMs)
-  }
-
-  private _nextId (): base.NodeId | undefined {
-    if (this._position >= this._ids.length) this._shuffle()
-    while (this._position < this._ids.length) {
-      const id = this._ids[this._position]
-      if (id !== undefined && this._host.isProbed(id)) {
-        this._position++
-        return id
-      }
-      this._removeAt(this._position)
-    }
-    return undefined
-  }
-
-  private _removeAt (position: number): void {
-    const last = this._ids.pop()
-    if (last !== undefined && position < this._ids.length) this._ids[position] = last
-  }
-
-  /** A member that died and came back may be listed twice until here. */
-  private _shuffle (): void {
-    this._position = 0
-    this._ids = [...new Set(this._ids)]
-    for (let i = this._ids.length - 1; i > 0; i--) {
-      const j = this._random.nextInt(i + 1)
-      const a = this._ids[i]
-      const b = this._ids[j]
-      if (a === undefined || b === undefined) continue
-      this._ids[i] = b
-      this._ids[j] = a
-    }
+    for (let next = this._schedule.due(nowMs, intervalMs); next !== undefined; next = this._schedule.due(nowMs, intervalMs)) this.probe(next, nowMs)
   }
 
   private _nextSequence (): number {
--- a/packages/common/src/membership/Membership.ts
+++ b/packages/common/src/membership/Membership.ts
@@ -78,6 +78,7 @@
     this.onPeerVersion = this._versions.event
     this._self = { ...options.self, state: 'joining', revision: 0, successor: '' }
     this._detector = new detectors.FailureDetector({
+      selfId: options.self.nodeId,
       host: this._detectorHost(),
       random: options.random,
       intervalMs: () => options.terms().gossipIntervalMs
@@ -301,8 +302,8 @@
 
   private _updateDetector (change: types.MemberChange, nowMs: base.Millis): void {
     const row = change.current
-    const wasProbed = change.previous !== undefined && rules.isProbed(change.previous)
-    if (rules.isProbed(row) && !wasProbed) this._detector.add(row.nodeId)
+    if (rules.isProbed(row)) this._detector.add(row.nodeId)
+    else this._detector.remove(row.nodeId)
     if (row.state === 'suspect') this._detector.startSuspicion(row.nodeId, nowMs)
     else this._detector.endSuspicion(row.nodeId)
   }
@@ -369,10 +370,6 @@
 
   private _detectorHost (): detectors.IDetectorHost {
     return {
-      isProbed: nodeId => {
-        const row = this._table.get(nodeId)
-        return row !== undefined && rules.isProbed(row)
-      },
       sendProbe: (nodeId, sequence) => this._send(nodeId, { kind: 'probe', sequence, ...this._news(nodeId) }),
       sendProbeRequest: (helper, target, sequence) => this._send(helper, { kind: 'probe-request', sequence, target }),
       relayAck: (requester, target, sequence) => this._send(requester, {
--- a/packages/testbed/src/network/MembershipFaults.test.ts
+++ b/packages/testbed/src/network/MembershipFaults.test.ts
@@ -54,6 +54,23 @@
       assert.ok(fleet.network.advanceUntil(isDead, 10_000))
     })
 
+    test.it('probes every member once per interval, because a vanished VM stays unnoticed until its next probe', () => {
+      const fleet = started(60)
+      const probedAtMs = new Map<string, number>()
+      let maxGapMs = 0
+      fleet.network.isLost = (_from, to, message) => {
+        if (message.kind === 'probe') {
+          const { nowMs } = fleet.network
+          maxGapMs = Math.max(maxGapMs, nowMs - (probedAtMs.get(to.nodeId) ?? nowMs))
+          probedAtMs.set(to.nodeId, nowMs)
+        }
+        return false
+      }
+      fleet.network.advance(MINUTE_MS)
+      assert.equal(probedAtMs.size, 60)
+      assert.ok(maxGapMs <= 1_100, `a member was not probed for ${maxGapMs} ms`)
+    })
+
     test.it('probes a node at once when its connection breaks, so that detection does not wait for its turn', () => {
       const fleet = started(30)
       const victim = fleet.ids[7] ?? ''
