Compress whole states and table pages between nodes

Change: state, push and table-rows messages from 4 KiB to 2 MiB are sent in raw DEFLATE behind the byte 0xc1, which MessagePack never uses, to peers whose hello names the encoding. Peers that name none get plain frames. A receiver inflates at most 2 MiB and 64 times the compressed size. Corrupt frames give a PeerMessageError.

--- a/packages/common/src/node/Messages.ts
+++ b/packages/common/src/node/Messages.ts
@@ -16,6 +16,8 @@
   readonly version: number
   /** Sender's clock, for the check of the clock difference. */
   readonly sentAtMs: base.Millis
+  /** Encodings of frames that the sender accepts besides plain MessagePack. */
+  readonly encodings?: readonly string[]
 }
 
 /**
--- a/packages/node/src/MessageSchemas.ts
+++ b/packages/node/src/MessageSchemas.ts
@@ -49,7 +49,7 @@
 })
 
 export const MESSAGE_SCHEMAS: { readonly [K in messages.PeerMessage['kind']]: Schema<MessageOf<K>> } = {
-  hello: object<messages.HelloMessage>({ nodeId: TEXT, incarnation: COUNT, zone: TEXT, version: COUNT, sentAtMs: NUMBER }),
+  hello: object<messages.HelloMessage>({ nodeId: TEXT, incarnation: COUNT, zone: TEXT, version: COUNT, sentAtMs: NUMBER, encodings: list(TEXT) }, ['encodings']),
   join: CHECKED_BY_CORE,
   gossip: CHECKED_BY_CORE,
   probe: CHECKED_BY_CORE,
--- a/packages/node/src/PeerCodec.ts
+++ b/packages/node/src/PeerCodec.ts
@@ -1,4 +1,5 @@
 import * as errors from './Errors.js'
+import * as frameCompression from './FrameCompression.js'
 import * as jsonSchema from '@elmpost/common/base/JsonSchema.js'
 import * as messageChecks from './generated/MessageChecks.js'
 import * as msgpackr from 'msgpackr'
@@ -6,19 +7,23 @@
 import type * as messages from '@elmpost/common/node/Messages.js'
 
 const MAX_DETAIL_CHARS = 200
+/** Messages with whole states or pages of tables. Bodies of calls are not compressed, because that would add latency. */
+const COMPRESSED_KINDS: ReadonlySet<string> = new Set<messages.PeerMessage['kind']>(['state', 'push', 'table-rows'])
 
 /** Encodes messages between nodes and decodes them defensively. */
 export class PeerCodec {
   private readonly _packr = new msgpackr.Packr({ useRecords: false })
 
-  public encode (message: messages.PeerMessage): Buffer {
-    return this._packr.pack(message)
+  /** Encodes a message; large ones are compressed if the receiver accepts that. */
+  public encode (message: messages.PeerMessage, acceptsCompression = false): Buffer {
+    const packed = this._packr.pack(message)
+    return acceptsCompression && COMPRESSED_KINDS.has(message.kind) ? frameCompression.compress(packed) : packed
   }
 
   public decode (bytes: Uint8Array): results.Result<messages.PeerMessage, errors.PeerMessageError> {
     let decoded: unknown
     try {
-      decoded = this._packr.unpack(bytes)
+      decoded = this._packr.unpack(frameCompression.decompress(bytes))
     } catch (error) {
       return refuse(error instanceof Error ? error.message : String(error))
     }
--- a/packages/node/src/PeerLink.ts
+++ b/packages/node/src/PeerLink.ts
@@ -1,3 +1,4 @@
+import * as frameCompression from './FrameCompression.js'
 import type * as base from '@elmpost/common/base/Types.js'
 import type * as messages from '@elmpost/common/node/Messages.js'
 import type * as peerCodec from './PeerCodec.js'
@@ -53,6 +54,7 @@
   private _phase: Phase = 'connecting'
   private _helloAtMs: base.Millis = 0
   private _wasOpen = false
+  private _acceptsCompression = false
 
   constructor (options: PeerLinkOptions) {
     this._options = options
@@ -135,7 +137,11 @@
   private _greet (): void {
     this._phase = 'greeting'
     this._helloAtMs = this._options.nowMs()
-    this._write(this._options.hello())
+    this._writeHello()
+  }
+
+  private _writeHello (): void {
+    this._write({ ...this._options.hello(), encodings: [frameCompression.ENCODING] })
   }
 
   private _received (data: Buffer, isBinary: boolean): void {
@@ -168,7 +174,8 @@
       return
     }
     this.nodeId = message.nodeId
-    if (!this.isOutbound) this._write(this._options.hello())
+    this._acceptsCompression = message.encodings?.includes(frameCompression.ENCODING) === true
+    if (!this.isOutbound) this._writeHello()
     this._phase = 'open'
     this._wasOpen = true
     this._options.opened(this)
@@ -196,7 +203,7 @@
   }
 
   private _write (message: messages.PeerMessage): void {
-    const bytes = this._options.codec.encode(message)
+    const bytes = this._options.codec.encode(message, this._acceptsCompression)
     this.isUsed = true
     this._options.receiver.bytes('sent', message.kind, bytes.length)
     this._socket.send(bytes)
--- a/packages/node/src/PeerLinks.test.ts
+++ b/packages/node/src/PeerLinks.test.ts
@@ -54,7 +54,7 @@
     this.events.push('refused')
   }
 
-  public bytes (): void {}
+  public bytes: services.ILinkReceiver['bytes'] = () => {}
 
   public stop (): void {
     this.links.dispose()
@@ -148,6 +148,45 @@
     })
   })
 
+  test.describe('compression', () => {
+    const rows = Array.from({ length: 300 }, (_, i) => [`vm-${i}`, 1, `vm-${i}.mesh:7000`, '', '', 'vake', 'till', true, 0, 'ready', 0, '', 0] as never)
+    const page: messages.TableRowsMessage = { kind: 'table-rows', rows, wantedBuckets: [], bucketCount: 0 }
+
+    /** First byte of the frame in which `b` sends a page to a peer that greets it with the given fields. */
+    async function firstByte (fields: object): Promise<number | undefined> {
+      const socket = new ws.WebSocket(`ws://${b.address}/`)
+      const frames: Buffer[] = []
+      socket.on('message', data => { frames.push(data as Buffer) })
+      await new Promise(resolve => { socket.once('open', resolve) })
+      const hello = { kind: 'hello', nodeId: 'x', incarnation: 1, zone: 'z', version: 0, sentAtMs: Date.now(), ...fields }
+      socket.send(new peerCodec.PeerCodec().encode(hello as messages.HelloMessage))
+      await testMesh.until(() => b.lastLink !== undefined)
+      b.links.sendControl('x', '', page)
+      await testMesh.until(() => frames.length === 2)
+      socket.terminate()
+      return frames[1]?.[0]
+    }
+
+    test.it('is used between two nodes, and the page arrives', async () => {
+      let received = 0
+      b.bytes = (direction, kind, length) => { if (direction === 'received' && kind === 'table-rows') received = length }
+      a.links.sendControl('b', b.address, page)
+      assert.deepEqual(await seen(b, 1), ['table-rows from a'])
+      assert.ok(received < new peerCodec.PeerCodec().encode(page).length / 2, `${received} bytes`)
+    })
+
+    test.it('is used for a peer that names the encoding', async () => {
+      assert.equal(await firstByte({ encodings: ['other', 'deflate-raw'] }), 0xc1)
+    })
+
+    test.it('is not used for an older node, which names none, or for a node with other encodings, because they could not read it', async () => {
+      const plain = new peerCodec.PeerCodec().encode(page)[0]
+      assert.equal(await firstByte({}), plain)
+      b.lastLink = undefined
+      assert.equal(await firstByte({ nodeId: 'x', encodings: ['other'] }), plain)
+    })
+  })
+
   test.describe('malformed frames', () => {
     test.it('drops them without a crash, a delivery or the loss of the connection', async () => {
       const socket = new ws.WebSocket(`ws://${b.address}/`)
--- a/packages/testbed/src/bench/hosting.ts
+++ b/packages/testbed/src/bench/hosting.ts
@@ -7,8 +7,8 @@
 import type * as messages from '@elmpost/common/node/Messages.js'
 import * as msgpackr from 'msgpackr'
 import * as ownership from '@elmpost/common/hosting/OwnershipTable.js'
+import * as ownershipTables from './ownershipTables.js'
 import * as requests from '@elmpost/common/hosting/Requests.js'
-import type * as types from '@elmpost/common/hosting/Types.js'
 import * as v8 from 'node:v8'
 import * as vm from 'node:vm'
 
@@ -16,7 +16,6 @@
 const WARM_UP_CALLS = 20_000
 const REMEMBERED_KEYS = 100_000
 const SERVICES = 810
-const NODES_PER_SERVICE = 8
 const REPEATS = 20
 
 v8.setFlagsFromString('--expose-gc')
@@ -82,25 +81,11 @@
   console.log(`remembered key, ${bodyBytes === undefined ? 'no answer' : `answer with a body of ${bodyBytes} bytes`}: ${bytes.toFixed(0)} bytes`)
 }
 
-function largeTable (): ownership.OwnershipTable {
-  const table = new ownership.OwnershipTable()
-  const entries: types.PartitionEntry[] = []
-  for (let number = 0; number < SERVICES; number++) {
-    for (let partition = 0; partition < keys.PARTITIONS; partition++) {
-      const owner = { nodeId: `vm-${number}-${partition % NODES_PER_SERVICE}`, incarnation: fixture.T0 }
-      entries.push({ service: `service-${number}`, partition, startsAtMs: fixture.T0, owner })
-    }
-  }
-  table.apply({ kind: 'partitions', baseTableVersion: 0, startsAtMs: fixture.T0, services: codec.pack(entries) }, 0)
-  table.apply({ kind: 'horizon', untilMs: fixture.T0 + 600_000 }, 1)
-  return table
-}
-
 /** One node of one service dies and its 8 partitions move. */
 function moveOne (table: ownership.OwnershipTable): void {
   const startsAtMs = table.horizonMs
-  const entries = Array.from({ length: keys.PARTITIONS / NODES_PER_SERVICE }, (_, i) => ({
-    service: 'service-0', partition: i * NODES_PER_SERVICE, startsAtMs, owner: { nodeId: 'vm-0-1', incarnation: fixture.T0 }
+  const entries = Array.from({ length: keys.PARTITIONS / ownershipTables.NODES_PER_SERVICE }, (_, i) => ({
+    service: 'service-0', partition: i * ownershipTables.NODES_PER_SERVICE, startsAtMs, owner: { nodeId: 'vm-0-1', incarnation: fixture.T0 }
   }))
   const { tableVersion, asOfOffset } = table
   table.apply({ kind: 'partitions', baseTableVersion: tableVersion, startsAtMs, services: codec.pack(entries) }, asOfOffset)
@@ -121,13 +106,13 @@
 
 function benchTable (): void {
   const before = usedHeapBytes()
-  const table = largeTable()
+  const table = ownershipTables.largeTable(SERVICES)
   console.log(`table of ${SERVICES} services in memory: ${((usedHeapBytes() - before) / 1e6).toFixed(1)} MB`)
   benchUpdate('whole table', table, 0, () => new ownership.OwnershipTable())
   const { tableVersion } = table
   moveOne(table)
-  benchUpdate('one move', table, tableVersion, largeTable)
-  benchUpdate('nothing new', table, table.tableVersion, largeTable)
+  benchUpdate('one move', table, tableVersion, () => ownershipTables.largeTable(SERVICES))
+  benchUpdate('nothing new', table, table.tableVersion, () => ownershipTables.largeTable(SERVICES))
   const lookup = new Timer()
   for (let i = 0; i < CALLS; i++) {
     const key = fixture.keyAt(fixture.T0 + i)
