Do not learn forgotten rows again from peers that forget them later

Cause: each node removes a dead row an hour after it learned of the death. A peer that learned of it a second later still tells the row in table repair, and a node that has just forgotten the row took it for a new one and kept it for another hour.

Live rows and newer incarnations are learned as before.

The new unit test fails without the change.

--- a/packages/common/src/membership/Membership.test.ts
+++ b/packages/common/src/membership/Membership.test.ts
@@ -123,6 +123,32 @@
     })
   })
 
+  test.describe('forgotten rows', () => {
+    const gone = peerRow({ state: 'dead' })
+
+    function forgetful (): Probe {
+      const probe = new Probe()
+      probe.membership.receive('peer', gossip(gone), NOW_MS)
+      probe.membership.tick(NOW_MS + 3_600_000)
+      assert.equal(probe.membership.size, 1)
+      return probe
+    }
+
+    test.it('are not learned again from a peer that forgets them a little later, which would keep them for another hour', () => {
+      const probe = forgetful()
+      probe.membership.receive('other', { kind: 'table-rows', rows: [wires.toWire(gone)], wantedBuckets: [], bucketCount: 0 }, NOW_MS + 3_601_000)
+      assert.equal(probe.membership.size, 1)
+    })
+
+    test.it('are learned when the node lives, or has died once more, because that is news', () => {
+      for (const news of [peerRow(), peerRow({ state: 'dead', incarnation: gone.incarnation + 1 })]) {
+        const probe = forgetful()
+        probe.membership.receive('other', gossip(news), NOW_MS + 3_601_000)
+        assert.equal(probe.membership.get('peer')?.state, news.state)
+      }
+    })
+  })
+
   test.describe('heartbeats', () => {
     test.it('carries each change a bounded number of times, so that old news does not use up the budget', () => {
       const probe = new Probe()
--- a/packages/common/src/membership/Membership.ts
+++ b/packages/common/src/membership/Membership.ts
@@ -263,6 +263,7 @@
 
   private _merge (row: types.MemberRow, nowMs: base.Millis): void {
     if (row.nodeId === this._self.nodeId) return this._mergeSelf(row, nowMs)
+    if (this._gone.isOldNews(row)) return
     const change = this._table.merge(row)
     if (change === undefined) this._heardAgain(row)
     else this._applyChange(change, nowMs)
@@ -348,7 +349,9 @@
   private _forgetGone (nowMs: base.Millis): void {
     for (const nodeId of this._gone.takeExpired(nowMs)) {
       const change = this._table.forget(nodeId)
-      if (change !== undefined) this._changes.fire(change)
+      if (change === undefined) continue
+      this._gone.forgot(change.current, nowMs)
+      this._changes.fire(change)
     }
   }
 
