--- a/packages/common/src/membership/Membership.ts
+++ b/packages/common/src/membership/Membership.ts
@@ -11,6 +11,7 @@
 import * as malformed from './MalformedMessageError.js'
 import * as tables from './MemberTable.js'
 import * as messageRules from './MessageRules.js'
+import * as hashes from './RowHash.js'
 import * as rules from './RowRules.js'
 import * as seeds from './SeedProbe.js'
 import type * as services from './Services.js'
@@ -78,6 +79,7 @@
     this.onPeerVersion = this._versions.event
     this._self = { ...options.self, state: 'joining', revision: 0, successor: '' }
     this._detector = new detectors.FailureDetector({
+      selfId: options.self.nodeId,
       host: this._detectorHost(),
       random: options.random,
       intervalMs: () => options.terms().gossipIntervalMs
@@ -261,6 +263,7 @@
 
   private _merge (row: types.MemberRow, nowMs: base.Millis): void {
     if (row.nodeId === this._self.nodeId) return this._mergeSelf(row, nowMs)
+    if (this._gone.isOldNews(row)) return
     const change = this._table.merge(row)
     if (change === undefined) this._heardAgain(row)
     else this._applyChange(change, nowMs)
@@ -302,7 +305,8 @@
   private _updateDetector (change: types.MemberChange, nowMs: base.Millis): void {
     const row = change.current
     const wasProbed = change.previous !== undefined && rules.isProbed(change.previous)
-    if (rules.isProbed(row) && !wasProbed) this._detector.add(row.nodeId)
+    if (rules.isProbed(row) && !wasProbed) this._detector.add(row.nodeId, hashes.rowHash(row).bucketHash)
+    else if (!rules.isProbed(row) && wasProbed) this._detector.remove(row.nodeId)
     if (row.state === 'suspect') this._detector.startSuspicion(row.nodeId, nowMs)
     else this._detector.endSuspicion(row.nodeId)
   }
@@ -345,7 +349,9 @@
   private _forgetGone (nowMs: base.Millis): void {
     for (const nodeId of this._gone.takeExpired(nowMs)) {
       const change = this._table.forget(nodeId)
-      if (change !== undefined) this._changes.fire(change)
+      if (change === undefined) continue
+      this._gone.forgot(change.current, nowMs)
+      this._changes.fire(change)
     }
   }
 
@@ -369,10 +375,6 @@
 
   private _detectorHost (): detectors.IDetectorHost {
     return {
-      isProbed: nodeId => {
-        const row = this._table.get(nodeId)
-        return row !== undefined && rules.isProbed(row)
-      },
       sendProbe: (nodeId, sequence) => this._send(nodeId, { kind: 'probe', sequence, ...this._news(nodeId) }),
       sendProbeRequest: (helper, target, sequence) => this._send(helper, { kind: 'probe-request', sequence, target }),
       relayAck: (requester, target, sequence) => this._send(requester, {
