Use undici and roarr in the command line

Cause: the command line sent requests with Node's global fetch, although undici is the HTTP client of the project, and it had no log of its steps.

Only the agent and the request function are loaded, and only by commands that send something. `--verbose` writes requests, answers, retries and verdicts to the standard error as roarr JSON lines; roarr is loaded only then. The wait before a repeated append is rounded to whole ms.

A URL of another scheme gives UND_ERR_INVALID_ARG instead of `fetch failed`. Redirects are not followed, as in elmpost-node. Closed connections, time-outs, unknown hosts and malformed URLs give the same texts.

--- a/packages/cli/src/Appender.ts
+++ b/packages/cli/src/Appender.ts
@@ -18,7 +18,8 @@
     private readonly _client: services.ILogClient,
     private readonly _clock: services.ICliClock,
     private readonly _random: base.IRandom,
-    private readonly _maxAttempts: number
+    private readonly _maxAttempts: number,
+    private readonly _logger: services.ILogger
   ) {}
 
   /** `isSettled` is asked before each further attempt; the answer may have become known in another way. */
@@ -29,7 +30,9 @@
       if (last.kind === 'appended' || last.kind === 'refused') return { last, isUncertain, attempts }
       isUncertain ||= last.kind === 'unknown'
       if (attempts >= this._maxAttempts) return { last, isUncertain, attempts }
-      await this._clock.sleep(this._random.nextFloat() * FIRST_BACKOFF_MS * 2 ** (attempts - 1))
+      const waitMs = Math.round(this._random.nextFloat() * FIRST_BACKOFF_MS * 2 ** (attempts - 1))
+      this._logger.log('warn', 'append-retry', { stream, attempt: attempts + 1, waitMs, problem: last.problem })
+      await this._clock.sleep(waitMs)
       if (isUncertain && await isSettled()) return { last, isUncertain, attempts }
     }
   }
--- a/packages/cli/src/Cli.test.ts
+++ b/packages/cli/src/Cli.test.ts
@@ -30,6 +30,22 @@
     assert.deepEqual([exitCode, (JSON.parse(stdout) as { error: { kind: string } }).error.kind], [4, 'invalid-input'])
   })
 
+  test.describe('--verbose', () => {
+    test.it('writes retries and verdicts to the standard error only, so that scripts can parse the result', async () => {
+      const lossy = new testEnvironment.FakeLog()
+      lossy.faults = ['lost-request']
+      const { stdout, stderr, exitCode } = await run(lossy, nodes, 'apply', 'a.json', '--output', 'json', '--verbose')
+      assert.deepEqual([exitCode, (JSON.parse(stdout) as { outcome: string }).outcome], [0, 'accepted'])
+      const steps = stderr.split('\n').filter(line => line.startsWith('{')).map(line => JSON.parse(line) as { message: string, context: Record<string, unknown> })
+      assert.deepEqual(steps.map(step => step.message), ['append-retry', 'verdict'])
+      assert.deepEqual([steps[0]?.context['attempt'], steps[0]?.context['stream'], steps[1]?.context['verdict']], [2, 'config', 'accepted'])
+    })
+
+    test.it('is silent without the option, so that remarks stay readable', async () => {
+      assert.equal((await run(new testEnvironment.FakeLog(), nodes, 'history', '--output', 'json')).stderr, '')
+    })
+  })
+
   test.describe('status', () => {
     test.it('works without the log, so that an outage of the log does not blind the operators', async () => {
       const down = new testEnvironment.FakeLog()
--- a/packages/cli/src/Cli.ts
+++ b/packages/cli/src/Cli.ts
@@ -1,5 +1,6 @@
 import * as cliError from './CliError.js'
 import * as results from 'ts-results-es'
+import * as silentLogger from './SilentLogger.js'
 import * as types from './Types.js'
 import * as yargs from 'yargs'
 import type * as services from './Services.js'
@@ -27,6 +28,7 @@
  */
 export class Cli {
   private _exitCode: types.ExitCode = types.EXIT_CODES.ok
+  private _logger = silentLogger.SILENT_LOGGER
 
   constructor (private readonly _environment: services.ICliEnvironment) {}
 
@@ -37,7 +39,7 @@
     } catch (error) {
       this._fail(error, args.includes('json') || args.includes('--output=json') ? 'json' : 'text')
     }
-    if (printed !== '') this._environment.output('text').result(undefined, printed.split('\n'))
+    if (printed !== '') this._environment.output('text', this._logger).result(undefined, printed.split('\n'))
     return this._exitCode
   }
 
@@ -52,10 +54,12 @@
       .option('log-url', { type: 'string', default: variables['ELMPOST_LOG_URL'] ?? DEFAULT_LOG_URL, describe: 'Log service (ELMPOST_LOG_URL)' })
       .option('admin', { type: 'string', array: true, default: (variables['ELMPOST_ADMIN'] ?? DEFAULT_ADMIN_ADDRESS).split(','), describe: 'host:port of the administration endpoint of any node; several are tried in order (ELMPOST_ADMIN, separated by commas)' })
       .option('timeout-ms', { type: 'number', default: DEFAULT_TIMEOUT_MS, describe: 'Limit of each request' })
+      .option('verbose', { type: 'boolean', default: false, describe: 'Write requests, retries and verdicts to the standard error, as JSON lines' })
     return this._nodeCommands(this._logCommands(this._fileCommands(parser as yargs.Argv)))
       .completion('completion', 'Print a script for shell completion')
       .demandCommand(1, 'Name a command.')
       .check(checkOptions)
+      .middleware(async argv => { if (argv['verbose'] === true) this._logger = await this._environment.verboseLogger() })
       .strict()
       .recommendCommands()
       .wrap(null)
@@ -143,15 +147,15 @@
   }
 
   private _log (argv: Arguments): services.ILogClient {
-    return this._environment.logClient(String(argv['log-url']), Number(argv['timeout-ms']))
+    return this._environment.logClient(String(argv['log-url']), Number(argv['timeout-ms']), this._logger)
   }
 
   private _admin (argv: Arguments): services.IAdminClient {
-    return this._environment.adminClient(Number(argv['timeout-ms']))
+    return this._environment.adminClient(Number(argv['timeout-ms']), this._logger)
   }
 
   private _output (argv: Arguments): services.IOutput {
-    return this._environment.output(argv['output'] as types.OutputFormat)
+    return this._environment.output(argv['output'] as types.OutputFormat, this._logger)
   }
 
   private _end (ending: Ending, argv: Arguments): void {
@@ -165,7 +169,7 @@
     const message = error instanceof Error ? error.message : String(error)
     const details = expected?.details ?? []
     this._exitCode = expected?.exitCode ?? types.EXIT_CODES.internalError
-    const output = this._environment.output(format)
+    const output = this._environment.output(format, this._logger)
     for (const line of [`elmpost: ${message}`, ...details]) output.note(line)
     if (format === 'json') output.result({ error: { kind: expected?.kind ?? 'internal-error', message, details } }, [])
   }
--- a/packages/cli/src/ConfigLog.ts
+++ b/packages/cli/src/ConfigLog.ts
@@ -12,7 +12,11 @@
 export class ConfigLog {
   private readonly _acceptance = new acceptance.Acceptance(new configValidator.ConfigValidator())
 
-  constructor (private readonly _client: services.ILogClient, private readonly _onRecord: RecordListener = () => {}) {}
+  constructor (
+    private readonly _client: services.ILogClient,
+    private readonly _logger: services.ILogger,
+    private readonly _onRecord: RecordListener = () => {}
+  ) {}
 
   public get state (): config.AcceptedState | undefined {
     return this._acceptance.state
@@ -52,6 +56,8 @@
 
   private _fold (record: config.LogRecord): void {
     const before = this._acceptance.state
-    this._onRecord(record, before, this._acceptance.apply(record))
+    const verdict = this._acceptance.apply(record)
+    this._logger.log('info', 'verdict', { offset: record.offset, verdict: verdict.kind, reason: verdict.reason })
+    this._onRecord(record, before, verdict)
   }
 }
--- a/packages/cli/src/ConsoleOutput.ts
+++ b/packages/cli/src/ConsoleOutput.ts
@@ -8,7 +8,8 @@
   constructor (
     private readonly _format: types.OutputFormat,
     private readonly _writeResult: WriteText,
-    private readonly _writeNote: WriteText
+    private readonly _writeNote: WriteText,
+    private readonly _logger: services.ILogger
   ) {}
 
   public result (value: unknown, lines: readonly string[]): void {
@@ -19,6 +20,10 @@
   public note (line: string): void {
     this._writeNote(`${printable(line)}\n`)
   }
+
+  public log (level: types.LogLevel, event: string, context: types.LogContext): void {
+    this._logger.log(level, event, context)
+  }
 }
 
 /** Texts from the log and from nodes must not control the terminal. */
--- a/packages/cli/src/HttpAdminClient.ts
+++ b/packages/cli/src/HttpAdminClient.ts
@@ -7,21 +7,25 @@
 
 /** Administration endpoints over HTTP. */
 export class HttpAdminClient implements services.IAdminClient {
-  constructor (private readonly _timeoutMs: base.Millis) {}
+  constructor (private readonly _timeoutMs: base.Millis, private readonly _logger: services.ILogger) {}
 
   public async status (address: string): Promise<results.Result<adminStatus.AdminStatus, cliError.CliError>> {
-    const outcome = await httpRequest.requestJson(`http://${address}/admin/status`, this._timeoutMs)
+    const outcome = await this._request('GET', `http://${address}/admin/status`)
     if (outcome.kind === 'no-answer') return unreachable(address, `gave no answer (${outcome.problem})`)
     if (outcome.status !== 200 || !isStatus(outcome.body)) return unreachable(address, `did not answer with a status (HTTP ${outcome.status})`)
     return results.Ok(outcome.body)
   }
 
   public async post (address: string, action: 'drain' | 'undrain'): Promise<results.Result<void, cliError.CliError>> {
-    const outcome = await httpRequest.requestJson(`http://${address}/admin/${action}`, this._timeoutMs, undefined, 'POST')
+    const outcome = await this._request('POST', `http://${address}/admin/${action}`)
     if (outcome.kind === 'no-answer') return unreachable(address, `gave no answer (${outcome.problem})`)
     if (outcome.status >= 200 && outcome.status < 300) return results.Ok(undefined)
     return results.Err(new cliError.CliError('rejected', `The node at ${address} refused to ${action} (HTTP ${outcome.status}). See its log.`))
   }
+
+  private async _request (method: 'GET' | 'POST', url: string): Promise<httpRequest.HttpOutcome> {
+    return await httpRequest.requestJson({ method, url, timeoutMs: this._timeoutMs, logger: this._logger })
+  }
 }
 
 function unreachable (address: string, problem: string): results.Result<never, cliError.CliError> {
--- a/packages/cli/src/HttpClients.test.ts
+++ b/packages/cli/src/HttpClients.test.ts
@@ -7,6 +7,7 @@
 import * as os from 'node:os'
 import * as path from 'node:path'
 import * as fs from 'node:fs/promises'
+import * as silentLogger from './SilentLogger.js'
 import * as streamConsumers from 'node:stream/consumers'
 import * as test from 'node:test'
 import * as testEnvironment from './TestEnvironment.js'
@@ -55,7 +56,7 @@
   async function append (answer: Answer, timeoutMs = ANSWER_TIMEOUT_MS): Promise<types.AppendResult['kind']> {
     let kind: types.AppendResult['kind'] | undefined
     await withServer(answer, async address => {
-      kind = (await new httpLogClient.HttpLogClient(`http://${address}/`, timeoutMs).append('config', {})).kind
+      kind = (await new httpLogClient.HttpLogClient(`http://${address}/`, timeoutMs, silentLogger.SILENT_LOGGER).append('config', {})).kind
     })
     return kind ?? assert.fail('no result')
   }
@@ -72,13 +73,33 @@
   test.it('knows that nothing was sent when nobody listens, so that apply can end with rejected', async () => {
     let address = ''
     await withServer(() => 'hang', async used => { address = used })
-    assert.equal((await new httpLogClient.HttpLogClient(`http://${address}`, ANSWER_TIMEOUT_MS).append('config', {})).kind, 'not-sent')
+    assert.equal((await new httpLogClient.HttpLogClient(`http://${address}`, ANSWER_TIMEOUT_MS, silentLogger.SILENT_LOGGER).append('config', {})).kind, 'not-sent')
+  })
+
+  test.it('knows that nothing was sent to a port that browsers avoid, so that the command line is no stricter than the network', async () => {
+    const result = await new httpLogClient.HttpLogClient('http://127.0.0.1:1', ANSWER_TIMEOUT_MS, silentLogger.SILENT_LOGGER).append('config', {})
+    assert.deepEqual(result, { kind: 'not-sent', problem: 'The log at http://127.0.0.1:1 gave no answer (ECONNREFUSED).' })
+  })
+
+  test.it('names why there is no answer, so that operators can tell a closed connection from a time-out', async () => {
+    const cases: ReadonlyArray<readonly [answer: 'destroy' | 'hang', problem: string]> = [
+      ['destroy', 'UND_ERR_SOCKET'],
+      ['hang', 'The operation was aborted due to timeout']
+    ]
+    for (const [answer, problem] of cases) {
+      await withServer(() => answer, async address => {
+        const url = `http://${address}`
+        const timeoutMs = answer === 'hang' ? HANG_TIMEOUT_MS : ANSWER_TIMEOUT_MS
+        const page = await new httpLogClient.HttpLogClient(url, timeoutMs, silentLogger.SILENT_LOGGER).read('config', 0)
+        assert.equal(page.unwrapErr().message, `The log at ${url} gave no answer (${problem}). Check --log-url and try again.`)
+      })
+    }
   })
 
   test.it('reports answers that are not pages, so that a wrong URL is not taken for an empty log', async () => {
     for (const answer of [[200, 'x'], [200, {}], [200, { records: [{}], firstOffset: 0 }], [200, { records: [], firstOffset: -1 }], [404, {}], 'destroy', 'hang'] as const) {
       await withServer(() => answer, async address => {
-        const page = await new httpLogClient.HttpLogClient(`http://${address}`, answer === 'hang' ? HANG_TIMEOUT_MS : ANSWER_TIMEOUT_MS).read('config', 0)
+        const page = await new httpLogClient.HttpLogClient(`http://${address}`, answer === 'hang' ? HANG_TIMEOUT_MS : ANSWER_TIMEOUT_MS, silentLogger.SILENT_LOGGER).read('config', 0)
         assert.equal(page.unwrapErr().kind, 'unreachable')
       })
     }
@@ -96,7 +117,7 @@
     ]
     for (const [body, isStatus] of cases) {
       await withServer(() => [200, body], async address => {
-        assert.equal((await new httpAdminClient.HttpAdminClient(ANSWER_TIMEOUT_MS).status(address)).isOk(), isStatus)
+        assert.equal((await new httpAdminClient.HttpAdminClient(ANSWER_TIMEOUT_MS, silentLogger.SILENT_LOGGER).status(address)).isOk(), isStatus)
       })
     }
   })
@@ -104,7 +125,7 @@
   test.it('posts to the endpoint of the action, so that drain and undrain are not confused', async () => {
     const seen: unknown[] = []
     await withServer(request => { seen.push([request.method, request.url]); return [seen.length === 1 ? 200 : 409, {}] }, async address => {
-      const client = new httpAdminClient.HttpAdminClient(ANSWER_TIMEOUT_MS)
+      const client = new httpAdminClient.HttpAdminClient(ANSWER_TIMEOUT_MS, silentLogger.SILENT_LOGGER)
       assert.equal((await client.post(address, 'drain')).isOk(), true)
       assert.equal((await client.post(address, 'undrain')).unwrapErr().kind, 'rejected')
     })
@@ -124,6 +145,11 @@
       const { stdout } = await run(process.execPath, [LAUNCHER, 'apply', file], options)
       assert.match(stdout, /^accepted version 1 /)
       await assert.rejects(run(process.execPath, [LAUNCHER, 'history', '--proposal', 'none'], options), { code: 3 })
+      const verbose = await run(process.execPath, [LAUNCHER, 'apply', file, '--verbose'], options)
+      assert.match(verbose.stdout, /^accepted version 1\n/)
+      const steps = verbose.stderr.trimEnd().split('\n').map(line => JSON.parse(line) as { message: string, context: { status?: number } })
+      assert.deepEqual(steps.map(step => step.message), ['request', 'answer', 'verdict', 'request', 'answer'])
+      assert.equal(steps[1]?.context.status, 200)
     })
     assert.equal(log.streams.config.length, 1)
     await fs.rm(folder, { recursive: true })
--- a/packages/cli/src/HttpLogClient.ts
+++ b/packages/cli/src/HttpLogClient.ts
@@ -17,10 +17,10 @@
 
 /** Log service over HTTP. */
 export class HttpLogClient implements services.ILogClient {
-  constructor (private readonly _url: string, private readonly _timeoutMs: base.Millis) {}
+  constructor (private readonly _url: string, private readonly _timeoutMs: base.Millis, private readonly _logger: services.ILogger) {}
 
   public async append (stream: types.StreamName, data: unknown): Promise<types.AppendResult> {
-    const outcome = await httpRequest.requestJson(this._recordsUrl(stream), this._timeoutMs, data)
+    const outcome = await this._request('POST', this._recordsUrl(stream), data)
     if (outcome.kind === 'no-answer') return { kind: outcome.wasSent ? 'unknown' : 'not-sent', problem: `The log at ${this._url} gave no answer (${outcome.problem}).` }
     const offset = fieldOf(outcome.body, 'offset')
     if (outcome.status === 201 && isOffset(offset)) return { kind: 'appended', offset }
@@ -31,7 +31,7 @@
 
   public async read (stream: types.StreamName, fromOffset: number): Promise<results.Result<types.LogPage, cliError.CliError>> {
     const url = `${this._recordsUrl(stream)}?from=${fromOffset}&limit=${PAGE_RECORDS}&waitMs=0`
-    const outcome = await httpRequest.requestJson(url, this._timeoutMs)
+    const outcome = await this._request('GET', url)
     if (outcome.kind === 'no-answer') return this._unreachable(`gave no answer (${outcome.problem})`)
     if (outcome.status !== 200) return this._unreachable(`answered with status ${outcome.status}`)
     const [records, firstOffset] = [fieldOf(outcome.body, 'records'), fieldOf(outcome.body, 'firstOffset')]
@@ -39,6 +39,10 @@
     return results.Ok({ records, firstOffset })
   }
 
+  private async _request (method: 'GET' | 'POST', url: string, body?: unknown): Promise<httpRequest.HttpOutcome> {
+    return await httpRequest.requestJson({ method, url, timeoutMs: this._timeoutMs, body, logger: this._logger })
+  }
+
   private _recordsUrl (stream: types.StreamName): string {
     return `${this._url.replace(/\/+$/, '')}/streams/${stream}/records`
   }
--- a/packages/cli/src/Services.ts
+++ b/packages/cli/src/Services.ts
@@ -22,7 +22,12 @@
   sleep(durationMs: base.Millis): Promise<void>
 }
 
-export interface IOutput {
+/** Records the steps of a command. */
+export interface ILogger {
+  log(level: types.LogLevel, event: string, context: types.LogContext): void
+}
+
+export interface IOutput extends ILogger {
   /** Prints the result of the command, as lines or as one JSON document. */
   result(value: unknown, lines: readonly string[]): void
   /** Prints a remark that is not part of the result. */
@@ -43,7 +48,9 @@
   readonly version: string
   readonly variables: Readonly<Record<string, string | undefined>>
   newId(): string
-  output(format: types.OutputFormat): IOutput
-  logClient(url: string, timeoutMs: base.Millis): ILogClient
-  adminClient(timeoutMs: base.Millis): IAdminClient
+  output(format: types.OutputFormat, logger: ILogger): IOutput
+  /** Writes JSON lines to the standard error. */
+  verboseLogger(): Promise<ILogger>
+  logClient(url: string, timeoutMs: base.Millis, logger: ILogger): ILogClient
+  adminClient(timeoutMs: base.Millis, logger: ILogger): IAdminClient
 }
--- a/packages/cli/src/TestEnvironment.ts
+++ b/packages/cli/src/TestEnvironment.ts
@@ -1,6 +1,7 @@
 /** Stand-ins for tests of the command line: a log, nodes, files, a clock and an output in memory. */
 import * as cliError from './CliError.js'
 import * as consoleOutput from './ConsoleOutput.js'
+import * as logger from './Logger.js'
 import * as random from '@elmpost/common/base/Random.js'
 import * as results from 'ts-results-es'
 import type * as adminStatus from '@elmpost/common/node/AdminStatus.js'
@@ -130,16 +131,16 @@
     return `00000000-0000-4000-8000-${String(this._ids).padStart(12, '0')}`
   }
 
-  public output (format: types.OutputFormat): services.IOutput {
+  public output (format: types.OutputFormat, commandLogger: services.ILogger): services.IOutput {
     const toStdout = (text: string): void => {
       this.stdout += text
       this.transcript += text
     }
-    const toStderr = (text: string): void => {
-      this.stderr += text
-      this.transcript += text
-    }
-    return new consoleOutput.ConsoleOutput(format, toStdout, toStderr)
+    return new consoleOutput.ConsoleOutput(format, toStdout, text => { this._toStderr(text) }, commandLogger)
+  }
+
+  public async verboseLogger (): Promise<services.ILogger> {
+    return new logger.Logger(line => { this._toStderr(`${line}\n`) })
   }
 
   public logClient (): services.ILogClient {
@@ -149,4 +150,9 @@
   public adminClient (): services.IAdminClient {
     return this._nodes
   }
+
+  private _toStderr (text: string): void {
+    this.stderr += text
+    this.transcript += text
+  }
 }
--- a/packages/cli/src/Types.ts
+++ b/packages/cli/src/Types.ts
@@ -17,6 +17,10 @@
 
 export type OutputFormat = 'text' | 'json'
 
+export type LogLevel = 'debug' | 'info' | 'warn'
+
+export type LogContext = Readonly<Record<string, string | number | boolean>>
+
 export type StreamName = 'config' | 'audit'
 
 /** How an append ended. `not-sent` is certain; after `unknown` the record may be in the log. */
--- a/packages/cli/src/commands/ApplyCommand.test.ts
+++ b/packages/cli/src/commands/ApplyCommand.test.ts
@@ -3,6 +3,7 @@
 import * as configLog from '../ConfigLog.js'
 import * as documents from '@elmpost/common/config/TestDocuments.js'
 import * as fc from 'fast-check'
+import * as silentLogger from '../SilentLogger.js'
 import * as test from 'node:test'
 import * as testEnvironment from '../TestEnvironment.js'
 import type * as config from '@elmpost/common/config/Types.js'
@@ -176,7 +177,7 @@
       outcomes.add(printed.outcome)
       log.isReadDown = false
       log.deliverDelayed()
-      const truth = new configLog.ConfigLog(log)
+      const truth = new configLog.ConfigLog(log, silentLogger.SILENT_LOGGER)
       await truth.catchUp()
       const isAccepted = printed.proposalId !== undefined && truth.verdictOf(printed.proposalId)?.kind === 'accepted'
       if (printed.outcome !== 'unknown') assert.equal(isAccepted, printed.outcome === 'accepted')
--- a/packages/cli/src/commands/ApplyCommand.ts
+++ b/packages/cli/src/commands/ApplyCommand.ts
@@ -39,7 +39,7 @@
     private readonly _client: services.ILogClient,
     private readonly _output: services.IOutput
   ) {
-    this._log = new configLog.ConfigLog(_client)
+    this._log = new configLog.ConfigLog(_client, _output)
   }
 
   public async run (options: ApplyOptions): Promise<types.ExitCode> {
@@ -78,7 +78,7 @@
     }
     // Printed before the send, so that an operator who interrupts the command can still ask for the verdict.
     this._output.note(`Sending proposal ${proposal.proposalId} on version ${proposal.baseVersion}.`)
-    const attempts = new appender.Appender(this._client, this._environment.clock, this._environment.random, options.attempts)
+    const attempts = new appender.Appender(this._client, this._environment.clock, this._environment.random, options.attempts, this._output)
     const appended = await attempts.append('config', proposal, async () => await this._isSettled(proposal))
     await this._audit(proposal)
     return await this._result(proposal, appended, options.attempts)
@@ -114,7 +114,9 @@
   private async _verdict (proposal: Proposal, attempts: number): Promise<config.Verdict | undefined> {
     for (let attempt = 1; ; attempt++) {
       if (await this._isSettled(proposal) || attempt >= attempts) return this._log.verdictOf(proposal.proposalId)
-      await this._environment.clock.sleep(READ_AGAIN_MS * attempt)
+      const waitMs = READ_AGAIN_MS * attempt
+      this._output.log('warn', 'read-retry', { attempt: attempt + 1, waitMs })
+      await this._environment.clock.sleep(waitMs)
     }
   }
 
--- a/packages/cli/src/commands/DiffCommand.ts
+++ b/packages/cli/src/commands/DiffCommand.ts
@@ -29,7 +29,7 @@
   }
 
   private async _inForce (client: services.ILogClient): Promise<results.Result<Side, cliError.CliError>> {
-    const log = new configLog.ConfigLog(client)
+    const log = new configLog.ConfigLog(client, this._output)
     const read = await log.catchUp()
     if (read.isErr()) return read
     if (log.gap !== undefined) return results.Err(new cliError.CliError('unreachable', log.gap))
--- a/packages/cli/src/commands/HistoryCommand.ts
+++ b/packages/cli/src/commands/HistoryCommand.ts
@@ -43,7 +43,7 @@
   private readonly _documents = new Map<string, config.ConfigDocument>()
 
   constructor (private readonly _client: services.ILogClient, private readonly _output: services.IOutput) {
-    this._log = new configLog.ConfigLog(_client, (record, before, verdict) => { this._onRecord(record, before, verdict) })
+    this._log = new configLog.ConfigLog(_client, _output, (record, before, verdict) => { this._onRecord(record, before, verdict) })
   }
 
   public async run (options: HistoryOptions): Promise<results.Result<types.ExitCode, cliError.CliError>> {
--- a/packages/cli/src/commands/RecoverCommand.ts
+++ b/packages/cli/src/commands/RecoverCommand.ts
@@ -31,7 +31,7 @@
     private readonly _admin: services.IAdminClient,
     private readonly _output: services.IOutput
   ) {
-    this._log = new configLog.ConfigLog(_client)
+    this._log = new configLog.ConfigLog(_client, _output)
   }
 
   public async run (options: RecoverOptions): Promise<results.Result<types.ExitCode, cliError.CliError>> {
@@ -73,7 +73,7 @@
   }
 
   private async _append (snapshot: config.SnapshotRecord, attempts: number): Promise<results.Result<types.ExitCode, cliError.CliError>> {
-    const sender = new appender.Appender(this._client, this._environment.clock, this._environment.random, attempts)
+    const sender = new appender.Appender(this._client, this._environment.clock, this._environment.random, attempts, this._output)
     const { last, isUncertain } = await sender.append('config', snapshot, async () => (await this._log.catchUp()).isOk() && this._isInForce(snapshot))
     const read = await this._log.catchUp()
     if (read.isOk() && this._isInForce(snapshot)) {
--- a/packages/cli/src/commands/SnapshotCommand.ts
+++ b/packages/cli/src/commands/SnapshotCommand.ts
@@ -14,13 +14,13 @@
   ) {}
 
   public async run (attempts: number): Promise<results.Result<types.ExitCode, cliError.CliError>> {
-    const log = new configLog.ConfigLog(this._client)
+    const log = new configLog.ConfigLog(this._client, this._output)
     const read = await log.catchUp()
     if (read.isErr()) return read
     if (log.gap !== undefined) return results.Err(new cliError.CliError('unreachable', log.gap))
     const snapshot = log.snapshot()
     if (snapshot === undefined) return results.Err(new cliError.CliError('rejected', "No version is in force, so there is nothing to append. Apply a file with 'elmpost apply' first."))
-    const sender = new appender.Appender(this._client, this._environment.clock, this._environment.random, attempts)
+    const sender = new appender.Appender(this._client, this._environment.clock, this._environment.random, attempts, this._output)
     const appended = await sender.append('config', snapshot, async () => false)
     return this._end(snapshot.version, appended)
   }
--- a/packages/cli/src/commands/StatusCommand.ts
+++ b/packages/cli/src/commands/StatusCommand.ts
@@ -42,7 +42,7 @@
   private async _accepted (client: services.ILogClient): Promise<number | undefined> {
     // The validator takes longer to load than a status to ask for.
     const configLog = await import('../ConfigLog.js')
-    const log = new configLog.ConfigLog(client)
+    const log = new configLog.ConfigLog(client, this._output)
     const read = await log.catchUp()
     const problem = read.isErr() ? read.error.message : log.gap
     if (problem !== undefined) this._output.note(`The newest version is that of the nodes, because the log does not tell it. ${problem}`)
