Show where and when a version was enforced in `elmpost history`

Cause: the nodes that read the log append one `enforced` summary per zone and version to the audit stream, but no command showed it: `history` read the stream only for `--proposal`, and kept only records with a proposal id.

Change: `AuditLog` reads the stream; each accepted entry of `history` lists its zones with the number of nodes, the first and the last time. The summaries of the two readers of a zone are one row. `--proposal` lists the records too, also when the proposal itself has expired. Pages of the audit stream have 500 records instead of 20, because all of it is read now.

Before: the new test failed (no `enforced`).

Conclusion: the history names who, when, base, difference, verdict, where and when.

--- a/packages/cli/src/Cli.ts
+++ b/packages/cli/src/Cli.ts
@@ -98,7 +98,7 @@
           attempts: Number(argv['attempts'])
         }), argv)
       })
-      .command('history', 'Show who proposed what, when, on which base, and the verdict', {
+      .command('history', 'Show who proposed what, when, on which base, the verdict, and where and when the version was enforced', {
         proposal: { type: 'string', describe: 'Show only the proposal with this id; the exit code tells its verdict' },
         limit: { type: 'number', default: 20, describe: 'Number of newest proposals' }
       }, async argv => {
--- a/packages/cli/src/HttpLogClient.ts
+++ b/packages/cli/src/HttpLogClient.ts
@@ -5,8 +5,8 @@
 import type * as services from './Services.js'
 import type * as types from './Types.js'
 
-/** A page of the largest documents stays near 20 MiB. */
-const PAGE_RECORDS = 20
+/** A page of the largest documents stays near 20 MiB; audit records have less than 1 KiB. */
+const PAGE_RECORDS: Readonly<Record<types.StreamName, number>> = { config: 20, audit: 500 }
 
 /** Statuses of which the protocol says that the record was not taken. */
 const REFUSALS: Readonly<Record<number, string>> = {
@@ -30,7 +30,7 @@
   }
 
   public async read (stream: types.StreamName, fromOffset: number): Promise<results.Result<types.LogPage, cliError.CliError>> {
-    const url = `${this._recordsUrl(stream)}?from=${fromOffset}&limit=${PAGE_RECORDS}&waitMs=0`
+    const url = `${this._recordsUrl(stream)}?from=${fromOffset}&limit=${PAGE_RECORDS[stream]}&waitMs=0`
     const outcome = await this._request('GET', url)
     if (outcome.kind === 'no-answer') return this._unreachable(`gave no answer (${outcome.problem})`)
     if (outcome.status !== 200) return this._unreachable(`answered with status ${outcome.status}`)
--- a/packages/cli/src/commands/HistoryCommand.test.ts
+++ b/packages/cli/src/commands/HistoryCommand.test.ts
@@ -12,6 +12,7 @@
 interface Entry {
   readonly verdict: string
   readonly changes?: readonly unknown[]
+  readonly enforced?: readonly unknown[]
 }
 
 async function history (log: testEnvironment.FakeLog, ...args: string[]): Promise<{ exitCode: number, stdout: string, stderr: string }> {
@@ -70,6 +71,28 @@
     assert.deepEqual(codes, [0, 2, 3])
   })
 
+  test.it('names where and when a version was enforced, so that operators see a zone that lags', async () => {
+    const log = new testEnvironment.FakeLog()
+    log.streams.config.push(first, second, rival)
+    const summary = { kind: 'enforced', zone: 'vake', version: 2, count: 3, firstAtMs: 2000, lastAtMs: 3000 }
+    log.streams.audit.push(
+      { kind: 'accepted', proposalId: second.proposalId, version: 2 },
+      summary,
+      // The second reader of the zone.
+      { ...summary, count: 4, firstAtMs: 1000, lastAtMs: 2500 },
+      { ...summary, zone: 'didube', count: 1 },
+      { ...summary, zone: 7 },
+      { ...summary, firstAtMs: 'x' }
+    )
+    const { stdout } = await history(log, '--output', 'json')
+    const vake = { zone: 'vake', nodes: 4, firstAt: '1970-01-01T00:00:01.000Z', lastAt: '1970-01-01T00:00:03.000Z' }
+    const didube = { zone: 'didube', nodes: 1, firstAt: '1970-01-01T00:00:02.000Z', lastAt: '1970-01-01T00:00:03.000Z' }
+    assert.deepEqual((JSON.parse(stdout) as { entries: Entry[] }).entries.map(entry => entry.enforced), [[], [didube, vake], []])
+    assert.match((await history(log)).stdout, /enforced in didube by 1 node, first 1970-01-01T00:00:02.000Z, last 1970-01-01T00:00:03.000Z/)
+    const one = JSON.parse((await history(log, '--proposal', second.proposalId, '--output', 'json')).stdout) as { audit: Array<{ kind: string }> }
+    assert.deepEqual(one.audit.map(entry => entry.kind), ['accepted', 'enforced', 'enforced', 'enforced'])
+  })
+
   test.it('falls back to the audit stream, so that an expired proposal keeps its verdict', async () => {
     const log = new testEnvironment.FakeLog()
     log.streams.audit.push(null, { kind: 'accepted', proposalId: 'p1' }, { kind: 'proposed', proposalId: 'p2' }, { kind: 'rejected', proposalId: 'p2' })
--- a/packages/cli/src/commands/HistoryCommand.ts
+++ b/packages/cli/src/commands/HistoryCommand.ts
@@ -1,4 +1,4 @@
-import * as cliError from '../CliError.js'
+import * as auditLog from '../AuditLog.js'
 import * as configDiff from '@elmpost/common/config/ConfigDiff.js'
 import * as configValidator from '@elmpost/common/config/ConfigValidator.js'
 import * as configLog from '../ConfigLog.js'
@@ -7,6 +7,7 @@
 import * as results from 'ts-results-es'
 import * as ruleSets from '@elmpost/common/config/RuleSets.js'
 import * as types from '../Types.js'
+import type * as cliError from '../CliError.js'
 import type * as config from '@elmpost/common/config/Types.js'
 import type * as services from '../Services.js'
 
@@ -35,23 +36,39 @@
   readonly changes: readonly configDiff.ConfigChange[] | undefined
 }
 
-/** Tells who proposed what, when, on which base, and what became of it. */
+/** Where and when the nodes of a zone put a version into force, as it is printed. */
+interface Enforcement {
+  readonly zone: string
+  readonly nodes: number
+  readonly firstAt: string
+  readonly lastAt: string
+}
+
+interface PrintedEntry extends HistoryEntry {
+  /** Empty if the version was not accepted, or the audit stream does not tell. */
+  readonly enforced: readonly Enforcement[]
+}
+
+/** Tells who proposed what, when, on which base, what became of it, and where and when it came into force. */
 export class HistoryCommand {
   private readonly _log: configLog.ConfigLog
+  private readonly _audit: auditLog.AuditLog
   private readonly _entries: HistoryEntry[] = []
   private readonly _validator = new configValidator.ConfigValidator()
   private readonly _documents = new Map<string, config.ConfigDocument>()
 
-  constructor (private readonly _client: services.ILogClient, private readonly _output: services.IOutput) {
-    this._log = new configLog.ConfigLog(_client, _output, (record, before, verdict) => { this._onRecord(record, before, verdict) })
+  constructor (client: services.ILogClient, private readonly _output: services.IOutput) {
+    this._log = new configLog.ConfigLog(client, _output, (record, before, verdict) => { this._onRecord(record, before, verdict) })
+    this._audit = new auditLog.AuditLog(client, _output)
   }
 
   public async run (options: HistoryOptions): Promise<results.Result<types.ExitCode, cliError.CliError>> {
     const read = await this._log.catchUp()
     if (read.isErr()) return read
     if (this._log.gap !== undefined) this._output.note(this._log.gap)
-    if (options.proposalId !== undefined) return results.Ok(await this._printProposal(options.proposalId))
-    const entries = this._entries.slice(-options.limit).map(entry => this._withFirstVerdict(entry))
+    await this._audit.read()
+    if (options.proposalId !== undefined) return results.Ok(this._printProposal(options.proposalId))
+    const entries = this._entries.slice(-options.limit).map(entry => this._printed(entry))
     this._output.result({ entries }, entries.length === 0 ? ['The log holds no proposals.'] : entries.flatMap(formatEntry))
     return results.Ok(types.EXIT_CODES.ok)
   }
@@ -104,9 +121,16 @@
     return { ...entry, verdict: verdict.kind, reason: verdict.reason }
   }
 
-  private async _printProposal (proposalId: string): Promise<types.ExitCode> {
-    const entries = this._entries.filter(entry => entry.proposalId === proposalId).map(entry => this._withFirstVerdict(entry))
-    const audit = await this._audit(proposalId)
+  private _printed (entry: HistoryEntry): PrintedEntry {
+    const judged = this._withFirstVerdict(entry)
+    const zones = judged.verdict === 'accepted' ? this._audit.enforcementOf(entry.version) : []
+    const enforced = zones.map(({ zone, nodes, firstAtMs, lastAtMs }) => ({ zone, nodes, firstAt: isoTime(firstAtMs), lastAt: isoTime(lastAtMs) }))
+    return { ...judged, enforced }
+  }
+
+  private _printProposal (proposalId: string): types.ExitCode {
+    const entries = this._entries.filter(entry => entry.proposalId === proposalId).map(entry => this._printed(entry))
+    const audit = this._audit.entriesOf(proposalId)
     const verdict = entries.find(entry => entry.verdict === 'accepted')?.verdict ?? entries[0]?.verdict ?? auditVerdict(audit)
     const outcome = outcomeOf(verdict)
     const lines = [`${outcome} (proposal ${proposalId})`, ...entries.flatMap(formatEntry), ...audit.map(entry => `audit: ${JSON.stringify(entry)}`)]
@@ -114,24 +138,6 @@
     this._output.result({ proposalId, outcome, entries, audit }, lines)
     return EXIT_CODE_OF[outcome]
   }
-
-  /** Entries of the audit stream outlive nothing else, so a failure to read them is only a remark. */
-  private async _audit (proposalId: string): Promise<readonly Readonly<Record<string, unknown>>[]> {
-    const found: Array<Readonly<Record<string, unknown>>> = []
-    for (let offset = 0; ;) {
-      const page = await this._client.read('audit', offset)
-      if (page.isErr()) {
-        this._output.note(page.error.message)
-        return found
-      }
-      for (const { data } of page.value.records) {
-        if (isObject(data) && data['proposalId'] === proposalId) found.push(data)
-      }
-      const last = page.value.records.at(-1)
-      if (last === undefined || last.offset < offset) return found
-      offset = last.offset + 1
-    }
-  }
 }
 
 const EXIT_CODE_OF: Readonly<Record<types.ApplyOutcome, types.ExitCode>> = {
@@ -146,7 +152,7 @@
 }
 
 /** The verdict that readers wrote to the audit stream, for proposals that the config stream has dropped. */
-function auditVerdict (entries: readonly Readonly<Record<string, unknown>>[]): config.VerdictKind | undefined {
+function auditVerdict (entries: readonly auditLog.AuditEntry[]): config.VerdictKind | undefined {
   if (entries.some(entry => entry['kind'] === 'accepted')) return 'accepted'
   return entries.some(entry => entry['kind'] === 'rejected') ? 'conflict' : undefined
 }
@@ -168,8 +174,9 @@
   return Number.isNaN(time.getTime()) ? String(timeMs) : time.toISOString()
 }
 
-function formatEntry (entry: HistoryEntry): string[] {
+function formatEntry (entry: PrintedEntry): string[] {
   const head = `${entry.proposedAt} ${entry.verdict} version ${entry.version} on ${entry.baseVersion} by ${entry.author} (proposal ${entry.proposalId}, offset ${entry.offset})`
   const changes = entry.changes?.map(change => `    ${configDiff.formatChange(change)}`) ?? ['    (no changes shown: the base is no longer in the log, or the document is not valid)']
-  return [head, ...(entry.verdict === 'accepted' ? [] : [`    ${entry.reason}`]), ...changes]
+  const enforced = entry.enforced.map(({ zone, nodes, firstAt, lastAt }) => `    enforced in ${zone} by ${nodes === 1 ? '1 node' : `${nodes} nodes`}, first ${firstAt}, last ${lastAt}`)
+  return [head, ...(entry.verdict === 'accepted' ? [] : [`    ${entry.reason}`]), ...changes, ...enforced]
 }
