Keep the keys of a drained node until it stops

Cause: `elmpost drain` handed the keys over as soon as no call ran, which takes a few ms, and the row became `left` while the process kept running. `elmpost undrain` was refused from then on, although docs/cli.md says that it lets a draining node take work again.

Change: `Lifecycle.beginDrain` only drains, without a limit of time: the node delegates keyed calls as their owner and serves callers. `beginStop` (SIGTERM) drains and hands over; `drainMs` counts from the stop. Nothing else changes in the protocol: `draining` owners kept their windows before, and the property test has the commands `drain`, `undrain` and `beginStop`. The tests of the handover now call `beginStop`.

Before: a drained idle node was `left` at once.

Conclusion: a drain can be taken back until a stop. Operators who used `drain` to hand keys over send SIGTERM.

--- a/packages/common/src/hosting/Lifecycle.test.ts
+++ b/packages/common/src/hosting/Lifecycle.test.ts
@@ -36,13 +36,13 @@
 }
 
 test.describe('Lifecycle', () => {
-  test.describe('drain', () => {
+  test.describe('stop', () => {
     test.it('waits for running calls before the handover, so that the successor gets their answers', () => {
       const node = new Node('a')
       const key = fixture.keyAt(T0)
       const runId = node.host.run(fixture.call(T0, { key }), T0)
       node.host.calls.start(runId, T0)
-      node.lifecycle.beginDrain(T0)
+      node.lifecycle.beginStop(T0)
       node.lifecycle.tick(T0 + 100)
       assert.deepEqual([node.membership.self.state, node.kinds()], ['draining', []])
       node.host.calls.finish(runId, fixture.ANSWER, T0 + 200)
@@ -53,7 +53,7 @@
     test.it('ends under a steady stream of keyed calls, which a delegate runs, so that the handover is not put off until the drain time is over', () => {
       const node = new Node('a')
       node.host.delegate = { nodeId: 'b', address: 'b:1' }
-      node.lifecycle.beginDrain(T0)
+      node.lifecycle.beginStop(T0)
       for (let nowMs = T0; node.kinds().length === 0; nowMs += 100) {
         assert.ok(nowMs < T0 + 2_000, 'the handover has not begun')
         // A call that the delegate runs for 150 ms is on its way at every tick until new ones are refused.
@@ -66,7 +66,7 @@
 
     test.it('names the successor to callers of handed-over keys, so that entry nodes that have not heard of it follow', () => {
       const node = new Node('a')
-      node.lifecycle.beginDrain(T0)
+      node.lifecycle.beginStop(T0)
       node.lifecycle.tick(T0)
       node.lifecycle.tick(T0)
       const decision = node.host.calls.accept('entry', fixture.call(T0, { key: fixture.keyAt(T0) }), T0)
@@ -79,7 +79,7 @@
       const runId = from.host.run(fixture.call(T0, { key }), T0)
       from.host.calls.start(runId, T0)
       from.host.calls.finish(runId, fixture.ANSWER, T0)
-      from.lifecycle.beginDrain(T0)
+      from.lifecycle.beginStop(T0)
       from.lifecycle.tick(T0)
       from.deliverTo(to, T0)
       to.deliverTo(from, T0)
@@ -99,7 +99,7 @@
 
     test.it('runs no new key after it has sent the handover, whether or not the successor answers', () => {
       const node = new Node('a')
-      node.lifecycle.beginDrain(T0)
+      node.lifecycle.beginStop(T0)
       node.lifecycle.tick(T0)
       assert.equal(node.host.verdict(fixture.call(T0, { key: fixture.keyAt(T0) }), T0), 'unknown not-owner')
       assert.ok(node.lifecycle.undrain(T0).isErr())
@@ -107,7 +107,7 @@
 
     test.it('sends to one process only, because the first may have taken the keys although its answer was lost', () => {
       const node = new Node('a')
-      node.lifecycle.beginDrain(T0)
+      node.lifecycle.beginStop(T0)
       node.lifecycle.tick(T0)
       node.membership.set(fake.memberRow('c', T0))
       node.membership.set(fake.memberRow('b', T0 - 10_000, { state: 'dead' }))
@@ -123,7 +123,7 @@
 
     test.it('ends after the drain time when the successor or the log does not answer', () => {
       const node = new Node('a')
-      node.lifecycle.beginDrain(T0)
+      node.lifecycle.beginStop(T0)
       for (let ms = 0; ms < 10_000; ms += 500) node.lifecycle.tick(T0 + ms)
       assert.equal(node.kinds().length, 10)
       node.lifecycle.tick(T0 + 10_000)
@@ -132,14 +132,47 @@
 
     test.it('has no effect the second time, so that a second SIGTERM does not restart the drain', () => {
       const node = new Node('a')
-      node.lifecycle.beginDrain(T0)
+      node.lifecycle.beginStop(T0)
       node.lifecycle.tick(T0)
-      assert.deepEqual(node.lifecycle.beginDrain(T0 + 9_000), [])
+      assert.deepEqual(node.lifecycle.beginStop(T0 + 9_000), [])
       node.lifecycle.tick(T0 + 10_000)
       assert.equal(node.membership.self.state, 'left')
     })
   })
 
+  test.describe('drain', () => {
+    test.it('keeps the keys of an idle node, so that a drain under any load can be taken back', () => {
+      const node = new Node('a')
+      node.host.delegate = { nodeId: 'b', address: 'b:1' }
+      node.lifecycle.beginDrain(T0)
+      for (let ms = 0; ms <= 60_000; ms += 100) node.lifecycle.tick(T0 + ms)
+      assert.deepEqual([node.kinds(), node.membership.self.state, node.lifecycle.canExit(T0 + 60_000)], [[], 'draining', false])
+      const nowMs = T0 + 60_000
+      assert.equal(node.host.calls.accept('entry', fixture.call(nowMs, { key: fixture.keyAt(nowMs) }), nowMs).kind, 'delegate')
+      assert.ok(node.lifecycle.undrain(nowMs).isOk())
+      assert.equal(node.membership.self.state, 'ready')
+      node.host.run(fixture.call(nowMs), nowMs)
+    })
+
+    test.it('can be followed by a stop, which has the whole drain time from then on', () => {
+      const node = new Node('a')
+      node.lifecycle.beginDrain(T0)
+      node.lifecycle.beginStop(T0 + 60_000)
+      node.lifecycle.tick(T0 + 60_000)
+      assert.deepEqual([node.kinds(), node.membership.self.state], [['handover'], 'draining'])
+      assert.ok(node.lifecycle.undrain(T0 + 60_000).isErr())
+    })
+
+    test.it('does not end a stop, so that a late command of an operator cannot bring back a node without keys', () => {
+      const node = new Node('a')
+      node.lifecycle.beginStop(T0)
+      assert.deepEqual(node.lifecycle.beginDrain(T0), [])
+      assert.ok(node.lifecycle.undrain(T0).isErr())
+      node.lifecycle.tick(T0)
+      assert.deepEqual(node.kinds(), ['handover'])
+    })
+  })
+
   test.describe('undrain', () => {
     test.it('takes work again while calls still run', () => {
       const node = new Node('a')
--- a/packages/common/src/hosting/Lifecycle.ts
+++ b/packages/common/src/hosting/Lifecycle.ts
@@ -21,25 +21,26 @@
 }
 
 /**
- * `handing`: the successor gets the key table and the keys issued so far. `releasing`: the log gets the record that no
+ * `draining`: calls run elsewhere, but this node keeps its keys, so that it can take work again. `stopping`: the calls
+ * in flight end before the handover. `handing`: the successor gets the key table and the keys issued so far. `releasing`: the log gets the record that no
  * later process at this address adopts the windows. `confirming`: the successor gets the windows whole.
  */
-type Stage = 'serving' | 'draining' | 'handing' | 'releasing' | 'confirming' | 'left'
+type Stage = 'serving' | 'draining' | 'stopping' | 'handing' | 'releasing' | 'confirming' | 'left'
 
-/** The key table was handed over, so this process cannot run keyed calls any more. */
-export class HandedOverError extends Error {
-  public readonly kind = 'handed-over'
+/** A stop has begun, so this process hands its keys over and cannot take work again. */
+export class StoppingError extends Error {
+  public readonly kind = 'stopping'
 
   constructor () {
-    super('This node has handed its keys to a successor and cannot take work again. Restart the process.')
-    this.name = 'HandedOverError'
+    super('This node stops and cannot take work again. Restart the process.')
+    this.name = 'StoppingError'
   }
 }
 
 /** Drain and planned stop of this node. */
 export class Lifecycle implements services.ILifecycle {
   private _stage: Stage = 'serving'
-  private _drainSinceMs = 0
+  private _stopSinceMs = 0
   private _leftAtMs = 0
   private _nextSendMs = 0
   private _requestNumber = 0
@@ -57,14 +58,21 @@
   public beginDrain (nowMs: base.Millis): readonly types.HostUpdate[] {
     if (this.isDraining) return []
     this._stage = 'draining'
-    this._drainSinceMs = nowMs
     this._options.membership.setState('draining', nowMs)
     return this._options.calls.beginDrain(nowMs)
   }
 
-  public undrain (nowMs: base.Millis): results.Result<void, HandedOverError> {
+  public beginStop (nowMs: base.Millis): readonly types.HostUpdate[] {
+    const updates = this.beginDrain(nowMs)
+    if (this._stage !== 'draining') return updates
+    this._stage = 'stopping'
+    this._stopSinceMs = nowMs
+    return updates
+  }
+
+  public undrain (nowMs: base.Millis): results.Result<void, StoppingError> {
     if (this._stage === 'serving') return results.Ok(undefined)
-    if (this._stage !== 'draining') return results.Err(new HandedOverError())
+    if (this._stage !== 'draining') return results.Err(new StoppingError())
     this._stage = 'serving'
     this._options.calls.endDrain()
     this._options.membership.setState('ready', nowMs)
@@ -89,9 +97,9 @@
   }
 
   public tick (nowMs: base.Millis): void {
-    if (this._stage === 'serving' || this._stage === 'left') return
-    if (this._stage === 'draining') this._finishCalls(nowMs)
-    if (nowMs >= this._drainSinceMs + this._options.drainMs()) this._leave(nowMs)
+    if (this._stage === 'serving' || this._stage === 'draining' || this._stage === 'left') return
+    if (this._stage === 'stopping') this._finishCalls(nowMs)
+    if (nowMs >= this._stopSinceMs + this._options.drainMs()) this._leave(nowMs)
     else if (nowMs >= this._nextSendMs) this._send(nowMs)
   }
 
--- a/packages/common/src/hosting/MeshProperty.test.ts
+++ b/packages/common/src/hosting/MeshProperty.test.ts
@@ -58,7 +58,7 @@
 
 /** A planned stop that goes on without disturbance for some seconds. */
 const stop = command('stop', (real, i: number, seconds: number) => {
-  real.drain(i)
+  real.stop(i)
   for (let second = 0; second < seconds; second++) {
     real.advance(1_000)
     real.deliverAll()
@@ -83,6 +83,7 @@
   command('lag', (real, i: number, lagging: boolean) => { real.lag(i, lagging) }, index, rarely),
   command('setTarget', (real, i: number, ready: boolean) => { real.setTarget(i, ready) }, index, mostly),
   command('drain', (real, i: number) => { real.drain(i) }, index),
+  command('beginStop', (real, i: number) => { real.stop(i) }, index),
   command('undrain', (real, i: number) => { real.undrain(i) }, index),
   command('push', (real, from: number, to: number) => { real.push(from, to) }, index, index),
   command('delegates', (real, choice: number) => { real.chooseDelegates(choice) }, fc.nat({ max: 4 })),
--- a/packages/common/src/hosting/PlannedStop.test.ts
+++ b/packages/common/src/hosting/PlannedStop.test.ts
@@ -16,7 +16,7 @@
 }
 
 function stop (real: mesh.MeshModel, index: number): void {
-  real.drain(index)
+  real.stop(index)
   for (let tick = 0; tick < 5; tick++) {
     real.advance(500)
     real.deliverAll()
--- a/packages/common/src/hosting/Services.ts
+++ b/packages/common/src/hosting/Services.ts
@@ -116,12 +116,15 @@
 
 /** Drain and planned stop of this node. */
 export interface ILifecycle {
+  /** Also true while the node stops and after it has left. */
   readonly isDraining: boolean
-  /** Returns what becomes of the queued calls. */
+  /** Takes no new work, but keeps the keys. Returns what becomes of the queued calls. */
   beginDrain(nowMs: base.Millis): readonly types.HostUpdate[]
-  /** Takes work again. Fails after the key table was handed over. */
+  /** Drains, hands the keys over and leaves. Returns what becomes of the queued calls. */
+  beginStop(nowMs: base.Millis): readonly types.HostUpdate[]
+  /** Takes work again. Fails after a stop has begun. */
   undrain(nowMs: base.Millis): results.Result<void, Error>
-  /** True when nothing is queued or running, the key table is handed over or the drain time is over. */
+  /** True after a stop: nothing is queued or running and the key table is handed over, or the drain time is over. */
   canExit(nowMs: base.Millis): boolean
   receive(from: base.NodeId, message: messages.HandoverMessage | messages.HandoverAckMessage, nowMs: base.Millis): void
   /** Result of the append of the `release` record. */
--- a/packages/common/src/hosting/testing/MeshModel.ts
+++ b/packages/common/src/hosting/testing/MeshModel.ts
@@ -188,6 +188,11 @@
     if (vm !== undefined) this._update(vm.process, vm.process.lifecycle.beginDrain(this._clock(vm)))
   }
 
+  public stop (index: number): void {
+    const vm = this._running(index)
+    if (vm !== undefined) this._update(vm.process, vm.process.lifecycle.beginStop(this._clock(vm)))
+  }
+
   public undrain (index: number): void {
     const vm = this._running(index)
     if (vm !== undefined) vm.process.lifecycle.undrain(this._clock(vm))
--- a/packages/node/src/NodeProcess.ts
+++ b/packages/node/src/NodeProcess.ts
@@ -121,7 +121,7 @@
     this._options.logger.log('info', 'stopping')
     this._callers.beginClosing()
     this._closeAllAtMs = this._options.nowMs() + (this._options.core.services.enforcement.current?.document.terms.drainMs ?? 0)
-    this._runtime.beginDrain()
+    this._runtime.beginStop()
     this._tick()
   }
 
--- a/packages/node/src/NodeRuntime.ts
+++ b/packages/node/src/NodeRuntime.ts
@@ -79,12 +79,18 @@
     this._carryOut()
   }
 
-  /** Takes no new work for the target. */
+  /** Takes no new work for the target until `undrain`. */
   public beginDrain (): void {
     this.host.update(this._options.core.services.lifecycle.beginDrain(this._options.nowMs()))
     this._carryOut()
   }
 
+  /** Drains, hands the keys over and leaves the mesh. */
+  public beginStop (): void {
+    this.host.update(this._options.core.services.lifecycle.beginStop(this._options.nowMs()))
+    this._carryOut()
+  }
+
   public targetChanged (ready: boolean): void {
     this._options.core.targetChanged(ready, this._options.nowMs())
     this._carryOut()
--- a/packages/node/src/testing/FakeServices.ts
+++ b/packages/node/src/testing/FakeServices.ts
@@ -155,6 +155,10 @@
     return this._host.beginDrain(nowMs)
   }
 
+  public beginStop (nowMs: base.Millis): readonly hosting.HostUpdate[] {
+    return this.beginDrain(nowMs)
+  }
+
   public undrain (): results.Result<void, Error> {
     this.isDraining = false
     this._host.endDrain()
