Write the verdict of each proposal to the audit stream

Cause: the first reader of the fleet writes the verdicts. When it had learned of a version from a peer, it skipped the record in the log and had no verdict to write; or it read the next record behind the skipped one, got `not-judged` until the fold had started from the peer's state in the same step, and wrote `rejected` for an accepted proposal.

Change: the node that writes the verdicts skips no record; a verdict that is known after the fold has started is used instead of `not-judged`; a record that cannot be judged is written as `proposed` only, because it may still be accepted.

Conclusion: an accepted proposal is never written as rejected.

--- a/packages/common/src/distribution/AuditTrail.ts
+++ b/packages/common/src/distribution/AuditTrail.ts
@@ -38,6 +38,8 @@
   public addVerdict (proposal: config.ProposalEnvelope, verdict: config.Verdict, nowMs: base.Millis): void {
     const { proposalId, version, author } = proposal
     this.add({ kind: 'proposed', proposalId, version, author, atMs: proposal.proposedAtMs })
+    // Newer software, or a reader that knows more of the log, may still accept it.
+    if (verdict.kind === 'not-judged' || verdict.kind === 'unsupported-rules') return
     const kind = verdict.kind === 'accepted' ? 'accepted' : 'rejected'
     this.add({ kind, proposalId, version, verdict: verdict.kind, reason: verdict.reason, offset: verdict.offset, atMs: nowMs })
   }
--- a/packages/common/src/distribution/Distribution.ts
+++ b/packages/common/src/distribution/Distribution.ts
@@ -322,12 +322,18 @@
     const { acceptance } = this._options
     if (best === undefined || best.version <= (acceptance.state?.version ?? 0)) return
     acceptance.adopt(best)
-    if (best.asOfOffset !== undefined) this._log.skipTo(best.asOfOffset + 1)
+    // The node that writes the verdicts to the audit stream reads every record, or it would have none to write.
+    if (best.asOfOffset !== undefined && !this._writesVerdicts) this._log.skipTo(best.asOfOffset + 1)
+  }
+
+  /** Records that were there before this node read the log have been written by another one. */
+  private get _writesVerdicts (): boolean {
+    return this._hasReadToEnd && this.isReader && this._options.readers.isFirstOfFleet
   }
 
   private _fold (record: config.LogRecord, nowMs: base.Millis): void {
-    const { acceptance, readers } = this._options
-    const verdict = acceptance.apply(record)
+    const { acceptance } = this._options
+    const verdict = this._judge(record)
     this._verdicts.push(verdict)
     if (this._verdicts.length > MAX_VERDICTS) this._verdicts.shift()
     const data = record.data as Partial<config.ProposalEnvelope> | Partial<config.SnapshotRecord> | null
@@ -335,10 +341,18 @@
       this._anchorOffset = acceptance.anchorOffset
       this._snapshots.anchorSeen(this._appendedAtMs(data, nowMs), this._retentionMs)
     }
-    if (data?.kind !== 'proposal' || !this._hasReadToEnd || !this.isReader || !readers.isFirstOfFleet) return
+    if (data?.kind !== 'proposal' || !this._writesVerdicts) return
     if (verdict.kind !== 'duplicate') this._audit.addVerdict(data as config.ProposalEnvelope, verdict, nowMs)
   }
 
+  /** A record behind a gap is judged as soon as the fold has started from the state of a peer, often in the same step. */
+  private _judge (record: config.LogRecord): config.Verdict {
+    const verdict = this._options.acceptance.apply(record)
+    if (verdict.kind !== 'not-judged' || verdict.proposalId === undefined) return verdict
+    const later = this._options.acceptance.verdictOf(verdict.proposalId)
+    return later?.offset === record.offset ? later : verdict
+  }
+
   /** Records carry no time of append. One that was there before this node read the log may be old. */
   private _appendedAtMs (data: { readonly kind?: string } | null, nowMs: base.Millis): base.Millis {
     if (this._hasReadToEnd) return nowMs
--- a/packages/testbed/src/network/DistributionFaults.test.ts
+++ b/packages/testbed/src/network/DistributionFaults.test.ts
@@ -18,7 +18,41 @@
 
 const CONFIG_KINDS: readonly string[] = ['push', 'state', 'busy']
 
+/** Kinds of the audit records about a version. */
+function auditOf (fleet: fleets.SteppedFleet, version: number): readonly string[] {
+  const records = fleet.log.records('audit', fleet.network.nowMs) as ReadonlyArray<{ readonly kind: string, readonly version: number }>
+  return records.filter(record => record.version === version).map(record => record.kind)
+}
+
 test.describe('Distribution', () => {
+  test.describe('audit trail', () => {
+    test.it('holds each verdict, also when the first reader learns of the version from a peer before its own read', () => {
+      for (const seed of [2, 5, 21, 42, 49, 56, 58]) {
+        const fleet = started(10, { seed, terms: { preference: 'control-bytes', pushFanout: 4 } })
+        fleet.network.advance(seed * 173)
+        const version = fleet.propose()
+        fleet.network.advance(15_000)
+        const kinds = auditOf(fleet, version)
+        assert.deepEqual([seed, kinds.filter(kind => kind !== 'enforced')], [seed, ['proposed', 'accepted']])
+      }
+    })
+
+    test.it('holds each verdict after the first reader could not reach the log for a while', () => {
+      const fleet = started(6)
+      // The first zone in the order of names has node 2 and node 5; the log is away for both.
+      fleet.log.isUnreachable = node => node.nodeId === fleet.ids[2] || node.nodeId === fleet.ids[5]
+      // Ends the long polls that wait.
+      fleet.log.isDown = true
+      fleet.log.isDown = false
+      const version = fleet.propose()
+      fleet.network.advance(3_000)
+      assert.ok(fleet.allEnforce(version))
+      fleet.log.isUnreachable = () => false
+      fleet.network.advance(15_000)
+      assert.deepEqual(auditOf(fleet, version).filter(kind => kind !== 'enforced'), ['proposed', 'accepted'])
+    })
+  })
+
   test.describe('restart', () => {
     test.it('enforces nothing below what a peer saw the earlier process enforce, while the log is down and that peer is behind', () => {
       const fleet = started(3)
