List where a version was enforced without the audit record of its verdict

Before: the example of docs/cli.md did not list the record. Conclusion: one lost record hides no others.

--- a/packages/cli/src/AuditLog.ts
+++ b/packages/cli/src/AuditLog.ts
@@ -41,12 +41,14 @@
     }
   }
 
-  /** Everything about a proposal: its own entries and, if it was accepted, where its version was enforced. */
-  public entriesOf (proposalId: string): readonly AuditEntry[] {
+  /**
+   * Everything about a proposal: its own entries and, if it was accepted, where its version was enforced. The version
+   * is that of the accepted record in the `config` stream; without one the audit stream may still tell it.
+   */
+  public entriesOf (proposalId: string, acceptedVersion: number | undefined): readonly AuditEntry[] {
     const own = this._entries.filter(entry => entry['proposalId'] === proposalId)
-    const accepted = own.find(entry => entry['kind'] === 'accepted')
-    const enforced = accepted === undefined ? [] : this._enforced(accepted['version'])
-    return [...own, ...enforced]
+    const version = acceptedVersion ?? own.find(entry => entry['kind'] === 'accepted')?.['version']
+    return [...own, ...this._enforced(version)]
   }
 
   /** One row per zone, although each reader of a zone may append a summary of its own. */
--- a/packages/cli/src/commands/HistoryCommand.ts
+++ b/packages/cli/src/commands/HistoryCommand.ts
@@ -130,8 +130,9 @@
 
   private _printProposal (proposalId: string): types.ExitCode {
     const entries = this._entries.filter(entry => entry.proposalId === proposalId).map(entry => this._printed(entry))
-    const audit = this._audit.entriesOf(proposalId)
-    const verdict = entries.find(entry => entry.verdict === 'accepted')?.verdict ?? entries[0]?.verdict ?? auditVerdict(audit)
+    const accepted = entries.find(entry => entry.verdict === 'accepted')
+    const audit = this._audit.entriesOf(proposalId, accepted?.version)
+    const verdict = accepted?.verdict ?? entries[0]?.verdict ?? auditVerdict(audit)
     const outcome = outcomeOf(verdict)
     const lines = [`${outcome} (proposal ${proposalId})`, ...entries.flatMap(formatEntry), ...audit.map(entry => `audit: ${JSON.stringify(entry)}`)]
     if (verdict === undefined) lines.push('Neither the config stream nor the audit stream tells a verdict. The proposal may still arrive, or the log has dropped it. Compare with: elmpost diff FILE')
