--- a/packages/testbed/src/harness/Ledger.ts
+++ b/packages/testbed/src/harness/Ledger.ts
@@ -9,6 +9,7 @@
 /** Compares what targets ran with what callers were told. */
 export class Ledger {
   private readonly _runsOfKey = new Map<string, string[]>()
+  private readonly _runCounts = new Map<string, number>()
   /** Refused keys with the reason given. */
   private readonly _refusedKeys = new Map<string, string>()
   private readonly _violations: Violation[] = []
@@ -24,8 +25,15 @@
     return this._violations
   }
 
+  /** Requests that the target has started, with and without a key. */
+  public runsOn (target: string): number {
+    return this._runCounts.get(target) ?? 0
+  }
+
   public recordRun (event: targetServer.RunEvent): void {
-    if (event.kind !== 'run-started' || event.key === '') return
+    if (event.kind !== 'run-started') return
+    this._runCounts.set(event.target, this.runsOn(event.target) + 1)
+    if (event.key === '') return
     const runs = this._runsOfKey.get(event.key) ?? []
     runs.push(event.target)
     this._runsOfKey.set(event.key, runs)
--- a/packages/testbed/src/scenarios/MeshWorld.ts
+++ b/packages/testbed/src/scenarios/MeshWorld.ts
@@ -8,6 +8,15 @@
 
 const LOAD_SEED = 11
 
+/** An operator with a changed file and one that is not valid. */
+export interface OperatorSession {
+  readonly operator: operator.Operator
+  readonly name: string
+  readonly file: string
+  readonly brokenFile: string
+  readonly startedAtMs: number
+}
+
 /** State of one scenario: the processes of one institution, its callers and the ledger of runs. */
 export class MeshWorld extends cucumber.World {
   public readonly ledger = new ledger.Ledger()
@@ -16,6 +25,7 @@
   public lastCommand: operator.CommandResult | undefined
   public lastCall: caller.CallResult | undefined
   public lastSpec: caller.CallSpec | undefined
+  public session: OperatorSession | undefined
   private _fleet: fleet.Fleet | undefined
   private _kinds: readonly loadGenerator.CallKind[] = []
 
--- a/packages/testbed/src/scenarios/configurationSteps.ts
+++ b/packages/testbed/src/scenarios/configurationSteps.ts
@@ -10,14 +10,14 @@
 /** Bound for progress only; convergence time itself is measured by the benchmark. */
 const PROGRESS_TIMEOUT_MS = 40_000
 
-async function writeChangedFile (world: meshWorld.MeshWorld, change: (document: config.ConfigDocument) => object): Promise<string> {
+export async function writeChangedFile (world: meshWorld.MeshWorld, change: (document: config.ConfigDocument) => object): Promise<string> {
   const document = JSON.parse(await fs.readFile(world.fleet.spec.configFile, 'utf8')) as config.ConfigDocument
   const file = path.join(await fs.mkdtemp(path.join(os.tmpdir(), 'elmpost-scenario-')), 'changed.json')
   await fs.writeFile(file, JSON.stringify(change(document)))
   return file
 }
 
-function withLongerTimeouts (document: config.ConfigDocument, extraMs: number): object {
+export function withLongerTimeouts (document: config.ConfigDocument, extraMs: number): object {
   return { ...document, routes: document.routes.map(route => ({ ...route, timeoutMs: route.timeoutMs + extraMs })) }
 }
 
