Report repeated keys of a configuration file

Cause: `JSON.parse` keeps the last value of a repeated key, so a file with two different `slots` was accepted without a word.

Change: `validate`, `diff`, `apply` and `recover` list each repeated key with its pointer and line, beside all other problems.

--- a/packages/cli/src/Cli.test.ts
+++ b/packages/cli/src/Cli.test.ts
@@ -30,6 +30,24 @@
     assert.deepEqual([exitCode, (JSON.parse(stdout) as { error: { kind: string } }).error.kind], [4, 'invalid-input'])
   })
 
+  test.describe('validate', () => {
+    test.it('names each key that a file repeats, because the last value would win without a word', async () => {
+      const [first, ...rest] = JSON.stringify(documents.testDocument(), undefined, 2).replace('"slots":', '"slots": 1,\n"slots":').split('\n')
+      const environment = new testEnvironment.TestEnvironment(log, { 'a.json': [first, '  "institution": "other",', ...rest].join('\n') }, nodes)
+      assert.equal(await new cli.Cli(environment).run(['validate', 'a.json', '--output', 'json']), 4)
+      const { files } = JSON.parse(environment.stdout) as { files: { problems: string[] }[] }
+      assert.deepEqual(files[0]?.problems, [
+        'a.json: /institution: The key is repeated on line 3. Remove one of the two.',
+        'a.json: /services/0/slots: The key is repeated on line 8. Remove one of the two.'
+      ])
+    })
+
+    test.it('reports a file that is nested too deeply like any other bad file, without a crash', async () => {
+      const environment = new testEnvironment.TestEnvironment(log, { 'a.json': '['.repeat(50_000) + ']'.repeat(50_000) }, nodes)
+      assert.equal(await new cli.Cli(environment).run(['validate', 'a.json']), 4)
+    })
+  })
+
   test.describe('--verbose', () => {
     test.it('writes retries and verdicts to the standard error only, so that scripts can parse the result', async () => {
       const lossy = new testEnvironment.FakeLog()
--- a/packages/cli/src/DocumentFile.ts
+++ b/packages/cli/src/DocumentFile.ts
@@ -1,5 +1,6 @@
 import * as configErrors from '@elmpost/common/config/ConfigErrors.js'
 import * as configValidator from '@elmpost/common/config/ConfigValidator.js'
+import * as repeatedKeys from './RepeatedKeys.js'
 import * as results from 'ts-results-es'
 import * as ruleSets from '@elmpost/common/config/RuleSets.js'
 import * as cliError from './CliError.js'
@@ -13,13 +14,17 @@
 export async function readDocument (files: services.IFiles, path: string): Promise<results.Result<config.ConfigDocument, cliError.CliError>> {
   const text = await results.Result.wrapAsync(() => files.readText(path))
   if (text.isErr()) return invalid(`${path} cannot be read (${messageOf(text.error)}). Check the path and its permissions.`)
-  const parsed = results.Result.wrap<unknown, unknown>(() => JSON.parse(text.value.replace(BYTE_ORDER_MARK, '')))
+  const json = text.value.replace(BYTE_ORDER_MARK, '')
+  const parsed = results.Result.wrap<unknown, unknown>(() => JSON.parse(json))
   if (parsed.isErr()) return invalid(`${path} is not JSON (${messageOf(parsed.error)}). Correct the syntax.`)
-  return new configValidator.ConfigValidator()
-    .validate(parsed.value, ruleSets.CURRENT_RULES_VERSION)
-    .mapErr(problems => new cliError.CliError('invalid-input',
-      `${path} has ${problems.length === 1 ? '1 problem' : `${problems.length} problems`}. Correct the file and try again.`,
-      problems.map(problem => `${path}: ${configErrors.formatProblem(problem)}`)))
+  const checked = new configValidator.ConfigValidator().validate(parsed.value, ruleSets.CURRENT_RULES_VERSION)
+  // The validator reports a value that is nested too deeply for this.
+  const repeated = results.Result.wrap(() => repeatedKeys.repeatedKeys(json)).unwrapOr([])
+  const problems = [...repeated, ...checked.isErr() ? checked.error : []]
+  if (checked.isOk() && problems.length === 0) return checked
+  return results.Err(new cliError.CliError('invalid-input',
+    `${path} has ${problems.length === 1 ? '1 problem' : `${problems.length} problems`}. Correct the file and try again.`,
+    problems.map(problem => `${path}: ${configErrors.formatProblem(problem)}`)))
 }
 
 function invalid (message: string): results.Result<never, cliError.CliError> {
