Probe at random until the member table has settled

Cause: in a fleet that starts, nodes know few members, and the common schedule has many of them probe the same ones in the same round.

--- a/packages/common/src/membership/FailureDetector.ts
+++ b/packages/common/src/membership/FailureDetector.ts
@@ -41,6 +41,8 @@
   readonly host: IDetectorHost
   readonly random: base.IRandom
   readonly intervalMs: () => base.Millis
+  /** Whether the members known to this node are about the same as those known to its peers. */
+  readonly isSettled: () => boolean
 }
 
 /** Probes members, one per interval, and decides when one is suspect or dead. */
@@ -48,9 +50,11 @@
   private readonly _host: IDetectorHost
   private readonly _random: base.IRandom
   private readonly _intervalMs: () => base.Millis
+  private readonly _isSettled: () => boolean
   private readonly _ring = new rings.ProbeRing()
   private readonly _schedule: schedules.ProbeSchedule
   private _sequence = 0
+  private _nextRandomAtMs: base.Millis | undefined
   private _lastTickMs: base.Millis | undefined
   private readonly _outstanding = new Map<number, Outstanding>()
   private readonly _relays = new Map<number, Relay>()
@@ -61,6 +65,7 @@
     this._host = options.host
     this._random = options.random
     this._intervalMs = options.intervalMs
+    this._isSettled = options.isSettled
     this._schedule = new schedules.ProbeSchedule(this._ring, options.selfId)
   }
 
@@ -167,9 +172,20 @@
 
   private _probeNext (nowMs: base.Millis): void {
     const intervalMs = this._intervalMs()
+    if (!this._isSettled()) return this._probeRandom(nowMs, intervalMs)
+    this._nextRandomAtMs = undefined
     for (let next = this._schedule.due(nowMs, intervalMs); next !== undefined; next = this._schedule.due(nowMs, intervalMs)) this.probe(next, nowMs)
   }
 
+  /** In a fleet that starts, nodes know few members, and the schedule would have many of them probe the same ones. */
+  private _probeRandom (nowMs: base.Millis, intervalMs: base.Millis): void {
+    this._nextRandomAtMs ??= nowMs + this._random.nextInt(intervalMs)
+    if (nowMs < this._nextRandomAtMs) return
+    this._nextRandomAtMs = Math.max(this._nextRandomAtMs + intervalMs, nowMs)
+    const next = this.randomMember(() => true)
+    if (next !== undefined) this.probe(next, nowMs)
+  }
+
   private _nextSequence (): number {
     this._sequence = (this._sequence + 1) % Number.MAX_SAFE_INTEGER
     return this._sequence
--- a/packages/common/src/membership/Membership.ts
+++ b/packages/common/src/membership/Membership.ts
@@ -82,7 +82,8 @@
       selfId: options.self.nodeId,
       host: this._detectorHost(),
       random: options.random,
-      intervalMs: () => options.terms().gossipIntervalMs
+      intervalMs: () => options.terms().gossipIntervalMs,
+      isSettled: () => this.isSettled
     })
     this._repair = new repairs.TableRepair(this._table, options.random)
     this._seedProbe = new seeds.SeedProbe({
