Add a setting for the announced peer address

Change: announcedPeerAddress, checked like peerAddress, which it defaults to. Conclusion: peers connect to the announced address.

--- a/packages/node/src/NodeProcess.ts
+++ b/packages/node/src/NodeProcess.ts
@@ -109,6 +109,7 @@
       service: settings.service,
       callerAddress: settings.callerAddress,
       peerAddress: settings.peerAddress,
+      announcedPeerAddress: settings.announcedPeerAddress,
       adminAddress: settings.adminAddress
     })
     return { caller, peer, admin }
--- a/packages/node/src/Settings.test.ts
+++ b/packages/node/src/Settings.test.ts
@@ -22,7 +22,7 @@
 test.describe('Settings', () => {
   test.it('accepts a complete file and fills in the defaults', () => {
     const loaded = settings.parse('test', JSON.stringify(VALID), {}).unwrap()
-    assert.deepEqual(loaded, { ...VALID, targetHealthPath: '/healthz', seeds: [], logLevel: 'info' })
+    assert.deepEqual(loaded, { ...VALID, announcedPeerAddress: VALID.peerAddress, targetHealthPath: '/healthz', seeds: [], logLevel: 'info' })
   })
 
   test.it('reports every problem at once with its remedy, so that an operator corrects the file in one pass', () => {
@@ -42,6 +42,13 @@
     assert.deepEqual(problemsOf({}, { ELMPOST_CALLER_ADDRESS: '127.0.0.1:99999', ELMPOST_SEEDS: 'x' }), ['/seeds/0', '/callerAddress'])
   })
 
+  test.it('takes another announced peer address and checks it, because peers cannot reach a wrong one', () => {
+    assert.deepEqual(problemsOf({ announcedPeerAddress: '10.0.0.1:7200' }), [])
+    assert.deepEqual(problemsOf({ announcedPeerAddress: '10.0.0.1' }), ['/announcedPeerAddress'])
+    assert.deepEqual(problemsOf({ announcedPeerAddress: '10.0.0.1:70000' }), ['/announcedPeerAddress'])
+    assert.deepEqual(problemsOf({}, { ELMPOST_ANNOUNCED_PEER_ADDRESS: 'x' }), ['/announcedPeerAddress'])
+  })
+
   test.it('refuses an administration address that other machines reach, because it has no access control', () => {
     assert.deepEqual(problemsOf({ adminAddress: '0.0.0.0:7300' }), ['/adminAddress'])
   })
--- a/packages/node/src/Settings.ts
+++ b/packages/node/src/Settings.ts
@@ -59,6 +59,7 @@
   const settings = { ...DEFAULTS, ...value, ...overrides(environment) } as Record<string, unknown>
   const problems = [...schemaProblems(settings), ...ruleProblems(settings)]
   if (problems.length > 0) return refuse(source, problems)
+  settings.announcedPeerAddress ??= settings.peerAddress
   return new results.Ok(settings as unknown as types.NodeSettings)
 }
 
@@ -104,7 +105,7 @@
   if (typeof service === 'string' && service !== '' && targetUrl === '') {
     problems.push({ pointer: '/targetUrl', message: 'it is empty although a service is set', remedy: 'Set the URL of the target beside the node, or leave service empty' })
   }
-  for (const name of ['callerAddress', 'peerAddress', 'adminAddress']) problems.push(...portProblems(name, settings[name]))
+  for (const name of ['callerAddress', 'peerAddress', 'announcedPeerAddress', 'adminAddress']) problems.push(...portProblems(name, settings[name]))
   return problems
 }
 
--- a/packages/node/src/SettingsSchema.ts
+++ b/packages/node/src/SettingsSchema.ts
@@ -15,6 +15,7 @@
     service: { type: 'string', pattern: '^[A-Za-z0-9._-]{0,128}$' },
     callerAddress: ADDRESS,
     peerAddress: ADDRESS,
+    announcedPeerAddress: ADDRESS,
     adminAddress: ADDRESS,
     targetUrl: { type: 'string', pattern: `^$|${URL_PATTERN}` },
     targetHealthPath: { type: 'string', pattern: '^/' },
--- a/packages/node/src/Types.ts
+++ b/packages/node/src/Types.ts
@@ -14,6 +14,8 @@
   readonly callerAddress: string
   /** `host:port` of the endpoint for other nodes. */
   readonly peerAddress: string
+  /** `host:port` at which other nodes reach `peerAddress`; the same unless an address translation stands between. */
+  readonly announcedPeerAddress: string
   /** `host:port` of the administration endpoint, loopback only. */
   readonly adminAddress: string
   readonly targetUrl: string
--- a/packages/node/src/main.ts
+++ b/packages/node/src/main.ts
@@ -82,11 +82,11 @@
 }
 
 function announcementOf (nodeSettings: types.NodeSettings): nodeComposition.NodeCompositionOptions['self'] {
-  const { nodeId, zone, service, callerAddress, peerAddress, adminAddress } = nodeSettings
+  const { nodeId, zone, service, callerAddress, announcedPeerAddress, adminAddress } = nodeSettings
   return {
     nodeId,
     incarnation: Date.now(),
-    peerAddress,
+    peerAddress: announcedPeerAddress,
     callerAddress,
     adminAddress,
     zone,
--- a/packages/node/src/testing/TestMesh.ts
+++ b/packages/node/src/testing/TestMesh.ts
@@ -146,6 +146,7 @@
     service: targetUrl === '' ? '' : fakeServices.SERVICE,
     callerAddress: ADDRESS,
     peerAddress: ADDRESS,
+    announcedPeerAddress: ADDRESS,
     adminAddress: ADDRESS,
     targetUrl,
     targetHealthPath: '/healthz',
