Connect at once to a member that is alive again

Cause: after failed attempts a node waits up to 5 s before it dials an address again, and keyed calls to an owner there are owner-unreachable, even when the mesh already knows that the owner is alive. Change: a row that leaves the states suspect or dead ends the wait. Figures: PeerLinks.test.ts, sendCall after the change of the row: before not-sent, after queued. Conclusion: the wait applies only while the member is believed dead.

--- a/packages/node/src/NodeRuntime.ts
+++ b/packages/node/src/NodeRuntime.ts
@@ -64,7 +64,9 @@
       targetDied: call => { logger.log('error', 'target-died', { requestId: call.key, route: call.route, path: call.path }) }
     })
     membership.onChange(change => {
-      if (change.current.state === 'dead') this.links.terminate(change.current.nodeId)
+      const { previous, current } = change
+      if (current.state === 'dead') this.links.terminate(current.nodeId)
+      else if (previous?.state === 'dead' || previous?.state === 'suspect') this.links.retryNow(current.peerAddress)
     })
   }
 
--- a/packages/node/src/PeerLinks.test.ts
+++ b/packages/node/src/PeerLinks.test.ts
@@ -117,6 +117,14 @@
       assert.equal(a.links.linkTo('b', b.address).sendCall(callOf(2)), 'not-sent')
     })
 
+    test.it('connects at once to a node that is known to be alive again, so that its keyed calls do not wait for the back-off', async () => {
+      b.stop()
+      a.links.linkTo('b', b.address).sendCall(callOf(1))
+      await seen(a, 1)
+      a.links.retryNow(b.address)
+      assert.equal(a.links.linkTo('b', b.address).sendCall(callOf(2)), 'queued')
+    })
+
     test.it('reports a call that crossed a planned close as not accepted, because the closing side dropped it', async () => {
       a.links.linkTo('b', b.address).sendCall(callOf(1))
       await seen(b, 1)
--- a/packages/node/src/PeerLinks.ts
+++ b/packages/node/src/PeerLinks.ts
@@ -81,6 +81,11 @@
     }
   }
 
+  /** Ends the wait before the next connection to an address, because the node there is known to be alive again. */
+  public retryNow (address: string): void {
+    this._backoffs.delete(address)
+  }
+
   /** Ends attempts that take too long and closes links that were not used between two sweeps. */
   public tick (nowMs: base.Millis): void {
     for (const link of this._links) {
