--- a/packages/common/src/membership/Membership.ts
+++ b/packages/common/src/membership/Membership.ts
@@ -329,8 +329,7 @@
   private _probeSeeds (nowMs: base.Millis): void {
     const address = this._seedProbe.due(nowMs, this._table.size)
     if (address === undefined) return
-    const wantsRows = !this.isJoined || this._table.size === 1
-    this._send('', { kind: 'join', row: wires.toWire(this._self), wantsRows }, address)
+    this._send('', { kind: 'join', row: wires.toWire(this._self), wantsRows: !this.isJoined || this._table.size === 1 }, address)
   }
 
   /** Tells a dead member of its row, so that it refutes if it was only cut off. */
@@ -371,8 +370,7 @@
     const updates = this._gossip.take(limit, this._table.size)
     const claim = this._table.get(to)
     if (claim !== undefined && !rules.isLive(claim)) updates.unshift(claim)
-    const crashes = this._options.crashes?.pending(CRASHES_PER_MESSAGE) ?? []
-    return { ...this._ownVersions(), updates: updates.map(wires.toWire), crashes }
+    return { ...this._ownVersions(), updates: updates.map(wires.toWire), crashes: this._options.crashes?.pending(CRASHES_PER_MESSAGE) ?? [] }
   }
 
   private _sendRows (to: base.NodeId, rows: readonly types.MemberRow[], address?: string): void {
--- /dev/null
+++ b/packages/testbed/features/stops.feature
@@ -0,0 +1,16 @@
+Feature: Planned stops
+  A planned stop interrupts no request in flight.
+
+  Background:
+    Given the institution "kartuli" runs
+    And its file is in force on every node
+
+  Scenario: The host of a large answer stops while it is read slowly
+    When a portal begins to fetch 24000000 bytes at 12000000 bytes per second through "till-1"
+    And the node beside the target of the fetch is stopped
+    Then all 24000000 bytes of the fetch arrive
+
+  Scenario: The entry node of a large answer stops while it is read slowly
+    When a portal begins to fetch 24000000 bytes at 12000000 bytes per second through "till-1"
+    And the node "till-1" is stopped
+    Then all 24000000 bytes of the fetch arrive
--- a/packages/testbed/src/harness/Fleet.ts
+++ b/packages/testbed/src/harness/Fleet.ts
@@ -8,6 +8,7 @@
 import type * as institutions from './institutions.js'
 import type * as ledger from './Ledger.js'
 import * as managed from './ManagedProcess.js'
+import * as peerRelay from './PeerRelay.js'
 import * as ports from './ports.js'
 
 const NODE_PROGRAM = url.fileURLToPath(new URL('../../../node/bin/elmpost-node.js', import.meta.url))
@@ -23,6 +24,8 @@
   readonly service: institutions.ServiceSpec
   readonly callerAddress: string
   readonly peerAddress: string
+  /** Address of the relay in front of `peerAddress`, or the same. */
+  announcedPeerAddress: string
   readonly adminAddress: string
   readonly targetPort: number
   node: managed.ManagedProcess
@@ -40,6 +43,8 @@
   readonly ledger: ledger.Ledger
   readonly workMs?: number
   readonly logLevel?: string
+  /** Whether nodes reach each other through relays, so that connections between them can be cut. */
+  readonly isRelayed?: boolean
 }
 
 /** How a node ended. */
@@ -56,6 +61,8 @@
   /** Every node and target that was started, the ones that were replaced included. */
   private readonly _nodes: managed.ManagedProcess[] = []
   private readonly _targets: managed.ManagedProcess[] = []
+  private readonly _relays: peerRelay.PeerRelay[] = []
+  private readonly _separated = new Set<string>()
   private _directory = ''
 
   constructor (private readonly _options: FleetOptions) {}
@@ -72,6 +79,7 @@
     for (const service of this.spec.services) {
       for (let i = 0; i < service.workers; i++) this.workers.push(this._planWorker(service, i, free.splice(0, 4)))
     }
+    if (this._options.isRelayed === true) await this._startRelays()
     await Promise.all(this.workers.map(async worker => {
       await this.startTarget(worker)
       await this.startNode(worker)
@@ -106,6 +114,17 @@
     this._nodes.push(worker.node)
   }
 
+  /** Cuts all connections between a node and its peers, and refuses new ones until `rejoin`. */
+  public separate (nodeId: string): void {
+    if (this._relays.length === 0) throw new Error('start the fleet with isRelayed')
+    this._separated.add(this.worker(nodeId).nodeId)
+    for (const relay of this._relays) relay.cut()
+  }
+
+  public rejoin (nodeId: string): void {
+    this._separated.delete(nodeId)
+  }
+
   public worker (nodeId: string): Worker {
     const found = this.workers.find(worker => worker.nodeId === nodeId)
     if (found === undefined) throw new Error(`no worker ${nodeId}; use one of ${this.workers.map(worker => worker.nodeId).join(', ')}`)
@@ -147,6 +166,7 @@
   /** Ends every process that was started, nodes first. `SIGTERM` lets them drain, which takes up to `drainMs`. */
   public async stop (signal: NodeJS.Signals = 'SIGTERM'): Promise<readonly StoppedNode[]> {
     const stopped = await Promise.all(this._nodes.map(async node => ({ node, exit: await node.stop(signal) })))
+    for (const relay of this._relays) relay.close()
     const others = this.log === undefined ? this._targets : [...this._targets, this.log]
     await Promise.all(others.map(async child => await child.stop()))
     await fs.rm(this._directory, { recursive: true, force: true })
@@ -158,6 +178,17 @@
     this.logUrl = `http://127.0.0.1:${port}`
   }
 
+  /** One after the other, so that no two relays choose the same port. */
+  private async _startRelays (): Promise<void> {
+    const isSeparated: peerRelay.IsSeparated = (from, to) => from !== to && (this._separated.has(from) || this._separated.has(to))
+    for (const worker of this.workers) {
+      const targetPort = Number(worker.peerAddress.split(':')[1])
+      const relay = new peerRelay.PeerRelay({ nodeId: worker.nodeId, targetPort, isSeparated })
+      this._relays.push(relay)
+      worker.announcedPeerAddress = `127.0.0.1:${await relay.listen()}`
+    }
+  }
+
   private _planWorker (service: institutions.ServiceSpec, index: number, free: number[]): Worker {
     const zone = this.spec.zones[index % this.spec.zones.length] ?? ''
     const [caller, peer, admin, target] = free
@@ -167,6 +198,7 @@
       service,
       callerAddress: `127.0.0.1:${caller}`,
       peerAddress: `127.0.0.1:${peer}`,
+      announcedPeerAddress: `127.0.0.1:${peer}`,
       adminAddress: `127.0.0.1:${admin}`,
       targetPort: target ?? 0,
       node: undefined as unknown as managed.ManagedProcess,
@@ -175,7 +207,7 @@
   }
 
   private _settingsOf (worker: Worker): object {
-    const seeds = this.workers.filter(other => other !== worker).slice(0, SEEDS).map(other => other.peerAddress)
+    const seeds = this.workers.filter(other => other !== worker).slice(0, SEEDS).map(other => other.announcedPeerAddress)
     return {
       nodeId: worker.nodeId,
       institution: this.spec.name,
@@ -183,6 +215,7 @@
       service: worker.service.name,
       callerAddress: worker.callerAddress,
       peerAddress: worker.peerAddress,
+      announcedPeerAddress: worker.announcedPeerAddress,
       adminAddress: worker.adminAddress,
       targetUrl: `http://127.0.0.1:${worker.targetPort}`,
       targetHealthPath: '/healthz',
--- a/packages/testbed/src/scenarios/MeshWorld.ts
+++ b/packages/testbed/src/scenarios/MeshWorld.ts
@@ -5,6 +5,7 @@
 import * as ledger from '../harness/Ledger.js'
 import * as loadGenerator from '../harness/LoadGenerator.js'
 import * as operator from '../harness/Operator.js'
+import type * as slowFetch from '../harness/SlowFetch.js'
 
 const LOAD_SEED = 11
 
@@ -26,6 +27,7 @@
   public lastCall: caller.CallResult | undefined
   public lastSpec: caller.CallSpec | undefined
   public session: OperatorSession | undefined
+  public slowFetch: slowFetch.SlowFetch | undefined
   private _fleet: fleet.Fleet | undefined
   private _kinds: readonly loadGenerator.CallKind[] = []
 
@@ -38,10 +40,10 @@
     return new operator.Operator('operator', this.fleet.logUrl)
   }
 
-  public async startFleet (name: string): Promise<void> {
+  public async startFleet (name: string, isRelayed = false): Promise<void> {
     const isKartuli = name === institutions.KARTULI.name
     this._kinds = isKartuli ? institutions.KARTULI_CALLS : institutions.LAKESHORE_CALLS
-    this._fleet = new fleet.Fleet({ spec: isKartuli ? institutions.KARTULI : institutions.LAKESHORE, ledger: this.ledger })
+    this._fleet = new fleet.Fleet({ spec: isKartuli ? institutions.KARTULI : institutions.LAKESHORE, ledger: this.ledger, isRelayed })
     await this._fleet.start()
   }
 
--- a/packages/testbed/src/scenarios/callSteps.ts
+++ b/packages/testbed/src/scenarios/callSteps.ts
@@ -4,9 +4,12 @@
 import * as uuid from 'uuid'
 import * as cucumber from '@cucumber/cucumber'
 import type * as caller from '../harness/Caller.js'
+import * as slowFetch from '../harness/SlowFetch.js'
 import type * as meshWorld from './MeshWorld.js'
 
 const CHARGE_TIMEOUT_MS = 2000
+/** Enough that each owner of the service gets some. */
+const PAYMENTS = 30
 
 function chargeSpec (headers: Readonly<Record<string, string>> = {}): caller.CallSpec {
   return { method: 'POST', path: '/till/charge', key: uuid.v7(), body: '{"amount":40}', timeoutMs: CHARGE_TIMEOUT_MS, headers }
@@ -41,6 +44,12 @@
   await this.send(nodeId, { method: 'GET', path: '/vault/photo/A', timeoutMs: 3000, headers: { 'x-answer-bytes': String(bytes), 'x-cut-body': '1' } })
 })
 
+cucumber.When('a portal begins to fetch {int} bytes at {int} bytes per second through {string}', async function (this: meshWorld.MeshWorld, bytes: number, bytesPerSecond: number, nodeId: string) {
+  const url = `http://${this.fleet.worker(nodeId).callerAddress}/vault/photo/A`
+  this.slowFetch = new slowFetch.SlowFetch(url, bytes, bytesPerSecond)
+  await this.slowFetch.target
+})
+
 cucumber.When('the load ends', async function (this: meshWorld.MeshWorld) {
   await this.load?.stop()
 })
@@ -58,6 +67,10 @@
   assert.ok(!isWholeByStatus, JSON.stringify(this.lastCall).slice(0, 300))
 })
 
+cucumber.Then('all {int} bytes of the fetch arrive', async function (this: meshWorld.MeshWorld, bytes: number) {
+  assert.deepEqual(await this.slowFetch?.result, { status: 200, bytes, failure: '' })
+})
+
 cucumber.Then('every call is answered', function (this: meshWorld.MeshWorld) {
   const totals = this.load?.totals
   assert.equal(totals?.answered, totals?.started, `${JSON.stringify(totals)} ${JSON.stringify([...this.caller.reasons])}`)
@@ -68,6 +81,12 @@
   assert.ok((totals?.answered ?? 0) * 2 > (totals?.started ?? 0), `${JSON.stringify(totals)} ${JSON.stringify([...this.caller.reasons])}`)
 })
 
+cucumber.Then('payments through {string} are answered', async function (this: meshWorld.MeshWorld, nodeId: string) {
+  const payments = Array.from({ length: PAYMENTS }, async () => await this.caller.call(this.fleet.worker(nodeId).callerAddress, chargeSpec()))
+  const outcomes = (await Promise.all(payments)).map(({ outcome, reason }) => `${outcome} ${reason}`)
+  assert.deepEqual([...new Set(outcomes)], ['answered ok'])
+})
+
 cucumber.Then('no connection is cut', function (this: meshWorld.MeshWorld) {
   assert.equal(this.caller.counts['no-answer'], 0, JSON.stringify([...this.caller.reasons]))
 })
--- a/packages/testbed/src/scenarios/configurationSteps.ts
+++ b/packages/testbed/src/scenarios/configurationSteps.ts
@@ -25,6 +25,10 @@
   await this.startFleet(name)
 })
 
+cucumber.Given('the institution {string} runs on connections that can be cut', async function (this: meshWorld.MeshWorld, name: string) {
+  await this.startFleet(name, true)
+})
+
 cucumber.Given('its file is in force on every node', async function (this: meshWorld.MeshWorld) {
   const result = await this.operator.apply(this.fleet.spec.configFile)
   assert.equal(result.exitCode, 0, result.stdout + result.stderr)
--- a/packages/testbed/src/scenarios/faultSteps.ts
+++ b/packages/testbed/src/scenarios/faultSteps.ts
@@ -2,8 +2,18 @@
 import * as assert from 'node:assert/strict'
 import * as timers from 'node:timers/promises'
 import * as cucumber from '@cucumber/cucumber'
+import type * as fleet from '../harness/Fleet.js'
 import type * as meshWorld from './MeshWorld.js'
 
+async function stopPlanned (worker: fleet.Worker): Promise<void> {
+  worker.node.signal('SIGTERM')
+  await timers.setTimeout(200)
+  // The second signal must not shorten the drain.
+  worker.node.signal('SIGTERM')
+  const exit = await worker.node.exited
+  assert.equal(exit.code, 0, worker.node.output.slice(-5).join('\n'))
+}
+
 cucumber.When('the node {string} is killed', async function (this: meshWorld.MeshWorld, nodeId: string) {
   const worker = this.fleet.worker(nodeId)
   worker.node.signal('SIGKILL')
@@ -39,6 +49,14 @@
   this.fleet.worker(nodeId).node.signal('SIGCONT')
 })
 
+cucumber.When('the node {string} is separated from its peers', function (this: meshWorld.MeshWorld, nodeId: string) {
+  this.fleet.separate(nodeId)
+})
+
+cucumber.When('the node {string} reaches its peers again', function (this: meshWorld.MeshWorld, nodeId: string) {
+  this.fleet.rejoin(nodeId)
+})
+
 cucumber.When('every node is killed and starts again', async function (this: meshWorld.MeshWorld) {
   for (const worker of this.fleet.workers) worker.node.signal('SIGKILL')
   await Promise.all(this.fleet.workers.map(async worker => await worker.node.exited))
@@ -62,11 +80,9 @@
 })
 
 cucumber.When('the node {string} is stopped', async function (this: meshWorld.MeshWorld, nodeId: string) {
-  const worker = this.fleet.worker(nodeId)
-  worker.node.signal('SIGTERM')
-  await timers.setTimeout(200)
-  // The second signal must not shorten the drain.
-  worker.node.signal('SIGTERM')
-  const exit = await worker.node.exited
-  assert.equal(exit.code, 0, worker.node.output.slice(-5).join('\n'))
+  await stopPlanned(this.fleet.worker(nodeId))
+})
+
+cucumber.When('the node beside the target of the fetch is stopped', async function (this: meshWorld.MeshWorld) {
+  await stopPlanned(this.fleet.worker(await this.slowFetch?.target ?? ''))
 })
--- a/packages/testbed/src/standins/TargetServer.ts
+++ b/packages/testbed/src/standins/TargetServer.ts
@@ -109,7 +109,7 @@
       httpTools.sendJson(response, 200, value)
       return
     }
-    response.writeHead(200, { 'content-type': 'application/octet-stream', 'content-length': bytes })
+    response.writeHead(200, { 'content-type': 'application/octet-stream', 'content-length': bytes, 'x-target': this._options.name })
     const limit = request.headers['x-cut-body'] === undefined ? bytes : Math.floor(bytes / 2)
     for (let sent = 0; sent < limit; sent += STREAM_CHUNK_BYTES) {
       response.write(Buffer.alloc(Math.min(STREAM_CHUNK_BYTES, limit - sent), 'x'))
