--- a/packages/common/src/membership/Membership.ts
+++ b/packages/common/src/membership/Membership.ts
@@ -7,6 +7,7 @@
 import * as detectors from './FailureDetector.js'
 import * as goneRows from './GoneRows.js'
 import * as gossips from './Gossip.js'
+import * as limits from './GossipLimits.js'
 import * as growths from './Growth.js'
 import * as malformed from './MalformedMessageError.js'
 import * as tables from './MemberTable.js'
@@ -20,22 +21,6 @@
 import type * as types from './Types.js'
 import * as wires from './WireRow.js'
 
-/** Rows on one heartbeat. */
-const PIGGYBACK_ROWS = 8
-/** Rows on one heartbeat while a mass event is being told. */
-const PIGGYBACK_ROWS_BURST = 16
-const BURST_BACKLOG = 64
-const CRASHES_PER_MESSAGE = 8
-/** Rows in one message to members that are told of changes at once. */
-const URGENT_ROWS = 32
-/** In a mass event each change is told to fewer members at once; the table repair, which sends no duplicates, does the rest. */
-const MASS_FANOUT = 2
-const MASS_ROWS = 8
-/** Members told at once of a change. With 4, a rumour reaches about 98 % of the members before heartbeats carry it on. */
-const URGENT_FANOUT: Readonly<Record<config.DistributionPreference, number>> = { 'convergence-time': 4, 'control-bytes': 2 }
-/** Rows of a larger page are known to many members, so they are not gossiped on. */
-const MAX_GOSSIPED_PAGE = 16
-
 type Versions = Pick<messages.ProbeMessage, 'version' | 'ownershipOffset'>
 
 export interface MembershipOptions {
@@ -244,7 +229,7 @@
     this._seedProbe.answered()
     const answer = this._repair.answerRows(message)
     const sizeBefore = this._table.size
-    this._isBulk = message.rows.length > MAX_GOSSIPED_PAGE
+    this._isBulk = message.rows.length > limits.MAX_GOSSIPED_PAGE
     for (const wire of message.rows) this._mergeRepaired(wires.fromWire(wire), nowMs)
     this._isBulk = false
     this._repair.received(this._table.size - sizeBefore, nowMs)
@@ -341,8 +326,8 @@
 
   private _sendUrgent (): void {
     if (!this._gossip.hasUrgent) return
-    const updates = this._gossip.takeUrgent(URGENT_ROWS).map(wires.toWire)
-    const fanout = updates.length > MASS_ROWS ? MASS_FANOUT : URGENT_FANOUT[this._options.terms().preference]
+    const updates = this._gossip.takeUrgent(limits.URGENT_ROWS).map(wires.toWire)
+    const fanout = updates.length > limits.MASS_ROWS ? limits.MASS_FANOUT : limits.URGENT_FANOUT[this._options.terms().preference]
     const message: messages.GossipMessage = { kind: 'gossip', ...this._ownVersions(), updates, crashes: [] }
     for (let i = 0; i < fanout; i++) {
       const peer = this.randomPeer()
@@ -367,11 +352,11 @@
 
   /** Fields common to heartbeats. A peer that is believed suspect or dead is told so first, for it to refute. */
   private _news (to: base.NodeId): Versions & Pick<messages.ProbeMessage, 'updates' | 'crashes'> {
-    const limit = this._gossip.backlog > BURST_BACKLOG ? PIGGYBACK_ROWS_BURST : PIGGYBACK_ROWS
+    const limit = this._gossip.backlog > limits.BURST_BACKLOG ? limits.PIGGYBACK_ROWS_BURST : limits.PIGGYBACK_ROWS
     const updates = this._gossip.take(limit, this._table.size)
     const claim = this._table.get(to)
     if (claim !== undefined && !rules.isLive(claim)) updates.unshift(claim)
-    return { ...this._ownVersions(), updates: updates.map(wires.toWire), crashes: this._options.crashes?.pending(CRASHES_PER_MESSAGE) ?? [] }
+    return { ...this._ownVersions(), updates: updates.map(wires.toWire), crashes: this._options.crashes?.pending(limits.CRASHES_PER_MESSAGE) ?? [] }
   }
 
   private _sendRows (to: base.NodeId, rows: readonly types.MemberRow[], address?: string): void {
