Let calls in flight end when the drain time of a stop is over

Cause: from `drainMs` on, each tick closed all connections of callers, also while the node still took calls because its handover had not ended.

Change: connections are closed by force only after the listener is closed, and not before the longest time limit of a route has passed since then.

Before: the new test failed (other side closed). After: it passes.

Conclusion: a stop that takes longer than `drainMs` cuts no accepted call.

--- a/packages/node/src/NodeProcess.test.ts
+++ b/packages/node/src/NodeProcess.test.ts
@@ -2,6 +2,8 @@
 import * as crypto from 'node:crypto'
 import * as http from 'node:http'
 import * as test from 'node:test'
+import * as fakeServices from './testing/FakeServices.js'
+import * as timers from 'node:timers/promises'
 import * as testMesh from './testing/TestMesh.js'
 import * as undici from 'undici'
 import * as uuid from 'uuid'
@@ -269,6 +271,21 @@
       assert.equal(host.logger.lines.filter(line => line.event === 'stopping').length, 1)
     })
 
+    test.it('answers calls that are in flight when its drain time is over, which are not cut for it', async () => {
+      let finish: () => void = () => {}
+      const entry = await start((_request, response) => { finish = () => { response.end('done') } })
+      const terms = { ...fakeServices.DOCUMENT.terms, drainMs: 1 }
+      entry.services.enforcement.enforce({ version: 2, digest: 'e', rulesVersion: 1, document: { ...fakeServices.DOCUMENT, terms } }, Date.now())
+      const waiting = undici.request(`${entry.callerUrl}/price`)
+      await testMesh.until(() => mesh.target().paths.length === 1)
+      entry.process.stop()
+      // Several ticks pass after the drain time.
+      await timers.setTimeout(500)
+      finish()
+      assert.equal(await (await waiting).body.text(), 'done')
+      await entry.process.stopped
+    })
+
     test.it('writes the answers of its own callers before it ends', async () => {
       let finish: () => void = () => {}
       const entry = await start((_request, response) => { finish = () => { response.end('done') } })
--- a/packages/node/src/NodeProcess.ts
+++ b/packages/node/src/NodeProcess.ts
@@ -61,8 +61,9 @@
   private _maxBodyBytes: number | undefined
   private _isStopping = false
   private _isFinishing = false
-  /** Answers that callers have not taken by then are cut off. */
-  private _closeAllAtMs = 0
+  /** Answers that callers have not taken by then are cut off. Infinite while calls are still accepted. */
+  private _closeAllAtMs = Infinity
+  private _stopSinceMs = 0
   private _resolveStopped: () => void = () => {}
 
   constructor (options: NodeProcessOptions) {
@@ -121,7 +122,7 @@
     this._isStopping = true
     this._options.logger.log('info', 'stopping')
     this._callers.beginClosing()
-    this._closeAllAtMs = this._options.nowMs() + (this._options.core.services.enforcement.current?.document.terms.drainMs ?? 0)
+    this._stopSinceMs = this._options.nowMs()
     this._runtime.beginStop()
     this._tick()
   }
@@ -232,9 +233,17 @@
     if (!this._isFinishing && this._options.core.services.lifecycle.canExit(nowMs)) this._finish().catch(error => { this._options.logger.log('error', 'stop-failed', { problem: String(error) }) })
   }
 
+  /** No call that was accepted until now is answered later, and no body is read longer than the drain time. */
+  private _lastAnswerMs (): base.Millis {
+    const document = this._options.core.services.enforcement.current?.document
+    const timeoutMs = Math.max(0, ...(document?.routes ?? []).map(route => route.timeoutMs))
+    return Math.max(this._options.nowMs() + timeoutMs, this._stopSinceMs + (document?.terms.drainMs ?? 0))
+  }
+
   /** The mesh sends no more work; answers to callers are still written. */
   private async _finish (): Promise<void> {
     this._isFinishing = true
+    this._closeAllAtMs = this._lastAnswerMs()
     await this._callers.close()
     this._options.logger.log('info', 'stopped')
     this.dispose()
