Propose in the convergence benchmark as elmpost apply does

Cause: the benches still appended whole documents, so their figures did not show what a log with patches costs. Nothing measured the bytes of the log. Change: BenchFleet and BenchMesh make their proposals with makeProposal. BenchMesh proposes only the first version, which is a whole document in both forms. LogMeter counts the bytes per proposal and the bytes that readers get from the stream config; convergence.js prints them. `--proposals whole` keeps the earlier form for comparison. The stepped log reports its answers.

--- a/packages/testbed/src/bench/BenchFleet.ts
+++ b/packages/testbed/src/bench/BenchFleet.ts
@@ -4,6 +4,7 @@
 import * as acceptances from '@elmpost/common/config/Acceptance.js'
 import * as deltas from '@elmpost/common/config/ConfigDelta.js'
 import * as validators from '@elmpost/common/config/ConfigValidator.js'
+import * as proposalMaker from '@elmpost/common/config/ProposalMaker.js'
 import type * as config from '@elmpost/common/config/Types.js'
 import type * as distributionTypes from '@elmpost/common/distribution/Types.js'
 import * as wires from '@elmpost/common/membership/WireRow.js'
@@ -11,6 +12,8 @@
 import * as networks from '../network/FakeNetwork.js'
 import * as nodes from '../network/SteppedNode.js'
 import * as benchDocuments from './benchDocument.js'
+import type * as benchTypes from './convergenceTypes.js'
+import * as logMeters from './LogMeter.js'
 import * as memos from './MemoConfig.js'
 import * as meters from './MessageMeter.js'
 
@@ -27,13 +30,15 @@
   readonly seed: number
   readonly strategy: distributionTypes.DistributionStrategy
   readonly preference: config.DistributionPreference
+  readonly proposals: benchTypes.ProposalForm
 }
 
 /** A fleet for measurements. Documents are validated and digested once for all nodes. */
 export class BenchFleet {
   public readonly network: networks.FakeNetwork
-  public readonly log = new fakeLogs.FakeLog({ retentionMs: RETENTION_MS })
+  public readonly log: fakeLogs.FakeLog
   public readonly meter = new meters.MessageMeter()
+  public readonly logMeter = new logMeters.LogMeter()
   public readonly running = new Map<base.NodeId, nodes.SteppedNode>()
   public isMetering = false
   private readonly _options: BenchFleetOptions
@@ -47,6 +52,10 @@
   constructor (options: BenchFleetOptions) {
     this._options = options
     this._random = new randoms.Random(options.seed)
+    this.log = new fakeLogs.FakeLog({
+      retentionMs: RETENTION_MS,
+      onAnswer: (node, result) => { if (this.isMetering) this.logMeter.countRead(node.nodeId, result) }
+    })
     this.network = new networks.FakeNetwork({
       random: this._random,
       startMs: START_MS,
@@ -82,22 +91,15 @@
     }
   }
 
-  /** Appends a proposal that changes one number of the document. Returns its version. */
+  /** Appends a proposal that changes two numbers of the document, as `elmpost apply` does. Returns its version. */
   public propose (): number {
-    const previous = this._base
-    const version = (previous?.version ?? 0) + 1
+    const version = this.version + 1
     const document = benchDocuments.benchDocument(this._options.size, this._options.zoneCount, version, this._options.preference)
-    const state = { version, digest: digests.digestJson(document), rulesVersion: 1, document }
-    this._base = state
-    this.log.append('config', {
-      kind: 'proposal',
-      proposalId: `00000000-0000-4000-8000-${String(version).padStart(12, '0')}`,
-      baseVersion: previous?.version ?? 0,
-      baseDigest: previous?.digest ?? '',
-      author: 'bench',
-      proposedAtMs: this.network.nowMs,
-      ...state
-    }, this.network.nowMs)
+    const digest = digests.digestJson(document)
+    const proposal = this._proposalOf({ document, digest })
+    this._base = { version, digest, rulesVersion: 1, document }
+    this.log.append('config', proposal, this.network.nowMs)
+    if (this.isMetering) this.logMeter.countAppend(proposal)
     return version
   }
 
@@ -133,6 +135,18 @@
     return lastMs
   }
 
+  private _proposalOf (proposed: proposalMaker.ProposedDocument): config.ProposalRecord | config.DeltaProposalRecord {
+    const version = this.version + 1
+    const origin = {
+      proposalId: `00000000-0000-4000-8000-${String(version).padStart(12, '0')}`,
+      author: 'bench',
+      proposedAtMs: this.network.nowMs
+    }
+    return this._options.proposals === 'whole'
+      ? proposalMaker.makeWholeProposal(origin, this._base, proposed)
+      : proposalMaker.makeProposal(this._validator, origin, this._base, proposed)
+  }
+
   private _start (nodeId: base.NodeId, index: number): void {
     const node = new nodes.SteppedNode({
       nodeId,
--- a/packages/testbed/src/bench/BenchMesh.ts
+++ b/packages/testbed/src/bench/BenchMesh.ts
@@ -1,3 +1,4 @@
+import * as configValidator from '@elmpost/common/config/ConfigValidator.js'
 import * as digest from '@elmpost/common/base/Digest.js'
 import * as fs from 'node:fs/promises'
 import * as os from 'node:os'
@@ -8,6 +9,7 @@
 import type * as config from '@elmpost/common/config/Types.js'
 import * as managed from '../harness/ManagedProcess.js'
 import * as ports from '../harness/ports.js'
+import * as proposalMaker from '@elmpost/common/config/ProposalMaker.js'
 import * as testDocuments from '@elmpost/common/config/TestDocuments.js'
 
 const NODE_PROGRAM = url.fileURLToPath(new URL('../../../node/bin/elmpost-node.js', import.meta.url))
@@ -96,18 +98,9 @@
   }
 
   private async _propose (): Promise<void> {
-    const record: config.ProposalRecord = {
-      kind: 'proposal',
-      proposalId: uuid.v4(),
-      version: 1,
-      baseVersion: 0,
-      baseDigest: '',
-      digest: digest.digestJson(DOCUMENT),
-      rulesVersion: 1,
-      author: 'benchmark',
-      proposedAtMs: Date.now(),
-      document: DOCUMENT
-    }
+    const origin = { proposalId: uuid.v4(), author: 'benchmark', proposedAtMs: Date.now() }
+    const proposed = { document: DOCUMENT, digest: digest.digestJson(DOCUMENT) }
+    const record = proposalMaker.makeProposal(new configValidator.ConfigValidator(), origin, undefined, proposed)
     const answer = await undici.request(`${this._logUrl}/streams/config/records`, { method: 'POST', body: JSON.stringify(record) })
     await answer.body.dump()
     if (answer.statusCode !== 201) throw new Error(`The log refused the configuration with ${answer.statusCode}.`)
--- a/packages/testbed/src/bench/ConvergenceCase.ts
+++ b/packages/testbed/src/bench/ConvergenceCase.ts
@@ -39,6 +39,7 @@
       size: spec.size,
       zoneCount: zoneCount(spec.size),
       seed: spec.seed,
+      proposals: spec.proposals,
       strategy: spec.strategy === 'tree' || spec.strategy === 'gossip' ? spec.strategy : 'hybrid',
       preference: isBytes ? 'control-bytes' : 'convergence-time'
     })
@@ -52,6 +53,7 @@
     const cpuMsPerNodeS = this._cpu()
     const idle = withBytes ? this._idle() : undefined
     const loaded = withBytes ? this._loaded() : undefined
+    const log = withBytes ? this._fleet.logMeter.figures(LOADED_MS / 1_000) : undefined
     const convergence = this._spec.deadRatios.map(ratio => this._convergence(ratio))
     const detection = withDetection ? this._detection(false) : undefined
     const detectionConnected = withDetection ? this._detection(true) : undefined
@@ -65,6 +67,7 @@
       cpuMsPerNodeS,
       ...(idle === undefined ? {} : { idle }),
       ...(loaded === undefined ? {} : { loaded }),
+      ...(log === undefined ? {} : { log }),
       ...(detection === undefined ? {} : { detection }),
       ...(detectionConnected === undefined ? {} : { detectionConnected }),
       ...(restart === undefined ? {} : { restart }),
@@ -108,6 +111,7 @@
     const { meter, network } = this._fleet
     const gapMs = Math.round(DAY_MS / CHANGES_PER_DAY)
     meter.reset()
+    this._fleet.logMeter.reset()
     this._fleet.isMetering = true
     for (let leftMs = durationMs; leftMs > 0; leftMs -= gapMs) {
       change()
--- a/packages/testbed/src/bench/convergence.ts
+++ b/packages/testbed/src/bench/convergence.ts
@@ -25,6 +25,7 @@
   .option('kills', { type: 'number', default: 10, describe: 'Nodes killed per kind of failure to measure the failure detection' })
   .option('traffic-up-to', { type: 'number', default: 10_000, describe: 'Largest fleet whose idle and loaded traffic is measured' })
   .option('seed', { type: 'number', default: 1, describe: 'Seed of the random choices' })
+  .option('proposals', { choices: ['apply', 'whole'] as const, default: 'apply' as const, describe: 'Proposals as elmpost apply makes them, or always whole documents' })
   .option('include', { type: 'string', default: '', describe: 'JSON files of earlier runs whose results are shown as well, comma-separated' })
   .option('json', { type: 'string', describe: 'File for the results' })
   .option('text', { type: 'string', describe: 'File for the tables' })
@@ -66,6 +67,7 @@
     size,
     strategy,
     seed: options.seed,
+    proposals: options.proposals,
     deadRatios: numbers(options.dead),
     withBytes: size <= options['traffic-up-to'],
     withDetection: strategy === 'hybrid' && size <= options['detection-up-to'],
--- a/packages/testbed/src/bench/convergenceReport.ts
+++ b/packages/testbed/src/bench/convergenceReport.ts
@@ -10,6 +10,7 @@
   return [
     convergenceTable(output.results),
     trafficTable(output.results),
+    logTable(output.results),
     detectionTable(output.results),
     restartTable(output.results),
     microTable(output.micro)
@@ -32,6 +33,13 @@
   return table('Control traffic', ['nodes', 'strategy', 'idle B/s mean (max)', '11,000 changes/day B/s mean (max)', 'messages/s', 'CPU, % of a core'], rows)
 }
 
+function logTable (results: readonly types.CaseResult[]): string {
+  const rows = results.flatMap(({ size, strategy, log }) => log === undefined
+    ? []
+    : [[count(size), strategy, count(log.bytesPerChange), count(log.readers), count(log.bytesPerReaderS)]])
+  return table('Log', ['nodes', 'strategy', 'bytes per proposal', 'readers', 'bytes read per reader and second, 11,000 changes/day'], rows)
+}
+
 function detectionTable (results: readonly types.CaseResult[]): string {
   const rows = results.flatMap(result => {
     const { detection, detectionConnected } = result
--- a/packages/testbed/src/bench/convergenceTypes.ts
+++ b/packages/testbed/src/bench/convergenceTypes.ts
@@ -4,10 +4,14 @@
 
 export type BenchStrategy = distributionTypes.DistributionStrategy | 'hybrid-bytes' | 'every-node-polls'
 
+/** Form of the proposals: that of `elmpost apply`, or always the whole document. */
+export type ProposalForm = 'apply' | 'whole'
+
 export interface CaseSpec {
   readonly size: number
   readonly strategy: BenchStrategy
   readonly seed: number
+  readonly proposals: ProposalForm
   readonly deadRatios: readonly number[]
   /** Parts besides the convergence to measure. */
   readonly withBytes: boolean
@@ -35,6 +39,14 @@
   readonly messagesPerS: number
 }
 
+/** The stream `config` of the log, as JSON without HTTP headers. */
+export interface LogFigures {
+  readonly bytesPerChange: number
+  /** Nodes that got records from the log. */
+  readonly readers: number
+  readonly bytesPerReaderS: number
+}
+
 export interface DetectionFigures {
   readonly killed: number
   /** Time until the first live node suspects the killed one: the wait for a probe and the time-outs of the probes. */
@@ -65,6 +77,8 @@
   readonly convergence: readonly ConvergenceFigures[]
   readonly idle?: TrafficFigures
   readonly loaded?: TrafficFigures
+  /** Measured together with `loaded`. */
+  readonly log?: LogFigures
   /** Processor time per node and second, idle, the network of the benchmark included. */
   readonly cpuMsPerNodeS?: number
   /** The VM vanishes; nobody is told. */
--- a/packages/testbed/src/network/FakeLog.ts
+++ b/packages/testbed/src/network/FakeLog.ts
@@ -5,6 +5,8 @@
 
 export interface FakeLogOptions {
   readonly retentionMs: base.Millis
+  /** Called with each answer to a read. */
+  readonly onAnswer?: (node: networks.INetworkNode, result: messages.LogReadResult) => void
 }
 
 export interface ILogReaderNode extends networks.INetworkNode {
@@ -97,7 +99,9 @@
       return
     }
     this.recordsRead += page.records.length
-    this._reply(node, network, { stream, ok: true, ...page, retentionMs: this._options.retentionMs })
+    const result: messages.LogReadResult = { stream, ok: true, ...page, retentionMs: this._options.retentionMs }
+    this._options.onAnswer?.(node, result)
+    this._reply(node, network, result)
   }
 
   private _reply (node: ILogReaderNode, network: networks.FakeNetwork, result: messages.LogReadResult): void {
