Collect the zones of all services in one pass

Cause: the route table looked through all target rules for each service, so its cost grew with the square of the services. A test covers a service with several rules.

--- a/packages/common/src/routing/RouteTable.test.ts
+++ b/packages/common/src/routing/RouteTable.test.ts
@@ -31,4 +31,14 @@
       assert.equal(tableOf(['GET', '/x', 'absent']).find('GET', '/x'), undefined)
     })
   })
+
+  test.describe('service', () => {
+    const targets = [{ service: 'till', zones: ['vake'] }, { service: 'vault', zones: ['didube'] }, { service: 'till', zones: ['saburtalo', 'vake'] }]
+    const services = ['till', 'vault', 'bare'].map(name => ({ name, slots: 1, connections: 1, coldStartMs: 0 }))
+    const table = new routeTable.RouteTable(fake.documentOf({ services, targets }))
+
+    test.it('has the zones of all its rules and of no other, so that no call goes to a zone that the operators did not name', () => {
+      assert.deepEqual(services.map(({ name }) => [...table.service(name)?.zones ?? []]), [['vake', 'saburtalo'], ['didube'], []])
+    })
+  })
 })
--- a/packages/common/src/routing/RouteTable.ts
+++ b/packages/common/src/routing/RouteTable.ts
@@ -18,7 +18,8 @@
   private readonly _services = new Map<string, types.ServiceTargets>()
 
   constructor (document: config.ConfigDocument) {
-    for (const service of document.services) this._addService(service, document)
+    const zonesOf = zonesByService(document.targets)
+    for (const service of document.services) this._addService(service, zonesOf.get(service.name), document.terms.zonePreference)
     for (const route of document.routes) this._addRoute(route)
   }
 
@@ -48,13 +49,8 @@
     }
   }
 
-  private _addService (service: config.ServiceConfig, document: config.ConfigDocument): void {
-    const zones = new Set<string>()
-    for (const rule of document.targets) {
-      if (rule.service !== service.name) continue
-      for (const zone of rule.zones) zones.add(zone)
-    }
-    this._services.set(service.name, { config: service, zones, zonePreference: document.terms.zonePreference })
+  private _addService (service: config.ServiceConfig, zones: ReadonlySet<string> | undefined, zonePreference: config.ZonePreference): void {
+    this._services.set(service.name, { config: service, zones: zones ?? new Set(), zonePreference })
   }
 
   private _addRoute (route: config.RouteConfig): void {
@@ -67,6 +63,17 @@
   }
 }
 
+/** The zones of all rules of each service, in one pass: a pass per service took most of the time at 810 services. */
+function zonesByService (rules: readonly config.TargetRule[]): ReadonlyMap<string, ReadonlySet<string>> {
+  const zonesOf = new Map<string, Set<string>>()
+  for (const rule of rules) {
+    const zones = zonesOf.get(rule.service) ?? new Set()
+    for (const zone of rule.zones) zones.add(zone)
+    zonesOf.set(rule.service, zones)
+  }
+  return zonesOf
+}
+
 function withoutQuery (path: string): string {
   const end = path.search(/[?#]/)
   return end < 0 ? path : path.slice(0, end)
