Check and serialize only the entries that a patch changes

Cause: applying a change serialized the whole document twice (canonical text, size) and checked every entry against the schema. Change: a patched document shares unchanged entries with its base. DocumentText keeps the canonical text of each entry, and the size is the length of that text. CheckedEntries remembers which entries match the schema and checks the rest; if that fails, the whole document is checked, so problems are the same as before. The reference rules still see the whole document, because a change can break a reference anywhere. Digest and verdicts are unchanged.

--- a/packages/common/src/config/ConfigDelta.ts
+++ b/packages/common/src/config/ConfigDelta.ts
@@ -1,5 +1,7 @@
 import * as results from 'ts-results-es'
+import * as digests from '../base/Digest.js'
 import * as documentPatch from './DocumentPatch.js'
+import * as documentText from './DocumentText.js'
 import * as errors from './ConfigErrors.js'
 import * as jsonText from './JsonText.js'
 import * as patchedDocument from './PatchedDocument.js'
@@ -49,7 +51,8 @@
   }
 
   private _checkResult (document: unknown, delta: types.ConfigDeltaMessage): Outcome<types.AcceptedState> {
-    if (jsonText.safeDigest(document) !== delta.digest) {
+    const text = documentText.documentText(document)
+    if (text === undefined || digests.digestText(text) !== delta.digest) {
       return fail('digest-mismatch', `The result of the delta to version ${delta.version} does not have the digest that the sender stated.`)
     }
     return this._validator.validate(document, delta.rulesVersion)
--- a/packages/common/src/config/ConfigSchema.ts
+++ b/packages/common/src/config/ConfigSchema.ts
@@ -3,6 +3,9 @@
 /** Largest canonical JSON text of a document. It leaves room below the log's 2 MiB record limit. */
 export const MAX_DOCUMENT_BYTES = 1024 * 1024
 
+/** Longest lists of a document. */
+export const MAX_ENTRIES = { services: 5_000, targets: 5_000, routes: 20_000 } as const
+
 const MAX_CALL_MS = 600_000
 const MAX_TERM_MS = 3_600_000
 const DAY_MS = 86_400_000
@@ -74,9 +77,9 @@
   title: 'elmpost configuration',
   ...record('Configuration of one institution, rule set 1. Operators apply it as a whole.', {
     institution: nameSchema,
-    services: list('Services of the institution.', 1, 5_000, service),
-    targets: list('One rule for each service.', 1, 5_000, target),
-    routes: list('Routes of calls to services.', 1, 20_000, route),
+    services: list('Services of the institution.', 1, MAX_ENTRIES.services, service),
+    targets: list('One rule for each service.', 1, MAX_ENTRIES.targets, target),
+    routes: list('Routes of calls to services.', 1, MAX_ENTRIES.routes, route),
     terms
   })
 }
--- a/packages/common/src/config/ConfigValidator.ts
+++ b/packages/common/src/config/ConfigValidator.ts
@@ -1,5 +1,7 @@
 import * as results from 'ts-results-es'
+import * as checkedEntries from './CheckedEntries.js'
 import * as configSchema from './ConfigSchema.js'
+import * as documentText from './DocumentText.js'
 import * as ruleSets from './RuleSets.js'
 import * as schemaProblems from './SchemaProblems.js'
 import type * as services from './Services.js'
@@ -7,6 +9,8 @@
 
 /** Checks documents against the rule set that `rulesVersion` names. Instances share the compiled rule sets. */
 export class ConfigValidator implements services.IConfigValidator {
+  private readonly _checkedEntries = new checkedEntries.CheckedEntries()
+
   public supports (rulesVersion: number): boolean {
     return rulesVersion === ruleSets.CURRENT_RULES_VERSION
   }
@@ -14,7 +18,7 @@
   public validate (document: unknown, rulesVersion: number): results.Result<types.ConfigDocument, readonly types.ConfigProblem[]> {
     const rules = ruleSets.ruleSet(rulesVersion)
     if (rules === undefined) return results.Err([unsupportedRules(rulesVersion)])
-    if (!rules.matchesSchema(document)) return results.Err(schemaProblems.schemaProblems(rules.matchesSchema.errors ?? []))
+    if (!this._checkedEntries.matches(rules.matchesSchema, document)) return results.Err(schemaProblems.schemaProblems(rules.matchesSchema.errors ?? []))
     const typed = document as types.ConfigDocument
     const problems = rules.references.check(typed)
     if (problems.length > 0) return results.Err(problems)
@@ -23,7 +27,8 @@
 
   private _isTooLarge (document: types.ConfigDocument): boolean {
     // Valid documents are ASCII, so characters are bytes. Key order does not change the length.
-    return JSON.stringify(document).length > configSchema.MAX_DOCUMENT_BYTES
+    const length = documentText.knownLength(document) ?? JSON.stringify(document).length
+    return length > configSchema.MAX_DOCUMENT_BYTES
   }
 }
 
--- a/packages/common/src/config/DocumentCheck.ts
+++ b/packages/common/src/config/DocumentCheck.ts
@@ -1,7 +1,7 @@
 import * as digests from '../base/Digest.js'
 import * as configSchema from './ConfigSchema.js'
 import * as errors from './ConfigErrors.js'
-import * as jsonText from './JsonText.js'
+import * as documentText from './DocumentText.js'
 import * as patchedDocument from './PatchedDocument.js'
 import type * as recordDecoder from './RecordDecoder.js'
 import type * as services from './Services.js'
@@ -24,7 +24,7 @@
   if (base === undefined) return invalid('No document is in force to which the patch could be applied.')
   const patched = patchedDocument.applyPatch(base, record.patch)
   if (patched.isErr()) return invalid(patched.error)
-  const text = jsonText.canonicalText(patched.value)
+  const text = documentText.documentText(patched.value)
   if (text === undefined) return invalid('The result of the patch is nested too deeply or has too many parts.')
   return checkContent(validator, record, patched.value, text)
 }
