Hash documents with the code of Node.js in nodes

Change: the process can set the implementation of digestText; elmpost-node sets that of node:crypto. The command line keeps the portable one. Conclusion: the digest is still that of the whole document, so all versions of the software agree on it.

--- a/packages/common/src/base/Digest.ts
+++ b/packages/common/src/base/Digest.ts
@@ -2,9 +2,22 @@
 import * as murmurhash from 'murmurhash'
 import * as utils from '@noble/hashes/utils'
 
+/** SHA-256 of the UTF-8 form of a text as lower-case hexadecimal. */
+export type TextDigest = (text: string) => string
+
+/** Works on every platform, and takes 4 ms longer than the code of Node.js for a document of 318 KB. */
+export const portableDigest: TextDigest = text => utils.bytesToHex(sha2.sha256(text))
+
+let textDigest = portableDigest
+
+/** Sets the implementation of the platform for the whole process. It must give the same digests as `portableDigest`. */
+export function useTextDigest (digest: TextDigest): void {
+  textDigest = digest
+}
+
 /** SHA-256 of a text as lower-case hexadecimal. */
 export function digestText (text: string): string {
-  return utils.bytesToHex(sha2.sha256(text))
+  return textDigest(text)
 }
 
 /** SHA-256 of bytes as lower-case hexadecimal. */
--- a/packages/node/src/main.ts
+++ b/packages/node/src/main.ts
@@ -1,8 +1,10 @@
 import * as args from './Arguments.js'
 import * as crypto from 'node:crypto'
+import * as digests from '@elmpost/common/base/Digest.js'
 import * as fingerprint from './Fingerprint.js'
 import * as logger from './Logger.js'
 import * as metricsAddon from '@elmpost/addon-metrics'
+import * as nativeDigest from './NativeDigest.js'
 import * as nodeComposition from '@elmpost/common/node/NodeComposition.js'
 import * as nodeProcess from './NodeProcess.js'
 import * as random from '@elmpost/common/base/Random.js'
@@ -31,6 +33,7 @@
 }
 
 async function run (nodeSettings: types.NodeSettings): Promise<void> {
+  digests.useTextDigest(nativeDigest.digestText)
   const node = create(nodeSettings)
   // Further signals have no effect: a stop that has begun runs to its end.
   process.on('SIGTERM', () => { node.stop() })
--- a/packages/testbed/src/bench/applyCost.ts
+++ b/packages/testbed/src/bench/applyCost.ts
@@ -11,6 +11,8 @@
 import * as validators from '@elmpost/common/config/ConfigValidator.js'
 import * as enforcements from '@elmpost/common/distribution/Enforcement.js'
 import * as validatedOnce from '@elmpost/common/distribution/ValidatedOnce.js'
+import * as digests from '@elmpost/common/base/Digest.js'
+import * as nativeDigest from '@elmpost/node/NativeDigest.js'
 import * as routeTables from '@elmpost/common/routing/RouteTable.js'
 import type * as config from '@elmpost/common/config/Types.js'
 import * as benchDocuments from './benchDocument.js'
@@ -39,9 +41,11 @@
   .option('size', { type: 'number', default: 6_900, describe: 'Nodes of the fleet, which gives the number of services' })
   .option('changes', { type: 'number', default: 60, describe: 'Changes measured' })
   .option('warm-up', { type: 'number', default: 10, describe: 'Changes before the measured ones' })
+  .option('digest', { choices: ['native', 'portable'] as const, default: 'native' as const, describe: 'Implementation of SHA-256; nodes use the native one' })
   .strict()
   .parseAsync()
 
+if (options.digest === 'native') digests.useTextDigest(nativeDigest.digestText)
 const first = documents.testState(1, benchDocuments.benchDocument(options.size, cases.zoneCount(options.size), 1, 'convergence-time'), 0)
 let steps = newSteps()
 const validator = new validatedOnce.ValidatedOnce({ validator: new validators.ConfigValidator() })
