--- a/packages/testbed/src/bench/microFigures.ts
+++ b/packages/testbed/src/bench/microFigures.ts
@@ -1,5 +1,6 @@
 import * as v8 from 'node:v8'
 import * as vm from 'node:vm'
+import * as digests from '@elmpost/common/base/Digest.js'
 import * as randoms from '@elmpost/common/base/Random.js'
 import * as deltas from '@elmpost/common/config/ConfigDelta.js'
 import * as documents from '@elmpost/common/config/TestDocuments.js'
@@ -8,14 +9,16 @@
 import * as validatedOnce from '@elmpost/common/distribution/ValidatedOnce.js'
 import * as tables from '@elmpost/common/membership/MemberTable.js'
 import type * as memberTypes from '@elmpost/common/membership/Types.js'
+import * as nativeDigest from '@elmpost/node/NativeDigest.js'
 import * as benchDocuments from './benchDocument.js'
 import * as cases from './ConvergenceCase.js'
 import type * as types from './convergenceTypes.js'
 
 const APPLY_RUNS = 20
 
-/** Figures of a single node, measured without sharing between nodes. */
+/** Figures of a single node, measured without sharing between nodes and with the digest of a node. */
 export function measure (size: number): types.MicroFigures {
+  digests.useTextDigest(nativeDigest.digestText)
   return { size, memberTableMb: memberTableMb(size), documentMb: documentMb(size), applyMs: applyMs(size) }
 }
 
