Add scenarios of a whole fleet that stops and of a cut during a drain

Cause: neither was shown on real processes, nor were several crashing requests at once.

"Several requests crash their targets at once" is known red.

--- a/packages/testbed/features/failures.feature
+++ b/packages/testbed/features/failures.feature
@@ -72,3 +72,14 @@
     And the load ends
     Then most calls are answered
     And no payment runs twice and no refusal is false
+
+  @known-red
+  Scenario: Several requests crash their targets at once
+    Given 100 calls per second are sent
+    When 3 kiosks at once send different payments that crash their targets, each through every node in turn
+    And a portal repeats a fetch that crashes its target through every node
+    And the load ends
+    Then at most 3 targets of "till" are lost
+    And at most 4 targets of "vault" are lost
+    And most calls are answered
+    And no payment runs twice and no refusal is false
--- a/packages/testbed/features/stops.feature
+++ b/packages/testbed/features/stops.feature
@@ -14,3 +14,11 @@
     When a portal begins to fetch 24000000 bytes at 12000000 bytes per second through "till-1"
     And the node "till-1" is stopped
     Then all 24000000 bytes of the fetch arrive
+
+  Scenario: All nodes stop under load at the same time
+    Given 100 calls per second are sent
+    When 1 seconds pass
+    And every node is stopped at the same time
+    And the load ends
+    Then no call that a node has taken is cut
+    And no payment runs twice and no refusal is false
--- a/packages/testbed/src/harness/Ledger.ts
+++ b/packages/testbed/src/harness/Ledger.ts
@@ -13,6 +13,8 @@
   /** Refused keys with the reason given. */
   private readonly _refusedKeys = new Map<string, string>()
   private readonly _violations: Violation[] = []
+  /** Time of the last run of each target. */
+  private readonly _lastRunAtMs = new Map<string, number>()
 
   /** Runs of requests with a key. */
   public get keyedRuns (): number {
@@ -21,6 +23,11 @@
     return count
   }
 
+  /** Time at which a target last began a request; 0 if it never did. */
+  public lastRunAtMs (target: string): number {
+    return this._lastRunAtMs.get(target) ?? 0
+  }
+
   public get violations (): readonly Violation[] {
     return this._violations
   }
@@ -33,6 +40,7 @@
   public recordRun (event: targetServer.RunEvent): void {
     if (event.kind !== 'run-started') return
     this._runCounts.set(event.target, this.runsOn(event.target) + 1)
+    this._lastRunAtMs.set(event.target, event.atMs)
     if (event.key === '') return
     const runs = this._runsOfKey.get(event.key) ?? []
     runs.push(event.target)
--- a/packages/testbed/src/harness/LoadGenerator.ts
+++ b/packages/testbed/src/harness/LoadGenerator.ts
@@ -91,6 +91,7 @@
   }
 
   private _startCall (): void {
+    if (!this._hasNode()) return
     this.totals.started += 1
     const pending = this._callUntilFinal(this._pickKind()).finally(() => { this._pending.delete(pending) })
     this._pending.add(pending)
@@ -99,7 +100,7 @@
   private async _callUntilFinal (kind: CallKind): Promise<void> {
     const key = kind.keyed ? uuid.v7() : undefined
     let result: caller.CallResult | undefined
-    for (let sends = 0; sends < MAX_SENDS; sends++) {
+    for (let sends = 0; sends < MAX_SENDS && this._hasNode(); sends++) {
       result = await this._sendOnce(kind, key)
       if (result.outcome === 'answered') break
       await timers.setTimeout(result.retryAfterSeconds * MS_PER_SECOND)
@@ -122,6 +123,10 @@
     })
   }
 
+  private _hasNode (): boolean {
+    return this._options.fleet.workers.some(worker => worker.node.isRunning)
+  }
+
   private _pickKind (): CallKind {
     const total = this._options.kinds.reduce((sum, kind) => sum + kind.weight, 0)
     let point = this._random.nextFloat() * total
--- a/packages/testbed/src/scenarios/MeshWorld.ts
+++ b/packages/testbed/src/scenarios/MeshWorld.ts
@@ -28,6 +28,7 @@
   public lastSpec: caller.CallSpec | undefined
   public session: OperatorSession | undefined
   public slowFetch: slowFetch.SlowFetch | undefined
+  public stoppedAtMs = 0
   private _fleet: fleet.Fleet | undefined
   private _kinds: readonly loadGenerator.CallKind[] = []
 
--- a/packages/testbed/src/scenarios/callSteps.ts
+++ b/packages/testbed/src/scenarios/callSteps.ts
@@ -8,11 +8,13 @@
 import type * as meshWorld from './MeshWorld.js'
 
 const CHARGE_TIMEOUT_MS = 2000
+/** No node listens at the address any more. */
+const REFUSED_CONNECTION = 'no-answer ECONNREFUSED'
 /** Enough that each owner of the service gets some. */
 const PAYMENTS = 30
 
-function chargeSpec (headers: Readonly<Record<string, string>> = {}): caller.CallSpec {
-  return { method: 'POST', path: '/till/charge', key: uuid.v7(), body: '{"amount":40}', timeoutMs: CHARGE_TIMEOUT_MS, headers }
+function chargeSpec (headers: Readonly<Record<string, string>> = {}, amount = 40): caller.CallSpec {
+  return { method: 'POST', path: '/till/charge', key: uuid.v7(), body: JSON.stringify({ amount }), timeoutMs: CHARGE_TIMEOUT_MS, headers }
 }
 
 cucumber.Given('{int} calls per second are sent', function (this: meshWorld.MeshWorld, callsPerSecond: number) {
@@ -31,6 +33,19 @@
   await this.send(nodeId, chargeSpec({ 'x-crash': '1' }))
 })
 
+cucumber.When('{int} kiosks at once send different payments that crash their targets, each through every node in turn', async function (this: meshWorld.MeshWorld, kiosks: number) {
+  const { workers } = this.fleet
+  await Promise.all(Array.from({ length: kiosks }, async (_, kiosk) => {
+    const spec = chargeSpec({ 'x-crash': '1' }, kiosk)
+    for (let i = 0; i < workers.length; i++) await this.caller.call(workers[(kiosk + i) % workers.length]?.callerAddress ?? '', spec)
+  }))
+})
+
+cucumber.When('a portal repeats a fetch that crashes its target through every node', async function (this: meshWorld.MeshWorld) {
+  const spec: caller.CallSpec = { method: 'GET', path: '/vault/photo/CRASH', timeoutMs: 3000, headers: { 'x-crash': '1' } }
+  for (const worker of this.fleet.workers) await this.caller.call(worker.callerAddress, spec)
+})
+
 cucumber.When('the kiosk sends the same payment again through {string}', async function (this: meshWorld.MeshWorld, nodeId: string) {
   assert.ok(this.lastSpec !== undefined, 'send a payment first')
   this.lastCall = await this.caller.call(this.fleet.worker(nodeId).callerAddress, this.lastSpec)
@@ -87,6 +102,11 @@
   assert.deepEqual([...new Set(outcomes)], ['answered ok'])
 })
 
+cucumber.Then('no call that a node has taken is cut', function (this: meshWorld.MeshWorld) {
+  const cut = [...this.caller.reasons].filter(([reason]) => reason.startsWith('no-answer') && reason !== REFUSED_CONNECTION)
+  assert.deepEqual(cut, [])
+})
+
 cucumber.Then('no connection is cut', function (this: meshWorld.MeshWorld) {
   assert.equal(this.caller.counts['no-answer'], 0, JSON.stringify([...this.caller.reasons]))
 })
--- a/packages/testbed/src/scenarios/faultSteps.ts
+++ b/packages/testbed/src/scenarios/faultSteps.ts
@@ -5,6 +5,9 @@
 import type * as fleet from '../harness/Fleet.js'
 import type * as meshWorld from './MeshWorld.js'
 
+/** Promise of the design page. */
+const NO_NEW_WORK_AFTER_MS = 3000
+
 async function stopPlanned (worker: fleet.Worker): Promise<void> {
   worker.node.signal('SIGTERM')
   await timers.setTimeout(200)
@@ -14,6 +17,30 @@
   assert.equal(exit.code, 0, worker.node.output.slice(-5).join('\n'))
 }
 
+cucumber.When('every node is stopped at the same time', async function (this: meshWorld.MeshWorld) {
+  await Promise.all(this.fleet.workers.map(async worker => { await stopPlanned(worker) }))
+})
+
+cucumber.When('the node {string} begins its planned stop', function (this: meshWorld.MeshWorld, nodeId: string) {
+  this.stoppedAtMs = Date.now()
+  this.fleet.worker(nodeId).node.signal('SIGTERM')
+})
+
+cucumber.Then('the node {string} ends its planned stop', async function (this: meshWorld.MeshWorld, nodeId: string) {
+  await stopPlanned(this.fleet.worker(nodeId))
+})
+
+cucumber.Then('the target {string} gets no new work later than 3 seconds after the stop began', function (this: meshWorld.MeshWorld, nodeId: string) {
+  const lateMs = this.ledger.lastRunAtMs(nodeId) - this.stoppedAtMs
+  assert.ok(lateMs <= NO_NEW_WORK_AFTER_MS, `${nodeId} began a request ${lateMs} ms after the stop`)
+})
+
+cucumber.Then('at most {int} targets of {string} are lost', function (this: meshWorld.MeshWorld, most: number, service: string) {
+  const lost = this.fleet.workersOf(service).filter(worker => !worker.target.isRunning).map(worker => worker.nodeId)
+  assert.ok(lost.length > 0, 'no target crashed, so nothing is shown')
+  assert.ok(lost.length <= most, lost.join(', '))
+})
+
 cucumber.When('the node {string} is killed', async function (this: meshWorld.MeshWorld, nodeId: string) {
   const worker = this.fleet.worker(nodeId)
   worker.node.signal('SIGKILL')
