--- a/packages/common/src/hosting/CrashTable.ts
+++ b/packages/common/src/hosting/CrashTable.ts
@@ -1,3 +1,4 @@
+import * as emitter from '../base/Emitter.js'
 import type * as base from '../base/Types.js'
 import type * as services from './Services.js'
 import type * as types from './Types.js'
@@ -54,11 +55,16 @@
   private readonly _entries = new Map<string, Entry>()
   private readonly _keys = new Map<string, number>()
   private readonly _seen = new Map<string, Seen>()
+  private readonly _recorded = new emitter.Emitter<types.CrashRecord>()
 
   constructor (options: Partial<CrashTableOptions> = {}) {
     this._options = { ...DEFAULT_OPTIONS, ...options }
   }
 
+  public get onRecorded (): base.IEvent<types.CrashRecord> {
+    return this._recorded.event
+  }
+
   public isBlocked (key: string | undefined, fingerprint: string, _nowMs: base.Millis): boolean {
     if (key !== undefined && this.hasRun(key)) return true
     return (this._seen.get(fingerprint)?.blames ?? 0) >= BLOCKING_CRASHES
@@ -86,6 +92,7 @@
     this._entries.set(id, { record, untilMs, repeatsLeft: this._options.gossipRepeats })
     this._count(record, 1)
     if (this._entries.size > this._options.maxRecords) this._dropOldest()
+    this._recorded.fire(record)
     return true
   }
 
--- a/packages/common/src/hosting/Services.ts
+++ b/packages/common/src/hosting/Services.ts
@@ -64,6 +64,8 @@
 
 /** Remembers which requests crashed targets. */
 export interface ICrashTable {
+  /** A record of this node or of a peer that was not known before. */
+  readonly onRecorded: base.IEvent<types.CrashRecord>
   /** Whether the call must be refused as `crashes-target`. */
   isBlocked(key: string | undefined, fingerprint: string, nowMs: base.Millis): boolean
   /** Whether the key itself ran on a crashed target. Such a call is never answered `not-run`. */
--- a/packages/common/src/membership/Membership.test.ts
+++ b/packages/common/src/membership/Membership.test.ts
@@ -3,6 +3,7 @@
 import * as fc from 'fast-check'
 import * as randoms from '../base/Random.js'
 import * as terms from '../distribution/Terms.js'
+import * as crashTables from '../hosting/CrashTable.js'
 import type * as messages from '../node/Messages.js'
 import * as memberships from './Membership.js'
 import type * as types from './Types.js'
@@ -27,6 +28,7 @@
   public readonly effects: messages.Effect[] = []
   public readonly errors: Error[] = []
   public readonly changes: types.MemberChange[] = []
+  public readonly crashes = new crashTables.CrashTable()
   public readonly membership: memberships.Membership
 
   constructor () {
@@ -36,6 +38,7 @@
       random: new randoms.Random(1),
       effects: { push: effect => { this.effects.push(effect) } },
       terms: () => terms.DEFAULT_TERMS,
+      crashes: this.crashes,
       onMalformed: error => { this.errors.push(error) }
     })
     this.membership.onChange(change => { this.changes.push(change) })
@@ -149,6 +152,26 @@
     })
   })
 
+  test.describe('crash records', () => {
+    const crash = { key: 'k', fingerprint: 'f', nodeId: 'peer', atMs: NOW_MS, concurrent: 1 }
+
+    function told (probe: Probe): number {
+      return probe.effects.filter(effect => effect.kind === 'send' && effect.message.kind === 'gossip' && effect.message.crashes.length === 1).length
+    }
+
+    test.it('are told to some members at once and once only, because callers repeat requests faster than heartbeats come', () => {
+      const probe = new Probe()
+      probe.membership.receive('peer', gossip(peerRow()), NOW_MS)
+      probe.crashes.record(crash, NOW_MS)
+      const own = told(probe)
+      assert.ok(own >= 1)
+      probe.membership.receive('peer', { ...gossip(), crashes: [crash] }, NOW_MS)
+      assert.equal(told(probe), own)
+      probe.membership.receive('peer', { ...gossip(), crashes: [{ ...crash, nodeId: 'other' }] }, NOW_MS)
+      assert.ok(told(probe) > own)
+    })
+  })
+
   test.describe('heartbeats', () => {
     test.it('carries each change a bounded number of times, so that old news does not use up the budget', () => {
       const probe = new Probe()
--- a/packages/common/src/membership/Membership.ts
+++ b/packages/common/src/membership/Membership.ts
@@ -3,6 +3,7 @@
 import type * as base from '../base/Types.js'
 import type * as config from '../config/Types.js'
 import type * as hosting from '../hosting/Services.js'
+import type * as hostingTypes from '../hosting/Types.js'
 import type * as messages from '../node/Messages.js'
 import * as detectors from './FailureDetector.js'
 import * as goneRows from './GoneRows.js'
@@ -33,7 +34,7 @@
   readonly terms: () => config.DistributionTerms
   /** Place of the ownership table in its stream, told on heartbeats. */
   readonly ownership?: Pick<hosting.IOwnershipTable, 'asOfOffset'>
-  readonly crashes?: Pick<hosting.ICrashTable, 'pending' | 'record'>
+  readonly crashes?: Pick<hosting.ICrashTable, 'pending' | 'record' | 'onRecorded'>
   /** Told of each malformed message, for the log and the metrics. */
   readonly onMalformed?: (error: malformed.MalformedMessageError) => void
 }
@@ -78,6 +79,7 @@
       random: options.random
     })
     this._rejoinProbe = new rejoins.RejoinProbe(options.random, this.onChange)
+    if (options.crashes !== undefined) this._register(options.crashes.onRecorded(record => { this._tellCrash(record) }))
     this._table.merge(this._self)
     this._gossip.add(this._self.nodeId, false)
   }
@@ -328,7 +330,16 @@
     if (!this._gossip.hasUrgent) return
     const updates = this._gossip.takeUrgent(limits.URGENT_ROWS).map(wires.toWire)
     const fanout = updates.length > limits.MASS_ROWS ? limits.MASS_FANOUT : limits.URGENT_FANOUT[this._options.terms().preference]
-    const message: messages.GossipMessage = { kind: 'gossip', ...this._ownVersions(), updates, crashes: [] }
+    this._sendToRandom(fanout, { kind: 'gossip', ...this._ownVersions(), updates, crashes: [] })
+  }
+
+  /** Heartbeats alone are slower than a caller that repeats a crashing request through one node after the other. */
+  private _tellCrash (record: hostingTypes.CrashRecord): void {
+    const fanout = limits.URGENT_FANOUT[this._options.terms().preference]
+    this._sendToRandom(fanout, { kind: 'gossip', ...this._ownVersions(), updates: [], crashes: [record] })
+  }
+
+  private _sendToRandom (fanout: number, message: messages.GossipMessage): void {
     for (let i = 0; i < fanout; i++) {
       const peer = this.randomPeer()
       if (peer !== undefined) this._send(peer.nodeId, message)
