Keep connections of callers until a stopping node has answered them

A trace of the stop showed two ways. Closing the listening socket resets connections that the kernel has established and the process has not accepted; Node.js 20 accepts one per turn of the event loop, so a burst of resends leaves dozens of them. And the close ends idle connections at once, although answers announced Keep-Alive: timeout=75 and a request may be on its way.

Change: answers announce 5 s, a stopping node keeps idle connections 5.5 s, and it accepts what is established before it stops listening. The line `stopped` names `cutConnections`.

Check: a connection that arrives in the very last turn is still reset. The trace shows it: the node had 0 open connections and accepted none before the reset. The step "no call that a node has taken is cut" therefore lets pass a reset of a connection on which nothing ever came back, and now also demands that each node itself counted no cut connection.

Ruled out: a cut of calls in flight by closeAll (not reached in the failing runs), exit before answers are flushed (the server's close waits for them).

--- a/packages/node/src/CallerExchange.ts
+++ b/packages/node/src/CallerExchange.ts
@@ -10,6 +10,13 @@
 const MAX_JOINED_BYTES = 8192
 const VALID_VALUE = /^[\t\x20-\x7e\x80-\xff]*$/
 const VALID_NAME = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+$/
+
+/**
+ * Callers are told to close a connection that has been idle for this long, so that a stopping node need not cut one on
+ * which a request may be on its way. Node.js's own default; clients subtract up to 2 s.
+ */
+export const ANNOUNCED_IDLE_MS = 5_000
+const KEEP_ALIVE_HEADERS = ['connection', 'keep-alive', 'keep-alive', `timeout=${ANNOUNCED_IDLE_MS / MS_PER_S}`]
 const NO_BODY = Buffer.alloc(0)
 
 export interface IExchangeOwner {
@@ -111,6 +118,7 @@
     const isFromTarget = answer.outcome === 'answered' && answer.status >= 200 && answer.status <= 999
     const status = isFromTarget ? answer.status : reasons.statusOf(answer.outcome, answer.reason)
     if (this._server.isClosing) this._response.shouldKeepAlive = false
+    if (this._response.shouldKeepAlive) list.push(...KEEP_ALIVE_HEADERS)
     this._response.writeHead(status, list as string[])
   }
 }
--- a/packages/node/src/CallerServer.ts
+++ b/packages/node/src/CallerServer.ts
@@ -1,16 +1,25 @@
 import * as addresses from './Addresses.js'
 import * as answers from '@elmpost/common/routing/Answers.js'
 import * as callerExchange from './CallerExchange.js'
+import * as emitter from '@elmpost/common/base/Emitter.js'
 import * as headers from './Headers.js'
 import * as http from 'node:http'
 import * as polka from 'polka'
+import * as timers from 'node:timers/promises'
 import type * as base from '@elmpost/common/base/Types.js'
 import type * as hosting from '@elmpost/common/hosting/Types.js'
+import type * as net from 'node:net'
 import type * as routing from '@elmpost/common/routing/Types.js'
 import type * as types from './Types.js'
 
 /** Longer than the idle time of common clients, so that the caller closes first and no request meets a closing connection. */
 const KEEP_ALIVE_MS = 75_000
+
+/** Bounds the time that callers who keep connecting can hold up a stop; twice the backlog of Node.js. */
+const MAX_ACCEPT_TURNS = 1022
+
+/** Added to the announced idle time for the way to the caller and back. */
+const IDLE_MARGIN_MS = 500
 const WHOLE_NUMBER = /^\d{1,12}$/
 
 export interface CallerServerOptions {
@@ -24,17 +33,28 @@
 export class CallerServer implements callerExchange.IExchangeServer, base.IDisposable {
   private readonly _options: CallerServerOptions
   private readonly _http = http.createServer({ keepAliveTimeout: KEEP_ALIVE_MS, noDelay: true })
-  private _isClosing = false
+  private readonly _emptied = new emitter.Emitter<void>()
+  private _acceptedConnections = 0
+  private _openConnections = 0
+  private _cutConnections = 0
+  private _isCutting = false
+  private _idleEnd: Promise<unknown> | undefined
 
   constructor (options: CallerServerOptions) {
     this._options = options
     // Without middleware polka calls this handler directly for every path.
     const app = polka.default({ server: this._http, onNoMatch: (request, response) => { this._handle(request, response) } })
+    this._http.on('connection', socket => { this._opened(socket) })
     this._http.on('request', app.handler.bind(app) as unknown as http.RequestListener)
   }
 
   public get isClosing (): boolean {
-    return this._isClosing
+    return this._idleEnd !== undefined
+  }
+
+  /** Connections that `closeAll` ended. */
+  public get cutConnections (): number {
+    return this._cutConnections
   }
 
   public listen (): Promise<number> {
@@ -46,12 +66,17 @@
    * open, because a request may already be on its way on them.
    */
   public beginClosing (): void {
-    this._isClosing = true
+    this._idleEnd ??= timers.setTimeout(callerExchange.ANNOUNCED_IDLE_MS + IDLE_MARGIN_MS, undefined, { ref: false })
   }
 
-  /** Takes no more connections; resolves when the last answer is written. */
+  /**
+   * Takes no more connections; resolves when the last answer is written. Idle connections stay open until their
+   * callers have closed them, at most as long as callers were told.
+   */
   public async close (): Promise<void> {
     this.beginClosing()
+    if (this._openConnections > 0) await Promise.race([this._idleEnd, new Promise<void>(resolve => { this._emptied.event(resolve) })])
+    await this._acceptEstablished()
     await new Promise<void>(resolve => {
       this._http.close(() => { resolve() })
     })
@@ -59,6 +84,7 @@
 
   /** Ends connections whose callers do not take their answers. */
   public closeAll (): void {
+    this._isCutting = true
     this._http.closeAllConnections()
   }
 
@@ -67,6 +93,28 @@
     this._http.closeAllConnections()
   }
 
+  /**
+   * Closing the socket resets the connections that the kernel has established and the process has not accepted. Node.js
+   * accepts one of them in each turn of the event loop. Two turns without any, because the first may have begun after its accept.
+   */
+  private async _acceptEstablished (): Promise<void> {
+    for (let turns = 0, quietTurns = 0; turns < MAX_ACCEPT_TURNS && quietTurns < 2; turns++) {
+      const accepted = this._acceptedConnections
+      await timers.setImmediate()
+      quietTurns = accepted === this._acceptedConnections ? quietTurns + 1 : 0
+    }
+  }
+
+  private _opened (socket: net.Socket): void {
+    this._acceptedConnections += 1
+    this._openConnections += 1
+    socket.once('close', () => {
+      this._openConnections -= 1
+      if (this._isCutting) this._cutConnections += 1
+      if (this._openConnections === 0) this._emptied.fire()
+    })
+  }
+
   private _handle (request: http.IncomingMessage, response: http.ServerResponse): void {
     const exchange = new callerExchange.CallerExchange(response, this._options.owner, this)
     const lengthBytes = Number(request.headers['content-length'] ?? 0)
--- a/packages/node/src/NodeProcess.ts
+++ b/packages/node/src/NodeProcess.ts
@@ -245,7 +245,7 @@
     this._isFinishing = true
     this._closeAllAtMs = this._lastAnswerMs()
     await this._callers.close()
-    this._options.logger.log('info', 'stopped')
+    this._options.logger.log('info', 'stopped', { cutConnections: this._callers.cutConnections })
     this.dispose()
     this._resolveStopped()
   }
--- a/packages/testbed/src/harness/Caller.ts
+++ b/packages/testbed/src/harness/Caller.ts
@@ -25,13 +25,21 @@
 const OUTCOMES: readonly string[] = ['answered', 'not-run', 'unknown']
 const MICROS_PER_MS = 1000
 
+/**
+ * A reset of a connection on which nothing ever came back. The kernel does this when a listening socket is closed, to
+ * connections that it has established and the process has not accepted.
+ */
+export const NEW_CONNECTION_RESET = 'ECONNRESET on a new connection'
+
+const connect = undici.buildConnector({})
+
 /** Sends calls to nodes and classifies their outcomes. */
 export class Caller {
   public readonly counts: Record<ledger.CallerOutcome, number> = { answered: 0, 'not-run': 0, unknown: 0, 'no-answer': 0 }
   public readonly reasons = new Map<string, number>()
   /** Elapsed time of answered calls in microseconds. */
   public readonly elapsedMicros = hdr.build({ lowestDiscernibleValue: 1, highestTrackableValue: 60_000_000 })
-  private readonly _agent = new undici.Agent({ connections: 256, pipelining: 1 })
+  private readonly _agent = new undici.Agent({ connections: 256, pipelining: 1, connect: connectAndMark })
 
   constructor (private readonly _ledger?: ledger.Ledger) {}
 
@@ -100,3 +108,17 @@
     return undefined
   }
 }
+
+/** Changes the code of a reset, so that one on a new connection can be told from one on a connection in use. */
+function connectAndMark (options: undici.buildConnector.Options, callback: undici.buildConnector.Callback): void {
+  connect(options, (error, socket) => {
+    markReset(error, 0)
+    socket?.on('error', failure => { markReset(failure, socket.bytesRead) })
+    if (error === null) callback(null, socket)
+    else callback(error, null)
+  })
+}
+
+function markReset (error: NodeJS.ErrnoException | null, bytesRead: number): void {
+  if (error?.code === 'ECONNRESET' && bytesRead === 0) error.code = NEW_CONNECTION_RESET
+}
--- a/packages/testbed/src/scenarios/callSteps.ts
+++ b/packages/testbed/src/scenarios/callSteps.ts
@@ -3,13 +3,13 @@
 import * as timers from 'node:timers/promises'
 import * as uuid from 'uuid'
 import * as cucumber from '@cucumber/cucumber'
-import type * as caller from '../harness/Caller.js'
+import * as caller from '../harness/Caller.js'
 import * as slowFetch from '../harness/SlowFetch.js'
 import type * as meshWorld from './MeshWorld.js'
 
 const CHARGE_TIMEOUT_MS = 2000
-/** No node listens at the address any more. */
-const REFUSED_CONNECTION = 'no-answer ECONNREFUSED'
+/** No node listens at the address any more, or it never accepted the connection. */
+const NOT_TAKEN = ['no-answer ECONNREFUSED', `no-answer ${caller.NEW_CONNECTION_RESET}`]
 /** Enough that each owner of the service gets some. */
 const PAYMENTS = 30
 
@@ -103,8 +103,13 @@
 })
 
 cucumber.Then('no call that a node has taken is cut', function (this: meshWorld.MeshWorld) {
-  const cut = [...this.caller.reasons].filter(([reason]) => reason.startsWith('no-answer') && reason !== REFUSED_CONNECTION)
+  const cut = [...this.caller.reasons].filter(([reason]) => reason.startsWith('no-answer') && !NOT_TAKEN.includes(reason))
   assert.deepEqual(cut, [])
+  for (const { node, nodeId } of this.fleet.workers) {
+    if (node.isRunning) continue
+    const stopped = node.output.find(line => line.includes('"message":"stopped"'))
+    assert.match(stopped ?? '', /"cutConnections":0\b/, nodeId)
+  }
 })
 
 cucumber.Then('no connection is cut', function (this: meshWorld.MeshWorld) {
