Keep the releases of successors that own no windows

Cause: found while reading OwnershipTable. Above 1,024 released nodes a change of partitions drops the releases of nodes without windows. A successor without partitions of its own (a service has 64 partitions and may have more targets) that has stopped as well lost its release, and calls for keys of its predecessor were sent to it instead of to its own successor: `unknown` until the windows end.

Change: pruning follows the successors of each node with windows.

It concerned answers only: a process without the release still could not adopt windows that it never owned.

--- a/packages/common/src/hosting/OwnershipTable.test.ts
+++ b/packages/common/src/hosting/OwnershipTable.test.ts
@@ -53,6 +53,21 @@
     })
   })
 
+  test.describe('releases', () => {
+    // Guards against calls for keys of a stopped node being sent to a successor that has stopped as well.
+    test.it('keeps the release of a successor without windows when many nodes have stopped', () => {
+      const release = (nodeId: string, successor: string): types.OwnershipRecord => {
+        return { kind: 'release', owner: { nodeId, incarnation: 1 }, successor: { nodeId: successor, incarnation: 1 } }
+      }
+      const others = Array.from({ length: 1_100 }, (_, i) => release(`other-${i}`, 'd'))
+      const records = [FIRST, { kind: 'horizon', untilMs: 1_000 } as const, release('a', 'c'), release('c', 'd'), ...others]
+      const table = folded(...records, move(records.length, 1_000))
+      const lookup = table.ownerOf(fixture.SERVICE, fixture.keyAt(500)).unwrap()
+      assert.equal(lookup.kind === 'owner' && lookup.sendTo, 'd')
+      assert.equal(table.updateSince(0).released.length, 2)
+    })
+  })
+
   test.describe('merge', () => {
     test.it('takes the changes since the own version and never an older state', () => {
       const older = folded(FIRST, { kind: 'horizon', untilMs: 1_000 })
--- a/packages/common/src/hosting/OwnershipTable.ts
+++ b/packages/common/src/hosting/OwnershipTable.ts
@@ -249,13 +249,22 @@
     return table
   }
 
+  /** Keeps the releases of nodes with windows, and of their successors, through which calls for these windows go. */
   private _pruneReleased (): void {
-    const owners = new Set<base.NodeId>()
+    const kept = new Map<base.NodeId, types.Release>()
     for (const table of this._services.values()) {
-      for (const nodeId of table.nodeIds()) owners.add(nodeId)
+      for (const nodeId of table.nodeIds()) this._keepReleases(nodeId, kept)
     }
     for (const nodeId of this._released.keys()) {
-      if (!owners.has(nodeId)) this._released.delete(nodeId)
+      if (!kept.has(nodeId)) this._released.delete(nodeId)
+    }
+  }
+
+  private _keepReleases (nodeId: base.NodeId, kept: Map<base.NodeId, types.Release>): void {
+    let release = this._released.get(nodeId)
+    while (release !== undefined && !kept.has(release.owner.nodeId)) {
+      kept.set(release.owner.nodeId, release)
+      release = this._released.get(release.successor.nodeId)
     }
   }
 }
