Move the partitions of a node that serves another service

Cause: found while reading StableServices. A member change marks only the service that the row names now. A VM that comes back for another service kept the partitions of its former service until some other member of that service changed; calls with keys in these partitions took the way through it.

Change: the former service is marked as well.

Figures: the new test failed before (n0 32, n1 32 partitions after 10 s) and passes now (n0 64). 15 of 15 tests of OwnershipLog pass.

--- a/packages/common/src/hosting/OwnershipLog.test.ts
+++ b/packages/common/src/hosting/OwnershipLog.test.ts
@@ -117,6 +117,17 @@
       assert.ok((ofKind(reader, 'partitions').at(-1)?.startsAtMs ?? 0) >= horizonMs)
     })
 
+    // Guards against partitions that stay with a VM which came back for another service.
+    test.it('take the partitions of a node that now serves another service', () => {
+      const reader = new Reader()
+      const world = new World([reader])
+      reader.ready('n0', 'n1')
+      world.run(10_000)
+      reader.membership.set(fake.memberRow('n1', 2, { service: 'vault' }))
+      world.run(10_000)
+      assert.deepEqual(reader.counts(), { n0: 64 })
+    })
+
     test.it('leave draining and suspected owners alone, because most of them come back', () => {
       const reader = new Reader()
       const world = new World([reader])
--- a/packages/common/src/hosting/StableServices.ts
+++ b/packages/common/src/hosting/StableServices.ts
@@ -12,7 +12,9 @@
     const { previous, current } = change
     const same = previous !== undefined && previous.state === current.state &&
       previous.incarnation === current.incarnation && previous.service === current.service
-    if (!same) this.mark(current.service)
+    if (same) return
+    this.mark(current.service)
+    if (previous !== undefined) this.mark(previous.service)
   }
 
   public mark (service: string): void {
