Add scenarios of restarts without the log and of a service that comes and goes

Cause: two failures were shown with the stepped core only: a node that restarts with empty memory while the log is down, and targets that announce themselves while the file that names their service is applied.

Change: one scenario each on real processes. The first also restarts every node with the log down: none enforces a version, and each says why, until the log is back. The fleet harness can add the workers of a service.

--- a/packages/testbed/features/configuration.feature
+++ b/packages/testbed/features/configuration.feature
@@ -52,3 +52,30 @@
     Then version 2 is in force on every node
     When every node is killed and starts again
     Then version 2 is in force on every node
+
+  Scenario: Nodes restart while the log is down
+    When an operator applies longer timeouts
+    Then version 2 is in force on every node
+    When the log goes down
+    And the node "till-2" is killed
+    And the node "till-2" starts again
+    Then version 2 is in force on every node
+    When every node is killed and starts again
+    And 3 seconds pass
+    Then no node enforces a version, and each says why
+    When the log comes back
+    Then version 2 is in force on every node
+
+  Scenario: A service comes and goes under load
+    Given 100 calls per second are sent
+    When an operator applies a file with a new service while its targets start
+    Then the file is accepted
+    And version 2 is in force on every node
+    And fetches of the new service are answered through every node
+    When an operator applies the first file again
+    Then version 3 is in force on every node
+    And fetches of the new service have no route on any node
+    When the load ends
+    Then every call is answered
+    And no connection is cut
+    And no payment runs twice and no refusal is false
--- a/packages/testbed/src/harness/Fleet.ts
+++ b/packages/testbed/src/harness/Fleet.ts
@@ -80,10 +80,16 @@
       for (let i = 0; i < service.workers; i++) this.workers.push(this._planWorker(service, i, free.splice(0, 4)))
     }
     if (this._options.isRelayed === true) await this._startRelays()
-    await Promise.all(this.workers.map(async worker => {
-      await this.startTarget(worker)
-      await this.startNode(worker)
-    }))
+    await this._startWorkers(this.workers)
+  }
+
+  /** Starts the workers of another service. They belong to the fleet, and get calls, once their nodes are ready. */
+  public async addWorkers (service: institutions.ServiceSpec, timeoutMs: number): Promise<void> {
+    const free = await ports.findFreePorts(service.workers * 4)
+    const added = Array.from({ length: service.workers }, (_, i) => this._planWorker(service, i, free.splice(0, 4)))
+    await this._startWorkers(added)
+    await this._waitForVersion(added, 1, timeoutMs)
+    this.workers.push(...added)
   }
 
   public async startTarget (worker: Worker): Promise<void> {
@@ -146,16 +152,7 @@
 
   /** Waits until every running node enforces at least `version` and is ready. Returns the time it took. */
   public async waitForVersion (version: number, timeoutMs: number): Promise<number> {
-    const startedAtMs = performance.now()
-    for (;;) {
-      const running = this.workers.filter(worker => worker.node.isRunning)
-      const statuses = await Promise.all(running.map(async worker => await this.status(worker)))
-      const behind = running.filter((_worker, index) => !isInForce(statuses[index], version))
-      const elapsedMs = performance.now() - startedAtMs
-      if (behind.length === 0) return elapsedMs
-      if (elapsedMs > timeoutMs) throw new Error(describeStale(version, behind, statuses))
-      await new Promise(resolve => setTimeout(resolve, POLL_MS))
-    }
+    return await this._waitForVersion(this.workers, version, timeoutMs)
   }
 
   public async setLogFaults (faults: object): Promise<void> {
@@ -173,6 +170,26 @@
     return stopped
   }
 
+  private async _startWorkers (workers: readonly Worker[]): Promise<void> {
+    await Promise.all(workers.map(async worker => {
+      await this.startTarget(worker)
+      await this.startNode(worker)
+    }))
+  }
+
+  private async _waitForVersion (workers: readonly Worker[], version: number, timeoutMs: number): Promise<number> {
+    const startedAtMs = performance.now()
+    for (;;) {
+      const running = workers.filter(worker => worker.node.isRunning)
+      const statuses = await Promise.all(running.map(async worker => await this.status(worker)))
+      const behind = running.filter((_worker, index) => !isInForce(statuses[index], version))
+      const elapsedMs = performance.now() - startedAtMs
+      if (behind.length === 0) return elapsedMs
+      if (elapsedMs > timeoutMs) throw new Error(describeStale(version, behind, statuses))
+      await new Promise(resolve => setTimeout(resolve, POLL_MS))
+    }
+  }
+
   private async _startLog (port: number): Promise<void> {
     this.log = await startListening('log', 'standins/logMain.js', { port, retentionMs: LOG_RETENTION_MS })
     this.logUrl = `http://127.0.0.1:${port}`
