Carry crash records with calls and their answers

Cause: an entry node decided on a retry without asking the crash table, and got the record of the crash by gossip only, which can come after the retry. The host of the next attempt also had the record by gossip only, so it could run a suspect beside another one and blame neither. Without gossip one entry node lost a target with each attempt.

Change: the answer of a host that is no answer of the target carries the crash records of the fingerprint (at most 4, blocking ones first). The entry node records them first, and refuses a retry or redirect that the crash rules block. A call carries the records that its entry node knows. An owner takes over the records of its delegate and passes them on. A host sends new records to its peers before it answers. The fields are optional: nodes without them ignore them, and send none.

The tests fail with each of these off: records of answers, refusal of the retry, records of calls, the owner's part, records before the answer.

Conclusion: per entry node the bound no longer rests on gossip.

--- a/packages/common/src/hosting/CrashTable.test.ts
+++ b/packages/common/src/hosting/CrashTable.test.ts
@@ -90,6 +90,35 @@
     })
   })
 
+  test.describe('answers of a host', () => {
+    test.it('carry the records of a request that was lost or refused, but not of one that was answered', () => {
+      const host = new fixture.Host()
+      const end = (result: types.RunResult): types.FinalAnswer => {
+        const runId = host.run(fixture.call(T0, { fingerprint: CRASHER }), T0)
+        host.calls.start(runId, T0)
+        return host.calls.finish(runId, result, T0)
+      }
+      assert.equal(end(fixture.ANSWER).crashes, undefined)
+      assert.deepEqual(end(DIED).crashes, [record({ fingerprint: CRASHER })])
+      assert.equal(end(fixture.ANSWER).crashes, undefined)
+      const known = record({ fingerprint: CRASHER, nodeId: 'b' })
+      const refusal = host.answer(fixture.call(T0, { fingerprint: CRASHER, crashes: [known] }), T0)
+      assert.deepEqual([refusal.reason, refusal.crashes?.length], ['crashes-target', 2])
+      assert.equal(host.answer(fixture.call(T0, { key: 'bad' }), T0).crashes, undefined)
+    })
+  })
+
+  test.describe('recordsOf', () => {
+    test.it('gives the blocking records first and a bounded number, so that a peer decides alike and messages stay small', () => {
+      const table = new crashes.CrashTable()
+      for (const nodeId of ['a', 'b']) table.record(record({ nodeId }), T0)
+      for (let i = 0; i < 20; i++) table.record(record({ nodeId: `n${i}`, concurrent: 3 }), T0)
+      assert.deepEqual(table.recordsOf('f').map(({ nodeId }) => nodeId), ['b', 'a', 'n19', 'n18'])
+      table.tick(T0 + 600_000)
+      assert.deepEqual(table.recordsOf('f'), [])
+    })
+  })
+
   test.describe('record', () => {
     test.it('counts a record once however often it arrives, and drops it after its time', () => {
       const table = new crashes.CrashTable()
--- a/packages/common/src/hosting/CrashTable.ts
+++ b/packages/common/src/hosting/CrashTable.ts
@@ -9,6 +9,8 @@
 /** Crashed targets on which a fingerprint ran beside others before it is run apart from other suspects. */
 const SUSPECT_CRASHES = 2
 
+const NO_RECORDS: readonly types.CrashRecord[] = []
+
 export interface CrashTableOptions {
   /** Time for which a record counts. */
   readonly blockMs: base.Millis
@@ -30,9 +32,13 @@
   repeatsLeft: number
 }
 
+/** Records of a fingerprint that a peer needs in order to block it, or to run it apart from other suspects. */
+const RECORDS_OF_CALL = BLOCKING_CRASHES + SUSPECT_CRASHES
+
 /** Crashes that a fingerprint was part of, those before it was answered here, and those it is to blame for. */
 interface Seen {
-  parts: number
+  /** In order of arrival. */
+  readonly records: types.CrashRecord[]
   survived: number
   blames: number
 }
@@ -76,12 +82,12 @@
 
   public isSuspect (fingerprint: string, _nowMs: base.Millis): boolean {
     const seen = this._seen.get(fingerprint)
-    return seen !== undefined && seen.parts - seen.survived >= SUSPECT_CRASHES
+    return seen !== undefined && seen.records.length - seen.survived >= SUSPECT_CRASHES
   }
 
   public survived (fingerprint: string): void {
     const seen = this._seen.get(fingerprint)
-    if (seen !== undefined) seen.survived = seen.parts
+    if (seen !== undefined) seen.survived = seen.records.length
   }
 
   public record (record: types.CrashRecord, nowMs: base.Millis): boolean {
@@ -90,12 +96,21 @@
     // A peer's clock that is ahead must not keep a record for longer.
     const untilMs = Math.min(record.atMs, nowMs) + this._options.blockMs
     this._entries.set(id, { record, untilMs, repeatsLeft: this._options.gossipRepeats })
-    this._count(record, 1)
+    this._add(record)
     if (this._entries.size > this._options.maxRecords) this._dropOldest()
     this._recorded.fire(record)
     return true
   }
 
+  public recordsOf (fingerprint: string): readonly types.CrashRecord[] {
+    const seen = this._seen.get(fingerprint)
+    if (seen === undefined) return NO_RECORDS
+    const newestFirst = seen.records.toReversed()
+    const blocking = newestFirst.filter(isToBlame)
+    const others = newestFirst.filter(record => !isToBlame(record))
+    return [...blocking, ...others].slice(0, RECORDS_OF_CALL)
+  }
+
   public pending (limit: number): readonly types.CrashRecord[] {
     const records: types.CrashRecord[] = []
     for (const entry of this._entries.values()) {
@@ -120,20 +135,28 @@
 
   private _drop (id: string, record: types.CrashRecord): void {
     this._entries.delete(id)
-    this._count(record, -1)
+    if (record.key !== '') change(this._keys, record.key, -1)
+    const seen = this._seen.get(record.fingerprint)
+    if (seen === undefined) return
+    seen.records.splice(seen.records.indexOf(record), 1)
+    seen.survived = Math.min(seen.survived, seen.records.length)
+    if (isToBlame(record)) seen.blames--
+    if (seen.records.length === 0) this._seen.delete(record.fingerprint)
   }
 
-  private _count (record: types.CrashRecord, step: 1 | -1): void {
-    if (record.key !== '') change(this._keys, record.key, step)
-    const seen = this._seen.get(record.fingerprint) ?? { parts: 0, survived: 0, blames: 0 }
-    seen.parts += step
-    seen.survived = Math.min(seen.survived, seen.parts)
-    if (record.concurrent === 1) seen.blames += step
-    if (seen.parts === 0) this._seen.delete(record.fingerprint)
-    else this._seen.set(record.fingerprint, seen)
+  private _add (record: types.CrashRecord): void {
+    if (record.key !== '') change(this._keys, record.key, 1)
+    const seen = this._seen.get(record.fingerprint) ?? { records: [], survived: 0, blames: 0 }
+    seen.records.push(record)
+    if (isToBlame(record)) seen.blames++
+    this._seen.set(record.fingerprint, seen)
   }
 }
 
+function isToBlame (record: types.CrashRecord): boolean {
+  return record.concurrent === 1
+}
+
 function identity (record: types.CrashRecord): string {
   return `${record.nodeId} ${record.atMs} ${record.fingerprint} ${record.key}`
 }
--- a/packages/common/src/hosting/HostCalls.ts
+++ b/packages/common/src/hosting/HostCalls.ts
@@ -117,6 +117,12 @@
   }
 
   public accept (from: base.NodeId, call: messages.CallMessage, nowMs: base.Millis): types.HostDecision {
+    this._learn(call.crashes, nowMs)
+    const decision = this._decide(from, call, nowMs)
+    return decision.kind === 'answer' ? answer(this._withCrashes(decision.answer, call.fingerprint)) : decision
+  }
+
+  private _decide (from: base.NodeId, call: messages.CallMessage, nowMs: base.Millis): types.HostDecision {
     if (call.key !== undefined) {
       const keyed = { ...call, key: keys.normalizeKey(call.key) }
       return call.delegatedBy === undefined ? this._acceptKeyed(keyed, nowMs) : this._acceptDelegated(from, keyed, nowMs)
@@ -144,9 +150,10 @@
     // The run has ended before, and everyone who waited has the answer.
     if (run === undefined) return answers.unknown('answer-not-kept')
     if (result.kind === 'lost' && result.targetDied) this._blame.record(run, nowMs)
+    if (result.kind !== 'answered') this._learn(result.crashes, nowMs)
     this._leaveTarget(run, result, nowMs)
     this._runs.remove(runId)
-    const final = this._settle(run, result, nowMs)
+    const final = this._withCrashes(this._settle(run, result, nowMs), run.fingerprint)
     if (run.delegate !== undefined) this._options.delegates.ended(run.delegate, final, load, nowMs)
     if (run.delegation !== undefined) this._delegations.ended(run.delegation, final, nowMs)
     return final
@@ -209,6 +216,17 @@
     return this._admission.queue.takeExpired(nowMs).map(runId => this._expire(runId, nowMs))
   }
 
+  private _learn (crashes: readonly types.CrashRecord[] | undefined, nowMs: base.Millis): void {
+    for (const crash of crashes ?? []) this._options.crashes.record(crash, nowMs)
+  }
+
+  /** The node that sent the call must know what is known here before it decides on a retry. */
+  private _withCrashes (final: types.FinalAnswer, fingerprint: string): types.FinalAnswer {
+    if (final.outcome === 'answered') return final
+    const crashes = this._options.crashes.recordsOf(fingerprint)
+    return crashes.length === 0 ? final : { ...final, crashes }
+  }
+
   private get _retentionMs (): base.Millis {
     return this._limits.terms?.keyRetentionMs ?? DEFAULT_KEY_RETENTION_MS
   }
--- a/packages/common/src/hosting/Types.ts
+++ b/packages/common/src/hosting/Types.ts
@@ -194,6 +194,8 @@
 export interface FinalAnswer {
   /** Node that has taken over the keys of this one; only with reason `not-owner`. */
   readonly successor?: base.NodeId
+  /** Crash records of the fingerprint that the host knows, for the node that sent the call. */
+  readonly crashes?: readonly CrashRecord[]
   readonly outcome: Outcome
   readonly reason: OutcomeReason
   readonly status: number
@@ -206,9 +208,9 @@
 export type RunResult =
   | { readonly kind: 'answered', readonly status: number, readonly headers: Readonly<Record<string, string>>, readonly body: Uint8Array | undefined, readonly streamed: boolean, readonly serviceMs: base.Millis }
   /** The request was never written to the target. */
-  | { readonly kind: 'not-started', readonly reason: OutcomeReason }
+  | { readonly kind: 'not-started', readonly reason: OutcomeReason, /** Records that the delegate knows. */ readonly crashes?: readonly CrashRecord[] }
   /** The request reached the target, and its answer did not come back whole. */
-  | { readonly kind: 'lost', readonly reason: OutcomeReason, readonly targetDied: boolean }
+  | { readonly kind: 'lost', readonly reason: OutcomeReason, readonly targetDied: boolean, /** Records that the delegate knows. */ readonly crashes?: readonly CrashRecord[] }
 
 /** A change of a call that was accepted earlier: its final answer, or a new place to run it. */
 export type HostUpdate =
--- a/packages/common/src/node/Messages.ts
+++ b/packages/common/src/node/Messages.ts
@@ -199,6 +199,8 @@
   readonly attempt: number
   /** Present when the owner of the key asks another node to run the call once. */
   readonly delegatedBy?: base.NodeId
+  /** Crash records of the fingerprint that the sender knows; absent without any. */
+  readonly crashes?: readonly hosting.CrashRecord[]
 }
 
 export interface CancelMessage {
@@ -222,6 +224,8 @@
   readonly successor?: base.NodeId
   /** Time from writing the request to the target until the answer was complete. */
   readonly targetMs?: base.Millis
+  /** Crash records of the call's fingerprint that the sender knows; absent without any, and on an answer of the target. */
+  readonly crashes?: readonly hosting.CrashRecord[]
 }
 
 export interface ChunkMessage {
--- /dev/null
+++ b/packages/common/src/routing/EntryCalls.crashes.test.ts
@@ -0,0 +1,117 @@
+import * as assert from 'node:assert/strict'
+import * as test from 'node:test'
+import * as crashTable from '../hosting/CrashTable.js'
+import type * as hosting from '../hosting/Types.js'
+import type * as messages from '../node/Messages.js'
+import type * as entryCalls from './EntryCalls.js'
+import * as fake from './FakeMesh.js'
+
+const NOW_MS = 1_000
+
+/** An entry node with the table that it shares with the host beside it, if it has one. */
+class Entry {
+  public readonly crashes = new crashTable.CrashTable()
+  public readonly calls: entryCalls.EntryCalls
+
+  constructor () {
+    const rows = Array.from({ length: 9 }, (_, i) => fake.rowOf({ nodeId: `till-${i}` }))
+    const document = fake.documentOf({ routes: [fake.routeOf({ retry: { maxAttempts: 9 } })] })
+    const mesh = new fake.FakeMesh(rows, document)
+    this.calls = mesh.entryCalls(1, undefined, this.crashes)
+  }
+
+  public begin (): fake.Send {
+    return fake.asSend(this.calls.begin(fake.requestOf({}), NOW_MS))
+  }
+
+  public answer (send: fake.Send, fields: Partial<messages.AnswerMessage>): ReturnType<entryCalls.EntryCalls['answered']> {
+    return this.calls.answered(send.callId, send.to, fake.answerOf(send.callId, fields), NOW_MS)
+  }
+}
+
+function crashOf ({ to, fingerprint }: fake.Send): hosting.CrashRecord {
+  return { key: '', fingerprint, nodeId: to, atMs: NOW_MS, concurrent: 1 }
+}
+
+const LOST: Partial<messages.AnswerMessage> = { outcome: 'unknown', reason: 'target-lost', status: 502 }
+
+test.describe('EntryCalls with crash records', () => {
+  test.describe('answer that carries a record', () => {
+    test.it('ends the retries at the second crash, because each further one would cost a target', () => {
+      const entry = new Entry()
+      const first = entry.begin()
+      const second = fake.asSend(entry.answer(first, { ...LOST, crashes: [crashOf(first)] }))
+      const final = fake.asAnswer(entry.answer(second, { ...LOST, crashes: [crashOf(second)] }))
+      assert.deepEqual([final.outcome, final.reason], ['unknown', 'target-lost'])
+      const repeated = fake.asAnswer(entry.calls.begin(fake.requestOf({}), NOW_MS))
+      assert.deepEqual([repeated.outcome, repeated.reason], ['not-run', 'crashes-target'])
+    })
+
+    test.it('with all that the host knows ends them at the first, when others have lost targets to the request', () => {
+      const entry = new Entry()
+      const first = entry.begin()
+      const crashes = [crashOf(first), { ...crashOf(first), nodeId: 'elsewhere' }]
+      assert.equal(fake.asAnswer(entry.answer(first, { ...LOST, crashes })).reason, 'target-lost')
+    })
+
+    test.it('is told to the next host, which keeps suspects apart only if it knows them', () => {
+      const entry = new Entry()
+      const first = entry.begin()
+      assert.equal(first.crashes, undefined)
+      const second = fake.asSend(entry.answer(first, { ...LOST, crashes: [crashOf(first)] }))
+      assert.deepEqual(second.crashes, [crashOf(first)])
+    })
+
+    test.it('of a host that was not asked changes nothing, so that a late answer cannot block a request', () => {
+      const entry = new Entry()
+      const first = entry.begin()
+      const crashes = ['a', 'b'].map(nodeId => ({ ...crashOf(first), nodeId }))
+      assert.equal(entry.calls.answered(first.callId, 'other', fake.answerOf(first.callId, { ...LOST, crashes }), NOW_MS), undefined)
+      entry.begin()
+    })
+  })
+
+  test.describe('answer without a record', () => {
+    test.it('ends the retries too if the crashes are known, as on an entry node that is the host itself', () => {
+      const entry = new Entry()
+      const first = entry.begin()
+      entry.crashes.record(crashOf(first), NOW_MS)
+      const second = fake.asSend(entry.answer(first, LOST))
+      entry.crashes.record(crashOf(second), NOW_MS)
+      fake.asAnswer(entry.answer(second, LOST))
+    })
+
+    test.it('ends a redirect, which is not counted as an attempt', () => {
+      const entry = new Entry()
+      const first = entry.begin()
+      for (const nodeId of ['a', 'b']) entry.crashes.record({ ...crashOf(first), nodeId }, NOW_MS)
+      const final = fake.asAnswer(entry.answer(first, { outcome: 'not-run', reason: 'draining', status: 503 }))
+      assert.equal(final.outcome, 'not-run')
+    })
+
+    test.it('of a target keeps its status, so that the caller gets the answer that there is', () => {
+      const entry = new Entry()
+      const first = entry.begin()
+      for (const nodeId of ['a', 'b']) entry.crashes.record({ ...crashOf(first), nodeId }, NOW_MS)
+      assert.equal(fake.asAnswer(entry.answer(first, { status: 500 })).status, 500)
+    })
+  })
+
+  test.describe('connection that is lost with the VM of the host', () => {
+    test.it('brings no record, and the attempts of the call are the bound', () => {
+      const entry = new Entry()
+      let sends = 0
+      for (let decision: ReturnType<entryCalls.EntryCalls['failed']> = entry.begin(); decision?.kind === 'send'; sends++) {
+        decision = entry.calls.failed(decision.callId, 'peer-lost', NOW_MS)
+      }
+      assert.equal(sends, 9)
+    })
+
+    test.it('is not followed by a retry of a request that is known to crash targets', () => {
+      const entry = new Entry()
+      const first = entry.begin()
+      for (const nodeId of ['a', 'b']) entry.crashes.record({ ...crashOf(first), nodeId }, NOW_MS)
+      assert.equal(fake.asAnswer(entry.calls.failed(first.callId, 'peer-lost', NOW_MS)).outcome, 'unknown')
+    })
+  })
+})
--- a/packages/common/src/routing/EntryCalls.ts
+++ b/packages/common/src/routing/EntryCalls.ts
@@ -51,7 +51,7 @@
   /** Random bits of generated keys come from here; the process seeds it from a secure source. */
   readonly random: base.IRandom
   /** Refuses requests that crash targets, if given. */
-  readonly crashes?: Pick<hostingServices.ICrashTable, 'isBlocked'>
+  readonly crashes?: Pick<hostingServices.ICrashTable, 'isBlocked' | 'record' | 'recordsOf'>
   /** Hash of method, path and body; SHA-256 in JavaScript if absent. Every node must use the same one. */
   readonly fingerprint?: (request: types.EntryRequest) => string
 }
@@ -132,7 +132,7 @@
       redirects: 0,
       mayHaveRun: key !== undefined
     }
-    if (this._options.crashes?.isBlocked(call.key, call.fingerprint, nowMs) === true) return this._end(call, 'crashes-target')
+    if (this._isBlocked(call, nowMs)) return this._end(call, 'crashes-target')
     if (call.outerAttempt <= 1) this._budget(call).firstAttempt(call.terms.retryBudgetRatio)
     return this._send(call, nowMs)
   }
@@ -141,6 +141,8 @@
     const call = this._calls.get(callId)
     if (call === undefined || call.to !== from) return undefined
     this._options.selector.observe(from, answers.resultOf(answer), answer.load, nowMs, nowMs - call.sentAtMs)
+    // Known before the decision on a retry, which would cost another target.
+    for (const crash of answer.crashes ?? []) this._options.crashes?.record(crash, nowMs)
     if (answer.outcome === 'answered') return this._targetAnswered(call, answer, nowMs)
     if (answer.outcome === 'not-run' || isUnowned(call, answer)) return this._refusedByHost(call, answer, nowMs)
     call.mayHaveRun = true
@@ -210,7 +212,7 @@
   }
 
   private _redirect (call: Call, nowMs: base.Millis, successor?: base.NodeId): types.EntryDecision | undefined {
-    if (call.redirects >= MOST_REDIRECTS || nowMs >= call.deadlineAtMs) return undefined
+    if (call.redirects >= MOST_REDIRECTS || nowMs >= call.deadlineAtMs || this._isBlocked(call, nowMs)) return undefined
     const row = this._untried(call, successor) ?? this._next(call, nowMs)
     if (row === undefined) return undefined
     call.redirects += 1
@@ -223,12 +225,16 @@
   private _retry (call: Call, nowMs: base.Millis): types.EntryDecision | undefined {
     if (call.key !== undefined && (call.mayHaveRun || !call.keyIsMinted)) return undefined
     if (call.outerAttempt > 1 || call.attempts >= call.route.route.retry.maxAttempts) return undefined
-    if (nowMs >= call.deadlineAtMs) return undefined
+    if (nowMs >= call.deadlineAtMs || this._isBlocked(call, nowMs)) return undefined
     const row = this._next(call, nowMs)
     if (row === undefined || !this._budget(call).take()) return undefined
     return this._sendTo(call, row, true, nowMs)
   }
 
+  private _isBlocked (call: Call, nowMs: base.Millis): boolean {
+    return this._options.crashes?.isBlocked(call.key, call.fingerprint, nowMs) === true
+  }
+
   /** The row of a successor that was not asked yet. */
   private _untried (call: Call, successor: base.NodeId | undefined): membership.MemberRow | undefined {
     if (successor === undefined || successor === call.to || call.tried?.has(successor) === true) return undefined
@@ -292,6 +298,7 @@
     call.to = row.nodeId
     call.sentAtMs = nowMs
     this._options.selector.sent(row.nodeId, nowMs)
+    const crashes = this._options.crashes?.recordsOf(call.fingerprint) ?? []
     return {
       kind: 'send',
       callId: call.callId,
@@ -304,7 +311,8 @@
       route: call.route.route,
       version: call.version,
       key: call.key,
-      fingerprint: call.fingerprint
+      fingerprint: call.fingerprint,
+      ...(crashes.length === 0 ? {} : { crashes })
     }
   }
 
--- a/packages/common/src/routing/FakeMesh.ts
+++ b/packages/common/src/routing/FakeMesh.ts
@@ -131,8 +131,9 @@
     return new targetSelector.TargetSelector({ membership: this, enforcement: this, random: new random.Random(seed), ...size })
   }
 
-  public entryCalls (seed: number, selector = this.selector(seed)): entryCalls.EntryCalls {
-    return new entryCalls.EntryCalls({ membership: this, enforcement: this, ownership: this, selector, random: new random.Random(seed + 1) })
+  public entryCalls (seed: number, selector = this.selector(seed), crashes?: hostingServices.ICrashTable): entryCalls.EntryCalls {
+    const known = crashes === undefined ? {} : { crashes }
+    return new entryCalls.EntryCalls({ membership: this, enforcement: this, ownership: this, selector, random: new random.Random(seed + 1), ...known })
   }
 }
 
--- a/packages/common/src/routing/Types.ts
+++ b/packages/common/src/routing/Types.ts
@@ -18,7 +18,7 @@
 
 /** What the entry node does next with a call. */
 export type EntryDecision =
-  | { readonly kind: 'send', readonly callId: number, readonly to: base.NodeId, readonly address: string, readonly attempt: number, readonly deadlineAtMs: base.Millis, /** Arrival of the call, or time of issue of the key that replaced another. */ readonly sentAtMs: base.Millis, readonly route: config.RouteConfig, readonly version: number, readonly key: string | undefined, readonly fingerprint: string }
+  | { readonly kind: 'send', readonly callId: number, readonly to: base.NodeId, readonly address: string, readonly attempt: number, readonly deadlineAtMs: base.Millis, /** Arrival of the call, or time of issue of the key that replaced another. */ readonly sentAtMs: base.Millis, readonly route: config.RouteConfig, readonly version: number, readonly key: string | undefined, readonly fingerprint: string, /** What this node knows of crashes by the fingerprint, for the host. */ readonly crashes?: readonly hosting.CrashRecord[] }
   | { readonly kind: 'answer', readonly callId: number, readonly answer: hosting.FinalAnswer }
 
 /** A service and the zones in which its targets may be used, as one configuration states them. */
--- a/packages/node/src/EntryGateway.ts
+++ b/packages/node/src/EntryGateway.ts
@@ -193,7 +193,8 @@
       key: decision.key,
       fingerprint: decision.fingerprint,
       depth: request.depth,
-      attempt: Math.max(decision.attempt, request.attempt)
+      attempt: Math.max(decision.attempt, request.attempt),
+      ...(decision.crashes === undefined ? {} : { crashes: decision.crashes })
     }
   }
 
--- a/packages/node/src/HostGateway.ts
+++ b/packages/node/src/HostGateway.ts
@@ -91,8 +91,9 @@
   public delegateAnswered (link: services.IPeerLink, answer: messages.AnswerMessage): void {
     const run = this._delegatedRun(link, answer.callId)
     if (run === undefined) return
-    if (answer.outcome === 'not-run') this._finish(run, { kind: 'not-started', reason: answer.reason }, 0, answer.load)
-    else if (answer.outcome === 'unknown') this._finish(run, { kind: 'lost', reason: answer.reason, targetDied: false }, 0, answer.load)
+    const { reason, load, crashes = [] } = answer
+    if (answer.outcome === 'not-run') this._finish(run, { kind: 'not-started', reason, crashes }, 0, load)
+    else if (answer.outcome === 'unknown') this._finish(run, { kind: 'lost', reason, targetDied: false, crashes }, 0, load)
     else if (!answer.last) run.head(answer.status, answer.headers, this._options.host.load)
     else this._finish(run, wholeAnswer(answer, answer.targetMs ?? 0), answer.targetMs ?? 0, answer.load)
   }
@@ -238,6 +239,8 @@
     this._runs.delete(run.runId)
     run.delegate?.release(-run.runId)
     const answer = this._options.host.finish(run.runId, result, this._options.nowMs(), load)
+    // Crash records go out before the answer, because its receiver may send the request on at once.
+    this._options.stepped()
     run.finish(answer, result.kind === 'answered', this._options.host.load, targetMs)
     this._options.stepped()
   }
--- a/packages/node/src/HostRun.ts
+++ b/packages/node/src/HostRun.ts
@@ -111,9 +111,10 @@
 
 /** Sends a whole answer. */
 export function reply (link: services.IPeerLink, callId: number, answer: hosting.FinalAnswer, load: hosting.LoadReport, targetMs: number): void {
-  const { outcome, reason, status, headers, body, retryAfterMs, successor } = answer
+  const { outcome, reason, status, headers, body, retryAfterMs, successor, crashes } = answer
   const redirect = successor === undefined ? {} : { successor }
-  link.send({ kind: 'answer', callId, outcome, reason, status, headers, body, last: true, retryAfterMs, load, targetMs, ...redirect })
+  const known = crashes === undefined ? {} : { crashes }
+  link.send({ kind: 'answer', callId, outcome, reason, status, headers, body, last: true, retryAfterMs, load, targetMs, ...redirect, ...known })
 }
 
 /** Answers a resend that came after a streamed answer had begun. */
--- a/packages/node/src/MessageSchemas.ts
+++ b/packages/node/src/MessageSchemas.ts
@@ -28,6 +28,8 @@
 /** Membership and distribution check their messages themselves, without a change of state. */
 const CHECKED_BY_CORE: Schema<never> = { type: 'object' }
 
+const CRASH = object<hosting.CrashRecord>({ key: TEXT, fingerprint: TEXT, nodeId: TEXT, atMs: COUNT, concurrent: COUNT })
+const CRASHES: Schema<readonly hosting.CrashRecord[]> = { ...list(CRASH), maxItems: 64 }
 const LOAD = object<hosting.LoadReport>({ inFlight: COUNT, queued: COUNT, slots: COUNT })
 const OWNER = object<hosting.PartitionOwner>({ nodeId: TEXT, incarnation: COUNT })
 const WINDOW_FIELDS: Fields<hosting.InheritedWindows> = { from: OWNER, released: FLAG, atMs: NUMBER, forgottenUntilMs: NUMBER }
@@ -79,8 +81,9 @@
     fingerprint: TEXT,
     depth: COUNT,
     attempt: COUNT,
-    delegatedBy: TEXT
-  }, ['body', 'key', 'delegatedBy']),
+    delegatedBy: TEXT,
+    crashes: CRASHES
+  }, ['body', 'key', 'delegatedBy', 'crashes']),
   cancel: object<messages.CancelMessage>({ callId: INTEGER }),
   answer: object<messages.AnswerMessage>({
     callId: INTEGER,
@@ -93,8 +96,9 @@
     retryAfterMs: NUMBER,
     load: LOAD,
     targetMs: NUMBER,
-    successor: TEXT
-  }, ['body', 'targetMs', 'successor']),
+    successor: TEXT,
+    crashes: CRASHES
+  }, ['body', 'targetMs', 'successor', 'crashes']),
   chunk: object<messages.ChunkMessage>({ callId: INTEGER, sequence: COUNT, body: BYTES, last: FLAG, failed: FLAG }, ['body']),
   'chunk-credit': object<messages.ChunkCreditMessage>({ callId: INTEGER, sequence: COUNT })
 }
--- a/packages/node/src/PeerCodec.test.ts
+++ b/packages/node/src/PeerCodec.test.ts
@@ -37,6 +37,28 @@
     })
   })
 
+  test.describe('crash records of a call', () => {
+    const crash = { key: '', fingerprint: 'f', nodeId: 'a', atMs: 1_790_000_000_000, concurrent: 1 }
+    const answer: messages.AnswerMessage = {
+      kind: 'answer', callId: 7, outcome: 'unknown', reason: 'target-lost', status: 0, headers: {}, body: undefined, last: true, retryAfterMs: 0, load: { inFlight: 0, queued: 0, slots: 2 }
+    }
+
+    test.it('arrive with the call and its answer, so that the receiver knows them before it decides', () => {
+      for (const message of [{ ...CALL, crashes: [crash] }, { ...answer, crashes: [crash] }]) {
+        assert.deepEqual((codec.decode(codec.encode(message)).unwrap() as messages.CallMessage).crashes, [crash])
+      }
+    })
+
+    test.it('may be absent, because older nodes do not send them', () => {
+      for (const message of [CALL, answer]) assert.ok(codec.decode(codec.encode(message)).isOk())
+    })
+
+    test.it('are refused if they are malformed or too many, so that a faulty peer cannot fill the table at once', () => {
+      const bad = [[{ ...crash, concurrent: -1 }], [{ ...crash, atMs: 'now' }], [{ fingerprint: 'f' }], Array.from({ length: 65 }, () => crash), 'none']
+      for (const crashes of bad) assert.ok(codec.decode(msgpackr.pack({ ...answer, crashes })).isErr(), JSON.stringify(crashes).slice(0, 80))
+    })
+  })
+
   test.describe('handover', () => {
     test.it('accepts what a stopping owner sends, with its keys, so that a planned stop leaves no key unknown', () => {
       const host = new fixture.Host()
