Tell crash records to every target of the service

Cause: a host told a new crash record to 2 or 4 random members. In a mesh of 10 nodes this leaves some out, and they learned of it a round of gossip or a heartbeat later, while the caller repeats the request through other nodes.

Conclusion: a host learns of a crash in its service one message after the record is made, unless its connection to the crashed target's node is down.

--- a/packages/common/src/membership/Membership.test.ts
+++ b/packages/common/src/membership/Membership.test.ts
@@ -170,6 +170,18 @@
       probe.membership.receive('peer', { ...gossip(), crashes: [{ ...crash, nodeId: 'other' }] }, NOW_MS)
       assert.ok(told(probe) > own)
     })
+
+    test.it('of the own target are told to every other target of the service, because chance leaves out hosts that get the request next', () => {
+      const probe = new Probe()
+      const targets = Array.from({ length: 20 }, (_, i) => `till-${i}`)
+      probe.membership.receive('peer', gossip(...targets.map(nodeId => peerRow({ nodeId }))), NOW_MS)
+      probe.membership.receive('peer', gossip(...['a', 'b', 'c'].map(nodeId => peerRow({ nodeId, service: 'vault' }))), NOW_MS)
+      probe.effects.length = 0
+      probe.crashes.record({ ...crash, nodeId: 'self' }, NOW_MS)
+      const recipients = probe.effects.flatMap(effect => effect.kind === 'send' && effect.message.kind === 'gossip' ? [effect.to] : [])
+      assert.deepEqual(targets.filter(nodeId => !recipients.includes(nodeId)), [])
+      assert.equal(new Set(recipients).size, recipients.length)
+    })
   })
 
   test.describe('heartbeats', () => {
--- a/packages/common/src/membership/Membership.ts
+++ b/packages/common/src/membership/Membership.ts
@@ -5,6 +5,7 @@
 import type * as hosting from '../hosting/Services.js'
 import type * as hostingTypes from '../hosting/Types.js'
 import type * as messages from '../node/Messages.js'
+import * as crashRecipients from './CrashRecipients.js'
 import * as detectors from './FailureDetector.js'
 import * as goneRows from './GoneRows.js'
 import * as gossips from './Gossip.js'
@@ -335,8 +336,9 @@
 
   /** Heartbeats alone are slower than a caller that repeats a crashing request through one node after the other. */
   private _tellCrash (record: hostingTypes.CrashRecord): void {
-    const fanout = limits.URGENT_FANOUT[this._options.terms().preference]
-    this._sendToRandom(fanout, { kind: 'gossip', ...this._ownVersions(), updates: [], crashes: [record] })
+    const recipients = crashRecipients.recipientsOf(record, this, limits.URGENT_FANOUT[this._options.terms().preference])
+    const message: messages.GossipMessage = { kind: 'gossip', ...this._ownVersions(), updates: [], crashes: [record] }
+    for (const nodeId of recipients) this._send(nodeId, message)
   }
 
   private _sendToRandom (fanout: number, message: messages.GossipMessage): void {
