--- a/packages/testbed/features/failures.feature
+++ b/packages/testbed/features/failures.feature
@@ -73,7 +73,6 @@
     Then most calls are answered
     And no payment runs twice and no refusal is false
 
-  @known-red
   Scenario: Several requests crash their targets at once
     Given 100 calls per second are sent
     When 3 kiosks at once send different payments that crash their targets, each through every node in turn
