Define failure and shedding statuses once

Cause: hosting/TargetHealth.ts and routing/Answers.ts each held the statuses 500 and 503, so a change of one would have made hosts and entry nodes disagree on a target.

--- a/packages/common/src/routing/Answers.ts
+++ b/packages/common/src/routing/Answers.ts
@@ -1,5 +1,6 @@
 import type * as base from '../base/Types.js'
 import * as keys from '../hosting/Keys.js'
+import * as targetStatus from '../hosting/TargetStatus.js'
 import type * as hosting from '../hosting/Types.js'
 import type * as messages from '../node/Messages.js'
 import type * as types from './Types.js'
@@ -28,11 +29,6 @@
 /** Refusals that say that the host takes no calls at the moment. */
 const hostRefusals: ReadonlySet<hosting.OutcomeReason> = new Set<hosting.OutcomeReason>(['overloaded', 'draining'])
 
-const FIRST_FAILURE_STATUS = 500
-
-/** Status with which a target sheds load; it is not a failure. */
-const SHEDDING_STATUS = 503
-
 /** Final answer of a call that brought no answer of a target. */
 export function withoutAnswer (outcome: 'not-run' | 'unknown', reason: hosting.OutcomeReason, retryAfterMs: base.Millis = DEFAULT_RETRY_AFTER_MS): hosting.FinalAnswer {
   return {
@@ -70,8 +66,8 @@
 /** What an answer says about its target. */
 export function resultOf (answer: Pick<messages.AnswerMessage, 'outcome' | 'reason' | 'status'>): types.SendResult {
   if (answer.outcome === 'answered') {
-    if (answer.status === SHEDDING_STATUS) return 'refused'
-    return answer.status >= FIRST_FAILURE_STATUS ? 'failure' : 'success'
+    if (targetStatus.isShedding(answer.status)) return 'refused'
+    return targetStatus.isFailure(answer.status) ? 'failure' : 'success'
   }
   if (targetFailures.has(answer.reason)) return 'failure'
   return hostRefusals.has(answer.reason) ? 'refused' : 'neutral'
