Wake the modelled host at its deadlines in the goodput benchmark

Cause: HostModel ended queued calls only with the tick of 100 ms, while the process also wakes at the earliest deadline (DeadlineTimer). The refusals in the tables came up to 100 ms later than those of the process. Change: HostModel arms a timer at nextDeadlineMs, and carries out delegations of queued calls. Conclusion: part of the late refusals was an error of the model. The rest, maxQueueMs plus the way back, is how long queued calls wait for a target that gives no answers.

--- a/packages/testbed/src/bench/HostModel.ts
+++ b/packages/testbed/src/bench/HostModel.ts
@@ -22,12 +22,17 @@
   readonly replies: Reply[]
 }
 
+/** A timer of the process is set up to this much after a deadline. */
+const TIMER_MARGIN_MS = 1
+
 /** The process around `HostCalls`: a queue by slots, the modelled target and the answers to everyone who waits. */
 export class HostModel {
   private readonly _options: HostModelOptions
   private readonly _runs = new Map<number, Run>()
   private readonly _queue: number[] = []
   private _running = 0
+  /** When the process wakes next for a deadline of `HostCalls`. */
+  private _wakeAtMs = Infinity
 
   constructor (options: HostModelOptions) {
     this._options = options
@@ -56,13 +61,39 @@
     }
     this._queue.push(decision.runId)
     this._startNext()
+    this._arm(host.nextDeadlineMs)
   }
 
   public tick (): void {
     const { events, host, node } = this._options
     if (node.isDead) return
-    for (const update of host.tick(events.nowMs)) {
-      if (update.kind === 'answer') this._reply(update.runId, update.answer)
+    this._update(host.tick(events.nowMs))
+  }
+
+  /** Wakes at the deadline, as `DeadlineTimer` does in the process, if it does not wake earlier. */
+  private _arm (deadlineAtMs: number): void {
+    const { events, host, node } = this._options
+    if (deadlineAtMs >= this._wakeAtMs) return
+    this._wakeAtMs = deadlineAtMs
+    events.after(Math.max(0, deadlineAtMs - events.nowMs) + TIMER_MARGIN_MS, () => {
+      if (node.isDead || this._wakeAtMs !== deadlineAtMs) return
+      this._wakeAtMs = Infinity
+      this._update(host.expire(events.nowMs))
+      this._arm(host.nextDeadlineMs)
+    })
+  }
+
+  private _update (updates: readonly hosting.HostUpdate[]): void {
+    for (const update of updates) {
+      if (update.kind === 'answer') {
+        this._reply(update.runId, update.answer)
+        continue
+      }
+      const run = this._runs.get(update.runId)
+      if (run === undefined) continue
+      this._runs.delete(update.runId)
+      this._runs.set(update.delegateRunId, run)
+      this._delegate(update.delegateRunId, update.to, { ...run.call, remainingMs: run.deadlineAtMs - this._options.events.nowMs })
     }
   }
 
