Notice a hanging target by its silence and refuse its queue at once

Cause: a target that hangs was noticed only after 5 calls had used half of the route's time. Lost runs do not change the mean service time, so admission went on to queue calls behind slots that were never freed, and each waited for maxQueueMs. After the ejection all slots were filled again. Change: HangDetector takes silence while all slots are taken as the evidence: no answer and no part of one for max(6 means, mean + 8 deviations, 100 ms) of the service times. Two looks 10 ms apart are needed, because after a pause of the process answers may wait to be read. The queue is then refused as no-target with Retry-After (idempotent calls are retried elsewhere by their entry nodes), queued keys are delegated, and the target gets one call at a time after a pause of 1 s that doubles, until its first answer. The process wakes at the time of the check.

--- a/packages/common/src/hosting/Admission.ts
+++ b/packages/common/src/hosting/Admission.ts
@@ -1,10 +1,8 @@
 import type * as base from '../base/Types.js'
 import * as queues from './DeadlineQueue.js'
+import * as serviceTimes from './ServiceTimes.js'
 import type * as types from './Types.js'
 
-/** Weight of the newest service time in the moving average. */
-const SERVICE_TIME_WEIGHT = 0.1
-
 /** A hint below this would make callers retry in a tight loop. */
 const MIN_RETRY_AFTER_MS = 50
 
@@ -19,10 +17,14 @@
   readonly initialServiceMs: base.Millis
 }
 
-/** Limits of the target that apply to one decision. */
-export interface TargetLimits {
+/** Calls that a target can run at the same time. */
+export interface TargetWidth {
   readonly slots: number
   readonly connections: number
+}
+
+/** Limits of the target that apply to one decision. */
+export interface TargetLimits extends TargetWidth {
   readonly maxQueueMs: base.Millis
 }
 
@@ -33,11 +35,11 @@
 /** Counts calls on the target and in its queue, and admits a call only if it can start in time. */
 export class Admission {
   public readonly queue = new queues.DeadlineQueue()
+  public readonly serviceTimes: serviceTimes.ServiceTimes
   private _inFlight = 0
-  private _meanServiceMs: base.Millis
 
   constructor (options: AdmissionOptions) {
-    this._meanServiceMs = options.initialServiceMs
+    this.serviceTimes = new serviceTimes.ServiceTimes(options.initialServiceMs)
   }
 
   public get inFlight (): number {
@@ -45,11 +47,16 @@
   }
 
   public get meanServiceMs (): base.Millis {
-    return this._meanServiceMs
+    return this.serviceTimes.meanMs
+  }
+
+  /** Whether every slot is taken. */
+  public isFull (limits: TargetWidth): boolean {
+    return this._inFlight >= width(limits)
   }
 
   /** Whether a call would have to wait. Each running call uses one connection. */
-  public isBusy (limits: TargetLimits): boolean {
+  public isBusy (limits: TargetWidth): boolean {
     return this._inFlight + this.queue.size >= width(limits)
   }
 
@@ -57,7 +64,7 @@
     if (remainingMs <= 0) return { kind: 'refused', reason: 'deadline', retryAfterMs: MIN_RETRY_AFTER_MS }
     const waitMs = this.expectedWaitMs(limits)
     const longWaitMs = waitMs * WAIT_MARGIN
-    if (waitMs > 0 && (longWaitMs > limits.maxQueueMs || longWaitMs + this._meanServiceMs > remainingMs)) {
+    if (waitMs > 0 && (longWaitMs > limits.maxQueueMs || longWaitMs + this.meanServiceMs > remainingMs)) {
       return { kind: 'refused', reason: 'overloaded', retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, Math.ceil(waitMs)) }
     }
     // With a free slot the call starts as soon as the process gets to it, which is no time in the queue.
@@ -69,7 +76,7 @@
   public expectedWaitMs (limits: TargetLimits): base.Millis {
     const slots = width(limits)
     const ahead = this._inFlight + this.queue.size + 1 - slots
-    return ahead <= 0 ? 0 : ahead * this._meanServiceMs / slots
+    return ahead <= 0 ? 0 : ahead * this.meanServiceMs / slots
   }
 
   public started (runId: number): void {
@@ -80,11 +87,10 @@
   /** `serviceMs` is undefined when the run gave no answer. */
   public ended (serviceMs: base.Millis | undefined): void {
     this._inFlight--
-    if (serviceMs === undefined) return
-    this._meanServiceMs += SERVICE_TIME_WEIGHT * (serviceMs - this._meanServiceMs)
+    if (serviceMs !== undefined) this.serviceTimes.record(serviceMs)
   }
 }
 
-function width (limits: TargetLimits): number {
+function width (limits: TargetWidth): number {
   return Math.max(1, Math.min(limits.slots, limits.connections))
 }
--- a/packages/common/src/hosting/CallLimits.ts
+++ b/packages/common/src/hosting/CallLimits.ts
@@ -28,6 +28,12 @@
     return this._routes.get(name)
   }
 
+  /** Undefined if the configuration does not name the service of this node. */
+  public get width (): admission.TargetWidth | undefined {
+    this._refresh()
+    return this._service
+  }
+
   /** Undefined if the configuration does not name the service of this node. */
   public of (routeName: string): admission.TargetLimits | undefined {
     this._refresh()
--- a/packages/common/src/hosting/HostCalls.ts
+++ b/packages/common/src/hosting/HostCalls.ts
@@ -4,6 +4,7 @@
 import * as admissions from './Admission.js'
 import * as answers from './Answers.js'
 import * as blames from './CrashBlame.js'
+import * as decisions from './Decisions.js'
 import * as delegations from './DelegationTable.js'
 import * as keyChecks from './KeyCheck.js'
 import * as keys from './Keys.js'
@@ -19,9 +20,6 @@
 /** Peers with a larger difference are refused when they connect. */
 const MAX_CLOCK_DIFFERENCE_MS = 250
 
-/** Retry time when the target or the node cannot take work now. */
-const RETRY_AFTER_MS = 100
-
 /** Retention without a configuration; no call runs then, so it only keeps memory. */
 const DEFAULT_KEY_RETENTION_MS = 600_000
 
@@ -46,10 +44,6 @@
   readonly keyLimits?: Partial<typeof keyTables.DEFAULT_LIMITS>
 }
 
-type Place =
-  | { readonly kind: 'admitted', readonly limits: admissions.TargetLimits, readonly latestStartMs: base.Millis }
-  | { readonly kind: 'refused', readonly reason: types.OutcomeReason, readonly retryAfterMs: base.Millis }
-
 /**
  * Calls on the target beside this node.
  *
@@ -80,7 +74,7 @@
   private readonly _windows: windows.OwnedWindows
   private readonly _blame: blames.CrashBlame
   private readonly _check: keyChecks.KeyCheck
-  private readonly _health = new targetHealth.TargetHealth()
+  private readonly _health = new targetHealth.TargetHealth(this._admission.serviceTimes)
   private _isDraining = false
   private _isClosed = false
   private _successor: types.PartitionOwner | undefined
@@ -108,7 +102,9 @@
   }
 
   public get nextDeadlineMs (): base.Millis {
-    return this._admission.queue.earliestMs
+    const { queue } = this._admission
+    if (queue.size === 0) return Infinity
+    return this._isFull ? Math.min(queue.earliestMs, this._health.dueMs) : queue.earliestMs
   }
 
   /** Keys and refusals that are remembered. */
@@ -121,9 +117,9 @@
       const keyed = { ...call, key: keys.normalizeKey(call.key) }
       return call.delegatedBy === undefined ? this._acceptKeyed(keyed, nowMs) : this._acceptDelegated(from, keyed, nowMs)
     }
-    if (this._limits.route(call.route)?.idempotent === false) return answer(answers.notRun('bad-key', 0))
+    if (this._limits.route(call.route)?.idempotent === false) return decisions.answer(answers.notRun('bad-key', 0))
     const place = this._place(call, nowMs)
-    if (place.kind === 'refused') return answer(answers.notRun(place.reason, place.retryAfterMs))
+    if (place.kind === 'refused') return decisions.answer(answers.notRun(place.reason, place.retryAfterMs))
     return this._enqueue(call, place, undefined, nowMs)
   }
 
@@ -136,9 +132,14 @@
     run.startedAtMs = nowMs
     run.timeoutMs = this._limits.route(run.route)?.timeoutMs
     this._admission.started(runId)
+    this._health.started(run)
     return true
   }
 
+  public progressed (nowMs: base.Millis): void {
+    this._health.worked(nowMs)
+  }
+
   public finish (runId: number, result: types.RunResult, nowMs: base.Millis, load?: types.LoadReport): types.FinalAnswer {
     const run = this._runs.get(runId)
     // The run has ended before, and everyone who waited has the answer.
@@ -163,7 +164,7 @@
 
   public beginDrain (nowMs: base.Millis): readonly types.HostUpdate[] {
     this._isDraining = true
-    return [...this._runs.local()].filter(run => run.place === 'queue').map(run => this._vacate(run, nowMs))
+    return this._vacateQueue('draining', nowMs)
   }
 
   public close (): void {
@@ -206,7 +207,13 @@
   }
 
   public expire (nowMs: base.Millis): readonly types.HostUpdate[] {
-    return this._admission.queue.takeExpired(nowMs).map(runId => this._expire(runId, nowMs))
+    const expired = this._admission.queue.takeExpired(nowMs).map(runId => this._expire(runId, nowMs))
+    return this._health.check(this._isFull, nowMs) ? [...expired, ...this._vacateQueue('no-target', nowMs)] : expired
+  }
+
+  private get _isFull (): boolean {
+    const width = this._limits.width
+    return width !== undefined && this._admission.isFull(width)
   }
 
   private get _retentionMs (): base.Millis {
@@ -216,15 +223,15 @@
   private _acceptDelegated (from: base.NodeId, call: requests.KeyedCall, nowMs: base.Millis): types.HostDecision {
     const id = delegations.identity(from, call)
     const known = this._delegations.get(id)
-    if (known !== undefined) return 'runId' in known ? this._join(known.runId, call, nowMs) : answer(known.answer)
+    if (known !== undefined) return 'runId' in known ? this._join(known.runId, call, nowMs) : decisions.answer(known.answer)
     // An older message may have been run and forgotten, so this is not a statement that it was not run.
-    if (requests.isStale(call, nowMs) || this._isBeforeStart(call)) return answer(answers.unknown('stale-send'))
-    if (this._options.crashes.hasRun(call.key)) return answer(answers.unknown('crashes-target'))
+    if (requests.isStale(call, nowMs) || this._isBeforeStart(call)) return decisions.answer(answers.unknown('stale-send'))
+    if (this._options.crashes.hasRun(call.key)) return decisions.answer(answers.unknown('crashes-target'))
     const place = this._place(call, nowMs)
     if (place.kind === 'refused') {
       const refusal = answers.notRun(place.reason, place.retryAfterMs)
       this._delegations.ended(id, refusal, nowMs)
-      return answer(refusal)
+      return decisions.answer(refusal)
     }
     const decision = this._enqueue(call, place, id, nowMs)
     this._delegations.begun(id, decision.runId)
@@ -237,15 +244,15 @@
 
   private _acceptKeyed (call: requests.KeyedCall, nowMs: base.Millis): types.HostDecision {
     const keyTime = keys.keyTimeMs(call.key)
-    if (keyTime.isErr()) return answer(answers.notRun('bad-key', 0))
+    if (keyTime.isErr()) return decisions.answer(answers.notRun('bad-key', 0))
     const keyTimeMs = keyTime.value
     const remembered = this._check.remembered(call, nowMs)
     if (remembered !== undefined) return remembered.kind === 'running' ? this._join(remembered.runId, call, nowMs) : remembered
-    if (this._successor !== undefined) return answer({ ...answers.unknown('not-owner'), successor: this._successor.nodeId })
+    if (this._successor !== undefined) return decisions.answer({ ...answers.unknown('not-owner'), successor: this._successor.nodeId })
     const unowned = this._check.unowned(call, keyTimeMs, nowMs)
-    if (unowned !== undefined) return answer(unowned)
+    if (unowned !== undefined) return decisions.answer(unowned)
     const refused = this._keyRefusal(call, keyTimeMs, nowMs)
-    if (refused !== undefined) return this._refuseKey(call, keyTimeMs, refused, RETRY_AFTER_MS, nowMs)
+    if (refused !== undefined) return this._refuseKey(call, keyTimeMs, refused, decisions.RETRY_AFTER_MS, nowMs)
     return this._runOwned(call, keyTimeMs, nowMs)
   }
 
@@ -280,26 +287,28 @@
   }
 
   /** Whether the target can take the call now. */
-  private _place (call: messages.CallMessage, nowMs: base.Millis): Place {
+  private _place (call: messages.CallMessage, nowMs: base.Millis): decisions.Place {
     const target = this._limits.of(call.route)
-    if (target === undefined) return refused('no-configuration')
-    if (call.service !== this._options.service || !this._options.targetReady()) return refused('no-target')
-    if (this._isDraining) return refused('draining')
-    if (this._options.crashes.isBlocked(call.key, call.fingerprint, nowMs)) return refused('crashes-target')
-    if (this._blame.mustWait(call.fingerprint, nowMs)) return refused('overloaded')
+    if (target === undefined) return decisions.refused('no-configuration')
+    if (call.service !== this._options.service || !this._options.targetReady()) return decisions.refused('no-target')
+    if (this._isDraining) return decisions.refused('draining')
+    if (!this._health.takesCall(!this._admission.isBusy(target), nowMs)) return decisions.refused('no-target')
+    if (this._options.crashes.isBlocked(call.key, call.fingerprint, nowMs)) return decisions.refused('crashes-target')
+    if (this._blame.mustWait(call.fingerprint, nowMs)) return decisions.refused('overloaded')
     const verdict = this._admission.decide(target, call.remainingMs, nowMs)
     return verdict.kind === 'refused' ? verdict : { ...verdict, limits: target }
   }
 
-  private _enqueue (call: messages.CallMessage, place: Place & { kind: 'admitted' }, delegation: string | undefined, nowMs: base.Millis): types.HostDecision & { kind: 'run' } {
+  private _enqueue (call: messages.CallMessage, place: decisions.Place & { kind: 'admitted' }, delegation: string | undefined, nowMs: base.Millis): types.HostDecision & { kind: 'run' } {
     const { runId } = this._runs.add(call, 'queue', place.limits, delegation, nowMs)
     this._admission.queue.add(runId, place.latestStartMs)
+    this._health.accepted(runId)
     return { kind: 'run', runId, latestStartMs: place.latestStartMs }
   }
 
   private _join (runId: number, call: messages.CallMessage, nowMs: base.Millis): types.HostDecision {
     const run = this._runs.get(runId)
-    if (run === undefined) return answer(answers.unknown('running'))
+    if (run === undefined) return decisions.answer(answers.unknown('running'))
     run.waiters++
     run.deadlineAtMs = Math.max(run.deadlineAtMs, nowMs + call.remainingMs)
     // Puts a run back whose earlier callers have all gone.
@@ -309,7 +318,7 @@
 
   private _refuseKey (call: requests.KeyedCall, keyTimeMs: base.Millis, reason: types.OutcomeReason, retryAfterMs: base.Millis, nowMs: base.Millis): types.HostDecision {
     this._keys.refuse(call.key, { ...requests.identityOf(call), keyTimeMs, reason, untilMs: nowMs + keyChecks.REFUSAL_MEMORY_MS })
-    return answer(answers.notRun(reason, Math.max(keyChecks.KEY_RETRY_AFTER_MS, retryAfterMs)))
+    return decisions.answer(answers.notRun(reason, Math.max(keyChecks.KEY_RETRY_AFTER_MS, retryAfterMs)))
   }
 
   private _dropReason (run: runs.Run, nowMs: base.Millis): types.OutcomeReason | undefined {
@@ -323,7 +332,10 @@
 
   private _leaveTarget (run: runs.Run, result: types.RunResult, nowMs: base.Millis): void {
     this._admission.queue.remove(run.runId)
-    if (run.place !== 'target') return
+    if (run.place !== 'target') {
+      this._health.dropped(run.runId)
+      return
+    }
     this._admission.ended(result.kind === 'answered' ? result.serviceMs : undefined)
     this._health.ended(run, result, nowMs)
   }
@@ -341,7 +353,7 @@
       return answers.unknown(result.reason)
     }
     const reason = run.dropReason ?? result.reason
-    if (ownedKey === undefined) return answers.notRun(reason, RETRY_AFTER_MS)
+    if (ownedKey === undefined) return answers.notRun(reason, decisions.RETRY_AFTER_MS)
     const keyTimeMs = this._keys.get(ownedKey)?.keyTimeMs ?? 0
     this._keys.refuse(ownedKey, { ...requests.identityOf(run), keyTimeMs, reason, untilMs: nowMs + keyChecks.REFUSAL_MEMORY_MS })
     return answers.notRun(reason, keyChecks.KEY_RETRY_AFTER_MS)
@@ -353,13 +365,19 @@
     return { kind: 'answer', runId, answer: this.finish(runId, { kind: 'not-started', reason }, nowMs) }
   }
 
+  /** Empties the queue, but for the call that tries whether the target still hangs. */
+  private _vacateQueue (reason: types.OutcomeReason, nowMs: base.Millis): readonly types.HostUpdate[] {
+    const queued = [...this._runs.local()].filter(run => run.place === 'queue' && (reason === 'draining' || !this._health.isProbe(run.runId)))
+    return queued.map(run => this._vacate(run, reason, nowMs))
+  }
+
   /** Moves a queued call away from the target: to a delegate if this node owns its key, else back to the entry node. */
-  private _vacate (run: runs.Run, nowMs: base.Millis): types.HostUpdate {
+  private _vacate (run: runs.Run, reason: types.OutcomeReason, nowMs: base.Millis): types.HostUpdate {
     const ownedKey = run.delegation === undefined ? run.key : undefined
     const choice = ownedKey === undefined || run.waiters === 0 ? undefined : this._options.delegates.select(run.service, nowMs)
     const entry = ownedKey === undefined ? undefined : this._keys.get(ownedKey)
     if (choice === undefined || entry === undefined) {
-      const final = this.finish(run.runId, { kind: 'not-started', reason: 'draining' }, nowMs)
+      const final = this.finish(run.runId, { kind: 'not-started', reason }, nowMs)
       return { kind: 'answer', runId: run.runId, answer: final }
     }
     // A new id, so that the process cannot end the delegated run when it drops the queued one.
@@ -370,11 +388,3 @@
     return { kind: 'delegate', runId: run.runId, delegateRunId: moved.runId, to: choice.nodeId, address: choice.address }
   }
 }
-
-function answer (final: types.FinalAnswer): types.HostDecision {
-  return { kind: 'answer', answer: final }
-}
-
-function refused (reason: types.OutcomeReason): Place {
-  return { kind: 'refused', reason, retryAfterMs: RETRY_AFTER_MS }
-}
--- a/packages/common/src/hosting/Services.ts
+++ b/packages/common/src/hosting/Services.ts
@@ -98,6 +98,8 @@
    * others get what is returned here. `load` is that of the delegate that answered.
    */
   finish(runId: number, result: types.RunResult, nowMs: base.Millis, load?: types.LoadReport): types.FinalAnswer
+  /** The target has sent a part of an answer. */
+  progressed(nowMs: base.Millis): void
   /** The caller is gone. Returns whether the run must be aborted; owners of keys let a started run finish. */
   cancel(runId: number, nowMs: base.Millis): boolean
   /** Takes no new work for the target. Returns what becomes of the queued calls. */
@@ -108,9 +110,9 @@
   release(to: types.PartitionOwner, nowMs: base.Millis): types.Handover
   /** Takes over the key table of an owner that stops. False: it was meant for another process, or this one stops too. */
   inherit(handover: types.Handover, nowMs: base.Millis): boolean
-  /** Time after which a queued call can no longer start; infinite without one. */
+  /** Time at which `expire` may have something to do for a queued call; infinite without one. */
   readonly nextDeadlineMs: base.Millis
-  /** Returns the final answers of queued calls that can no longer start. */
+  /** Returns what becomes of queued calls that can no longer start, and of all queued calls if the target hangs. */
   expire(nowMs: base.Millis): readonly types.HostUpdate[]
   /** Forgets what is no longer needed, and expires queued calls. */
   tick(nowMs: base.Millis): readonly types.HostUpdate[]
--- a/packages/common/src/hosting/TargetHealth.ts
+++ b/packages/common/src/hosting/TargetHealth.ts
@@ -1,33 +1,114 @@
 import * as failureStreak from '../base/FailureStreak.js'
 import type * as base from '../base/Types.js'
+import * as hangDetector from './HangDetector.js'
 import type * as runs from './RunTable.js'
+import type * as serviceTimes from './ServiceTimes.js'
 import * as targetStatus from './TargetStatus.js'
 import type * as types from './Types.js'
 
 /** What the verdict on the target needs to know of a run. */
-export type EndedRun = Pick<runs.Run, 'runId' | 'startedAtMs' | 'timeoutMs'>
+export type TargetRun = Pick<runs.Run, 'runId' | 'startedAtMs' | 'timeoutMs'>
 
-/** Whether the target beside this node fails call after call, by the rules that entry nodes use for ejection. */
+/** Whether the target beside this node hangs, or fails call after call by the rules that entry nodes use for ejection. */
 export class TargetHealth {
   private readonly _streak = new failureStreak.FailureStreak()
+  private readonly _hang: hangDetector.HangDetector
+  /** The call that tries whether a target still hangs. */
+  private _probeId: number | undefined
+  private _probeStartedAtMs: base.Millis = Infinity
 
-  /** For a time after failures in a row; then one more call is tried. */
+  constructor (private readonly _times: serviceTimes.ServiceTimes) {
+    this._hang = new hangDetector.HangDetector(_times)
+  }
+
+  public get isHanging (): boolean {
+    return this._hang.isHanging
+  }
+
+  /** While the target hangs, and for a time after failures in a row; then one more call is tried. */
   public isFailing (nowMs: base.Millis): boolean {
-    return this._streak.isEjected(nowMs)
+    return this._hang.isHanging || this._streak.isEjected(nowMs)
+  }
+
+  /** A target that hangs takes one call at a time, each after a longer pause, and only into a free slot. */
+  public takesCall (hasFreeSlot: boolean, nowMs: base.Millis): boolean {
+    if (!this._hang.isHanging) return true
+    return hasFreeSlot && this._probeId === undefined && !this._streak.isEjected(nowMs)
+  }
+
+  /** A call was put into the queue. */
+  public accepted (runId: number): void {
+    if (this._hang.isHanging) this._probeId = runId
+  }
+
+  public isProbe (runId: number): boolean {
+    return runId === this._probeId
+  }
+
+  public started (run: TargetRun): void {
+    this._hang.started(run.runId, run.startedAtMs)
+    if (run.runId === this._probeId) this._probeStartedAtMs = run.startedAtMs
+  }
+
+  /** The target has sent a part of an answer. */
+  public worked (nowMs: base.Millis): void {
+    if (this._hang.isHanging) this._streak.endEjection(nowMs)
+    this._hang.worked(nowMs)
   }
 
-  /** A run on the target has ended. */
-  public ended (run: EndedRun, result: types.RunResult, nowMs: base.Millis): void {
+  /** A run that was on the target has ended. */
+  public ended (run: TargetRun, result: types.RunResult, nowMs: base.Millis): void {
+    this._hang.ended(run.runId)
+    if (result.kind === 'lost' && result.targetDied) this._restarted(nowMs)
+    if (result.kind === 'answered') this.worked(nowMs)
     if (isFailure(run, result, nowMs)) {
-      if (this._streak.failed(nowMs)) this._streak.eject(nowMs)
+      if (this._streak.failed(nowMs)) this._eject(nowMs)
     } else if (result.kind === 'answered' && targetStatus.isSuccess(result.status)) {
       this._streak.succeeded(nowMs)
     }
+    if (run.runId === this._probeId && result.kind === 'lost' && result.reason === 'deadline') this._eject(nowMs)
+    this.dropped(run.runId)
+  }
+
+  /** A run has ended, maybe before it started. */
+  public dropped (runId: number): void {
+    if (runId === this._probeId) this._endProbe()
+  }
+
+  /** Time of the next `check` that can change the verdict, if all slots stay taken. */
+  public get dueMs (): base.Millis {
+    return this._hang.dueMs
+  }
+
+  /** Returns whether the target hangs. `isFull`: all its slots are taken. */
+  public check (isFull: boolean, nowMs: base.Millis): boolean {
+    const wasHanging = this._hang.isHanging
+    if (!this._hang.check(isFull, nowMs)) return false
+    if (!wasHanging) this._eject(nowMs)
+    if (nowMs >= this._probeStartedAtMs + this._hang.limitMs) {
+      this._endProbe()
+      this._eject(nowMs)
+    }
+    return true
+  }
+
+  private _eject (nowMs: base.Millis): void {
+    if (!this._streak.isEjected(nowMs)) this._streak.eject(nowMs)
+  }
+
+  private _endProbe (): void {
+    this._probeId = undefined
+    this._probeStartedAtMs = Infinity
+  }
+
+  private _restarted (nowMs: base.Millis): void {
+    this._times.restarted()
+    this.worked(nowMs)
   }
 }
 
 /** A short deadline of the caller says little about the target. */
-function isFailure (run: EndedRun, result: types.RunResult, nowMs: base.Millis): boolean {
+function isFailure (run: TargetRun, result: types.RunResult, nowMs: base.Millis): boolean {
   if (result.kind === 'answered') return targetStatus.isFailure(result.status)
   if (result.kind === 'not-started') return false
   if (result.reason === 'target-lost') return true
--- a/packages/node/src/HostGateway.ts
+++ b/packages/node/src/HostGateway.ts
@@ -52,6 +52,7 @@
       case 'run':
         this._options.deadlineAt(decision.latestStartMs)
         this._begin(link, call, decision.runId, nowMs)
+        this._options.deadlineAt(this._options.host.nextDeadlineMs)
         break
       case 'delegate':
         this._delegate(link, call, decision, nowMs)
@@ -158,10 +159,12 @@
   }
 
   public head (request: types.TargetRequest, status: number, headers: Record<string, string>): void {
+    this._options.host.progressed(this._options.nowMs())
     this._runs.get(request.runId)?.head(status, headers, this._options.host.load)
   }
 
   public chunk (request: types.TargetRequest, body: Uint8Array): boolean {
+    this._options.host.progressed(this._options.nowMs())
     return this._runs.get(request.runId)?.chunk(body) ?? true
   }
 
--- a/packages/node/src/NodeProcess.test.ts
+++ b/packages/node/src/NodeProcess.test.ts
@@ -8,6 +8,9 @@
 import * as undici from 'undici'
 import * as uuid from 'uuid'
 
+/** Enough that the service times of a busy machine's pauses have faded from the averages. */
+const ANSWERS_BEFORE_HANG = 100
+
 test.describe('NodeProcess', () => {
   let mesh: testMesh.TestMesh
 
@@ -250,6 +253,21 @@
       assert.equal(answer.headers['elmpost-reason'], 'overloaded')
       await answer.body.dump()
     })
+
+    test.it('refuse a call that waits for a target that has begun to hang, long before its queue time is over', async () => {
+      let isHanging = false
+      const entry = await start((_request, response) => { if (!isHanging) response.end() })
+      for (let i = 0; i < ANSWERS_BEFORE_HANG; i++) await (await undici.request(`${entry.callerUrl}/price`)).body.dump()
+      isHanging = true
+      const written = mesh.target().paths.length
+      for (let i = 0; i < 2; i++) undici.request(`${entry.callerUrl}/price`).catch(() => {})
+      await testMesh.until(() => mesh.target().paths.length === written + 2)
+      const answer = await undici.request(`${entry.callerUrl}/price`, { headersTimeout: 4000 })
+      assert.equal(answer.headers['elmpost-outcome'], 'not-run')
+      assert.equal(answer.headers['elmpost-reason'], 'no-target')
+      assert.ok(Number(answer.headers['retry-after']) > 0)
+      await answer.body.dump()
+    })
   })
 
   test.describe('planned stop', () => {
