Shed 7 of 8 keys of a failing target when no other node has a free slot

Cause: an owner whose target fails delegates its keys, but ran all of them on the failing target when the other nodes were full. The failure is then the stored answer of the key, and every resend gets it. Change: while the target is passed over for its failures, the owner runs one in 8 of the keys that it cannot delegate, and refuses the others as no-target; such a key can be sent again with Retry-After. The first success of a call that began since ends this. One in 8 still runs, because a failing target of a service without other nodes must be found to have recovered. The test 'runs its keys while no other node can' is unchanged; its name now says that a key is still run, and three tests hold the share and the recovery. A target that fails only a part of its calls was not measured.

--- a/packages/common/src/hosting/HostCalls.hang.test.ts
+++ b/packages/common/src/hosting/HostCalls.hang.test.ts
@@ -167,3 +167,41 @@
     assert.deepEqual(host.calls.expire(T1 + 411), [])
   })
 })
+
+test.describe('HostCalls beside a target that fails', () => {
+  const failure: types.RunResult = { ...fixture.ANSWER, status: 500 }
+
+  function kindOf (host: fixture.Host, nowMs: number): string {
+    const decision = host.calls.accept('entry', fixture.call(nowMs, { key: fixture.keyAt(nowMs) }), nowMs)
+    if (decision.kind !== 'run') return decision.kind
+    host.calls.start(decision.runId, nowMs)
+    host.calls.finish(decision.runId, failure, nowMs)
+    return decision.kind
+  }
+
+  test.it('refuses 7 of 8 keys that no other node can run, because a refused key can be sent again and a failed one cannot', () => {
+    const host = new fixture.Host()
+    for (let i = 0; i < 5; i++) host.calls.finish(runOne(host, T0), failure, T0)
+    const kinds = Array.from({ length: 16 }, () => kindOf(host, T0 + 1))
+    assert.deepEqual([kinds.filter(kind => kind === 'run').length, kinds.filter(kind => kind === 'answer').length], [2, 14])
+  })
+
+  test.it('runs all keys again after the first success', () => {
+    const host = new fixture.Host()
+    for (let i = 0; i < 5; i++) host.calls.finish(runOne(host, T0), failure, T0)
+    const decision = host.calls.accept('entry', fixture.call(T0 + 1, { key: fixture.keyAt(T0 + 1) }), T0 + 1)
+    assert.ok(decision.kind === 'run' && host.calls.start(decision.runId, T0 + 1))
+    assert.equal(kindOf(host, T0 + 2), 'answer')
+    host.calls.finish(decision.runId, fixture.ANSWER, T0 + 3)
+    assert.deepEqual([kindOf(host, T0 + 4), kindOf(host, T0 + 4)], ['run', 'run'])
+  })
+
+  test.it('is not taken to have recovered by a success of a call that began before the failures', () => {
+    const host = new fixture.Host()
+    const early = runOne(host, T0)
+    for (let i = 0; i < 5; i++) host.calls.finish(runOne(host, T0 + 1), failure, T0 + 1)
+    host.calls.finish(early, fixture.ANSWER, T0 + 2)
+    kindOf(host, T0 + 3)
+    assert.equal(kindOf(host, T0 + 3), 'answer')
+  })
+})
--- a/packages/common/src/hosting/HostCalls.test.ts
+++ b/packages/common/src/hosting/HostCalls.test.ts
@@ -122,7 +122,7 @@
       })
     }
 
-    test.it('runs its keys while no other node can, because a failing target is better than none', () => {
+    test.it('still runs a key while no other node can, because a failing target is better than none', () => {
       const host = new fixture.Host()
       fail(host, 5, failure, T0)
       assert.equal(placeOf(host, T0), 'run')
--- a/packages/common/src/hosting/HostCalls.ts
+++ b/packages/common/src/hosting/HostCalls.ts
@@ -271,6 +271,7 @@
       const choice = this._options.delegates.select(call.service, nowMs)
       if (choice !== undefined) return this._delegate(call, keyTimeMs, target, choice, nowMs)
     }
+    if (!this._health.takesKey(nowMs)) return this._refuseKey(call, keyTimeMs, 'no-target', decisions.RETRY_AFTER_MS, nowMs)
     const place = this._place(call, nowMs)
     if (place.kind === 'refused') return this._refuseKey(call, keyTimeMs, place.reason, place.retryAfterMs, nowMs)
     const decision = this._enqueue(call, place, undefined, nowMs)
--- a/packages/common/src/hosting/TargetHealth.ts
+++ b/packages/common/src/hosting/TargetHealth.ts
@@ -6,6 +6,9 @@
 import * as targetStatus from './TargetStatus.js'
 import type * as types from './Types.js'
 
+/** One key in this many is still run while the target fails and no other node has a free slot, to notice its recovery. */
+const KEYS_PER_TRIAL = 8
+
 /** What the verdict on the target needs to know of a run. */
 export type TargetRun = Pick<runs.Run, 'runId' | 'startedAtMs' | 'timeoutMs'>
 
@@ -16,6 +19,8 @@
   /** The call that tries whether a target still hangs. */
   private _probeId: number | undefined
   private _probeStartedAtMs: base.Millis = Infinity
+  private _keysWhileFailing = 0
+  private _ejectedAtMs: base.Millis = 0
 
   constructor (private readonly _times: serviceTimes.ServiceTimes) {
     this._hang = new hangDetector.HangDetector(_times)
@@ -36,6 +41,12 @@
     return hasFreeSlot && this._probeId === undefined && !this._streak.isEjected(nowMs)
   }
 
+  /** Whether to run a key that no other node can run. A refused one can be sent again, a failed one cannot. */
+  public takesKey (nowMs: base.Millis): boolean {
+    if (this._hang.isHanging || !this._streak.isEjected(nowMs)) return true
+    return this._keysWhileFailing++ % KEYS_PER_TRIAL === 0
+  }
+
   /** A call was put into the queue. */
   public accepted (runId: number): void {
     if (this._hang.isHanging) this._probeId = runId
@@ -64,7 +75,7 @@
     if (isFailure(run, result, nowMs)) {
       if (this._streak.failed(nowMs)) this._eject(nowMs)
     } else if (result.kind === 'answered' && targetStatus.isSuccess(result.status)) {
-      this._streak.succeeded(nowMs)
+      this._succeeded(run, nowMs)
     }
     if (run.runId === this._probeId && result.kind === 'lost' && result.reason === 'deadline') this._eject(nowMs)
     this.dropped(run.runId)
@@ -92,8 +103,17 @@
     return true
   }
 
+  /** Calls that were in flight when the target began to fail tell nothing new. */
+  private _succeeded (run: TargetRun, nowMs: base.Millis): void {
+    if (this._streak.isEjected(nowMs) && run.startedAtMs >= this._ejectedAtMs) this._streak.endEjection(nowMs)
+    this._streak.succeeded(nowMs)
+  }
+
   private _eject (nowMs: base.Millis): void {
-    if (!this._streak.isEjected(nowMs)) this._streak.eject(nowMs)
+    if (this._streak.isEjected(nowMs)) return
+    this._ejectedAtMs = nowMs
+    this._keysWhileFailing = 0
+    this._streak.eject(nowMs)
   }
 
   private _endProbe (): void {
