Pass on calls whose queue time ends while the target may hang

Cause: a call that was queued when the target began to hang reached the end of its queue time before the silence was long enough to count as hanging. It was refused as overloaded, which no entry node retries. Change: such a call is refused as no-target, which entry nodes retry elsewhere, or delegated if it has a key, once the target has been silent for half of the limit with all slots taken.

--- a/packages/common/src/hosting/HangDetector.ts
+++ b/packages/common/src/hosting/HangDetector.ts
@@ -8,6 +8,12 @@
 const SILENT_MEANS = 6
 const SILENT_DEVIATIONS = 8
 
+/**
+ * This share of that silence is enough to try a call elsewhere that would be refused otherwise. With a third, `till`
+ * with a slow target answered 1,513 instead of 1,536 calls/s at twice the capacity.
+ */
+const SUSPECT_SHARE = 1 / 2
+
 /** A pause of the target for garbage collection is usually shorter. */
 const SHORTEST_SILENCE_MS = 100
 
@@ -59,6 +65,11 @@
     return Math.max(SHORTEST_SILENCE_MS, SILENT_MEANS * meanMs, meanMs + SILENT_DEVIATIONS * deviationMs)
   }
 
+  /** Whether the target has been silent for long enough that it may hang. */
+  public isSuspect (isFull: boolean, nowMs: base.Millis): boolean {
+    return isFull && nowMs >= this._silentSinceMs + SUSPECT_SHARE * this.limitMs
+  }
+
   /** Time of the next `check` that can change the verdict, if all slots stay taken. */
   public get dueMs (): base.Millis {
     if (this._isHanging) return Infinity
--- a/packages/common/src/hosting/HostCalls.hang.test.ts
+++ b/packages/common/src/hosting/HostCalls.hang.test.ts
@@ -5,6 +5,7 @@
 
 const SERVICE_MS = 40
 const SLOTS = 2
+const SHORT_QUEUE_MS = 150
 
 /** Silence after which a target with this service time counts as hanging, with the time to confirm it. */
 const NOTICED_MS = 6 * SERVICE_MS + 10
@@ -28,6 +29,14 @@
   return host
 }
 
+/** A warm host with a queue time of more than half of the silence that counts as hanging. */
+function shortQueue (): fixture.Host {
+  const host = warm()
+  const routes = fixture.DOCUMENT.routes.map(route => ({ ...route, limits: { ...route.limits, maxQueueMs: SHORT_QUEUE_MS } }))
+  host.document = { ...fixture.DOCUMENT, routes }
+  return host
+}
+
 function fill (host: fixture.Host, nowMs: number): readonly number[] {
   return Array.from({ length: SLOTS }, () => runOne(host, nowMs))
 }
@@ -58,6 +67,18 @@
     assert.deepEqual([outcome, reason, retryAfterMs], ['not-run', 'no-target', 100])
   })
 
+  test.it('passes on calls whose queue time ends before it is known to hang, so that other nodes can run them', () => {
+    const host = shortQueue()
+    fill(host, T1)
+    host.run(fixture.call(T1), T1)
+    host.run(fixture.call(T1, { key: fixture.keyAt(T1) }), T1)
+    host.delegate = { nodeId: 'b', address: 'b:1' }
+    const [idempotent, keyed] = expireUntil(host, T1, T1 + SHORT_QUEUE_MS + 1)
+    assert.ok(idempotent?.kind === 'answer')
+    assert.deepEqual([idempotent.answer.outcome, idempotent.answer.reason], ['not-run', 'no-target'])
+    assert.equal(keyed?.kind, 'delegate')
+  })
+
   test.it('refuses new calls at once and holds no slot or queue place for them', () => {
     const host = warm()
     hang(host)
@@ -136,6 +157,16 @@
     assert.deepEqual(expireUntil(host, T1 + 5 * SERVICE_MS, T1 + 10 * SERVICE_MS), [])
   })
 
+  test.it('refuses a call for good whose queue time ends while the target gives answers, so that full nodes get no retries', () => {
+    const host = shortQueue()
+    const [first] = fill(host, T1)
+    host.run(fixture.call(T1), T1)
+    host.calls.finish(first ?? 0, { ...fixture.ANSWER, serviceMs: SERVICE_MS }, T1 + SERVICE_MS)
+    runOne(host, T1 + SERVICE_MS)
+    const [update] = expireUntil(host, T1 + SERVICE_MS, T1 + SHORT_QUEUE_MS + 1)
+    assert.ok(update?.kind === 'answer' && update.answer.reason === 'overloaded')
+  })
+
   test.it('keeps taking calls while a slot is free, because one slow call says nothing about the others', () => {
     const host = warm()
     runOne(host, T1)
--- a/packages/common/src/hosting/HostCalls.ts
+++ b/packages/common/src/hosting/HostCalls.ts
@@ -362,7 +362,9 @@
 
   private _expire (runId: number, nowMs: base.Millis): types.HostUpdate {
     const run = this._runs.get(runId)
-    const reason = run !== undefined && nowMs <= run.deadlineAtMs ? 'overloaded' : 'deadline'
+    const hasTime = run !== undefined && nowMs <= run.deadlineAtMs
+    if (hasTime && this._health.isSuspect(this._isFull, nowMs)) return this._vacate(run, 'no-target', nowMs)
+    const reason = hasTime ? 'overloaded' : 'deadline'
     return { kind: 'answer', runId, answer: this.finish(runId, { kind: 'not-started', reason }, nowMs) }
   }
 
--- a/packages/common/src/hosting/TargetHealth.ts
+++ b/packages/common/src/hosting/TargetHealth.ts
@@ -91,6 +91,11 @@
     return this._hang.dueMs
   }
 
+  /** Whether the target may hang, but too little is known yet to take its queue away. */
+  public isSuspect (isFull: boolean, nowMs: base.Millis): boolean {
+    return this._hang.isSuspect(isFull, nowMs)
+  }
+
   /** Returns whether the target hangs. `isFull`: all its slots are taken. */
   public check (isFull: boolean, nowMs: base.Millis): boolean {
     const wasHanging = this._hang.isHanging
