--- a/packages/common/src/routing/Answers.ts
+++ b/packages/common/src/routing/Answers.ts
@@ -23,6 +23,9 @@
 
 const DEFAULT_STATUS = 503
 
+/** Failures of the target, as its host saw them. */
+const targetFailures: ReadonlySet<hosting.OutcomeReason> = new Set<hosting.OutcomeReason>(['target-lost', 'no-target'])
+
 /** Refusals that say that the host takes no calls at the moment. */
 const hostRefusals: ReadonlySet<hosting.OutcomeReason> = new Set<hosting.OutcomeReason>(['overloaded', 'draining'])
 
@@ -66,8 +69,7 @@
     if (targetStatus.isShedding(answer.status)) return 'refused'
     return targetStatus.isFailure(answer.status) ? 'failure' : 'success'
   }
-  if (answer.reason === 'no-target') return 'unavailable'
-  if (answer.reason === 'target-lost') return 'failure'
+  if (targetFailures.has(answer.reason)) return 'failure'
   return hostRefusals.has(answer.reason) ? 'refused' : 'neutral'
 }
 
--- a/packages/common/src/routing/TargetSelector.ts
+++ b/packages/common/src/routing/TargetSelector.ts
@@ -94,8 +94,8 @@
     const service = this._serviceOf.get(nodeId)
     if (service !== undefined && elapsedMs !== undefined && result === 'success') this._latencies.record(service, nodeId, elapsedMs, nowMs)
     if (result === 'success') this._ejection.succeeded(nodeId, nowMs)
-    else if (result === 'failure' || result === 'unavailable') this._ejection.failed(nodeId, nowMs)
-    if (result === 'refused' || result === 'unavailable') this._loads.refused(nodeId, nowMs)
+    else if (result === 'failure') this._ejection.failed(nodeId, nowMs)
+    else if (result === 'refused') this._loads.refused(nodeId, nowMs)
   }
 
   public utilizationOf (nodeId: base.NodeId, slots: number, nowMs: base.Millis): number {
--- a/packages/common/src/routing/Types.ts
+++ b/packages/common/src/routing/Types.ts
@@ -32,8 +32,6 @@
 export type SendResult =
   | 'success'
   | 'failure'
-  /** The host says that its target takes no calls: a failure, and the target counts as full for a moment. */
-  | 'unavailable'
   /** The target or its host turned the call away; it counts as full for a moment. */
   | 'refused'
   /** The end tells nothing about the target, for example because the caller left. */
