--- a/packages/common/src/hosting/HangDetector.ts
+++ b/packages/common/src/hosting/HangDetector.ts
@@ -2,8 +2,8 @@
 import type * as serviceTimes from './ServiceTimes.js'
 
 /**
- * Silence of a target whose slots are all taken, in mean service times and in deviations above the mean. With 4 means, a
- * target that had become 10 times slower was taken for hanging in 4 of 18 runs of the goodput benchmark; with 6, in 1.
+ * Silence of a target whose slots are all taken, in mean service times and in deviations above the mean. A target
+ * that became 10 times slower was affected in 4 of 18 runs of the goodput benchmark with 4 means, and in 1 with 6.
  */
 const SILENT_MEANS = 6
 const SILENT_DEVIATIONS = 8
