Report records that a node cannot read, and not ready while it cannot follow

Cause: a node whose log held a version of an unknown rule set said so only among the verdicts of /admin/status. It logged nothing and /readyz answered 200. Records of the ownership stream with an unknown form were skipped without a trace.

Change: Readiness carries upgradeReason while the blocked version is above the one in force, /readyz then answers 503 with upgrade-needed, and each skipped record of the streams config and ownership gives the log line record-skipped with its remedy. The node stays a member and its calls go on, because anybody who can append to the log could forge such a record.

Conclusion: the present software says what it could not say before; nodes that already run older software still only show the verdict.

--- a/packages/common/src/config/Acceptance.ts
+++ b/packages/common/src/config/Acceptance.ts
@@ -43,6 +43,10 @@
     return this._block === undefined ? undefined : fold.upgradeReason(this._block)
   }
 
+  public get blockedVersion (): number | undefined {
+    return this._block?.version
+  }
+
   public apply (record: types.LogRecord): types.Verdict {
     if (!isLogRecord(record)) return this._unreadable(this._nextOffset, undefined, 'The log returned a record without an offset.')
     if (record.offset < this._nextOffset) return this._folded(record)
--- a/packages/common/src/config/Services.ts
+++ b/packages/common/src/config/Services.ts
@@ -21,6 +21,8 @@
   readonly anchorOffset: number | undefined
   /** Why records cannot be judged by this software; undefined while they can. */
   readonly upgradeReason: string | undefined
+  /** The version in force if newer software accepted the record that this software cannot judge; undefined without one. */
+  readonly blockedVersion: number | undefined
   /** Never throws, whatever the record holds. */
   apply(record: types.LogRecord): types.Verdict
   /** Notes that the log has dropped every record before an offset, although it may hold none after it. */
--- a/packages/common/src/distribution/Distribution.ts
+++ b/packages/common/src/distribution/Distribution.ts
@@ -14,6 +14,7 @@
 import * as ownerships from './OwnershipExchange.js'
 import * as repairs from './PullRepair.js'
 import * as pushers from './Pusher.js'
+import * as readiness from './Readiness.js'
 import * as evidences from './RestartEvidence.js'
 import type * as services from './Services.js'
 import * as snapshots from './SnapshotKeeper.js'
@@ -48,6 +49,8 @@
   readonly strategy?: types.DistributionStrategy
   /** Told of each message or state that was ignored, for the log and the metrics. */
   readonly onMalformed?: (error: Error) => void
+  /** Told of each verdict that this node reaches as a reader. */
+  readonly onVerdict?: (verdict: config.Verdict) => void
 }
 
 /** Brings accepted versions to this node and its zone: log reading, push, repair and restart. */
@@ -170,16 +173,8 @@
   }
 
   public readiness (): types.Readiness {
-    const { enforcement } = this._options
-    const enforcedVersion = enforcement.current?.version ?? 0
-    const { floorVersion } = enforcement
-    return { ready: enforcedVersion > 0 && enforcedVersion >= floorVersion, reason: this._reason(enforcedVersion, floorVersion), floorVersion, enforcedVersion }
-  }
-
-  private _reason (enforcedVersion: number, floorVersion: number): types.ReadinessReason {
-    if (enforcedVersion > 0 && enforcedVersion >= floorVersion) return 'ready'
-    if (floorVersion > this._bestVersion) return 'behind-version-in-force'
-    return this._options.membership.isJoined && this._bestVersion === 0 ? 'no-configuration-known' : 'joining'
+    const { enforcement, acceptance, membership } = this._options
+    return readiness.readinessOf({ enforcement, acceptance, bestVersion: this._bestVersion, isJoined: membership.isJoined })
   }
 
   private get _bestState (): config.AcceptedState | undefined {
@@ -334,6 +329,7 @@
   private _fold (record: config.LogRecord, nowMs: base.Millis): void {
     const { acceptance } = this._options
     const verdict = this._judge(record)
+    this._options.onVerdict?.(verdict)
     this._verdicts.push(verdict)
     if (this._verdicts.length > MAX_VERDICTS) this._verdicts.shift()
     const data = record.data as Partial<config.ProposalEnvelope> | Partial<config.SnapshotRecord> | null
--- /dev/null
+++ b/packages/common/src/distribution/Readiness.ts
@@ -0,0 +1,30 @@
+/** Whether the configuration lets a node work. */
+import type * as configServices from '../config/Services.js'
+import type * as services from './Services.js'
+import type * as types from './Types.js'
+
+export interface ReadinessSources {
+  readonly enforcement: services.IEnforcement
+  readonly acceptance: configServices.IAcceptance
+  /** Highest version that the node has received; it may not be in force yet. */
+  readonly bestVersion: number
+  readonly isJoined: boolean
+}
+
+export function readinessOf (sources: ReadinessSources): types.Readiness {
+  const enforcedVersion = sources.enforcement.current?.version ?? 0
+  const { floorVersion } = sources.enforcement
+  const ready = enforcedVersion > 0 && enforcedVersion >= floorVersion
+  const reason = ready ? 'ready' : missing(sources, floorVersion)
+  return { ready, reason, floorVersion, enforcedVersion, ...upgradeOf(sources.acceptance, enforcedVersion) }
+}
+
+function missing ({ bestVersion, isJoined }: ReadinessSources, floorVersion: number): types.ReadinessReason {
+  if (floorVersion > bestVersion) return 'behind-version-in-force'
+  return isJoined && bestVersion === 0 ? 'no-configuration-known' : 'joining'
+}
+
+/** A node that got the version from a peer follows the others although it cannot read the record. */
+function upgradeOf ({ blockedVersion, upgradeReason }: configServices.IAcceptance, enforcedVersion: number): Pick<types.Readiness, 'upgradeReason'> {
+  return upgradeReason === undefined || (blockedVersion ?? 0) <= enforcedVersion ? {} : { upgradeReason }
+}
--- a/packages/common/src/distribution/Types.ts
+++ b/packages/common/src/distribution/Types.ts
@@ -11,6 +11,8 @@
   | 'draining'
   /** No owner of idempotency keys is known for a service that has targets; keyed calls would end `unknown`. */
   | 'no-key-owners'
+  /** The log holds a version that this software cannot read. The node keeps the version that it enforces. */
+  | 'upgrade-needed'
 
 export interface Readiness {
   readonly ready: boolean
@@ -18,6 +20,8 @@
   /** Lowest version that the node may enforce, from what it, its peers and the log know. */
   readonly floorVersion: number
   readonly enforcedVersion: number
+  /** Why a later version in the log cannot be read, with the remedy; absent if there is none. */
+  readonly upgradeReason?: string
 }
 
 export interface VersionEnforced {
--- a/packages/common/src/hosting/OwnershipLog.ts
+++ b/packages/common/src/hosting/OwnershipLog.ts
@@ -53,6 +53,8 @@
   readonly effects: messages.IEffects
   readonly random: base.IRandom
   readonly configuration: () => config.ConfigDocument | undefined
+  /** Told of each record that has no known form. */
+  readonly onSkipped?: (offset: number, error: Error) => void
 }
 
 /**
--- a/packages/common/src/hosting/OwnershipReader.ts
+++ b/packages/common/src/hosting/OwnershipReader.ts
@@ -15,6 +15,8 @@
   readonly table: services.IOwnershipTable
   readonly effects: messages.IEffects
   readonly random: base.IRandom
+  /** Told of each record that has no known form. */
+  readonly onSkipped?: (offset: number, error: Error) => void
 }
 
 /** Reads the `ownership` stream into the table. */
@@ -95,6 +97,7 @@
   private _fold (offset: number, data: unknown): void {
     const record = decoder.decodeRecord(data)
     if (record.isErr()) {
+      this._options.onSkipped?.(offset, record.error)
       this._options.table.skip(offset)
       return
     }
--- a/packages/common/src/node/NodeComposition.ts
+++ b/packages/common/src/node/NodeComposition.ts
@@ -19,6 +19,7 @@
 import * as validatedOnce from '../distribution/ValidatedOnce.js'
 import type * as base from '../base/Types.js'
 import type * as config from '../config/Types.js'
+import type * as nodeServices from './Services.js'
 import type * as memberTypes from '../membership/Types.js'
 import type * as routing from '../routing/Types.js'
 
@@ -37,6 +38,8 @@
   readonly fingerprint?: (request: routing.EntryRequest) => string
   /** Told of each message or state that was refused. */
   readonly onRefused: (error: Error) => void
+  /** Told of each record of the log that has no effect on this node. */
+  readonly onRecordSkipped?: (skipped: nodeServices.RecordSkipped) => void
 }
 
 /** The services of one node, made from its settings. */
@@ -74,10 +77,18 @@
       random,
       effects,
       ownership: table,
-      onMalformed: options.onRefused
+      onMalformed: options.onRefused,
+      onVerdict: verdict => { reportSkipped(verdict, options.onRecordSkipped) }
     })
     const configuration = (): config.ConfigDocument | undefined => enforced.current?.document
-    const ownershipLog = new ownershipLogs.OwnershipLog({ table, membership: members, effects, random, configuration })
+    const ownershipLog = new ownershipLogs.OwnershipLog({
+      table,
+      membership: members,
+      effects,
+      random,
+      configuration,
+      onSkipped: (offset, error) => { options.onRecordSkipped?.({ stream: 'ownership', offset, problem: error.message }) }
+    })
     const selector = new targetSelector.TargetSelector({ membership: members, enforcement: enforced, random })
     const slotsOf = (service: string): number => enforced.current?.document.services.find(({ name }) => name === service)?.slots ?? 1
     const host = new hostCalls.HostCalls({
@@ -128,3 +139,15 @@
     return this._distribution.lastVerdicts
   }
 }
+
+/** Verdicts that do not depend on the state in force, with the remedy if the reason does not name it. */
+const SKIPPED: Partial<Record<config.VerdictKind, string>> = {
+  'unsupported-rules': '',
+  invalid: ' If newer software appended the record, upgrade elmpost on this machine. Otherwise find out who appended it.',
+  'too-large': ' Propose documents with elmpost apply, which checks them first.'
+}
+
+function reportSkipped (verdict: config.Verdict, report: NodeCompositionOptions['onRecordSkipped']): void {
+  const remedy = SKIPPED[verdict.kind]
+  if (remedy !== undefined) report?.({ stream: 'config', offset: verdict.offset, problem: verdict.reason + remedy })
+}
--- a/packages/common/src/node/NodeCore.test.ts
+++ b/packages/common/src/node/NodeCore.test.ts
@@ -4,15 +4,19 @@
 import * as nodeComposition from './NodeComposition.js'
 import * as random from '../base/Random.js'
 import * as test from 'node:test'
+import type * as config from '../config/Types.js'
+import type * as messages from './Messages.js'
+import type * as nodeServices from './Services.js'
 
 const STARTED_AT_MS = 1_790_000_000_000
 
-function compose (service: string): nodeComposition.NodeComposition {
+function compose (service: string, skipped: nodeServices.RecordSkipped[] = []): nodeComposition.NodeComposition {
   return new nodeComposition.NodeComposition({
     self: { nodeId: 'n', incarnation: STARTED_AT_MS, peerAddress: 'n:1', callerAddress: 'n:2', adminAddress: 'n:3', zone: 'vake', service, targetReady: false, targetReadySinceMs: 0, enforcedVersion: 0 },
     seeds: [],
     random: new random.Random(1),
-    onRefused: () => {}
+    onRefused: () => {},
+    onRecordSkipped: record => { skipped.push(record) }
   })
 }
 
@@ -53,6 +57,67 @@
     })
   })
 
+  test.describe('software that is too old', () => {
+    const first = documents.testProposal(1, undefined, documents.testDocument(1))
+    const second = documents.testProposal(2, documents.testState(1, first.document), documents.testDocument(2))
+    const newer = { ...second, rulesVersion: 3, document: { form: 'of newer software' } }
+
+    function readAll (stream: messages.StreamName, ...data: unknown[]): messages.LogReadResult {
+      return { stream, ok: true, records: data.map((record, offset) => ({ offset, data: record })), firstOffset: 0, nextOffset: data.length, retentionMs: 3_600_000 }
+    }
+
+    /** A ready entry node that has read the log, with the state that it took from it. */
+    function started (skipped: nodeServices.RecordSkipped[] = []): nodeComposition.NodeComposition['core'] {
+      const { core } = compose('', skipped)
+      core.services.enforcement.enforce(documents.testState(1, first.document, 0), STARTED_AT_MS)
+      core.services.membership.setState('ready', STARTED_AT_MS)
+      core.logRead(readAll('config', first, newer), STARTED_AT_MS)
+      return core
+    }
+
+    test.it('is not ready and says why while a version that it cannot read may be in force', () => {
+      const readiness = started().readiness(STARTED_AT_MS)
+      assert.equal(readiness.ready, false)
+      assert.equal(readiness.reason, 'upgrade-needed')
+      assert.match(readiness.upgradeReason ?? '', /offset 1 needs rule set 3.*Upgrade elmpost on this machine/)
+      assert.equal(readiness.enforcedVersion, 1)
+    })
+
+    test.it('stays a member, so that calls go on under the version that it keeps', () => {
+      const core = started()
+      assert.equal(core.services.distribution.readiness(STARTED_AT_MS).ready, true)
+      assert.equal(core.services.membership.self.state, 'ready')
+    })
+
+    test.it('is ready again when peers give it that version, because it then follows the others', () => {
+      const core = started()
+      core.services.enforcement.enforce(documents.testState(2, documents.testDocument(2), 1), STARTED_AT_MS)
+      const readiness = core.readiness(STARTED_AT_MS)
+      assert.equal(readiness.reason, 'ready')
+      assert.equal(readiness.upgradeReason, undefined)
+    })
+
+    test.it('reports each record that it skips with the remedy, and none that it judges, so that operators need not search verdicts', () => {
+      const skipped: nodeServices.RecordSkipped[] = []
+      const core = started(skipped)
+      const rival: config.ProposalRecord = documents.testProposal(3, undefined, documents.testDocument(3))
+      const records = [first, newer, { kind: 'later-kind' }, rival]
+      core.logRead({ ...readAll('config', ...records), records: records.map((data, offset) => ({ offset, data })) }, STARTED_AT_MS)
+      assert.deepEqual(skipped.map(({ stream, offset }) => [stream, offset]), [['config', 1], ['config', 2], ['config', 3]])
+      for (const { problem } of skipped) assert.match(problem, /[Uu]pgrade elmpost/)
+      const judged: nodeServices.RecordSkipped[] = []
+      compose('', judged).core.logRead(readAll('config', first, second, rival, second), STARTED_AT_MS)
+      assert.deepEqual(judged, [])
+    })
+
+    test.it('reports records of the ownership stream that it skips with the remedy', () => {
+      const skipped: nodeServices.RecordSkipped[] = []
+      compose('', skipped).core.logRead(readAll('ownership', { kind: 'later-kind' }), STARTED_AT_MS)
+      assert.deepEqual(skipped.map(({ stream, offset }) => [stream, offset]), [['ownership', 0]])
+      assert.match(skipped[0]?.problem ?? '', /same software version/)
+    })
+  })
+
   test.describe('log', () => {
     test.it('asks for the streams that it needs, so that a node without peers finds its configuration', () => {
       const { core, effects } = compose('till')
--- a/packages/common/src/node/NodeCore.ts
+++ b/packages/common/src/node/NodeCore.ts
@@ -101,6 +101,7 @@
     const { membership, distribution, lifecycle } = this.services
     const readiness = distribution.readiness(nowMs)
     if (lifecycle.isDraining) return { ...readiness, ready: false, reason: 'draining' }
+    if (readiness.upgradeReason !== undefined) return { ...readiness, ready: false, reason: 'upgrade-needed' }
     if (!readiness.ready) return readiness
     const self = membership.self
     if (self.state !== 'ready') return { ...readiness, ready: false, reason: 'joining' }
--- a/packages/common/src/node/Services.ts
+++ b/packages/common/src/node/Services.ts
@@ -49,6 +49,14 @@
   readonly reason: string
 }
 
+/** A record of the log that has no effect on this node, because it cannot be read or breaks the rules. */
+export interface RecordSkipped {
+  readonly stream: messages.StreamName
+  readonly offset: number
+  /** What is wrong, with the remedy. */
+  readonly problem: string
+}
+
 /** Current values of a node, read when they are asked for. */
 export interface NodeGauges {
   readonly enforcedVersion: number
--- a/packages/node/src/main.ts
+++ b/packages/node/src/main.ts
@@ -65,7 +65,8 @@
     onRefused: error => {
       log.log('warn', 'state-refused', { problem: error.message })
       node.refusedByCore(error)
-    }
+    },
+    onRecordSkipped: ({ stream, offset, problem }) => { log.log('warn', 'record-skipped', { stream, offset, problem }) }
   })
   process.on('uncaughtException', error => {
     log.log('fatal', 'unexpected-error', { problem: error.stack ?? String(error) })
