Bound the time that a frame from a peer takes to unpack

Cause: a plain frame may have 32 MiB, and the size was its only limit. Empty maps take one byte each and an object each. A delta of several steps had no limit in bytes either: 32 replacements of a whole document fit into it.

Change: a frame above 4 MiB is unpacked only after one binary value, which must turn out to be the body of the call, has been cut out and what is left is below 4 MiB. A handover may be larger if it comes from a member that is draining or suspect, since 120,000 keys take 32 MB. A delta with more than 1 MiB of patches is sent as the whole state, so that no valid message meets the limit. The format of messages has not changed.

Conclusion: any kind but a handover from a stopping member is bounded. A peer that forges such a member can still hold up a node; only a handover in parts would bound that.

--- a/packages/common/src/distribution/StateHistory.ts
+++ b/packages/common/src/distribution/StateHistory.ts
@@ -1,3 +1,4 @@
+import * as configSchema from '../config/ConfigSchema.js'
 import type * as configServices from '../config/Services.js'
 import type * as config from '../config/Types.js'
 
@@ -5,12 +6,16 @@
 const MAX_STEPS = 32
 /** A patch with more operations than this is sent as the whole state. */
 const MAX_OPERATIONS = 512
+/** Patches of several steps can be larger than the document; peers refuse messages of a few documents. */
+const MAX_PATCH_BYTES = configSchema.MAX_DOCUMENT_BYTES
 
 interface Step {
   readonly baseVersion: number
   readonly baseDigest: string
   readonly version: number
   readonly patch: readonly unknown[]
+  /** Length of the patch as JSON. */
+  readonly patchBytes: number
 }
 
 /**
@@ -27,7 +32,7 @@
     if (previous === undefined) return
     const isOwnStep = delta?.baseVersion === previous.version && delta.version === next.version
     const patch = isOwnStep ? delta.patch : this._delta.make(previous, next).patch
-    this._steps.push({ baseVersion: previous.version, baseDigest: previous.digest, version: next.version, patch })
+    this._steps.push({ baseVersion: previous.version, baseDigest: previous.digest, version: next.version, patch, patchBytes: JSON.stringify(patch).length })
     if (this._steps.length > MAX_STEPS) this._steps.shift()
   }
 
@@ -35,7 +40,9 @@
   public deltaFrom (baseVersion: number, baseDigest: string, current: config.AcceptedState): config.ConfigDeltaMessage | undefined {
     const first = this._steps.findIndex(step => step.baseVersion === baseVersion && step.baseDigest === baseDigest)
     if (first < 0) return undefined
-    const patch = this._steps.slice(first).flatMap(step => step.patch)
+    const steps = this._steps.slice(first)
+    if (steps.reduce((sum, step) => sum + step.patchBytes, 0) > MAX_PATCH_BYTES) return undefined
+    const patch = steps.flatMap(step => step.patch)
     if (patch.length > MAX_OPERATIONS) return undefined
     const { version, rulesVersion, digest, asOfOffset } = current
     return { version, rulesVersion, baseVersion, baseDigest, digest, patch, ...(asOfOffset === undefined ? {} : { asOfOffset }) }
--- a/packages/node/src/NodeRuntime.ts
+++ b/packages/node/src/NodeRuntime.ts
@@ -142,6 +142,12 @@
     this.events.fireMessageRefused({ source: 'peer', reason: error.message })
   }
 
+  /** Only a node that is stopping hands over. A table of 120,000 keys takes 32 MB, so no smaller limit fits all of them. */
+  public mayHandOver (link: services.IPeerLink): boolean {
+    const row = this._options.core.services.membership.get(link.nodeId)
+    return row?.state === 'draining' || row?.state === 'suspect'
+  }
+
   public bytes (direction: 'sent' | 'received', kind: messages.PeerMessage['kind'], bytes: number): void {
     this.events.fireBytes(direction, kind, bytes)
   }
--- a/packages/node/src/PeerCodec.test.ts
+++ b/packages/node/src/PeerCodec.test.ts
@@ -1,5 +1,6 @@
 import * as assert from 'node:assert/strict'
 import * as fc from 'fast-check'
+import * as frameBody from './FrameBody.js'
 import * as fixture from '@elmpost/common/hosting/testing/Fixture.js'
 import * as msgpackr from 'msgpackr'
 import * as peerCodec from './PeerCodec.js'
@@ -54,6 +55,46 @@
     })
   })
 
+  test.describe('size', () => {
+    const MIB = 1024 * 1024
+
+    /** A message whose field holds a list of empty maps, which take the most time for their bytes. */
+    function emptyMaps (kind: string, field: string, bytes: number): Buffer {
+      const head = Buffer.concat([Buffer.of(0x82), ...['kind', kind, field].map(text => msgpackr.pack(text)), Buffer.of(0xdd, 0, 0, 0, 0)])
+      head.writeUInt32BE(bytes, head.length - 4)
+      return Buffer.concat([head, Buffer.alloc(bytes, 0x80)])
+    }
+
+    test.it('refuses a large frame of empty maps of any kind before it is unpacked, because that would hold up the node for seconds', () => {
+      for (const [kind, field] of [['table-rows', 'rows'], ['state', 'state'], ['call', 'headers'], ['answer', 'body'], ['handover', 'handover'], ['nothing', 'x']] as const) {
+        const error = codec.decode(emptyMaps(kind, field, frameBody.MAX_STRUCTURE_BYTES)).unwrapErr()
+        assert.match(error.message, /larger than 4194304 bytes/, kind)
+      }
+    })
+
+    test.it('accepts calls with large bodies, whose cost is small', () => {
+      const body = Buffer.alloc(8 * MIB, 7)
+      const decoded = codec.decode(codec.encode({ ...CALL, body })).unwrap() as messages.CallMessage
+      assert.ok(body.equals(decoded.body ?? Buffer.alloc(0)))
+      assert.deepEqual({ ...decoded, body: undefined }, { ...CALL, body: undefined })
+    })
+
+    test.it('refuses a large binary value in any field but the body, so that nothing is hidden from the limit', () => {
+      assert.match(codec.decode(msgpackr.pack({ kind: 'chunk', hidden: Buffer.alloc(8 * MIB) })).unwrapErr().message, /larger than/)
+      assert.match(codec.decode(msgpackr.pack([Buffer.alloc(8 * MIB)])).unwrapErr().message, /larger than/)
+    })
+
+    test.it('accepts a large handover only from a node that may hand over, so that a planned stop loses no key', () => {
+      const handover = new fixture.Host().calls.release({ nodeId: 'b', incarnation: 1 }, fixture.T0)
+      const key = { key: 'k', service: 'till', fingerprint: 1, state: 'answered' as const, reason: 'ok' as const, status: 200, headers: {}, body: Buffer.alloc(1024) }
+      const frame = codec.encode({ kind: 'handover', handover: { ...handover, keys: Array.from({ length: 5000 }, () => key) } })
+      assert.ok(frame.length > frameBody.MAX_STRUCTURE_BYTES)
+      assert.match(codec.decode(frame).unwrapErr().message, /larger than/)
+      assert.ok(codec.decode(frame, () => true).isOk())
+      assert.match(codec.decode(emptyMaps('state', 'state', 5 * MIB), () => true).unwrapErr().message, /larger than/)
+    })
+  })
+
   test.describe('malformed input', () => {
     test.it('gives an error for arbitrary bytes and never throws, so that a peer cannot end the process', () => {
       fc.assert(fc.property(fc.uint8Array({ maxLength: 200 }), bytes => {
--- a/packages/node/src/PeerLink.ts
+++ b/packages/node/src/PeerLink.ts
@@ -146,7 +146,7 @@
 
   private _received (data: Buffer, isBinary: boolean): void {
     if (!this.isAlive) return
-    const decoded = isBinary ? this._options.codec.decode(data) : undefined
+    const decoded = isBinary ? this._options.codec.decode(data, () => this._options.receiver.mayHandOver(this)) : undefined
     if (decoded === undefined || decoded.isErr()) {
       this._options.receiver.refused(this, decoded?.error ?? new Error('a text frame arrived where only binary frames are valid'))
       return
--- a/packages/node/src/PeerLinks.test.ts
+++ b/packages/node/src/PeerLinks.test.ts
@@ -54,6 +54,7 @@
     this.events.push('refused')
   }
 
+  public mayHandOver: services.ILinkReceiver['mayHandOver'] = () => false
   public bytes: services.ILinkReceiver['bytes'] = () => {}
 
   public stop (): void {
--- a/packages/node/src/Services.ts
+++ b/packages/node/src/Services.ts
@@ -37,6 +37,8 @@
   /** The connection is gone; `calls` were sent on it and have no final answer, `unsent` were never written. */
   lost(link: IPeerLink, calls: Iterable<number>, unsent: readonly messages.CallMessage[], planned: boolean): void
   refused(link: IPeerLink, error: Error): void
+  /** Whether the peer may send a handover that is larger than other messages. */
+  mayHandOver(link: IPeerLink): boolean
   /** Counts bytes of the traffic between nodes. */
   bytes(direction: 'sent' | 'received', kind: messages.PeerMessage['kind'], bytes: number): void
 }
