Show audit records that nothing confirms as unconfirmed

Cause: elmpost history printed every well-formed enforced record of the audit stream, and merged it with the records of the zone. Anybody can append to the stream, so a forged record made a version look enforced.

It compares verdicts with the config stream, and takes one from the audit stream only for a record that the log has dropped. The rest is marked unconfirmed with the reason and merged with nothing. The records get no digest or node id: a forger reads both in the log.

Tests: the records in two tests of HistoryCommand.test.ts had times before their proposal, no members, and verdicts without an offset, which no node writes; they now have these and expect the same as before, and more.

Conclusion: a forged record that agrees with the nodes and the config stream still cannot be told from a true one, and says nothing that they contradict.

--- a/packages/cli/src/AuditLog.ts
+++ b/packages/cli/src/AuditLog.ts
@@ -1,17 +1,23 @@
+import * as auditCheck from './AuditCheck.js'
 import type * as base from '@elmpost/common/base/Types.js'
 import type * as services from './Services.js'
 
 /** Anybody can append to the log, so a record may be any object. */
 export type AuditEntry = Readonly<Record<string, unknown>>
 
-/** The nodes of a zone that put a version into force. */
-export interface ZoneEnforcement {
-  readonly zone: string
-  readonly nodes: number
-  readonly firstAtMs: base.Millis
-  readonly lastAtMs: base.Millis
+/** A record, or records of one zone, with the reason why they are not confirmed; undefined if they are. */
+export interface Checked<T> {
+  readonly value: T
+  readonly problem: string | undefined
 }
 
+/** An accepted version and what is known about it. */
+export interface AcceptedVersion extends auditCheck.VersionFacts {
+  readonly version: number
+}
+
+const NOT_ACCEPTED = 'the config stream holds no such version'
+
 interface EnforcedEntry extends AuditEntry {
   readonly zone: string
   readonly version: number
@@ -45,25 +51,28 @@
    * Everything about a proposal: its own entries and, if it was accepted, where its version was enforced. The version
    * is that of the accepted record in the `config` stream; without one the audit stream may still tell it.
    */
-  public entriesOf (proposalId: string, acceptedVersion: number | undefined): readonly AuditEntry[] {
+  public entriesOf (proposalId: string, proposal: auditCheck.ProposalFacts, accepted: AcceptedVersion | undefined): ReadonlyArray<Checked<AuditEntry>> {
     const own = this._entries.filter(entry => entry['proposalId'] === proposalId)
-    const version = acceptedVersion ?? own.find(entry => entry['kind'] === 'accepted')?.['version']
-    return [...own, ...this._enforced(version)]
+      .map(value => ({ value, problem: auditCheck.proposalProblem(value, proposal) }))
+    const version = accepted?.version ?? own.find(({ value }) => value['kind'] === 'accepted')?.value['version']
+    const enforced = this._enforced(version)
+      .map(value => ({ value, problem: accepted === undefined ? NOT_ACCEPTED : auditCheck.enforcementProblem(summaryOf(value), accepted) }))
+    return [...own, ...enforced]
   }
 
-  /** One row per zone, although each reader of a zone may append a summary of its own. */
-  public enforcementOf (version: number): readonly ZoneEnforcement[] {
-    const zones = new Map<string, ZoneEnforcement>()
-    for (const { zone, count, firstAtMs, lastAtMs } of this._enforced(version)) {
-      const known = zones.get(zone)
-      zones.set(zone, {
-        zone,
-        nodes: Math.max(known?.nodes ?? 0, count),
-        firstAtMs: Math.min(known?.firstAtMs ?? firstAtMs, firstAtMs),
-        lastAtMs: Math.max(known?.lastAtMs ?? lastAtMs, lastAtMs)
-      })
+  /**
+   * One row per zone, although each reader of a zone may append a summary of its own. Records that are not confirmed
+   * have rows of their own, so that they change none of the others.
+   */
+  public enforcementOf (accepted: AcceptedVersion): ReadonlyArray<Checked<auditCheck.ZoneEnforcement>> {
+    const rows = new Map<string, Checked<auditCheck.ZoneEnforcement>>()
+    for (const summary of this._enforced(accepted.version).map(summaryOf)) {
+      const problem = auditCheck.enforcementProblem(summary, accepted)
+      const id = JSON.stringify([summary.zone, problem ?? ''])
+      const known = rows.get(id)?.value
+      rows.set(id, { value: known === undefined ? summary : merged(known, summary), problem })
     }
-    return [...zones.values()].sort((a, b) => a.zone < b.zone ? -1 : 1)
+    return [...rows].sort(([a], [b]) => a < b ? -1 : 1).map(([, row]) => row)
   }
 
   private _enforced (version: unknown): readonly EnforcedEntry[] {
@@ -71,6 +80,19 @@
   }
 }
 
+function summaryOf ({ zone, version, count, firstAtMs, lastAtMs }: EnforcedEntry): auditCheck.ZoneEnforcement {
+  return { zone, version, nodes: count, firstAtMs, lastAtMs }
+}
+
+function merged (a: auditCheck.ZoneEnforcement, b: auditCheck.ZoneEnforcement): auditCheck.ZoneEnforcement {
+  return {
+    ...a,
+    nodes: Math.max(a.nodes, b.nodes),
+    firstAtMs: Math.min(a.firstAtMs, b.firstAtMs),
+    lastAtMs: Math.max(a.lastAtMs, b.lastAtMs)
+  }
+}
+
 function isEnforced (entry: AuditEntry): entry is EnforcedEntry {
   return entry['kind'] === 'enforced' && typeof entry['zone'] === 'string' &&
     ['version', 'count', 'firstAtMs', 'lastAtMs'].every(name => Number.isSafeInteger(entry[name]))
--- a/packages/cli/src/Cli.ts
+++ b/packages/cli/src/Cli.ts
@@ -103,8 +103,12 @@
         limit: { type: 'number', default: 20, describe: 'Number of newest proposals' }
       }, async argv => {
         const module = await import('./commands/HistoryCommand.js')
-        const command = new module.HistoryCommand(this._log(argv), this._output(argv))
-        this._end(await command.run({ proposalId: argv['proposal'] as string | undefined, limit: Number(argv['limit']) }), argv)
+        const command = new module.HistoryCommand(this._log(argv), this._admin(argv), this._environment.clock, this._output(argv))
+        this._end(await command.run({
+          proposalId: argv['proposal'] as string | undefined,
+          limit: Number(argv['limit']),
+          addresses: argv['admin'] as string[]
+        }), argv)
       })
       .command('recover <file>', 'Put a file in force when neither the log nor any node can tell the version in force', {
         'as-version': { type: 'number', demandOption: true, describe: 'Version to make; above every version that was ever in force' },
--- a/packages/cli/src/ConfigLog.ts
+++ b/packages/cli/src/ConfigLog.ts
@@ -12,6 +12,8 @@
 export class ConfigLog {
   private readonly _acceptance = new acceptance.Acceptance(new configValidator.ConfigValidator())
 
+  private _firstOffset = 0
+
   constructor (
     private readonly _client: services.ILogClient,
     private readonly _logger: services.ILogger,
@@ -22,6 +24,11 @@
     return this._acceptance.state
   }
 
+  /** Records before this offset are gone. */
+  public get firstOffset (): number {
+    return this._firstOffset
+  }
+
   /** Offset of the next record to read. */
   public get nextOffset (): number {
     return this._acceptance.nextOffset
@@ -47,6 +54,7 @@
     for (;;) {
       const page = await this._client.read('config', this._acceptance.nextOffset)
       if (page.isErr()) return page
+      this._firstOffset = page.value.firstOffset
       this._acceptance.skipTo(page.value.firstOffset)
       const start = this._acceptance.nextOffset
       for (const record of page.value.records) this._fold(record)
--- a/packages/cli/src/Documentation.test.ts
+++ b/packages/cli/src/Documentation.test.ts
@@ -54,7 +54,8 @@
   test.it('shows what the commands print, so that operators can rely on the page', async () => {
     const log = new testEnvironment.FakeLog()
     const enforcedAtMs = Date.UTC(2026, 0, 5, 9, 0, 0, 350)
-    log.streams.audit.push({ kind: 'enforced', zone: 'vake', version: 2, count: 4, firstAtMs: enforcedAtMs, lastAtMs: enforcedAtMs + 70 })
+    const enforced = { kind: 'enforced', zone: 'vake', version: 2, count: 1, firstAtMs: enforcedAtMs, lastAtMs: enforcedAtMs + 70 }
+    log.streams.audit.push(enforced, { ...enforced, zone: 'nowhere', count: 4 })
     const nodes = new testEnvironment.FakeNodes([
       testEnvironment.fakeRow('till-1', 'vake', 3, 7071),
       testEnvironment.fakeRow('till-2', 'saburtalo', 2, 7171),
--- a/packages/cli/src/commands/HistoryCommand.test.ts
+++ b/packages/cli/src/commands/HistoryCommand.test.ts
@@ -9,14 +9,22 @@
 const second = documents.testProposal(2, state1, documents.testDocument(2))
 const rival = documents.testProposal(3, state1, documents.testDocument(3))
 
+const PROPOSED_AT_MS = second.proposedAtMs
+
 interface Entry {
   readonly verdict: string
   readonly changes?: readonly unknown[]
-  readonly enforced?: readonly unknown[]
+  readonly enforced?: ReadonlyArray<{ readonly zone: string, readonly nodes: number, readonly unconfirmed: string | null }>
 }
 
+/** A node that knows four members of one zone and one of another, all with version 2. */
+const NODES = new testEnvironment.FakeNodes([
+  ...[1, 2, 3, 4].map(number => testEnvironment.fakeRow(`vake-${number}`, 'vake', 2, 7070 + number)),
+  testEnvironment.fakeRow('didube-1', 'didube', 2, 7080)
+])
+
 async function history (log: testEnvironment.FakeLog, ...args: string[]): Promise<{ exitCode: number, stdout: string, stderr: string }> {
-  const environment = new testEnvironment.TestEnvironment(log)
+  const environment = new testEnvironment.TestEnvironment(log, {}, NODES)
   const exitCode = await new cli.Cli(environment).run(['history', ...args])
   return { exitCode, stdout: environment.stdout, stderr: environment.stderr }
 }
@@ -74,28 +82,93 @@
   test.it('names where and when a version was enforced, so that operators see a zone that lags', async () => {
     const log = new testEnvironment.FakeLog()
     log.streams.config.push(first, second, rival)
-    const summary = { kind: 'enforced', zone: 'vake', version: 2, count: 3, firstAtMs: 2000, lastAtMs: 3000 }
+    const summary = { kind: 'enforced', zone: 'vake', version: 2, count: 3, firstAtMs: PROPOSED_AT_MS + 2000, lastAtMs: PROPOSED_AT_MS + 3000 }
     log.streams.audit.push(
-      { kind: 'accepted', proposalId: second.proposalId, version: 2 },
+      { kind: 'accepted', proposalId: second.proposalId, version: 2, offset: 1 },
       summary,
       // The second reader of the zone.
-      { ...summary, count: 4, firstAtMs: 1000, lastAtMs: 2500 },
+      { ...summary, count: 4, firstAtMs: PROPOSED_AT_MS + 1000, lastAtMs: PROPOSED_AT_MS + 2500 },
       { ...summary, zone: 'didube', count: 1 },
       { ...summary, zone: 7 },
       { ...summary, firstAtMs: 'x' }
     )
     const { stdout } = await history(log, '--output', 'json')
-    const vake = { zone: 'vake', nodes: 4, firstAt: '1970-01-01T00:00:01.000Z', lastAt: '1970-01-01T00:00:03.000Z' }
-    const didube = { zone: 'didube', nodes: 1, firstAt: '1970-01-01T00:00:02.000Z', lastAt: '1970-01-01T00:00:03.000Z' }
+    const vake = { zone: 'vake', nodes: 4, firstAt: '2023-11-14T22:13:21.000Z', lastAt: '2023-11-14T22:13:23.000Z', unconfirmed: null }
+    const didube = { zone: 'didube', nodes: 1, firstAt: '2023-11-14T22:13:22.000Z', lastAt: '2023-11-14T22:13:23.000Z', unconfirmed: null }
     assert.deepEqual((JSON.parse(stdout) as { entries: Entry[] }).entries.map(entry => entry.enforced), [[], [didube, vake], []])
-    assert.match((await history(log)).stdout, /enforced in didube by 1 node, first 1970-01-01T00:00:02.000Z, last 1970-01-01T00:00:03.000Z/)
-    const one = JSON.parse((await history(log, '--proposal', second.proposalId, '--output', 'json')).stdout) as { audit: Array<{ kind: string }> }
+    assert.match((await history(log)).stdout, /enforced in didube by 1 node, first 2023-11-14T22:13:22.000Z, last 2023-11-14T22:13:23.000Z$/m)
+    const one = JSON.parse((await history(log, '--proposal', second.proposalId, '--output', 'json')).stdout) as { audit: Array<{ kind: string }>, unconfirmed: unknown[] }
     assert.deepEqual(one.audit.map(entry => entry.kind), ['accepted', 'enforced', 'enforced', 'enforced'])
+    assert.deepEqual(one.unconfirmed, [])
   })
 
   test.it('falls back to the audit stream, so that an expired proposal keeps its verdict', async () => {
     const log = new testEnvironment.FakeLog()
-    log.streams.audit.push(null, { kind: 'accepted', proposalId: 'p1' }, { kind: 'proposed', proposalId: 'p2' }, { kind: 'rejected', proposalId: 'p2' })
+    log.streams.config.push(first, second)
+    log.firstOffset = 1
+    log.streams.audit.push(null, null, { kind: 'accepted', proposalId: 'p1', offset: 0 }, { kind: 'proposed', proposalId: 'p2' }, { kind: 'rejected', proposalId: 'p2', offset: 0 })
     assert.deepEqual([(await history(log, '--proposal', 'p1')).exitCode, (await history(log, '--proposal', 'p2')).exitCode], [0, 2])
   })
+
+  test.describe('forged audit records', () => {
+    const summary = { kind: 'enforced', zone: 'vake', version: 2, count: 3, firstAtMs: PROPOSED_AT_MS + 2000, lastAtMs: PROPOSED_AT_MS + 3000 }
+
+    function logWith (...audit: unknown[]): testEnvironment.FakeLog {
+      const log = new testEnvironment.FakeLog()
+      log.streams.config.push(first, second, rival)
+      log.streams.audit.push(...audit)
+      return log
+    }
+
+    const FORGED: ReadonlyArray<readonly [record: Readonly<Record<string, unknown>>, problem: RegExp]> = [
+      [{ ...summary, zone: 'nowhere' }, /know 0 members of the zone/],
+      [{ ...summary, count: 5 }, /know 4 members of the zone/],
+      [{ ...summary, count: 0 }, /counts no node/],
+      [{ ...summary, firstAtMs: PROPOSED_AT_MS - 60_000 }, /before that of the proposal/],
+      [{ ...summary, lastAtMs: PROPOSED_AT_MS }, /last time is before its first/],
+      [{ ...summary, lastAtMs: Date.UTC(2027, 0, 1) }, /in the future/]
+    ]
+
+    test.it('are marked, and change no confirmed line, so that nobody can make a version look enforced', async () => {
+      for (const [record, problem] of FORGED) {
+        const log = logWith(summary, record)
+        const { entries } = JSON.parse((await history(log, '--output', 'json')).stdout) as { entries: Entry[] }
+        const enforced = entries[1]?.enforced ?? []
+        assert.deepEqual(enforced.filter(row => row.unconfirmed === null).map(({ zone, nodes }) => [zone, nodes]), [['vake', 3]])
+        const marked = enforced.filter(row => row.unconfirmed !== null)
+        assert.equal(marked.length, 1)
+        assert.match(marked[0]?.unconfirmed ?? '', problem)
+        assert.match((await history(log)).stdout, /enforced in .* \(unconfirmed: /)
+        assert.match((await history(log, '--proposal', second.proposalId)).stdout, /audit \(unconfirmed: /)
+      }
+    })
+
+    test.it('leaves all lines unconfirmed while no node answers, because the log alone proves nothing', async () => {
+      const environment = new testEnvironment.TestEnvironment(logWith(summary))
+      await new cli.Cli(environment).run(['history'])
+      assert.match(environment.stdout, /enforced in vake by 3 nodes.*\(unconfirmed: no node answered\)/)
+      assert.match(environment.stderr, /Name a running node with --admin/)
+    })
+
+    test.it('does not take a verdict on a proposal that the log never held for an accepted one', async () => {
+      for (const offset of [undefined, -1, 2, 99]) {
+        const log = logWith({ kind: 'accepted', proposalId: 'forged', version: 2, offset })
+        const result = await history(log, '--proposal', 'forged')
+        assert.equal(result.exitCode, 3, String(offset))
+        assert.match(result.stdout, /^unknown .*\naudit \(unconfirmed: the config stream holds no such proposal\)/)
+      }
+    })
+
+    test.it('marks verdicts that the config stream contradicts', async () => {
+      const log = logWith(
+        { kind: 'accepted', proposalId: rival.proposalId, version: 2, offset: 2 },
+        { kind: 'rejected', proposalId: rival.proposalId, version: 2, offset: 2 },
+        { kind: 'accepted', proposalId: rival.proposalId, version: 2, offset: 1 },
+        { kind: 'proposed', proposalId: rival.proposalId, version: 2, author: 'somebody' }
+      )
+      const { outcome, unconfirmed } = JSON.parse((await history(log, '--proposal', rival.proposalId, '--output', 'json')).stdout) as { outcome: string, unconfirmed: Array<{ index: number }> }
+      assert.equal(outcome, 'rejected')
+      assert.deepEqual(unconfirmed.map(({ index }) => index), [0, 2, 3])
+    })
+  })
 })
--- a/packages/cli/src/commands/HistoryCommand.ts
+++ b/packages/cli/src/commands/HistoryCommand.ts
@@ -1,14 +1,18 @@
+import * as auditCheck from '../AuditCheck.js'
 import * as auditLog from '../AuditLog.js'
 import * as configDiff from '@elmpost/common/config/ConfigDiff.js'
 import * as configValidator from '@elmpost/common/config/ConfigValidator.js'
 import * as configLog from '../ConfigLog.js'
+import * as nodes from '../Nodes.js'
 import * as patchedDocument from '@elmpost/common/config/PatchedDocument.js'
 import * as recordDecoder from '@elmpost/common/config/RecordDecoder.js'
 import * as results from 'ts-results-es'
 import * as ruleSets from '@elmpost/common/config/RuleSets.js'
 import * as types from '../Types.js'
 import type * as cliError from '../CliError.js'
+import type * as base from '@elmpost/common/base/Types.js'
 import type * as config from '@elmpost/common/config/Types.js'
+import type * as membership from '@elmpost/common/membership/Types.js'
 import type * as services from '../Services.js'
 
 /** Documents of recent versions are kept for differences; older bases are shown without one. */
@@ -18,6 +22,8 @@
   readonly proposalId: string | undefined
   /** Number of newest entries to print. */
   readonly limit: number
+  /** Administration addresses of nodes, to compare the audit stream with a member table. */
+  readonly addresses: readonly string[]
 }
 
 type Proposal = config.ProposalRecord | config.DeltaProposalRecord
@@ -27,7 +33,7 @@
   readonly offset: number
   readonly proposalId: string
   readonly author: string
-  readonly proposedAt: string
+  readonly proposedAtMs: base.Millis
   readonly version: number
   readonly baseVersion: number
   readonly verdict: config.VerdictKind
@@ -42,9 +48,12 @@
   readonly nodes: number
   readonly firstAt: string
   readonly lastAt: string
+  /** Why nothing but the audit stream tells this; null if the nodes confirm it. */
+  readonly unconfirmed: string | null
 }
 
-interface PrintedEntry extends HistoryEntry {
+interface PrintedEntry extends Omit<HistoryEntry, 'proposedAtMs'> {
+  readonly proposedAt: string
   /** Empty if the version was not accepted, or the audit stream does not tell. */
   readonly enforced: readonly Enforcement[]
 }
@@ -57,7 +66,14 @@
   private readonly _validator = new configValidator.ConfigValidator()
   private readonly _documents = new Map<string, config.ConfigDocument>()
 
-  constructor (client: services.ILogClient, private readonly _output: services.IOutput) {
+  private _members: readonly membership.MemberRow[] | undefined
+
+  constructor (
+    client: services.ILogClient,
+    private readonly _admin: services.IAdminClient,
+    private readonly _clock: services.ICliClock,
+    private readonly _output: services.IOutput
+  ) {
     this._log = new configLog.ConfigLog(client, _output, (record, before, verdict) => { this._onRecord(record, before, verdict) })
     this._audit = new auditLog.AuditLog(client, _output)
   }
@@ -67,12 +83,19 @@
     if (read.isErr()) return read
     if (this._log.gap !== undefined) this._output.note(this._log.gap)
     await this._audit.read()
+    await this._readMembers(options.addresses)
     if (options.proposalId !== undefined) return results.Ok(this._printProposal(options.proposalId))
     const entries = this._entries.slice(-options.limit).map(entry => this._printed(entry))
     this._output.result({ entries }, entries.length === 0 ? ['The log holds no proposals.'] : entries.flatMap(formatEntry))
     return results.Ok(types.EXIT_CODES.ok)
   }
 
+  private async _readMembers (addresses: readonly string[]): Promise<void> {
+    const status = await nodes.anyStatus(this._admin, addresses)
+    if (status.isOk()) this._members = status.value.members
+    else this._output.note('No node answered, so where the versions were enforced is not confirmed. Name a running node with --admin.')
+  }
+
   private _onRecord (record: config.LogRecord, before: config.AcceptedState | undefined, verdict: config.Verdict): void {
     if (before !== undefined) this._keepDocument(before)
     const proposal = readable(record.data)
@@ -81,7 +104,7 @@
       offset: record.offset,
       proposalId: proposal.proposalId,
       author: proposal.author,
-      proposedAt: isoTime(proposal.proposedAtMs),
+      proposedAtMs: proposal.proposedAtMs,
       version: proposal.version,
       baseVersion: proposal.baseVersion,
       verdict: verdict.kind,
@@ -123,20 +146,29 @@
 
   private _printed (entry: HistoryEntry): PrintedEntry {
     const judged = this._withFirstVerdict(entry)
-    const zones = judged.verdict === 'accepted' ? this._audit.enforcementOf(entry.version) : []
-    const enforced = zones.map(({ zone, nodes, firstAtMs, lastAtMs }) => ({ zone, nodes, firstAt: isoTime(firstAtMs), lastAt: isoTime(lastAtMs) }))
-    return { ...judged, enforced }
+    const zones = judged.verdict === 'accepted' ? this._audit.enforcementOf(this._acceptedVersion(entry)) : []
+    const enforced = zones.map(({ value, problem }) => printedEnforcement(value, problem))
+    const { proposedAtMs, ...shown } = judged
+    return { ...shown, proposedAt: isoTime(proposedAtMs), enforced }
+  }
+
+  private _acceptedVersion ({ version, proposedAtMs }: HistoryEntry): auditLog.AcceptedVersion {
+    return { version, proposedAtMs, nowMs: this._clock.nowMs(), members: this._members }
   }
 
   private _printProposal (proposalId: string): types.ExitCode {
-    const entries = this._entries.filter(entry => entry.proposalId === proposalId).map(entry => this._printed(entry))
-    const accepted = entries.find(entry => entry.verdict === 'accepted')
-    const audit = this._audit.entriesOf(proposalId, accepted?.version)
-    const verdict = accepted?.verdict ?? entries[0]?.verdict ?? auditVerdict(audit)
+    const records = this._entries.filter(entry => entry.proposalId === proposalId).map(entry => this._withFirstVerdict(entry))
+    const accepted = records.find(entry => entry.verdict === 'accepted')
+    const { firstOffset } = this._log
+    const audit = this._audit.entriesOf(proposalId, { records, firstOffset }, accepted === undefined ? undefined : this._acceptedVersion(accepted))
+    const verdict = accepted?.verdict ?? records[0]?.verdict ?? auditVerdict(audit, firstOffset)
     const outcome = outcomeOf(verdict)
-    const lines = [`${outcome} (proposal ${proposalId})`, ...entries.flatMap(formatEntry), ...audit.map(entry => `audit: ${JSON.stringify(entry)}`)]
+    const entries = records.map(entry => this._printed(entry))
+    const lines = [`${outcome} (proposal ${proposalId})`, ...entries.flatMap(formatEntry), ...audit.map(formatAudit)]
+    if (verdict !== undefined && records.length === 0) lines.push('The log has dropped the proposal, so only the audit stream tells the verdict, and anybody can append to it.')
     if (verdict === undefined) lines.push('Neither the config stream nor the audit stream tells a verdict. The proposal may still arrive, or the log has dropped it. Compare with: elmpost diff FILE')
-    this._output.result({ proposalId, outcome, entries, audit }, lines)
+    const unconfirmed = audit.flatMap(({ problem }, index) => problem === undefined ? [] : [{ index, problem }])
+    this._output.result({ proposalId, outcome, entries, audit: audit.map(({ value }) => value), unconfirmed }, lines)
     return EXIT_CODE_OF[outcome]
   }
 }
@@ -153,9 +185,10 @@
 }
 
 /** The verdict that readers wrote to the audit stream, for proposals that the config stream has dropped. */
-function auditVerdict (entries: readonly auditLog.AuditEntry[]): config.VerdictKind | undefined {
-  if (entries.some(entry => entry['kind'] === 'accepted')) return 'accepted'
-  return entries.some(entry => entry['kind'] === 'rejected') ? 'conflict' : undefined
+function auditVerdict (entries: ReadonlyArray<auditLog.Checked<auditLog.AuditEntry>>, firstOffset: number): config.VerdictKind | undefined {
+  const kinds = entries.filter(({ value }) => auditCheck.isDropped(value, firstOffset)).map(({ value }) => value['kind'])
+  if (kinds.includes('accepted')) return 'accepted'
+  return kinds.includes('rejected') ? 'conflict' : undefined
 }
 
 /** Anybody can append to the log, so only records with the right types are listed. */
@@ -178,6 +211,19 @@
 function formatEntry (entry: PrintedEntry): string[] {
   const head = `${entry.proposedAt} ${entry.verdict} version ${entry.version} on ${entry.baseVersion} by ${entry.author} (proposal ${entry.proposalId}, offset ${entry.offset})`
   const changes = entry.changes?.map(change => `    ${configDiff.formatChange(change)}`) ?? ['    (no changes shown: the base is no longer in the log, or the document is not valid)']
-  const enforced = entry.enforced.map(({ zone, nodes, firstAt, lastAt }) => `    enforced in ${zone} by ${nodes === 1 ? '1 node' : `${nodes} nodes`}, first ${firstAt}, last ${lastAt}`)
+  const enforced = entry.enforced.map(formatEnforcement)
   return [head, ...(entry.verdict === 'accepted' ? [] : [`    ${entry.reason}`]), ...changes, ...enforced]
 }
+
+function formatEnforcement ({ zone, nodes, firstAt, lastAt, unconfirmed }: Enforcement): string {
+  const text = `    enforced in ${zone} by ${nodes === 1 ? '1 node' : `${nodes} nodes`}, first ${firstAt}, last ${lastAt}`
+  return unconfirmed === null ? text : `${text} (unconfirmed: ${unconfirmed})`
+}
+
+function formatAudit ({ value, problem }: auditLog.Checked<auditLog.AuditEntry>): string {
+  return `audit${problem === undefined ? '' : ` (unconfirmed: ${problem})`}: ${JSON.stringify(value)}`
+}
+
+function printedEnforcement ({ zone, nodes, firstAtMs, lastAtMs }: auditCheck.ZoneEnforcement, problem: string | undefined): Enforcement {
+  return { zone, nodes, firstAt: isoTime(firstAtMs), lastAt: isoTime(lastAtMs), unconfirmed: problem ?? null }
+}
--- a/packages/testbed/src/scenarios/operatorSteps.ts
+++ b/packages/testbed/src/scenarios/operatorSteps.ts
@@ -30,7 +30,7 @@
   readonly baseVersion: number
   readonly verdict: string
   readonly changes: readonly Change[]
-  readonly enforced: ReadonlyArray<{ readonly zone: string, readonly nodes: number, readonly firstAt: string, readonly lastAt: string }>
+  readonly enforced: ReadonlyArray<{ readonly zone: string, readonly nodes: number, readonly firstAt: string, readonly lastAt: string, readonly unconfirmed: string | null }>
 }
 
 interface Proposal {
@@ -117,7 +117,7 @@
   const { name, startedAtMs } = sessionOf(this)
   const { zones } = this.fleet.spec
   const read = async (): Promise<HistoryEntry | undefined> => (await succeed(this, 'history') as { entries: readonly HistoryEntry[] }).entries.at(-1)
-  const entry = await waitFor(read, newest => newest?.enforced.length === zones.length)
+  const entry = await waitFor(read, newest => newest?.enforced.length === zones.length && newest.enforced.every(zone => zone.unconfirmed === null))
   assert.ok(entry !== undefined)
   assert.deepEqual([entry.author, entry.baseVersion, entry.version, entry.verdict], [name, base, version, 'accepted'])
   await assertLongerTimeouts(this, entry.changes)
