Refuse settings files with repeated keys

Cause: JSON.parse keeps the last value of a repeated key, so a settings file with two values of nodeId started a node under one of them. The command line has checked its files for this since; the node did not.

Change: RepeatedKeys moves to @elmpost/common and gives pointer and line; the command line and the node word the problem. The node loads it only if the file has more keys than the parsed object.

--- a/packages/cli/src/DocumentFile.ts
+++ b/packages/cli/src/DocumentFile.ts
@@ -1,6 +1,6 @@
 import * as configErrors from '@elmpost/common/config/ConfigErrors.js'
 import * as configValidator from '@elmpost/common/config/ConfigValidator.js'
-import * as repeatedKeys from './RepeatedKeys.js'
+import * as repeatedKeys from '@elmpost/common/config/RepeatedKeys.js'
 import * as results from 'ts-results-es'
 import * as ruleSets from '@elmpost/common/config/RuleSets.js'
 import * as cliError from './CliError.js'
@@ -19,7 +19,7 @@
   if (parsed.isErr()) return invalid(`${path} is not JSON (${messageOf(parsed.error)}). Correct the syntax.`)
   const checked = new configValidator.ConfigValidator().validate(parsed.value, ruleSets.CURRENT_RULES_VERSION)
   // The validator reports a value that is nested too deeply for this.
-  const repeated = results.Result.wrap(() => repeatedKeys.repeatedKeys(json)).unwrapOr([])
+  const repeated = results.Result.wrap(() => repeatedKeys.repeatedKeys(json)).unwrapOr([]).map(problemOf)
   const problems = [...repeated, ...checked.isErr() ? checked.error : []]
   if (checked.isOk() && problems.length === 0) return checked
   return results.Err(new cliError.CliError('invalid-input',
@@ -27,6 +27,10 @@
     problems.map(problem => `${path}: ${configErrors.formatProblem(problem)}`)))
 }
 
+function problemOf ({ pointer, line }: repeatedKeys.RepeatedKey): config.ConfigProblem {
+  return { kind: 'schema', pointer, message: `The key is repeated on line ${line}.`, remedy: 'Remove one of the two.' }
+}
+
 function invalid (message: string): results.Result<never, cliError.CliError> {
   return results.Err(new cliError.CliError('invalid-input', message))
 }
--- a/packages/cli/src/RepeatedKeys.ts
+++ b/packages/common/src/config/RepeatedKeys.ts
@@ -1,15 +1,21 @@
 import * as jsoncParser from 'jsonc-parser'
-import type * as config from '@elmpost/common/config/Types.js'
+
+export interface RepeatedKey {
+  /** JSON pointer to the key. */
+  readonly pointer: string
+  /** Line of the repetition, from 1. */
+  readonly line: number
+}
 
 /** Keys that an object of a JSON text has more than once. `JSON.parse` keeps the last value of them without an error. */
-export function repeatedKeys (text: string): readonly config.ConfigProblem[] {
+export function repeatedKeys (text: string): readonly RepeatedKey[] {
   const root = jsoncParser.parseTree(text)
-  return root === undefined ? [] : [...problemsIn(root, '', text)]
+  return root === undefined ? [] : [...repetitionsIn(root, '', text)]
 }
 
-function * problemsIn (node: jsoncParser.Node, pointer: string, text: string): Generator<config.ConfigProblem> {
+function * repetitionsIn (node: jsoncParser.Node, pointer: string, text: string): Generator<RepeatedKey> {
   if (node.type === 'array') {
-    for (const [index, item] of (node.children ?? []).entries()) yield * problemsIn(item, `${pointer}/${index}`, text)
+    for (const [index, item] of (node.children ?? []).entries()) yield * repetitionsIn(item, `${pointer}/${index}`, text)
   }
   if (node.type !== 'object') return
   const seen = new Set<string>()
@@ -17,11 +23,9 @@
     const [key, value] = property.children ?? []
     const name = String(key?.value)
     const child = `${pointer}/${name.replaceAll('~', '~0').replaceAll('/', '~1')}`
-    if (seen.has(name)) {
-      yield { kind: 'schema', pointer: child, message: `The key is repeated on line ${lineOf(text, property.offset)}.`, remedy: 'Remove one of the two.' }
-    }
+    if (seen.has(name)) yield { pointer: child, line: lineOf(text, property.offset) }
     seen.add(name)
-    if (value !== undefined) yield * problemsIn(value, child, text)
+    if (value !== undefined) yield * repetitionsIn(value, child, text)
   }
 }
 
--- a/packages/node/src/Settings.ts
+++ b/packages/node/src/Settings.ts
@@ -35,18 +35,18 @@
 type Environment = Readonly<Record<string, string | undefined>>
 
 /** Reads the settings file, applies the environment and checks the result. */
-export function load (file: string, environment: Environment): results.Result<types.NodeSettings, errors.SettingsError> {
+export async function load (file: string, environment: Environment): Promise<results.Result<types.NodeSettings, errors.SettingsError>> {
   let text: string
   try {
     text = fs.readFileSync(file, 'utf8')
   } catch (error) {
     return refuse(file, [{ pointer: '', message: `the file cannot be read (${(error as NodeJS.ErrnoException).code ?? 'unknown error'})`, remedy: 'Check the path given with --settings and its permissions' }])
   }
-  return parse(file, text, environment)
+  return await parse(file, text, environment)
 }
 
 /** Checks the text of a settings file, with every problem at once. */
-export function parse (source: string, text: string, environment: Environment): results.Result<types.NodeSettings, errors.SettingsError> {
+export async function parse (source: string, text: string, environment: Environment): Promise<results.Result<types.NodeSettings, errors.SettingsError>> {
   let value: unknown
   try {
     value = JSON.parse(text)
@@ -57,7 +57,7 @@
     return refuse(source, [{ pointer: '', message: 'it is not a JSON object', remedy: 'Write the settings as fields of one object' }])
   }
   const settings = { ...DEFAULTS, ...value, ...overrides(environment) } as Record<string, unknown>
-  const problems = [...schemaProblems(settings), ...ruleProblems(settings)]
+  const problems = [...await repetitions(text, value), ...schemaProblems(settings), ...ruleProblems(settings)]
   if (problems.length > 0) return refuse(source, problems)
   settings.announcedPeerAddress ??= settings.peerAddress
   return new results.Ok(settings as unknown as types.NodeSettings)
@@ -78,6 +78,15 @@
   return found
 }
 
+/** `JSON.parse` keeps the last value of a repeated key without an error. A text too deep to search has other problems. */
+async function repetitions (text: string, value: object): Promise<errors.SettingsProblem[]> {
+  // Each key gives at least one match. The search for repeated keys is loaded only if needed: it takes 1 MB of memory.
+  if ((text.match(/"\s*:/g) ?? []).length <= Object.keys(value).length) return []
+  const repeatedKeys = await import('@elmpost/common/config/RepeatedKeys.js')
+  return results.Result.wrap(() => repeatedKeys.repeatedKeys(text)).unwrapOr([])
+    .map(({ pointer, line }) => ({ pointer, message: `the key is repeated on line ${line}`, remedy: 'Remove one of the two' }))
+}
+
 function schemaProblems (settings: Record<string, unknown>): errors.SettingsProblem[] {
   const check = settingsChecks.CHECKS.settings
   if (check(settings)) return []
--- a/packages/node/src/main.ts
+++ b/packages/node/src/main.ts
@@ -26,7 +26,7 @@
     process.stdout.write(`${args.USAGE}\n`)
     return
   }
-  const loaded = settings.load(parsed.value.settings, environment)
+  const loaded = await settings.load(parsed.value.settings, environment)
   if (loaded.isErr()) end(EXIT_USAGE, loaded.error.message)
   else if (parsed.value.check) process.stdout.write(`The settings of ${parsed.value.settings} are valid.\n`)
   else await run(loaded.value)
