Refuse bodies of calls that no message between nodes can hold

Cause: maxBodyBytes may be 64 MiB, but a message has at most 32 MiB. A larger call made the receiver close the connection, and every other call on it ended as unknown with peer-lost. Seen with a call of 33 MiB beside a small one: both ended as 502 unknown.

The bound of the schema stays: a rule set never changes.

Tests: the head of such a call is refused; a call with the largest body, path and headers fits into one message and is decoded. Without the bound the first runs into its limit of 10 s, because the node waits for the body.

--- a/packages/node/src/NodeProcess.test.ts
+++ b/packages/node/src/NodeProcess.test.ts
@@ -1,6 +1,7 @@
 import * as assert from 'node:assert/strict'
 import * as crypto from 'node:crypto'
 import * as http from 'node:http'
+import * as peerLinks from './PeerLinks.js'
 import * as test from 'node:test'
 import * as fakeServices from './testing/FakeServices.js'
 import * as timers from 'node:timers/promises'
@@ -72,6 +73,20 @@
   })
 
   test.describe('refusals', () => {
+    test.it('refuses a body that no message to another node can hold, because sending it would break the connection and every call on it', { timeout: 10_000 }, async () => {
+      const entry = await start((_request, response) => { response.end('done') })
+      const large = fakeServices.DOCUMENT.routes.map(route => ({ ...route, limits: { ...route.limits, maxBodyBytes: 64 * 1024 * 1024 } }))
+      const state = { version: 2, digest: 'e', rulesVersion: 1, document: { ...fakeServices.DOCUMENT, routes: large } }
+      for (const node of mesh.nodes) node.services.enforcement.enforce(state, Date.now())
+      // Only the head is sent: the answer to it must not depend on how fast the body arrives.
+      const request = http.request(`${entry.callerUrl}/charge`, { method: 'POST', headers: { 'content-length': peerLinks.MAX_CALL_BODY_BYTES + 1 } })
+      request.on('error', () => {})
+      request.flushHeaders()
+      const refused = await new Promise<http.IncomingMessage>(resolve => { request.once('response', resolve) })
+      request.destroy()
+      assert.deepEqual([refused.statusCode, refused.headers['elmpost-outcome'], refused.headers['elmpost-reason']], [413, 'not-run', 'body-too-large'])
+    })
+
     test.it('names the reason and the remedy for a path without a route', async () => {
       const entry = await start((_request, response) => { response.end() })
       const answer = await undici.request(`${entry.callerUrl}/nothing`)
--- a/packages/node/src/NodeProcess.ts
+++ b/packages/node/src/NodeProcess.ts
@@ -4,6 +4,7 @@
 import * as disposable from '@elmpost/common/base/Disposable.js'
 import * as logClient from './LogClient.js'
 import * as nodeRuntime from './NodeRuntime.js'
+import * as peerLinks from './PeerLinks.js'
 import * as peerServer from './PeerServer.js'
 import * as targetMonitor from './TargetMonitor.js'
 import * as targetRunner from './TargetRunner.js'
@@ -219,7 +220,8 @@
   private _enforced (event: distribution.VersionEnforced): void {
     const document = this._options.core.services.enforcement.current?.document
     if (document === undefined) return
-    this._maxBodyBytes = Math.max(0, ...document.routes.map(route => route.limits.maxBodyBytes))
+    const maxBodyBytes = Math.max(0, ...document.routes.map(route => route.limits.maxBodyBytes))
+    this._maxBodyBytes = Math.min(maxBodyBytes, peerLinks.MAX_CALL_BODY_BYTES)
     const service = document.services.find(service => service.name === this._options.settings.service)
     if (service !== undefined) this._runner?.setLimits(service.slots, service.connections)
     this._options.logger.log('info', 'enforced', { enforcedVersion: event.version, digest: event.digest })
--- a/packages/node/src/PeerCodec.test.ts
+++ b/packages/node/src/PeerCodec.test.ts
@@ -4,6 +4,7 @@
 import * as fixture from '@elmpost/common/hosting/testing/Fixture.js'
 import * as msgpackr from 'msgpackr'
 import * as peerCodec from './PeerCodec.js'
+import * as peerLinks from './PeerLinks.js'
 import * as test from 'node:test'
 import type * as messages from '@elmpost/common/node/Messages.js'
 
@@ -79,6 +80,13 @@
       assert.deepEqual({ ...decoded, body: undefined }, { ...CALL, body: undefined })
     })
 
+    test.it('accepts a call with the largest body, path and headers in one message, so that no valid call breaks a connection', () => {
+      const body = Buffer.alloc(peerLinks.MAX_CALL_BODY_BYTES)
+      const frame = codec.encode({ ...CALL, body, path: `/${'x'.repeat(65_535)}`, headers: { large: 'x'.repeat(65_535) } })
+      assert.ok(frame.length <= peerLinks.MAX_MESSAGE_BYTES)
+      assert.ok(codec.decode(frame).isOk())
+    })
+
     test.it('refuses a large binary value in any field but the body, so that nothing is hidden from the limit', () => {
       assert.match(codec.decode(msgpackr.pack({ kind: 'chunk', hidden: Buffer.alloc(8 * MIB) })).unwrapErr().message, /larger than/)
       assert.match(codec.decode(msgpackr.pack([Buffer.alloc(8 * MIB)])).unwrapErr().message, /larger than/)
--- a/packages/node/src/PeerLinks.ts
+++ b/packages/node/src/PeerLinks.ts
@@ -13,6 +13,8 @@
 const IDLE_SWEEP_MS = 30_000
 /** Largest message: a whole configuration, a handover with stored answers, or a call with its body. */
 export const MAX_MESSAGE_BYTES = 32 * 1024 * 1024
+/** Largest body of a call. It leaves room for the path and the headers; a message above the limit breaks the connection. */
+export const MAX_CALL_BODY_BYTES = 31 * 1024 * 1024
 
 export interface PeerLinksOptions {
   readonly local: services.IPeerLink
