--- a/packages/cli/src/AuditCheck.ts
+++ b/packages/cli/src/AuditCheck.ts
@@ -6,7 +6,7 @@
 import type * as config from '@elmpost/common/config/Types.js'
 import type * as membership from '@elmpost/common/membership/Types.js'
 
-/** Largest difference between the clocks of an operator and of a node that is put up with. */
+/** Largest accepted difference between the clocks of an operator and a node. */
 const MAX_CLOCK_DIFFERENCE_MS = 2_000
 /** Verdicts of a command line that does not know enough of the log. */
 const NOT_JUDGED: ReadonlySet<config.VerdictKind> = new Set(['not-judged', 'unsupported-rules'])
