--- a/packages/node/src/main.ts
+++ b/packages/node/src/main.ts
@@ -26,7 +26,7 @@
     process.stdout.write(`${args.USAGE}\n`)
     return
   }
-  const loaded = settings.load(parsed.value.settings, environment)
+  const loaded = await settings.load(parsed.value.settings, environment)
   if (loaded.isErr()) end(EXIT_USAGE, loaded.error.message)
   else if (parsed.value.check) process.stdout.write(`The settings of ${parsed.value.settings} are valid.\n`)
   else await run(loaded.value)
@@ -65,7 +65,8 @@
     onRefused: error => {
       log.log('warn', 'state-refused', { problem: error.message })
       node.refusedByCore(error)
-    }
+    },
+    onRecordSkipped: ({ stream, offset, problem }) => { log.log('warn', 'record-skipped', { stream, offset, problem }) }
   })
   process.on('uncaughtException', error => {
     log.log('fatal', 'unexpected-error', { problem: error.stack ?? String(error) })
