Keep the successors of several processes of a node

Cause: OwnershipTable kept only the newest release of each node. When a node stopped a second time before the windows of its first process had moved, and another successor took the keys, entry nodes were sent to that one for the keys of the first process and got `unknown`, not-owner.

Change: the last 4 releases of each node are kept, and the first one that is not older than the owner of the window names its successor.

Conclusion: a node can stop up to 4 times within one horizon without hiding the keys of its earlier processes.

--- a/packages/common/src/hosting/OwnershipTable.test.ts
+++ b/packages/common/src/hosting/OwnershipTable.test.ts
@@ -23,6 +23,11 @@
   return lookup.kind === 'owner' ? lookup.owner.nodeId : lookup.kind
 }
 
+function sendTo (table: ownership.OwnershipTable, timeMs: number): string {
+  const lookup = table.ownerOf(fixture.SERVICE, fixture.keyAt(timeMs)).unwrap()
+  return lookup.kind === 'owner' ? lookup.sendTo : lookup.kind
+}
+
 test.describe('OwnershipTable', () => {
   test.describe('apply', () => {
     test.it('moves only keys at or after the horizon, so that a node that has not read the change owns nothing twice', () => {
@@ -53,6 +58,26 @@
     })
   })
 
+  test.describe('release', () => {
+    const released = (from: number, successor: string): types.OwnershipRecord =>
+      ({ kind: 'release', owner: { nodeId: 'a', incarnation: from }, successor: { nodeId: successor, incarnation: 1 } })
+
+    test.it('keeps the successor of each process of a node, so that a second stop does not hide who took the first windows', () => {
+      const later = { nodeId: 'a', incarnation: 5 }
+      const second: types.OwnershipRecord = { kind: 'partitions', baseTableVersion: 3, startsAtMs: 1_000, services: fixture.wholeTable(later, 1_000) }
+      const table = folded(FIRST, { kind: 'horizon', untilMs: 1_000 }, released(1, 'b'), second, { kind: 'horizon', untilMs: 2_000 }, released(5, 'c'))
+      assert.deepEqual([sendTo(table, 500), sendTo(table, 1_500)], ['b', 'c'])
+      const copy = new ownership.OwnershipTable()
+      copy.merge(structuredClone(table.updateSince(0)))
+      assert.deepEqual([sendTo(copy, 500), sendTo(copy, 1_500)], ['b', 'c'])
+    })
+
+    test.it('takes the next later release for a process that a later one at its address has replaced', () => {
+      const table = folded(FIRST, { kind: 'horizon', untilMs: 1_000 }, released(3, 'b'), released(5, 'c'))
+      assert.equal(sendTo(table, 500), 'b')
+    })
+  })
+
   test.describe('merge', () => {
     test.it('takes the changes since the own version and never an older state', () => {
       const older = folded(FIRST, { kind: 'horizon', untilMs: 1_000 })
--- a/packages/common/src/hosting/OwnershipTable.ts
+++ b/packages/common/src/hosting/OwnershipTable.ts
@@ -12,6 +12,9 @@
 /** Windows that ended earlier than this before the horizon are dropped; it exceeds the largest key retention. */
 const KEEP_WINDOWS_MS = 7_200_000
 
+/** Releases kept of one node. Windows of older processes have moved by then, unless the node stops more often in one horizon. */
+const MAX_RELEASES_PER_NODE = 4
+
 /** Bounds the way through successors. */
 const MAX_SUCCESSORS = 16
 
@@ -32,8 +35,8 @@
  */
 export class OwnershipTable implements services.IOwnershipTable {
   private readonly _services = new Map<string, serviceTables.ServiceTable>()
-  /** Newest release of each node. */
-  private readonly _released = new Map<base.NodeId, types.Release>()
+  /** Newest releases of each node, oldest first. */
+  private readonly _released = new Map<base.NodeId, readonly types.Release[]>()
   private _asOfOffset = 0
   private _tableVersion = 0
   private _resetVersion = 0
@@ -119,7 +122,7 @@
       this._services.set(windows.service, serviceTables.ServiceTable.unpack(windows, update.tableVersion))
     }
     this._released.clear()
-    for (const release of update.released) this._released.set(release.owner.nodeId, release)
+    for (const release of update.released) this._addRelease(release)
     this._asOfOffset = update.asOfOffset
     this._tableVersion = update.tableVersion
     this._horizonMs = update.horizonMs
@@ -140,7 +143,7 @@
       floorMs: this._floorMs,
       lastChangeMs: this._lastChangeMs,
       lastChangeOffset: this._lastChangeOffset,
-      released: [...this._released.values()],
+      released: [...this._released.values()].flat(),
       sinceVersion,
       services: this._packSince(sinceVersion)
     }
@@ -197,15 +200,20 @@
     return current
   }
 
+  /** A process that did not hand over was replaced by a later one at its address, whose release counts for both. */
   private _releaseOf (owner: types.PartitionOwner): types.Release | undefined {
-    const release = this._released.get(owner.nodeId)
-    return release !== undefined && owner.incarnation <= release.owner.incarnation ? release : undefined
+    return this._released.get(owner.nodeId)?.find(release => owner.incarnation <= release.owner.incarnation)
+  }
+
+  private _addRelease ({ owner, successor }: types.Release): void {
+    const releases = [...this._released.get(owner.nodeId) ?? [], { owner, successor }]
+    this._released.set(owner.nodeId, releases.slice(-MAX_RELEASES_PER_NODE))
   }
 
   /** The windows stay in place: the successor finds them by their owner. */
   private _release ({ owner, successor }: types.ReleaseRecord, version: number): boolean {
     if (this.isReleased(owner)) return false
-    this._released.set(owner.nodeId, { owner, successor })
+    this._addRelease({ owner, successor })
     this._tableVersion = version
     return true
   }
