Choose successors that do not stop themselves

Cause: a trace of the stages of Lifecycle (tick, receive and logAppended wrapped by a preload module, scenario "All nodes stop under load at the same time") shows that every node chose a successor within 6 ms of its stop, before it had heard that the others stop. A process that has begun its own handover ignored others without an answer, and each one repeated its message each second until drainMs was over: 7 of 10 nodes stayed in `handing` and 3 in `confirming` for 10.0 s, and all exited 11.0 to 11.1 s after the signal. A confirmation that arrived after the successor had handed over was ignored in the same way, and then nobody owned the rest of the first node's windows.

Change: a process that stops answers a handover that it has not taken with the new message handover-refusal, and the owner asks the next process, or leaves at once if none is left. A refusal is final, because a stop is never taken back; a handover that was taken before is still acknowledged, so there are never two holders. A later process at the successor's address answers that it is another process; then the owner asks nobody else, because the earlier one may have taken the keys. A confirmation is passed on along the chain of successors, and is taken only by a process that has the keys. Without a holder the owner refuses new keys as not-run, draining. Older nodes ignore the new message and are repeated to until drainMs, as before.

A node that has taken a handover and is then the last one of its service to stop still loses the keys that it was given.

--- a/packages/common/src/hosting/HostCalls.ts
+++ b/packages/common/src/hosting/HostCalls.ts
@@ -183,18 +183,31 @@
       released: false,
       atMs: nowMs,
       forgottenUntilMs: this._keys.forgottenUntilMs,
-      inherited: this._windows.inherited,
+      inherited: this.inherited,
       keys: this._keys.export(nowMs)
     }
   }
 
-  public inherit (handover: types.Handover, nowMs: base.Millis): boolean {
-    if (this._successor !== undefined || !this._windows.inherit(handover)) return false
+  public get inherited (): readonly types.InheritedWindows[] {
+    return this._windows.inherited
+  }
+
+  public retain (): void {
+    this._successor = undefined
+    this._isClosed = true
+  }
+
+  public inherit (handover: types.Handover, takesNew: boolean, nowMs: base.Millis): types.InheritResult {
+    if (!this._windows.isThisProcess(handover.to)) return 'other-process'
+    const isKnown = this._windows.hasInherited(handover.from)
+    // A confirmation does not repeat the keys, so only a process that has them may take it.
+    if (!isKnown && (!takesNew || handover.released)) return 'stopping'
+    this._windows.inherit(handover)
     for (const handed of handover.keys) {
       const keyTimeMs = keys.keyTimeMs(handed.key).unwrapOr(undefined)
       if (keyTimeMs !== undefined) this._keys.import(handed, keyTimeMs, nowMs, nowMs + keyChecks.REFUSAL_MEMORY_MS)
     }
-    return true
+    return 'taken'
   }
 
   public tick (nowMs: base.Millis): readonly types.HostUpdate[] {
--- a/packages/common/src/hosting/Lifecycle.ts
+++ b/packages/common/src/hosting/Lifecycle.ts
@@ -1,6 +1,7 @@
 import * as results from 'ts-results-es'
 import type * as base from '../base/Types.js'
 import * as digest from '../base/Digest.js'
+import type * as memberTypes from '../membership/Types.js'
 import type * as messages from '../node/Messages.js'
 import type * as services from './Services.js'
 import type * as types from './Types.js'
@@ -8,6 +9,9 @@
 /** The handover and the `release` record are repeated at this interval until they are confirmed. */
 const REPEAT_MS = 1_000
 
+/** Bounds the way through successors that have left themselves. */
+const MAX_SUCCESSORS = 8
+
 /** After it has left, the node answers calls of entry nodes that have not heard of it for this long. */
 const LINGER_MS = 1_000
 
@@ -48,6 +52,10 @@
   private _handover: types.Handover | undefined
   /** The successor has acknowledged the key table. */
   private _isHandedOver = false
+  /** The release record is in the log. */
+  private _isReleased = false
+  /** Nodes that stop too and have not taken the handover. */
+  private readonly _refusedBy = new Set<base.NodeId>()
 
   constructor (private readonly _options: LifecycleOptions) {}
 
@@ -83,15 +91,16 @@
     return this._stage === 'left' && nowMs >= this._leftAtMs + LINGER_MS
   }
 
-  public receive (from: base.NodeId, message: messages.HandoverMessage | messages.HandoverAckMessage, nowMs: base.Millis): void {
+  public receive (from: base.NodeId, message: messages.LifecycleMessage, nowMs: base.Millis): void {
     if (message.kind === 'handover') this._inherit(from, message.handover, nowMs)
-    else this._acknowledged(from, message, nowMs)
+    else if (this._isAbout(from, message)) this._answered(message, nowMs)
   }
 
   public logAppended (result: messages.LogAppendResult, nowMs: base.Millis): void {
     if (result.requestId !== this._appending) return
     this._appending = undefined
     if (this._stage !== 'releasing' || result.status !== 'appended') return
+    this._isReleased = true
     this._stage = 'confirming'
     this._nextSendMs = nowMs
   }
@@ -113,27 +122,30 @@
   private _beginHandover (nowMs: base.Millis): void {
     const to = this._chooseSuccessor()
     if (to === undefined) {
+      this._options.calls.retain()
+      this._handover = undefined
       this._leave(nowMs)
       return
     }
     this._handover = this._options.calls.release(to, nowMs)
     this._stage = 'handing'
+    this._nextSendMs = nowMs
   }
 
   private _chooseSuccessor (): types.PartitionOwner | undefined {
     const { membership, service } = this._options
     if (service === '') return undefined
     const rank = (nodeId: base.NodeId): number => digest.placementHash(`${membership.self.nodeId} ${nodeId}`)
-    const rows = membership.targetsOf(service).filter(row => row.nodeId !== membership.self.nodeId)
+    const rows = membership.targetsOf(service).filter(({ nodeId }) => nodeId !== membership.self.nodeId && !this._refusedBy.has(nodeId))
     const row = [...rows].sort((a, b) => rank(b.nodeId) - rank(a.nodeId))[0]
     return row === undefined ? undefined : { nodeId: row.nodeId, incarnation: row.incarnation }
   }
 
-  /** There is never a second successor: the first may have taken the keys although its answer was lost. */
+  /** A second process is asked only after the first has refused: without an answer, it may have taken the keys. */
   private _send (nowMs: base.Millis): void {
+    if (this._handover === undefined || this._stage === 'left') return
+    const row = this._holder(this._handover)
     const handover = this._handover
-    const row = handover === undefined ? undefined : this._options.membership.get(handover.to.nodeId)
-    if (handover === undefined || this._stage === 'left') return
     if (row === undefined || row.state === 'dead' || row.state === 'left') {
       this._leave(nowMs)
       return
@@ -143,9 +155,19 @@
     else this._sendHandover(handover, row.peerAddress)
   }
 
+  /** The row of the successor. If it has left after it took the keys, its own successor has them. */
+  private _holder (handover: types.Handover): memberTypes.MemberRow | undefined {
+    const { membership } = this._options
+    let row = membership.get(handover.to.nodeId)
+    for (let hops = 0; hops < MAX_SUCCESSORS && this._isHandedOver && row?.state === 'left'; hops++) {
+      row = membership.get(row.successor)
+      if (row !== undefined) this._handover = { ...handover, to: { nodeId: row.nodeId, incarnation: row.incarnation } }
+    }
+    return row
+  }
+
   private _sendHandover (handover: types.Handover, address: string): void {
-    const confirmed = this._stage === 'confirming'
-    const sent = confirmed ? { ...handover, released: true, keys: [] } : handover
+    const sent = this._isHandedOver ? { ...handover, released: this._isReleased, keys: [] } : handover
     this._options.effects.push({ kind: 'send', to: handover.to.nodeId, address, message: { kind: 'handover', handover: sent } })
   }
 
@@ -159,15 +181,46 @@
   private _inherit (from: base.NodeId, handover: types.Handover, nowMs: base.Millis): void {
     const row = this._options.membership.get(from)
     if (handover.from.nodeId !== from || row === undefined) return
-    if (!this._options.calls.inherit(handover, nowMs)) return
-    const { nodeId, incarnation } = handover.from
-    const message: messages.HandoverAckMessage = { kind: 'handover-ack', fromNodeId: nodeId, incarnation, released: handover.released }
+    const takesNew = this._stage === 'serving' || this._stage === 'draining'
+    const result = this._options.calls.inherit(handover, takesNew, nowMs)
+    const about = { fromNodeId: from, incarnation: handover.from.incarnation }
+    const message: messages.LifecycleMessage = result === 'taken'
+      ? { kind: 'handover-ack', ...about, released: handover.released }
+      : { kind: 'handover-refusal', ...about, reason: result }
     this._options.effects.push({ kind: 'send', to: from, address: row.peerAddress, message })
+    if (result === 'taken') this._passOn()
+  }
+
+  /** Tells the own successor what has become known about inherited windows since the handover to it. */
+  private _passOn (): void {
+    if (this._handover === undefined) return
+    this._handover = { ...this._handover, inherited: this._options.calls.inherited }
+    const row = this._options.membership.get(this._handover.to.nodeId)
+    if (this._isHandedOver && row !== undefined) this._sendHandover(this._handover, row.peerAddress)
   }
 
-  private _acknowledged (from: base.NodeId, ack: messages.HandoverAckMessage, nowMs: base.Millis): void {
+  private _isAbout (from: base.NodeId, { fromNodeId, incarnation }: messages.HandoverAckMessage | messages.HandoverRefusalMessage): boolean {
     const handover = this._handover
-    if (handover === undefined || from !== handover.to.nodeId || ack.incarnation !== handover.from.incarnation) return
+    return handover !== undefined && from === handover.to.nodeId && fromNodeId === handover.from.nodeId && incarnation === handover.from.incarnation
+  }
+
+  private _answered (message: messages.HandoverAckMessage | messages.HandoverRefusalMessage, nowMs: base.Millis): void {
+    if (message.kind === 'handover-ack') this._acknowledged(message, nowMs)
+    else if (this._stage === 'confirming') this._leave(nowMs)
+    else if (this._stage === 'handing') this._refused(message, nowMs)
+  }
+
+  private _refused ({ reason }: messages.HandoverRefusalMessage, nowMs: base.Millis): void {
+    if (reason === 'other-process' || this._handover === undefined) {
+      this._leave(nowMs)
+      return
+    }
+    this._refusedBy.add(this._handover.to.nodeId)
+    this._beginHandover(nowMs)
+    this._send(nowMs)
+  }
+
+  private _acknowledged (ack: messages.HandoverAckMessage, nowMs: base.Millis): void {
     if (this._stage === 'handing' && !ack.released) {
       this._isHandedOver = true
       this._stage = 'releasing'
--- a/packages/common/src/hosting/OwnedWindows.ts
+++ b/packages/common/src/hosting/OwnedWindows.ts
@@ -54,13 +54,20 @@
     return [...this._inherited.values()]
   }
 
-  /** Returns false for a handover that is meant for another process. */
-  public inherit (handover: types.Handover): boolean {
-    if (!this._isThisProcess(handover.to)) return false
+  /** Whether the windows of the process were taken over, directly or from a node that had taken them over. */
+  public hasInherited (from: types.PartitionOwner): boolean {
+    return this._inherited.has(idOf(from))
+  }
+
+  public inherit (handover: types.Handover): void {
     this._take(handover, handover.forgottenUntilMs)
     // The stopping owner kept the keys of all its windows in one table, so its gaps count for all of them.
     for (const windows of handover.inherited) this._take(windows, handover.forgottenUntilMs)
-    return true
+  }
+
+  public isThisProcess ({ nodeId, incarnation }: types.PartitionOwner): boolean {
+    const { self, currentIncarnation } = this._options
+    return nodeId === self.nodeId && incarnation >= self.incarnation && incarnation <= currentIncarnation()
   }
 
   public tick (nowMs: base.Millis): void {
@@ -71,23 +78,22 @@
 
   private _take (windows: types.InheritedWindows, leastForgottenMs: base.Millis): void {
     const { from, atMs } = windows
-    const id = `${from.nodeId} ${from.incarnation}`
+    const id = idOf(from)
     const released = windows.released || this._inherited.get(id)?.released === true
     const forgottenUntilMs = Math.max(windows.forgottenUntilMs, leastForgottenMs)
     this._inherited.set(id, { from, atMs, released, forgottenUntilMs })
   }
 
   private _isOwn (owner: types.PartitionOwner): boolean {
-    if (this._isThisProcess(owner)) return true
+    if (this.isThisProcess(owner)) return true
     const { self, table, isCaughtUp } = this._options
     if (owner.nodeId !== self.nodeId || owner.incarnation > self.incarnation) return false
     return isCaughtUp() && !table.isReleased(owner)
   }
+}
 
-  private _isThisProcess ({ nodeId, incarnation }: types.PartitionOwner): boolean {
-    const { self, currentIncarnation } = this._options
-    return nodeId === self.nodeId && incarnation >= self.incarnation && incarnation <= currentIncarnation()
-  }
+function idOf ({ nodeId, incarnation }: types.PartitionOwner): string {
+  return `${nodeId} ${incarnation}`
 }
 
 function covers (windows: types.InheritedWindows, owner: types.PartitionOwner, keyTimeMs: base.Millis): boolean {
--- a/packages/common/src/hosting/PlannedStop.test.ts
+++ b/packages/common/src/hosting/PlannedStop.test.ts
@@ -2,8 +2,11 @@
 import * as mesh from './testing/MeshModel.js'
 import type * as processes from './testing/ModelProcess.js'
 import * as test from 'node:test'
+import type * as types from './Types.js'
 
 const STOPPING = 2
+const SUCCESSOR = 0
+const LAST = 1
 const KEYS = 30
 
 /** Node 2 hands over to node 0 and leaves; node 1 may keep the table of before. */
@@ -24,6 +27,23 @@
   }
 }
 
+/** Half seconds in which every message and append arrives. */
+function finish (real: mesh.MeshModel, ticks: number): void {
+  for (let tick = 0; tick < ticks; tick++) {
+    real.deliverAll()
+    real.deliverAll()
+    real.advance(500)
+  }
+}
+
+function answersOfNewKeys (real: mesh.MeshModel, skewMs = 200): Record<types.Outcome, number> {
+  for (let i = 0; i < KEYS; i++) {
+    real.sendNew(LAST, skewMs, false)
+    runAll(real)
+  }
+  return real.ledger.answers
+}
+
 function runAll (real: mesh.MeshModel): void {
   for (let round = 0; round < 4; round++) {
     real.deliverAll()
@@ -90,4 +110,68 @@
       assert.throws(() => sendToBoth(restarted(['catch-up']), 100), /ran twice/)
     })
   })
+
+  test.describe('chain of successors', () => {
+    test.it('keeps the keys of the first node when its release is confirmed only after the second has handed over', () => {
+      const real = new mesh.MeshModel(3, new Set())
+      real.advance(20_000)
+      real.hasSlowLog = true
+      real.stop(STOPPING)
+      real.advance(500)
+      real.deliverAll()
+      real.deliverAll()
+      real.advance(500)
+      real.stop(SUCCESSOR)
+      real.advance(500)
+      // The handover and its acknowledgement overtake the release record of the first node.
+      real.deliver(1, false)
+      real.deliver(1, false)
+      real.hasSlowLog = false
+      finish(real, 8)
+      assert.deepEqual([real.isRunning(STOPPING), real.isRunning(SUCCESSOR)], [false, false])
+      assert.deepEqual(answersOfNewKeys(real), { answered: KEYS, 'not-run': 0, unknown: 0 })
+    })
+
+    test.it('keeps the keys of a node that stops twice with different successors before its first windows have moved', () => {
+      const real = new mesh.MeshModel(4, new Set())
+      real.advance(20_000)
+      stop(real, STOPPING)
+      real.restart(STOPPING)
+      real.advance(2_100)
+      // The first successor drains, so that another one takes the keys of the second process.
+      const first = [0, 1, 3].find(index => real.hasInherited(index)) ?? 0
+      real.drain(first)
+      stop(real, STOPPING)
+      assert.ok([0, 1, 3].some(index => index !== first && real.hasInherited(index)))
+      real.undrain(first)
+      real.advance(500)
+      // These keys were issued before the partitions of the first process moved.
+      assert.deepEqual(answersOfNewKeys(real, -3_500), { answered: KEYS, 'not-run': 0, unknown: 0 })
+    })
+  })
+
+  test.describe('at the same time on all nodes', () => {
+    test.it('ends at once when each node has chosen a successor before it hears that this one stops too', () => {
+      const real = new mesh.MeshModel(3, new Set())
+      real.advance(20_000)
+      for (const index of [0, 1, 2]) real.lag(index, true)
+      for (const index of [0, 1, 2]) real.stop(index)
+      finish(real, 8)
+      assert.deepEqual([0, 1, 2].map(index => real.isRunning(index)), [false, false, false])
+    })
+
+    test.it('leaves the windows with their owners, so that no share of the keys is lost when all nodes start again', () => {
+      const real = new mesh.MeshModel(3, new Set())
+      real.advance(20_000)
+      for (const index of [0, 1, 2]) real.lag(index, true)
+      for (const index of [0, 1, 2]) real.stop(index)
+      finish(real, 8)
+      for (const index of [0, 1, 2]) {
+        real.restart(index)
+        real.lag(index, false)
+      }
+      real.advance(2_500)
+      assert.deepEqual(answersOfNewKeys(real), { answered: KEYS, 'not-run': 0, unknown: 0 })
+    })
+  })
 })
--- a/packages/common/src/hosting/Services.ts
+++ b/packages/common/src/hosting/Services.ts
@@ -106,8 +106,12 @@
   endDrain(): void
   /** Stops running keyed calls for good and returns the key table for the successor. */
   release(to: types.PartitionOwner, nowMs: base.Millis): types.Handover
-  /** Takes over the key table of an owner that stops. False: it was meant for another process, or this one stops too. */
-  inherit(handover: types.Handover, nowMs: base.Millis): boolean
+  /** No process has taken the keys, and none will: they stay here and are refused as `draining`. */
+  retain(): void
+  /** Windows that this process has taken over. */
+  readonly inherited: readonly types.InheritedWindows[]
+  /** Takes over the key table of an owner that stops. Without `takesNew`, only a repetition or confirmation is taken. */
+  inherit(handover: types.Handover, takesNew: boolean, nowMs: base.Millis): types.InheritResult
   /** Time after which a queued call can no longer start; infinite without one. */
   readonly nextDeadlineMs: base.Millis
   /** Returns the final answers of queued calls that can no longer start. */
@@ -128,7 +132,7 @@
   undrain(nowMs: base.Millis): results.Result<void, Error>
   /** True after a stop: nothing is queued or running and the key table is handed over, or the drain time is over. */
   canExit(nowMs: base.Millis): boolean
-  receive(from: base.NodeId, message: messages.HandoverMessage | messages.HandoverAckMessage, nowMs: base.Millis): void
+  receive(from: base.NodeId, message: messages.LifecycleMessage, nowMs: base.Millis): void
   /** Result of the append of the `release` record. */
   logAppended(result: messages.LogAppendResult, nowMs: base.Millis): void
   tick(nowMs: base.Millis): void
--- a/packages/common/src/hosting/Types.ts
+++ b/packages/common/src/hosting/Types.ts
@@ -160,6 +160,9 @@
   readonly forgottenUntilMs: base.Millis
 }
 
+/** Whether a handover was taken; `stopping`: this process hands its own keys over and takes no others. */
+export type InheritResult = 'taken' | 'stopping' | 'other-process'
+
 /** What a stopping owner passes to its successor. */
 export interface Handover extends InheritedWindows {
   readonly to: PartitionOwner
--- a/packages/common/src/hosting/testing/MeshModel.ts
+++ b/packages/common/src/hosting/testing/MeshModel.ts
@@ -11,6 +11,9 @@
 const TICK_MS = 500
 const LOG_RETENTION_MS = 60_000
 
+/** Bounds the way through the rows of nodes that have left. */
+const MAX_SUCCESSORS = 8
+
 const DOCUMENT: config.ConfigDocument = {
   ...fixture.DOCUMENT,
   terms: { ...fixture.DOCUMENT.terms, drainMs: 6_000, ownershipHorizonMs: 8_000, keyRetentionMs: 15_000 }
@@ -29,7 +32,7 @@
 type InFlight =
   | { readonly kind: 'call', readonly to: string, readonly from: string, readonly call: messages.CallMessage, readonly send: ledgers.Send, readonly owner?: processes.Job['owner'] }
   | { readonly kind: 'delegate-answer', readonly process: processes.ModelProcess, readonly runId: number, readonly result: types.RunResult }
-  | { readonly kind: 'peer', readonly to: string, readonly from: string, readonly message: messages.HandoverMessage | messages.HandoverAckMessage }
+  | { readonly kind: 'peer', readonly to: string, readonly from: string, readonly message: messages.LifecycleMessage }
   | { readonly kind: 'append', readonly process: processes.ModelProcess, readonly requestId: string, readonly data: unknown }
 
 /** A small mesh with messages and appends that can be delayed, reordered, repeated and lost at will. */
@@ -188,6 +191,14 @@
     if (vm !== undefined) this._update(vm.process, vm.process.lifecycle.beginDrain(this._clock(vm)))
   }
 
+  public isRunning (index: number): boolean {
+    return pick(this._vms, index)?.process !== undefined
+  }
+
+  public hasInherited (index: number): boolean {
+    return (pick(this._vms, index)?.process?.calls.inherited.length ?? 0) > 0
+  }
+
   public stop (index: number): void {
     const vm = this._running(index)
     if (vm !== undefined) this._update(vm.process, vm.process.lifecycle.beginStop(this._clock(vm)))
@@ -234,7 +245,7 @@
   private _perform (vm: Vm, process: processes.ModelProcess, effect: messages.Effect, nowMs: number): void {
     if (effect.kind === 'send') {
       const { message } = effect
-      if (message.kind === 'handover' || message.kind === 'handover-ack') {
+      if (message.kind === 'handover' || message.kind === 'handover-ack' || message.kind === 'handover-refusal') {
         this._inFlight.push({ kind: 'peer', to: effect.to, from: vm.nodeId, message: structuredClone(message) })
       }
     } else if (effect.kind === 'read-log') {
@@ -367,8 +378,13 @@
 function ownerOf (process: processes.ModelProcess, key: string): string | undefined {
   const lookup = process.table.ownerOf(fixture.SERVICE, key).unwrapOr(undefined)
   if (lookup?.kind !== 'owner') return undefined
-  const row = process.membership.get(lookup.owner.nodeId)
-  return row?.state === 'left' && row.successor !== '' ? row.successor : lookup.sendTo
+  let to = lookup.sendTo
+  for (let hops = 0; hops < MAX_SUCCESSORS; hops++) {
+    const row = process.membership.get(to)
+    if (row?.state !== 'left' || row.successor === '') break
+    to = row.successor
+  }
+  return to
 }
 
 function toResult (answer: types.FinalAnswer): types.RunResult {
--- a/packages/common/src/node/Messages.ts
+++ b/packages/common/src/node/Messages.ts
@@ -175,6 +175,17 @@
   readonly released: boolean
 }
 
+/** The handover was not taken and will not be taken by this process. */
+export interface HandoverRefusalMessage {
+  readonly kind: 'handover-refusal'
+  readonly fromNodeId: base.NodeId
+  readonly incarnation: base.Incarnation
+  /** `other-process`: the process that was meant is gone, so whether it took the handover is not known. */
+  readonly reason: 'stopping' | 'other-process'
+}
+
+export type LifecycleMessage = HandoverMessage | HandoverAckMessage | HandoverRefusalMessage
+
 /** A call on its way from the entry node to a host node. */
 export interface CallMessage {
   readonly kind: 'call'
@@ -246,8 +257,7 @@
 export type ControlMessage =
   | MembershipMessage
   | DistributionMessage
-  | HandoverMessage
-  | HandoverAckMessage
+  | LifecycleMessage
 
 export type PeerMessage = HelloMessage | ControlMessage | CallPathMessage
 
--- a/packages/common/src/node/NodeCore.ts
+++ b/packages/common/src/node/NodeCore.ts
@@ -56,6 +56,7 @@
         return
       case 'handover':
       case 'handover-ack':
+      case 'handover-refusal':
         lifecycle.receive(from, message, nowMs)
     }
   }
--- a/packages/node/src/MessageSchemas.ts
+++ b/packages/node/src/MessageSchemas.ts
@@ -64,6 +64,7 @@
   busy: CHECKED_BY_CORE,
   handover: object<messages.HandoverMessage>({ handover: HANDOVER }),
   'handover-ack': object<messages.HandoverAckMessage>({ fromNodeId: TEXT, incarnation: COUNT, released: FLAG }),
+  'handover-refusal': object<messages.HandoverRefusalMessage>({ fromNodeId: TEXT, incarnation: COUNT, reason: { enum: ['stopping', 'other-process'] } }),
   call: object<messages.CallMessage>({
     callId: INTEGER,
     route: TEXT,
--- a/packages/testbed/src/network/SteppedNode.ts
+++ b/packages/testbed/src/network/SteppedNode.ts
@@ -94,6 +94,7 @@
         return this.distribution.receive(from, message, nowMs)
       case 'handover':
       case 'handover-ack':
+      case 'handover-refusal':
         return
       default:
         return this.membership.receive(from, message, nowMs)
