Add a scenario of a rolling stop

Cause: a rolling stop under load was shown only by the model of the core.

Change: "A rolling stop under load" stops and starts the nodes of each service one after the other, both services at the same time, with 100 calls/s: no call that a node has taken is cut, no payment runs twice and no refusal is false.

--- a/packages/testbed/features/stops.feature
+++ b/packages/testbed/features/stops.feature
@@ -22,3 +22,12 @@
     And the load ends
     Then no call that a node has taken is cut
     And no payment runs twice and no refusal is false
+
+  Scenario: A rolling stop under load
+    Given 100 calls per second are sent
+    When 1 seconds pass
+    And the nodes of each service are stopped and started again one after the other
+    And the load ends
+    Then no call that a node has taken is cut
+    And most calls are answered
+    And no payment runs twice and no refusal is false
--- a/packages/testbed/src/scenarios/faultSteps.ts
+++ b/packages/testbed/src/scenarios/faultSteps.ts
@@ -21,6 +21,16 @@
   await Promise.all(this.fleet.workers.map(async worker => { await stopPlanned(worker) }))
 })
 
+cucumber.When('the nodes of each service are stopped and started again one after the other', async function (this: meshWorld.MeshWorld) {
+  const { fleet } = this
+  await Promise.all(fleet.spec.services.map(async service => {
+    for (const worker of fleet.workersOf(service.name)) {
+      await stopPlanned(worker)
+      await fleet.startNode(worker)
+    }
+  }))
+})
+
 cucumber.When('the node {string} begins its planned stop', function (this: meshWorld.MeshWorld, nodeId: string) {
   this.stoppedAtMs = Date.now()
   this.fleet.worker(nodeId).node.signal('SIGTERM')
