Test a planned stop against lost answers, a log outage and lost successors

Cause: the stages after the handover were not tested against a lost acknowledgement, a lost answer of the log, a log outage, or a successor that crashes or is replaced between handing and confirming.

Change: six tests in PlannedStop on the model with the real classes.

A successor that crashes after the release record was appended takes the windows with it until the horizon, like any crash.

--- a/packages/common/src/hosting/PlannedStop.test.ts
+++ b/packages/common/src/hosting/PlannedStop.test.ts
@@ -27,6 +27,18 @@
   }
 }
 
+/** A mesh in which the acknowledgement of the handover is the only message on its way. */
+function acknowledging (): mesh.MeshModel {
+  const real = new mesh.MeshModel(3, new Set())
+  real.advance(20_000)
+  real.stop(STOPPING)
+  real.advance(500)
+  real.deliverAll()
+  real.advance(500)
+  assert.ok(real.hasInherited(SUCCESSOR))
+  return real
+}
+
 /** Half seconds in which every message and append arrives. */
 function finish (real: mesh.MeshModel, ticks: number): void {
   for (let tick = 0; tick < ticks; tick++) {
@@ -150,6 +162,72 @@
     })
   })
 
+  test.describe('with faults', () => {
+    test.it('repeats the handover when its acknowledgement is lost, so that no key is lost', () => {
+      const real = acknowledging()
+      real.drop(0)
+      finish(real, 8)
+      assert.equal(real.isRunning(STOPPING), false)
+      assert.deepEqual(answersOfNewKeys(real), { answered: KEYS, 'not-run': 0, unknown: 0 })
+    })
+
+    test.it('appends the release again when the answer of the log is lost', () => {
+      const real = acknowledging()
+      real.hasSlowLog = true
+      real.deliverAll()
+      real.advance(500)
+      real.drop(0)
+      real.hasSlowLog = false
+      finish(real, 8)
+      assert.equal(real.isRunning(STOPPING), false)
+      assert.deepEqual(answersOfNewKeys(real), { answered: KEYS, 'not-run': 0, unknown: 0 })
+    })
+
+    test.it('leaves after the drain time while the log is down, so that a stop ends, and every new key is answered once the log is back', () => {
+      const real = acknowledging()
+      real.log.isUp = false
+      finish(real, 16)
+      assert.equal(real.isRunning(STOPPING), false)
+      real.log.isUp = true
+      real.restart(STOPPING)
+      // Readers repeat a failed read after at most 10 s.
+      real.advance(12_000)
+      assert.deepEqual(answersOfNewKeys(real), { answered: KEYS, 'not-run': 0, unknown: 0 })
+    })
+
+    test.it('does not release its windows to a successor that has died, so that the next process at the address adopts them', () => {
+      const real = acknowledging()
+      real.deliverAll()
+      real.crash(SUCCESSOR)
+      finish(real, 4)
+      assert.equal(real.isRunning(STOPPING), false)
+      real.restart(STOPPING)
+      real.restart(SUCCESSOR)
+      real.advance(2_500)
+      assert.deepEqual(answersOfNewKeys(real), { answered: KEYS, 'not-run': 0, unknown: 0 })
+    })
+
+    test.it('ends at once when the successor is replaced by a later process before it has acknowledged', () => {
+      const real = acknowledging()
+      real.drop(0)
+      real.restart(SUCCESSOR)
+      finish(real, 8)
+      assert.equal(real.isRunning(STOPPING), false)
+      real.restart(STOPPING)
+      real.advance(2_500)
+      assert.deepEqual(answersOfNewKeys(real), { answered: KEYS, 'not-run': 0, unknown: 0 })
+    })
+
+    test.it('ends at once when the successor is replaced by a later process before the release is confirmed', () => {
+      const real = acknowledging()
+      real.deliverAll()
+      real.advance(500)
+      real.restart(SUCCESSOR)
+      finish(real, 8)
+      assert.equal(real.isRunning(STOPPING), false)
+    })
+  })
+
   test.describe('at the same time on all nodes', () => {
     test.it('ends at once when each node has chosen a successor before it hears that this one stops too', () => {
       const real = new mesh.MeshModel(3, new Set())
