Merge planned stops of many nodes

Cause: nodes that stopped together waited for each other until drainMs; a rolling stop ended calls as unknown when keys came back to the node of their owner; the ownership table kept one release per node. A stop with the log down still lasts drainMs.

--- a/packages/common/src/hosting/HostCalls.ts
+++ b/packages/common/src/hosting/HostCalls.ts
@@ -181,18 +181,28 @@
       released: false,
       atMs: nowMs,
       forgottenUntilMs: this._keys.forgottenUntilMs,
-      inherited: this._windows.inherited,
+      inherited: this.inherited,
       keys: this._keys.export(nowMs)
     }
   }
 
-  public inherit (handover: types.Handover, nowMs: base.Millis): boolean {
-    if (this._successor !== undefined || !this._windows.inherit(handover)) return false
-    for (const handed of handover.keys) {
-      const keyTimeMs = keys.keyTimeMs(handed.key).unwrapOr(undefined)
-      if (keyTimeMs !== undefined) this._keys.import(handed, keyTimeMs, nowMs, nowMs + keyChecks.REFUSAL_MEMORY_MS)
-    }
-    return true
+  public get inherited (): readonly types.InheritedWindows[] {
+    return this._windows.inherited
+  }
+
+  public retain (): void {
+    this._successor = undefined
+    this._isClosed = true
+  }
+
+  public inherit (handover: types.Handover, takesNew: boolean, nowMs: base.Millis): types.InheritResult {
+    if (!this._windows.isThisProcess(handover.to)) return 'other-process'
+    const isKnown = this._windows.hasInherited(handover.from)
+    // A confirmation does not repeat the keys, so only a process that has them may take it.
+    if (!isKnown && (!takesNew || handover.released)) return 'stopping'
+    this._windows.inherit(handover)
+    this._keys.importAll(handover.keys, nowMs, nowMs + keyChecks.REFUSAL_MEMORY_MS)
+    return 'taken'
   }
 
   public tick (nowMs: base.Millis): readonly types.HostUpdate[] {
@@ -233,7 +243,8 @@
     const known = this._delegations.get(id)
     if (known !== undefined) return 'runId' in known ? this._join(known.runId, call, nowMs) : decisions.answer(known.answer)
     // An older message may have been run and forgotten, so this is not a statement that it was not run.
-    if (requests.isStale(call, nowMs) || this._isBeforeStart(call)) return decisions.answer(answers.unknown('stale-send'))
+    const isBeforeStart = call.sentAtMs <= this._options.startedAtMs + MAX_CLOCK_DIFFERENCE_MS
+    if (requests.isStale(call, nowMs) || isBeforeStart) return decisions.answer(answers.unknown('stale-send'))
     if (this._options.crashes.hasRun(call.key)) return decisions.answer(answers.unknown('crashes-target'))
     const place = this._place(call, nowMs)
     if (place.kind === 'refused') {
@@ -246,10 +257,6 @@
     return decision
   }
 
-  private _isBeforeStart (call: messages.CallMessage): boolean {
-    return call.sentAtMs <= this._options.startedAtMs + MAX_CLOCK_DIFFERENCE_MS
-  }
-
   private _acceptKeyed (call: requests.KeyedCall, nowMs: base.Millis): types.HostDecision {
     const keyTime = keys.keyTimeMs(call.key)
     if (keyTime.isErr()) return decisions.answer(answers.notRun('bad-key', 0))
@@ -259,19 +266,11 @@
     if (this._successor !== undefined) return decisions.answer({ ...answers.unknown('not-owner'), successor: this._successor.nodeId })
     const unowned = this._check.unowned(call, keyTimeMs, nowMs)
     if (unowned !== undefined) return decisions.answer(unowned)
-    const refused = this._keyRefusal(call, keyTimeMs, nowMs)
+    const refused = this._check.refusal(call, keyTimeMs, this._isClosed, nowMs)
     if (refused !== undefined) return this._refuseKey(call, keyTimeMs, refused, decisions.RETRY_AFTER_MS, nowMs)
     return this._runOwned(call, keyTimeMs, nowMs)
   }
 
-  private _keyRefusal (call: requests.KeyedCall, keyTimeMs: base.Millis, nowMs: base.Millis): types.OutcomeReason | undefined {
-    if (keyTimeMs > nowMs + keys.MAX_KEY_AHEAD_MS) return 'key-too-new'
-    if (requests.isStale(call, nowMs)) return 'stale-send'
-    if (this._isClosed) return 'draining'
-    if (call.remainingMs <= 0) return 'deadline'
-    return this._options.crashes.isBlocked(call.key, call.fingerprint, nowMs) ? 'crashes-target' : undefined
-  }
-
   private _runOwned (call: requests.KeyedCall, keyTimeMs: base.Millis, nowMs: base.Millis): types.HostDecision {
     const target = this._limits.of(call.route)
     if (target === undefined) return this._refuseKey(call, keyTimeMs, 'no-configuration', 0, nowMs)
--- a/packages/common/src/hosting/KeyCheck.ts
+++ b/packages/common/src/hosting/KeyCheck.ts
@@ -59,6 +59,15 @@
     const forgottenUntilMs = Math.max(table.forgottenUntilMs, ownership.forgottenUntilMs, nowMs - retentionMs())
     return keyTimeMs <= forgottenUntilMs ? answers.unknown('key-too-old') : undefined
   }
+
+  /** Why a key that this process owns is not run, whatever the target; `isClosed`: the process stops. */
+  public refusal (call: requests.KeyedCall, keyTimeMs: base.Millis, isClosed: boolean, nowMs: base.Millis): types.OutcomeReason | undefined {
+    if (keyTimeMs > nowMs + keys.MAX_KEY_AHEAD_MS) return 'key-too-new'
+    if (requests.isStale(call, nowMs)) return 'stale-send'
+    if (isClosed) return 'draining'
+    if (call.remainingMs <= 0) return 'deadline'
+    return this._options.crashes.isBlocked(call.key, call.fingerprint, nowMs) ? 'crashes-target' : undefined
+  }
 }
 
 function known (answer: types.FinalAnswer): KnownKey {
--- a/packages/common/src/hosting/KeyTable.ts
+++ b/packages/common/src/hosting/KeyTable.ts
@@ -1,4 +1,5 @@
 import type * as base from '../base/Types.js'
+import * as keys from './Keys.js'
 import type * as types from './Types.js'
 
 export interface KeyTableOptions {
@@ -150,6 +151,14 @@
     return handed
   }
 
+  /** Takes what `export` returned. */
+  public importAll (handed: readonly types.HandoverKey[], nowMs: base.Millis, refusedUntilMs: base.Millis): void {
+    for (const key of handed) {
+      const keyTimeMs = keys.keyTimeMs(key.key).unwrapOr(undefined)
+      if (keyTimeMs !== undefined) this.import(key, keyTimeMs, nowMs, refusedUntilMs)
+    }
+  }
+
   /** Takes an entry of `export`; a refusal holds until `refusedUntilMs`. What this table knows itself stands. */
   public import (handed: types.HandoverKey, keyTimeMs: base.Millis, nowMs: base.Millis, refusedUntilMs: base.Millis): void {
     if (this._entries.has(handed.key)) return
--- a/packages/common/src/hosting/ServiceTable.ts
+++ b/packages/common/src/hosting/ServiceTable.ts
@@ -65,8 +65,8 @@
     this._compact()
   }
 
-  public * nodeIds (): Generator<base.NodeId> {
-    for (const { nodeId } of this._owners) yield nodeId
+  public owners (): readonly types.PartitionOwner[] {
+    return this._owners
   }
 
   /** Drops owners without windows and sorts the rest by first use, so that equal tables are packed equally. */
--- a/packages/common/src/hosting/Types.ts
+++ b/packages/common/src/hosting/Types.ts
@@ -160,6 +160,15 @@
   readonly forgottenUntilMs: base.Millis
 }
 
+/**
+ * `stopping`: this process hands its own keys over and takes no others. `other-process`: the process that was meant is
+ * gone, so whether it took the handover is not known. `returned`: this process took the handover, leaves without a
+ * successor, and runs no more keys; it may have run some.
+ */
+export type HandoverRefusal = 'stopping' | 'other-process' | 'returned'
+
+export type InheritResult = 'taken' | 'stopping' | 'other-process'
+
 /** What a stopping owner passes to its successor. */
 export interface Handover extends InheritedWindows {
   readonly to: PartitionOwner
--- a/packages/common/src/node/Messages.ts
+++ b/packages/common/src/node/Messages.ts
@@ -175,6 +175,16 @@
   readonly released: boolean
 }
 
+/** The handover was not taken and will not be taken by this process, or its windows are given back. */
+export interface HandoverRefusalMessage {
+  readonly kind: 'handover-refusal'
+  readonly fromNodeId: base.NodeId
+  readonly incarnation: base.Incarnation
+  readonly reason: hosting.HandoverRefusal
+}
+
+export type LifecycleMessage = HandoverMessage | HandoverAckMessage | HandoverRefusalMessage
+
 /** A call on its way from the entry node to a host node. */
 export interface CallMessage {
   readonly kind: 'call'
@@ -250,8 +260,7 @@
 export type ControlMessage =
   | MembershipMessage
   | DistributionMessage
-  | HandoverMessage
-  | HandoverAckMessage
+  | LifecycleMessage
 
 export type PeerMessage = HelloMessage | ControlMessage | CallPathMessage
 
