Drop releases that no window needs above 64 nodes

Every update of the ownership table carries all releases.

The new test with 100 nodes that were restarted once kept 100 releases before and keeps none now.

--- a/packages/common/src/hosting/OwnershipTable.test.ts
+++ b/packages/common/src/hosting/OwnershipTable.test.ts
@@ -1,5 +1,7 @@
 import * as assert from 'node:assert/strict'
+import * as codec from './WindowCodec.js'
 import * as fixture from './testing/Fixture.js'
+import * as keys from './Keys.js'
 import * as ownership from './OwnershipTable.js'
 import * as test from 'node:test'
 import type * as types from './Types.js'
@@ -71,6 +73,20 @@
       assert.equal(lookup.kind === 'owner' && lookup.sendTo, 'd')
       assert.equal(table.updateSince(0).released.length, 2)
     })
+
+    // Guards against updates that grow with every node that was ever restarted: each carries the whole list.
+    test.it('drops the releases of processes whose windows are gone, although later processes of the nodes have windows', () => {
+      const nodeIds = Array.from({ length: 100 }, (_, i) => `n${i}`)
+      const releases = nodeIds.map((nodeId): types.OwnershipRecord => {
+        return { kind: 'release', owner: { nodeId, incarnation: 1 }, successor: { nodeId: 'b', incarnation: 1 } }
+      })
+      const later = nodeIds.slice(0, keys.PARTITIONS).map((nodeId, partition) => {
+        return { service: fixture.SERVICE, partition, startsAtMs: 1_000, owner: { nodeId, incarnation: 2 } }
+      })
+      const table = folded(FIRST, ...releases, { kind: 'partitions', baseTableVersion: 101, startsAtMs: 1_000, services: codec.pack(later) })
+      assert.equal(table.ownerOf(fixture.SERVICE, fixture.keyAt(500)).unwrap().kind, 'beyond-horizon')
+      assert.deepEqual([table.tableVersion, table.updateSince(0).released.length], [102, 0])
+    })
   })
 
   test.describe('release', () => {
--- a/packages/common/src/hosting/OwnershipTable.ts
+++ b/packages/common/src/hosting/OwnershipTable.ts
@@ -18,8 +18,8 @@
 /** Bounds the way through successors. */
 const MAX_SUCCESSORS = 16
 
-/** Nodes that handed over; beyond it those without windows are dropped. */
-const MAX_RELEASED = 1_024
+/** Above this number of nodes that handed over, releases that no window needs are dropped. Every update carries the list. */
+const MAX_RELEASED = 64
 
 /**
  * Fold of the `ownership` stream: for each service and partition the owners by key issue time.
