Keep the versions of members apart from their rows

Cause: MemberTable.recordVersion copied the whole row for each peer and version. A copy has no cached hash and no cached wire form, and the nodes of one process no longer share it.

Change: the table keeps versions above those in the rows in a map of their own. IMembership.versionOf gives the highest known one; rows are sent with it, and /admin/status shows it as before.

--- a/packages/common/src/distribution/Distribution.ts
+++ b/packages/common/src/distribution/Distribution.ts
@@ -373,7 +373,7 @@
     const { checkedAtMs } = this._log
     return {
       version: this._options.enforcement.current?.version ?? 0,
-      recordedVersion: this._options.membership.get(to)?.enforcedVersion ?? 0,
+      recordedVersion: this._options.membership.versionOf(to),
       logCheckedAgoMs: checkedAtMs === undefined ? -1 : Math.max(0, nowMs - checkedAtMs)
     }
   }
--- a/packages/common/src/membership/MemberTable.test.ts
+++ b/packages/common/src/membership/MemberTable.test.ts
@@ -3,6 +3,7 @@
 import * as fc from 'fast-check'
 import * as tables from './MemberTable.js'
 import type * as types from './Types.js'
+import * as wires from './WireRow.js'
 
 const STATES: readonly types.MemberState[] = ['joining', 'ready', 'draining', 'left', 'suspect', 'dead']
 
@@ -84,17 +85,33 @@
 
     test.it('keeps the highest version over all processes of a node, which is evidence when it restarts', () => {
       const table = tableOf([row({ enforcedVersion: 7 }), row({ incarnation: 2, enforcedVersion: 0 })])
-      assert.equal(table.get('a')?.enforcedVersion, 7)
+      assert.equal(table.versionOf('a'), 7)
     })
   })
 
   test.describe('recordVersion', () => {
+    test.it('leaves the row as it is, because a copy per version would lose its cached hash and wire form', () => {
+      const table = tableOf([row({})])
+      const before = table.get('a')
+      table.recordVersion('a', 9)
+      assert.equal(table.get('a'), before)
+    })
+
+    test.it('is sent with the row and forgotten with it, so that the versions of replaced nodes take no memory', () => {
+      const table = tableOf([row({ enforcedVersion: 3 })])
+      table.recordVersion('a', 9)
+      assert.equal(wires.fromWire(table.toWire(row({ enforcedVersion: 3 }))).enforcedVersion, 9)
+      table.forget('a')
+      table.recordVersion('a', 10)
+      assert.equal(table.versionOf('a'), 0)
+    })
+
     test.it('changes no hash, because each peer learns versions on its own', () => {
       const table = tableOf([row({})])
       const before = table.bucketHashes(4)
       table.recordVersion('a', 9)
       table.recordVersion('a', 8)
-      assert.equal(table.get('a')?.enforcedVersion, 9)
+      assert.equal(table.versionOf('a'), 9)
       assert.deepEqual(table.bucketHashes(4), before)
     })
   })
--- a/packages/common/src/membership/MemberTable.ts
+++ b/packages/common/src/membership/MemberTable.ts
@@ -2,6 +2,7 @@
 import * as hashes from './RowHash.js'
 import * as rules from './RowRules.js'
 import type * as types from './Types.js'
+import * as wires from './WireRow.js'
 
 /** Buckets kept; smaller counts are folded from them. */
 export const MAX_BUCKETS = 256
@@ -9,6 +10,8 @@
 /** Rows of all known nodes, with the indexes that routing, repair and reader selection need. */
 export class MemberTable {
   private readonly _rows = new Map<base.NodeId, types.MemberRow>()
+  /** Versions above those in the rows. Heartbeats raise them all the time, and rows are shared and have cached hashes and wire forms. */
+  private readonly _versions = new Map<base.NodeId, number>()
   private readonly _bucketIds: base.NodeId[][] = Array.from({ length: MAX_BUCKETS }, () => [])
   private readonly _bucketHashes = new Uint32Array(MAX_BUCKETS)
   private readonly _liveIds = new Map<string, base.NodeId[]>()
@@ -34,25 +37,34 @@
   public merge (row: types.MemberRow): types.MemberChange | undefined {
     const previous = this._rows.get(row.nodeId)
     if (previous !== undefined && !rules.isNewer(row, previous)) return undefined
-    const current = keepVersion(previous, row)
-    this._rows.set(row.nodeId, current)
-    this._updateBucket(previous, current)
-    this._updateZone(previous, current)
-    this._updateService(previous, current)
-    return { previous, current, forgotten: false }
+    this._keepVersion(row)
+    this._rows.set(row.nodeId, row)
+    this._updateBucket(previous, row)
+    this._updateZone(previous, row)
+    this._updateService(previous, row)
+    return { previous, current: row, forgotten: false }
+  }
+
+  /** Highest version that the node is known to enforce; 0 for an unknown node. */
+  public versionOf (nodeId: base.NodeId): number {
+    return this._versions.get(nodeId) ?? this._rows.get(nodeId)?.enforcedVersion ?? 0
   }
 
   /** Records a higher version of a node without counting it as a change of the row. */
   public recordVersion (nodeId: base.NodeId, version: number): void {
-    const row = this._rows.get(nodeId)
-    if (row === undefined || version <= row.enforcedVersion) return
-    this._rows.set(nodeId, { ...row, enforcedVersion: version })
+    if (version > this.versionOf(nodeId) && this._rows.has(nodeId)) this._versions.set(nodeId, version)
+  }
+
+  /** The row as it travels, with the highest known version of its node. */
+  public toWire (row: types.MemberRow): types.WireRow {
+    return wires.toWireWithVersion(row, Math.max(row.enforcedVersion, this.versionOf(row.nodeId)))
   }
 
   public forget (nodeId: base.NodeId): types.MemberChange | undefined {
     const row = this._rows.get(nodeId)
     if (row === undefined) return undefined
     this._rows.delete(nodeId)
+    this._versions.delete(nodeId)
     this._removeFromBucket(row)
     if (rules.isLive(row)) this._removeLive(row)
     this._serviceIds.get(row.service)?.delete(nodeId)
@@ -106,6 +118,13 @@
     return rows
   }
 
+  /** The version of a node is known to each peer on its own and never goes down, so it takes no part in the hash. */
+  private _keepVersion (row: types.MemberRow): void {
+    const known = this.versionOf(row.nodeId)
+    if (known > row.enforcedVersion) this._versions.set(row.nodeId, known)
+    else this._versions.delete(row.nodeId)
+  }
+
   private _updateBucket (previous: types.MemberRow | undefined, current: types.MemberRow): void {
     const { bucketHash, hash } = hashes.rowHash(current)
     const bucket = bucketHash % MAX_BUCKETS
@@ -180,9 +199,3 @@
   }
   return low
 }
-
-/** The version of a node is known to each peer on its own and never goes down, so it takes no part in the hash. */
-function keepVersion (previous: types.MemberRow | undefined, row: types.MemberRow): types.MemberRow {
-  if (previous === undefined || previous.enforcedVersion <= row.enforcedVersion) return row
-  return { ...row, enforcedVersion: previous.enforcedVersion }
-}
--- a/packages/common/src/membership/Membership.test.ts
+++ b/packages/common/src/membership/Membership.test.ts
@@ -172,6 +172,26 @@
     })
   })
 
+  test.describe('versions', () => {
+    test.it('tells a node that restarts which version it has enforced, so that it does not go back to an older one', () => {
+      const probe = new Probe()
+      probe.membership.receive('peer', { ...gossip(peerRow()), version: 9 }, NOW_MS)
+      assert.equal(probe.membership.versionOf('peer'), 9)
+      probe.effects.length = 0
+      const restarted = wires.toWire(peerRow({ incarnation: NOW_MS + 1, state: 'joining' }))
+      probe.membership.receive('peer', { kind: 'join', row: restarted, wantsRows: false }, NOW_MS + 1)
+      const told = probe.effects.flatMap(effect => effect.kind === 'send' && effect.message.kind === 'table-rows' ? effect.message.rows : [])
+      assert.equal(told.map(wires.fromWire).find(row => row.nodeId === 'peer')?.enforcedVersion, 9)
+    })
+
+    test.it('announces its own version in its row', () => {
+      const probe = new Probe()
+      probe.membership.announce({ enforcedVersion: 4 }, NOW_MS)
+      assert.equal(probe.membership.self.enforcedVersion, 4)
+      assert.equal(probe.membership.versionOf('self'), 4)
+    })
+  })
+
   test.describe('heartbeats', () => {
     test.it('carries each change a bounded number of times, so that old news does not use up the budget', () => {
       const probe = new Probe()
--- a/packages/common/src/membership/Membership.ts
+++ b/packages/common/src/membership/Membership.ts
@@ -112,6 +112,10 @@
     return this._table.all()
   }
 
+  public versionOf (nodeId: base.NodeId): number {
+    return this._table.versionOf(nodeId)
+  }
+
   public targetsOf (service: string): readonly types.MemberRow[] {
     return this._table.targetsOf(service)
   }
@@ -137,11 +141,9 @@
   }
 
   public announce (change: Partial<Pick<types.MemberRow, 'targetReady' | 'targetReadySinceMs' | 'enforcedVersion'>>, nowMs: base.Millis): void {
-    const { enforcedVersion, ...fields } = change
-    if (enforcedVersion !== undefined) {
-      this._table.recordVersion(this._self.nodeId, enforcedVersion)
-      this._self = this._table.get(this._self.nodeId) ?? this._self
-    }
+    const { enforcedVersion = 0, ...fields } = change
+    if (enforcedVersion > this._self.enforcedVersion) this._self = { ...this._self, enforcedVersion }
+    this._table.recordVersion(this._self.nodeId, enforcedVersion)
     if (Object.keys(fields).length > 0) this._changeSelf({ ...fields, revision: this._self.revision + 1 }, nowMs)
   }
 
@@ -282,7 +284,6 @@
     this._self = { ...this._self, ...change }
     const merged = this._table.merge(this._self)
     if (merged === undefined) return
-    this._self = merged.current
     this._applyChange(merged, nowMs)
   }
 
@@ -317,7 +318,7 @@
   private _probeSeeds (nowMs: base.Millis): void {
     const address = this._seedProbe.due(nowMs, this._table.size)
     if (address === undefined) return
-    this._send('', { kind: 'join', row: wires.toWire(this._self), wantsRows: !this.isJoined || this._table.size === 1 }, address)
+    this._send('', { kind: 'join', row: this._table.toWire(this._self), wantsRows: !this.isJoined || this._table.size === 1 }, address)
   }
 
   /** Tells a dead member of its row, so that it refutes if it was only cut off. */
@@ -328,7 +329,7 @@
 
   private _sendUrgent (): void {
     if (!this._gossip.hasUrgent) return
-    const updates = this._gossip.takeUrgent(limits.URGENT_ROWS).map(wires.toWire)
+    const updates = this._gossip.takeUrgent(limits.URGENT_ROWS).map(row => this._table.toWire(row))
     const fanout = updates.length > limits.MASS_ROWS ? limits.MASS_FANOUT : limits.URGENT_FANOUT[this._options.terms().preference]
     this._sendToRandom(fanout, { kind: 'gossip', ...this._ownVersions(), updates, crashes: [] })
   }
@@ -367,11 +368,11 @@
     const updates = this._gossip.take(limit, this._table.size)
     const claim = this._table.get(to)
     if (claim !== undefined && !rules.isLive(claim)) updates.unshift(claim)
-    return { ...this._ownVersions(), updates: updates.map(wires.toWire), crashes: this._options.crashes?.pending(limits.CRASHES_PER_MESSAGE) ?? [] }
+    return { ...this._ownVersions(), updates: updates.map(row => this._table.toWire(row)), crashes: this._options.crashes?.pending(limits.CRASHES_PER_MESSAGE) ?? [] }
   }
 
   private _sendRows (to: base.NodeId, rows: readonly types.MemberRow[], address?: string): void {
-    this._send(to, { kind: 'table-rows', rows: rows.map(wires.toWire), wantedBuckets: [], bucketCount: 0 }, address)
+    this._send(to, { kind: 'table-rows', rows: rows.map(row => this._table.toWire(row)), wantedBuckets: [], bucketCount: 0 }, address)
   }
 
   private _send (to: base.NodeId, message: messages.MembershipMessage, address = this._table.get(to)?.peerAddress ?? ''): void {
@@ -383,7 +384,7 @@
       sendProbe: (nodeId, sequence) => this._send(nodeId, { kind: 'probe', sequence, ...this._news(nodeId) }),
       sendProbeRequest: (helper, target, sequence) => this._send(helper, { kind: 'probe-request', sequence, target }),
       relayAck: (requester, target, sequence) => this._send(requester, {
-        kind: 'probe-ack', sequence, target, version: this._table.get(target)?.enforcedVersion ?? 0, ownershipOffset: 0, updates: [], crashes: []
+        kind: 'probe-ack', sequence, target, version: this._table.versionOf(target), ownershipOffset: 0, updates: [], crashes: []
       }),
       suspect: nodeId => this._mark(nodeId, 'suspect'),
       declareDead: nodeId => this._mark(nodeId, 'dead')
--- a/packages/common/src/membership/Services.ts
+++ b/packages/common/src/membership/Services.ts
@@ -11,6 +11,8 @@
   readonly self: types.MemberRow
   get(nodeId: base.NodeId): types.MemberRow | undefined
   all(): Iterable<types.MemberRow>
+  /** Highest configuration version that the node is known to enforce; 0 for an unknown node. */
+  versionOf(nodeId: base.NodeId): number
   /** Rows with state `ready` and a ready target for the service. Cached until a row of the service changes. */
   targetsOf(service: string): readonly types.MemberRow[]
   /** Live rows (`joining`, `ready` or `draining`) of a zone, sorted by id. */
--- a/packages/common/src/membership/TableRepair.ts
+++ b/packages/common/src/membership/TableRepair.ts
@@ -59,7 +59,7 @@
     for (let i = 0; i < own.length; i++) if (own[i] !== buckets[i]) different.push(i)
     if (different.length === 0 || !this._mayServe(nowMs)) return undefined
     const page = this._page(different, buckets.length, () => true)
-    return { kind: 'table-rows', rows: page.rows.map(wires.toWire), wantedBuckets: page.buckets, bucketCount: buckets.length }
+    return { kind: 'table-rows', rows: page.rows.map(row => this._table.toWire(row)), wantedBuckets: page.buckets, bucketCount: buckets.length }
   }
 
   /** Rows of the wanted buckets that the peer's page lacks or has in an older form. */
@@ -71,7 +71,7 @@
       return known === undefined || rules.isNewer(row, known)
     })
     if (page.rows.length === 0) return undefined
-    return { kind: 'table-rows', rows: page.rows.map(wires.toWire), wantedBuckets: [], bucketCount: 0 }
+    return { kind: 'table-rows', rows: page.rows.map(row => this._table.toWire(row)), wantedBuckets: [], bucketCount: 0 }
   }
 
   /** A page of rows for a node that joins, spread over the table. */
--- a/packages/common/src/membership/Types.ts
+++ b/packages/common/src/membership/Types.ts
@@ -18,7 +18,7 @@
   readonly targetReady: boolean
   /** Time at which the target became ready, for slow start. */
   readonly targetReadySinceMs: base.Millis
-  /** Highest configuration version that the node enforces. */
+  /** Configuration version that came with the row. `IMembership.versionOf` gives the highest one known. */
   readonly enforcedVersion: number
   /** `host:port` of the administration endpoint. */
   readonly adminAddress: string
--- a/packages/common/src/membership/WireRow.ts
+++ b/packages/common/src/membership/WireRow.ts
@@ -13,14 +13,19 @@
 const rowOfWire = new WeakMap<object, types.MemberRow>()
 
 export function toWire (row: types.MemberRow): types.WireRow {
+  return toWireWithVersion(row, row.enforcedVersion)
+}
+
+/** The row with a version that was learned after it. */
+export function toWireWithVersion (row: types.MemberRow, version: number): types.WireRow {
   const known = wireOfRow.get(row)
-  if (known !== undefined) return known
+  if (known !== undefined && known[10] === version) return known
   const wire: types.WireRow = [
     row.nodeId, row.incarnation, row.state, row.peerAddress, row.callerAddress, row.adminAddress, row.zone, row.service,
-    row.targetReady, row.targetReadySinceMs, row.enforcedVersion, row.revision, row.successor
+    row.targetReady, row.targetReadySinceMs, version, row.revision, row.successor
   ]
   wireOfRow.set(row, wire)
-  rowOfWire.set(wire, row)
+  if (version === row.enforcedVersion) rowOfWire.set(wire, row)
   return wire
 }
 
--- a/packages/node/src/NodeProcess.test.ts
+++ b/packages/node/src/NodeProcess.test.ts
@@ -22,6 +22,16 @@
     return entry
   }
 
+  test.describe('status', () => {
+    test.it('shows the versions of heartbeats, which are newer than those that came with the rows', async () => {
+      const node = await mesh.addBareNode('bare')
+      node.services.membership.versions.set('bare', 7)
+      const answer = await undici.request(`${node.adminUrl}/admin/status`)
+      const { members } = await answer.body.json() as { members: { nodeId: string, enforcedVersion: number }[] }
+      assert.deepEqual(members.map(row => [row.nodeId, row.enforcedVersion]), [['bare', 7]])
+    })
+  })
+
   test.describe('path of a call', () => {
     test.it('passes an answer from the target to the caller whole, with the outcome', async () => {
       const entry = await start((_request, response) => { response.writeHead(201, { 'x-a': 'b', 'set-cookie': ['c=1', 'd=2'] }).end('hello') })
--- a/packages/node/src/NodeProcess.ts
+++ b/packages/node/src/NodeProcess.ts
@@ -152,7 +152,7 @@
       readiness: this.readiness(),
       version: current?.version ?? 0,
       digest: current?.digest ?? '',
-      members: [...membership.all()],
+      members: [...membership.all()].map(row => ({ ...row, enforcedVersion: membership.versionOf(row.nodeId) })),
       ...this._options.details?.()
     }
   }
--- a/packages/node/src/testing/FakeServices.ts
+++ b/packages/node/src/testing/FakeServices.ts
@@ -45,6 +45,8 @@
 export class FakeMembership implements membershipServices.IMembership {
   public readonly lost: base.NodeId[] = []
   public readonly received: messages.MembershipMessage[] = []
+  /** Versions that peers told on heartbeats. */
+  public readonly versions = new Map<base.NodeId, number>()
   public readonly onPeerVersion = new emitter.Emitter<membership.PeerVersion>().event
   public readonly recordedSelfVersion = 0
   public readonly isJoined = true
@@ -78,6 +80,10 @@
     return this._rows.values()
   }
 
+  public versionOf (nodeId: base.NodeId): number {
+    return this.versions.get(nodeId) ?? 0
+  }
+
   public targetsOf (service: string): readonly membership.MemberRow[] {
     return [...this._rows.values()].filter(row => row.service === service && row.state === 'ready' && row.targetReady)
   }
