Let the member tables of one process share their memory until they change

Cause: BenchFleet.fillTables merged 6,900 rows into each of 6,900 tables, 47.6 million merges with their indexes, and each node held them for itself.

Change: MemberTable.copy makes a table that shares rows and indexes until one of the two changes. Membership can start with a table; the benchmark builds one and starts all nodes with copies of it.

Tables are copied in full once a node fails, so runs with dead nodes still reach the earlier memory.

--- a/packages/common/src/membership/MemberTable.test.ts
+++ b/packages/common/src/membership/MemberTable.test.ts
@@ -89,6 +89,29 @@
     })
   })
 
+  test.describe('copy', () => {
+    test.it('sees no change of the table that it shares memory with, nor the other way round', () => {
+      fc.assert(fc.property(fc.array(anyRow, { maxLength: 20 }), fc.array(anyRow, { maxLength: 20 }), fc.boolean(), (rows, later, isCopyChanged) => {
+        const origin = tableOf(rows)
+        const copy = origin.copy()
+        const [changed, kept] = isCopyChanged ? [copy, origin] : [origin, copy]
+        for (const each of later) changed.merge(each)
+        for (const id of ['a', 'b']) changed.forget(id)
+        for (const id of ['c', 'd']) changed.recordVersion(id, 9)
+        const same = tableOf(rows)
+        assert.deepEqual(sorted(kept.all()), sorted(same.all()))
+        assert.deepEqual(kept.bucketHashes(16), same.bucketHashes(16))
+        assert.deepEqual(kept.rowsInBucket(0, 1).length, same.size)
+        for (const id of ['a', 'b', 'c', 'd']) assert.equal(kept.versionOf(id), 0)
+        for (const zone of ['zone-0', 'zone-1']) assert.deepEqual(kept.liveInZone(zone), same.liveInZone(zone))
+        const expected = tableOf([...rows, ...later])
+        for (const id of ['a', 'b']) expected.forget(id)
+        assert.deepEqual(sorted(changed.all()), sorted(expected.all()))
+        assert.deepEqual(changed.bucketHashes(16), expected.bucketHashes(16))
+      }), { seed: 3 })
+    })
+  })
+
   test.describe('recordVersion', () => {
     test.it('leaves the row as it is, because a copy per version would lose its cached hash and wire form', () => {
       const table = tableOf([row({})])
--- a/packages/common/src/membership/MemberTable.ts
+++ b/packages/common/src/membership/MemberTable.ts
@@ -9,17 +9,19 @@
 
 /** Rows of all known nodes, with the indexes that routing, repair and reader selection need. */
 export class MemberTable {
-  private readonly _rows = new Map<base.NodeId, types.MemberRow>()
+  private _rows = new Map<base.NodeId, types.MemberRow>()
   /** Versions above those in the rows. Heartbeats raise them all the time, and rows are shared and have cached hashes and wire forms. */
-  private readonly _versions = new Map<base.NodeId, number>()
-  private readonly _bucketIds: base.NodeId[][] = Array.from({ length: MAX_BUCKETS }, () => [])
-  private readonly _bucketHashes = new Uint32Array(MAX_BUCKETS)
-  private readonly _liveIds = new Map<string, base.NodeId[]>()
+  private _versions = new Map<base.NodeId, number>()
+  private _bucketIds: base.NodeId[][] = Array.from({ length: MAX_BUCKETS }, () => [])
+  private _bucketHashes = new Uint32Array(MAX_BUCKETS)
+  private _liveIds = new Map<string, base.NodeId[]>()
   private readonly _liveRows = new Map<string, readonly types.MemberRow[]>()
   /** Only of services that were asked for, because a node routes to few of them. */
   private readonly _serviceIds = new Map<string, Set<base.NodeId>>()
   private readonly _targets = new Map<string, readonly types.MemberRow[]>()
   private _zones: readonly string[] | undefined
+  /** The rows and their indexes belong to several tables, so they are copied before a change. */
+  private _isShared = false
 
   public get size (): number {
     return this._rows.size
@@ -33,10 +35,24 @@
     return this._rows.values()
   }
 
+  /** A table with the same rows, for the many nodes of one process. The two share their memory until one of them changes. */
+  public copy (): MemberTable {
+    const copy = new MemberTable()
+    copy._rows = this._rows
+    copy._versions = new Map(this._versions)
+    copy._bucketIds = this._bucketIds
+    copy._bucketHashes = this._bucketHashes
+    copy._liveIds = this._liveIds
+    this._isShared = true
+    copy._isShared = true
+    return copy
+  }
+
   /** Stores the row if it takes precedence over the known one. */
   public merge (row: types.MemberRow): types.MemberChange | undefined {
     const previous = this._rows.get(row.nodeId)
     if (previous !== undefined && !rules.isNewer(row, previous)) return undefined
+    this._detach()
     this._keepVersion(row)
     this._rows.set(row.nodeId, row)
     this._updateBucket(previous, row)
@@ -63,6 +79,7 @@
   public forget (nodeId: base.NodeId): types.MemberChange | undefined {
     const row = this._rows.get(nodeId)
     if (row === undefined) return undefined
+    this._detach()
     this._rows.delete(nodeId)
     this._versions.delete(nodeId)
     this._removeFromBucket(row)
@@ -72,6 +89,11 @@
     return { previous: row, current: row, forgotten: true }
   }
 
+  public isLive (nodeId: base.NodeId): boolean {
+    const row = this._rows.get(nodeId)
+    return row !== undefined && rules.isLive(row)
+  }
+
   /** Ids of the live rows of a zone, sorted. Changes in place. */
   public liveIdsInZone (zone: string): readonly base.NodeId[] {
     return this._liveIds.get(zone) ?? []
@@ -118,6 +140,15 @@
     return rows
   }
 
+  private _detach (): void {
+    if (!this._isShared) return
+    this._isShared = false
+    this._rows = new Map(this._rows)
+    this._bucketIds = this._bucketIds.map(ids => ids.slice())
+    this._bucketHashes = this._bucketHashes.slice()
+    this._liveIds = new Map(Array.from(this._liveIds, ([zone, ids]) => [zone, ids.slice()]))
+  }
+
   /** The version of a node is known to each peer on its own and never goes down, so it takes no part in the hash. */
   private _keepVersion (row: types.MemberRow): void {
     const known = this.versionOf(row.nodeId)
--- a/packages/common/src/membership/Membership.test.ts
+++ b/packages/common/src/membership/Membership.test.ts
@@ -5,6 +5,7 @@
 import * as terms from '../distribution/Terms.js'
 import * as crashTables from '../hosting/CrashTable.js'
 import type * as messages from '../node/Messages.js'
+import * as tables from './MemberTable.js'
 import * as memberships from './Membership.js'
 import type * as types from './Types.js'
 import * as wires from './WireRow.js'
@@ -31,7 +32,7 @@
   public readonly crashes = new crashTables.CrashTable()
   public readonly membership: memberships.Membership
 
-  constructor () {
+  constructor (options: Pick<memberships.MembershipOptions, 'table'> = {}) {
     this.membership = new memberships.Membership({
       self: SELF,
       seeds: [],
@@ -39,7 +40,8 @@
       effects: { push: effect => { this.effects.push(effect) } },
       terms: () => terms.DEFAULT_TERMS,
       crashes: this.crashes,
-      onMalformed: error => { this.errors.push(error) }
+      onMalformed: error => { this.errors.push(error) },
+      ...options
     })
     this.membership.onChange(change => { this.changes.push(change) })
   }
@@ -172,6 +174,19 @@
     })
   })
 
+  test.describe('table at the start', () => {
+    test.it('gives the state of the node itself and the members to probe, dead ones excepted', () => {
+      const table = new tables.MemberTable()
+      table.merge(peerRow({ nodeId: 'self', revision: 1 }))
+      table.merge(peerRow())
+      table.merge(peerRow({ nodeId: 'gone', state: 'dead' }))
+      const { membership } = new Probe({ table: table.copy() })
+      assert.equal(membership.self, table.get('self'))
+      assert.equal(membership.size, 3)
+      for (let i = 0; i < 20; i++) assert.equal(membership.randomPeer()?.nodeId, 'peer')
+    })
+  })
+
   test.describe('versions', () => {
     test.it('tells a node that restarts which version it has enforced, so that it does not go back to an older one', () => {
       const probe = new Probe()
--- a/packages/common/src/membership/Membership.ts
+++ b/packages/common/src/membership/Membership.ts
@@ -30,6 +30,8 @@
   readonly seeds: readonly string[]
   readonly random: base.IRandom
   readonly effects: messages.IEffects
+  /** Members known at the start. If this node is among them, its row is taken over. */
+  readonly table?: tables.MemberTable
   /** Terms of the configuration in force; read at each use. */
   readonly terms: () => config.DistributionTerms
   /** Place of the ownership table in its stream, told on heartbeats. */
@@ -44,7 +46,7 @@
   public readonly onChange: base.IEvent<types.MemberChange>
   public readonly onPeerVersion: base.IEvent<types.PeerVersion>
   private readonly _options: MembershipOptions
-  private readonly _table = new tables.MemberTable()
+  private readonly _table: tables.MemberTable
   private readonly _gossip = new gossips.Gossip(nodeId => this._table.get(nodeId))
   private readonly _detector: detectors.FailureDetector
   private readonly _repair: repairs.TableRepair
@@ -63,9 +65,10 @@
   constructor (options: MembershipOptions) {
     super()
     this._options = options
+    this._table = options.table ?? new tables.MemberTable()
     this.onChange = this._changes.event
     this.onPeerVersion = this._versions.event
-    this._self = { ...options.self, state: 'joining', revision: 0, successor: '' }
+    this._self = options.table?.get(options.self.nodeId) ?? { ...options.self, state: 'joining', revision: 0, successor: '' }
     this._detector = new detectors.FailureDetector({
       selfId: options.self.nodeId,
       host: this._detectorHost(),
@@ -81,6 +84,7 @@
     this._rejoinProbe = new rejoins.RejoinProbe(options.random, this.onChange)
     if (options.crashes !== undefined) this._register(options.crashes.onRecorded(record => { this._tellCrash(record) }))
     this._table.merge(this._self)
+    for (const row of this._table.all()) if (rules.isProbed(row) && row.nodeId !== this._self.nodeId) this._detector.add(row.nodeId, hashes.rowHash(row).bucketHash)
     this._gossip.add(this._self.nodeId, false)
   }
 
@@ -133,10 +137,7 @@
   }
 
   public randomPeer (): types.MemberRow | undefined {
-    const id = this._detector.randomMember(nodeId => {
-      const row = this._table.get(nodeId)
-      return row !== undefined && rules.isLive(row)
-    })
+    const id = this._detector.randomMember(nodeId => this._table.isLive(nodeId))
     return id === undefined ? undefined : this._table.get(id)
   }
 
--- a/packages/testbed/src/bench/BenchFleet.ts
+++ b/packages/testbed/src/bench/BenchFleet.ts
@@ -7,6 +7,7 @@
 import * as proposalMaker from '@elmpost/common/config/ProposalMaker.js'
 import type * as config from '@elmpost/common/config/Types.js'
 import type * as distributionTypes from '@elmpost/common/distribution/Types.js'
+import * as tables from '@elmpost/common/membership/MemberTable.js'
 import * as wires from '@elmpost/common/membership/WireRow.js'
 import * as fakeLogs from '../network/FakeLog.js'
 import * as networks from '../network/FakeNetwork.js'
@@ -19,7 +20,6 @@
 
 const START_MS = 1_700_000_000_000
 const SEED_COUNT = 3
-const ROWS_PER_MESSAGE = 256
 const RETENTION_MS = 3_600_000
 const ZONE_DELAY_MS = 1
 const CROSS_ZONE_DELAY_MS = 2
@@ -78,15 +78,14 @@
     for (const [index, id] of this.ids.entries()) this._start(id, index)
   }
 
-  /** Makes all nodes ready and gives each the rows of all, as after a long run. */
-  public fillTables (): void {
-    for (const node of this.running.values()) node.membership.setState('ready', this.network.nowMs)
-    const rows = [...this.running.values()].map(node => wires.toWire(node.membership.self))
+  /** Starts all nodes as they are after a long run: ready, and each with the rows of all. */
+  public startAllSettled (): void {
+    const table = this._fullTable()
+    for (const [index, id] of this.ids.entries()) this._start(id, index, table.copy())
+    const rows = [...table.all()].slice(0, 1).map(wires.toWire)
+    // The answer of a peer, without which all nodes would join once more.
     for (const node of this.running.values()) {
-      for (let i = 0; i < rows.length; i += ROWS_PER_MESSAGE) {
-        const page = rows.slice(i, i + ROWS_PER_MESSAGE)
-        node.membership.receive(rows[0]?.[0] ?? '', { kind: 'table-rows', rows: page, wantedBuckets: [], bucketCount: 0 }, this.network.nowMs)
-      }
+      node.membership.receive(rows[0]?.[0] ?? '', { kind: 'table-rows', rows, wantedBuckets: [], bucketCount: 0 }, this.network.nowMs)
       node.drain()
     }
   }
@@ -147,12 +146,27 @@
       : proposalMaker.makeProposal(this._validator, origin, this._base, proposed)
   }
 
-  private _start (nodeId: base.NodeId, index: number): void {
-    const node = new nodes.SteppedNode({
+  private _fullTable (): tables.MemberTable {
+    const table = new tables.MemberTable()
+    for (const [index, id] of this.ids.entries()) {
+      table.merge({ ...nodes.selfOf(this._identityOf(id, index)), state: 'ready', revision: 1, successor: '' })
+    }
+    return table
+  }
+
+  private _identityOf (nodeId: base.NodeId, index: number): nodes.SteppedNodeIdentity {
+    return {
       nodeId,
       zone: `zone-${index % this._options.zoneCount}`,
       service: benchDocuments.serviceOf(index, this._options.size),
-      incarnation: this.network.nowMs,
+      incarnation: this.network.nowMs
+    }
+  }
+
+  private _start (nodeId: base.NodeId, index: number, table?: tables.MemberTable): void {
+    const node = new nodes.SteppedNode({
+      ...this._identityOf(nodeId, index),
+      ...(table === undefined ? {} : { table }),
       seeds: this.ids.slice(0, SEED_COUNT).map(nodes.addressOf),
       seed: this._options.seed,
       acceptance: new acceptances.Acceptance(this._validator),
--- a/packages/testbed/src/bench/ConvergenceCase.ts
+++ b/packages/testbed/src/bench/ConvergenceCase.ts
@@ -78,8 +78,7 @@
 
   private _start (): void {
     this._fleet.propose()
-    this._fleet.startAll()
-    this._fleet.fillTables()
+    this._fleet.startAllSettled()
     this._fleet.network.advanceUntil(() => this._fleet.countBelow(1) === 0, START_LIMIT_MS)
     this._watch()
     this._fleet.network.advance(SETTLE_MS * 2)
--- a/packages/testbed/src/network/SteppedNode.ts
+++ b/packages/testbed/src/network/SteppedNode.ts
@@ -9,15 +9,21 @@
 import * as terms from '@elmpost/common/distribution/Terms.js'
 import type * as distributionTypes from '@elmpost/common/distribution/Types.js'
 import type * as hosting from '@elmpost/common/hosting/Services.js'
+import type * as tables from '@elmpost/common/membership/MemberTable.js'
 import * as memberships from '@elmpost/common/membership/Membership.js'
 import type * as messages from '@elmpost/common/node/Messages.js'
 import type * as fakeLogs from './FakeLog.js'
 
-export interface SteppedNodeOptions {
+export interface SteppedNodeIdentity {
   readonly nodeId: base.NodeId
   readonly zone: string
   readonly service?: string
   readonly incarnation: base.Incarnation
+}
+
+export interface SteppedNodeOptions extends SteppedNodeIdentity {
+  /** Members known at the start. */
+  readonly table?: tables.MemberTable
   readonly seeds: readonly string[]
   readonly seed?: number
   readonly acceptance: configServices.IAcceptance
@@ -47,6 +53,7 @@
     const effects: messages.IEffects = { push: effect => { this._effects.push(effect) } }
     const random = new randoms.Random(digest.placementHash(`${options.seed ?? 0}/${options.nodeId}/${options.incarnation}`) | 0)
     const onMalformed = (error: Error): void => { this.malformed.push(error) }
+    const table = options.table === undefined ? {} : { table: options.table }
     const ownership = options.ownership === undefined ? {} : { ownership: options.ownership }
     this.enforcement = new enforcements.Enforcement({ validator: options.validator })
     this.membership = new memberships.Membership({
@@ -56,6 +63,7 @@
       effects,
       terms: () => terms.termsOf(this.enforcement.current),
       onMalformed,
+      ...table,
       ...ownership
     })
     this.readers = new readerSelections.ReaderSelection({ membership: this.membership })
@@ -119,7 +127,8 @@
   return `${nodeId}.mesh:7000`
 }
 
-function selfOf (options: SteppedNodeOptions): memberships.MembershipOptions['self'] {
+/** What the node announces about itself. */
+export function selfOf (options: SteppedNodeIdentity): memberships.MembershipOptions['self'] {
   const { nodeId, zone, incarnation } = options
   return {
     nodeId,
