--- a/packages/testbed/src/bench/ConvergenceCase.ts
+++ b/packages/testbed/src/bench/ConvergenceCase.ts
@@ -1,3 +1,4 @@
+import * as fs from 'node:fs'
 import * as hdr from 'hdr-histogram-js'
 import type * as networks from '../network/FakeNetwork.js'
 import type * as nodes from '../network/SteppedNode.js'
@@ -6,6 +7,7 @@
 import type * as types from './convergenceTypes.js'
 
 const SMALL_FLEET = 100
+const STDERR_FD = 2
 const START_LIMIT_MS = 60_000
 const SETTLE_MS = 15_000
 const CONVERGENCE_LIMIT_MS = 30_000
@@ -121,11 +123,20 @@
     const sum = totals.reduce((a, b) => a + b, 0)
     const messages = [...meter.byKind.values()].reduce((count, kind) => count + kind.count, 0)
     const seconds = durationMs / 1_000
-    return {
+    const figures = {
       meanBytesPerS: sum / totals.length / seconds,
       maxBytesPerS: totals.reduce((a, b) => Math.max(a, b), 0) / seconds,
       messagesPerS: messages / totals.length / seconds
     }
+    this._report('traffic', figures)
+    return figures
+  }
+
+  /** Shows figures as they are measured, because a run of a large fleet may have to be ended before its result. */
+  private _report (part: string, figures: object): void {
+    const { size, strategy } = this._spec
+    // The console of a worker waits for its event loop, which is not reached before the end of the case.
+    fs.writeSync(STDERR_FD, `${size} ${strategy} ${part}: ${JSON.stringify(figures)}\n`)
   }
 
   private _convergence (deadRatio: number): types.ConvergenceFigures {
@@ -142,6 +153,7 @@
     network.advanceUntil(() => live.every(node => node.version >= version), CONVERGENCE_LIMIT_MS)
     this._fleet.isMetering = false
     const figures = this._figures(live, version, startMs, deadRatio)
+    this._report('convergence', figures)
     for (const node of victims) this._restore(node)
     network.advance(SETTLE_MS)
     return figures
