--- a/packages/common/src/membership/MemberTable.ts
+++ b/packages/common/src/membership/MemberTable.ts
@@ -2,21 +2,26 @@
 import * as hashes from './RowHash.js'
 import * as rules from './RowRules.js'
 import type * as types from './Types.js'
+import * as wires from './WireRow.js'
 
 /** Buckets kept; smaller counts are folded from them. */
 export const MAX_BUCKETS = 256
 
 /** Rows of all known nodes, with the indexes that routing, repair and reader selection need. */
 export class MemberTable {
-  private readonly _rows = new Map<base.NodeId, types.MemberRow>()
-  private readonly _bucketIds: base.NodeId[][] = Array.from({ length: MAX_BUCKETS }, () => [])
-  private readonly _bucketHashes = new Uint32Array(MAX_BUCKETS)
-  private readonly _liveIds = new Map<string, base.NodeId[]>()
+  private _rows = new Map<base.NodeId, types.MemberRow>()
+  /** Versions above those in the rows. Heartbeats raise them all the time, and rows are shared and have cached hashes and wire forms. */
+  private _versions = new Map<base.NodeId, number>()
+  private _bucketIds: base.NodeId[][] = Array.from({ length: MAX_BUCKETS }, () => [])
+  private _bucketHashes = new Uint32Array(MAX_BUCKETS)
+  private _liveIds = new Map<string, base.NodeId[]>()
   private readonly _liveRows = new Map<string, readonly types.MemberRow[]>()
   /** Only of services that were asked for, because a node routes to few of them. */
   private readonly _serviceIds = new Map<string, Set<base.NodeId>>()
   private readonly _targets = new Map<string, readonly types.MemberRow[]>()
   private _zones: readonly string[] | undefined
+  /** The rows and their indexes belong to several tables, so they are copied before a change. */
+  private _isShared = false
 
   public get size (): number {
     return this._rows.size
@@ -30,29 +35,53 @@
     return this._rows.values()
   }
 
+  /** A table with the same rows, for the many nodes of one process. The two share their memory until one of them changes. */
+  public copy (): MemberTable {
+    const copy = new MemberTable()
+    copy._rows = this._rows
+    copy._versions = new Map(this._versions)
+    copy._bucketIds = this._bucketIds
+    copy._bucketHashes = this._bucketHashes
+    copy._liveIds = this._liveIds
+    this._isShared = true
+    copy._isShared = true
+    return copy
+  }
+
   /** Stores the row if it takes precedence over the known one. */
   public merge (row: types.MemberRow): types.MemberChange | undefined {
     const previous = this._rows.get(row.nodeId)
     if (previous !== undefined && !rules.isNewer(row, previous)) return undefined
-    const current = keepVersion(previous, row)
-    this._rows.set(row.nodeId, current)
-    this._updateBucket(previous, current)
-    this._updateZone(previous, current)
-    this._updateService(previous, current)
-    return { previous, current, forgotten: false }
+    this._detach()
+    this._keepVersion(row)
+    this._rows.set(row.nodeId, row)
+    this._updateBucket(previous, row)
+    this._updateZone(previous, row)
+    this._updateService(previous, row)
+    return { previous, current: row, forgotten: false }
+  }
+
+  /** Highest version that the node is known to enforce; 0 for an unknown node. */
+  public versionOf (nodeId: base.NodeId): number {
+    return this._versions.get(nodeId) ?? this._rows.get(nodeId)?.enforcedVersion ?? 0
   }
 
   /** Records a higher version of a node without counting it as a change of the row. */
   public recordVersion (nodeId: base.NodeId, version: number): void {
-    const row = this._rows.get(nodeId)
-    if (row === undefined || version <= row.enforcedVersion) return
-    this._rows.set(nodeId, { ...row, enforcedVersion: version })
+    if (version > this.versionOf(nodeId) && this._rows.has(nodeId)) this._versions.set(nodeId, version)
+  }
+
+  /** The row as it travels, with the highest known version of its node. */
+  public toWire (row: types.MemberRow): types.WireRow {
+    return wires.toWireWithVersion(row, Math.max(row.enforcedVersion, this.versionOf(row.nodeId)))
   }
 
   public forget (nodeId: base.NodeId): types.MemberChange | undefined {
     const row = this._rows.get(nodeId)
     if (row === undefined) return undefined
+    this._detach()
     this._rows.delete(nodeId)
+    this._versions.delete(nodeId)
     this._removeFromBucket(row)
     if (rules.isLive(row)) this._removeLive(row)
     this._serviceIds.get(row.service)?.delete(nodeId)
@@ -60,6 +89,11 @@
     return { previous: row, current: row, forgotten: true }
   }
 
+  public isLive (nodeId: base.NodeId): boolean {
+    const row = this._rows.get(nodeId)
+    return row !== undefined && rules.isLive(row)
+  }
+
   /** Ids of the live rows of a zone, sorted. Changes in place. */
   public liveIdsInZone (zone: string): readonly base.NodeId[] {
     return this._liveIds.get(zone) ?? []
@@ -106,6 +140,22 @@
     return rows
   }
 
+  private _detach (): void {
+    if (!this._isShared) return
+    this._isShared = false
+    this._rows = new Map(this._rows)
+    this._bucketIds = this._bucketIds.map(ids => ids.slice())
+    this._bucketHashes = this._bucketHashes.slice()
+    this._liveIds = new Map(Array.from(this._liveIds, ([zone, ids]) => [zone, ids.slice()]))
+  }
+
+  /** The version of a node is known to each peer on its own and never goes down, so it takes no part in the hash. */
+  private _keepVersion (row: types.MemberRow): void {
+    const known = this.versionOf(row.nodeId)
+    if (known > row.enforcedVersion) this._versions.set(row.nodeId, known)
+    else this._versions.delete(row.nodeId)
+  }
+
   private _updateBucket (previous: types.MemberRow | undefined, current: types.MemberRow): void {
     const { bucketHash, hash } = hashes.rowHash(current)
     const bucket = bucketHash % MAX_BUCKETS
@@ -180,9 +230,3 @@
   }
   return low
 }
-
-/** The version of a node is known to each peer on its own and never goes down, so it takes no part in the hash. */
-function keepVersion (previous: types.MemberRow | undefined, row: types.MemberRow): types.MemberRow {
-  if (previous === undefined || previous.enforcedVersion <= row.enforcedVersion) return row
-  return { ...row, enforcedVersion: previous.enforcedVersion }
-}
--- a/packages/common/src/membership/Membership.test.ts
+++ b/packages/common/src/membership/Membership.test.ts
@@ -5,6 +5,7 @@
 import * as terms from '../distribution/Terms.js'
 import * as crashTables from '../hosting/CrashTable.js'
 import type * as messages from '../node/Messages.js'
+import * as tables from './MemberTable.js'
 import * as memberships from './Membership.js'
 import type * as types from './Types.js'
 import * as wires from './WireRow.js'
@@ -31,7 +32,7 @@
   public readonly crashes = new crashTables.CrashTable()
   public readonly membership: memberships.Membership
 
-  constructor () {
+  constructor (options: Pick<memberships.MembershipOptions, 'table'> = {}) {
     this.membership = new memberships.Membership({
       self: SELF,
       seeds: [],
@@ -39,7 +40,8 @@
       effects: { push: effect => { this.effects.push(effect) } },
       terms: () => terms.DEFAULT_TERMS,
       crashes: this.crashes,
-      onMalformed: error => { this.errors.push(error) }
+      onMalformed: error => { this.errors.push(error) },
+      ...options
     })
     this.membership.onChange(change => { this.changes.push(change) })
   }
@@ -184,6 +186,39 @@
     })
   })
 
+  test.describe('table at the start', () => {
+    test.it('gives the state of the node itself and the members to probe, dead ones excepted', () => {
+      const table = new tables.MemberTable()
+      table.merge(peerRow({ nodeId: 'self', revision: 1 }))
+      table.merge(peerRow())
+      table.merge(peerRow({ nodeId: 'gone', state: 'dead' }))
+      const { membership } = new Probe({ table: table.copy() })
+      assert.equal(membership.self, table.get('self'))
+      assert.equal(membership.size, 3)
+      for (let i = 0; i < 20; i++) assert.equal(membership.randomPeer()?.nodeId, 'peer')
+    })
+  })
+
+  test.describe('versions', () => {
+    test.it('tells a node that restarts which version it has enforced, so that it does not go back to an older one', () => {
+      const probe = new Probe()
+      probe.membership.receive('peer', { ...gossip(peerRow()), version: 9 }, NOW_MS)
+      assert.equal(probe.membership.versionOf('peer'), 9)
+      probe.effects.length = 0
+      const restarted = wires.toWire(peerRow({ incarnation: NOW_MS + 1, state: 'joining' }))
+      probe.membership.receive('peer', { kind: 'join', row: restarted, wantsRows: false }, NOW_MS + 1)
+      const told = probe.effects.flatMap(effect => effect.kind === 'send' && effect.message.kind === 'table-rows' ? effect.message.rows : [])
+      assert.equal(told.map(wires.fromWire).find(row => row.nodeId === 'peer')?.enforcedVersion, 9)
+    })
+
+    test.it('announces its own version in its row', () => {
+      const probe = new Probe()
+      probe.membership.announce({ enforcedVersion: 4 }, NOW_MS)
+      assert.equal(probe.membership.self.enforcedVersion, 4)
+      assert.equal(probe.membership.versionOf('self'), 4)
+    })
+  })
+
   test.describe('heartbeats', () => {
     test.it('carries each change a bounded number of times, so that old news does not use up the budget', () => {
       const probe = new Probe()
--- a/packages/testbed/src/bench/ConvergenceCase.ts
+++ b/packages/testbed/src/bench/ConvergenceCase.ts
@@ -1,3 +1,4 @@
+import * as fs from 'node:fs'
 import * as hdr from 'hdr-histogram-js'
 import type * as networks from '../network/FakeNetwork.js'
 import type * as nodes from '../network/SteppedNode.js'
@@ -6,6 +7,7 @@
 import type * as types from './convergenceTypes.js'
 
 const SMALL_FLEET = 100
+const STDERR_FD = 2
 const START_LIMIT_MS = 60_000
 const SETTLE_MS = 15_000
 const CONVERGENCE_LIMIT_MS = 30_000
@@ -50,7 +52,7 @@
     const startedMs = performance.now()
     const { size, strategy, withBytes, withDetection, withRestart } = this._spec
     this._start()
-    const cpuMsPerNodeS = this._cpu()
+    const cpuMsPerNodeS = withBytes ? this._cpu() : undefined
     const idle = withBytes ? this._idle() : undefined
     const loaded = withBytes ? this._loaded() : undefined
     const log = withBytes ? this._fleet.logMeter.figures(LOADED_MS / 1_000) : undefined
@@ -64,7 +66,7 @@
       preference: strategy === 'hybrid-bytes' ? 'control-bytes' : 'convergence-time',
       documentBytes: documentBytes(size),
       convergence,
-      cpuMsPerNodeS,
+      ...(cpuMsPerNodeS === undefined ? {} : { cpuMsPerNodeS }),
       ...(idle === undefined ? {} : { idle }),
       ...(loaded === undefined ? {} : { loaded }),
       ...(log === undefined ? {} : { log }),
@@ -78,8 +80,7 @@
 
   private _start (): void {
     this._fleet.propose()
-    this._fleet.startAll()
-    this._fleet.fillTables()
+    this._fleet.startAllSettled()
     this._fleet.network.advanceUntil(() => this._fleet.countBelow(1) === 0, START_LIMIT_MS)
     this._watch()
     this._fleet.network.advance(SETTLE_MS * 2)
@@ -122,11 +123,20 @@
     const sum = totals.reduce((a, b) => a + b, 0)
     const messages = [...meter.byKind.values()].reduce((count, kind) => count + kind.count, 0)
     const seconds = durationMs / 1_000
-    return {
+    const figures = {
       meanBytesPerS: sum / totals.length / seconds,
       maxBytesPerS: totals.reduce((a, b) => Math.max(a, b), 0) / seconds,
       messagesPerS: messages / totals.length / seconds
     }
+    this._report('traffic', figures)
+    return figures
+  }
+
+  /** Shows figures as they are measured, because a run of a large fleet may have to be ended before its result. */
+  private _report (part: string, figures: object): void {
+    const { size, strategy } = this._spec
+    // The console of a worker waits for its event loop, which is not reached before the end of the case.
+    fs.writeSync(STDERR_FD, `${size} ${strategy} ${part}: ${JSON.stringify(figures)}\n`)
   }
 
   private _convergence (deadRatio: number): types.ConvergenceFigures {
@@ -143,6 +153,7 @@
     network.advanceUntil(() => live.every(node => node.version >= version), CONVERGENCE_LIMIT_MS)
     this._fleet.isMetering = false
     const figures = this._figures(live, version, startMs, deadRatio)
+    this._report('convergence', figures)
     for (const node of victims) this._restore(node)
     network.advance(SETTLE_MS)
     return figures
