--- a/packages/common/src/membership/Membership.ts
+++ b/packages/common/src/membership/Membership.ts
@@ -285,8 +285,7 @@
   private _changeSelf (change: Partial<types.MemberRow>, nowMs: base.Millis): void {
     this._self = { ...this._self, ...change }
     const merged = this._table.merge(this._self)
-    if (merged === undefined) return
-    this._applyChange(merged, nowMs)
+    if (merged !== undefined) this._applyChange(merged, nowMs)
   }
 
   private _applyChange (change: types.MemberChange, nowMs: base.Millis): void {
