--- /dev/null
+++ b/packages/common/src/direct/DirectCalls.ts
@@ -0,0 +1,248 @@
+import type * as base from '../base/Types.js'
+import * as retryAllowance from './RetryAllowance.js'
+import * as routeIndex from './RouteIndex.js'
+import * as splitRotation from './SplitRotation.js'
+import type * as targetPicker from './TargetPicker.js'
+import type * as targetTable from './TargetTable.js'
+import type * as types from './Types.js'
+
+/** Hosts that may refuse a call before it is refused to its caller. */
+const MAX_REFUSALS = 3
+/** Wait announced when nothing is known of the load. */
+const DEFAULT_RETRY_MS = 200
+const MIN_RETRY_MS = 50
+/** Callers keep to a wait of at most this share of the time that they have left. */
+const MAX_WAIT_SHARE = 0.3
+/** Spread of announced waits, so that refused callers do not return together. */
+const WAIT_JITTER = 0.5
+/** A retry needs at least this much time to be of use. */
+const MIN_RETRY_TIME_MS = 20
+/** Weight of the newest answer in the moving average of a route's size. */
+const SIZE_WEIGHT = 0.1
+const INITIAL_SIZE_BYTES = 1000
+/** A host that refused a call as busy gets no other one for a part of the wait that it named. */
+const AVOID_SHARE = 0.25
+/** Statuses of a target that an idempotent call is retried after. */
+const RETRIED_STATUSES: ReadonlySet<number> = new Set([500, 502, 503])
+const NOTHING: ReadonlySet<base.NodeId> = new Set()
+
+interface Call {
+  readonly callId: number
+  readonly rule: types.RouteRule
+  readonly service: string
+  readonly beganAtMs: base.Millis
+  readonly deadlineAtMs: base.Millis
+  readonly requestBytes: number
+  to: base.NodeId
+  /** Sends that reached a target, or may have. */
+  attempts: number
+  refusals: number
+  shortestWaitMs: base.Millis
+  mayHaveRun: boolean
+  tried: Set<base.NodeId> | undefined
+}
+
+export interface DirectCallsOptions {
+  readonly table: targetTable.TargetTable
+  readonly picker: targetPicker.TargetPicker
+  readonly random: base.IRandom
+  readonly retryTerms: types.RetryTerms
+}
+
+/**
+ * Calls that entered the mesh at this node. A call that is not idempotent is sent again only after the statement of a
+ * host that it has not run. It is refused only if that holds for all of its sends; otherwise it fails, which promises nothing.
+ */
+export class DirectCalls {
+  private readonly _calls = new Map<number, Call>()
+  private readonly _splits = new splitRotation.SplitRotation()
+  private readonly _allowances = new Map<string, retryAllowance.RetryAllowance>()
+  private readonly _sizes = new Map<string, number>()
+  private _rules: types.MeshRules | undefined
+  private _routes = new routeIndex.RouteIndex([])
+  private _nextCallId = 1
+
+  constructor (private readonly _options: DirectCallsOptions) {}
+
+  public get rules (): types.MeshRules | undefined {
+    return this._rules
+  }
+
+  public get inFlight (): number {
+    return this._calls.size
+  }
+
+  /** Puts a configuration into force. Calls in flight keep the route that they began with. False if it is not newer. */
+  public enforce (rules: types.MeshRules): boolean {
+    if (this._rules !== undefined && rules.version <= this._rules.version) return false
+    this._rules = rules
+    this._routes = new routeIndex.RouteIndex(rules.routes)
+    this._splits.keepOnly(rules.routes)
+    return true
+  }
+
+  public begin (request: types.CallRequest, nowMs: base.Millis): types.CallDecision {
+    const callId = this._nextCallId++
+    if (this._rules === undefined) return refusal(callId, 'no-configuration', DEFAULT_RETRY_MS)
+    const rule = this._routes.find(request.host, request.path)
+    if (rule === undefined) return refusal(callId, 'no-route', 0)
+    if (request.bodyBytes > this._rules.limits.maxBodyBytes) return refusal(callId, 'body-too-large', 0, rule)
+    const remainingMs = Math.min(request.remainingMs ?? Infinity, rule.timeoutMs)
+    if (!(remainingMs > 0)) return refusal(callId, 'deadline', 0, rule)
+    const call: Call = {
+      callId,
+      rule,
+      service: this._splits.next(rule),
+      beganAtMs: nowMs,
+      deadlineAtMs: nowMs + remainingMs,
+      requestBytes: request.bodyBytes,
+      to: '',
+      attempts: 0,
+      refusals: 0,
+      shortestWaitMs: Infinity,
+      mayHaveRun: false,
+      tried: undefined
+    }
+    this._allowance(call.service, nowMs).firstSend(nowMs)
+    this._calls.set(callId, call)
+    return this._sendNext(call, nowMs) ?? this._refuse(call, 'no-target', nowMs)
+  }
+
+  /** A host has stated that the call did not run there and will not. */
+  public refused (callId: number, from: base.NodeId, refused: types.HostRefusal, nowMs: base.Millis): types.CallDecision | undefined {
+    const call = this._current(callId, from)
+    if (call === undefined) return undefined
+    if (refused.reachedTarget) this._options.table.ended(from, true, nowMs)
+    else call.attempts -= 1
+    call.refusals += 1
+    if (refused.reason === 'busy') {
+      call.shortestWaitMs = Math.min(call.shortestWaitMs, refused.waitMs)
+      this._avoid(from, refused.waitMs, nowMs)
+    }
+    const mayRetry = call.refusals < MAX_REFUSALS && (!refused.reachedTarget || this._mayAttempt(call, nowMs))
+    const next = mayRetry ? this._sendNext(call, nowMs) : undefined
+    if (next !== undefined) return next
+    return call.mayHaveRun ? this._fail(call, 'target-lost') : this._refuse(call, refused.reason, nowMs)
+  }
+
+  /** A send has no answer and may have run. */
+  public failed (callId: number, from: base.NodeId, reason: types.FailureReason, nowMs: base.Millis): types.CallDecision | undefined {
+    const call = this._current(callId, from)
+    if (call === undefined) return undefined
+    this._options.table.ended(from, true, nowMs)
+    call.mayHaveRun = true
+    return this._retry(call, nowMs) ?? this._fail(call, reason)
+  }
+
+  /** The target has answered. */
+  public answered (callId: number, from: base.NodeId, status: number, bytes: number, nowMs: base.Millis): types.CallDecision | undefined {
+    const call = this._current(callId, from)
+    if (call === undefined) return undefined
+    const isFailure = RETRIED_STATUSES.has(status)
+    this._options.table.ended(from, isFailure, nowMs)
+    if (isFailure) {
+      call.mayHaveRun = true
+      const next = this._retry(call, nowMs)
+      if (next !== undefined) return next
+    }
+    const sizeBytes = this._sizeOf(call)
+    this._sizes.set(call.rule.name, sizeBytes + SIZE_WEIGHT * (bytes + call.requestBytes - sizeBytes))
+    this._calls.delete(callId)
+    return { kind: 'answer', callId }
+  }
+
+  /** Forgets a call whose caller has left, and returns the node that has it. */
+  public cancel (callId: number): base.NodeId | undefined {
+    const call = this._calls.get(callId)
+    this._calls.delete(callId)
+    return call?.to
+  }
+
+  /** Whether the call may be run more than once. */
+  public isIdempotent (callId: number): boolean {
+    return this._calls.get(callId)?.rule.kind === 'idempotent'
+  }
+
+  public get nextDeadlineMs (): base.Millis {
+    let earliestMs = Infinity
+    for (const call of this._calls.values()) earliestMs = Math.min(earliestMs, call.deadlineAtMs)
+    return earliestMs
+  }
+
+  /** Ends the calls whose time is over. The node that still has the call comes with each. */
+  public expire (nowMs: base.Millis): readonly { readonly decision: types.OwnAnswer, readonly nodeId: base.NodeId }[] {
+    const ended: { decision: types.OwnAnswer, nodeId: base.NodeId }[] = []
+    for (const call of this._calls.values()) {
+      if (nowMs < call.deadlineAtMs) continue
+      ended.push({ decision: this._fail(call, 'timeout'), nodeId: call.to })
+    }
+    return ended
+  }
+
+  private _current (callId: number, from: base.NodeId): Call | undefined {
+    const call = this._calls.get(callId)
+    return call?.to === from ? call : undefined
+  }
+
+  private _retry (call: Call, nowMs: base.Millis): types.CallDecision | undefined {
+    if (call.rule.kind !== 'idempotent' || !this._mayAttempt(call, nowMs)) return undefined
+    return this._sendNext(call, nowMs)
+  }
+
+  /** Whether another target may be asked after one was reached. Takes from the allowance if so. */
+  private _mayAttempt (call: Call, nowMs: base.Millis): boolean {
+    if (call.attempts >= call.rule.maxAttempts || call.deadlineAtMs - nowMs < MIN_RETRY_TIME_MS) return false
+    return this._pick(call, nowMs) !== undefined && this._allowance(call.service, nowMs).take(nowMs)
+  }
+
+  private _sendNext (call: Call, nowMs: base.Millis): types.SendDecision | undefined {
+    const row = this._pick(call, nowMs)
+    if (row === undefined) return undefined
+    call.to = row.nodeId
+    call.attempts += 1
+    call.tried ??= new Set()
+    call.tried.add(row.nodeId)
+    this._options.table.sent(row.nodeId)
+    const { callId, service, rule, deadlineAtMs, beganAtMs } = call
+    return { kind: 'send', callId, nodeId: row.nodeId, service, rule, deadlineAtMs, beganAtMs }
+  }
+
+  private _pick (call: Call, nowMs: base.Millis): targetTable.TargetRow | undefined {
+    return this._options.picker.pick(call.service, call.tried ?? NOTHING, this._sizeOf(call), nowMs)
+  }
+
+  private _sizeOf (call: Call): number {
+    return this._sizes.get(call.rule.name) ?? INITIAL_SIZE_BYTES
+  }
+
+  private _avoid (nodeId: base.NodeId, waitMs: base.Millis, nowMs: base.Millis): void {
+    const row = this._options.table.get(nodeId)
+    if (row !== undefined) row.avoidUntilMs = nowMs + waitMs * AVOID_SHARE
+  }
+
+  private _refuse (call: Call, reason: types.RefusalReason, nowMs: base.Millis): types.OwnAnswer {
+    this._calls.delete(call.callId)
+    const waitMs = Number.isFinite(call.shortestWaitMs) ? Math.max(MIN_RETRY_MS, call.shortestWaitMs) : DEFAULT_RETRY_MS
+    const spreadMs = waitMs * (1 + WAIT_JITTER * this._options.random.nextFloat())
+    const retryAfterMs = Math.min(spreadMs, (call.deadlineAtMs - nowMs) * MAX_WAIT_SHARE)
+    return { kind: 'refuse', callId: call.callId, reason, retryAfterMs, rule: call.rule, sends: call.attempts + call.refusals }
+  }
+
+  private _fail (call: Call, reason: types.FailureReason): types.OwnAnswer {
+    this._calls.delete(call.callId)
+    return { kind: 'fail', callId: call.callId, reason, retryAfterMs: 0, rule: call.rule, sends: call.attempts + call.refusals }
+  }
+
+  private _allowance (service: string, nowMs: base.Millis): retryAllowance.RetryAllowance {
+    let allowance = this._allowances.get(service)
+    if (allowance === undefined) {
+      allowance = new retryAllowance.RetryAllowance(this._options.retryTerms, () => this._options.table.connectedCount, nowMs)
+      this._allowances.set(service, allowance)
+    }
+    return allowance
+  }
+}
+
+function refusal (callId: number, reason: types.RefusalReason, retryAfterMs: base.Millis, rule?: types.RouteRule): types.OwnAnswer {
+  return { kind: 'refuse', callId, reason, retryAfterMs, rule, sends: 0 }
+}
--- /dev/null
+++ b/packages/common/src/direct/TargetPicker.ts
@@ -0,0 +1,56 @@
+import type * as base from '../base/Types.js'
+import * as targetTable from './TargetTable.js'
+
+/** Way to another node of the zone and back. */
+const SAME_ZONE_MS = 0.5
+/** Share of the slots from which on targets become slower. */
+const CROWDED_SHARE = 0.75
+/** Slowdown of a target that is full, as a share of its service time. */
+const CROWDED_COST = 0.3
+/** A failed call costs about this many service times, because it is sent again or lost. */
+const FAILURE_COST = 6
+/** Spreads calls over targets that cost about the same. */
+const JITTER_SHARE = 0.1
+
+export interface TargetPickerOptions {
+  readonly table: targetTable.TargetTable
+  readonly selfId: base.NodeId
+  readonly zone: string
+  readonly random: base.IRandom
+  /** Cost of a call to another zone that is worth waiting at home. */
+  readonly otherZoneCostMs: (bytes: number) => base.Millis
+}
+
+/** Chooses the target on which a call is expected to end first, with the way there included. */
+export class TargetPicker {
+  constructor (private readonly _options: TargetPickerOptions) {}
+
+  /** `bytes` is the expected size of request and answer. Undefined if no target can take the call. */
+  public pick (service: string, exclude: ReadonlySet<base.NodeId>, bytes: number, nowMs: base.Millis): targetTable.TargetRow | undefined {
+    let best: targetTable.TargetRow | undefined
+    let bestCost = Infinity
+    for (const row of this._options.table.ofService(service)) {
+      if (!row.isConnected || row.state !== 'ready' || exclude.has(row.nodeId) || row.avoidUntilMs > nowMs) continue
+      const cost = this._cost(row, bytes, nowMs)
+      if (cost >= bestCost) continue
+      best = row
+      bestCost = cost
+    }
+    return best
+  }
+
+  private _cost (row: targetTable.TargetRow, bytes: number, nowMs: base.Millis): number {
+    const { running, queued, slots, serviceMs } = row.load
+    const occupied = running + queued + row.sentSince
+    const waitMs = Math.max(0, occupied + 1 - slots) / slots * serviceMs
+    const crowded = Math.max(0, Math.min(1, occupied / slots) - CROWDED_SHARE) / (1 - CROWDED_SHARE)
+    const failures = targetTable.failureShareAt(row, nowMs) * FAILURE_COST
+    const targetMs = serviceMs * (1 + crowded * CROWDED_COST + failures) + waitMs
+    return targetMs * (1 + JITTER_SHARE * this._options.random.nextFloat()) + this._distanceMs(row, bytes)
+  }
+
+  private _distanceMs (row: targetTable.TargetRow, bytes: number): base.Millis {
+    if (row.nodeId === this._options.selfId) return 0
+    return row.zone === this._options.zone ? SAME_ZONE_MS : this._options.otherZoneCostMs(bytes)
+  }
+}
--- /dev/null
+++ b/packages/common/src/direct/TargetRegister.ts
@@ -0,0 +1,90 @@
+import type * as base from '../base/Types.js'
+import type * as types from './Types.js'
+
+/** Starts of targets that have ended, remembered so that a late announcement does not bring them back. */
+const MAX_ENDED = 64
+
+/** A start of the target beside this node. */
+export interface RegisteredTarget extends types.KnownTarget {
+  readonly startedAtMs: base.Millis
+  readonly sequence: number
+}
+
+export type AnnouncementResult = 'new' | 'changed' | 'unchanged' | 'outdated' | 'foreign'
+
+/**
+ * The target beside this node, from its announcements. Announcements may be late, repeated and out of order, and a
+ * target may start again under the same id.
+ */
+export class TargetRegister {
+  private readonly _ended: string[] = []
+  private _current: RegisteredTarget | undefined
+  private _isConfirmed = false
+
+  constructor (private readonly _service: string, private readonly _address: string) {}
+
+  public get current (): RegisteredTarget | undefined {
+    return this._current
+  }
+
+  /** Whether the current target itself has spoken to this process. */
+  public get isConfirmed (): boolean {
+    return this._isConfirmed
+  }
+
+  /** Takes over what an earlier process of this node knew. */
+  public restore (target: types.KnownTarget): void {
+    if (this._current !== undefined) return
+    this._current = { ...target, startedAtMs: 0, sequence: 0 }
+  }
+
+  public announced (announcement: types.Announcement): AnnouncementResult {
+    if (announcement.service !== this._service || announcement.address !== this._address) return 'foreign'
+    const { targetId, startedAtMs, sequence, slots } = announcement
+    const current = this._current
+    const isLeaving = announcement.state === 'draining'
+    if (this._ended.includes(startKey(targetId, startedAtMs))) return 'outdated'
+    const isSameStart = current !== undefined && current.targetId === targetId && (current.startedAtMs === startedAtMs || !this._isConfirmed)
+    if (current === undefined || !isSameStart) {
+      if (current !== undefined && this._isConfirmed && startedAtMs < current.startedAtMs) return 'outdated'
+      if (current !== undefined) this._remember(current)
+      return this._replace({ targetId, startedAtMs, sequence, slots, isLeaving }, 'new')
+    }
+    if (this._isConfirmed && sequence <= current.sequence) return 'outdated'
+    // A target that has said that it leaves does not come back in the same start.
+    const next = { targetId, startedAtMs, sequence, slots, isLeaving: isLeaving || current.isLeaving }
+    const isChanged = next.isLeaving !== current.isLeaving || next.slots !== current.slots
+    return this._replace(next, isChanged ? 'changed' : 'unchanged')
+  }
+
+  /** The target has ended, or says so before it ends. False if it is not the current one. */
+  public left (targetId: string): boolean {
+    const current = this._current
+    if (current === undefined || current.targetId !== targetId) return false
+    if (!current.isLeaving) this._current = { ...current, isLeaving: true }
+    this._remember(current)
+    return true
+  }
+
+  /** Another target answers at the address. */
+  public displaced (): void {
+    if (this._current !== undefined) this._remember(this._current)
+    this._current = undefined
+    this._isConfirmed = false
+  }
+
+  private _replace (target: RegisteredTarget, result: AnnouncementResult): AnnouncementResult {
+    this._current = target
+    this._isConfirmed = true
+    return result
+  }
+
+  private _remember (target: RegisteredTarget): void {
+    this._ended.push(startKey(target.targetId, target.startedAtMs))
+    if (this._ended.length > MAX_ENDED) this._ended.shift()
+  }
+}
+
+function startKey (targetId: string, startedAtMs: base.Millis): string {
+  return `${startedAtMs} ${targetId}`
+}
--- /dev/null
+++ b/packages/common/src/direct/TargetTable.ts
@@ -0,0 +1,158 @@
+import type * as base from '../base/Types.js'
+import type * as types from './Types.js'
+
+/** Weight of the newest call in the moving average of failures. */
+const NEWEST_WEIGHT = 0.1
+/** Assumed until the host node has told more. */
+const NO_LOAD: types.TargetLoad = { running: 0, queued: 0, slots: 1, serviceMs: 50 }
+/** Failures are forgotten at this rate, so that a target without calls is tried again. */
+const FORGIVE_HALF_LIFE_MS = 3000
+
+/** A node as the entry node sees it. */
+export interface TargetRow {
+  readonly nodeId: base.NodeId
+  readonly zone: string
+  service: string
+  /** A link to the node is open, or it is this node. */
+  isConnected: boolean
+  state: types.TargetState
+  load: types.TargetLoad
+  version: number
+  storeAgeMs: base.Millis
+  /** Calls sent since the load was told. */
+  sentSince: number
+  /** Share of recent calls that the target failed or refused. */
+  failureShare: number
+  failureAtMs: base.Millis
+  /** No call is sent before, because the node has just refused one. */
+  avoidUntilMs: base.Millis
+}
+
+/** All nodes that this node knows, by service. */
+export class TargetTable {
+  private readonly _rows = new Map<base.NodeId, TargetRow>()
+  private readonly _services = new Map<string, TargetRow[]>()
+
+  public get size (): number {
+    return this._rows.size
+  }
+
+  /** Nodes that can be reached now. */
+  public get connectedCount (): number {
+    let count = 0
+    for (const row of this._rows.values()) if (row.isConnected) count += 1
+    return count
+  }
+
+  public get (nodeId: base.NodeId): TargetRow | undefined {
+    return this._rows.get(nodeId)
+  }
+
+  public all (): Iterable<TargetRow> {
+    return this._rows.values()
+  }
+
+  public ofService (service: string): readonly TargetRow[] {
+    return this._services.get(service) ?? []
+  }
+
+  /** Adds a node, or updates the service of one. A node that moved to another zone is a new one. */
+  public put (nodeId: base.NodeId, zone: string, service: string): TargetRow {
+    const known = this._rows.get(nodeId)
+    if (known !== undefined && known.zone === zone) {
+      if (known.service !== service) this._move(known, service)
+      return known
+    }
+    if (known !== undefined) this.remove(nodeId)
+    const row: TargetRow = {
+      nodeId,
+      zone,
+      service,
+      isConnected: known?.isConnected ?? false,
+      state: 'absent',
+      load: NO_LOAD,
+      version: 0,
+      storeAgeMs: Infinity,
+      sentSince: 0,
+      failureShare: 0,
+      failureAtMs: 0,
+      avoidUntilMs: 0
+    }
+    this._rows.set(nodeId, row)
+    this._list(service).push(row)
+    return row
+  }
+
+  public remove (nodeId: base.NodeId): void {
+    const row = this._rows.get(nodeId)
+    if (row === undefined) return
+    this._rows.delete(nodeId)
+    this._unlist(row)
+  }
+
+  public connected (nodeId: base.NodeId, isConnected: boolean): void {
+    const row = this._rows.get(nodeId)
+    if (row === undefined) return
+    row.isConnected = isConnected
+    if (!isConnected) row.state = 'absent'
+    row.sentSince = 0
+  }
+
+  public status (nodeId: base.NodeId, status: types.HostStatus): void {
+    const row = this._rows.get(nodeId)
+    if (row === undefined) return
+    // A target that is new at this node has not failed anything yet.
+    if (row.state !== 'ready' && status.state === 'ready') row.failureShare = 0
+    row.state = status.state
+    row.version = status.version
+    row.storeAgeMs = status.storeAgeMs
+    this.load(nodeId, status.load)
+  }
+
+  public load (nodeId: base.NodeId, load: types.TargetLoad): void {
+    const row = this._rows.get(nodeId)
+    if (row === undefined) return
+    row.load = load
+    row.sentSince = 0
+  }
+
+  public sent (nodeId: base.NodeId): void {
+    const row = this._rows.get(nodeId)
+    if (row !== undefined) row.sentSince += 1
+  }
+
+  /** Counts the end of a call on the target. */
+  public ended (nodeId: base.NodeId, isFailure: boolean, nowMs: base.Millis): void {
+    const row = this._rows.get(nodeId)
+    if (row === undefined) return
+    row.failureShare = failureShareAt(row, nowMs) * (1 - NEWEST_WEIGHT) + (isFailure ? NEWEST_WEIGHT : 0)
+    row.failureAtMs = nowMs
+  }
+
+  private _list (service: string): TargetRow[] {
+    let list = this._services.get(service)
+    if (list === undefined) {
+      list = []
+      this._services.set(service, list)
+    }
+    return list
+  }
+
+  private _unlist (row: TargetRow): void {
+    const list = this._list(row.service)
+    list.splice(list.indexOf(row), 1)
+  }
+
+  private _move (row: TargetRow, service: string): void {
+    this._unlist(row)
+    row.service = service
+    row.state = 'absent'
+    this._list(service).push(row)
+  }
+}
+
+/** The moving average of failures, decayed to now. */
+export function failureShareAt (row: TargetRow, nowMs: base.Millis): number {
+  if (row.failureShare === 0) return 0
+  return row.failureShare * 0.5 ** (Math.max(0, nowMs - row.failureAtMs) / FORGIVE_HALF_LIFE_MS)
+}
--- /dev/null
+++ b/packages/common/src/direct/Types.ts
@@ -0,0 +1,158 @@
+/** Shapes of direct calls: calls without a key, routed by host and path prefix, sent once unless they are idempotent. */
+import type * as base from '../base/Types.js'
+
+export type CallKind = 'idempotent' | 'non-idempotent'
+
+/** Share of a route's calls that goes to one service. */
+export interface SplitPart {
+  readonly service: string
+  readonly weight: number
+}
+
+export interface RouteRule {
+  readonly name: string
+  readonly host: string
+  /** Begins and ends with a slash. */
+  readonly pathPrefix: string
+  readonly kind: CallKind
+  /** At least one part; weights are relative. */
+  readonly parts: readonly SplitPart[]
+  /** Longest time that a call may take. */
+  readonly timeoutMs: base.Millis
+  /** Time within which an answer is on time. */
+  readonly objectiveMs: base.Millis
+  /** Most targets that one call may be sent to. */
+  readonly maxAttempts: number
+  /** 0 is the most urgent. */
+  readonly priority: number
+}
+
+export interface ServiceRule {
+  readonly name: string
+  readonly healthPath: string
+  /** Connections that a target accepts. */
+  readonly maxConnections: number
+}
+
+/** Bounds on what a caller may send. */
+export interface CallerLimits {
+  readonly maxBodyBytes: number
+  /** Callers use a connection again that has been idle for less than this. */
+  readonly idleTimeoutMs: base.Millis
+}
+
+/** One accepted configuration. */
+export interface MeshRules {
+  readonly version: number
+  readonly routes: readonly RouteRule[]
+  readonly services: readonly ServiceRule[]
+  readonly limits: CallerLimits
+}
+
+/** What the store keeps about a node, so that other nodes find it. */
+export interface NodeRecord {
+  /** Address of the node for other nodes; it identifies the node. */
+  readonly nodeId: base.NodeId
+  readonly zone: string
+  readonly service: string
+  /** Target that the node knew last, so that its next process need not wait for an announcement. */
+  readonly target: KnownTarget | undefined
+}
+
+export interface KnownTarget {
+  readonly targetId: string
+  readonly slots: number
+  /** The target has said that it leaves. */
+  readonly isLeaving: boolean
+}
+
+export type TargetState = 'ready' | 'leaving' | 'down' | 'absent'
+
+/** How busy a target is, as its host node counts it. */
+export interface TargetLoad {
+  readonly running: number
+  readonly queued: number
+  readonly slots: number
+  /** Moving average of the time that a call takes on the target. */
+  readonly serviceMs: base.Millis
+}
+
+/** What a host node tells about itself and its target. */
+export interface HostStatus {
+  readonly state: TargetState
+  readonly load: TargetLoad
+  /** Configuration version in force. */
+  readonly version: number
+  /** Time since the node last heard from the store. */
+  readonly storeAgeMs: base.Millis
+}
+
+/** What a target says about itself. */
+export interface Announcement {
+  readonly targetId: string
+  readonly service: string
+  readonly address: string
+  readonly slots: number
+  readonly state: 'ready' | 'draining'
+  /** Increases with each announcement of one start of a target. */
+  readonly sequence: number
+  /** Clock of the target's VM when it started, or 0; only compared with other starts at the same address. */
+  readonly startedAtMs: base.Millis
+}
+
+/** A request of a caller, as far as decisions need it. */
+export interface CallRequest {
+  readonly host: string
+  readonly path: string
+  /** Time that the caller waits; undefined if it does not say. */
+  readonly remainingMs: base.Millis | undefined
+  readonly bodyBytes: number
+}
+
+export type RefusalReason =
+  | 'no-configuration' | 'no-route' | 'body-too-large' | 'no-target' | 'busy' | 'target-refused' | 'deadline' | 'bad-request' | 'stopping'
+
+export type FailureReason = 'timeout' | 'peer-lost' | 'target-lost' | 'bad-answer'
+
+/** A host node's statement that a call has not run and will not run. */
+export interface HostRefusal {
+  readonly reason: RefusalReason
+  /** The call was written to the target, which refused it. */
+  readonly reachedTarget: boolean
+  /** Expected time until the target has room. */
+  readonly waitMs: base.Millis
+}
+
+/** Where a call is sent. */
+export interface SendDecision {
+  readonly kind: 'send'
+  readonly callId: number
+  readonly nodeId: base.NodeId
+  readonly service: string
+  readonly rule: RouteRule
+  readonly deadlineAtMs: base.Millis
+  /** Since when the caller waits. */
+  readonly beganAtMs: base.Millis
+}
+
+/** Final answer of the node itself. */
+export interface OwnAnswer {
+  readonly kind: 'refuse' | 'fail'
+  readonly callId: number
+  readonly reason: RefusalReason | FailureReason
+  readonly retryAfterMs: base.Millis
+  /** Route of the call, if one was found. */
+  readonly rule: RouteRule | undefined
+  readonly sends: number
+}
+
+export type CallDecision = SendDecision | OwnAnswer | { readonly kind: 'answer', readonly callId: number }
+
+/** Bound on sends beyond the first of each call, for the whole fleet. */
+export interface RetryTerms {
+  /** Retries per first send. */
+  readonly ratio: number
+  /** Retries in each window beyond the ratio, for all nodes together. */
+  readonly slack: number
+  readonly windowMs: base.Millis
+}
--- /dev/null
+++ b/packages/node/src/BodyReader.ts
@@ -0,0 +1,38 @@
+/** Reads the bodies of callers' requests. */
+import type * as http from 'node:http'
+
+export interface BodyEvents {
+  /** The whole body; undefined if it is empty. */
+  complete(body: Buffer | undefined): void
+  /** The body is larger than allowed. The rest of it is not read. */
+  tooLarge(): void
+}
+
+/** `maxBytes` is undefined if no body may be read now. */
+export function readBody (request: http.IncomingMessage, maxBytes: number | undefined, events: BodyEvents): void {
+  const lengthBytes = Number(request.headers['content-length'] ?? 0)
+  if (lengthBytes === 0 && request.headers['transfer-encoding'] === undefined) events.complete(undefined)
+  else if (maxBytes === undefined || lengthBytes > maxBytes) events.tooLarge()
+  else collect(request, lengthBytes, maxBytes, events)
+}
+
+function collect (request: http.IncomingMessage, lengthBytes: number, maxBytes: number, events: BodyEvents): void {
+  const parts: Buffer[] = []
+  let sizeBytes = 0
+  request.on('data', (part: Buffer) => {
+    sizeBytes += part.length
+    if (sizeBytes > maxBytes) {
+      request.removeAllListeners('data').removeAllListeners('end')
+      events.tooLarge()
+      return
+    }
+    parts.push(part)
+    // The body is complete without waiting for `end`, which comes one event later.
+    if (lengthBytes > 0 && sizeBytes === lengthBytes) events.complete(join(parts, sizeBytes))
+  })
+  if (lengthBytes === 0) request.on('end', () => { events.complete(join(parts, sizeBytes)) })
+}
+
+function join (parts: readonly Buffer[], sizeBytes: number): Buffer | undefined {
+  return parts.length <= 1 ? parts[0] : Buffer.concat(parts, sizeBytes)
+}
--- a/packages/node/src/CallerServer.ts
+++ b/packages/node/src/CallerServer.ts
@@ -1,25 +1,17 @@
-import * as addresses from './Addresses.js'
 import * as answers from '@elmpost/common/routing/Answers.js'
+import * as bodyReader from './BodyReader.js'
 import * as callerExchange from './CallerExchange.js'
-import * as emitter from '@elmpost/common/base/Emitter.js'
+import * as callerListener from './CallerListener.js'
 import * as headers from './Headers.js'
-import * as http from 'node:http'
-import * as polka from 'polka'
-import * as timers from 'node:timers/promises'
 import type * as base from '@elmpost/common/base/Types.js'
 import type * as hosting from '@elmpost/common/hosting/Types.js'
-import type * as net from 'node:net'
+import type * as http from 'node:http'
 import type * as routing from '@elmpost/common/routing/Types.js'
 import type * as types from './Types.js'
 
 /** Longer than the idle time of common clients, so that the caller closes first and no request meets a closing connection. */
 const KEEP_ALIVE_MS = 75_000
 
-/** Bounds the time that callers who keep connecting can hold up a stop; twice the backlog of Node.js. */
-const MAX_ACCEPT_TURNS = 1022
-
-/** Added to the announced idle time for the way to the caller and back. */
-const IDLE_MARGIN_MS = 500
 const WHOLE_NUMBER = /^\d{1,12}$/
 
 export interface CallerServerOptions {
@@ -32,113 +24,56 @@
 /** Takes calls over HTTP. Every method and path belongs to the configuration's routes. */
 export class CallerServer implements callerExchange.IExchangeServer, base.IDisposable {
   private readonly _options: CallerServerOptions
-  private readonly _http = http.createServer({ keepAliveTimeout: KEEP_ALIVE_MS, noDelay: true })
-  private readonly _emptied = new emitter.Emitter<void>()
-  private _acceptedConnections = 0
-  private _openConnections = 0
-  private _cutConnections = 0
-  private _isCutting = false
-  private _idleEnd: Promise<unknown> | undefined
+  private readonly _listener: callerListener.CallerListener
 
   constructor (options: CallerServerOptions) {
     this._options = options
-    // Without middleware polka calls this handler directly for every path.
-    const app = polka.default({ server: this._http, onNoMatch: (request, response) => { this._handle(request, response) } })
-    this._http.on('connection', socket => { this._opened(socket) })
-    this._http.on('request', app.handler.bind(app) as unknown as http.RequestListener)
+    this._listener = new callerListener.CallerListener({
+      address: options.address,
+      keepAliveMs: KEEP_ALIVE_MS,
+      closingIdleMs: callerExchange.ANNOUNCED_IDLE_MS,
+      handle: (request, response) => { this._handle(request, response) }
+    })
   }
 
   public get isClosing (): boolean {
-    return this._idleEnd !== undefined
+    return this._listener.isClosing
   }
 
   /** Connections that `closeAll` ended. */
   public get cutConnections (): number {
-    return this._cutConnections
+    return this._listener.cutConnections
   }
 
   public listen (): Promise<number> {
-    return addresses.listen(this._http, this._options.address)
+    return this._listener.listen()
   }
 
-  /**
-   * Ends each connection with its next answer, so that callers open theirs elsewhere. Idle connections stay
-   * open, because a request may already be on its way on them.
-   */
+  /** Ends each connection with its next answer, so that callers open theirs elsewhere. */
   public beginClosing (): void {
-    this._idleEnd ??= timers.setTimeout(callerExchange.ANNOUNCED_IDLE_MS + IDLE_MARGIN_MS, undefined, { ref: false })
+    this._listener.beginClosing()
   }
 
-  /**
-   * Takes no more connections; resolves when the last answer is written. Idle connections stay open until their
-   * callers have closed them, at most as long as callers were told.
-   */
-  public async close (): Promise<void> {
-    this.beginClosing()
-    if (this._openConnections > 0) await Promise.race([this._idleEnd, new Promise<void>(resolve => { this._emptied.event(resolve) })])
-    await this._acceptEstablished()
-    await new Promise<void>(resolve => {
-      this._http.close(() => { resolve() })
-    })
+  /** Takes no more connections; resolves when the last answer is written. */
+  public close (): Promise<void> {
+    return this._listener.close()
   }
 
   /** Ends connections whose callers do not take their answers. */
   public closeAll (): void {
-    this._isCutting = true
-    this._http.closeAllConnections()
+    this._listener.closeAll()
   }
 
   public dispose (): void {
-    this._http.close()
-    this._http.closeAllConnections()
-  }
-
-  /**
-   * Closing the socket resets the connections that the kernel has established and the process has not accepted. Node.js
-   * accepts one of them in each turn of the event loop. Two turns without any, because the first may have begun after its accept.
-   */
-  private async _acceptEstablished (): Promise<void> {
-    for (let turns = 0, quietTurns = 0; turns < MAX_ACCEPT_TURNS && quietTurns < 2; turns++) {
-      const accepted = this._acceptedConnections
-      await timers.setImmediate()
-      quietTurns = accepted === this._acceptedConnections ? quietTurns + 1 : 0
-    }
-  }
-
-  private _opened (socket: net.Socket): void {
-    this._acceptedConnections += 1
-    this._openConnections += 1
-    socket.once('close', () => {
-      this._openConnections -= 1
-      if (this._isCutting) this._cutConnections += 1
-      if (this._openConnections === 0) this._emptied.fire()
-    })
+    this._listener.dispose()
   }
 
   private _handle (request: http.IncomingMessage, response: http.ServerResponse): void {
     const exchange = new callerExchange.CallerExchange(response, this._options.owner, this)
-    const lengthBytes = Number(request.headers['content-length'] ?? 0)
-    const maxBytes = this._options.maxBodyBytes()
-    if (lengthBytes === 0 && request.headers['transfer-encoding'] === undefined) this._begin(request, exchange, undefined)
-    else if (maxBytes === undefined || lengthBytes > maxBytes) this._refuseBody(request, exchange)
-    else this._readBody(request, exchange, lengthBytes, maxBytes)
-  }
-
-  private _readBody (request: http.IncomingMessage, exchange: callerExchange.CallerExchange, lengthBytes: number, maxBytes: number): void {
-    const parts: Buffer[] = []
-    let sizeBytes = 0
-    request.on('data', (part: Buffer) => {
-      sizeBytes += part.length
-      if (sizeBytes > maxBytes) {
-        request.removeAllListeners('data').removeAllListeners('end')
-        this._refuseBody(request, exchange)
-        return
-      }
-      parts.push(part)
-      // The body is complete without waiting for `end`, which comes one event later.
-      if (lengthBytes > 0 && sizeBytes === lengthBytes) this._begin(request, exchange, join(parts, sizeBytes))
+    bodyReader.readBody(request, this._options.maxBodyBytes(), {
+      complete: body => { this._begin(request, exchange, body) },
+      tooLarge: () => { this._refuseBody(request, exchange) }
     })
-    if (lengthBytes === 0) request.on('end', () => { this._begin(request, exchange, join(parts, sizeBytes)) })
   }
 
   private _begin (request: http.IncomingMessage, exchange: callerExchange.CallerExchange, body: Buffer | undefined): void {
@@ -163,10 +98,6 @@
   return typeof key === 'string' ? key : undefined
 }
 
-function join (parts: readonly Buffer[], sizeBytes: number): Buffer | undefined {
-  return parts.length <= 1 ? parts[0] : Buffer.concat(parts, sizeBytes)
-}
-
 /** Undefined if one of elmpost's own headers is not a whole number. */
 function toEntryRequest (request: http.IncomingMessage, body: Buffer | undefined): routing.EntryRequest | undefined {
   const received = request.headers
--- /dev/null
+++ b/packages/node/src/direct/DirectNode.ts
@@ -0,0 +1,403 @@
+import * as addresses from '../Addresses.js'
+import * as callLog from './CallLog.js'
+import * as directCalls from '@elmpost/common/direct/DirectCalls.js'
+import * as disposable from '@elmpost/common/base/Disposable.js'
+import * as entryGate from './EntryGate.js'
+import * as ingress from './Ingress.js'
+import * as nodeLinks from './NodeLinks.js'
+import * as nodeRegistry from './NodeRegistry.js'
+import * as peerServer from '../PeerServer.js'
+import * as rulesExchange from './RulesExchange.js'
+import * as rulesWatch from './RulesWatch.js'
+import * as targetClient from './TargetClient.js'
+import * as targetHost from './TargetHost.js'
+import * as targetPicker from '@elmpost/common/direct/TargetPicker.js'
+import * as targetTable from '@elmpost/common/direct/TargetTable.js'
+import * as targetWatch from './TargetWatch.js'
+import type * as base from '@elmpost/common/base/Types.js'
+import type * as direct from '@elmpost/common/direct/Types.js'
+import type * as linkCodec from './LinkCodec.js'
+import type * as nodeServices from '../Services.js'
+import type * as services from './Services.js'
+import type * as types from './Types.js'
+
+const TICK_MS = 100
+/** Between two reports of the load to all nodes whose calls may come here. */
+const STATUS_MS = 1_000
+/** Connections to the target that a node opens at most. */
+const DEFAULT_TARGET_CONNECTIONS = 64
+/** Least time for which a stopping node takes calls, so that callers have learned of the stop. */
+const STOP_ACCEPT_MS = 2_800
+/** Left between the end of a stop and the end of the grace. */
+const STOP_MARGIN_MS = 500
+/** A node is ready without the records of other nodes after this time, because the store may be down. */
+const READY_WITHOUT_NODES_MS = 1_500
+/** Longest wait for a record of the store before a leaving target is acknowledged. */
+const RECORD_LEAVING_MS = 300
+/** Waiting for a call to end at home is worth this for each KB that would pass between zones. */
+const OTHER_ZONE_MS_PER_KB = 4
+const OTHER_ZONE_MS = 4
+const BYTES_PER_KB = 1024
+
+export interface DirectNodeOptions {
+  readonly settings: types.DirectSettings
+  readonly dialect: services.ICallDialect
+  readonly store: services.IKeyedStore
+  readonly rulesFormat: services.IRulesFormat
+  readonly logger: nodeServices.ILogger
+  readonly random: base.IRandom
+  /** Steady clock. */
+  readonly nowMs: () => base.Millis
+}
+
+/** A node that carries direct calls: its servers, its target, its links and its ticks. */
+export class DirectNode extends disposable.Disposable implements services.INodeControl, nodeLinks.INodeLinksEvents, targetHost.ITargetHostEvents {
+  /** Resolves when a planned stop is complete. */
+  public readonly stopped: Promise<void>
+  private readonly _options: DirectNodeOptions
+  private readonly _table = new targetTable.TargetTable()
+  private readonly _calls: directCalls.DirectCalls
+  private readonly _entry: entryGate.EntryGate
+  private readonly _host: targetHost.TargetHost
+  private readonly _target: targetWatch.TargetWatch
+  private readonly _links: nodeLinks.NodeLinks
+  private readonly _ingress: ingress.Ingress
+  private readonly _peers: peerServer.PeerServer
+  private readonly _watch: rulesWatch.RulesWatch
+  private readonly _exchange: rulesExchange.RulesExchange
+  private readonly _registry: nodeRegistry.NodeRegistry
+  private readonly _log: callLog.CallLog
+  private _client: targetClient.TargetClient
+  private _clientConnections = DEFAULT_TARGET_CONNECTIONS
+  private _timer: NodeJS.Timeout | undefined
+  private _startedAtMs = 0
+  private _statusAtMs = 0
+  private _knowsNodes = false
+  private _stopSinceMs: base.Millis | undefined
+  private _isFinishing = false
+  private _resolveStopped: () => void = () => {}
+
+  constructor (options: DirectNodeOptions) {
+    super()
+    this._options = options
+    const { settings, dialect, logger, random, nowMs, store } = options
+    const selfId = settings.peerAddress
+    this.stopped = new Promise(resolve => { this._resolveStopped = resolve })
+    this._log = new callLog.CallLog(logger, nowMs)
+    this._client = this._openClient(DEFAULT_TARGET_CONNECTIONS)
+    const picker = new targetPicker.TargetPicker({
+      table: this._table,
+      selfId,
+      zone: settings.zone,
+      random,
+      otherZoneCostMs: bytes => OTHER_ZONE_MS + OTHER_ZONE_MS_PER_KB * bytes / BYTES_PER_KB
+    })
+    this._calls = new directCalls.DirectCalls({ table: this._table, picker, random, retryTerms: settings.retryTerms })
+    this._target = new targetWatch.TargetWatch({
+      settings,
+      client: () => this._client,
+      healthPath: () => this._serviceRule?.healthPath,
+      nowMs,
+      logger,
+      changed: () => { this._targetChanged() }
+    })
+    this._host = new targetHost.TargetHost({
+      nodeId: selfId,
+      service: settings.service,
+      dialect,
+      client: () => this._client,
+      targetId: () => this._target.targetId,
+      state: () => this._target.state,
+      nowMs,
+      events: this
+    })
+    this._links = this._register(new nodeLinks.NodeLinks({ selfId, hello: () => this._hello(), nowMs, random, host: this._host, events: this }))
+    this._entry = this._register(new entryGate.EntryGate({
+      nodeId: selfId,
+      service: settings.service,
+      calls: this._calls,
+      table: this._table,
+      dialect,
+      nowMs,
+      send: (nodeId, call) => this._send(nodeId, call),
+      cancel: (nodeId, callId) => { this._cancel(nodeId, callId) },
+      finished: (exchange, end) => { this._finished(exchange, end) }
+    }))
+    this._ingress = this._register(new ingress.Ingress({ address: addresses.parse(settings.callerAddress), owner: this._entry, dialect }))
+    this._peers = this._register(new peerServer.PeerServer({ address: addresses.parse(selfId), accept: socket => { this._links.accept(socket) } }))
+    this._watch = this._register(new rulesWatch.RulesWatch({ store, format: options.rulesFormat, nowMs, random, logger, isReader: () => this._exchange.isReader }))
+    this._exchange = new rulesExchange.RulesExchange({
+      selfId,
+      zone: settings.zone,
+      table: this._table,
+      nowMs,
+      version: () => this.version,
+      request: nodeId => { this._links.send(nodeId, { kind: 'rules-request' }) }
+    })
+    this._registry = this._register(new nodeRegistry.NodeRegistry({ store, selfId, logger, random, nowMs }))
+    this._register(this._watch.onRules(stored => { this._enforce(stored, 'store') }))
+    this._register(this._registry.onNodes(records => { this._found(records) }))
+  }
+
+  /** Configuration version in force; 0 before the first one. */
+  public get version (): number {
+    return this._calls.rules?.version ?? 0
+  }
+
+  public get isReady (): boolean {
+    const knowsEnough = this._knowsNodes || this._options.nowMs() - this._startedAtMs > READY_WITHOUT_NODES_MS
+    return this._stopSinceMs === undefined && this._calls.rules !== undefined && knowsEnough
+  }
+
+  private get _serviceRule (): direct.ServiceRule | undefined {
+    return this._calls.rules?.services.find(({ name }) => name === this._options.settings.service)
+  }
+
+  public async start (): Promise<void> {
+    const { settings, logger, nowMs } = this._options
+    this._startedAtMs = nowMs()
+    this._table.put(settings.peerAddress, settings.zone, settings.service)
+    this._table.connected(settings.peerAddress, true)
+    this._watch.start()
+    this._registry.start()
+    await Promise.all([this._peers.listen(), this._ingress.listen()])
+    for (const seed of settings.seeds) this._links.connect(seed)
+    this._timer = setInterval(() => { this._tick() }, TICK_MS)
+    const { nodeName, zone, service, callerAddress, peerAddress } = settings
+    logger.log('info', 'started', { nodeName, zone, service, callerAddress, peerAddress })
+  }
+
+  /** Begins a graceful shutdown. Repeated calls have no effect. */
+  public stop (): void {
+    if (this._stopSinceMs !== undefined) return
+    this._stopSinceMs = this._options.nowMs()
+    this._options.logger.log('info', 'stopping', { inFlight: this._entry.inFlight })
+    this._ingress.beginClosing()
+    this._tellStatus()
+  }
+
+  public async announce (announcement: direct.Announcement): Promise<boolean> {
+    const before = this._target.state
+    const isOwn = this._target.announced(announcement)
+    const after = this._target.state
+    if (after === 'leaving' && before !== after) await this._recordLeaving()
+    return isOwn
+  }
+
+  public async leave (targetId: string): Promise<boolean> {
+    const isOwn = this._target.left(targetId)
+    if (isOwn) await this._recordLeaving()
+    return isOwn
+  }
+
+  public refuseMessage (problem: string): void {
+    this._log.log('warn', 'message-refused', { problem })
+  }
+
+  public connected (nodeId: base.NodeId, isConnected: boolean): void {
+    this._table.connected(nodeId, isConnected)
+    this._log.log(isConnected ? 'info' : 'warn', isConnected ? 'peer-connected' : 'peer-lost', { peer: nodeId })
+    if (isConnected && !this._knowsNodes) this._links.send(nodeId, { kind: 'nodes-request' })
+  }
+
+  public greeted (hello: linkCodec.HelloMessage): void {
+    this._table.put(hello.nodeId, hello.zone, hello.service)
+    this._links.connect(hello.nodeId)
+    this._exchange.heard(hello.nodeId, hello.version)
+    this._tellStatus()
+  }
+
+  public lost (nodeId: base.NodeId, callIds: readonly number[]): void {
+    this._entry.lost(nodeId, callIds)
+  }
+
+  public result (nodeId: base.NodeId, message: linkCodec.LinkMessage & { readonly kind: 'result' }): void {
+    this._entry.hostEnded(nodeId, message.callId, message.result, message.load)
+  }
+
+  public told (nodeId: base.NodeId, message: linkCodec.LinkMessage, reply: (message: linkCodec.LinkMessage) => void): void {
+    switch (message.kind) {
+      case 'status':
+        this._table.status(nodeId, message.status)
+        this._exchange.heard(nodeId, message.status.version)
+        break
+      case 'alive':
+        this._exchange.heard(nodeId, message.version)
+        break
+      case 'rules-request':
+        if (this._exchange.bytes !== undefined) reply({ kind: 'rules', bytes: this._exchange.bytes })
+        break
+      case 'rules': {
+        const stored = this._watch.decode(message.bytes)
+        if (stored !== undefined) this._enforce(stored, nodeId)
+        break
+      }
+      case 'nodes-request':
+        reply({ kind: 'nodes', nodes: [...this._table.all()].map(({ nodeId: id, zone, service }) => ({ nodeId: id, zone, service, target: undefined })) })
+        break
+      case 'nodes':
+        this._add(message.nodes)
+        break
+      default:
+        this.malformed(nodeId, new Error(`a message ${message.kind} is out of place`))
+    }
+  }
+
+  public malformed (nodeId: base.NodeId, error: Error): void {
+    this._log.log('warn', 'peer-message-refused', { peer: nodeId, problem: error.message })
+  }
+
+  public unreachable (code: string): void {
+    this._target.unreachable(code)
+  }
+
+  public displaced (targetId: string): void {
+    this._target.displaced(targetId)
+  }
+
+  public failed (call: types.CallMessage, reason: string, detail: string): void {
+    this._log.log('warn', 'run-failed', { requestId: call.requestId, target: this._target.targetId, reason, detail })
+  }
+
+  public refused (call: types.CallMessage, reason: direct.RefusalReason, waitMs: base.Millis): void {
+    const { running, queued, slots } = this._host.load
+    this._log.log('info', 'run-refused', { requestId: call.requestId, reason, waitMs: Math.round(waitMs), running, queued, slots, state: this._target.state })
+  }
+
+  public override dispose (): void {
+    clearInterval(this._timer)
+    this._client.dispose()
+    super.dispose()
+  }
+
+  private _send (nodeId: base.NodeId, call: types.CallMessage): boolean {
+    if (nodeId !== this._options.settings.peerAddress) return this._links.sendCall(nodeId, call)
+    this._host.accept(this._entry, call)
+    return true
+  }
+
+  private _cancel (nodeId: base.NodeId, callId: number): void {
+    if (nodeId === this._options.settings.peerAddress) this._host.cancel(this._entry, callId)
+    else this._links.cancel(nodeId, callId)
+  }
+
+  private _finished (exchange: services.IExchange, end: entryGate.CallEnd): void {
+    if (end.outcome === 'answered' && end.status < 500 && end.sends === 1) return
+    const { outcome, reason, status, totalMs, route, nodeId, sends, retryAfterMs } = end
+    const level = outcome === 'fail' ? 'warn' : 'info'
+    const { requestId } = exchange.info
+    this._log.log(level, `call-${outcome}`, { requestId, reason, status, route, peer: nodeId, sends, totalMs: Math.round(totalMs), retryAfterMs: Math.round(retryAfterMs), budgetMs: exchange.info.remainingMs })
+  }
+
+  private _tick (): void {
+    const nowMs = this._options.nowMs()
+    this._links.tick()
+    this._target.tick()
+    this._host.tick()
+    this._log.tick()
+    this._exchange.tick()
+    if (nowMs >= this._statusAtMs) {
+      this._tellStatus()
+      this._links.sendToAll({ kind: 'alive', version: this.version })
+    }
+    this._continueStop(nowMs)
+  }
+
+  private _tellStatus (): void {
+    this._statusAtMs = this._options.nowMs() + STATUS_MS
+    const { state, load } = this._status()
+    const status: direct.HostStatus = { state, load, version: this.version, storeAgeMs: this._watch.storeAgeMs }
+    this._table.status(this._options.settings.peerAddress, status)
+    this._links.broadcast({ kind: 'status', status })
+  }
+
+  /** A stopping node takes no new calls for its target, because the way to it ends with the process. */
+  private _status (): { readonly state: direct.TargetState, readonly load: direct.TargetLoad } {
+    return { state: this._stopSinceMs === undefined ? this._target.state : 'leaving', load: this._host.load }
+  }
+
+  private _hello (): linkCodec.HelloMessage {
+    const { peerAddress, zone, service } = this._options.settings
+    return { kind: 'hello', nodeId: peerAddress, zone, service, version: this.version }
+  }
+
+  private _targetChanged (): void {
+    this._host.setSlots(this._target.slots)
+    if (this._target.state !== 'ready') this._host.refuseWaiting()
+    this._tellStatus()
+    this._publish().catch((error: unknown) => { this._unexpected(error) })
+  }
+
+  private _publish (): Promise<void> {
+    const { peerAddress, zone, service } = this._options.settings
+    // The first record waits for what the previous process has written, which is usually the same.
+    if (!this._knowsNodes) return Promise.resolve()
+    return this._registry.publish({ nodeId: peerAddress, zone, service, target: this._target.known })
+  }
+
+  /** Keeps the leaving for a later process of this node before the target is told that it will get no more calls. */
+  private async _recordLeaving (): Promise<void> {
+    await Promise.race([this._publish(), new Promise(resolve => { setTimeout(resolve, RECORD_LEAVING_MS) })])
+  }
+
+  private _found (records: readonly direct.NodeRecord[]): void {
+    const { peerAddress, service } = this._options.settings
+    const own = records.find(({ nodeId }) => nodeId === peerAddress)
+    if (!this._knowsNodes && own?.target !== undefined && own.service === service) this._target.restore(own.target)
+    this._knowsNodes = true
+    this._add(records)
+    this._publish().catch((error: unknown) => { this._unexpected(error) })
+  }
+
+  private _add (records: readonly direct.NodeRecord[]): void {
+    for (const { nodeId, zone, service } of records) {
+      if (nodeId === this._options.settings.peerAddress) continue
+      if (this._table.get(nodeId) === undefined) this._table.put(nodeId, zone, service)
+      this._links.connect(nodeId)
+    }
+  }
+
+  private _enforce (stored: types.StoredRules, source: string): void {
+    if (!this._calls.enforce(stored.rules)) return
+    this._exchange.bytes = stored.bytes
+    const { rules } = stored
+    this._ingress.setLimits(rules.limits)
+    this._options.logger.log('info', 'enforced', { enforcedVersion: rules.version, routes: rules.routes.length, source })
+    const connections = this._serviceRule?.maxConnections ?? DEFAULT_TARGET_CONNECTIONS
+    if (connections !== this._clientConnections) this._replaceClient(connections)
+    this._tellStatus()
+  }
+
+  private _replaceClient (connections: number): void {
+    this._clientConnections = connections
+    const previous = this._client
+    this._client = this._openClient(connections)
+    previous.close()
+  }
+
+  private _openClient (maxConnections: number): targetClient.TargetClient {
+    const { settings, dialect, nowMs } = this._options
+    return new targetClient.TargetClient({ address: settings.targetAddress, maxConnections, dialect, nowMs })
+  }
+
+  private _continueStop (nowMs: base.Millis): void {
+    if (this._stopSinceMs === undefined || this._isFinishing) return
+    const elapsedMs = nowMs - this._stopSinceMs
+    const isIdle = this._entry.inFlight === 0 && this._host.isIdle
+    const isOver = elapsedMs >= this._options.settings.graceMs - STOP_MARGIN_MS
+    if (!isOver && (elapsedMs < STOP_ACCEPT_MS || !isIdle)) return
+    this._isFinishing = true
+    this._finish(isIdle).catch((error: unknown) => { this._unexpected(error) })
+  }
+
+  private async _finish (isIdle: boolean): Promise<void> {
+    this._options.logger.log(isIdle ? 'info' : 'warn', 'stopped', { inFlight: this._entry.inFlight })
+    if (isIdle) await Promise.race([this._ingress.close(), new Promise(resolve => { setTimeout(resolve, STOP_MARGIN_MS) })])
+    this.dispose()
+    this._resolveStopped()
+  }
+
+  private _unexpected (error: unknown): void {
+    this._options.logger.log('error', 'unexpected-error', { problem: String(error) })
+  }
+}
--- /dev/null
+++ b/packages/node/src/direct/EntryGate.ts
@@ -0,0 +1,195 @@
+import * as deadlineTimer from '../DeadlineTimer.js'
+import * as directCalls from '@elmpost/common/direct/DirectCalls.js'
+import * as rawHeaderFilter from './RawHeaderFilter.js'
+import type * as base from '@elmpost/common/base/Types.js'
+import type * as direct from '@elmpost/common/direct/Types.js'
+import type * as services from './Services.js'
+import type * as targetTable from '@elmpost/common/direct/TargetTable.js'
+import type * as types from './Types.js'
+
+/** A caller that has less than this share of the route's timeout left was refused before and has come back. */
+const RETURN_SHARE = 0.8
+
+export interface EntryGateOptions {
+  readonly nodeId: base.NodeId
+  readonly service: string
+  readonly calls: directCalls.DirectCalls
+  readonly table: targetTable.TargetTable
+  readonly dialect: services.ICallDialect
+  readonly nowMs: () => base.Millis
+  /** Hands a call to another node. False if it was certainly not sent. */
+  readonly send: (nodeId: base.NodeId, call: types.CallMessage) => boolean
+  readonly cancel: (nodeId: base.NodeId, callId: number) => void
+  readonly finished: (exchange: services.IExchange, end: CallEnd) => void
+}
+
+/** How a call ended for its caller. */
+export interface CallEnd {
+  readonly outcome: 'answered' | 'refuse' | 'fail'
+  readonly reason: string
+  readonly status: number
+  readonly totalMs: base.Millis
+  readonly route: string | undefined
+  readonly nodeId: base.NodeId
+  readonly sends: number
+  readonly retryAfterMs: base.Millis
+}
+
+interface PendingCall {
+  readonly exchange: services.IExchange
+  readonly beganAtMs: base.Millis
+  readonly headers: types.RawHeaders
+  route: string | undefined
+  nodeId: base.NodeId
+  sends: number
+  answer: types.TargetAnswer | undefined
+}
+
+/** The calls that callers make at this node, from the request to its final answer. */
+export class EntryGate implements services.IExchangeOwner, services.IHostCaller, base.IDisposable {
+  private readonly _options: EntryGateOptions
+  private readonly _pending = new Map<number, PendingCall>()
+  private readonly _ids = new Map<services.IExchange, number>()
+  private readonly _deadlines: deadlineTimer.DeadlineTimer
+
+  constructor (options: EntryGateOptions) {
+    this._options = options
+    this._deadlines = new deadlineTimer.DeadlineTimer({ nowMs: options.nowMs, expire: () => this._expire() })
+  }
+
+  public get inFlight (): number {
+    return this._pending.size
+  }
+
+  public begin (exchange: services.IExchange): void {
+    const { calls, nowMs } = this._options
+    const beganAtMs = nowMs()
+    const { host, path, body, info } = exchange
+    const decision = calls.begin({ host, path, remainingMs: info.remainingMs, bodyBytes: body?.length ?? 0 }, beganAtMs)
+    const call: PendingCall = { exchange, beganAtMs, headers: this._entryHeaders(exchange), route: undefined, nodeId: '', sends: 0, answer: undefined }
+    this._pending.set(decision.callId, call)
+    this._ids.set(exchange, decision.callId)
+    this._carryOut(decision)
+  }
+
+  public cancel (exchange: services.IExchange): void {
+    const callId = this._ids.get(exchange)
+    if (callId === undefined) return
+    this._forget(callId)
+    const nodeId = this._options.calls.cancel(callId)
+    if (nodeId !== undefined) this._options.cancel(nodeId, callId)
+  }
+
+  public hostEnded (nodeId: base.NodeId, callId: number, result: types.HostResult, load: direct.TargetLoad): void {
+    const { calls, table, nowMs } = this._options
+    table.load(nodeId, load)
+    const call = this._pending.get(callId)
+    if (call === undefined) return
+    switch (result.kind) {
+      case 'answered':
+        call.answer = result.answer
+        this._carryOut(calls.answered(callId, nodeId, result.answer.status, result.answer.body?.length ?? 0, nowMs()))
+        break
+      case 'refused':
+        this._carryOut(calls.refused(callId, nodeId, result.refusal, nowMs()))
+        break
+      case 'failed':
+        this._carryOut(calls.failed(callId, nodeId, result.reason, nowMs()))
+    }
+  }
+
+  /** The connection to the node is gone, and with it what became of these calls. */
+  public lost (nodeId: base.NodeId, callIds: readonly number[]): void {
+    for (const callId of callIds) this._carryOut(this._options.calls.failed(callId, nodeId, 'peer-lost', this._options.nowMs()))
+  }
+
+  public dispose (): void {
+    this._deadlines.dispose()
+  }
+
+  private _carryOut (decision: direct.CallDecision | undefined): void {
+    let next = decision
+    while (next !== undefined) {
+      const call = this._pending.get(next.callId)
+      if (call === undefined) return
+      if (next.kind === 'send') {
+        next = this._send(call, next)
+      } else {
+        if (next.kind === 'answer') this._answer(next.callId, call)
+        else this._end(call, next)
+        return
+      }
+    }
+  }
+
+  /** Returns the next decision if the call could not be sent. */
+  private _send (call: PendingCall, decision: direct.SendDecision): direct.CallDecision | undefined {
+    const { nowMs, send, calls } = this._options
+    const { callId, nodeId, rule, deadlineAtMs, beganAtMs, service } = decision
+    const sentAtMs = nowMs()
+    call.route = rule.name
+    call.nodeId = nodeId
+    call.sends += 1
+    this._deadlines.arm(deadlineAtMs)
+    const { method, path, body, info } = call.exchange
+    const message: types.CallMessage = {
+      callId,
+      service,
+      isIdempotent: rule.kind === 'idempotent',
+      isReturn: (info.remainingMs ?? Infinity) < rule.timeoutMs * RETURN_SHARE,
+      priority: rule.priority,
+      remainingMs: deadlineAtMs - sentAtMs,
+      objectiveMs: rule.objectiveMs,
+      elapsedMs: sentAtMs - beganAtMs,
+      requestId: info.requestId,
+      method,
+      path,
+      headers: call.headers,
+      body
+    }
+    if (send(nodeId, message)) return undefined
+    return calls.refused(callId, nodeId, { reason: 'no-target', reachedTarget: false, waitMs: 0 }, sentAtMs)
+  }
+
+  private _answer (callId: number, call: PendingCall): void {
+    this._forget(callId)
+    const { answer, exchange } = call
+    if (answer === undefined) return
+    exchange.answer(answer)
+    this._finished(call, 'answered', 'ok', answer.status, 0)
+  }
+
+  private _end (call: PendingCall, decision: direct.OwnAnswer): void {
+    this._forget(decision.callId)
+    call.exchange.refuse(decision)
+    this._finished(call, decision.kind, decision.reason, 0, decision.retryAfterMs)
+  }
+
+  private _finished (call: PendingCall, outcome: CallEnd['outcome'], reason: string, status: number, retryAfterMs: base.Millis): void {
+    const { route, nodeId, sends } = call
+    const totalMs = this._options.nowMs() - call.beganAtMs
+    this._options.finished(call.exchange, { outcome, reason, status, totalMs, route, nodeId, sends, retryAfterMs })
+  }
+
+  private _expire (): base.Millis {
+    const { calls, cancel, nowMs } = this._options
+    for (const { decision, nodeId } of calls.expire(nowMs())) {
+      cancel(nodeId, decision.callId)
+      this._carryOut(decision)
+    }
+    return calls.nextDeadlineMs
+  }
+
+  private _forget (callId: number): void {
+    const call = this._pending.get(callId)
+    this._pending.delete(callId)
+    if (call !== undefined) this._ids.delete(call.exchange)
+  }
+
+  private _entryHeaders (exchange: services.IExchange): types.RawHeaders {
+    const { dialect, service } = this._options
+    const passed = rawHeaderFilter.forwardable(exchange.headers, name => dialect.isSetByNode(name))
+    passed.push(...dialect.entryHeaders(service))
+    return passed
+  }
+}
--- /dev/null
+++ b/packages/node/src/direct/Ingress.ts
@@ -0,0 +1,132 @@
+import * as bodyReader from '../BodyReader.js'
+import * as callerListener from '../CallerListener.js'
+import * as reasons from './Reasons.js'
+import type * as base from '@elmpost/common/base/Types.js'
+import type * as direct from '@elmpost/common/direct/Types.js'
+import type * as http from 'node:http'
+import type * as services from './Services.js'
+import type * as nodeTypes from '../Types.js'
+import type * as types from './Types.js'
+
+/** Used until a configuration tells for how long callers use idle connections again. */
+const DEFAULT_IDLE_MS = 60_000
+/** Added to the idle time of the configuration, so that callers close connections first. */
+const IDLE_MARGIN_MS = 2_000
+/** Idle connections stay open for this time during a stop, as requests may be on their way. */
+const CLOSING_IDLE_MS = 300
+/** Bodies read before a configuration sets a limit. */
+const DEFAULT_MAX_BODY_BYTES = 64 * 1024 * 1024
+const MS_PER_S = 1000
+
+export interface IngressOptions {
+  readonly address: nodeTypes.Address
+  readonly owner: services.IExchangeOwner
+  readonly dialect: services.ICallDialect
+}
+
+/** Takes the requests of callers for direct calls. */
+export class Ingress implements base.IDisposable {
+  private readonly _options: IngressOptions
+  private readonly _listener: callerListener.CallerListener
+  private _maxBodyBytes = DEFAULT_MAX_BODY_BYTES
+
+  constructor (options: IngressOptions) {
+    this._options = options
+    this._listener = new callerListener.CallerListener({
+      address: options.address,
+      keepAliveMs: DEFAULT_IDLE_MS,
+      closingIdleMs: CLOSING_IDLE_MS,
+      handle: (request, response) => { this._handle(request, response) }
+    })
+  }
+
+  public get isClosing (): boolean {
+    return this._listener.isClosing
+  }
+
+  public setLimits (limits: direct.CallerLimits): void {
+    this._maxBodyBytes = limits.maxBodyBytes
+    this._listener.keepAliveMs = limits.idleTimeoutMs + IDLE_MARGIN_MS
+  }
+
+  public listen (): Promise<number> {
+    return this._listener.listen()
+  }
+
+  public beginClosing (): void {
+    this._listener.beginClosing()
+  }
+
+  public close (): Promise<void> {
+    return this._listener.close()
+  }
+
+  public dispose (): void {
+    this._listener.dispose()
+  }
+
+  private _handle (request: http.IncomingMessage, response: http.ServerResponse): void {
+    const exchange = new IngressExchange(request, response, this, this._options)
+    bodyReader.readBody(request, this._maxBodyBytes, {
+      complete: body => { exchange.begin(body) },
+      tooLarge: () => {
+        response.shouldKeepAlive = false
+        exchange.refuse({ kind: 'refuse', callId: 0, reason: 'body-too-large', retryAfterMs: 0, rule: undefined, sends: 0 })
+        request.resume()
+      }
+    })
+  }
+}
+
+class IngressExchange implements services.IExchange {
+  public readonly info: types.CallerRequestInfo
+  public readonly method: string
+  public readonly host: string
+  public readonly path: string
+  public readonly headers: types.RawHeaders
+  public body: Uint8Array | undefined
+  private _isAnswered = false
+
+  constructor (request: http.IncomingMessage, private readonly _response: http.ServerResponse, private readonly _ingress: Ingress, private readonly _options: IngressOptions) {
+    this.info = _options.dialect.readRequest(request.headers)
+    this.method = request.method ?? 'GET'
+    this.host = request.headers.host ?? ''
+    this.path = request.url ?? '/'
+    this.headers = request.rawHeaders
+  }
+
+  public begin (body: Buffer | undefined): void {
+    this.body = body
+    this._response.on('close', () => {
+      if (!this._isAnswered) this._options.owner.cancel(this)
+    })
+    this._options.owner.begin(this)
+  }
+
+  public answer (answer: types.TargetAnswer): void {
+    const body = answer.body ?? Buffer.alloc(0)
+    const headers = [...answer.headers, ...this._options.dialect.answerHeaders(this.info.requestId)]
+    const isBodiless = this.method === 'HEAD' || answer.status === 204 || answer.status === 304
+    if (!isBodiless) headers.push('Content-Length', String(body.length))
+    this._write(answer.status, headers, body)
+  }
+
+  public refuse (answer: direct.OwnAnswer): void {
+    const body = reasons.bodyOf(answer)
+    const headers = [
+      'Content-Type', 'application/json', 'Content-Length', String(body.length),
+      'Elmpost-Outcome', reasons.outcomeOf(answer), 'Elmpost-Reason', answer.reason,
+      ...this._options.dialect.answerHeaders(this.info.requestId)
+    ]
+    if (answer.retryAfterMs > 0) headers.push('Retry-After', (answer.retryAfterMs / MS_PER_S).toFixed(3))
+    this._write(reasons.statusOf(answer), headers, body)
+  }
+
+  private _write (status: number, headers: types.RawHeaders, body: Uint8Array): void {
+    this._isAnswered = true
+    if (this._response.destroyed) return
+    if (this._ingress.isClosing) this._response.shouldKeepAlive = false
+    this._response.writeHead(status, [...headers])
+    this._response.end(body)
+  }
+}
--- /dev/null
+++ b/packages/node/src/direct/LinkCodec.ts
@@ -0,0 +1,198 @@
+import * as msgpackr from 'msgpackr'
+import * as results from 'ts-results-es'
+import type * as direct from '@elmpost/common/direct/Types.js'
+import type * as types from './Types.js'
+
+const STATES: readonly direct.TargetState[] = ['ready', 'leaving', 'down', 'absent']
+const REFUSALS: readonly direct.RefusalReason[] = ['no-target', 'busy', 'target-refused', 'deadline', 'stopping']
+const FAILURES: readonly direct.FailureReason[] = ['timeout', 'peer-lost', 'target-lost', 'bad-answer']
+
+/** First value of each message. */
+const KIND = { hello: 0, status: 1, call: 2, answered: 3, refused: 4, failed: 5, cancel: 6, alive: 7, rulesRequest: 8, rules: 9, nodesRequest: 10, nodes: 11 } as const
+
+export interface HelloMessage {
+  readonly kind: 'hello'
+  readonly nodeId: string
+  readonly zone: string
+  readonly service: string
+  readonly version: number
+}
+
+/** Messages between two nodes. The side that opened the link sends calls; the other one answers them. */
+export type LinkMessage =
+  | HelloMessage
+  | { readonly kind: 'status', readonly status: direct.HostStatus }
+  | { readonly kind: 'call', readonly call: types.CallMessage }
+  | { readonly kind: 'result', readonly callId: number, readonly result: types.HostResult, readonly load: direct.TargetLoad }
+  | { readonly kind: 'cancel', readonly callId: number }
+  | { readonly kind: 'alive', readonly version: number }
+  | { readonly kind: 'rules-request' }
+  | { readonly kind: 'rules', readonly bytes: Uint8Array }
+  | { readonly kind: 'nodes-request' }
+  | { readonly kind: 'nodes', readonly nodes: readonly direct.NodeRecord[] }
+
+type Values = readonly unknown[]
+
+/** Encodes messages as arrays, because names in each message would cost bytes between zones. Decodes defensively. */
+export class LinkCodec {
+  private readonly _packr = new msgpackr.Packr({ useRecords: false })
+
+  public encode (message: LinkMessage): Buffer {
+    return this._packr.pack(valuesOf(message))
+  }
+
+  public decode (bytes: Uint8Array): results.Result<LinkMessage, Error> {
+    try {
+      const values: unknown = this._packr.unpack(bytes)
+      const message = Array.isArray(values) ? messageOf(values) : undefined
+      return message === undefined ? new results.Err(new Error('a message of another node is malformed; check that all nodes run compatible versions')) : new results.Ok(message)
+    } catch (error) {
+      return new results.Err(error instanceof Error ? error : new Error(String(error)))
+    }
+  }
+}
+
+function valuesOf (message: LinkMessage): Values {
+  switch (message.kind) {
+    case 'hello': return [KIND.hello, message.nodeId, message.zone, message.service, message.version]
+    case 'status': return statusValues(message.status)
+    case 'call': return callValues(message.call)
+    case 'result': return resultValues(message.callId, message.result, message.load)
+    case 'cancel': return [KIND.cancel, message.callId]
+    case 'alive': return [KIND.alive, message.version]
+    case 'rules-request': return [KIND.rulesRequest]
+    case 'rules': return [KIND.rules, message.bytes]
+    case 'nodes-request': return [KIND.nodesRequest]
+    case 'nodes': return [KIND.nodes, message.nodes.map(({ nodeId, zone, service }) => [nodeId, zone, service])]
+  }
+}
+
+function statusValues ({ state, load, version, storeAgeMs }: direct.HostStatus): Values {
+  return [KIND.status, STATES.indexOf(state), version, Number.isFinite(storeAgeMs) ? Math.round(storeAgeMs) : -1, ...loadValues(load)]
+}
+
+function callValues (call: types.CallMessage): Values {
+  const flags = (call.isIdempotent ? 1 : 0) | (call.isReturn ? 2 : 0)
+  return [KIND.call, call.callId, call.service, flags, call.priority, Math.round(call.remainingMs), Math.round(call.objectiveMs),
+    Math.round(call.elapsedMs), call.requestId, call.method, call.path, call.headers, call.body ?? null]
+}
+
+function resultValues (callId: number, result: types.HostResult, load: direct.TargetLoad): Values {
+  switch (result.kind) {
+    case 'answered': return [KIND.answered, callId, result.answer.status, result.answer.headers, result.answer.body ?? null, ...loadValues(load)]
+    case 'refused': {
+      const { reason, reachedTarget, waitMs } = result.refusal
+      return [KIND.refused, callId, REFUSALS.indexOf(reason), reachedTarget, Math.round(waitMs), ...loadValues(load)]
+    }
+    case 'failed': return [KIND.failed, callId, FAILURES.indexOf(result.reason), ...loadValues(load)]
+  }
+}
+
+function loadValues ({ running, queued, slots, serviceMs }: direct.TargetLoad): number[] {
+  return [running, queued, slots, Math.round(serviceMs)]
+}
+
+function messageOf (values: Values): LinkMessage | undefined {
+  switch (values[0]) {
+    case KIND.hello: return helloOf(values)
+    case KIND.status: return statusOf(values)
+    case KIND.call: return callOf(values)
+    case KIND.answered: return answeredOf(values)
+    case KIND.refused: return refusedOf(values)
+    case KIND.failed: return failedOf(values)
+    case KIND.cancel: return isNumber(values[1]) ? { kind: 'cancel', callId: values[1] } : undefined
+    case KIND.alive: return isNumber(values[1]) ? { kind: 'alive', version: values[1] } : undefined
+    case KIND.rulesRequest: return { kind: 'rules-request' }
+    case KIND.rules: return values[1] instanceof Uint8Array ? { kind: 'rules', bytes: values[1] } : undefined
+    case KIND.nodesRequest: return { kind: 'nodes-request' }
+    case KIND.nodes: return nodesOf(values[1])
+    default: return undefined
+  }
+}
+
+function helloOf ([, nodeId, zone, service, version]: Values): LinkMessage | undefined {
+  if (!isText(nodeId) || !isText(zone) || !isText(service) || !isNumber(version)) return undefined
+  return { kind: 'hello', nodeId, zone, service, version }
+}
+
+function statusOf ([, stateCode, version, storeAgeMs, ...load]: Values): LinkMessage | undefined {
+  const state = isNumber(stateCode) ? STATES[stateCode] : undefined
+  const decoded = loadOf(load)
+  if (state === undefined || !isNumber(version) || !isNumber(storeAgeMs) || decoded === undefined) return undefined
+  return { kind: 'status', status: { state, version, storeAgeMs: storeAgeMs < 0 ? Infinity : storeAgeMs, load: decoded } }
+}
+
+function callOf (values: Values): LinkMessage | undefined {
+  const [, callId, service, flags, priority, remainingMs, objectiveMs, elapsedMs, requestId, method, path, headers, body] = values
+  if (!isNumber(callId) || !isText(service) || !isNumber(flags) || !isNumber(priority) || !isNumber(remainingMs)) return undefined
+  if (!isNumber(objectiveMs) || !isNumber(elapsedMs) || !isText(requestId) || !isText(method) || !isText(path)) return undefined
+  if (!isHeaders(headers) || !isBody(body)) return undefined
+  const call = {
+    callId,
+    service,
+    isIdempotent: (flags & 1) !== 0,
+    isReturn: (flags & 2) !== 0,
+    priority,
+    remainingMs,
+    objectiveMs,
+    elapsedMs,
+    requestId,
+    method,
+    path,
+    headers,
+    body: body ?? undefined
+  }
+  return { kind: 'call', call }
+}
+
+function answeredOf ([, callId, status, headers, body, ...rest]: Values): LinkMessage | undefined {
+  const load = loadOf(rest)
+  if (!isNumber(callId) || !isNumber(status) || !isHeaders(headers) || !isBody(body) || load === undefined) return undefined
+  return { kind: 'result', callId, result: { kind: 'answered', answer: { status, headers, body: body ?? undefined } }, load }
+}
+
+function refusedOf ([, callId, code, reachedTarget, waitMs, ...rest]: Values): LinkMessage | undefined {
+  const reason = isNumber(code) ? REFUSALS[code] : undefined
+  const load = loadOf(rest)
+  if (!isNumber(callId) || reason === undefined || typeof reachedTarget !== 'boolean' || !isNumber(waitMs) || load === undefined) return undefined
+  return { kind: 'result', callId, result: { kind: 'refused', refusal: { reason, reachedTarget, waitMs } }, load }
+}
+
+function failedOf ([, callId, code, ...rest]: Values): LinkMessage | undefined {
+  const reason = isNumber(code) ? FAILURES[code] : undefined
+  const load = loadOf(rest)
+  if (!isNumber(callId) || reason === undefined || load === undefined) return undefined
+  return { kind: 'result', callId, result: { kind: 'failed', reason }, load }
+}
+
+function nodesOf (list: unknown): LinkMessage | undefined {
+  if (!Array.isArray(list)) return undefined
+  const nodes: direct.NodeRecord[] = []
+  for (const entry of list as unknown[]) {
+    const [nodeId, zone, service] = Array.isArray(entry) ? entry as Values : []
+    if (!isText(nodeId) || !isText(zone) || !isText(service)) return undefined
+    nodes.push({ nodeId, zone, service, target: undefined })
+  }
+  return { kind: 'nodes', nodes }
+}
+
+function loadOf ([running, queued, slots, serviceMs]: Values): direct.TargetLoad | undefined {
+  if (!isNumber(running) || !isNumber(queued) || !isNumber(slots) || !isNumber(serviceMs) || slots < 1) return undefined
+  return { running, queued, slots, serviceMs }
+}
+
+function isNumber (value: unknown): value is number {
+  return typeof value === 'number' && Number.isFinite(value)
+}
+
+function isText (value: unknown): value is string {
+  return typeof value === 'string'
+}
+
+function isHeaders (value: unknown): value is string[] {
+  return Array.isArray(value) && value.length % 2 === 0 && value.every(isText)
+}
+
+function isBody (value: unknown): value is Uint8Array | null {
+  return value === null || value instanceof Uint8Array
+}
--- /dev/null
+++ b/packages/node/src/direct/NodeLinks.ts
@@ -0,0 +1,132 @@
+import * as incomingLink from './IncomingLink.js'
+import * as linkCodec from './LinkCodec.js'
+import * as outgoingLink from './OutgoingLink.js'
+import type * as base from '@elmpost/common/base/Types.js'
+import type * as services from './Services.js'
+import type * as types from './Types.js'
+import type * as ws from 'ws'
+
+export interface NodeLinksOptions {
+  readonly selfId: base.NodeId
+  readonly hello: () => linkCodec.HelloMessage
+  readonly nowMs: () => base.Millis
+  readonly random: base.IRandom
+  readonly host: services.IHost
+  readonly events: INodeLinksEvents
+}
+
+export interface INodeLinksEvents {
+  /** Calls can be sent to the node, or not any more. */
+  connected(nodeId: base.NodeId, isConnected: boolean): void
+  /** Another node has opened a link to this one. */
+  greeted(hello: linkCodec.HelloMessage): void
+  lost(nodeId: base.NodeId, callIds: readonly number[]): void
+  result(nodeId: base.NodeId, message: linkCodec.LinkMessage & { readonly kind: 'result' }): void
+  /** Everything but calls and their results. */
+  told(nodeId: base.NodeId, message: linkCodec.LinkMessage, reply: (message: linkCodec.LinkMessage) => void): void
+  malformed(nodeId: base.NodeId, error: Error): void
+}
+
+/** All connections of a node to others: one that it opened for its own calls, and one that each other node opened for theirs. */
+export class NodeLinks implements outgoingLink.IOutgoingLinkEvents, incomingLink.IIncomingLinkEvents, base.IDisposable {
+  private readonly _options: NodeLinksOptions
+  private readonly _codec = new linkCodec.LinkCodec()
+  private readonly _outgoing = new Map<base.NodeId, outgoingLink.OutgoingLink>()
+  private readonly _incoming = new Set<incomingLink.IncomingLink>()
+
+  constructor (options: NodeLinksOptions) {
+    this._options = options
+  }
+
+  /** Keeps a link to the node from now on. */
+  public connect (nodeId: base.NodeId): void {
+    if (nodeId === this._options.selfId || this._outgoing.has(nodeId)) return
+    const { hello, nowMs, random } = this._options
+    this._outgoing.set(nodeId, new outgoingLink.OutgoingLink({ nodeId, codec: this._codec, hello, nowMs, random, events: this }))
+  }
+
+  public disconnect (nodeId: base.NodeId): void {
+    this._outgoing.get(nodeId)?.dispose()
+    this._outgoing.delete(nodeId)
+  }
+
+  public sendCall (nodeId: base.NodeId, call: types.CallMessage): boolean {
+    return this._outgoing.get(nodeId)?.sendCall(call) ?? false
+  }
+
+  public send (nodeId: base.NodeId, message: linkCodec.LinkMessage): void {
+    this._outgoing.get(nodeId)?.send(message)
+  }
+
+  public cancel (nodeId: base.NodeId, callId: number): void {
+    const link = this._outgoing.get(nodeId)
+    link?.release(callId)
+    link?.send({ kind: 'cancel', callId })
+  }
+
+  /** Tells all nodes whose calls may come here. */
+  public broadcast (message: linkCodec.LinkMessage): void {
+    for (const link of this._incoming) link.send(message)
+  }
+
+  public sendToAll (message: linkCodec.LinkMessage): void {
+    for (const link of this._outgoing.values()) link.send(message)
+  }
+
+  /** Takes a connection that another node has opened. */
+  public accept (socket: ws.WebSocket): void {
+    this._incoming.add(new incomingLink.IncomingLink({ socket, codec: this._codec, nowMs: this._options.nowMs, events: this }))
+  }
+
+  public tick (): void {
+    for (const link of this._outgoing.values()) link.tick()
+    for (const link of this._incoming) link.tick()
+  }
+
+  public opened (link: outgoingLink.OutgoingLink): void {
+    this._options.events.connected(link.nodeId, true)
+  }
+
+  public lost (link: outgoingLink.OutgoingLink, callIds: readonly number[]): void {
+    this._options.events.connected(link.nodeId, false)
+    this._options.events.lost(link.nodeId, callIds)
+  }
+
+  public received (link: outgoingLink.OutgoingLink | incomingLink.IncomingLink, message: linkCodec.LinkMessage): void {
+    const { events, host } = this._options
+    if (link instanceof outgoingLink.OutgoingLink) {
+      if (message.kind === 'result') {
+        link.release(message.callId)
+        events.result(link.nodeId, message)
+        return
+      }
+    } else if (message.kind === 'call') {
+      host.accept(link, message.call)
+      return
+    } else if (message.kind === 'cancel') {
+      host.cancel(link, message.callId)
+      return
+    }
+    events.told(link.nodeId, message, reply => { link.send(reply) })
+  }
+
+  public greeted (_link: incomingLink.IncomingLink, hello: linkCodec.HelloMessage): void {
+    this._options.events.greeted(hello)
+    // The node there has just started or come back into reach.
+    this._outgoing.get(hello.nodeId)?.hurry()
+  }
+
+  public closed (link: incomingLink.IncomingLink): void {
+    this._incoming.delete(link)
+    this._options.host.abandon(link)
+  }
+
+  public malformed (link: outgoingLink.OutgoingLink | incomingLink.IncomingLink, error: Error): void {
+    this._options.events.malformed(link.nodeId, error)
+  }
+
+  public dispose (): void {
+    for (const link of this._outgoing.values()) link.dispose()
+    for (const link of this._incoming) link.close()
+  }
+}
--- /dev/null
+++ b/packages/node/src/direct/NodeRegistry.ts
@@ -0,0 +1,137 @@
+import * as emitter from '@elmpost/common/base/Emitter.js'
+import * as pQueue from 'p-queue'
+import type * as base from '@elmpost/common/base/Types.js'
+import type * as direct from '@elmpost/common/direct/Types.js'
+import type * as nodeServices from '../Services.js'
+import type * as services from './Services.js'
+
+const PQueue = pQueue.default
+
+/** Topic of elmpost's own with one record for each node; the prefix makes the store keep the newest of each key. */
+const NODES_TOPIC = 'keyed.elmpost-nodes'
+const NEWEST_TIMEOUT_MS = 1_000
+const PUT_TIMEOUT_MS = 1_000
+/** Waits after failures, doubled up to the bound, each with jitter. */
+const FIRST_RETRY_MS = 100
+const MAX_RETRY_MS = 1_000
+/** Nodes announce themselves to each other; this finds those that missed one another. */
+const REFRESH_MS = 30_000
+
+export interface NodeRegistryOptions {
+  readonly store: services.IKeyedStore
+  readonly selfId: base.NodeId
+  readonly logger: nodeServices.ILogger
+  readonly random: base.IRandom
+  readonly nowMs: () => base.Millis
+}
+
+/** Records of all nodes in the store, by which nodes find each other. */
+export class NodeRegistry implements base.IDisposable {
+  private readonly _options: NodeRegistryOptions
+  private readonly _nodes = new emitter.Emitter<readonly direct.NodeRecord[]>()
+  public readonly onNodes = this._nodes.event
+  /** Writes one after the other, so that the newest record is the last one. */
+  private readonly _writes = new PQueue({ concurrency: 1 })
+  private _wanted: Buffer | undefined
+  private _written: Buffer | undefined
+  private _hasWritten = false
+  private _isDisposed = false
+  private _timer: NodeJS.Timeout | undefined
+
+  constructor (options: NodeRegistryOptions) {
+    this._options = options
+  }
+
+  /** Reads the records of all nodes, again and again until the store answers. */
+  public start (): void {
+    this._refresh(FIRST_RETRY_MS)
+  }
+
+  /** Writes the node's own record if it differs from what is there. */
+  public publish (record: direct.NodeRecord): Promise<void> {
+    this._wanted = Buffer.from(JSON.stringify(record))
+    return this._write()
+  }
+
+  /** Drops the node's record before its process ends for good. */
+  public withdraw (): Promise<void> {
+    this._wanted = undefined
+    return this._written === undefined ? Promise.resolve() : this._write()
+  }
+
+  public dispose (): void {
+    this._isDisposed = true
+    clearTimeout(this._timer)
+  }
+
+  private async _write (): Promise<void> {
+    await this._writes.add(async () => {
+      for (let retryMs = FIRST_RETRY_MS; !this._isDisposed; retryMs = Math.min(retryMs * 2, MAX_RETRY_MS)) {
+        const value = this._wanted
+        if (isSame(value, this._written)) return
+        const result = await this._options.store.put(NODES_TOPIC, this._options.selfId, value, PUT_TIMEOUT_MS)
+        if (result.kind === 'written') {
+          this._written = value
+          this._readAfterFirstWrite()
+          continue
+        }
+        this._options.logger.log('warn', 'node-record-not-written', { outcome: result.kind, problem: result.problem })
+        await new Promise(resolve => { setTimeout(resolve, retryMs * (0.5 + 0.5 * this._options.random.nextFloat())) })
+      }
+    })
+  }
+
+  /** Of two nodes that start together, each may have read before the other wrote. */
+  private _readAfterFirstWrite (): void {
+    if (this._hasWritten) return
+    this._hasWritten = true
+    clearTimeout(this._timer)
+    this._refresh(FIRST_RETRY_MS)
+  }
+
+  private _refresh (retryMs: base.Millis): void {
+    this._read().then(isRead => {
+      if (this._isDisposed) return
+      const waitMs = isRead ? REFRESH_MS : retryMs
+      const nextRetryMs = isRead ? FIRST_RETRY_MS : Math.min(retryMs * 2, MAX_RETRY_MS)
+      this._timer = setTimeout(() => { this._refresh(nextRetryMs) }, waitMs * (0.5 + 0.5 * this._options.random.nextFloat()))
+    }, error => { this._options.logger.log('error', 'unexpected-error', { problem: String(error) }) })
+  }
+
+  private async _read (): Promise<boolean> {
+    const result = await this._options.store.newest(NODES_TOPIC, NEWEST_TIMEOUT_MS)
+    if (result.kind === 'unavailable') {
+      this._options.logger.log('debug', 'node-records-not-read', { problem: result.problem })
+      return false
+    }
+    const records: direct.NodeRecord[] = []
+    for (const { key, value } of result.records) {
+      const record = value === undefined ? undefined : recordOf(key, value)
+      if (record !== undefined) records.push(record)
+      else if (value !== undefined) this._options.logger.log('warn', 'node-record-refused', { key })
+      if (key === this._options.selfId && this._written === undefined) this._written = value
+    }
+    this._nodes.fire(records)
+    return true
+  }
+}
+
+function isSame (one: Buffer | undefined, other: Buffer | undefined): boolean {
+  return one === undefined || other === undefined ? one === other : one.equals(other)
+}
+
+/** Undefined if the record is not one of a node. */
+function recordOf (key: string, value: Buffer): direct.NodeRecord | undefined {
+  try {
+    const record = JSON.parse(value.toString()) as Partial<direct.NodeRecord> | null
+    const isValid = record?.nodeId === key && typeof record.zone === 'string' && typeof record.service === 'string'
+    return isValid ? { nodeId: key, zone: record.zone ?? '', service: record.service ?? '', target: targetOf(record.target) } : undefined
+  } catch {
+    return undefined
+  }
+}
+
+function targetOf (target: direct.KnownTarget | undefined): direct.KnownTarget | undefined {
+  if (typeof target?.targetId !== 'string' || typeof target.slots !== 'number' || typeof target.isLeaving !== 'boolean') return undefined
+  return { targetId: target.targetId, slots: target.slots, isLeaving: target.isLeaving }
+}
--- /dev/null
+++ b/packages/node/src/direct/RulesWatch.ts
@@ -0,0 +1,125 @@
+import * as emitter from '@elmpost/common/base/Emitter.js'
+import type * as base from '@elmpost/common/base/Types.js'
+import type * as nodeServices from '../Services.js'
+import type * as services from './Services.js'
+import type * as types from './Types.js'
+
+/** Longest wait of one read at the store. A store that has gone silent is noticed after this and the margin. */
+const READ_WAIT_MS = 2_000
+const READ_MARGIN_MS = 1_000
+const NEWEST_TIMEOUT_MS = 1_000
+/** Waits after failures, doubled up to the bound, each with jitter. */
+const FIRST_RETRY_MS = 100
+const MAX_RETRY_MS = 1_000
+/** How often a node that leaves reading to others looks whether it has to read. */
+const STANDBY_MS = 250
+
+export interface RulesWatchOptions {
+  readonly store: services.IKeyedStore
+  readonly format: services.IRulesFormat
+  readonly nowMs: () => base.Millis
+  readonly random: base.IRandom
+  readonly logger: nodeServices.ILogger
+  /** Whether this node follows the store itself. The others get new versions from those that do. */
+  readonly isReader: () => boolean
+}
+
+/** Follows the accepted configuration in the store. */
+export class RulesWatch implements base.IDisposable {
+  private readonly _options: RulesWatchOptions
+  private readonly _rules = new emitter.Emitter<types.StoredRules>()
+  public readonly onRules = this._rules.event
+  private _heardAtMs = -Infinity
+  private _nextOffset: number | undefined
+  private _retryMs = FIRST_RETRY_MS
+  private _isAvailable: boolean | undefined
+  private _isDisposed = false
+  private _timer: NodeJS.Timeout | undefined
+
+  constructor (options: RulesWatchOptions) {
+    this._options = options
+  }
+
+  /** Time since the store last answered. */
+  public get storeAgeMs (): base.Millis {
+    return this._options.nowMs() - this._heardAtMs
+  }
+
+  public start (): void {
+    this._step()
+  }
+
+  /** Reads bytes that another node has passed on. */
+  public decode (bytes: Uint8Array): types.StoredRules | undefined {
+    const rules = this._options.format.decode(bytes)
+    if (!(rules instanceof Error)) return { rules, bytes }
+    this._options.logger.log('warn', 'configuration-refused', { problem: rules.message })
+    return undefined
+  }
+
+  public dispose (): void {
+    this._isDisposed = true
+    clearTimeout(this._timer)
+  }
+
+  private _step (): void {
+    if (this._isDisposed) return
+    const work = this._nextOffset === undefined ? this._readNewest() : this._options.isReader() ? this._readNext(this._nextOffset) : Promise.resolve(STANDBY_MS)
+    work.then(waitMs => { this._schedule(waitMs) }, error => {
+      this._options.logger.log('error', 'unexpected-error', { problem: String(error) })
+      this._schedule(MAX_RETRY_MS)
+    })
+  }
+
+  private _schedule (waitMs: base.Millis): void {
+    if (this._isDisposed) return
+    if (waitMs === 0) this._step()
+    else this._timer = setTimeout(() => { this._step() }, waitMs)
+  }
+
+  private async _readNewest (): Promise<base.Millis> {
+    const { store, format } = this._options
+    const result = await store.newest(format.topic, NEWEST_TIMEOUT_MS)
+    if (result.kind === 'unavailable') return this._failed(result.problem)
+    this._took(result)
+    return 0
+  }
+
+  private async _readNext (fromOffset: number): Promise<base.Millis> {
+    const { store, format } = this._options
+    const result = await store.read(format.topic, fromOffset, READ_WAIT_MS, READ_WAIT_MS + READ_MARGIN_MS)
+    if (result.kind === 'unavailable') return this._failed(result.problem)
+    if (result.kind === 'compacted') {
+      this._nextOffset = undefined
+      return 0
+    }
+    this._took(result)
+    return 0
+  }
+
+  private _took (result: types.NewestResult & { readonly kind: 'records' }): void {
+    const { format } = this._options
+    this._heardAtMs = this._options.nowMs()
+    this._retryMs = FIRST_RETRY_MS
+    this._nextOffset = result.nextOffset
+    this._reachable(true, '')
+    // Earlier versions in the same batch were never in force here.
+    const newest = result.records.filter(({ key, value }) => key === format.key && value !== undefined).at(-1)
+    const stored = newest?.value === undefined ? undefined : this.decode(newest.value)
+    if (stored !== undefined) this._rules.fire(stored)
+  }
+
+  private _failed (problem: string): base.Millis {
+    this._reachable(false, problem)
+    const waitMs = this._retryMs * (0.5 + 0.5 * this._options.random.nextFloat())
+    this._retryMs = Math.min(this._retryMs * 2, MAX_RETRY_MS)
+    return waitMs
+  }
+
+  private _reachable (isAvailable: boolean, problem: string): void {
+    if (isAvailable === this._isAvailable) return
+    this._isAvailable = isAvailable
+    if (isAvailable) this._options.logger.log('info', 'store-available')
+    else this._options.logger.log('warn', 'store-unavailable', { problem })
+  }
+}
--- /dev/null
+++ b/packages/node/src/direct/Services.ts
@@ -0,0 +1,102 @@
+/** Interfaces between the parts of a node that carries direct calls, and to the platform that it runs on. */
+import type * as base from '@elmpost/common/base/Types.js'
+import type * as direct from '@elmpost/common/direct/Types.js'
+import type * as http from 'node:http'
+import type * as types from './Types.js'
+
+/** Headers of callers and targets. */
+export interface ICallDialect {
+  readRequest(headers: http.IncomingHttpHeaders): types.CallerRequestInfo
+  readAnswer(status: number, headers: http.IncomingHttpHeaders): types.TargetAnswerInfo
+  /** Whether elmpost sets this header of a request itself. `name` is in lower case. */
+  isSetByNode(name: string): boolean
+  /** Whether a header of an answer is for the node alone. `name` is in lower case. */
+  isForNode(name: string): boolean
+  /** Headers that the entry node adds for a caller beside a target of `service`. */
+  entryHeaders(service: string): types.RawHeaders
+  /** Headers that the host node adds. */
+  targetHeaders(requestId: string, remainingMs: base.Millis, targetId: string | undefined): types.RawHeaders
+  /** Headers of the node's own answers. */
+  answerHeaders(requestId: string): types.RawHeaders
+  targetIdOf(headers: http.IncomingHttpHeaders): string | undefined
+}
+
+/** Topics of the store that keep the newest record of each key. A failure is a result, never an exception. */
+export interface IKeyedStore extends base.IDisposable {
+  /** Newest record of each key. */
+  newest(topic: string, timeoutMs: base.Millis): Promise<types.NewestResult>
+  /** Records from an offset on. Waits for the next one for up to `waitMs`. */
+  read(topic: string, fromOffset: number, waitMs: base.Millis, timeoutMs: base.Millis): Promise<types.ReadResult>
+  put(topic: string, key: string, value: Buffer | undefined, timeoutMs: base.Millis): Promise<types.PutResult>
+}
+
+/** Where the accepted configuration lies, and its format. */
+export interface IRulesFormat {
+  readonly topic: string
+  readonly key: string
+  /** An error names what is wrong with the record. */
+  decode(bytes: Uint8Array): direct.MeshRules | Error
+}
+
+/** Takes the result of a call that was handed to a host node. */
+export interface IHostCaller {
+  hostEnded(nodeId: base.NodeId, callId: number, result: types.HostResult, load: direct.TargetLoad): void
+}
+
+/** A node that runs calls on its target. */
+export interface IHost {
+  /** Calls of one caller have distinct ids. */
+  accept(caller: IHostCaller, call: types.CallMessage): void
+  cancel(caller: IHostCaller, callId: number): void
+  /** The caller is gone with all of its calls. */
+  abandon(caller: IHostCaller): void
+}
+
+/** Sends HTTP requests to the target. */
+export interface ITargetClient extends base.IDisposable {
+  run(request: ITargetRequest, ended: (result: types.RunResult) => void): ITargetRun
+  health(path: string, timeoutMs: base.Millis): Promise<types.TargetHealth | undefined>
+}
+
+export interface ITargetRequest {
+  readonly requestId: string
+  readonly method: string
+  readonly path: string
+  readonly headers: types.RawHeaders
+  readonly body: Uint8Array | undefined
+}
+
+export interface ITargetRun {
+  /** Breaks the exchange off. It ends as failed, or as unreachable if nothing was written. */
+  abort(): void
+}
+
+/** One request of a caller and its answer. */
+export interface IExchange {
+  readonly method: string
+  readonly host: string
+  readonly path: string
+  readonly headers: types.RawHeaders
+  readonly body: Uint8Array | undefined
+  readonly info: types.CallerRequestInfo
+  answer(answer: types.TargetAnswer): void
+  refuse(answer: direct.OwnAnswer): void
+}
+
+/** Takes the requests of callers. */
+export interface IExchangeOwner {
+  begin(exchange: IExchange): void
+  /** The caller has left. */
+  cancel(exchange: IExchange): void
+}
+
+/** What a platform needs of a node. */
+export interface INodeControl {
+  readonly isReady: boolean
+  /** Resolves when the node keeps to the announcement. False if it is not about the target beside the node. */
+  announce(announcement: direct.Announcement): Promise<boolean>
+  /** The target has ended or is about to. */
+  leave(targetId: string): Promise<boolean>
+  /** A message of a target or another writer that cannot be used. */
+  refuseMessage(problem: string): void
+}
--- /dev/null
+++ b/packages/node/src/direct/TargetExchange.ts
@@ -0,0 +1,104 @@
+import * as rawHeaderFilter from './RawHeaderFilter.js'
+import type * as http from 'node:http'
+import type * as services from './Services.js'
+import type * as types from './Types.js'
+import type * as undici from 'undici'
+
+type Phase = 'waiting' | 'written' | 'done'
+
+export interface TargetExchangeOptions {
+  readonly requestId: string
+  readonly dialect: services.ICallDialect
+  readonly nowMs: () => number
+  readonly ended: (result: types.RunResult) => void
+}
+
+/** One request to the target: the handler of its exchange. */
+export class TargetExchange implements undici.Dispatcher.DispatchHandler, services.ITargetRun {
+  private _phase: Phase = 'waiting'
+  private _controller: undici.Dispatcher.DispatchController | undefined
+  private _isAborted = false
+  private _writtenAtMs = 0
+  private _status = 0
+  private _headers: types.RawHeaders = []
+  private _declined: { readonly targetId: string | undefined } | undefined
+  private readonly _parts: Buffer[] = []
+
+  constructor (private readonly _options: TargetExchangeOptions) {}
+
+  public abort (): void {
+    if (this._phase === 'done') return
+    this._isAborted = true
+    const wasWritten = this._phase === 'written'
+    this._end(wasWritten ? { kind: 'failed', reason: 'timeout', detail: 'aborted' } : { kind: 'unreachable', code: 'aborted' })
+    this._controller?.abort(new Error('the call has been given up'))
+  }
+
+  public onRequestStart (controller: undici.Dispatcher.DispatchController): void {
+    if (this._phase === 'waiting' && !this._isAborted) {
+      this._controller = controller
+      this._phase = 'written'
+      this._writtenAtMs = this._options.nowMs()
+      return
+    }
+    // The library may hand a request to a second connection, on which it must not be written again.
+    if (this._phase === 'written') this._end({ kind: 'failed', reason: 'target-lost', detail: 'the request may have been written once' })
+    controller.abort(new Error('the request must not be written'))
+  }
+
+  public onResponseStart (controller: undici.Dispatcher.DispatchController, status: number, received: http.IncomingHttpHeaders): void {
+    if (status < 200 || this._phase !== 'written') return
+    const { dialect, requestId } = this._options
+    const info = dialect.readAnswer(status, received)
+    const problem = problemOf(info, requestId, status, received)
+    if (problem !== undefined) {
+      this._end({ kind: 'failed', reason: 'bad-answer', detail: problem })
+      controller.abort(new Error(problem))
+      return
+    }
+    this._status = status
+    this._declined = info.isDeclined ? { targetId: info.targetId } : undefined
+    this._headers = rawHeaderFilter.forwardable(textsOf(controller.rawHeaders), name => dialect.isForNode(name))
+  }
+
+  public onResponseData (_controller: undici.Dispatcher.DispatchController, chunk: Buffer): void {
+    if (this._phase === 'written') this._parts.push(chunk)
+  }
+
+  public onResponseEnd (): void {
+    if (this._phase !== 'written') return
+    if (this._declined !== undefined) {
+      this._end({ kind: 'declined', status: this._status, targetId: this._declined.targetId })
+      return
+    }
+    const body = this._parts.length <= 1 ? this._parts[0] : Buffer.concat(this._parts)
+    const answer = { status: this._status, headers: this._headers, body }
+    this._end({ kind: 'answered', answer, serviceMs: this._options.nowMs() - this._writtenAtMs })
+  }
+
+  public onResponseError (_controller: undici.Dispatcher.DispatchController | null, error: Error): void {
+    const code = (error as NodeJS.ErrnoException).code ?? error.message
+    if (this._phase === 'waiting') this._end({ kind: 'unreachable', code })
+    else this._end({ kind: 'failed', reason: 'target-lost', detail: code })
+  }
+
+  private _end (result: types.RunResult): void {
+    if (this._phase === 'done') return
+    this._phase = 'done'
+    this._options.ended(result)
+  }
+}
+
+/** Why an answer cannot be the one to the request, if so. */
+function problemOf (info: types.TargetAnswerInfo, requestId: string, status: number, received: http.IncomingHttpHeaders): string | undefined {
+  if (info.requestId !== undefined && info.requestId !== requestId) return 'the answer belongs to another request'
+  if (status < 300 && !info.isMarked) return 'the answer does not bear the mark of a target'
+  // Callers ask for plain bodies only, so targets never encode them.
+  if (received['content-encoding'] !== undefined) return 'the body is encoded'
+  return undefined
+}
+
+function textsOf (raw: unknown): string[] {
+  if (!Array.isArray(raw)) return []
+  return raw.map(value => typeof value === 'string' ? value : (value as Buffer).toString('latin1'))
+}
--- /dev/null
+++ b/packages/node/src/direct/TargetWatch.ts
@@ -0,0 +1,133 @@
+import * as targetRegister from '@elmpost/common/direct/TargetRegister.js'
+import type * as base from '@elmpost/common/base/Types.js'
+import type * as direct from '@elmpost/common/direct/Types.js'
+import type * as nodeServices from '../Services.js'
+import type * as services from './Services.js'
+import type * as types from './Types.js'
+
+/** Between two questions to a target that does not take connections or has not announced itself. */
+const PROBE_INTERVAL_MS = 500
+const PROBE_TIMEOUT_MS = 400
+/** Slots assumed for a target that has not told its own. */
+const DEFAULT_SLOTS = 4
+
+export interface TargetWatchOptions {
+  readonly settings: types.DirectSettings
+  readonly client: () => services.ITargetClient
+  readonly healthPath: () => string | undefined
+  readonly nowMs: () => base.Millis
+  readonly logger: nodeServices.ILogger
+  /** The state, the slots or the id of the target has changed. */
+  readonly changed: () => void
+}
+
+/** What the node believes of the target beside it: from its announcements, from calls and, while in doubt, from its health. */
+export class TargetWatch {
+  private readonly _options: TargetWatchOptions
+  private readonly _register: targetRegister.TargetRegister
+  private _isUp = false
+  private _isProbing = false
+  private _probeAtMs = 0
+
+  constructor (options: TargetWatchOptions) {
+    this._options = options
+    this._register = new targetRegister.TargetRegister(options.settings.service, options.settings.targetAddress)
+  }
+
+  public get state (): direct.TargetState {
+    const { current } = this._register
+    if (current === undefined) return 'absent'
+    if (current.isLeaving) return 'leaving'
+    return this._isUp ? 'ready' : 'down'
+  }
+
+  public get targetId (): string | undefined {
+    return this._register.current?.targetId
+  }
+
+  /** What another process of this node may start from. */
+  public get known (): direct.KnownTarget | undefined {
+    const { current } = this._register
+    return current === undefined ? undefined : { targetId: current.targetId, slots: current.slots, isLeaving: current.isLeaving }
+  }
+
+  public get slots (): number {
+    return this._register.current?.slots ?? 1
+  }
+
+  /** Takes over what an earlier process of this node has recorded. */
+  public restore (target: direct.KnownTarget): void {
+    this._register.restore(target)
+    this._probeAtMs = 0
+  }
+
+  /** False if the announcement is not about the target beside this node. */
+  public announced (announcement: direct.Announcement): boolean {
+    const before = this.state
+    const result = this._register.announced(announcement)
+    const { targetId, sequence, state, slots, startedAtMs } = announcement
+    if (result === 'foreign') {
+      this._options.logger.log('warn', 'announcement-foreign', { target: targetId, service: announcement.service, address: announcement.address })
+      return false
+    }
+    if (result !== 'outdated') this._isUp = true
+    if (result === 'new' || result === 'changed') this._options.logger.log('info', 'target-announced', { target: targetId, state, slots, sequence, startedAtMs, result })
+    if (result === 'new' || result === 'changed' || before !== this.state) this._options.changed()
+    return true
+  }
+
+  public left (targetId: string): boolean {
+    const isCurrent = this._register.left(targetId)
+    this._options.logger.log('info', 'target-left', { target: targetId, current: isCurrent })
+    if (isCurrent) this._options.changed()
+    return isCurrent
+  }
+
+  /** The target does not take connections. */
+  public unreachable (code: string): void {
+    if (!this._isUp) return
+    this._isUp = false
+    this._probeAtMs = this._options.nowMs() + PROBE_INTERVAL_MS
+    this._options.logger.log('warn', 'target-unreachable', { target: this.targetId, code })
+    this._options.changed()
+  }
+
+  /** Another target answers at the address. */
+  public displaced (targetId: string): void {
+    this._options.logger.log('warn', 'target-displaced', { target: this.targetId, by: targetId })
+    this._register.displaced()
+    this._isUp = false
+    this._probeAtMs = 0
+    this._options.changed()
+  }
+
+  public tick (): void {
+    const nowMs = this._options.nowMs()
+    const state = this.state
+    if ((state !== 'down' && state !== 'absent') || this._isProbing || nowMs < this._probeAtMs) return
+    const path = this._options.healthPath()
+    if (path === undefined) return
+    this._isProbing = true
+    this._probeAtMs = nowMs + PROBE_INTERVAL_MS
+    this._options.client().health(path, PROBE_TIMEOUT_MS).then(health => {
+      this._isProbing = false
+      if (health?.isHealthy === true) this._healthy(health)
+    }, error => {
+      this._isProbing = false
+      this._options.logger.log('error', 'unexpected-error', { problem: String(error) })
+    })
+  }
+
+  private _healthy ({ targetId }: types.TargetHealth): void {
+    if (targetId === undefined || this._isUp) return
+    const { current } = this._register
+    if (current?.isLeaving === true && current.targetId === targetId) return
+    if (current?.targetId !== targetId) {
+      if (current !== undefined) this._register.displaced()
+      this._register.restore({ targetId, slots: DEFAULT_SLOTS, isLeaving: false })
+    }
+    this._isUp = true
+    this._options.logger.log('info', 'target-answers', { target: targetId, slots: this.slots })
+    this._options.changed()
+  }
+}
