--- /dev/null
+++ b/packages/common/src/direct/RetryAllowance.test.ts
@@ -0,0 +1,50 @@
+import * as assert from 'node:assert/strict'
+import * as fastCheck from 'fast-check'
+import * as test from 'node:test'
+import * as retryAllowance from './RetryAllowance.js'
+
+const TERMS = { ratio: 0.2, slack: 60, windowMs: 10_000 }
+
+test.describe('RetryAllowance', () => {
+  test.it('keeps the bound of the whole fleet in each window, whatever the calls and failures are', () => {
+    fastCheck.assert(fastCheck.property(
+      fastCheck.integer({ min: 1, max: 40 }),
+      fastCheck.array(fastCheck.record({ gapMs: fastCheck.integer({ min: 0, max: 400 }), firsts: fastCheck.integer({ min: 0, max: 20 }), retries: fastCheck.integer({ min: 0, max: 60 }) }), { maxLength: 150 }),
+      (nodeCount, steps) => {
+        const nodes = Array.from({ length: nodeCount }, () => new retryAllowance.RetryAllowance(TERMS, () => nodeCount, 0))
+        const taken: { atMs: number, firsts: number, retries: number }[] = []
+        let nowMs = 0
+        for (const { gapMs, firsts, retries } of steps) {
+          nowMs += gapMs
+          const entry = { atMs: nowMs, firsts: 0, retries: 0 }
+          for (const node of nodes) {
+            for (let call = 0; call < firsts; call++) node.firstSend(nowMs)
+            entry.firsts += firsts
+            for (let retry = 0; retry < retries; retry++) entry.retries += node.take(nowMs) ? 1 : 0
+          }
+          taken.push(entry)
+        }
+        for (const { atMs } of taken) {
+          const window = taken.filter(entry => entry.atMs >= atMs && entry.atMs < atMs + TERMS.windowMs)
+          const before = taken.filter(entry => entry.atMs >= atMs - TERMS.windowMs && entry.atMs < atMs)
+          const sum = (entries: typeof taken, field: 'firsts' | 'retries'): number => entries.reduce((total, entry) => total + entry[field], 0)
+          // The bound counts the requests of the window or of the one before it, whichever are more.
+          const firsts = Math.max(sum(window, 'firsts'), sum(before, 'firsts'))
+          // Each node may keep the part of one retry from before the windows.
+          assert.ok(sum(window, 'retries') <= TERMS.ratio * firsts + TERMS.slack + nodeCount)
+        }
+      }
+    ))
+  })
+
+  test.it('allows some retries to a node that has just started, whose calls meet the same failures', () => {
+    const allowance = new retryAllowance.RetryAllowance(TERMS, () => 10, 0)
+    assert.equal(allowance.take(0), true)
+  })
+
+  test.it('gives each of many nodes a retry now and then, although its part of the slack is less than one', () => {
+    const allowance = new retryAllowance.RetryAllowance(TERMS, () => 70, 0)
+    for (let call = 0; call < 20; call++) allowance.firstSend(call)
+    assert.equal(allowance.take(100), true)
+  })
+})
--- /dev/null
+++ b/packages/common/src/direct/TargetPicker.test.ts
@@ -0,0 +1,73 @@
+import * as assert from 'node:assert/strict'
+import * as test from 'node:test'
+import * as random from '../base/Random.js'
+import * as targetPicker from './TargetPicker.js'
+import * as targetTable from './TargetTable.js'
+import type * as types from './Types.js'
+
+const NOTHING: ReadonlySet<string> = new Set()
+const LOAD = { running: 0, queued: 0, slots: 4, serviceMs: 50 }
+
+test.describe('TargetPicker', () => {
+  let table: targetTable.TargetTable
+  let picker: targetPicker.TargetPicker
+
+  function add (nodeId: string, zone: string, load: Partial<types.TargetLoad> = {}, state: types.TargetState = 'ready'): void {
+    table.put(nodeId, zone, 'till')
+    table.connected(nodeId, true)
+    table.status(nodeId, { state, load: { ...LOAD, ...load }, version: 1, storeAgeMs: 0 })
+  }
+
+  function pick (count: number, bytes = 1000): Map<string, number> {
+    const picked = new Map<string, number>()
+    for (let call = 0; call < count; call++) {
+      const row = picker.pick('till', NOTHING, bytes, 0)
+      if (row === undefined) continue
+      table.sent(row.nodeId)
+      picked.set(row.nodeId, (picked.get(row.nodeId) ?? 0) + 1)
+    }
+    return picked
+  }
+
+  test.beforeEach(() => {
+    table = new targetTable.TargetTable()
+    picker = new targetPicker.TargetPicker({ table, selfId: 'self', zone: 'vake', random: new random.Random(1), otherZoneCostMs: bytes => 4 + bytes / 100 })
+  })
+
+  test.it('stays in the zone while there is room, because bytes between zones cost', () => {
+    add('home', 'vake')
+    add('away', 'didube')
+    assert.deepEqual([...pick(4).keys()], ['home'])
+  })
+
+  test.it('leaves the zone when waiting at home costs more, and later for calls with many bytes', () => {
+    add('home', 'vake', { running: 4, queued: 4 })
+    add('away', 'didube')
+    assert.deepEqual([...pick(1).keys()], ['away'])
+    assert.deepEqual([...pick(1, 20_000).keys()], ['home'])
+  })
+
+  test.it('counts the calls that it has sent since the last report, so that a burst does not go to one target', () => {
+    add('one', 'vake')
+    add('two', 'vake')
+    const picked = pick(8)
+    assert.equal(picked.get('one'), 4)
+    assert.equal(picked.get('two'), 4)
+  })
+
+  test.it('takes no target that is down, leaving or out of reach', () => {
+    add('down', 'vake', {}, 'down')
+    add('leaving', 'vake', {}, 'leaving')
+    add('unreachable', 'vake')
+    table.connected('unreachable', false)
+    assert.equal(pick(1).size, 0)
+  })
+
+  test.it('avoids a target that fails a part of its calls although it is idle, and tries it again later', () => {
+    add('grey', 'vake')
+    add('sound', 'vake', { running: 4 })
+    for (let call = 0; call < 10; call++) table.ended('grey', true, 0)
+    assert.equal(picker.pick('till', NOTHING, 1000, 0)?.nodeId, 'sound')
+    assert.equal(picker.pick('till', NOTHING, 1000, 60_000)?.nodeId, 'grey')
+  })
+})
--- a/packages/node/src/CallerListener.ts
+++ b/packages/node/src/CallerListener.ts
@@ -51,7 +51,7 @@
     return this._cutConnections
   }
 
-  public set keepAliveMs (keepAliveMs: base.Millis) {
+  public setKeepAlive (keepAliveMs: base.Millis): void {
     this._http.keepAliveTimeout = keepAliveMs
   }
 
--- a/packages/node/src/direct/DirectNode.ts
+++ b/packages/node/src/direct/DirectNode.ts
@@ -7,6 +7,7 @@
 import * as nodeLinks from './NodeLinks.js'
 import * as nodeRegistry from './NodeRegistry.js'
 import * as peerServer from '../PeerServer.js'
+import * as plannedStop from './PlannedStop.js'
 import * as rulesExchange from './RulesExchange.js'
 import * as rulesWatch from './RulesWatch.js'
 import * as targetClient from './TargetClient.js'
@@ -26,10 +27,6 @@
 const STATUS_MS = 1_000
 /** Connections to the target that a node opens at most. */
 const DEFAULT_TARGET_CONNECTIONS = 64
-/** Least time for which a stopping node takes calls, so that callers have learned of the stop. */
-const STOP_ACCEPT_MS = 2_800
-/** Left between the end of a stop and the end of the grace. */
-const STOP_MARGIN_MS = 500
 /** A node is ready without the records of other nodes after this time, because the store may be down. */
 const READY_WITHOUT_NODES_MS = 1_500
 /** Longest wait for a record of the store before a leaving target is acknowledged. */
@@ -67,14 +64,13 @@
   private readonly _exchange: rulesExchange.RulesExchange
   private readonly _registry: nodeRegistry.NodeRegistry
   private readonly _log: callLog.CallLog
+  private readonly _stop: plannedStop.PlannedStop
   private _client: targetClient.TargetClient
   private _clientConnections = DEFAULT_TARGET_CONNECTIONS
   private _timer: NodeJS.Timeout | undefined
   private _startedAtMs = 0
   private _statusAtMs = 0
   private _knowsNodes = false
-  private _stopSinceMs: base.Millis | undefined
-  private _isFinishing = false
   private _resolveStopped: () => void = () => {}
 
   constructor (options: DirectNodeOptions) {
@@ -135,6 +131,17 @@
       request: nodeId => { this._links.send(nodeId, { kind: 'rules-request' }) }
     })
     this._registry = this._register(new nodeRegistry.NodeRegistry({ store, selfId, logger, random, nowMs }))
+    this._stop = new plannedStop.PlannedStop({
+      graceMs: settings.graceMs,
+      nowMs,
+      logger,
+      inFlight: () => this._entry.inFlight + (this._host.isIdle ? 0 : 1),
+      closeCallers: () => this._ingress.close(),
+      finished: () => {
+        this.dispose()
+        this._resolveStopped()
+      }
+    })
     this._register(this._watch.onRules(stored => { this._enforce(stored, 'store') }))
     this._register(this._registry.onNodes(records => { this._found(records) }))
   }
@@ -146,7 +153,7 @@
 
   public get isReady (): boolean {
     const knowsEnough = this._knowsNodes || this._options.nowMs() - this._startedAtMs > READY_WITHOUT_NODES_MS
-    return this._stopSinceMs === undefined && this._calls.rules !== undefined && knowsEnough
+    return !this._stop.hasBegun && this._calls.rules !== undefined && knowsEnough
   }
 
   private get _serviceRule (): direct.ServiceRule | undefined {
@@ -169,9 +176,8 @@
 
   /** Begins a graceful shutdown. Repeated calls have no effect. */
   public stop (): void {
-    if (this._stopSinceMs !== undefined) return
-    this._stopSinceMs = this._options.nowMs()
-    this._options.logger.log('info', 'stopping', { inFlight: this._entry.inFlight })
+    if (this._stop.hasBegun) return
+    this._stop.begin()
     this._ingress.beginClosing()
     this._tellStatus()
   }
@@ -201,8 +207,7 @@
   }
 
   public greeted (hello: linkCodec.HelloMessage): void {
-    this._table.put(hello.nodeId, hello.zone, hello.service)
-    this._links.connect(hello.nodeId)
+    this._know(hello)
     this._exchange.heard(hello.nodeId, hello.version)
     this._tellStatus()
   }
@@ -300,7 +305,7 @@
       this._tellStatus()
       this._links.sendToAll({ kind: 'alive', version: this.version })
     }
-    this._continueStop(nowMs)
+    this._stop.tick()
   }
 
   private _tellStatus (): void {
@@ -313,7 +318,7 @@
 
   /** A stopping node takes no new calls for its target, because the way to it ends with the process. */
   private _status (): { readonly state: direct.TargetState, readonly load: direct.TargetLoad } {
-    return { state: this._stopSinceMs === undefined ? this._target.state : 'leaving', load: this._host.load }
+    return { state: this._stop.hasBegun ? 'leaving' : this._target.state, load: this._host.load }
   }
 
   private _hello (): linkCodec.HelloMessage {
@@ -350,13 +355,21 @@
   }
 
   private _add (records: readonly direct.NodeRecord[]): void {
-    for (const { nodeId, zone, service } of records) {
-      if (nodeId === this._options.settings.peerAddress) continue
-      if (this._table.get(nodeId) === undefined) this._table.put(nodeId, zone, service)
-      this._links.connect(nodeId)
+    for (const record of records) {
+      // What a node says itself is newer than what others know of it.
+      if (this._table.get(record.nodeId) === undefined) this._know(record)
+      else this._links.connect(record.nodeId)
     }
   }
 
+  private _know ({ nodeId, zone, service }: Pick<direct.NodeRecord, 'nodeId' | 'zone' | 'service'>): void {
+    if (nodeId === this._options.settings.peerAddress) return
+    this._table.put(nodeId, zone, service)
+    // The link to a seed is open before anything is known of the node there.
+    this._table.connected(nodeId, this._links.isConnected(nodeId))
+    this._links.connect(nodeId)
+  }
+
   private _enforce (stored: types.StoredRules, source: string): void {
     if (!this._calls.enforce(stored.rules)) return
     this._exchange.bytes = stored.bytes
@@ -380,23 +393,6 @@
     return new targetClient.TargetClient({ address: settings.targetAddress, maxConnections, dialect, nowMs })
   }
 
-  private _continueStop (nowMs: base.Millis): void {
-    if (this._stopSinceMs === undefined || this._isFinishing) return
-    const elapsedMs = nowMs - this._stopSinceMs
-    const isIdle = this._entry.inFlight === 0 && this._host.isIdle
-    const isOver = elapsedMs >= this._options.settings.graceMs - STOP_MARGIN_MS
-    if (!isOver && (elapsedMs < STOP_ACCEPT_MS || !isIdle)) return
-    this._isFinishing = true
-    this._finish(isIdle).catch((error: unknown) => { this._unexpected(error) })
-  }
-
-  private async _finish (isIdle: boolean): Promise<void> {
-    this._options.logger.log(isIdle ? 'info' : 'warn', 'stopped', { inFlight: this._entry.inFlight })
-    if (isIdle) await Promise.race([this._ingress.close(), new Promise(resolve => { setTimeout(resolve, STOP_MARGIN_MS) })])
-    this.dispose()
-    this._resolveStopped()
-  }
-
   private _unexpected (error: unknown): void {
     this._options.logger.log('error', 'unexpected-error', { problem: String(error) })
   }
--- a/packages/node/src/direct/Ingress.ts
+++ b/packages/node/src/direct/Ingress.ts
@@ -46,7 +46,7 @@
 
   public setLimits (limits: direct.CallerLimits): void {
     this._maxBodyBytes = limits.maxBodyBytes
-    this._listener.keepAliveMs = limits.idleTimeoutMs + IDLE_MARGIN_MS
+    this._listener.setKeepAlive(limits.idleTimeoutMs + IDLE_MARGIN_MS)
   }
 
   public listen (): Promise<number> {
--- /dev/null
+++ b/packages/node/src/direct/LinkCodec.test.ts
@@ -0,0 +1,68 @@
+import * as assert from 'node:assert/strict'
+import * as fastCheck from 'fast-check'
+import * as linkCodec from './LinkCodec.js'
+import * as msgpackr from 'msgpackr'
+import * as test from 'node:test'
+
+const LOAD = { running: 1, queued: 2, slots: 4, serviceMs: 50 }
+
+const MESSAGES: readonly linkCodec.LinkMessage[] = [
+  { kind: 'hello', nodeId: '10.0.0.1:7080', zone: 'vake', service: 'till', version: 7 },
+  { kind: 'status', status: { state: 'leaving', load: LOAD, version: 7, storeAgeMs: Infinity } },
+  {
+    kind: 'call',
+    call: {
+      callId: 9,
+      service: 'till',
+      isIdempotent: true,
+      isReturn: false,
+      priority: 1,
+      remainingMs: 800,
+      objectiveMs: 200,
+      elapsedMs: 3,
+      requestId: 'r1',
+      method: 'POST',
+      path: '/charge/1?a=b',
+      headers: ['Host', 'booth.example'],
+      body: Buffer.from([0, 255, 1])
+    }
+  },
+  { kind: 'result', callId: 9, result: { kind: 'answered', answer: { status: 200, headers: ['A', 'b', 'A', 'c'], body: undefined } }, load: LOAD },
+  { kind: 'result', callId: 9, result: { kind: 'refused', refusal: { reason: 'busy', reachedTarget: false, waitMs: 12 } }, load: LOAD },
+  { kind: 'result', callId: 9, result: { kind: 'failed', reason: 'target-lost' }, load: LOAD },
+  { kind: 'cancel', callId: 9 },
+  { kind: 'alive', version: 3 },
+  { kind: 'rules-request' },
+  { kind: 'rules', bytes: Buffer.from('{}') },
+  { kind: 'nodes-request' },
+  { kind: 'nodes', nodes: [{ nodeId: '10.0.0.1:7080', zone: 'vake', service: 'till', target: undefined }] }
+]
+
+test.describe('LinkCodec', () => {
+  const codec = new linkCodec.LinkCodec()
+
+  test.describe('decode', () => {
+    for (const message of MESSAGES) {
+      test.it(`gives back what was encoded: ${message.kind}`, () => {
+        assert.deepEqual(codec.decode(codec.encode(message)).unwrap(), message)
+      })
+    }
+
+    test.it('refuses other bytes without an exception, so that they cannot end the process', () => {
+      fastCheck.assert(fastCheck.property(fastCheck.uint8Array({ maxLength: 64 }), bytes => {
+        codec.decode(bytes)
+      }))
+    })
+
+    test.it('refuses values of other types in each place of each message', () => {
+      const packr = new msgpackr.Packr({ useRecords: false })
+      for (const message of MESSAGES) {
+        const values = packr.unpack(codec.encode(message)) as unknown[]
+        for (let place = 1; place < values.length; place++) {
+          const changed = values.map((value, index) => index === place ? { no: 'such value' } : value)
+          assert.ok(codec.decode(packr.pack(changed)).isErr(), `${message.kind}, place ${place}`)
+        }
+      }
+    })
+  })
+})
--- a/packages/node/src/direct/NodeLinks.ts
+++ b/packages/node/src/direct/NodeLinks.ts
@@ -45,6 +45,10 @@
     this._outgoing.set(nodeId, new outgoingLink.OutgoingLink({ nodeId, codec: this._codec, hello, nowMs, random, events: this }))
   }
 
+  public isConnected (nodeId: base.NodeId): boolean {
+    return this._outgoing.get(nodeId)?.isOpen === true
+  }
+
   public disconnect (nodeId: base.NodeId): void {
     this._outgoing.get(nodeId)?.dispose()
     this._outgoing.delete(nodeId)
--- a/packages/node/src/direct/OutgoingLink.ts
+++ b/packages/node/src/direct/OutgoingLink.ts
@@ -140,4 +140,3 @@
     this._socket?.send(this._options.codec.encode(message))
   }
 }
-
--- /dev/null
+++ b/packages/node/src/direct/PlannedStop.ts
@@ -0,0 +1,52 @@
+import type * as base from '@elmpost/common/base/Types.js'
+import type * as nodeServices from '../Services.js'
+
+/** Least time for which a stopping node takes calls, so that callers have learned of the stop. */
+const ACCEPT_MS = 2_800
+/** Left between the end of a stop and the end of the grace. */
+const MARGIN_MS = 500
+
+export interface PlannedStopOptions {
+  /** Longest time from the signal until the process has to be gone. */
+  readonly graceMs: base.Millis
+  readonly nowMs: () => base.Millis
+  readonly logger: nodeServices.ILogger
+  /** Calls that have no final answer. */
+  readonly inFlight: () => number
+  /** Resolves when no caller is connected any more. */
+  readonly closeCallers: () => Promise<void>
+  readonly finished: () => void
+}
+
+/** Ends a node without cutting a call: it goes on until callers have learned of the stop and the last call has its answer. */
+export class PlannedStop {
+  private _sinceMs: base.Millis | undefined
+  private _isFinishing = false
+
+  constructor (private readonly _options: PlannedStopOptions) {}
+
+  public get hasBegun (): boolean {
+    return this._sinceMs !== undefined
+  }
+
+  public begin (): void {
+    this._sinceMs = this._options.nowMs()
+    this._options.logger.log('info', 'stopping', { inFlight: this._options.inFlight() })
+  }
+
+  public tick (): void {
+    if (this._sinceMs === undefined || this._isFinishing) return
+    const { graceMs, nowMs, inFlight, logger } = this._options
+    const elapsedMs = nowMs() - this._sinceMs
+    const isIdle = inFlight() === 0
+    if (elapsedMs < graceMs - MARGIN_MS && (elapsedMs < ACCEPT_MS || !isIdle)) return
+    this._isFinishing = true
+    logger.log(isIdle ? 'info' : 'warn', 'stopped', { inFlight: inFlight() })
+    this._finish(isIdle).catch((error: unknown) => { logger.log('error', 'unexpected-error', { problem: String(error) }) })
+  }
+
+  private async _finish (isIdle: boolean): Promise<void> {
+    if (isIdle) await Promise.race([this._options.closeCallers(), new Promise(resolve => { setTimeout(resolve, MARGIN_MS) })])
+    this._options.finished()
+  }
+}
