Take a reset of an unframed answer as a failure; serve metrics and status

An answer without a length ends with its connection, and undici ends it the same way when the connection is reset, so a part of the answer went out as the whole.

Change: the connector reports a reset under a code of its own, which the client takes for an error. The test with a reset in mid body failed before. Besides: Prometheus metrics and the status page of the direct path.

--- /dev/null
+++ b/addons/addon-metrics/src/DirectMetrics.ts
@@ -0,0 +1,71 @@
+import * as disposable from '@elmpost/common/base/Disposable.js'
+import * as promClient from 'prom-client'
+import type * as direct from '@elmpost/common/direct/Services.js'
+import type * as nodeServices from '@elmpost/common/node/Services.js'
+
+const MS_PER_S = 1000
+/** From the fastest targets to the longest timeouts of routes. */
+const CALL_BUCKETS_S = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4]
+
+/** Prometheus metrics of a node that carries direct calls. `docs/OPERATIONS.md` lists each of them. */
+export class DirectMetrics extends disposable.Disposable implements nodeServices.IExposition {
+  private readonly _registry = new promClient.Registry()
+  private readonly _calls = new promClient.Counter({
+    name: 'elmpost_direct_calls_total',
+    help: 'Calls that entered at this node, by final outcome and reason',
+    labelNames: ['outcome', 'reason'],
+    registers: [this._registry]
+  })
+
+  private readonly _sends = new promClient.Counter({
+    name: 'elmpost_direct_sends_total',
+    help: 'Sends of these calls to host nodes',
+    registers: [this._registry]
+  })
+
+  private readonly _durations = new promClient.Histogram({
+    name: 'elmpost_direct_call_seconds',
+    help: 'Time from the whole request to its final answer',
+    labelNames: ['outcome'],
+    buckets: CALL_BUCKETS_S,
+    registers: [this._registry]
+  })
+
+  constructor (node: direct.IDirectView) {
+    super()
+    this._registry.setDefaultLabels({ node: node.nodeName, zone: node.zone })
+    this._register(node.onCallEnded(({ outcome, reason, totalMs, sends }) => {
+      this._calls.inc({ outcome, reason })
+      this._sends.inc(sends)
+      this._durations.observe({ outcome }, totalMs / MS_PER_S)
+    }))
+    this._gauge('elmpost_direct_version', 'Configuration version in force; 0 if none', () => node.gauges().version)
+    this._gauge('elmpost_direct_ready', '1 if the node is ready, else 0', () => node.gauges().isReady ? 1 : 0)
+    this._gauge('elmpost_direct_entry_calls', 'Calls that entered at this node and have no answer yet', () => node.gauges().entryInFlight)
+    this._gauge('elmpost_direct_target_ready', '1 if the target beside the node takes calls, else 0', () => node.gauges().state === 'ready' ? 1 : 0)
+    this._gauge('elmpost_direct_target_running', 'Calls that run on the target', () => node.gauges().load.running)
+    this._gauge('elmpost_direct_target_queue', 'Calls that wait for a slot of the target', () => node.gauges().load.queued)
+    this._gauge('elmpost_direct_target_slots', 'Slots of the target', () => node.gauges().load.slots)
+    this._gauge('elmpost_direct_target_seconds', 'Mean time of a call on the target', () => node.gauges().load.serviceMs / MS_PER_S)
+    this._gauge('elmpost_direct_nodes', 'Nodes that this node knows, itself included', () => node.gauges().knownNodes)
+    this._gauge('elmpost_direct_nodes_connected', 'Nodes that calls can be sent to, itself included', () => node.gauges().connectedNodes)
+    this._gauge('elmpost_direct_store_age_seconds', 'Time since the store last answered this node', () => node.gauges().storeAgeMs / MS_PER_S)
+  }
+
+  public get contentType (): string {
+    return this._registry.contentType
+  }
+
+  public render (): Promise<string> {
+    return this._registry.metrics()
+  }
+
+  public override dispose (): void {
+    super.dispose()
+    this._registry.clear()
+  }
+
+  private _gauge (name: string, help: string, read: () => number): void {
+    const gauge: promClient.Gauge = new promClient.Gauge({ name, help, registers: [this._registry], collect: () => { gauge.set(read()) } })
+  }
+}
--- /dev/null
+++ b/packages/common/src/direct/Services.ts
@@ -0,0 +1,33 @@
+/** What a node that carries direct calls shows of itself. */
+import type * as base from '../base/Types.js'
+import type * as types from './Types.js'
+
+/** A call has its final answer. */
+export interface CallMeasured {
+  readonly outcome: 'answered' | 'not-run' | 'unknown'
+  /** `ok` for an answer of a target. */
+  readonly reason: string
+  /** From the whole request to the answer. */
+  readonly totalMs: base.Millis
+  /** Hosts that the call was sent to. */
+  readonly sends: number
+}
+
+export interface DirectGauges {
+  readonly version: number
+  readonly isReady: boolean
+  /** Calls that entered here and have no final answer. */
+  readonly entryInFlight: number
+  readonly load: types.TargetLoad
+  readonly state: types.TargetState
+  readonly knownNodes: number
+  readonly connectedNodes: number
+  readonly storeAgeMs: base.Millis
+}
+
+export interface IDirectView {
+  readonly nodeName: string
+  readonly zone: string
+  readonly onCallEnded: base.IEvent<CallMeasured>
+  gauges(): DirectGauges
+}
--- a/packages/node/src/direct/DirectNode.ts
+++ b/packages/node/src/direct/DirectNode.ts
@@ -2,6 +2,7 @@
 import * as callLog from './CallLog.js'
 import * as directCalls from '@elmpost/common/direct/DirectCalls.js'
 import * as disposable from '@elmpost/common/base/Disposable.js'
+import * as emitter from '@elmpost/common/base/Emitter.js'
 import * as entryGate from './EntryGate.js'
 import * as ingress from './Ingress.js'
 import * as nodeLinks from './NodeLinks.js'
@@ -17,6 +18,7 @@
 import * as targetWatch from './TargetWatch.js'
 import type * as base from '@elmpost/common/base/Types.js'
 import type * as direct from '@elmpost/common/direct/Types.js'
+import type * as directServices from '@elmpost/common/direct/Services.js'
 import type * as linkCodec from './LinkCodec.js'
 import type * as nodeServices from '../Services.js'
 import type * as services from './Services.js'
@@ -36,6 +38,8 @@
 const OTHER_ZONE_MS = 4
 const BYTES_PER_KB = 1024
 
+const CALL_OUTCOMES = { answered: 'answered', refuse: 'not-run', fail: 'unknown' } as const
+
 export interface DirectNodeOptions {
   readonly settings: types.DirectSettings
   readonly dialect: services.ICallDialect
@@ -48,9 +52,13 @@
 }
 
 /** A node that carries direct calls: its servers, its target, its links and its ticks. */
-export class DirectNode extends disposable.Disposable implements services.INodeControl, nodeLinks.INodeLinksEvents, targetHost.ITargetHostEvents {
+export class DirectNode extends disposable.Disposable implements services.INodeControl, directServices.IDirectView, nodeLinks.INodeLinksEvents, targetHost.ITargetHostEvents {
   /** Resolves when a planned stop is complete. */
   public readonly stopped: Promise<void>
+  public readonly nodeName: string
+  public readonly zone: string
+  public readonly onCallEnded: base.IEvent<directServices.CallMeasured>
+  private readonly _callEnded = new emitter.Emitter<directServices.CallMeasured>()
   private readonly _options: DirectNodeOptions
   private readonly _table = new targetTable.TargetTable()
   private readonly _calls: directCalls.DirectCalls
@@ -78,6 +86,9 @@
     this._options = options
     const { settings, dialect, logger, random, nowMs, store } = options
     const selfId = settings.peerAddress
+    this.nodeName = settings.nodeName
+    this.zone = settings.zone
+    this.onCallEnded = this._callEnded.event
     this.stopped = new Promise(resolve => { this._resolveStopped = resolve })
     this._log = new callLog.CallLog(logger, nowMs)
     this._client = this._openClient(DEFAULT_TARGET_CONNECTIONS)
@@ -160,6 +171,26 @@
     return this._calls.rules?.services.find(({ name }) => name === this._options.settings.service)
   }
 
+  public gauges (): directServices.DirectGauges {
+    return {
+      version: this.version,
+      isReady: this.isReady,
+      entryInFlight: this._entry.inFlight,
+      load: this._host.load,
+      state: this._target.state,
+      knownNodes: this._table.size,
+      connectedNodes: this._table.connectedCount,
+      storeAgeMs: this._watch.storeAgeMs
+    }
+  }
+
+  /** What `elmpost status` shows: this node, and the others as this one sees them. */
+  public status (): object {
+    const { peerAddress, zone, service } = this._options.settings
+    const members = [...this._table.all()].map(row => ({ nodeId: row.nodeId, zone: row.zone, service: row.service, state: row.isConnected ? 'ready' : 'suspect', enforcedVersion: row.version, adminAddress: '', target: row.state, load: row.load }))
+    return { self: { nodeId: peerAddress, zone, service }, readiness: { ready: this.isReady }, version: this.version, digest: '', verdicts: [], members }
+  }
+
   public async start (): Promise<void> {
     const { settings, logger, nowMs } = this._options
     this._startedAtMs = nowMs()
@@ -287,6 +318,7 @@
   }
 
   private _finished (exchange: services.IExchange, end: entryGate.CallEnd): void {
+    this._callEnded.fire({ outcome: CALL_OUTCOMES[end.outcome], reason: end.reason, totalMs: end.totalMs, sends: end.sends })
     if (end.outcome === 'answered' && end.status < 500 && end.sends === 1) return
     const { outcome, reason, status, totalMs, route, nodeId, sends, retryAfterMs } = end
     const level = outcome === 'fail' ? 'warn' : 'info'
--- /dev/null
+++ b/packages/node/src/direct/StatusServer.ts
@@ -0,0 +1,48 @@
+import * as addresses from '../Addresses.js'
+import * as http from 'node:http'
+import * as polka from 'polka'
+import type * as base from '@elmpost/common/base/Types.js'
+import type * as nodeServices from '@elmpost/common/node/Services.js'
+import type * as nodeTypes from '../Types.js'
+
+export interface StatusServerOptions {
+  readonly address: nodeTypes.Address
+  readonly metrics: nodeServices.IExposition
+  /** What `elmpost status` shows. */
+  readonly status: () => object
+}
+
+/** Serves metrics and status. Nothing here changes the node. */
+export class StatusServer implements base.IDisposable {
+  private readonly _options: StatusServerOptions
+  private readonly _http = http.createServer()
+
+  constructor (options: StatusServerOptions) {
+    this._options = options
+    const app = polka.default({ server: this._http })
+    app.get('/metrics', (_request, response) => { this._metrics(response) })
+    app.get('/admin/status', (_request, response) => { reply(response, 200, 'application/json', JSON.stringify(options.status())) })
+    this._http.on('request', app.handler.bind(app) as unknown as http.RequestListener)
+  }
+
+  public listen (): Promise<number> {
+    return addresses.listen(this._http, this._options.address)
+  }
+
+  public dispose (): void {
+    this._http.close()
+    this._http.closeAllConnections()
+  }
+
+  private _metrics (response: http.ServerResponse): void {
+    const { metrics } = this._options
+    metrics.render().then(
+      text => { reply(response, 200, metrics.contentType, text) },
+      (error: unknown) => { reply(response, 500, 'text/plain', `The metrics cannot be rendered: ${String(error)}`) }
+    )
+  }
+}
+
+function reply (response: http.ServerResponse, status: number, type: string, text: string): void {
+  response.writeHead(status, { 'Content-Type': type, 'Content-Length': Buffer.byteLength(text) }).end(text)
+}
--- a/packages/node/src/direct/TargetClient.ts
+++ b/packages/node/src/direct/TargetClient.ts
@@ -11,6 +11,8 @@
 /** Subtracted from the idle time that the target tells, so that no request meets a closing connection. */
 const KEEP_ALIVE_MARGIN_MS = 1_000
 const CONNECT_TIMEOUT_MS = 500
+/** Code of a reset connection that the HTTP client does not take for the end of an answer. */
+const RESET_CODE = 'TARGET_RESET'
 
 export interface TargetClientOptions {
   /** `host:port`. */
@@ -34,7 +36,7 @@
       // The node ends calls at their deadlines.
       headersTimeout: 0,
       bodyTimeout: 0,
-      connect: { timeout: CONNECT_TIMEOUT_MS }
+      connect: resetAwareConnector()
     })
   }
 
@@ -75,3 +77,20 @@
     this._pool.destroy().catch(() => {})
   }
 }
+
+/**
+ * An answer without a length ends with its connection. The HTTP client takes a reset for such an end as well, and would
+ * give a part of an answer out as the whole, so a reset is reported under another code.
+ */
+function resetAwareConnector (): undici.buildConnector.connector {
+  const connect = httpClients.buildConnector({ timeout: CONNECT_TIMEOUT_MS })
+  return (options, callback) => {
+    connect(options, (...result) => {
+      const [, socket] = result
+      socket?.prependListener('error', (error: NodeJS.ErrnoException) => {
+        if (error.code === 'ECONNRESET') error.code = RESET_CODE
+      })
+      callback(...result)
+    })
+  }
+}
--- a/packages/node/src/direct/Types.ts
+++ b/packages/node/src/direct/Types.ts
@@ -102,7 +102,6 @@
   readonly peerAddress: string
   /** Peer addresses of nodes that may be up. */
   readonly seeds: readonly string[]
-  readonly metricsAddress: string | undefined
   /** Longest time from a stop signal until the process has to be gone. */
   readonly graceMs: base.Millis
   readonly retryTerms: direct.RetryTerms
--- a/packages/node/src/undiciParts.d.ts
+++ b/packages/node/src/undiciParts.d.ts
@@ -6,6 +6,13 @@
   export default pool
 }
 
+declare module 'undici/lib/core/connect.js' {
+  import * as undici from 'undici'
+
+  const buildConnector: typeof undici.buildConnector
+  export default buildConnector
+}
+
 declare module 'undici/lib/dispatcher/dispatcher.js' {
   import * as undici from 'undici'
 
