Let the least urgent calls be on time or not at all; refuse calls late in a stop

Callers who came back went first and could wait until their deadline, so the queues held only late calls, new ones were refused and came back late in turn. A stopping node served callers until the end of the grace and then cut them (LOST, 42 times).

Change: callers' earlier waiting counts towards their objective (CallerBudgets); the least urgent calls are taken if they can be on time or the wait is short; more urgent ones may be late. A call that has waited too long is put behind those that can be on time. A busy host is left out for calls like the one that it refused only. A node that has been stopping for 3 s refuses calls, so that none is in flight when it ends.

--- a/packages/common/src/direct/DirectCalls.ts
+++ b/packages/common/src/direct/DirectCalls.ts
@@ -1,4 +1,5 @@
 import type * as base from '../base/Types.js'
+import * as callerBudgets from './CallerBudgets.js'
 import * as retryAllowance from './RetryAllowance.js'
 import * as routeIndex from './RouteIndex.js'
 import * as splitRotation from './SplitRotation.js'
@@ -55,6 +56,7 @@
  */
 export class DirectCalls {
   private readonly _calls = new Map<number, Call>()
+  private readonly _budgets = new callerBudgets.CallerBudgets()
   private readonly _splits = new splitRotation.SplitRotation()
   private readonly _allowances = new Map<string, retryAllowance.RetryAllowance>()
   private readonly _sizes = new Map<string, number>()
@@ -93,7 +95,7 @@
       callId,
       rule,
       service: this._splits.next(rule),
-      beganAtMs: nowMs,
+      beganAtMs: nowMs - this._budgets.spentMs(rule.name, request.remainingMs, nowMs),
       deadlineAtMs: nowMs + remainingMs,
       requestBytes: request.bodyBytes,
       to: '',
@@ -105,7 +107,7 @@
     }
     this._allowance(call.service, nowMs).firstSend(nowMs)
     this._calls.set(callId, call)
-    return this._sendNext(call, nowMs) ?? this._refuse(call, 'no-target', nowMs)
+    return this._sendNext(call, nowMs) ?? this._refuse(call, this._pick(call, nowMs).isBusy ? 'busy' : 'no-target', nowMs)
   }
 
   /** A host has stated that the call did not run there and will not. */
@@ -117,7 +119,7 @@
     call.refusals += 1
     if (refused.reason === 'busy') {
       call.shortestWaitMs = Math.min(call.shortestWaitMs, refused.waitMs)
-      this._avoid(from, refused.waitMs, nowMs)
+      this._avoid(from, call.rule.priority, refused.waitMs, nowMs)
     }
     const mayRetry = call.refusals < MAX_REFUSALS && (!refused.reachedTarget || this._mayAttempt(call, nowMs))
     const next = mayRetry ? this._sendNext(call, nowMs) : undefined
@@ -192,11 +194,11 @@
   /** Whether another target may be asked after one was reached. Takes from the allowance if so. */
   private _mayAttempt (call: Call, nowMs: base.Millis): boolean {
     if (call.attempts >= call.rule.maxAttempts || call.deadlineAtMs - nowMs < MIN_RETRY_TIME_MS) return false
-    return this._pick(call, nowMs) !== undefined && this._allowance(call.service, nowMs).take(nowMs)
+    return this._pick(call, nowMs).row !== undefined && this._allowance(call.service, nowMs).take(nowMs)
   }
 
   private _sendNext (call: Call, nowMs: base.Millis): types.SendDecision | undefined {
-    const row = this._pick(call, nowMs)
+    const { row } = this._pick(call, nowMs)
     if (row === undefined) return undefined
     call.to = row.nodeId
     call.attempts += 1
@@ -207,17 +209,20 @@
     return { kind: 'send', callId, nodeId: row.nodeId, service, rule, deadlineAtMs, beganAtMs }
   }
 
-  private _pick (call: Call, nowMs: base.Millis): targetTable.TargetRow | undefined {
-    return this._options.picker.pick(call.service, call.tried ?? NOTHING, this._sizeOf(call), nowMs)
+  private _pick (call: Call, nowMs: base.Millis): targetPicker.Pick {
+    const { service, rule, tried } = call
+    return this._options.picker.pick({ service, priority: rule.priority, bytes: this._sizeOf(call) }, tried ?? NOTHING, nowMs)
   }
 
   private _sizeOf (call: Call): number {
     return this._sizes.get(call.rule.name) ?? INITIAL_SIZE_BYTES
   }
 
-  private _avoid (nodeId: base.NodeId, waitMs: base.Millis, nowMs: base.Millis): void {
+  private _avoid (nodeId: base.NodeId, priority: number, waitMs: base.Millis, nowMs: base.Millis): void {
     const row = this._options.table.get(nodeId)
-    if (row !== undefined) row.avoidUntilMs = nowMs + waitMs * AVOID_SHARE
+    if (row === undefined) return
+    row.avoidedPriority = row.avoidUntilMs > nowMs ? Math.min(row.avoidedPriority, priority) : priority
+    row.avoidUntilMs = nowMs + waitMs * AVOID_SHARE
   }
 
   private _refuse (call: Call, reason: types.RefusalReason, nowMs: base.Millis): types.OwnAnswer {
--- a/packages/common/src/direct/TargetPicker.ts
+++ b/packages/common/src/direct/TargetPicker.ts
@@ -21,22 +21,40 @@
   readonly otherZoneCostMs: (bytes: number) => base.Millis
 }
 
+export interface PickedCall {
+  readonly service: string
+  readonly priority: number
+  /** Expected size of request and answer. */
+  readonly bytes: number
+}
+
+export interface Pick {
+  /** Undefined if no target can take the call. */
+  readonly row: targetTable.TargetRow | undefined
+  /** A target was left out because it has just refused such a call. */
+  readonly isBusy: boolean
+}
+
 /** Chooses the target on which a call is expected to end first, with the way there included. */
 export class TargetPicker {
   constructor (private readonly _options: TargetPickerOptions) {}
 
-  /** `bytes` is the expected size of request and answer. Undefined if no target can take the call. */
-  public pick (service: string, exclude: ReadonlySet<base.NodeId>, bytes: number, nowMs: base.Millis): targetTable.TargetRow | undefined {
+  public pick (call: PickedCall, exclude: ReadonlySet<base.NodeId>, nowMs: base.Millis): Pick {
     let best: targetTable.TargetRow | undefined
     let bestCost = Infinity
-    for (const row of this._options.table.ofService(service)) {
-      if (!row.isConnected || row.state !== 'ready' || exclude.has(row.nodeId) || row.avoidUntilMs > nowMs) continue
-      const cost = this._cost(row, bytes, nowMs)
+    let isBusy = false
+    for (const row of this._options.table.ofService(call.service)) {
+      if (!row.isConnected || row.state !== 'ready' || exclude.has(row.nodeId)) continue
+      if (row.avoidUntilMs > nowMs && call.priority >= row.avoidedPriority) {
+        isBusy = true
+        continue
+      }
+      const cost = this._cost(row, call.bytes, nowMs)
       if (cost >= bestCost) continue
       best = row
       bestCost = cost
     }
-    return best
+    return { row: best, isBusy }
   }
 
   private _cost (row: targetTable.TargetRow, bytes: number, nowMs: base.Millis): number {
--- a/packages/common/src/direct/TargetTable.ts
+++ b/packages/common/src/direct/TargetTable.ts
@@ -24,8 +24,9 @@
   /** Share of recent calls that the target failed or refused. */
   failureShare: number
   failureAtMs: base.Millis
-  /** No call is sent before, because the node has just refused one. */
+  /** No call of this priority or a less urgent one is sent before, because the node has just refused one. */
   avoidUntilMs: base.Millis
+  avoidedPriority: number
 }
 
 /** All nodes that this node knows, by service. */
@@ -76,7 +77,8 @@
       sentSince: 0,
       failureShare: 0,
       failureAtMs: 0,
-      avoidUntilMs: 0
+      avoidUntilMs: 0,
+      avoidedPriority: 0
     }
     this._rows.set(nodeId, row)
     this._list(service).push(row)
--- a/packages/common/src/direct/Types.ts
+++ b/packages/common/src/direct/Types.ts
@@ -131,7 +131,7 @@
   readonly service: string
   readonly rule: RouteRule
   readonly deadlineAtMs: base.Millis
-  /** Since when the caller waits. */
+  /** Since when the caller waits, earlier requests that were refused included. */
   readonly beganAtMs: base.Millis
 }
 
--- a/packages/node/src/direct/DirectNode.ts
+++ b/packages/node/src/direct/DirectNode.ts
@@ -5,17 +5,15 @@
 import * as emitter from '@elmpost/common/base/Emitter.js'
 import * as entryGate from './EntryGate.js'
 import * as ingress from './Ingress.js'
+import * as localTarget from './LocalTarget.js'
 import * as nodeLinks from './NodeLinks.js'
 import * as nodeRegistry from './NodeRegistry.js'
 import * as peerServer from '../PeerServer.js'
 import * as plannedStop from './PlannedStop.js'
 import * as rulesExchange from './RulesExchange.js'
 import * as rulesWatch from './RulesWatch.js'
-import * as targetClient from './TargetClient.js'
-import * as targetHost from './TargetHost.js'
 import * as targetPicker from '@elmpost/common/direct/TargetPicker.js'
 import * as targetTable from '@elmpost/common/direct/TargetTable.js'
-import * as targetWatch from './TargetWatch.js'
 import type * as base from '@elmpost/common/base/Types.js'
 import type * as direct from '@elmpost/common/direct/Types.js'
 import type * as directServices from '@elmpost/common/direct/Services.js'
@@ -27,8 +25,6 @@
 const TICK_MS = 100
 /** Between two reports of the load to all nodes whose calls may come here. */
 const STATUS_MS = 1_000
-/** Connections to the target that a node opens at most. */
-const DEFAULT_TARGET_CONNECTIONS = 64
 /** A node is ready without the records of other nodes after this time, because the store may be down. */
 const READY_WITHOUT_NODES_MS = 1_500
 /** Longest wait for a record of the store before a leaving target is acknowledged. */
@@ -52,7 +48,7 @@
 }
 
 /** A node that carries direct calls: its servers, its target, its links and its ticks. */
-export class DirectNode extends disposable.Disposable implements services.INodeControl, directServices.IDirectView, nodeLinks.INodeLinksEvents, targetHost.ITargetHostEvents {
+export class DirectNode extends disposable.Disposable implements services.INodeControl, directServices.IDirectView, nodeLinks.INodeLinksEvents {
   /** Resolves when a planned stop is complete. */
   public readonly stopped: Promise<void>
   public readonly nodeName: string
@@ -63,8 +59,7 @@
   private readonly _table = new targetTable.TargetTable()
   private readonly _calls: directCalls.DirectCalls
   private readonly _entry: entryGate.EntryGate
-  private readonly _host: targetHost.TargetHost
-  private readonly _target: targetWatch.TargetWatch
+  private readonly _target: localTarget.LocalTarget
   private readonly _links: nodeLinks.NodeLinks
   private readonly _ingress: ingress.Ingress
   private readonly _peers: peerServer.PeerServer
@@ -73,8 +68,6 @@
   private readonly _registry: nodeRegistry.NodeRegistry
   private readonly _log: callLog.CallLog
   private readonly _stop: plannedStop.PlannedStop
-  private _client: targetClient.TargetClient
-  private _clientConnections = DEFAULT_TARGET_CONNECTIONS
   private _timer: NodeJS.Timeout | undefined
   private _startedAtMs = 0
   private _statusAtMs = 0
@@ -91,7 +84,6 @@
     this.onCallEnded = this._callEnded.event
     this.stopped = new Promise(resolve => { this._resolveStopped = resolve })
     this._log = new callLog.CallLog(logger, nowMs)
-    this._client = this._openClient(DEFAULT_TARGET_CONNECTIONS)
     const picker = new targetPicker.TargetPicker({
       table: this._table,
       selfId,
@@ -100,25 +92,8 @@
       otherZoneCostMs: bytes => OTHER_ZONE_MS + OTHER_ZONE_MS_PER_KB * bytes / BYTES_PER_KB
     })
     this._calls = new directCalls.DirectCalls({ table: this._table, picker, random, retryTerms: settings.retryTerms })
-    this._target = new targetWatch.TargetWatch({
-      settings,
-      client: () => this._client,
-      healthPath: () => this._serviceRule?.healthPath,
-      nowMs,
-      logger,
-      changed: () => { this._targetChanged() }
-    })
-    this._host = new targetHost.TargetHost({
-      nodeId: selfId,
-      service: settings.service,
-      dialect,
-      client: () => this._client,
-      targetId: () => this._target.targetId,
-      state: () => this._target.state,
-      nowMs,
-      events: this
-    })
-    this._links = this._register(new nodeLinks.NodeLinks({ selfId, hello: () => this._hello(), nowMs, random, host: this._host, events: this }))
+    this._target = this._register(new localTarget.LocalTarget({ settings, dialect, nowMs, logger, callLog: this._log, changed: () => { this._targetChanged() } }))
+    this._links = this._register(new nodeLinks.NodeLinks({ selfId, hello: () => this._hello(), nowMs, random, host: this._target.host, events: this }))
     this._entry = this._register(new entryGate.EntryGate({
       nodeId: selfId,
       service: settings.service,
@@ -128,7 +103,8 @@
       nowMs,
       send: (nodeId, call) => this._send(nodeId, call),
       cancel: (nodeId, callId) => { this._cancel(nodeId, callId) },
-      finished: (exchange, end) => { this._finished(exchange, end) }
+      finished: (exchange, end) => { this._finished(exchange, end) },
+      refusesCalls: () => this._stop.refusesCalls
     }))
     this._ingress = this._register(new ingress.Ingress({ address: addresses.parse(settings.callerAddress), owner: this._entry, dialect }))
     this._peers = this._register(new peerServer.PeerServer({ address: addresses.parse(selfId), accept: socket => { this._links.accept(socket) } }))
@@ -146,7 +122,7 @@
       graceMs: settings.graceMs,
       nowMs,
       logger,
-      inFlight: () => this._entry.inFlight + (this._host.isIdle ? 0 : 1),
+      inFlight: () => this._entry.inFlight + (this._target.host.isIdle ? 0 : 1),
       closeCallers: () => this._ingress.close(),
       finished: () => {
         this.dispose()
@@ -167,17 +143,13 @@
     return !this._stop.hasBegun && this._calls.rules !== undefined && knowsEnough
   }
 
-  private get _serviceRule (): direct.ServiceRule | undefined {
-    return this._calls.rules?.services.find(({ name }) => name === this._options.settings.service)
-  }
-
   public gauges (): directServices.DirectGauges {
     return {
       version: this.version,
       isReady: this.isReady,
       entryInFlight: this._entry.inFlight,
-      load: this._host.load,
-      state: this._target.state,
+      load: this._target.host.load,
+      state: this._target.watch.state,
       knownNodes: this._table.size,
       connectedNodes: this._table.connectedCount,
       storeAgeMs: this._watch.storeAgeMs
@@ -214,15 +186,15 @@
   }
 
   public async announce (announcement: direct.Announcement): Promise<boolean> {
-    const before = this._target.state
-    const isOwn = this._target.announced(announcement)
-    const after = this._target.state
+    const before = this._target.watch.state
+    const isOwn = this._target.watch.announced(announcement)
+    const after = this._target.watch.state
     if (after === 'leaving' && before !== after) await this._recordLeaving()
     return isOwn
   }
 
   public async leave (targetId: string): Promise<boolean> {
-    const isOwn = this._target.left(targetId)
+    const isOwn = this._target.watch.left(targetId)
     if (isOwn) await this._recordLeaving()
     return isOwn
   }
@@ -283,37 +255,19 @@
     this._log.log('warn', 'peer-message-refused', { peer: nodeId, problem: error.message })
   }
 
-  public unreachable (code: string): void {
-    this._target.unreachable(code)
-  }
-
-  public displaced (targetId: string): void {
-    this._target.displaced(targetId)
-  }
-
-  public failed (call: types.CallMessage, reason: string, detail: string): void {
-    this._log.log('warn', 'run-failed', { requestId: call.requestId, target: this._target.targetId, reason, detail })
-  }
-
-  public refused (call: types.CallMessage, reason: direct.RefusalReason, waitMs: base.Millis): void {
-    const { running, queued, slots } = this._host.load
-    this._log.log('info', 'run-refused', { requestId: call.requestId, reason, waitMs: Math.round(waitMs), running, queued, slots, state: this._target.state })
-  }
-
   public override dispose (): void {
     clearInterval(this._timer)
-    this._client.dispose()
     super.dispose()
   }
 
   private _send (nodeId: base.NodeId, call: types.CallMessage): boolean {
     if (nodeId !== this._options.settings.peerAddress) return this._links.sendCall(nodeId, call)
-    this._host.accept(this._entry, call)
+    this._target.host.accept(this._entry, call)
     return true
   }
 
   private _cancel (nodeId: base.NodeId, callId: number): void {
-    if (nodeId === this._options.settings.peerAddress) this._host.cancel(this._entry, callId)
+    if (nodeId === this._options.settings.peerAddress) this._target.host.cancel(this._entry, callId)
     else this._links.cancel(nodeId, callId)
   }
 
@@ -330,7 +284,6 @@
     const nowMs = this._options.nowMs()
     this._links.tick()
     this._target.tick()
-    this._host.tick()
     this._log.tick()
     this._exchange.tick()
     if (nowMs >= this._statusAtMs) {
@@ -350,7 +303,7 @@
 
   /** A stopping node takes no new calls for its target, because the way to it ends with the process. */
   private _status (): { readonly state: direct.TargetState, readonly load: direct.TargetLoad } {
-    return { state: this._stop.hasBegun ? 'leaving' : this._target.state, load: this._host.load }
+    return { state: this._stop.hasBegun ? 'leaving' : this._target.watch.state, load: this._target.host.load }
   }
 
   private _hello (): linkCodec.HelloMessage {
@@ -359,8 +312,6 @@
   }
 
   private _targetChanged (): void {
-    this._host.setSlots(this._target.slots)
-    if (this._target.state !== 'ready') this._host.refuseWaiting()
     this._tellStatus()
     this._publish().catch((error: unknown) => { this._unexpected(error) })
   }
@@ -369,7 +320,7 @@
     const { peerAddress, zone, service } = this._options.settings
     // The first record waits for what the previous process has written, which is usually the same.
     if (!this._knowsNodes) return Promise.resolve()
-    return this._registry.publish({ nodeId: peerAddress, zone, service, target: this._target.known })
+    return this._registry.publish({ nodeId: peerAddress, zone, service, target: this._target.watch.known })
   }
 
   /** Keeps the leaving for a later process of this node before the target is told that it will get no more calls. */
@@ -380,7 +331,7 @@
   private _found (records: readonly direct.NodeRecord[]): void {
     const { peerAddress, service } = this._options.settings
     const own = records.find(({ nodeId }) => nodeId === peerAddress)
-    if (!this._knowsNodes && own?.target !== undefined && own.service === service) this._target.restore(own.target)
+    if (!this._knowsNodes && own?.target !== undefined && own.service === service) this._target.watch.restore(own.target)
     this._knowsNodes = true
     this._add(records)
     this._publish().catch((error: unknown) => { this._unexpected(error) })
@@ -408,23 +359,10 @@
     const { rules } = stored
     this._ingress.setLimits(rules.limits)
     this._options.logger.log('info', 'enforced', { enforcedVersion: rules.version, routes: rules.routes.length, source })
-    const connections = this._serviceRule?.maxConnections ?? DEFAULT_TARGET_CONNECTIONS
-    if (connections !== this._clientConnections) this._replaceClient(connections)
+    this._target.enforce(rules)
     this._tellStatus()
   }
 
-  private _replaceClient (connections: number): void {
-    this._clientConnections = connections
-    const previous = this._client
-    this._client = this._openClient(connections)
-    previous.close()
-  }
-
-  private _openClient (maxConnections: number): targetClient.TargetClient {
-    const { settings, dialect, nowMs } = this._options
-    return new targetClient.TargetClient({ address: settings.targetAddress, maxConnections, dialect, nowMs })
-  }
-
   private _unexpected (error: unknown): void {
     this._options.logger.log('error', 'unexpected-error', { problem: String(error) })
   }
--- a/packages/node/src/direct/EntryGate.ts
+++ b/packages/node/src/direct/EntryGate.ts
@@ -7,8 +7,8 @@
 import type * as targetTable from '@elmpost/common/direct/TargetTable.js'
 import type * as types from './Types.js'
 
-/** A caller that has less than this share of the route's timeout left was refused before and has come back. */
-const RETURN_SHARE = 0.8
+/** Callers find another node at once. */
+const STOPPING: direct.OwnAnswer = { kind: 'refuse', callId: 0, reason: 'stopping', retryAfterMs: 50, rule: undefined, sends: 0 }
 
 export interface EntryGateOptions {
   readonly nodeId: base.NodeId
@@ -21,6 +21,8 @@
   readonly send: (nodeId: base.NodeId, call: types.CallMessage) => boolean
   readonly cancel: (nodeId: base.NodeId, callId: number) => void
   readonly finished: (exchange: services.IExchange, end: CallEnd) => void
+  /** The node is about to end. */
+  readonly refusesCalls: () => boolean
 }
 
 /** How a call ended for its caller. */
@@ -62,7 +64,11 @@
   }
 
   public begin (exchange: services.IExchange): void {
-    const { calls, nowMs } = this._options
+    const { calls, nowMs, refusesCalls } = this._options
+    if (refusesCalls()) {
+      exchange.refuse(STOPPING)
+      return
+    }
     const beganAtMs = nowMs()
     const { host, path, body, info } = exchange
     const decision = calls.begin({ host, path, remainingMs: info.remainingMs, bodyBytes: body?.length ?? 0 }, beganAtMs)
@@ -136,7 +142,6 @@
       callId,
       service,
       isIdempotent: rule.kind === 'idempotent',
-      isReturn: (info.remainingMs ?? Infinity) < rule.timeoutMs * RETURN_SHARE,
       priority: rule.priority,
       remainingMs: deadlineAtMs - sentAtMs,
       objectiveMs: rule.objectiveMs,
--- a/packages/node/src/direct/LinkCodec.ts
+++ b/packages/node/src/direct/LinkCodec.ts
@@ -72,8 +72,7 @@
 }
 
 function callValues (call: types.CallMessage): Values {
-  const flags = (call.isIdempotent ? 1 : 0) | (call.isReturn ? 2 : 0)
-  return [KIND.call, call.callId, call.service, flags, call.priority, Math.round(call.remainingMs), Math.round(call.objectiveMs),
+  return [KIND.call, call.callId, call.service, call.isIdempotent, call.priority, Math.round(call.remainingMs), Math.round(call.objectiveMs),
     Math.round(call.elapsedMs), call.requestId, call.method, call.path, call.headers, call.body ?? null]
 }
 
@@ -123,15 +122,14 @@
 }
 
 function callOf (values: Values): LinkMessage | undefined {
-  const [, callId, service, flags, priority, remainingMs, objectiveMs, elapsedMs, requestId, method, path, headers, body] = values
-  if (!isNumber(callId) || !isText(service) || !isNumber(flags) || !isNumber(priority) || !isNumber(remainingMs)) return undefined
+  const [, callId, service, isIdempotent, priority, remainingMs, objectiveMs, elapsedMs, requestId, method, path, headers, body] = values
+  if (!isNumber(callId) || !isText(service) || typeof isIdempotent !== 'boolean' || !isNumber(priority) || !isNumber(remainingMs)) return undefined
   if (!isNumber(objectiveMs) || !isNumber(elapsedMs) || !isText(requestId) || !isText(method) || !isText(path)) return undefined
   if (!isHeaders(headers) || !isBody(body)) return undefined
   const call = {
     callId,
     service,
-    isIdempotent: (flags & 1) !== 0,
-    isReturn: (flags & 2) !== 0,
+    isIdempotent,
     priority,
     remainingMs,
     objectiveMs,
--- /dev/null
+++ b/packages/node/src/direct/LocalTarget.ts
@@ -0,0 +1,105 @@
+import * as targetClient from './TargetClient.js'
+import * as targetHost from './TargetHost.js'
+import * as targetWatch from './TargetWatch.js'
+import type * as base from '@elmpost/common/base/Types.js'
+import type * as callLog from './CallLog.js'
+import type * as direct from '@elmpost/common/direct/Types.js'
+import type * as nodeServices from '../Services.js'
+import type * as services from './Services.js'
+import type * as types from './Types.js'
+
+/** Connections to the target before a configuration tells how many it accepts. */
+const DEFAULT_CONNECTIONS = 64
+
+export interface LocalTargetOptions {
+  readonly settings: types.DirectSettings
+  readonly dialect: services.ICallDialect
+  readonly nowMs: () => base.Millis
+  readonly logger: nodeServices.ILogger
+  readonly callLog: callLog.CallLog
+  /** The state, the slots or the id of the target has changed. */
+  readonly changed: () => void
+}
+
+/** The target beside this node: what is known of it, its connections, and the calls that run on it. */
+export class LocalTarget implements targetHost.ITargetHostEvents, base.IDisposable {
+  public readonly watch: targetWatch.TargetWatch
+  public readonly host: targetHost.TargetHost
+  private readonly _options: LocalTargetOptions
+  private _client: targetClient.TargetClient
+  private _connections = DEFAULT_CONNECTIONS
+  private _healthPath: string | undefined
+
+  constructor (options: LocalTargetOptions) {
+    this._options = options
+    const { settings, dialect, nowMs, logger } = options
+    this._client = this._openClient()
+    this.watch = new targetWatch.TargetWatch({
+      settings,
+      client: () => this._client,
+      healthPath: () => this._healthPath,
+      nowMs,
+      logger,
+      changed: () => { this._changed() }
+    })
+    this.host = new targetHost.TargetHost({
+      nodeId: settings.peerAddress,
+      service: settings.service,
+      dialect,
+      client: () => this._client,
+      targetId: () => this.watch.targetId,
+      state: () => this.watch.state,
+      nowMs,
+      events: this
+    })
+  }
+
+  /** Takes over the terms of the target's service. */
+  public enforce (rules: direct.MeshRules): void {
+    const rule = rules.services.find(({ name }) => name === this._options.settings.service)
+    this._healthPath = rule?.healthPath
+    const connections = rule?.maxConnections ?? DEFAULT_CONNECTIONS
+    if (connections === this._connections) return
+    this._connections = connections
+    const previous = this._client
+    this._client = this._openClient()
+    previous.close()
+  }
+
+  public tick (): void {
+    this.watch.tick()
+    this.host.tick()
+  }
+
+  public unreachable (code: string): void {
+    this.watch.unreachable(code)
+  }
+
+  public displaced (targetId: string): void {
+    this.watch.displaced(targetId)
+  }
+
+  public failed (call: types.CallMessage, reason: string, detail: string): void {
+    this._options.callLog.log('warn', 'run-failed', { requestId: call.requestId, target: this.watch.targetId, reason, detail })
+  }
+
+  public refused (call: types.CallMessage, reason: direct.RefusalReason, waitMs: base.Millis): void {
+    const { running, queued, slots } = this.host.load
+    this._options.callLog.log('info', 'run-refused', { requestId: call.requestId, reason, waitMs: Math.round(waitMs), running, queued, slots, state: this.watch.state })
+  }
+
+  public dispose (): void {
+    this._client.dispose()
+  }
+
+  private _changed (): void {
+    this.host.setSlots(this.watch.slots)
+    if (this.watch.state !== 'ready') this.host.refuseWaiting()
+    this._options.changed()
+  }
+
+  private _openClient (): targetClient.TargetClient {
+    const { settings, dialect, nowMs } = this._options
+    return new targetClient.TargetClient({ address: settings.targetAddress, maxConnections: this._connections, dialect, nowMs })
+  }
+}
--- a/packages/node/src/direct/PlannedStop.ts
+++ b/packages/node/src/direct/PlannedStop.ts
@@ -1,8 +1,8 @@
 import type * as base from '@elmpost/common/base/Types.js'
 import type * as nodeServices from '../Services.js'
 
-/** Least time for which a stopping node takes calls, so that callers have learned of the stop. */
-const ACCEPT_MS = 2_800
+/** A stopping node takes calls for this time, in which callers learn of the stop. Later ones are refused, so that none is cut. */
+const ACCEPT_MS = 3_000
 /** Left between the end of a stop and the end of the grace. */
 const MARGIN_MS = 500
 
@@ -29,6 +29,11 @@
     return this._sinceMs !== undefined
   }
 
+  /** Whether calls that come now would not be sure to end in time. */
+  public get refusesCalls (): boolean {
+    return this._sinceMs !== undefined && this._options.nowMs() - this._sinceMs >= ACCEPT_MS
+  }
+
   public begin (): void {
     this._sinceMs = this._options.nowMs()
     this._options.logger.log('info', 'stopping', { inFlight: this._options.inFlight() })
--- a/packages/node/src/direct/TargetClient.ts
+++ b/packages/node/src/direct/TargetClient.ts
@@ -36,7 +36,7 @@
       // The node ends calls at their deadlines.
       headersTimeout: 0,
       bodyTimeout: 0,
-      connect: resetAwareConnector()
+      connect: this._connector()
     })
   }
 
@@ -76,21 +76,21 @@
   public dispose (): void {
     this._pool.destroy().catch(() => {})
   }
-}
 
-/**
- * An answer without a length ends with its connection. The HTTP client takes a reset for such an end as well, and would
- * give a part of an answer out as the whole, so a reset is reported under another code.
- */
-function resetAwareConnector (): undici.buildConnector.connector {
-  const connect = httpClients.buildConnector({ timeout: CONNECT_TIMEOUT_MS })
-  return (options, callback) => {
-    connect(options, (...result) => {
-      const [, socket] = result
-      socket?.prependListener('error', (error: NodeJS.ErrnoException) => {
-        if (error.code === 'ECONNRESET') error.code = RESET_CODE
+  /**
+   * An answer without a length ends with its connection. The library takes a reset for such an end too and would give a
+   * part of an answer out as the whole, so a reset is reported under another code.
+   */
+  private _connector (): undici.buildConnector.connector {
+    const connect = httpClients.buildConnector({ timeout: CONNECT_TIMEOUT_MS })
+    return (options, callback) => {
+      connect(options, (...result) => {
+        const [, socket] = result
+        socket?.prependListener('error', (error: NodeJS.ErrnoException) => {
+          if (error.code === 'ECONNRESET') error.code = RESET_CODE
+        })
+        callback(...result)
       })
-      callback(...result)
-    })
+    }
   }
 }
--- a/packages/node/src/direct/TargetHost.ts
+++ b/packages/node/src/direct/TargetHost.ts
@@ -104,7 +104,6 @@
     const call: HostedCall = {
       id: this._nextId++,
       priority: message.priority,
-      isReturn: message.isReturn,
       arrivedAtMs: nowMs,
       deadlineAtMs: nowMs + message.remainingMs,
       objectiveAtMs: nowMs + message.objectiveMs - message.elapsedMs,
@@ -158,7 +157,8 @@
   }
 
   private _startNext (): void {
-    for (let next = this._queue.next(); next !== undefined; next = this._queue.next()) {
+    const nowMs = this._options.nowMs()
+    for (let next = this._queue.next(nowMs); next !== undefined; next = this._queue.next(nowMs)) {
       const call = this._calls.get(next.id)
       if (call === undefined) this._queue.ended(next.id, undefined)
       else this._start(call)
--- a/packages/node/src/direct/Types.ts
+++ b/packages/node/src/direct/Types.ts
@@ -10,11 +10,10 @@
   readonly callId: number
   readonly service: string
   readonly isIdempotent: boolean
-  readonly isReturn: boolean
   readonly priority: number
   readonly remainingMs: base.Millis
   readonly objectiveMs: base.Millis
-  /** Time since the call entered the mesh. */
+  /** Time that the caller has waited, earlier requests that were refused included. */
   readonly elapsedMs: base.Millis
   readonly requestId: string
   readonly method: string
