Keep calls in their zone unless they can be on time in another one

A call left its zone for a faster target although a slower one at home would have been on time, and large answers left as readily as small ones.

Change: a call waits at home for 40 ms for each KB of its route (4 before), so those with few bytes leave first. It crosses only to a target that is expected to be on time. A host at home that refuses it is the other reason to leave.

--- a/packages/common/src/direct/DirectCalls.ts
+++ b/packages/common/src/direct/DirectCalls.ts
@@ -210,8 +210,8 @@
   }
 
   private _pick (call: Call, nowMs: base.Millis): targetPicker.Pick {
-    const { service, rule, tried } = call
-    return this._options.picker.pick({ service, priority: rule.priority, bytes: this._sizeOf(call) }, tried ?? NOTHING, nowMs)
+    const { service, rule, tried, beganAtMs } = call
+    return this._options.picker.pick({ service, priority: rule.priority, bytes: this._sizeOf(call), onTimeMs: beganAtMs + rule.objectiveMs - nowMs }, tried ?? NOTHING, nowMs)
   }
 
   private _sizeOf (call: Call): number {
--- a/packages/common/src/direct/TargetPicker.test.ts
+++ b/packages/common/src/direct/TargetPicker.test.ts
@@ -6,7 +6,7 @@
 import type * as types from './Types.js'
 
 const NOTHING: ReadonlySet<string> = new Set()
-const CALL = { service: 'till', priority: 1, bytes: 1000 }
+const CALL = { service: 'till', priority: 1, bytes: 1000, onTimeMs: 200 }
 const LOAD = { running: 0, queued: 0, slots: 4, serviceMs: 50 }
 
 test.describe('TargetPicker', () => {
@@ -22,7 +22,7 @@
   function pick (count: number, bytes = 1000): Map<string, number> {
     const picked = new Map<string, number>()
     for (let call = 0; call < count; call++) {
-      const { row } = picker.pick({ service: 'till', priority: 1, bytes }, NOTHING, 0)
+      const { row } = picker.pick({ ...CALL, bytes }, NOTHING, 0)
       if (row === undefined) continue
       table.sent(row.nodeId)
       picked.set(row.nodeId, (picked.get(row.nodeId) ?? 0) + 1)
@@ -82,4 +82,10 @@
     assert.equal(picker.pick({ ...CALL, priority: 1 }, NOTHING, 50).row?.nodeId, 'home')
     assert.equal(picker.pick({ ...CALL, priority: 2 }, NOTHING, 100).row?.nodeId, 'home')
   })
+
+  test.it('does not cross to a zone whose targets are too busy to be on time, where the call would be refused', () => {
+    add('away', 'didube', { running: 4, queued: 20 })
+    assert.deepEqual(picker.pick(CALL, NOTHING, 0), { row: undefined, isBusy: true })
+    assert.equal(picker.pick({ ...CALL, onTimeMs: 400 }, NOTHING, 0).row?.nodeId, 'away')
+  })
 })
--- a/packages/common/src/direct/TargetPicker.ts
+++ b/packages/common/src/direct/TargetPicker.ts
@@ -26,12 +26,14 @@
   readonly priority: number
   /** Expected size of request and answer. */
   readonly bytes: number
+  /** Time left in which an answer is on time. */
+  readonly onTimeMs: base.Millis
 }
 
 export interface Pick {
   /** Undefined if no target can take the call. */
   readonly row: targetTable.TargetRow | undefined
-  /** A target was left out because it has just refused such a call. */
+  /** A target was left out because it has just refused such a call, or is known to be too busy. */
   readonly isBusy: boolean
 }
 
@@ -45,7 +47,7 @@
     let isBusy = false
     for (const row of this._options.table.ofService(call.service)) {
       if (!row.isConnected || row.state !== 'ready' || exclude.has(row.nodeId)) continue
-      if (row.avoidUntilMs > nowMs && call.priority >= row.avoidedPriority) {
+      if (this._isTooBusy(row, call, nowMs)) {
         isBusy = true
         continue
       }
@@ -57,10 +59,16 @@
     return { row: best, isBusy }
   }
 
+  /** A host that refuses calls is not asked again at once, nor is one in another zone that the call would cross to in vain. */
+  private _isTooBusy (row: targetTable.TargetRow, call: PickedCall, nowMs: base.Millis): boolean {
+    if (row.avoidUntilMs > nowMs && call.priority >= row.avoidedPriority) return true
+    return row.zone !== this._options.zone && expectedWaitMs(row) + row.load.serviceMs > Math.max(call.onTimeMs, row.load.serviceMs)
+  }
+
   private _cost (row: targetTable.TargetRow, bytes: number, nowMs: base.Millis): number {
     const { running, queued, slots, serviceMs } = row.load
     const occupied = running + queued + row.sentSince
-    const waitMs = Math.max(0, occupied + 1 - slots) / slots * serviceMs
+    const waitMs = expectedWaitMs(row)
     const crowded = Math.max(0, Math.min(1, occupied / slots) - CROWDED_SHARE) / (1 - CROWDED_SHARE)
     const failures = targetTable.failureShareAt(row, nowMs) * FAILURE_COST
     const targetMs = serviceMs * (1 + crowded * CROWDED_COST + failures) + waitMs
@@ -72,3 +80,7 @@
     return row.zone === this._options.zone ? SAME_ZONE_MS : this._options.otherZoneCostMs(bytes)
   }
 }
+
+function expectedWaitMs ({ load: { running, queued, slots, serviceMs }, sentSince }: targetTable.TargetRow): base.Millis {
+  return Math.max(0, running + queued + sentSince + 1 - slots) / slots * serviceMs
+}
--- a/packages/node/src/direct/DirectNode.ts
+++ b/packages/node/src/direct/DirectNode.ts
@@ -29,8 +29,9 @@
 const READY_WITHOUT_NODES_MS = 1_500
 /** Longest wait for a record of the store before a leaving target is acknowledged. */
 const RECORD_LEAVING_MS = 300
-/** Waiting for a call to end at home is worth this for each KB that would pass between zones. */
-const OTHER_ZONE_MS_PER_KB = 4
+/** A call waits at home for this long for each KB that would pass between zones, so that the ones with few bytes leave first. */
+const OTHER_ZONE_MS_PER_KB = 40
+/** Way to another zone and back. */
 const OTHER_ZONE_MS = 4
 const BYTES_PER_KB = 1024
 
