Give out the answer that is there; refuse least urgent calls once they are late

Cause: an idempotent call whose target answered 500 and whose retry was refused ended as 502, although the answer of the target was there. Calls that became late in a queue stayed until their deadline (a history call 1.9 s).

Change: the newest answer of a target stands if no later send brings a better one. Waiting calls of the least urgent kind are refused when they have become late and others wait.

--- a/packages/common/src/direct/DirectCalls.test.ts
+++ b/packages/common/src/direct/DirectCalls.test.ts
@@ -70,6 +70,13 @@
       assert.equal(calls.answered(second.callId, second.nodeId, 500, 10, 20)?.kind, 'answer')
     })
 
+    test.it('gives out the error of the target if no other target takes the call, because the answer is there', () => {
+      const { calls } = create(2)
+      const first = sent(calls.begin(REQUEST, 0))
+      const second = sent(calls.answered(first.callId, first.nodeId, 500, 10, 20))
+      assert.equal(calls.refused(second.callId, second.nodeId, BUSY, 21)?.kind, 'answer')
+    })
+
     test.it('fails and is not refused once one of its sends may have run', () => {
       const { calls } = create()
       const first = sent(calls.begin(REQUEST, 0))
@@ -122,7 +129,7 @@
       sent(calls.begin({ ...REQUEST, remainingMs: 5000 }, 0))
       assert.equal(calls.nextDeadlineMs, 800)
       assert.deepEqual(calls.expire(799), [])
-      assert.deepEqual(calls.expire(800).map(({ decision }) => [decision.kind, decision.reason]), [['fail', 'timeout']])
+      assert.deepEqual(calls.expire(800).map(({ decision }) => [decision.kind, ended(decision).reason]), [['fail', 'timeout']])
     })
   })
 
--- a/packages/common/src/direct/DirectCalls.ts
+++ b/packages/common/src/direct/DirectCalls.ts
@@ -40,6 +40,8 @@
   refusals: number
   shortestWaitMs: base.Millis
   mayHaveRun: boolean
+  /** An earlier send has an answer of a target. It stands if no later one is better. */
+  isAnswered: boolean
   tried: Set<base.NodeId> | undefined
 }
 
@@ -103,6 +105,7 @@
       refusals: 0,
       shortestWaitMs: Infinity,
       mayHaveRun: false,
+      isAnswered: false,
       tried: undefined
     }
     this._allowance(call.service, nowMs).firstSend(nowMs)
@@ -124,7 +127,7 @@
     const mayRetry = call.refusals < MAX_REFUSALS && (!refused.reachedTarget || this._mayAttempt(call, nowMs))
     const next = mayRetry ? this._sendNext(call, nowMs) : undefined
     if (next !== undefined) return next
-    return call.mayHaveRun ? this._fail(call, 'target-lost') : this._refuse(call, refused.reason, nowMs)
+    return call.mayHaveRun ? this._endUnknown(call, 'target-lost') : this._refuse(call, refused.reason, nowMs)
   }
 
   /** A send has no answer and may have run. */
@@ -133,7 +136,7 @@
     if (call === undefined) return undefined
     this._options.table.ended(from, true, nowMs)
     call.mayHaveRun = true
-    return this._retry(call, nowMs) ?? this._fail(call, reason)
+    return this._retry(call, nowMs) ?? this._endUnknown(call, reason)
   }
 
   /** The target has answered. */
@@ -144,6 +147,7 @@
     this._options.table.ended(from, isFailure, nowMs)
     if (isFailure) {
       call.mayHaveRun = true
+      call.isAnswered = true
       const next = this._retry(call, nowMs)
       if (next !== undefined) return next
     }
@@ -172,11 +176,11 @@
   }
 
   /** Ends the calls whose time is over. The node that still has the call comes with each. */
-  public expire (nowMs: base.Millis): readonly { readonly decision: types.OwnAnswer, readonly nodeId: base.NodeId }[] {
-    const ended: { decision: types.OwnAnswer, nodeId: base.NodeId }[] = []
+  public expire (nowMs: base.Millis): readonly { readonly decision: types.FinalDecision, readonly nodeId: base.NodeId }[] {
+    const ended: { decision: types.FinalDecision, nodeId: base.NodeId }[] = []
     for (const call of this._calls.values()) {
       if (nowMs < call.deadlineAtMs) continue
-      ended.push({ decision: this._fail(call, 'timeout'), nodeId: call.to })
+      ended.push({ decision: this._endUnknown(call, 'timeout'), nodeId: call.to })
     }
     return ended
   }
@@ -233,6 +237,13 @@
     return { kind: 'refuse', callId: call.callId, reason, retryAfterMs, rule: call.rule, sends: call.attempts + call.refusals }
   }
 
+  /** Ends a call of which a send may have run: with the answer of an earlier send, if there is one. */
+  private _endUnknown (call: Call, reason: types.FailureReason): types.FinalDecision {
+    if (!call.isAnswered) return this._fail(call, reason)
+    this._calls.delete(call.callId)
+    return { kind: 'answer', callId: call.callId }
+  }
+
   private _fail (call: Call, reason: types.FailureReason): types.OwnAnswer {
     this._calls.delete(call.callId)
     return { kind: 'fail', callId: call.callId, reason, retryAfterMs: 0, rule: call.rule, sends: call.attempts + call.refusals }
--- a/packages/common/src/direct/SlotQueue.test.ts
+++ b/packages/common/src/direct/SlotQueue.test.ts
@@ -97,6 +97,13 @@
       assert.deepEqual(queue.prune(100).map(({ id }) => id), [waiting.id])
       assert.equal(queue.load.queued, 0)
     })
+
+    test.it('refuses a least urgent call that has become late while others wait, long before its deadline', () => {
+      const queue = busy(1)
+      const waiting = [call({ objectiveAtMs: 150 }), call({ objectiveAtMs: 400 })]
+      for (const one of waiting) assert.equal(queue.offer(one, 0).kind, 'queued')
+      assert.deepEqual(queue.prune(140).map(({ id }) => id), [waiting[0]?.id])
+    })
   })
 
   test.describe('withdraw', () => {
--- a/packages/common/src/direct/SlotQueue.ts
+++ b/packages/common/src/direct/SlotQueue.ts
@@ -97,11 +97,16 @@
     return true
   }
 
-  /** Removes and returns the waiting calls that cannot end in time any more. */
+  /** Removes and returns the waiting calls whose wait is in vain: they cannot end in time, or will be late and hold others up. */
   public prune (nowMs: base.Millis): readonly SlotCall[] {
-    const late = this._waiting.map(({ call }) => call).filter(call => nowMs + this._expectedServiceMs(call) * USEFUL_SHARE > call.deadlineAtMs)
-    for (const call of late) this.withdraw(call.id)
-    return late
+    const vain: SlotCall[] = []
+    for (const { call } of [...this._waiting]) {
+      const serviceMs = this._expectedServiceMs(call)
+      const isVain = nowMs + serviceMs * USEFUL_SHARE > call.deadlineAtMs
+      const isLate = nowMs + serviceMs * USEFUL_SHARE > call.objectiveAtMs && !this._mayBeLate(call)
+      if ((isVain || isLate) && this.withdraw(call.id)) vain.push(call)
+    }
+    return vain
   }
 
   /** Removes and returns all waiting calls. */
--- a/packages/common/src/direct/Types.ts
+++ b/packages/common/src/direct/Types.ts
@@ -146,7 +146,10 @@
   readonly sends: number
 }
 
-export type CallDecision = SendDecision | OwnAnswer | { readonly kind: 'answer', readonly callId: number }
+/** `answer`: the newest answer of a target is the final one. */
+export type FinalDecision = OwnAnswer | { readonly kind: 'answer', readonly callId: number }
+
+export type CallDecision = SendDecision | FinalDecision
 
 /** Bound on sends beyond the first of each call, for the whole fleet. */
 export interface RetryTerms {
