Stop using a target that has gone silent on open connections

Cause: a target that falls silent keeps its connections, and calls sent on them waited for their deadlines one after the other until nothing else told that the target is gone.

Change: a target with calls that gives no answer for 0.7 s and four times its mean is asked for its health; without an answer it is down, waiting calls are refused to their entry nodes, and idempotent ones are broken off and sent again.

--- a/packages/node/src/direct/LocalTarget.ts
+++ b/packages/node/src/direct/LocalTarget.ts
@@ -75,6 +75,10 @@
     this.watch.unreachable(code)
   }
 
+  public silent (): void {
+    this.watch.doubt()
+  }
+
   public displaced (targetId: string): void {
     this.watch.displaced(targetId)
   }
@@ -95,6 +99,7 @@
   private _changed (): void {
     this.host.setSlots(this.watch.slots)
     if (this.watch.state !== 'ready') this.host.refuseWaiting()
+    if (this.watch.state === 'down') this.host.breakOff()
     this._options.changed()
   }
 
--- a/packages/node/src/direct/TargetHost.ts
+++ b/packages/node/src/direct/TargetHost.ts
@@ -8,6 +8,9 @@
 const MIN_REMAINING_MS = 1
 /** A target ends its work at the deadline that it was told. A call that lasts longer than this beyond it is broken off. */
 const OVERDUE_MS = 500
+/** A target that gives no answer for this time, and for some times its mean, is asked for its health. */
+const SILENCE_MS = 700
+const SILENCE_CALLS = 4
 
 export interface TargetHostOptions {
   readonly nodeId: base.NodeId
@@ -24,6 +27,8 @@
 export interface ITargetHostEvents {
   /** The target does not take connections. */
   unreachable(code: string): void
+  /** The target has calls and gives no answers. */
+  silent(): void
   /** Another target answers at the address. */
   displaced(targetId: string): void
   /** A call ended without an answer of the target. */
@@ -35,6 +40,7 @@
   readonly caller: services.IHostCaller
   readonly message: types.CallMessage
   run: services.ITargetRun | undefined
+  startedAtMs: base.Millis
 }
 
 /** Runs calls on the target beside this node, as many at a time as it has slots. */
@@ -44,6 +50,7 @@
   private readonly _calls = new Map<number, HostedCall>()
   private readonly _byCaller = new Map<services.IHostCaller, Map<number, HostedCall>>()
   private _nextId = 1
+  private _answeredAtMs = 0
 
   constructor (options: TargetHostOptions) {
     this._options = options
@@ -93,6 +100,14 @@
     for (const call of this._calls.values()) {
       if (nowMs > call.deadlineAtMs + OVERDUE_MS) call.run?.abort()
     }
+    if (this._isSilent(nowMs)) this._options.events.silent()
+  }
+
+  /** The target is down: calls that may run again are broken off, so that they can be sent elsewhere. */
+  public breakOff (): void {
+    for (const call of [...this._calls.values()]) {
+      if (call.message.isIdempotent) call.run?.abort()
+    }
   }
 
   /** The target takes no more calls: those that wait are refused. */
@@ -100,6 +115,12 @@
     for (const { id } of this._queue.clear()) this._refuseWaiting(id, 'no-target')
   }
 
+  private _isSilent (nowMs: base.Millis): boolean {
+    let oldestMs = Infinity
+    for (const { startedAtMs } of this._calls.values()) oldestMs = Math.min(oldestMs, startedAtMs)
+    return nowMs - Math.max(oldestMs, this._answeredAtMs) > Math.max(SILENCE_MS, SILENCE_CALLS * this.load.serviceMs)
+  }
+
   private _track (caller: services.IHostCaller, message: types.CallMessage, nowMs: base.Millis): HostedCall {
     const call: HostedCall = {
       id: this._nextId++,
@@ -110,7 +131,8 @@
       workClass: message.objectiveMs,
       caller,
       message,
-      run: undefined
+      run: undefined,
+      startedAtMs: Infinity
     }
     this._calls.set(call.id, call)
     let calls = this._byCaller.get(caller)
@@ -128,6 +150,7 @@
     const remainingMs = Math.max(MIN_REMAINING_MS, Math.floor(call.deadlineAtMs - nowMs()))
     const request = { requestId, method, path, body, headers: [...headers, ...dialect.targetHeaders(requestId, remainingMs, targetId())] }
     let hasEnded = false
+    call.startedAtMs = nowMs()
     const run = client().run(request, result => {
       hasEnded = true
       this._ended(call, result)
@@ -137,6 +160,7 @@
 
   private _ended (call: HostedCall, result: types.RunResult): void {
     this._queue.ended(call.id, result.kind === 'answered' ? result.serviceMs : undefined)
+    if (result.kind === 'answered' || result.kind === 'declined') this._answeredAtMs = this._options.nowMs()
     switch (result.kind) {
       case 'answered':
         this._finish(call, { kind: 'answered', answer: result.answer })
--- a/packages/node/src/direct/TargetWatch.ts
+++ b/packages/node/src/direct/TargetWatch.ts
@@ -101,17 +101,30 @@
     this._options.changed()
   }
 
+  /** The target gives no answers. It is down if it does not answer a health question either. */
+  public doubt (): void {
+    if (this.state !== 'ready' || this._isProbing || this._options.nowMs() < this._probeAtMs) return
+    this._probe(health => {
+      if (health === undefined) this.unreachable('silent')
+    })
+  }
+
   public tick (): void {
-    const nowMs = this._options.nowMs()
-    const state = this.state
-    if ((state !== 'down' && state !== 'absent') || this._isProbing || nowMs < this._probeAtMs) return
+    const { state } = this
+    if ((state !== 'down' && state !== 'absent') || this._isProbing || this._options.nowMs() < this._probeAtMs) return
+    this._probe(health => {
+      if (health?.isHealthy === true) this._healthy(health)
+    })
+  }
+
+  private _probe (answered: (health: types.TargetHealth | undefined) => void): void {
     const path = this._options.healthPath()
     if (path === undefined) return
     this._isProbing = true
-    this._probeAtMs = nowMs + PROBE_INTERVAL_MS
+    this._probeAtMs = this._options.nowMs() + PROBE_INTERVAL_MS
     this._options.client().health(path, PROBE_TIMEOUT_MS).then(health => {
       this._isProbing = false
-      if (health?.isHealthy === true) this._healthy(health)
+      answered(health)
     }, error => {
       this._isProbing = false
       this._options.logger.log('error', 'unexpected-error', { problem: String(error) })
