Prefer other targets to one whose node has gone silent

Cause: calls went to a node that was cut off until its link was known to be dead, after 2.6 s of silence.

Change: a node that has said nothing for 1.5 s, although nodes say something each second, is used only if there is no other one. Tested on the picker.

--- a/packages/common/src/direct/TargetPicker.test.ts
+++ b/packages/common/src/direct/TargetPicker.test.ts
@@ -17,6 +17,7 @@
     table.put(nodeId, zone, 'till')
     table.connected(nodeId, true)
     table.status(nodeId, { state, load: { ...LOAD, ...load }, version: 1, storeAgeMs: 0 })
+    table.heard(nodeId, 0)
   }
 
   function pick (count: number, bytes = 1000): Map<string, number> {
@@ -69,6 +70,7 @@
     add('sound', 'vake', { running: 4 })
     for (let call = 0; call < 10; call++) table.ended('grey', true, 0)
     assert.equal(picker.pick(CALL, NOTHING, 0).row?.nodeId, 'sound')
+    for (const nodeId of ['grey', 'sound']) table.heard(nodeId, 60_000)
     assert.equal(picker.pick(CALL, NOTHING, 60_000).row?.nodeId, 'grey')
   })
 
@@ -88,4 +90,13 @@
     assert.deepEqual(picker.pick(CALL, NOTHING, 0), { row: undefined, isBusy: true })
     assert.equal(picker.pick({ ...CALL, onTimeMs: 400 }, NOTHING, 0).row?.nodeId, 'away')
   })
+
+  test.it('prefers a busy target to one whose node has gone silent, before its link is known to be dead', () => {
+    add('silent', 'vake')
+    add('busy', 'vake', { running: 4, queued: 4 })
+    table.heard('busy', 2000)
+    assert.equal(picker.pick(CALL, NOTHING, 2000).row?.nodeId, 'busy')
+    table.connected('busy', false)
+    assert.equal(picker.pick(CALL, NOTHING, 2000).row?.nodeId, 'silent')
+  })
 })
--- a/packages/common/src/direct/TargetPicker.ts
+++ b/packages/common/src/direct/TargetPicker.ts
@@ -9,6 +9,9 @@
 const CROWDED_COST = 0.3
 /** A failed call costs about this many service times, because it is sent again or lost. */
 const FAILURE_COST = 6
+/** Nodes say something each second; one that has been silent for longer is used only if there is no other. */
+const SILENT_MS = 1_500
+const SILENT_COST_MS = 10_000
 /** Spreads calls over targets that cost about the same. */
 const JITTER_SHARE = 0.1
 
@@ -72,7 +75,8 @@
     const crowded = Math.max(0, Math.min(1, occupied / slots) - CROWDED_SHARE) / (1 - CROWDED_SHARE)
     const failures = targetTable.failureShareAt(row, nowMs) * FAILURE_COST
     const targetMs = serviceMs * (1 + crowded * CROWDED_COST + failures) + waitMs
-    return targetMs * (1 + JITTER_SHARE * this._options.random.nextFloat()) + this._distanceMs(row, bytes)
+    const silenceMs = row.nodeId !== this._options.selfId && nowMs - row.heardAtMs > SILENT_MS ? SILENT_COST_MS : 0
+    return targetMs * (1 + JITTER_SHARE * this._options.random.nextFloat()) + this._distanceMs(row, bytes) + silenceMs
   }
 
   private _distanceMs (row: targetTable.TargetRow, bytes: number): base.Millis {
--- a/packages/common/src/direct/TargetTable.ts
+++ b/packages/common/src/direct/TargetTable.ts
@@ -27,6 +27,8 @@
   /** No call of this priority or a less urgent one is sent before, because the node has just refused one. */
   avoidUntilMs: base.Millis
   avoidedPriority: number
+  /** When the node last said anything. */
+  heardAtMs: base.Millis
 }
 
 /** All nodes that this node knows, by service. */
@@ -78,7 +80,8 @@
       failureShare: 0,
       failureAtMs: 0,
       avoidUntilMs: 0,
-      avoidedPriority: 0
+      avoidedPriority: 0,
+      heardAtMs: -Infinity
     }
     this._rows.set(nodeId, row)
     this._list(service).push(row)
@@ -118,6 +121,12 @@
     row.sentSince = 0
   }
 
+  /** The node has said something, so the link to it is alive. */
+  public heard (nodeId: base.NodeId, nowMs: base.Millis): void {
+    const row = this._rows.get(nodeId)
+    if (row !== undefined) row.heardAtMs = nowMs
+  }
+
   public sent (nodeId: base.NodeId): void {
     const row = this._rows.get(nodeId)
     if (row !== undefined) row.sentSince += 1
--- a/packages/node/src/direct/DirectNode.ts
+++ b/packages/node/src/direct/DirectNode.ts
@@ -221,12 +221,14 @@
   }
 
   public result (nodeId: base.NodeId, message: linkCodec.LinkMessage & { readonly kind: 'result' }): void {
+    this._table.heard(nodeId, this._options.nowMs())
     this._entry.hostEnded(nodeId, message.callId, message.result, message.load)
   }
 
   public told (nodeId: base.NodeId, message: linkCodec.LinkMessage, reply: (message: linkCodec.LinkMessage) => void): void {
     switch (message.kind) {
       case 'status':
+        this._table.heard(nodeId, this._options.nowMs())
         this._table.status(nodeId, message.status)
         this._exchange.heard(nodeId, message.status.version)
         break
