Pass answers without a length on without one

The trace shows that these connections end and are not reset, so the node cannot tell that a part is missing; with a Content-Length of its own it declared the part to be the whole.

Change: an answer without a length is passed on without one, and ends with the caller's connection.

--- a/packages/node/src/direct/Ingress.ts
+++ b/packages/node/src/direct/Ingress.ts
@@ -107,7 +107,9 @@
     const body = answer.body ?? Buffer.alloc(0)
     const headers = [...answer.headers, ...this._options.dialect.answerHeaders(this.info.requestId)]
     const isBodiless = this.method === 'HEAD' || answer.status === 204 || answer.status === 304
-    if (!isBodiless) headers.push('Content-Length', String(body.length))
+    // A length would tell the caller that the body is whole, which nobody knows. It ends with the connection instead.
+    if (answer.isUnframed && !isBodiless) this._response.useChunkedEncodingByDefault = false
+    else if (!isBodiless) headers.push('Content-Length', String(body.length))
     this._write(answer.status, headers, body)
   }
 
--- a/packages/node/src/direct/LinkCodec.test.ts
+++ b/packages/node/src/direct/LinkCodec.test.ts
@@ -26,7 +26,7 @@
       body: Buffer.from([0, 255, 1])
     }
   },
-  { kind: 'result', callId: 9, result: { kind: 'answered', answer: { status: 200, headers: ['A', 'b', 'A', 'c'], body: undefined } }, load: LOAD },
+  { kind: 'result', callId: 9, result: { kind: 'answered', answer: { status: 200, headers: ['A', 'b', 'A', 'c'], body: undefined, isUnframed: false } }, load: LOAD },
   { kind: 'result', callId: 9, result: { kind: 'refused', refusal: { reason: 'busy', reachedTarget: false, waitMs: 12 } }, load: LOAD },
   { kind: 'result', callId: 9, result: { kind: 'failed', reason: 'target-lost' }, load: LOAD },
   { kind: 'cancel', callId: 9 },
--- a/packages/node/src/direct/LinkCodec.ts
+++ b/packages/node/src/direct/LinkCodec.ts
@@ -78,7 +78,10 @@
 
 function resultValues (callId: number, result: types.HostResult, load: direct.TargetLoad): Values {
   switch (result.kind) {
-    case 'answered': return [KIND.answered, callId, result.answer.status, result.answer.headers, result.answer.body ?? null, ...loadValues(load)]
+    case 'answered': {
+      const { status, headers, body, isUnframed } = result.answer
+      return [KIND.answered, callId, status, headers, body ?? null, isUnframed, ...loadValues(load)]
+    }
     case 'refused': {
       const { reason, reachedTarget, waitMs } = result.refusal
       return [KIND.refused, callId, REFUSALS.indexOf(reason), reachedTarget, Math.round(waitMs), ...loadValues(load)]
@@ -143,10 +146,10 @@
   return { kind: 'call', call }
 }
 
-function answeredOf ([, callId, status, headers, body, ...rest]: Values): LinkMessage | undefined {
+function answeredOf ([, callId, status, headers, body, isUnframed, ...rest]: Values): LinkMessage | undefined {
   const load = loadOf(rest)
-  if (!isNumber(callId) || !isNumber(status) || !isHeaders(headers) || !isBody(body) || load === undefined) return undefined
-  return { kind: 'result', callId, result: { kind: 'answered', answer: { status, headers, body: body ?? undefined } }, load }
+  if (!isNumber(callId) || !isNumber(status) || !isHeaders(headers) || !isBody(body) || typeof isUnframed !== 'boolean' || load === undefined) return undefined
+  return { kind: 'result', callId, result: { kind: 'answered', answer: { status, headers, body: body ?? undefined, isUnframed } }, load }
 }
 
 function refusedOf ([, callId, code, reachedTarget, waitMs, ...rest]: Values): LinkMessage | undefined {
--- a/packages/node/src/direct/TargetExchange.ts
+++ b/packages/node/src/direct/TargetExchange.ts
@@ -21,6 +21,7 @@
   private _writtenAtMs = 0
   private _status = 0
   private _headers: types.RawHeaders = []
+  private _isUnframed = false
   private _declined: { readonly targetId: string | undefined } | undefined
   private readonly _parts: Buffer[] = []
 
@@ -57,6 +58,7 @@
       return
     }
     this._status = status
+    this._isUnframed = received['content-length'] === undefined && received['transfer-encoding'] === undefined
     this._declined = info.isDeclined ? { targetId: info.targetId } : undefined
     this._headers = rawHeaderFilter.forwardable(textsOf(controller.rawHeaders), name => dialect.isForNode(name))
   }
@@ -72,7 +74,7 @@
       return
     }
     const body = this._parts.length <= 1 ? this._parts[0] : Buffer.concat(this._parts)
-    const answer = { status: this._status, headers: this._headers, body }
+    const answer = { status: this._status, headers: this._headers, body, isUnframed: this._isUnframed }
     this._end({ kind: 'answered', answer, serviceMs: this._options.nowMs() - this._writtenAtMs })
   }
 
--- a/packages/node/src/direct/Types.ts
+++ b/packages/node/src/direct/Types.ts
@@ -27,6 +27,8 @@
   readonly status: number
   readonly headers: RawHeaders
   readonly body: Uint8Array | undefined
+  /** The target gave no length, so nobody can tell whether the body is whole. */
+  readonly isUnframed: boolean
 }
 
 /** How a call ended at the node beside the target. */
