Keep an audit trail of versions in the store

Cause: what a configuration changed was in no record that outlives the processes. Change: the first node of the fleet writes one record a version to a topic of elmpost's own, at most 2 a second, with the routes added, removed and changed.

--- /dev/null
+++ b/packages/common/src/direct/RulesDiff.test.ts
@@ -0,0 +1,22 @@
+import * as assert from 'node:assert/strict'
+import * as rulesDiff from './RulesDiff.js'
+import * as test from 'node:test'
+import * as testRules from './testing/Rules.js'
+
+const { route, rules } = testRules
+
+test.describe('RulesDiff', () => {
+  test.it('tells added, removed and changed routes, so that the trail shows what a version did', () => {
+    const previous = rules([route(), route({ pathPrefix: '/old/' }), route({ pathPrefix: '/same/' })])
+    const next = rules([route({ timeoutMs: 5 }), route({ pathPrefix: '/new/' }), route({ pathPrefix: '/same/', name: 'renamed' })], 2)
+    assert.deepEqual(rulesDiff.diffOf(previous, next), {
+      added: ['booth.example/new/'],
+      removed: ['booth.example/old/'],
+      changed: ['booth.example/price/']
+    })
+  })
+
+  test.it('takes all routes of a first configuration for new', () => {
+    assert.deepEqual(rulesDiff.diffOf(undefined, rules([route()])).added, ['booth.example/price/'])
+  })
+})
--- /dev/null
+++ b/packages/node/src/direct/AuditTrail.ts
@@ -0,0 +1,70 @@
+import * as pQueue from 'p-queue'
+import * as rulesDiff from '@elmpost/common/direct/RulesDiff.js'
+import type * as base from '@elmpost/common/base/Types.js'
+import type * as direct from '@elmpost/common/direct/Types.js'
+import type * as nodeServices from '../Services.js'
+import type * as services from './Services.js'
+
+const PQueue = pQueue.default
+
+/** Topic of elmpost's own with one record for each version; the prefix makes the store keep it. */
+const AUDIT_TOPIC = 'keyed.elmpost-audit'
+/** Each call at the store is priced, so a series of versions is written at this rate. */
+const WRITES_PER_S = 2
+const MS_PER_S = 1000
+/** Versions that wait to be written; older ones are dropped with a log line. */
+const MAX_WAITING = 50
+const PUT_TIMEOUT_MS = 1_000
+/** Routes named in one record, of each kind of change. */
+const MAX_NAMES = 20
+
+export interface AuditTrailOptions {
+  readonly store: services.IKeyedStore
+  readonly nodeId: base.NodeId
+  readonly logger: nodeServices.ILogger
+  /** Whether this node writes for the fleet. Two writers do no harm: the later record of a version replaces the earlier. */
+  readonly isWriter: () => boolean
+  /** Time of day, for readers of the trail. */
+  readonly timeOfDayMs: () => base.Millis
+}
+
+/** Writes what each configuration changed to the store, where operators find it later. */
+export class AuditTrail {
+  private readonly _options: AuditTrailOptions
+  private readonly _writes = new PQueue({ concurrency: 1, intervalCap: WRITES_PER_S, interval: MS_PER_S })
+
+  constructor (options: AuditTrailOptions) {
+    this._options = options
+  }
+
+  public enforced (previous: direct.MeshRules | undefined, next: direct.MeshRules): void {
+    // A node that has just started does not know what the version before was.
+    if (previous === undefined || !this._options.isWriter()) return
+    if (this._writes.size >= MAX_WAITING) {
+      this._options.logger.log('warn', 'audit-dropped', { recordVersion: next.version })
+      return
+    }
+    this._writes.add(() => this._write(previous, next)).catch((error: unknown) => {
+      this._options.logger.log('error', 'unexpected-error', { problem: String(error) })
+    })
+  }
+
+  private async _write (previous: direct.MeshRules, next: direct.MeshRules): Promise<void> {
+    const { added, removed, changed } = rulesDiff.diffOf(previous, next)
+    const record = {
+      version: next.version,
+      after: previous.version,
+      atMs: this._options.timeOfDayMs(),
+      node: this._options.nodeId,
+      added: summary(added),
+      removed: summary(removed),
+      changed: summary(changed)
+    }
+    const result = await this._options.store.put(AUDIT_TOPIC, String(next.version), Buffer.from(JSON.stringify(record)), PUT_TIMEOUT_MS)
+    if (result.kind !== 'written') this._options.logger.log('warn', 'audit-not-written', { recordVersion: next.version, outcome: result.kind, problem: result.problem })
+  }
+}
+
+function summary (places: readonly string[]): { readonly count: number, readonly routes: readonly string[] } {
+  return { count: places.length, routes: places.slice(0, MAX_NAMES) }
+}
--- a/packages/node/src/direct/DirectNode.ts
+++ b/packages/node/src/direct/DirectNode.ts
@@ -1,4 +1,5 @@
 import * as addresses from '../Addresses.js'
+import * as auditTrail from './AuditTrail.js'
 import * as callLog from './CallLog.js'
 import * as directCalls from '@elmpost/common/direct/DirectCalls.js'
 import * as disposable from '@elmpost/common/base/Disposable.js'
@@ -46,6 +47,8 @@
   readonly random: base.IRandom
   /** Steady clock. */
   readonly nowMs: () => base.Millis
+  /** Time of day, which decides nothing. */
+  readonly timeOfDayMs: () => base.Millis
 }
 
 /** A node that carries direct calls: its servers, its target, its links and its ticks. */
@@ -67,6 +70,7 @@
   private readonly _watch: rulesWatch.RulesWatch
   private readonly _exchange: rulesExchange.RulesExchange
   private readonly _registry: nodeRegistry.NodeRegistry
+  private readonly _audit: auditTrail.AuditTrail
   private readonly _log: callLog.CallLog
   private readonly _stop: plannedStop.PlannedStop
   private _timer: NodeJS.Timeout | undefined
@@ -119,6 +123,7 @@
       request: nodeId => { this._links.send(nodeId, { kind: 'rules-request' }) }
     })
     this._registry = this._register(new nodeRegistry.NodeRegistry({ store, selfId, logger, random, nowMs }))
+    this._audit = new auditTrail.AuditTrail({ store, nodeId: selfId, logger, isWriter: () => this._exchange.isFirst, timeOfDayMs: options.timeOfDayMs })
     this._stop = new plannedStop.PlannedStop({
       graceMs: settings.graceMs,
       nowMs,
@@ -357,7 +362,9 @@
   }
 
   private _enforce (stored: types.StoredRules, source: string): void {
+    const previous = this._calls.rules
     if (!this._calls.enforce(stored.rules)) return
+    this._audit.enforced(previous, stored.rules)
     this._exchange.bytes = stored.bytes
     const { rules } = stored
     this._ingress.setLimits(rules.limits)
--- a/packages/node/src/direct/RulesExchange.ts
+++ b/packages/node/src/direct/RulesExchange.ts
@@ -37,6 +37,14 @@
     return true
   }
 
+  /** Whether this node acts for the fleet: it has the lowest id of those that it can reach. */
+  public get isFirst (): boolean {
+    for (const row of this._options.table.all()) {
+      if (row.nodeId < this._options.selfId && row.isConnected) return false
+    }
+    return true
+  }
+
   /** A node has told the version that it enforces. */
   public heard (nodeId: base.NodeId, version: number): void {
     this._versions.set(nodeId, version)
