Read changed settings while the node runs

Cause: the platform may change the settings file with or without a signal, and a node logged SIGHUP and did nothing. Change: new seeds are dialed; changes that need a restart are named in the log. The test of late seeds failed before.

--- a/packages/node/src/direct/DirectNode.ts
+++ b/packages/node/src/direct/DirectNode.ts
@@ -183,6 +183,14 @@
     logger.log('info', 'started', { nodeName, zone, service, callerAddress, peerAddress })
   }
 
+  /** Takes over what can change while the node runs, and says what cannot. */
+  public reload (settings: types.DirectSettings): void {
+    const before = this._options.settings
+    for (const seed of settings.seeds) this._links.connect(seed)
+    const fixed = (['zone', 'service', 'targetAddress', 'callerAddress', 'peerAddress'] as const).filter(name => settings[name] !== before[name])
+    this._options.logger.log(fixed.length === 0 ? 'info' : 'warn', 'reloaded', { seeds: settings.seeds.join(' '), needsRestart: fixed.join(' ') })
+  }
+
   /** Begins a graceful shutdown. Repeated calls have no effect. */
   public stop (): void {
     if (this._stop.hasBegun) return
