Say truthfully that a call did not run when its host takes it out of the queue

Callers cannot send such a request again if it is not idempotent. The calls waited in queues when their time ended.

Change: hosts look for calls that wait in vain each time a slot becomes free, not only each 100 ms; an entry node whose own host takes a call out of the queue at the deadline refuses it (503) in place of 504.

--- a/packages/common/src/direct/DirectCalls.test.ts
+++ b/packages/common/src/direct/DirectCalls.test.ts
@@ -128,8 +128,31 @@
       const { calls } = create()
       sent(calls.begin({ ...REQUEST, remainingMs: 5000 }, 0))
       assert.equal(calls.nextDeadlineMs, 800)
-      assert.deepEqual(calls.expire(799), [])
-      assert.deepEqual(calls.expire(800).map(({ decision }) => [decision.kind, ended(decision).reason]), [['fail', 'timeout']])
+      assert.deepEqual(calls.expire(799, () => false), [])
+      assert.deepEqual(calls.expire(800, () => false).map(decision => [decision.kind, ended(decision).reason]), [['fail', 'timeout']])
+    })
+
+    test.it('refuses a call that its host takes out of the queue, because its caller may only then send it again', () => {
+      const { calls } = create()
+      sent(calls.begin(CHARGE, 0))
+      assert.deepEqual(calls.expire(800, () => true).map(decision => [decision.kind, ended(decision).reason]), [['refuse', 'deadline']])
+    })
+
+    test.it('ends a call once, although its host says that it broke the call off', () => {
+      const { calls } = create()
+      const { callId, nodeId } = sent(calls.begin(REQUEST, 0))
+      const decisions = calls.expire(800, () => {
+        assert.equal(calls.failed(callId, nodeId, 'timeout', 800), undefined)
+        return false
+      })
+      assert.equal(decisions.length, 1)
+    })
+
+    test.it('does not refuse it if an earlier send may have run', () => {
+      const { calls } = create()
+      const first = sent(calls.begin(REQUEST, 0))
+      sent(calls.failed(first.callId, first.nodeId, 'peer-lost', 10))
+      assert.deepEqual(calls.expire(800, () => true).map(({ kind }) => kind), ['fail'])
     })
   })
 
@@ -155,7 +178,7 @@
         possibleRuns += 1
         if (next === 'lost') decision = calls.failed(callId, nodeId, 'peer-lost', nowMs)
         else if (next === 'answered') decision = calls.answered(callId, nodeId, 500, 10, nowMs)
-        else decision = calls.expire(10_000)[0]?.decision
+        else [decision] = calls.expire(10_000, () => false)
       }
       if (decision?.kind === 'send') possibleRuns += 1
       if (!isIdempotent) assert.ok(possibleRuns <= 1)
--- a/packages/common/src/direct/DirectCalls.ts
+++ b/packages/common/src/direct/DirectCalls.ts
@@ -175,12 +175,18 @@
     return earliestMs
   }
 
-  /** Ends the calls whose time is over. The node that still has the call comes with each. */
-  public expire (nowMs: base.Millis): readonly { readonly decision: types.FinalDecision, readonly nodeId: base.NodeId }[] {
-    const ended: { decision: types.FinalDecision, nodeId: base.NodeId }[] = []
+  /**
+   * Ends the calls whose time is over. `withdraw` takes a call back from the node that has it, and tells whether that
+   * node states that it did not run the call.
+   */
+  public expire (nowMs: base.Millis, withdraw: (nodeId: base.NodeId, callId: number) => boolean): readonly types.FinalDecision[] {
+    const ended: types.FinalDecision[] = []
     for (const call of this._calls.values()) {
       if (nowMs < call.deadlineAtMs) continue
-      ended.push({ decision: this._endUnknown(call, 'timeout'), nodeId: call.to })
+      // What the host says of a call that it breaks off now must not end the call a second time.
+      this._calls.delete(call.callId)
+      const isWithdrawn = withdraw(call.to, call.callId)
+      ended.push(isWithdrawn && !call.mayHaveRun ? this._refuse(call, 'deadline', nowMs) : this._endUnknown(call, 'timeout'))
     }
     return ended
   }
@@ -233,7 +239,7 @@
     this._calls.delete(call.callId)
     const waitMs = Number.isFinite(call.shortestWaitMs) ? Math.max(MIN_RETRY_MS, call.shortestWaitMs) : DEFAULT_RETRY_MS
     const spreadMs = waitMs * (1 + WAIT_JITTER * this._options.random.nextFloat())
-    const retryAfterMs = Math.min(spreadMs, (call.deadlineAtMs - nowMs) * MAX_WAIT_SHARE)
+    const retryAfterMs = Math.max(0, Math.min(spreadMs, (call.deadlineAtMs - nowMs) * MAX_WAIT_SHARE))
     return { kind: 'refuse', callId: call.callId, reason, retryAfterMs, rule: call.rule, sends: call.attempts + call.refusals }
   }
 
--- a/packages/node/src/direct/DirectNode.ts
+++ b/packages/node/src/direct/DirectNode.ts
@@ -107,7 +107,7 @@
       dialect,
       nowMs,
       send: (nodeId, call) => this._send(nodeId, call),
-      cancel: (nodeId, callId) => { this._cancel(nodeId, callId) },
+      cancel: (nodeId, callId) => this._cancel(nodeId, callId),
       finished: (exchange, end) => { this._finished(exchange, end) },
       refusesCalls: () => this._stop.refusesCalls
     }))
@@ -282,9 +282,11 @@
     return true
   }
 
-  private _cancel (nodeId: base.NodeId, callId: number): void {
-    if (nodeId === this._options.settings.peerAddress) this._target.host.cancel(this._entry, callId)
-    else this._links.cancel(nodeId, callId)
+  private _cancel (nodeId: base.NodeId, callId: number): boolean {
+    if (nodeId === this._options.settings.peerAddress) return this._target.host.cancel(this._entry, callId)
+    this._links.cancel(nodeId, callId)
+    // The answer of another node would come too late.
+    return false
   }
 
   private _finished (exchange: services.IExchange, end: entryGate.CallEnd): void {
--- a/packages/node/src/direct/EntryGate.ts
+++ b/packages/node/src/direct/EntryGate.ts
@@ -19,7 +19,8 @@
   readonly nowMs: () => base.Millis
   /** Hands a call to another node. False if it was certainly not sent. */
   readonly send: (nodeId: base.NodeId, call: types.CallMessage) => boolean
-  readonly cancel: (nodeId: base.NodeId, callId: number) => void
+  /** Takes a call back. True if it certainly did not run and will not. */
+  readonly cancel: (nodeId: base.NodeId, callId: number) => boolean
   readonly finished: (exchange: services.IExchange, end: CallEnd) => void
   /** The node is about to end. */
   readonly refusesCalls: () => boolean
@@ -178,10 +179,7 @@
 
   private _expire (): base.Millis {
     const { calls, cancel, nowMs } = this._options
-    for (const { decision, nodeId } of calls.expire(nowMs())) {
-      cancel(nodeId, decision.callId)
-      this._carryOut(decision)
-    }
+    for (const decision of calls.expire(nowMs(), cancel)) this._carryOut(decision)
     return calls.nextDeadlineMs
   }
 
--- a/packages/node/src/direct/Services.ts
+++ b/packages/node/src/direct/Services.ts
@@ -47,7 +47,8 @@
 export interface IHost {
   /** Calls of one caller have distinct ids. */
   accept(caller: IHostCaller, call: types.CallMessage): void
-  cancel(caller: IHostCaller, callId: number): void
+  /** True if the call did not run and will not. */
+  cancel(caller: IHostCaller, callId: number): boolean
   /** The caller is gone with all of its calls. */
   abandon(caller: IHostCaller): void
 }
--- a/packages/node/src/direct/TargetHost.ts
+++ b/packages/node/src/direct/TargetHost.ts
@@ -82,11 +82,15 @@
   }
 
   /** A waiting call is dropped. A running one is broken off if it may run again; another one runs to its end. */
-  public cancel (caller: services.IHostCaller, callId: number): void {
+  public cancel (caller: services.IHostCaller, callId: number): boolean {
     const call = this._byCaller.get(caller)?.get(callId)
-    if (call === undefined) return
-    if (this._queue.withdraw(call.id)) this._forget(call)
-    else if (call.message.isIdempotent) call.run?.abort()
+    if (call === undefined) return false
+    if (this._queue.withdraw(call.id)) {
+      this._forget(call)
+      return true
+    }
+    if (call.message.isIdempotent) call.run?.abort()
+    return false
   }
 
   public abandon (caller: services.IHostCaller): void {
@@ -96,7 +100,7 @@
   /** Refuses waiting calls that cannot end in time, so that they are sent elsewhere, and breaks overdue ones off. */
   public tick (): void {
     const nowMs = this._options.nowMs()
-    for (const { id } of this._queue.prune(nowMs)) this._refuseWaiting(id, 'busy')
+    this._prune(nowMs)
     for (const call of this._calls.values()) {
       if (nowMs > call.deadlineAtMs + OVERDUE_MS) call.run?.abort()
     }
@@ -180,8 +184,14 @@
     this._startNext()
   }
 
+  /** A waiting call is refused before its deadline, because its caller may send it again only if it is told that it did not run. */
+  private _prune (nowMs: base.Millis): void {
+    for (const { id } of this._queue.prune(nowMs)) this._refuseWaiting(id, 'busy')
+  }
+
   private _startNext (): void {
     const nowMs = this._options.nowMs()
+    this._prune(nowMs)
     for (let next = this._queue.next(nowMs); next !== undefined; next = this._queue.next(nowMs)) {
       const call = this._calls.get(next.id)
       if (call === undefined) this._queue.ended(next.id, undefined)
