Test the host's part of direct calls with a fake target

Change: tests of waiting, running and silent targets. The first one fails with the refusal taken out. Conclusion: tests only.

--- /dev/null
+++ b/packages/node/src/direct/TargetHost.test.ts
@@ -0,0 +1,144 @@
+import * as assert from 'node:assert/strict'
+import * as targetHost from './TargetHost.js'
+import * as test from 'node:test'
+import type * as direct from '@elmpost/common/direct/Types.js'
+import type * as services from './Services.js'
+import type * as types from './Types.js'
+
+/** Requests that a target has and has not answered. */
+class FakeClient implements services.ITargetClient {
+  public readonly running: { readonly request: services.ITargetRequest, readonly end: (result: types.RunResult) => void, isAborted: boolean }[] = []
+
+  public run (request: services.ITargetRequest, ended: (result: types.RunResult) => void): services.ITargetRun {
+    const run = { request, end: ended, isAborted: false }
+    this.running.push(run)
+    return {
+      abort: () => {
+        run.isAborted = true
+        ended({ kind: 'failed', reason: 'timeout', detail: 'aborted' })
+      }
+    }
+  }
+
+  public health (): Promise<undefined> {
+    return Promise.resolve(undefined)
+  }
+
+  public dispose (): void {}
+}
+
+const DIALECT = { targetHeaders: () => [] } as unknown as services.ICallDialect
+const ANSWER: types.RunResult = { kind: 'answered', answer: { status: 200, headers: [], body: undefined, isUnframed: false }, serviceMs: 50 }
+
+function call (callId: number, change: Partial<types.CallMessage> = {}): types.CallMessage {
+  return { callId, service: 'till', isIdempotent: true, priority: 1, remainingMs: 1000, objectiveMs: 500, elapsedMs: 0, requestId: `r${callId}`, method: 'GET', path: '/', headers: [], body: undefined, ...change }
+}
+
+test.describe('TargetHost', () => {
+  let nowMs: number
+  let state: direct.TargetState
+  let client: FakeClient
+  let host: targetHost.TargetHost
+  let results: Map<number, types.HostResult>
+  let events: string[]
+  const caller: services.IHostCaller = { hostEnded: (_nodeId, callId, result) => { results.set(callId, result) } }
+
+  test.beforeEach(() => {
+    nowMs = 0
+    state = 'ready'
+    client = new FakeClient()
+    results = new Map()
+    events = []
+    host = new targetHost.TargetHost({
+      nodeId: 'n',
+      service: 'till',
+      dialect: DIALECT,
+      client: () => client,
+      targetId: () => 't',
+      state: () => state,
+      nowMs: () => nowMs,
+      events: {
+        unreachable: code => { events.push(`unreachable ${code}`) },
+        silent: () => { events.push('silent') },
+        displaced: targetId => { events.push(`displaced ${targetId}`) },
+        failed: () => {},
+        refused: () => {}
+      }
+    })
+    host.setSlots(1)
+  })
+
+  test.describe('a call that waits', () => {
+    test.it('is refused when a slot becomes free too late for it, so that its caller may send it again', () => {
+      host.accept(caller, call(1))
+      host.accept(caller, call(2, { remainingMs: 110, objectiveMs: 110 }))
+      host.accept(caller, call(3))
+      nowMs = 100
+      client.running[0]?.end(ANSWER)
+      assert.equal(results.get(2)?.kind, 'refused')
+      assert.deepEqual(client.running.map(({ request }) => request.requestId), ['r1', 'r3'])
+    })
+
+    test.it('is certainly not run after it was taken back', () => {
+      host.accept(caller, call(1))
+      host.accept(caller, call(2))
+      assert.equal(host.cancel(caller, 2), true)
+      assert.equal(host.cancel(caller, 1), false)
+      assert.equal(client.running.length, 1)
+    })
+
+    test.it('is refused when the target takes no more calls', () => {
+      host.accept(caller, call(1))
+      host.accept(caller, call(2))
+      state = 'leaving'
+      host.refuseWaiting()
+      assert.deepEqual(results.get(2), { kind: 'refused', refusal: { reason: 'no-target', reachedTarget: false, waitMs: 50 } })
+      assert.equal(results.has(1), false)
+    })
+  })
+
+  test.describe('a call that runs', () => {
+    test.it('goes on when its caller leaves, unless it may run again', () => {
+      host.setSlots(2)
+      host.accept(caller, call(1, { isIdempotent: false }))
+      host.accept(caller, call(2))
+      host.abandon(caller)
+      assert.deepEqual(client.running.map(({ isAborted }) => isAborted), [false, true])
+    })
+
+    test.it('is broken off some time after its deadline, so that a target that hangs does not keep its slot', () => {
+      host.accept(caller, call(1, { isIdempotent: false }))
+      nowMs = 1499
+      host.tick()
+      assert.equal(client.running[0]?.isAborted, false)
+      nowMs = 1501
+      host.tick()
+      assert.equal(client.running[0]?.isAborted, true)
+    })
+  })
+
+  test.describe('a target', () => {
+    test.it('is in doubt when it has calls and gives no answers, and not when it has none', () => {
+      nowMs = 5000
+      host.tick()
+      assert.deepEqual(events, [])
+      host.accept(caller, call(1, { remainingMs: 10_000 }))
+      nowMs = 5800
+      host.tick()
+      assert.deepEqual(events, ['silent'])
+    })
+
+    test.it('that was replaced is reported, and the call is refused as not run', () => {
+      host.accept(caller, call(1))
+      client.running[0]?.end({ kind: 'declined', status: 421, targetId: 'other' })
+      assert.deepEqual(events, ['displaced other'])
+      assert.equal(results.get(1)?.kind, 'refused')
+    })
+
+    test.it('gets no call for another service', () => {
+      host.accept(caller, call(1, { service: 'vault' }))
+      assert.equal(results.get(1)?.kind, 'refused')
+      assert.equal(client.running.length, 0)
+    })
+  })
+})
