Avoid hosts that are slower than they tell; do not take a withdrawn call for a dead target

A slow host reported an idle target and attracted calls that ended at their deadlines, which did not count against it. A call given up before it had a connection marked its target as down. A stopping node closed its target for longer than needed.

Change: the time of each call counts; what exceeds twice the told mean is a delay of the host. A withdrawn call is a result of its own. The target of a stopping node takes calls for 1 s, and the process ends after 2.5 s.

--- a/packages/common/src/direct/DirectCalls.test.ts
+++ b/packages/common/src/direct/DirectCalls.test.ts
@@ -19,6 +19,7 @@
     table.put(`n${node}`, 'vake', 'till')
     table.connected(`n${node}`, true)
     table.status(`n${node}`, { state: 'ready', load: LOAD, version: 1, storeAgeMs: 0 })
+    table.heard(`n${node}`, 0)
   }
   const source = new random.Random(1)
   const picker = new targetPicker.TargetPicker({ table, selfId: 'n0', zone: 'vake', random: source, otherZoneCostMs: () => 5 })
@@ -132,6 +133,14 @@
       assert.deepEqual(calls.expire(800, () => false).map(decision => [decision.kind, ended(decision).reason]), [['fail', 'timeout']])
     })
 
+    test.it('counts against the node that had the call, so that the next ones go elsewhere', () => {
+      const { calls, table } = create(2)
+      const { nodeId } = sent(calls.begin(REQUEST, 0))
+      calls.expire(800, () => false)
+      assert.ok((table.get(nodeId)?.delayMs ?? 0) > 50)
+      for (let call = 0; call < 3; call++) assert.notEqual(sent(calls.begin(REQUEST, 801)).nodeId, nodeId)
+    })
+
     test.it('refuses a call that its host takes out of the queue, because its caller may only then send it again', () => {
       const { calls } = create()
       sent(calls.begin(CHARGE, 0))
--- a/packages/common/src/direct/DirectCalls.ts
+++ b/packages/common/src/direct/DirectCalls.ts
@@ -23,6 +23,8 @@
 const INITIAL_SIZE_BYTES = 1000
 /** A host that refused a call as busy gets no other one for a part of the wait that it named. */
 const AVOID_SHARE = 0.25
+/** A call that ends without an answer counts against its target if it was there for this share of the route's timeout. */
+const FAILED_SHARE = 0.5
 /** Statuses of a target that an idempotent call is retried after. */
 const RETRIED_STATUSES: ReadonlySet<number> = new Set([500, 502, 503])
 const NOTHING: ReadonlySet<base.NodeId> = new Set()
@@ -35,6 +37,7 @@
   readonly deadlineAtMs: base.Millis
   readonly requestBytes: number
   to: base.NodeId
+  sentAtMs: base.Millis
   /** Sends that reached a target, or may have. */
   attempts: number
   refusals: number
@@ -101,6 +104,7 @@
       deadlineAtMs: nowMs + remainingMs,
       requestBytes: request.bodyBytes,
       to: '',
+      sentAtMs: nowMs,
       attempts: 0,
       refusals: 0,
       shortestWaitMs: Infinity,
@@ -117,7 +121,7 @@
   public refused (callId: number, from: base.NodeId, refused: types.HostRefusal, nowMs: base.Millis): types.CallDecision | undefined {
     const call = this._current(callId, from)
     if (call === undefined) return undefined
-    if (refused.reachedTarget) this._options.table.ended(from, true, nowMs)
+    if (refused.reachedTarget) this._options.table.ended(from, true, nowMs - call.sentAtMs, nowMs)
     else call.attempts -= 1
     call.refusals += 1
     if (refused.reason === 'busy') {
@@ -134,7 +138,7 @@
   public failed (callId: number, from: base.NodeId, reason: types.FailureReason, nowMs: base.Millis): types.CallDecision | undefined {
     const call = this._current(callId, from)
     if (call === undefined) return undefined
-    this._options.table.ended(from, true, nowMs)
+    this._options.table.ended(from, true, nowMs - call.sentAtMs, nowMs)
     call.mayHaveRun = true
     return this._retry(call, nowMs) ?? this._endUnknown(call, reason)
   }
@@ -144,7 +148,7 @@
     const call = this._current(callId, from)
     if (call === undefined) return undefined
     const isFailure = RETRIED_STATUSES.has(status)
-    this._options.table.ended(from, isFailure, nowMs)
+    this._options.table.ended(from, isFailure, nowMs - call.sentAtMs, nowMs)
     if (isFailure) {
       call.mayHaveRun = true
       call.isAnswered = true
@@ -185,6 +189,7 @@
       if (nowMs < call.deadlineAtMs) continue
       // What the host says of a call that it breaks off now must not end the call a second time.
       this._calls.delete(call.callId)
+      this._options.table.ended(call.to, nowMs - call.sentAtMs > call.rule.timeoutMs * FAILED_SHARE, nowMs - call.sentAtMs, nowMs)
       const isWithdrawn = withdraw(call.to, call.callId)
       ended.push(isWithdrawn && !call.mayHaveRun ? this._refuse(call, 'deadline', nowMs) : this._endUnknown(call, 'timeout'))
     }
@@ -211,6 +216,7 @@
     const { row } = this._pick(call, nowMs)
     if (row === undefined) return undefined
     call.to = row.nodeId
+    call.sentAtMs = nowMs
     call.attempts += 1
     call.tried ??= new Set()
     call.tried.add(row.nodeId)
--- a/packages/common/src/direct/TargetPicker.test.ts
+++ b/packages/common/src/direct/TargetPicker.test.ts
@@ -68,7 +68,7 @@
   test.it('avoids a target that fails a part of its calls although it is idle, and tries it again later', () => {
     add('grey', 'vake')
     add('sound', 'vake', { running: 4 })
-    for (let call = 0; call < 10; call++) table.ended('grey', true, 0)
+    for (let call = 0; call < 10; call++) table.ended('grey', true, 50, 0)
     assert.equal(picker.pick(CALL, NOTHING, 0).row?.nodeId, 'sound')
     for (const nodeId of ['grey', 'sound']) table.heard(nodeId, 60_000)
     assert.equal(picker.pick(CALL, NOTHING, 60_000).row?.nodeId, 'grey')
@@ -99,4 +99,14 @@
     table.connected('busy', false)
     assert.equal(picker.pick(CALL, NOTHING, 2000).row?.nodeId, 'silent')
   })
+
+  test.it('avoids a host whose calls take far longer than it tells, although it seems idle', () => {
+    add('slow', 'vake')
+    add('busy', 'vake', { running: 4, queued: 3 })
+    assert.equal(picker.pick(CALL, NOTHING, 0).row?.nodeId, 'slow')
+    for (let call = 0; call < 2; call++) table.ended('slow', false, 700, 0)
+    assert.equal(picker.pick(CALL, NOTHING, 0).row?.nodeId, 'busy')
+    for (const nodeId of ['slow', 'busy']) table.heard(nodeId, 20_000)
+    assert.equal(picker.pick(CALL, NOTHING, 20_000).row?.nodeId, 'slow')
+  })
 })
--- a/packages/common/src/direct/TargetPicker.ts
+++ b/packages/common/src/direct/TargetPicker.ts
@@ -73,8 +73,9 @@
     const occupied = running + queued + row.sentSince
     const waitMs = expectedWaitMs(row)
     const crowded = Math.max(0, Math.min(1, occupied / slots) - CROWDED_SHARE) / (1 - CROWDED_SHARE)
-    const failures = targetTable.failureShareAt(row, nowMs) * FAILURE_COST
-    const targetMs = serviceMs * (1 + crowded * CROWDED_COST + failures) + waitMs
+    const memory = targetTable.memoryAt(row, nowMs)
+    const failures = row.failureShare * memory * FAILURE_COST
+    const targetMs = serviceMs * (1 + crowded * CROWDED_COST + failures) + waitMs + row.delayMs * memory
     const silenceMs = row.nodeId !== this._options.selfId && nowMs - row.heardAtMs > SILENT_MS ? SILENT_COST_MS : 0
     return targetMs * (1 + JITTER_SHARE * this._options.random.nextFloat()) + this._distanceMs(row, bytes) + silenceMs
   }
--- a/packages/common/src/direct/TargetTable.ts
+++ b/packages/common/src/direct/TargetTable.ts
@@ -5,8 +5,12 @@
 const NEWEST_WEIGHT = 0.1
 /** Assumed until the host node has told more. */
 const NO_LOAD: types.TargetLoad = { running: 0, queued: 0, slots: 1, serviceMs: 50 }
-/** Failures are forgotten at this rate, so that a target without calls is tried again. */
+/** Failures and delays are forgotten at this rate, so that a target without calls is tried again. */
 const FORGIVE_HALF_LIFE_MS = 3000
+/** A call may take this multiple of the mean that its host tells, before the rest counts as a delay of the host. */
+const USUAL_FACTOR = 2
+/** Weight of the newest delay in its moving average. */
+const DELAY_WEIGHT = 0.2
 
 /** A node as the entry node sees it. */
 export interface TargetRow {
@@ -23,7 +27,10 @@
   sentSince: number
   /** Share of recent calls that the target failed or refused. */
   failureShare: number
-  failureAtMs: base.Millis
+  /** Time that recent calls took beyond what the host tells, for example because its VM is slow. */
+  delayMs: base.Millis
+  /** When `failureShare` and `delayMs` were updated. */
+  updatedAtMs: base.Millis
   /** No call of this priority or a less urgent one is sent before, because the node has just refused one. */
   avoidUntilMs: base.Millis
   avoidedPriority: number
@@ -78,7 +85,8 @@
       storeAgeMs: Infinity,
       sentSince: 0,
       failureShare: 0,
-      failureAtMs: 0,
+      delayMs: 0,
+      updatedAtMs: 0,
       avoidUntilMs: 0,
       avoidedPriority: 0,
       heardAtMs: -Infinity
@@ -132,12 +140,15 @@
     if (row !== undefined) row.sentSince += 1
   }
 
-  /** Counts the end of a call on the target. */
-  public ended (nodeId: base.NodeId, isFailure: boolean, nowMs: base.Millis): void {
+  /** Counts the end of a call that was sent to the node `tookMs` ago. */
+  public ended (nodeId: base.NodeId, isFailure: boolean, tookMs: base.Millis, nowMs: base.Millis): void {
     const row = this._rows.get(nodeId)
     if (row === undefined) return
-    row.failureShare = failureShareAt(row, nowMs) * (1 - NEWEST_WEIGHT) + (isFailure ? NEWEST_WEIGHT : 0)
-    row.failureAtMs = nowMs
+    const memory = memoryAt(row, nowMs)
+    const excessMs = Math.max(0, tookMs - row.load.serviceMs * USUAL_FACTOR)
+    row.failureShare = row.failureShare * memory * (1 - NEWEST_WEIGHT) + (isFailure ? NEWEST_WEIGHT : 0)
+    row.delayMs = row.delayMs * memory * (1 - DELAY_WEIGHT) + excessMs * DELAY_WEIGHT
+    row.updatedAtMs = nowMs
   }
 
   private _list (service: string): TargetRow[] {
@@ -162,8 +173,7 @@
   }
 }
 
-/** The moving average of failures, decayed to now. */
-export function failureShareAt (row: TargetRow, nowMs: base.Millis): number {
-  if (row.failureShare === 0) return 0
-  return row.failureShare * 0.5 ** (Math.max(0, nowMs - row.failureAtMs) / FORGIVE_HALF_LIFE_MS)
+/** Share of the moving averages that is not forgotten yet. */
+export function memoryAt (row: TargetRow, nowMs: base.Millis): number {
+  return 0.5 ** (Math.max(0, nowMs - row.updatedAtMs) / FORGIVE_HALF_LIFE_MS)
 }
--- a/packages/node/src/direct/DirectNode.ts
+++ b/packages/node/src/direct/DirectNode.ts
@@ -130,6 +130,7 @@
       logger,
       inFlight: () => this._entry.inFlight + (this._target.host.isIdle ? 0 : 1),
       closeCallers: () => this._ingress.close(),
+      targetClosed: () => { this._tellStatus() },
       finished: () => {
         this.dispose()
         this._resolveStopped()
@@ -196,7 +197,6 @@
     if (this._stop.hasBegun) return
     this._stop.begin()
     this._ingress.beginClosing()
-    this._tellStatus()
   }
 
   public async announce (announcement: direct.Announcement): Promise<boolean> {
@@ -319,9 +319,8 @@
     this._links.broadcast({ kind: 'status', status })
   }
 
-  /** A stopping node takes no new calls for its target, because the way to it ends with the process. */
   private _status (): { readonly state: direct.TargetState, readonly load: direct.TargetLoad } {
-    return { state: this._stop.hasBegun ? 'leaving' : this._target.watch.state, load: this._target.host.load }
+    return { state: this._stop.closesTarget ? 'leaving' : this._target.watch.state, load: this._target.host.load }
   }
 
   private _hello (): linkCodec.HelloMessage {
--- a/packages/node/src/direct/PlannedStop.ts
+++ b/packages/node/src/direct/PlannedStop.ts
@@ -1,8 +1,10 @@
 import type * as base from '@elmpost/common/base/Types.js'
 import type * as nodeServices from '../Services.js'
 
-/** A stopping node takes calls for this time, in which callers learn of the stop. Later ones are refused, so that none is cut. */
-const ACCEPT_MS = 3_000
+/** Callers are sent elsewhere after two questions for readiness, one second apart. Calls that come later are refused, so that none is cut. */
+const ACCEPT_MS = 2_500
+/** The target takes calls of other nodes for this time, which leaves enough for the last ones to end. */
+const TARGET_MS = 1_000
 /** Left between the end of a stop and the end of the grace. */
 const MARGIN_MS = 500
 
@@ -16,11 +18,14 @@
   /** Resolves when no caller is connected any more. */
   readonly closeCallers: () => Promise<void>
   readonly finished: () => void
+  /** The target takes no more calls from now on. */
+  readonly targetClosed: () => void
 }
 
 /** Ends a node without cutting a call: it goes on until callers have learned of the stop and the last call has its answer. */
 export class PlannedStop {
   private _sinceMs: base.Millis | undefined
+  private _hasClosedTarget = false
   private _isFinishing = false
 
   constructor (private readonly _options: PlannedStopOptions) {}
@@ -29,6 +34,11 @@
     return this._sinceMs !== undefined
   }
 
+  /** Whether the target beside the node takes no more calls, because the way to it ends with the process. */
+  public get closesTarget (): boolean {
+    return this._sinceMs !== undefined && this._options.nowMs() - this._sinceMs >= TARGET_MS
+  }
+
   /** Whether calls that come now would not be sure to end in time. */
   public get refusesCalls (): boolean {
     return this._sinceMs !== undefined && this._options.nowMs() - this._sinceMs >= ACCEPT_MS
@@ -43,6 +53,10 @@
     if (this._sinceMs === undefined || this._isFinishing) return
     const { graceMs, nowMs, inFlight, logger } = this._options
     const elapsedMs = nowMs() - this._sinceMs
+    if (this.closesTarget && !this._hasClosedTarget) {
+      this._hasClosedTarget = true
+      this._options.targetClosed()
+    }
     const isIdle = inFlight() === 0
     if (elapsedMs < graceMs - MARGIN_MS && (elapsedMs < ACCEPT_MS || !isIdle)) return
     this._isFinishing = true
--- a/packages/node/src/direct/Services.ts
+++ b/packages/node/src/direct/Services.ts
@@ -68,7 +68,7 @@
 }
 
 export interface ITargetRun {
-  /** Breaks the exchange off. It ends as failed, or as unreachable if nothing was written. */
+  /** Breaks the exchange off. It ends as failed, or as withdrawn if nothing was written. */
   abort(): void
 }
 
--- a/packages/node/src/direct/TargetExchange.ts
+++ b/packages/node/src/direct/TargetExchange.ts
@@ -31,7 +31,7 @@
     if (this._phase === 'done') return
     this._isAborted = true
     const wasWritten = this._phase === 'written'
-    this._end(wasWritten ? { kind: 'failed', reason: 'timeout', detail: 'aborted' } : { kind: 'unreachable', code: 'aborted' })
+    this._end(wasWritten ? { kind: 'failed', reason: 'timeout', detail: 'aborted' } : { kind: 'withdrawn' })
     this._controller?.abort(new Error('the call has been given up'))
   }
 
--- a/packages/node/src/direct/TargetHost.test.ts
+++ b/packages/node/src/direct/TargetHost.test.ts
@@ -135,6 +135,13 @@
       assert.equal(results.get(1)?.kind, 'refused')
     })
 
+    test.it('is not taken for unreachable because a caller left before there was a connection', () => {
+      host.accept(caller, call(1))
+      client.running[0]?.end({ kind: 'withdrawn' })
+      assert.deepEqual(events, [])
+      assert.equal(results.get(1)?.kind, 'refused')
+    })
+
     test.it('gets no call for another service', () => {
       host.accept(caller, call(1, { service: 'vault' }))
       assert.equal(results.get(1)?.kind, 'refused')
--- a/packages/node/src/direct/TargetHost.ts
+++ b/packages/node/src/direct/TargetHost.ts
@@ -173,6 +173,9 @@
         if (result.targetId !== undefined && result.targetId !== this._options.targetId()) this._options.events.displaced(result.targetId)
         this._refuse(call, { reason: 'target-refused', reachedTarget: true, waitMs: 0 })
         break
+      case 'withdrawn':
+        this._refuse(call, { reason: 'no-target', reachedTarget: false, waitMs: 0 })
+        break
       case 'unreachable':
         this._refuse(call, { reason: 'no-target', reachedTarget: false, waitMs: 0 })
         this._options.events.unreachable(result.code)
--- a/packages/node/src/direct/Types.ts
+++ b/packages/node/src/direct/Types.ts
@@ -42,8 +42,10 @@
   | { readonly kind: 'answered', readonly answer: TargetAnswer, readonly serviceMs: base.Millis }
   /** The target says that it did not run the request. */
   | { readonly kind: 'declined', readonly status: number, readonly targetId: string | undefined }
-  /** Nothing was written. */
+  /** Nothing was written, because no connection could be had. */
   | { readonly kind: 'unreachable', readonly code: string }
+  /** Nothing was written, because this side gave the request up before. */
+  | { readonly kind: 'withdrawn' }
   | { readonly kind: 'failed', readonly reason: direct.FailureReason, readonly detail: string }
 
 /** Answer to a question for the target's health. */
