Forget nodes that are gone, and their records in the store

Cause: a node that was removed stayed in the store and in every table, and all nodes dialed it for ever. Change: a node out of reach for 120 s is forgotten; the first node drops its record. A node that finds its own record missing writes it again.

--- /dev/null
+++ b/packages/common/src/direct/NodeExpiry.test.ts
@@ -0,0 +1,27 @@
+import * as assert from 'node:assert/strict'
+import * as nodeExpiry from './NodeExpiry.js'
+import * as targetTable from './TargetTable.js'
+import * as test from 'node:test'
+
+test.describe('NodeExpiry', () => {
+  test.it('forgets a node that is gone for good, so that nobody dials it for ever', () => {
+    const table = new targetTable.TargetTable()
+    table.put('gone', 'vake', 'till')
+    const expiry = new nodeExpiry.NodeExpiry()
+    assert.deepEqual(expiry.expired(table.all(), 0), [])
+    assert.deepEqual(expiry.expired(table.all(), 120_000), [])
+    assert.deepEqual(expiry.expired(table.all(), 120_001), ['gone'])
+  })
+
+  test.it('starts again when the node was reached in between, so that many short losses do not add up', () => {
+    const table = new targetTable.TargetTable()
+    table.put('back', 'vake', 'till')
+    const expiry = new nodeExpiry.NodeExpiry()
+    expiry.expired(table.all(), 0)
+    table.connected('back', true)
+    expiry.expired(table.all(), 100_000)
+    table.connected('back', false)
+    expiry.expired(table.all(), 110_000)
+    assert.deepEqual(expiry.expired(table.all(), 200_000), [])
+  })
+})
--- a/packages/node/src/direct/DirectNode.ts
+++ b/packages/node/src/direct/DirectNode.ts
@@ -7,6 +7,7 @@
 import * as entryGate from './EntryGate.js'
 import * as ingress from './Ingress.js'
 import * as localTarget from './LocalTarget.js'
+import * as nodeExpiry from '@elmpost/common/direct/NodeExpiry.js'
 import * as nodeLinks from './NodeLinks.js'
 import * as nodeRegistry from './NodeRegistry.js'
 import * as peerServer from '../PeerServer.js'
@@ -61,6 +62,7 @@
   private readonly _callEnded = new emitter.Emitter<directServices.CallMeasured>()
   private readonly _options: DirectNodeOptions
   private readonly _table = new targetTable.TargetTable()
+  private readonly _expiry = new nodeExpiry.NodeExpiry()
   private readonly _calls: directCalls.DirectCalls
   private readonly _entry: entryGate.EntryGate
   private readonly _target: localTarget.LocalTarget
@@ -307,10 +309,20 @@
     if (nowMs >= this._statusAtMs) {
       this._tellStatus()
       this._links.sendToAll({ kind: 'alive', version: this.version })
+      this._forgetNodes(nowMs)
     }
     this._stop.tick()
   }
 
+  private _forgetNodes (nowMs: base.Millis): void {
+    for (const nodeId of this._expiry.expired(this._table.all(), nowMs)) {
+      this._links.disconnect(nodeId)
+      this._table.remove(nodeId)
+      this._options.logger.log('info', 'node-forgotten', { peer: nodeId })
+      if (this._exchange.isFirst) this._registry.drop(nodeId).catch((error: unknown) => { this._unexpected(error) })
+    }
+  }
+
   private _tellStatus (): void {
     this._statusAtMs = this._options.nowMs() + STATUS_MS
     const { state, load } = this._status()
--- a/packages/node/src/direct/NodeRegistry.ts
+++ b/packages/node/src/direct/NodeRegistry.ts
@@ -53,10 +53,10 @@
     return this._write()
   }
 
-  /** Drops the node's record before its process ends for good. */
-  public withdraw (): Promise<void> {
-    this._wanted = undefined
-    return this._written === undefined ? Promise.resolve() : this._write()
+  /** Drops the record of a node that has been out of reach for long. It writes its record again if it lives. */
+  public async drop (nodeId: base.NodeId): Promise<void> {
+    const result = await this._options.store.put(NODES_TOPIC, nodeId, undefined, PUT_TIMEOUT_MS)
+    this._options.logger.log('info', 'node-record-dropped', { peer: nodeId, outcome: result.kind })
   }
 
   public dispose (): void {
@@ -81,6 +81,13 @@
     })
   }
 
+  /** Another node may have dropped the record of this one while it could not be reached. */
+  private _compareOwn (stored: Buffer | undefined): void {
+    this._written = stored
+    if (this._wanted === undefined || this._writes.size + this._writes.pending > 0) return
+    this._write().catch((error: unknown) => { this._options.logger.log('error', 'unexpected-error', { problem: String(error) }) })
+  }
+
   /** Of two nodes that start together, each may have read before the other wrote. */
   private _readAfterFirstWrite (): void {
     if (this._hasWritten) return
@@ -109,8 +116,8 @@
       const record = value === undefined ? undefined : recordOf(key, value)
       if (record !== undefined) records.push(record)
       else if (value !== undefined) this._options.logger.log('warn', 'node-record-refused', { key })
-      if (key === this._options.selfId && this._written === undefined) this._written = value
     }
+    this._compareOwn(result.records.find(({ key }) => key === this._options.selfId)?.value)
     this._nodes.fire(records)
     return true
   }
