Leave a node soon that does not answer calls

Cause: nodes that lose power or are cut off stayed candidates for 1.5 s. Change: a node that has told nothing since calls were sent to it, for 0.4 s and four times its mean, is used only if there is no other one.

--- a/packages/common/src/direct/DirectCalls.ts
+++ b/packages/common/src/direct/DirectCalls.ts
@@ -220,7 +220,7 @@
     call.attempts += 1
     call.tried ??= new Set()
     call.tried.add(row.nodeId)
-    this._options.table.sent(row.nodeId)
+    this._options.table.sent(row.nodeId, nowMs)
     const { callId, service, rule, deadlineAtMs, beganAtMs } = call
     return { kind: 'send', callId, nodeId: row.nodeId, service, rule, deadlineAtMs, beganAtMs }
   }
--- a/packages/common/src/direct/TargetPicker.test.ts
+++ b/packages/common/src/direct/TargetPicker.test.ts
@@ -25,7 +25,7 @@
     for (let call = 0; call < count; call++) {
       const { row } = picker.pick({ ...CALL, bytes }, NOTHING, 0)
       if (row === undefined) continue
-      table.sent(row.nodeId)
+      table.sent(row.nodeId, 0)
       picked.set(row.nodeId, (picked.get(row.nodeId) ?? 0) + 1)
     }
     return picked
@@ -109,4 +109,14 @@
     for (const nodeId of ['slow', 'busy']) table.heard(nodeId, 20_000)
     assert.equal(picker.pick(CALL, NOTHING, 20_000).row?.nodeId, 'slow')
   })
+
+  test.it('leaves a node soon that tells nothing since calls were sent to it, and comes back with its next word', () => {
+    add('lost', 'vake')
+    add('busy', 'vake', { running: 4, queued: 4 })
+    table.sent('lost', 0)
+    assert.equal(picker.pick(CALL, NOTHING, 300).row?.nodeId, 'lost')
+    assert.equal(picker.pick(CALL, NOTHING, 500).row?.nodeId, 'busy')
+    table.load('lost', LOAD)
+    assert.equal(picker.pick(CALL, NOTHING, 500).row?.nodeId, 'lost')
+  })
 })
--- a/packages/common/src/direct/TargetPicker.ts
+++ b/packages/common/src/direct/TargetPicker.ts
@@ -12,6 +12,9 @@
 /** Nodes say something each second; one that has been silent for longer is used only if there is no other. */
 const SILENT_MS = 1_500
 const SILENT_COST_MS = 10_000
+/** So is one that has told nothing since calls were sent to it, for this time and some times its mean. */
+const UNANSWERED_MS = 400
+const UNANSWERED_CALLS = 4
 /** Spreads calls over targets that cost about the same. */
 const JITTER_SHARE = 0.1
 
@@ -76,7 +79,7 @@
     const memory = targetTable.memoryAt(row, nowMs)
     const failures = row.failureShare * memory * FAILURE_COST
     const targetMs = serviceMs * (1 + crowded * CROWDED_COST + failures) + waitMs + row.delayMs * memory
-    const silenceMs = row.nodeId !== this._options.selfId && nowMs - row.heardAtMs > SILENT_MS ? SILENT_COST_MS : 0
+    const silenceMs = row.nodeId !== this._options.selfId && isSilent(row, nowMs) ? SILENT_COST_MS : 0
     return targetMs * (1 + JITTER_SHARE * this._options.random.nextFloat()) + this._distanceMs(row, bytes) + silenceMs
   }
 
@@ -89,3 +92,8 @@
 function expectedWaitMs ({ load: { running, queued, slots, serviceMs }, sentSince }: targetTable.TargetRow): base.Millis {
   return Math.max(0, running + queued + sentSince + 1 - slots) / slots * serviceMs
 }
+
+function isSilent ({ heardAtMs, sentSince, sentSinceMs, load }: targetTable.TargetRow, nowMs: base.Millis): boolean {
+  if (nowMs - heardAtMs > SILENT_MS) return true
+  return sentSince > 0 && nowMs - sentSinceMs > Math.max(UNANSWERED_MS, UNANSWERED_CALLS * load.serviceMs)
+}
--- a/packages/common/src/direct/TargetTable.ts
+++ b/packages/common/src/direct/TargetTable.ts
@@ -23,8 +23,9 @@
   load: types.TargetLoad
   version: number
   storeAgeMs: base.Millis
-  /** Calls sent since the load was told. */
+  /** Calls sent since the load was told, and when the first of them was sent. */
   sentSince: number
+  sentSinceMs: base.Millis
   /** Share of recent calls that the target failed or refused. */
   failureShare: number
   /** Time that recent calls took beyond what the host tells, for example because its VM is slow. */
@@ -84,6 +85,7 @@
       version: 0,
       storeAgeMs: Infinity,
       sentSince: 0,
+      sentSinceMs: 0,
       failureShare: 0,
       delayMs: 0,
       updatedAtMs: 0,
@@ -135,9 +137,11 @@
     if (row !== undefined) row.heardAtMs = nowMs
   }
 
-  public sent (nodeId: base.NodeId): void {
+  public sent (nodeId: base.NodeId, nowMs: base.Millis): void {
     const row = this._rows.get(nodeId)
-    if (row !== undefined) row.sentSince += 1
+    if (row === undefined) return
+    if (row.sentSince === 0) row.sentSinceMs = nowMs
+    row.sentSince += 1
   }
 
   /** Counts the end of a call that was sent to the node `tookMs` ago. */
