Keep calls that run once from failing targets; stop when callers have gone

Bookings went to targets that lost two fifths of their answers as readily as calls that can be sent again. Two stopping machines left at 2.8 s of a grace of 6 s while callers still came to them.

Change: failures weigh five times more for calls that are not idempotent. A stopping node goes on while callers come, and refuses only calls that may outlast it. The cost of another zone moves from DirectNode to the core.

--- a/packages/common/src/direct/DirectCalls.test.ts
+++ b/packages/common/src/direct/DirectCalls.test.ts
@@ -9,7 +9,7 @@
 import type * as types from './Types.js'
 
 const LOAD = { running: 0, queued: 0, slots: 4, serviceMs: 50 }
-const REQUEST = { host: 'booth.example', path: '/price/1', remainingMs: 800, bodyBytes: 0 }
+const REQUEST = { host: 'booth.example', path: '/price/1', remainingMs: 800, bodyBytes: 0, endByMs: Infinity }
 const CHARGE = { ...REQUEST, path: '/charge/1' }
 const ROUTES = [testRules.route(), testRules.route({ name: 'charge', pathPrefix: '/charge/', kind: 'non-idempotent', priority: 1 })]
 
@@ -97,6 +97,14 @@
       assert.ok(answer.retryAfterMs > 0 && answer.retryAfterMs <= 100)
     })
 
+    test.it('is the answer of a stopping node to calls that may outlast it, and not to shorter ones', () => {
+      const { calls } = create()
+      const stopping = { ...REQUEST, endByMs: 1000 }
+      sent(calls.begin(stopping, 200))
+      assert.equal(ended(calls.begin(stopping, 201)).reason, 'stopping')
+      sent(calls.begin({ ...stopping, remainingMs: 100 }, 900))
+    })
+
     test.it('comes at once while there is no configuration or no target, instead of after the deadline', () => {
       const { table } = create()
       const source = new random.Random(1)
--- a/packages/common/src/direct/DirectCalls.ts
+++ b/packages/common/src/direct/DirectCalls.ts
@@ -11,6 +11,8 @@
 const MAX_REFUSALS = 3
 /** Wait announced when nothing is known of the load. */
 const DEFAULT_RETRY_MS = 200
+/** Callers of a node that stops find another one at once. */
+const STOPPING_RETRY_MS = 50
 const MIN_RETRY_MS = 50
 /** Callers keep to a wait of at most this share of the time that they have left. */
 const MAX_WAIT_SHARE = 0.3
@@ -96,6 +98,7 @@
     if (request.bodyBytes > this._rules.limits.maxBodyBytes) return refusal(callId, 'body-too-large', 0, rule)
     const remainingMs = Math.min(request.remainingMs ?? Infinity, rule.timeoutMs)
     if (!(remainingMs > 0)) return refusal(callId, 'deadline', 0, rule)
+    if (nowMs + remainingMs > request.endByMs) return refusal(callId, 'stopping', STOPPING_RETRY_MS, rule)
     const call: Call = {
       callId,
       rule,
@@ -227,7 +230,7 @@
 
   private _pick (call: Call, nowMs: base.Millis): targetPicker.Pick {
     const { service, rule, tried, beganAtMs } = call
-    return this._options.picker.pick({ service, priority: rule.priority, bytes: this._sizeOf(call), onTimeMs: beganAtMs + rule.objectiveMs - nowMs }, tried ?? NOTHING, nowMs)
+    return this._options.picker.pick({ service, priority: rule.priority, bytes: this._sizeOf(call), onTimeMs: beganAtMs + rule.objectiveMs - nowMs, isIdempotent: rule.kind === 'idempotent' }, tried ?? NOTHING, nowMs)
   }
 
   private _sizeOf (call: Call): number {
--- a/packages/common/src/direct/TargetPicker.test.ts
+++ b/packages/common/src/direct/TargetPicker.test.ts
@@ -6,7 +6,7 @@
 import type * as types from './Types.js'
 
 const NOTHING: ReadonlySet<string> = new Set()
-const CALL = { service: 'till', priority: 1, bytes: 1000, onTimeMs: 200 }
+const CALL = { service: 'till', priority: 1, bytes: 1000, onTimeMs: 200, isIdempotent: true }
 const LOAD = { running: 0, queued: 0, slots: 4, serviceMs: 50 }
 
 test.describe('TargetPicker', () => {
@@ -119,4 +119,15 @@
     table.load('lost', LOAD)
     assert.equal(picker.pick(CALL, NOTHING, 500).row?.nodeId, 'lost')
   })
+
+  test.it('sends calls that may run only once to sound targets, and idempotent ones to those that fail now and then', () => {
+    add('failing', 'vake')
+    add('busy', 'vake', { running: 4, queued: 2 })
+    for (let call = 0; call < 2; call++) table.ended('failing', true, 50, 0)
+    assert.equal(picker.pick(CALL, NOTHING, 0).row?.nodeId, 'busy')
+    table.ended('failing', false, 50, 0)
+    for (let call = 0; call < 8; call++) table.ended('failing', false, 50, 0)
+    assert.equal(picker.pick(CALL, NOTHING, 0).row?.nodeId, 'failing')
+    assert.equal(picker.pick({ ...CALL, isIdempotent: false }, NOTHING, 0).row?.nodeId, 'busy')
+  })
 })
--- a/packages/common/src/direct/TargetPicker.ts
+++ b/packages/common/src/direct/TargetPicker.ts
@@ -7,8 +7,8 @@
 const CROWDED_SHARE = 0.75
 /** Slowdown of a target that is full, as a share of its service time. */
 const CROWDED_COST = 0.3
-/** A failed call costs about this many service times, because it is sent again or lost. */
-const FAILURE_COST = 6
+/** A failed call costs about this many service times: an idempotent one is sent again, another one is lost to its caller. */
+const FAILURE_COST = { idempotent: 6, other: 30 } as const
 /** Nodes say something each second; one that has been silent for longer is used only if there is no other. */
 const SILENT_MS = 1_500
 const SILENT_COST_MS = 10_000
@@ -32,6 +32,7 @@
   readonly priority: number
   /** Expected size of request and answer. */
   readonly bytes: number
+  readonly isIdempotent: boolean
   /** Time left in which an answer is on time. */
   readonly onTimeMs: base.Millis
 }
@@ -57,7 +58,7 @@
         isBusy = true
         continue
       }
-      const cost = this._cost(row, call.bytes, nowMs)
+      const cost = this._cost(row, call, nowMs)
       if (cost >= bestCost) continue
       best = row
       bestCost = cost
@@ -71,13 +72,13 @@
     return row.zone !== this._options.zone && expectedWaitMs(row) + row.load.serviceMs > Math.max(call.onTimeMs, row.load.serviceMs)
   }
 
-  private _cost (row: targetTable.TargetRow, bytes: number, nowMs: base.Millis): number {
+  private _cost (row: targetTable.TargetRow, { bytes, isIdempotent }: PickedCall, nowMs: base.Millis): number {
     const { running, queued, slots, serviceMs } = row.load
     const occupied = running + queued + row.sentSince
     const waitMs = expectedWaitMs(row)
     const crowded = Math.max(0, Math.min(1, occupied / slots) - CROWDED_SHARE) / (1 - CROWDED_SHARE)
     const memory = targetTable.memoryAt(row, nowMs)
-    const failures = row.failureShare * memory * FAILURE_COST
+    const failures = row.failureShare * memory * (isIdempotent ? FAILURE_COST.idempotent : FAILURE_COST.other)
     const targetMs = serviceMs * (1 + crowded * CROWDED_COST + failures) + waitMs + row.delayMs * memory
     const silenceMs = row.nodeId !== this._options.selfId && isSilent(row, nowMs) ? SILENT_COST_MS : 0
     return targetMs * (1 + JITTER_SHARE * this._options.random.nextFloat()) + this._distanceMs(row, bytes) + silenceMs
--- a/packages/common/src/direct/Types.ts
+++ b/packages/common/src/direct/Types.ts
@@ -107,6 +107,8 @@
   /** Time that the caller waits; undefined if it does not say. */
   readonly remainingMs: base.Millis | undefined
   readonly bodyBytes: number
+  /** Until when the call must have ended, because the node ends then. */
+  readonly endByMs: base.Millis
 }
 
 export type RefusalReason =
--- a/packages/node/src/direct/DirectNode.ts
+++ b/packages/node/src/direct/DirectNode.ts
@@ -16,6 +16,7 @@
 import * as rulesWatch from './RulesWatch.js'
 import * as targetPicker from '@elmpost/common/direct/TargetPicker.js'
 import * as targetTable from '@elmpost/common/direct/TargetTable.js'
+import * as zoneCost from '@elmpost/common/direct/ZoneCost.js'
 import type * as base from '@elmpost/common/base/Types.js'
 import type * as direct from '@elmpost/common/direct/Types.js'
 import type * as directServices from '@elmpost/common/direct/Services.js'
@@ -31,12 +32,6 @@
 const READY_WITHOUT_NODES_MS = 1_500
 /** Longest wait for a record of the store before a leaving target is acknowledged. */
 const RECORD_LEAVING_MS = 300
-/** A call waits at home for this long for each KB that would pass between zones, so that the ones with few bytes leave first. */
-const OTHER_ZONE_MS_PER_KB = 40
-/** Way to another zone and back. */
-const OTHER_ZONE_MS = 4
-const BYTES_PER_KB = 1024
-
 const CALL_OUTCOMES = { answered: 'answered', refuse: 'not-run', fail: 'unknown' } as const
 
 export interface DirectNodeOptions {
@@ -96,7 +91,7 @@
       selfId,
       zone: settings.zone,
       random,
-      otherZoneCostMs: bytes => OTHER_ZONE_MS + OTHER_ZONE_MS_PER_KB * bytes / BYTES_PER_KB
+      otherZoneCostMs: zoneCost.otherZoneCostMs
     })
     this._calls = new directCalls.DirectCalls({ table: this._table, picker, random, retryTerms: settings.retryTerms })
     this._target = this._register(new localTarget.LocalTarget({ settings, dialect, nowMs, logger, callLog: this._log, changed: () => { this._targetChanged() } }))
@@ -111,7 +106,7 @@
       send: (nodeId, call) => this._send(nodeId, call),
       cancel: (nodeId, callId) => this._cancel(nodeId, callId),
       finished: (exchange, end) => { this._finished(exchange, end) },
-      refusesCalls: () => this._stop.refusesCalls
+      callsEndByMs: () => this._stop.callsEndByMs
     }))
     this._ingress = this._register(new ingress.Ingress({ address: addresses.parse(settings.callerAddress), owner: this._entry, dialect }))
     this._peers = this._register(new peerServer.PeerServer({ address: addresses.parse(selfId), accept: socket => { this._links.accept(socket) } }))
@@ -131,6 +126,7 @@
       nowMs,
       logger,
       inFlight: () => this._entry.inFlight + (this._target.host.isIdle ? 0 : 1),
+      lastCallAtMs: () => this._entry.lastBeganAtMs,
       closeCallers: () => this._ingress.close(),
       targetClosed: () => { this._tellStatus() },
       finished: () => {
--- a/packages/node/src/direct/EntryGate.ts
+++ b/packages/node/src/direct/EntryGate.ts
@@ -7,9 +7,6 @@
 import type * as targetTable from '@elmpost/common/direct/TargetTable.js'
 import type * as types from './Types.js'
 
-/** Callers find another node at once. */
-const STOPPING: direct.OwnAnswer = { kind: 'refuse', callId: 0, reason: 'stopping', retryAfterMs: 50, rule: undefined, sends: 0 }
-
 export interface EntryGateOptions {
   readonly nodeId: base.NodeId
   readonly service: string
@@ -22,8 +19,8 @@
   /** Takes a call back. True if it certainly did not run and will not. */
   readonly cancel: (nodeId: base.NodeId, callId: number) => boolean
   readonly finished: (exchange: services.IExchange, end: CallEnd) => void
-  /** The node is about to end. */
-  readonly refusesCalls: () => boolean
+  /** Calls that may last longer are refused, because the node ends then. */
+  readonly callsEndByMs: () => base.Millis
 }
 
 /** How a call ended for its caller. */
@@ -54,6 +51,7 @@
   private readonly _pending = new Map<number, PendingCall>()
   private readonly _ids = new Map<services.IExchange, number>()
   private readonly _deadlines: deadlineTimer.DeadlineTimer
+  private _lastBeganAtMs: base.Millis = 0
 
   constructor (options: EntryGateOptions) {
     this._options = options
@@ -64,15 +62,17 @@
     return this._pending.size
   }
 
+  /** When the last call came. */
+  public get lastBeganAtMs (): base.Millis {
+    return this._lastBeganAtMs
+  }
+
   public begin (exchange: services.IExchange): void {
-    const { calls, nowMs, refusesCalls } = this._options
-    if (refusesCalls()) {
-      exchange.refuse(STOPPING)
-      return
-    }
+    const { calls, nowMs, callsEndByMs } = this._options
     const beganAtMs = nowMs()
+    this._lastBeganAtMs = beganAtMs
     const { host, path, body, info } = exchange
-    const decision = calls.begin({ host, path, remainingMs: info.remainingMs, bodyBytes: body?.length ?? 0 }, beganAtMs)
+    const decision = calls.begin({ host, path, remainingMs: info.remainingMs, bodyBytes: body?.length ?? 0, endByMs: callsEndByMs() }, beganAtMs)
     const call: PendingCall = { exchange, beganAtMs, headers: this._entryHeaders(exchange), route: undefined, nodeId: '', sends: 0, answer: undefined }
     this._pending.set(decision.callId, call)
     this._ids.set(exchange, decision.callId)
--- a/packages/node/src/direct/PlannedStop.ts
+++ b/packages/node/src/direct/PlannedStop.ts
@@ -1,8 +1,10 @@
 import type * as base from '@elmpost/common/base/Types.js'
 import type * as nodeServices from '../Services.js'
 
-/** Callers are sent elsewhere after two questions for readiness, one second apart. Calls that come later are refused, so that none is cut. */
+/** Callers are sent elsewhere after two questions for readiness, one second apart. Later calls are taken if they end in time. */
 const ACCEPT_MS = 2_500
+/** Callers that have not come for this time are taken to have gone elsewhere. */
+const QUIET_MS = 600
 /** The target takes calls of other nodes for this time, which leaves enough for the last ones to end. */
 const TARGET_MS = 1_000
 /** Left between the end of a stop and the end of the grace. */
@@ -15,6 +17,8 @@
   readonly logger: nodeServices.ILogger
   /** Calls that have no final answer. */
   readonly inFlight: () => number
+  /** When the last call of a caller came. */
+  readonly lastCallAtMs: () => base.Millis
   /** Resolves when no caller is connected any more. */
   readonly closeCallers: () => Promise<void>
   readonly finished: () => void
@@ -39,9 +43,11 @@
     return this._sinceMs !== undefined && this._options.nowMs() - this._sinceMs >= TARGET_MS
   }
 
-  /** Whether calls that come now would not be sure to end in time. */
-  public get refusesCalls (): boolean {
-    return this._sinceMs !== undefined && this._options.nowMs() - this._sinceMs >= ACCEPT_MS
+  /** Calls that may last longer than this are refused, so that none is cut. Infinite while all calls are taken. */
+  public get callsEndByMs (): base.Millis {
+    const { graceMs, nowMs } = this._options
+    if (this._sinceMs === undefined || nowMs() - this._sinceMs < ACCEPT_MS) return Infinity
+    return this._sinceMs + graceMs - MARGIN_MS
   }
 
   public begin (): void {
@@ -51,14 +57,15 @@
 
   public tick (): void {
     if (this._sinceMs === undefined || this._isFinishing) return
-    const { graceMs, nowMs, inFlight, logger } = this._options
+    const { graceMs, nowMs, inFlight, lastCallAtMs, logger } = this._options
     const elapsedMs = nowMs() - this._sinceMs
+    const isQuiet = elapsedMs >= ACCEPT_MS && nowMs() - lastCallAtMs() >= QUIET_MS
     if (this.closesTarget && !this._hasClosedTarget) {
       this._hasClosedTarget = true
       this._options.targetClosed()
     }
     const isIdle = inFlight() === 0
-    if (elapsedMs < graceMs - MARGIN_MS && (elapsedMs < ACCEPT_MS || !isIdle)) return
+    if (elapsedMs < graceMs - MARGIN_MS && !(isQuiet && isIdle)) return
     this._isFinishing = true
     logger.log(isIdle ? 'info' : 'warn', 'stopped', { inFlight: inFlight() })
     this._finish(isIdle).catch((error: unknown) => { logger.log('error', 'unexpected-error', { problem: String(error) }) })
