Judge the wait of urgent calls by the urgent part of a queue

The entry node took the whole queue of a host for their wait, so hosts in other zones seemed too busy and the one at home too slow.

Change: hosts tell how much of their queue is urgent and which priority is the least urgent; the wait of more urgent calls is judged by that part.

--- a/packages/common/src/direct/DirectCalls.test.ts
+++ b/packages/common/src/direct/DirectCalls.test.ts
@@ -8,7 +8,7 @@
 import * as testRules from './testing/Rules.js'
 import type * as types from './Types.js'
 
-const LOAD = { running: 0, queued: 0, slots: 4, serviceMs: 50 }
+const LOAD = { running: 0, queued: 0, urgentQueued: 0, leastUrgent: 2, slots: 4, serviceMs: 50 }
 const REQUEST = { host: 'booth.example', path: '/price/1', remainingMs: 800, bodyBytes: 0, endByMs: Infinity }
 const CHARGE = { ...REQUEST, path: '/charge/1' }
 const ROUTES = [testRules.route(), testRules.route({ name: 'charge', pathPrefix: '/charge/', kind: 'non-idempotent', priority: 1 })]
--- a/packages/common/src/direct/SlotQueue.ts
+++ b/packages/common/src/direct/SlotQueue.ts
@@ -44,7 +44,14 @@
   private _slots = 1
 
   public get load (): types.TargetLoad {
-    return { running: this._running.size, queued: this._waiting.length, slots: this._slots, serviceMs: this._allTimes.meanMs }
+    return {
+      running: this._running.size,
+      queued: this._waiting.length,
+      urgentQueued: this._waiting.reduce((count, { call }) => call.priority < this._leastUrgent ? count + 1 : count, 0),
+      leastUrgent: this._leastUrgent,
+      slots: this._slots,
+      serviceMs: this._allTimes.meanMs
+    }
   }
 
   public get isIdle (): boolean {
--- a/packages/common/src/direct/TargetPicker.test.ts
+++ b/packages/common/src/direct/TargetPicker.test.ts
@@ -7,7 +7,7 @@
 
 const NOTHING: ReadonlySet<string> = new Set()
 const CALL = { service: 'till', priority: 1, bytes: 1000, onTimeMs: 200, isIdempotent: true }
-const LOAD = { running: 0, queued: 0, slots: 4, serviceMs: 50 }
+const LOAD = { running: 0, queued: 0, urgentQueued: 0, leastUrgent: 1, slots: 4, serviceMs: 50 }
 
 test.describe('TargetPicker', () => {
   let table: targetTable.TargetTable
@@ -130,4 +130,14 @@
     assert.equal(picker.pick(CALL, NOTHING, 0).row?.nodeId, 'failing')
     assert.equal(picker.pick({ ...CALL, isIdempotent: false }, NOTHING, 0).row?.nodeId, 'busy')
   })
+
+  test.it('does not count less urgent calls as a wait for an urgent one, which would cross to another zone or be refused', () => {
+    add('home', 'vake', { running: 4, queued: 20, leastUrgent: 2 })
+    add('away', 'didube')
+    assert.equal(picker.pick({ ...CALL, bytes: 5000, priority: 2 }, NOTHING, 0).row?.nodeId, 'away')
+    assert.equal(picker.pick({ ...CALL, bytes: 5000, priority: 0 }, NOTHING, 0).row?.nodeId, 'home')
+    table.remove('home')
+    add('away', 'didube', { running: 4, queued: 20, leastUrgent: 2 })
+    assert.equal(picker.pick({ ...CALL, priority: 0 }, NOTHING, 0).row?.nodeId, 'away')
+  })
 })
--- a/packages/common/src/direct/TargetPicker.ts
+++ b/packages/common/src/direct/TargetPicker.ts
@@ -69,13 +69,13 @@
   /** A host that refuses calls is not asked again at once, nor is one in another zone that the call would cross to in vain. */
   private _isTooBusy (row: targetTable.TargetRow, call: PickedCall, nowMs: base.Millis): boolean {
     if (row.avoidUntilMs > nowMs && call.priority >= row.avoidedPriority) return true
-    return row.zone !== this._options.zone && expectedWaitMs(row) + row.load.serviceMs > Math.max(call.onTimeMs, row.load.serviceMs)
+    return row.zone !== this._options.zone && expectedWaitMs(row, call.priority) + row.load.serviceMs > Math.max(call.onTimeMs, row.load.serviceMs)
   }
 
-  private _cost (row: targetTable.TargetRow, { bytes, isIdempotent }: PickedCall, nowMs: base.Millis): number {
+  private _cost (row: targetTable.TargetRow, { bytes, isIdempotent, priority }: PickedCall, nowMs: base.Millis): number {
     const { running, queued, slots, serviceMs } = row.load
     const occupied = running + queued + row.sentSince
-    const waitMs = expectedWaitMs(row)
+    const waitMs = expectedWaitMs(row, priority)
     const crowded = Math.max(0, Math.min(1, occupied / slots) - CROWDED_SHARE) / (1 - CROWDED_SHARE)
     const memory = targetTable.memoryAt(row, nowMs)
     const failures = row.failureShare * memory * (isIdempotent ? FAILURE_COST.idempotent : FAILURE_COST.other)
@@ -90,8 +90,10 @@
   }
 }
 
-function expectedWaitMs ({ load: { running, queued, slots, serviceMs }, sentSince }: targetTable.TargetRow): base.Millis {
-  return Math.max(0, running + queued + sentSince + 1 - slots) / slots * serviceMs
+/** Urgent calls wait only for others like them. */
+function expectedWaitMs ({ load, sentSince }: targetTable.TargetRow, priority: number): base.Millis {
+  const ahead = priority < load.leastUrgent ? load.urgentQueued : load.queued
+  return Math.max(0, load.running + ahead + sentSince + 1 - load.slots) / load.slots * load.serviceMs
 }
 
 function isSilent ({ heardAtMs, sentSince, sentSinceMs, load }: targetTable.TargetRow, nowMs: base.Millis): boolean {
--- a/packages/common/src/direct/Types.ts
+++ b/packages/common/src/direct/Types.ts
@@ -72,6 +72,10 @@
 export interface TargetLoad {
   readonly running: number
   readonly queued: number
+  /** Part of `queued` that is more urgent than the least urgent calls. */
+  readonly urgentQueued: number
+  /** Priority of the least urgent calls that the target gets. */
+  readonly leastUrgent: number
   readonly slots: number
   /** Moving average of the time that a call takes on the target. */
   readonly serviceMs: base.Millis
--- a/packages/node/src/direct/LinkCodec.test.ts
+++ b/packages/node/src/direct/LinkCodec.test.ts
@@ -4,7 +4,7 @@
 import * as msgpackr from 'msgpackr'
 import * as test from 'node:test'
 
-const LOAD = { running: 1, queued: 2, slots: 4, serviceMs: 50 }
+const LOAD = { running: 1, queued: 2, urgentQueued: 1, leastUrgent: 2, slots: 4, serviceMs: 50 }
 
 const MESSAGES: readonly linkCodec.LinkMessage[] = [
   { kind: 'hello', nodeId: '10.0.0.1:7080', zone: 'vake', service: 'till', version: 7 },
--- a/packages/node/src/direct/LinkCodec.ts
+++ b/packages/node/src/direct/LinkCodec.ts
@@ -90,8 +90,8 @@
   }
 }
 
-function loadValues ({ running, queued, slots, serviceMs }: direct.TargetLoad): number[] {
-  return [running, queued, slots, Math.round(serviceMs)]
+function loadValues ({ running, queued, urgentQueued, leastUrgent, slots, serviceMs }: direct.TargetLoad): number[] {
+  return [running, queued, urgentQueued, leastUrgent, slots, Math.round(serviceMs)]
 }
 
 function messageOf (values: Values): LinkMessage | undefined {
@@ -177,9 +177,10 @@
   return { kind: 'nodes', nodes }
 }
 
-function loadOf ([running, queued, slots, serviceMs]: Values): direct.TargetLoad | undefined {
-  if (!isNumber(running) || !isNumber(queued) || !isNumber(slots) || !isNumber(serviceMs) || slots < 1) return undefined
-  return { running, queued, slots, serviceMs }
+function loadOf ([running, queued, urgentQueued, leastUrgent, slots, serviceMs]: Values): direct.TargetLoad | undefined {
+  if (!isNumber(running) || !isNumber(queued) || !isNumber(urgentQueued) || !isNumber(leastUrgent)) return undefined
+  if (!isNumber(slots) || !isNumber(serviceMs) || slots < 1) return undefined
+  return { running, queued, urgentQueued, leastUrgent, slots, serviceMs }
 }
 
 function isNumber (value: unknown): value is number {
