Retry after an error only where a slot is free

Change: an idempotent call is sent again after an error only to a target with a free slot. A lost answer is retried as before.

--- a/packages/common/src/direct/DirectCalls.test.ts
+++ b/packages/common/src/direct/DirectCalls.test.ts
@@ -71,6 +71,13 @@
       assert.equal(calls.answered(second.callId, second.nodeId, 500, 10, 20)?.kind, 'answer')
     })
 
+    test.it('is not sent again after an error while all slots are taken, because the error would come again', () => {
+      const { calls, table } = create(2)
+      const { callId, nodeId } = sent(calls.begin(REQUEST, 0))
+      for (const row of table.all()) table.load(row.nodeId, { ...LOAD, running: 4 })
+      assert.equal(calls.answered(callId, nodeId, 500, 10, 20)?.kind, 'answer')
+    })
+
     test.it('gives out the error of the target if no other target takes the call, because the answer is there', () => {
       const { calls } = create(2)
       const first = sent(calls.begin(REQUEST, 0))
--- a/packages/common/src/direct/DirectCalls.ts
+++ b/packages/common/src/direct/DirectCalls.ts
@@ -155,7 +155,8 @@
     if (isFailure) {
       call.mayHaveRun = true
       call.isAnswered = true
-      const next = this._retry(call, nowMs)
+      // An error is often that of a service called in turn, and would come again. Other callers need busy slots more.
+      const next = this._hasFreeSlot(call, nowMs) ? this._retry(call, nowMs) : undefined
       if (next !== undefined) return next
     }
     const sizeBytes = this._sizeOf(call)
@@ -209,6 +210,11 @@
     return this._sendNext(call, nowMs)
   }
 
+  private _hasFreeSlot (call: Call, nowMs: base.Millis): boolean {
+    const { row } = this._pick(call, nowMs)
+    return row !== undefined && row.load.running + row.sentSince < row.load.slots
+  }
+
   /** Whether another target may be asked after one was reached. Takes from the allowance if so. */
   private _mayAttempt (call: Call, nowMs: base.Millis): boolean {
     if (call.attempts >= call.rule.maxAttempts || call.deadlineAtMs - nowMs < MIN_RETRY_TIME_MS) return false
