Break calls off only at a target that answers nothing

A host broke off running calls, and the entry node answered 502, because one call that was given up before it had a connection marked the target as down.

Change: a target that gives answers is not down because one connection was refused; running calls are broken off only if it answers nothing at all.

--- a/packages/node/src/direct/LocalTarget.ts
+++ b/packages/node/src/direct/LocalTarget.ts
@@ -99,7 +99,7 @@
   private _changed (): void {
     this.host.setSlots(this.watch.slots)
     if (this.watch.state !== 'ready') this.host.refuseWaiting()
-    if (this.watch.state === 'down') this.host.breakOff()
+    if (this.watch.isSilent) this.host.breakOff()
     this._options.changed()
   }
 
--- a/packages/node/src/direct/TargetHost.test.ts
+++ b/packages/node/src/direct/TargetHost.test.ts
@@ -142,6 +142,19 @@
       assert.equal(results.get(1)?.kind, 'refused')
     })
 
+    test.it('is up while it gives answers, although it refuses one connection more', () => {
+      host.setSlots(3)
+      for (const callId of [1, 2, 3]) host.accept(caller, call(callId))
+      client.running[0]?.end(ANSWER)
+      client.running[1]?.end({ kind: 'unreachable', code: 'ECONNRESET' })
+      assert.deepEqual(events, [])
+      assert.equal(results.get(2)?.kind, 'refused')
+      client.running[2]?.end(ANSWER)
+      host.accept(caller, call(4))
+      client.running[3]?.end({ kind: 'unreachable', code: 'ECONNREFUSED' })
+      assert.deepEqual(events, ['unreachable ECONNREFUSED'])
+    })
+
     test.it('gets no call for another service', () => {
       host.accept(caller, call(1, { service: 'vault' }))
       assert.equal(results.get(1)?.kind, 'refused')
--- a/packages/node/src/direct/TargetHost.ts
+++ b/packages/node/src/direct/TargetHost.ts
@@ -50,7 +50,7 @@
   private readonly _calls = new Map<number, HostedCall>()
   private readonly _byCaller = new Map<services.IHostCaller, Map<number, HostedCall>>()
   private _nextId = 1
-  private _answeredAtMs = 0
+  private _answeredAtMs = -Infinity
 
   constructor (options: TargetHostOptions) {
     this._options = options
@@ -119,6 +119,11 @@
     for (const { id } of this._queue.clear()) this._refuseWaiting(id, 'no-target')
   }
 
+  /** A target that gives answers is up. It may still take no more connections. */
+  private get _isAnswering (): boolean {
+    return this._queue.load.running > 0 && this._options.nowMs() - this._answeredAtMs < SILENCE_MS
+  }
+
   private _isSilent (nowMs: base.Millis): boolean {
     let oldestMs = Infinity
     for (const { startedAtMs } of this._calls.values()) oldestMs = Math.min(oldestMs, startedAtMs)
@@ -178,7 +183,7 @@
         break
       case 'unreachable':
         this._refuse(call, { reason: 'no-target', reachedTarget: false, waitMs: 0 })
-        this._options.events.unreachable(result.code)
+        if (!this._isAnswering) this._options.events.unreachable(result.code)
         break
       case 'failed':
         this._options.events.failed(call.message, result.reason, result.detail)
--- a/packages/node/src/direct/TargetWatch.ts
+++ b/packages/node/src/direct/TargetWatch.ts
@@ -26,6 +26,7 @@
   private readonly _options: TargetWatchOptions
   private readonly _register: targetRegister.TargetRegister
   private _isUp = false
+  private _isSilent = false
   private _isProbing = false
   private _probeAtMs = 0
 
@@ -41,6 +42,11 @@
     return this._isUp ? 'ready' : 'down'
   }
 
+  /** The target answers nothing at all, so what runs there gets no answer either. */
+  public get isSilent (): boolean {
+    return this._isSilent && this.state === 'down'
+  }
+
   public get targetId (): string | undefined {
     return this._register.current?.targetId
   }
@@ -87,6 +93,7 @@
   public unreachable (code: string): void {
     if (!this._isUp) return
     this._isUp = false
+    this._isSilent = code === 'silent'
     this._probeAtMs = this._options.nowMs() + PROBE_INTERVAL_MS
     this._options.logger.log('warn', 'target-unreachable', { target: this.targetId, code })
     this._options.changed()
