Share the answers of the administration and status endpoints

Cause: duplicates showed the same metrics and JSON answers in AdminServer and StatusServer. Change: HttpReplies has them once.

--- a/packages/node/src/direct/StatusServer.ts
+++ b/packages/node/src/direct/StatusServer.ts
@@ -1,5 +1,6 @@
 import * as addresses from '../Addresses.js'
 import * as http from 'node:http'
+import * as httpReplies from '../HttpReplies.js'
 import * as polka from 'polka'
 import type * as base from '@elmpost/common/base/Types.js'
 import type * as nodeServices from '@elmpost/common/node/Services.js'
@@ -20,8 +21,8 @@
   constructor (options: StatusServerOptions) {
     this._options = options
     const app = polka.default({ server: this._http })
-    app.get('/metrics', (_request, response) => { this._metrics(response) })
-    app.get('/admin/status', (_request, response) => { reply(response, 200, 'application/json', JSON.stringify(options.status())) })
+    app.get('/metrics', (_request, response) => { httpReplies.sendMetrics(response, options.metrics) })
+    app.get('/admin/status', (_request, response) => { httpReplies.sendJson(response, 200, options.status()) })
     this._http.on('request', app.handler.bind(app) as unknown as http.RequestListener)
   }
 
@@ -33,16 +34,4 @@
     this._http.close()
     this._http.closeAllConnections()
   }
-
-  private _metrics (response: http.ServerResponse): void {
-    const { metrics } = this._options
-    metrics.render().then(
-      text => { reply(response, 200, metrics.contentType, text) },
-      (error: unknown) => { reply(response, 500, 'text/plain', `The metrics cannot be rendered: ${String(error)}`) }
-    )
-  }
-}
-
-function reply (response: http.ServerResponse, status: number, type: string, text: string): void {
-  response.writeHead(status, { 'Content-Type': type, 'Content-Length': Buffer.byteLength(text) }).end(text)
 }
