Remove members of direct calls that nothing uses

Cause: the last reading left DirectCalls.isIdempotent, DirectCalls.inFlight and the reason bad-request without a user. Change: removed.

--- a/packages/common/src/direct/DirectCalls.ts
+++ b/packages/common/src/direct/DirectCalls.ts
@@ -77,10 +77,6 @@
     return this._rules
   }
 
-  public get inFlight (): number {
-    return this._calls.size
-  }
-
   /** Puts a configuration into force. Calls in flight keep the route that they began with. False if it is not newer. */
   public enforce (rules: types.MeshRules): boolean {
     if (this._rules !== undefined && rules.version <= this._rules.version) return false
@@ -172,11 +168,6 @@
     return call?.to
   }
 
-  /** Whether the call may be run more than once. */
-  public isIdempotent (callId: number): boolean {
-    return this._calls.get(callId)?.rule.kind === 'idempotent'
-  }
-
   public get nextDeadlineMs (): base.Millis {
     let earliestMs = Infinity
     for (const call of this._calls.values()) earliestMs = Math.min(earliestMs, call.deadlineAtMs)
--- a/packages/common/src/direct/Types.ts
+++ b/packages/common/src/direct/Types.ts
@@ -116,7 +116,7 @@
 }
 
 export type RefusalReason =
-  | 'no-configuration' | 'no-route' | 'body-too-large' | 'no-target' | 'busy' | 'target-refused' | 'deadline' | 'bad-request' | 'stopping'
+  | 'no-configuration' | 'no-route' | 'body-too-large' | 'no-target' | 'busy' | 'target-refused' | 'deadline' | 'stopping'
 
 export type FailureReason = 'timeout' | 'peer-lost' | 'target-lost' | 'bad-answer'
 
