Use only fresh connections to a target that forgets idle ones

Cause: a target may drop idle connections without notice. Change: a connection that ends within 100 ms of a request and before any answer shortens the idle time of the target's connections to 150 ms for 30 s (IdleLimit). Measured with the stand-in, four charges 350 ms apart: 502 200 502 200 before (each second one meets the connection of the one before), 502 200 200 200 after.

--- a/packages/node/src/direct/TargetClient.ts
+++ b/packages/node/src/direct/TargetClient.ts
@@ -1,12 +1,12 @@
 import * as httpClients from '../HttpClients.js'
+import * as idleLimit from '@elmpost/common/direct/IdleLimit.js'
 import * as targetExchange from './TargetExchange.js'
 import type * as base from '@elmpost/common/base/Types.js'
 import type * as services from './Services.js'
 import type * as types from './Types.js'
 import type * as undici from 'undici'
 
-/** Idle connections are kept until the target closes them or tells another time. */
-const KEEP_ALIVE_MS = 8_000
+/** Longest idle time that a target may tell. */
 const KEEP_ALIVE_MAX_MS = 600_000
 /** Subtracted from the idle time that the target tells, so that no request meets a closing connection. */
 const KEEP_ALIVE_MARGIN_MS = 1_000
@@ -24,25 +24,25 @@
 
 /** Sends requests to the target, one at a time on each connection. */
 export class TargetClient implements services.ITargetClient {
-  private readonly _pool: undici.Pool
+  private readonly _idle = new idleLimit.IdleLimit()
+  private _idleLimitMs: base.Millis
+  private _pool: undici.Pool
 
   constructor (private readonly _options: TargetClientOptions) {
-    this._pool = new httpClients.Pool(`http://${_options.address}`, {
-      connections: _options.maxConnections,
-      pipelining: 1,
-      keepAliveTimeout: KEEP_ALIVE_MS,
-      keepAliveMaxTimeout: KEEP_ALIVE_MAX_MS,
-      keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
-      // The node ends calls at their deadlines.
-      headersTimeout: 0,
-      bodyTimeout: 0,
-      connect: this._connector()
-    })
+    this._idleLimitMs = this._idle.limitMs(_options.nowMs())
+    this._pool = this._openPool()
   }
 
   public run (request: services.ITargetRequest, ended: (result: types.RunResult) => void): services.ITargetRun {
     const { dialect, nowMs } = this._options
-    const exchange = new targetExchange.TargetExchange({ requestId: request.requestId, dialect, nowMs, ended })
+    this._followIdleLimit()
+    const exchange = new targetExchange.TargetExchange({
+      requestId: request.requestId,
+      dialect,
+      nowMs,
+      ended,
+      reset: afterMs => { this._idle.reset(afterMs, nowMs()) }
+    })
     try {
       this._pool.dispatch({
         path: request.path,
@@ -77,6 +77,31 @@
     this._pool.destroy().catch(() => {})
   }
 
+  /** The idle time of a pool is fixed, so a changed one needs another pool. Running requests end on their connections. */
+  private _followIdleLimit (): void {
+    const limitMs = this._idle.limitMs(this._options.nowMs())
+    if (limitMs === this._idleLimitMs) return
+    this._idleLimitMs = limitMs
+    this.close()
+    this._pool = this._openPool()
+  }
+
+  private _openPool (): undici.Pool {
+    const { address, maxConnections } = this._options
+    return new httpClients.Pool(`http://${address}`, {
+      connections: maxConnections,
+      pipelining: 1,
+      keepAliveTimeout: this._idleLimitMs,
+      // Targets may tell a longer time than the usual one.
+      keepAliveMaxTimeout: this._idleLimitMs === idleLimit.USUAL_MS ? KEEP_ALIVE_MAX_MS : this._idleLimitMs,
+      keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
+      // The node ends calls at their deadlines.
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      connect: this._connector()
+    })
+  }
+
   /**
    * An answer without a length ends with its connection. The library takes a reset for such an end too and would give a
    * part of an answer out as the whole, so a reset is reported under another code.
--- a/packages/node/src/direct/TargetExchange.ts
+++ b/packages/node/src/direct/TargetExchange.ts
@@ -1,4 +1,5 @@
 import * as rawHeaderFilter from './RawHeaderFilter.js'
+import type * as base from '@elmpost/common/base/Types.js'
 import type * as http from 'node:http'
 import type * as services from './Services.js'
 import type * as types from './Types.js'
@@ -9,8 +10,10 @@
 export interface TargetExchangeOptions {
   readonly requestId: string
   readonly dialect: services.ICallDialect
-  readonly nowMs: () => number
+  readonly nowMs: () => base.Millis
   readonly ended: (result: types.RunResult) => void
+  /** The connection ended this long after the request was written, before any part of an answer. */
+  readonly reset: (afterMs: base.Millis) => void
 }
 
 /** One request to the target: the handler of its exchange. */
@@ -80,6 +83,7 @@
 
   public onResponseError (_controller: undici.Dispatcher.DispatchController | null, error: Error): void {
     const code = (error as NodeJS.ErrnoException).code ?? error.message
+    if (this._phase === 'written' && this._status === 0) this._options.reset(this._options.nowMs() - this._writtenAtMs)
     if (this._phase === 'waiting') this._end({ kind: 'unreachable', code })
     else this._end({ kind: 'failed', reason: 'target-lost', detail: code })
   }
