Add a fault soak of the platform program

Cause: the users ask for a randomized soak that runs the real programs as processes and injects faults from outside. Change: npm run soak starts nodes as processes with stand-ins for the store, the targets and the callers, relays each node's connections (delay, reset, silence, one way), and kills, stops, pauses and reloads processes by a seeded plan of single faults, series and overlaps. It checks that calls run at most once, refusals are true, answers are whole and belong to their request, planned stops cut nothing, leaving targets get no new work, configurations never go back and calls are served again within 15 s. Nodes can listen for others at another address than the one that they announce, for the relay. A run of 5 s is part of the tests. Clocks are not stepped: no decision of a node uses the time of day.

--- a/packages/node/src/direct/DirectNode.ts
+++ b/packages/node/src/direct/DirectNode.ts
@@ -109,7 +109,7 @@
       callsEndByMs: () => this._stop.callsEndByMs
     }))
     this._ingress = this._register(new ingress.Ingress({ address: addresses.parse(settings.callerAddress), owner: this._entry, dialect }))
-    this._peers = this._register(new peerServer.PeerServer({ address: addresses.parse(selfId), accept: socket => { this._links.accept(socket) } }))
+    this._peers = this._register(new peerServer.PeerServer({ address: addresses.parse(settings.peerListenAddress), accept: socket => { this._links.accept(socket) } }))
     this._watch = this._register(new rulesWatch.RulesWatch({ store, format: options.rulesFormat, nowMs, random, logger, isReader: () => this._exchange.isReader }))
     this._exchange = new rulesExchange.RulesExchange({
       selfId,
--- a/packages/node/src/direct/Types.ts
+++ b/packages/node/src/direct/Types.ts
@@ -103,6 +103,8 @@
   readonly callerAddress: string
   /** `host:port` for other nodes; it is also the node's id. */
   readonly peerAddress: string
+  /** `host:port` to listen on for other nodes; another one than `peerAddress` if they come through a relay. */
+  readonly peerListenAddress: string
   /** Peer addresses of nodes that may be up. */
   readonly seeds: readonly string[]
   /** Longest time from a stop signal until the process has to be gone. */
--- /dev/null
+++ b/packages/testbed/src/soak/FaultPlan.ts
@@ -0,0 +1,72 @@
+import * as random from '@elmpost/common/base/Random.js'
+
+/**
+ * Faults from outside the processes. `kill`, `stop`, `pause` and `reload` are signals to a node; `links`, `store-link` and
+ * `target-link` harm the connections of one node; `store` harms the store for all; `target-leaves` and `target-crashes` end the
+ * target beside a node; `configure` puts a new configuration in force.
+ */
+export type FaultKind =
+  | 'kill' | 'stop' | 'pause' | 'reload' | 'links' | 'store-link' | 'target-link' | 'store' | 'target-leaves' | 'target-crashes' | 'configure'
+
+/** What a relay does to connections. `one-way` passes nothing of what the caller sends. */
+export type LinkFault = 'delay' | 'reset' | 'silent' | 'one-way'
+
+export type StoreFault = 'down' | 'silent' | 'lost'
+
+export interface Fault {
+  readonly kind: FaultKind
+  readonly atMs: number
+  readonly durationMs: number
+  /** Place of the node in the fleet. */
+  readonly node: number
+  readonly link: LinkFault
+  readonly store: StoreFault
+}
+
+export interface FaultPlanOptions {
+  readonly seed: number
+  readonly nodeCount: number
+  readonly lengthMs: number
+  readonly faultCount: number
+}
+
+/** A kind stands once for each part of its weight. */
+const KINDS: readonly FaultKind[] = [
+  'kill', 'kill', 'stop', 'stop', 'pause', 'reload', 'links', 'links', 'store-link', 'target-link', 'store', 'store', 'target-leaves',
+  'target-crashes', 'configure', 'configure', 'configure'
+]
+const LINK_FAULTS: readonly LinkFault[] = ['delay', 'reset', 'silent', 'one-way']
+const STORE_FAULTS: readonly StoreFault[] = ['down', 'silent', 'lost']
+const MIN_DURATION_MS = 300
+const MAX_DURATION_MS = 5_000
+/** Share of the faults that strike several nodes one after the other. */
+const SERIES_SHARE = 0.3
+const LONGEST_SERIES = 3
+const MAX_GAP_MS = 1_200
+
+/** Faults of one run, in the order of their times. The same seed gives the same plan. Faults may overlap. */
+export function faultPlan (options: FaultPlanOptions): readonly Fault[] {
+  const { seed, nodeCount, lengthMs, faultCount } = options
+  const generator = new random.Random(seed)
+  const faults: Fault[] = []
+  while (faults.length < faultCount) {
+    const first: Fault = {
+      kind: pick(KINDS, generator),
+      atMs: generator.nextInt(lengthMs),
+      durationMs: MIN_DURATION_MS + generator.nextInt(MAX_DURATION_MS - MIN_DURATION_MS),
+      node: generator.nextInt(nodeCount),
+      link: pick(LINK_FAULTS, generator),
+      store: pick(STORE_FAULTS, generator)
+    }
+    const steps = generator.nextFloat() < SERIES_SHARE ? 2 + generator.nextInt(LONGEST_SERIES - 1) : 1
+    const gapMs = generator.nextInt(MAX_GAP_MS)
+    for (let step = 0; step < steps; step++) {
+      faults.push({ ...first, atMs: Math.min(lengthMs, first.atMs + step * gapMs), node: (first.node + step) % nodeCount })
+    }
+  }
+  return faults.sort((one, other) => one.atMs - other.atMs)
+}
+
+function pick<T> (values: readonly T[], generator: random.Random): T {
+  return values[generator.nextInt(values.length)] as T
+}
--- /dev/null
+++ b/packages/testbed/src/soak/FaultRelay.test.ts
@@ -0,0 +1,64 @@
+import * as assert from 'node:assert/strict'
+import * as faultRelay from './FaultRelay.js'
+import * as net from 'node:net'
+import * as test from 'node:test'
+import * as timers from 'node:timers/promises'
+
+test.describe('FaultRelay', () => {
+  let callee: net.Server
+  const echoing = new Set<net.Socket>()
+  let relay: faultRelay.FaultRelay
+  let port: number
+
+  test.beforeEach(async () => {
+    callee = net.createServer(socket => {
+      socket.on('error', () => {})
+      socket.pipe(socket)
+      echoing.add(socket)
+    })
+    await new Promise<void>(resolve => { callee.listen(0, '127.0.0.1', resolve) })
+    relay = new faultRelay.FaultRelay(() => (callee.address() as net.AddressInfo).port)
+    port = await relay.listen()
+  })
+
+  test.afterEach(async () => {
+    await relay.close()
+    for (const socket of echoing) socket.destroy()
+    callee.close()
+  })
+
+  /** Sends texts and returns what has come back when the connection ends or nothing more comes. */
+  async function echo (texts: readonly string[], between: (at: number) => void = () => {}): Promise<string> {
+    const socket = net.connect(port, '127.0.0.1')
+    let received = ''
+    socket.on('data', part => { received += part.toString() })
+    socket.on('error', () => { received += ' reset' })
+    for (const [at, text] of texts.entries()) {
+      between(at)
+      socket.write(text)
+      await timers.setTimeout(30)
+    }
+    await timers.setTimeout(300)
+    socket.destroy()
+    return received
+  }
+
+  test.it('passes bytes in both directions', async () => {
+    assert.equal(await echo(['one ', 'two']), 'one two')
+  })
+
+  test.it('keeps the order of bytes when a delay ends', async () => {
+    relay.harm('delay')
+    assert.equal(await echo(['one ', 'two'], at => { if (at === 1) relay.heal() }), 'one two')
+  })
+
+  test.it('passes nothing while silent, and resets the silenced connections afterwards, because bytes are missing', async () => {
+    assert.equal(await echo(['one ', 'two ', 'three'], at => { if (at === 1) relay.harm('silent') }), 'one ')
+    assert.equal(await echo(['one'], () => { setTimeout(() => { relay.heal() }, 50) }), ' reset')
+  })
+
+  test.it('resets open and new connections', async () => {
+    assert.equal(await echo(['one', 'two'], at => { if (at === 1) relay.harm('reset') }), 'one reset')
+    assert.equal(await echo(['one']), ' reset')
+  })
+})
--- /dev/null
+++ b/packages/testbed/src/soak/FaultRelay.ts
@@ -0,0 +1,96 @@
+import * as net from 'node:net'
+import type * as faultPlan from './FaultPlan.js'
+
+/** Delay in each direction while connections are delayed. */
+const DELAY_MS = 120
+
+interface Pair {
+  readonly caller: net.Socket
+  readonly callee: net.Socket
+}
+
+/** Relay on the loopback interface that delays, resets, silences or half closes the connections that pass through it. */
+export class FaultRelay {
+  private readonly _server = net.createServer(socket => { this._accept(socket) })
+  private readonly _pairs = new Set<Pair>()
+  private _fault: faultPlan.LinkFault | undefined
+
+  constructor (private readonly _calleePort: () => number) {}
+
+  public async listen (): Promise<number> {
+    await new Promise<void>(resolve => { this._server.listen(0, '127.0.0.1', resolve) })
+    return (this._server.address() as net.AddressInfo).port
+  }
+
+  public harm (fault: faultPlan.LinkFault): void {
+    this._fault = fault
+    if (fault === 'reset') this._resetAll()
+  }
+
+  /** Connections that were silenced stay dead, as after a partition; new ones work. */
+  public heal (): void {
+    const wasMute = this._fault === 'silent' || this._fault === 'one-way'
+    this._fault = undefined
+    if (wasMute) this._resetAll()
+  }
+
+  public async close (): Promise<void> {
+    this._resetAll()
+    await new Promise<void>(resolve => { this._server.close(() => { resolve() }) })
+  }
+
+  private _accept (caller: net.Socket): void {
+    const callee = net.connect(this._calleePort(), '127.0.0.1')
+    const pair = { caller, callee }
+    this._pairs.add(pair)
+    this._pass(caller, callee, () => this._fault === 'silent' || this._fault === 'one-way')
+    this._pass(callee, caller, () => this._fault === 'silent')
+    for (const socket of [caller, callee]) {
+      socket.setNoDelay(true)
+      socket.on('error', () => { this._reset(pair) })
+      socket.on('close', () => { this._pairs.delete(pair) })
+    }
+    if (this._fault === 'reset') this._reset(pair)
+  }
+
+  private _pass (from: net.Socket, to: net.Socket, isMute: () => boolean): void {
+    const deliveries = new Deliveries()
+    const forward = (deliver: () => void): void => {
+      if (!isMute()) deliveries.add(this._fault === 'delay' ? DELAY_MS : 0, deliver)
+    }
+    from.on('data', (part: Buffer) => { forward(() => { if (!to.destroyed) to.write(part) }) })
+    from.on('end', () => { forward(() => { to.end() }) })
+  }
+
+  private _resetAll (): void {
+    for (const pair of [...this._pairs]) this._reset(pair)
+  }
+
+  private _reset (pair: Pair): void {
+    this._pairs.delete(pair)
+    pair.caller.resetAndDestroy()
+    pair.callee.resetAndDestroy()
+  }
+}
+
+/** Delays what passes in one direction without changing its order. */
+class Deliveries {
+  private readonly _waiting: { readonly dueAtMs: number, readonly deliver: () => void }[] = []
+
+  public add (delayMs: number, deliver: () => void): void {
+    this._waiting.push({ dueAtMs: performance.now() + delayMs, deliver })
+    if (this._waiting.length === 1) this._next()
+  }
+
+  private _next (): void {
+    for (let [first] = this._waiting; first !== undefined; [first] = this._waiting) {
+      const waitMs = first.dueAtMs - performance.now()
+      if (waitMs > 0) {
+        setTimeout(() => { this._next() }, waitMs)
+        return
+      }
+      this._waiting.shift()
+      first.deliver()
+    }
+  }
+}
--- /dev/null
+++ b/packages/testbed/src/soak/Soak.test.ts
@@ -0,0 +1,30 @@
+import * as assert from 'node:assert/strict'
+import * as childProcess from 'node:child_process'
+import * as fs from 'node:fs'
+import * as os from 'node:os'
+import * as path from 'node:path'
+import * as soakRun from './SoakRun.js'
+import * as test from 'node:test'
+import * as url from 'node:url'
+
+const ROOT = url.fileURLToPath(new URL('../../../../', import.meta.url))
+const SEED = 1
+
+test.describe('A short soak of the platform program', () => {
+  let folder: string
+  let program: string
+
+  test.before(() => {
+    folder = fs.mkdtempSync(path.join(os.tmpdir(), 'elmpost-soak-test-'))
+    program = path.join(folder, 'elmpost-node.cjs')
+    childProcess.execFileSync('npm', ['run', '--silent', 'bundle', '--', `--outfile=${program}`], { cwd: ROOT })
+  })
+
+  test.after(() => { fs.rmSync(folder, { recursive: true }) })
+
+  test.it('keeps the promises to callers and targets while faults overlap', async () => {
+    const result = await new soakRun.SoakRun({ seed: SEED, nodeCount: 4, lengthMs: 5_000, faultCount: 6, program, folder }).run()
+    assert.deepEqual(result.problems, [])
+    assert.ok(result.answered > 100, `${result.answered} of ${result.calls} calls were answered`)
+  })
+})
--- /dev/null
+++ b/packages/testbed/src/soak/SoakNode.ts
@@ -0,0 +1,195 @@
+import * as childProcess from 'node:child_process'
+import * as callerStandIn from '@elmpost/platform/standins/CallerStandIn.js'
+import * as faultRelay from './FaultRelay.js'
+import * as fs from 'node:fs'
+import * as meshes from '@elmpost/platform/standins/Mesh.js'
+import * as path from 'node:path'
+import * as targetStandIn from '@elmpost/platform/standins/TargetStandIn.js'
+import * as timers from 'node:timers/promises'
+import * as undici from 'undici'
+import type * as storeStandIn from '@elmpost/platform/standins/StoreStandIn.js'
+
+/** Between two announcements of a target. */
+const ANNOUNCE_MS = 500
+/** Log lines of a process that are kept for the report of a failure. */
+const LINES_KEPT = 400
+/** Wait before a process that has ended is started again. */
+const RESTART_MS = 200
+
+export interface SoakNodeOptions {
+  readonly name: string
+  readonly service: string
+  readonly zone: string
+  /** The bundled program. */
+  readonly program: string
+  readonly folder: string
+  readonly store: storeStandIn.StoreStandIn
+  readonly storePort: number
+}
+
+/** One node as a process of its own, with the target beside it and relays in front of what it talks to. */
+export class SoakNode {
+  public readonly target: targetStandIn.TargetStandIn
+  public readonly peerRelay: faultRelay.FaultRelay
+  public readonly storeRelay: faultRelay.FaultRelay
+  public readonly targetRelay: faultRelay.FaultRelay
+  public readonly lines: string[] = []
+  public caller: callerStandIn.CallerStandIn
+  /** Called when the leaving of a target has been acknowledged. */
+  public onLeavingAcknowledged: (targetId: string) => void = () => {}
+  private readonly _options: SoakNodeOptions
+  private _process: childProcess.ChildProcess | undefined
+  private _ports = { caller: 0, ready: 0, control: 0, peer: 0, status: 0 }
+  private _targetState: 'ready' | 'draining' | 'gone' = 'ready'
+  private _targetStarts = 0
+  private _isClosing = false
+
+  constructor (options: SoakNodeOptions) {
+    this._options = options
+    this.target = new targetStandIn.TargetStandIn(this._nextTargetId(), options.service)
+    this.peerRelay = new faultRelay.FaultRelay(() => this._ports.peer)
+    this.storeRelay = new faultRelay.FaultRelay(() => options.storePort)
+    this.targetRelay = new faultRelay.FaultRelay(() => this._targetPort)
+    this.caller = new callerStandIn.CallerStandIn('127.0.0.1:1')
+  }
+
+  public get name (): string {
+    return this._options.name
+  }
+
+  public get isRunning (): boolean {
+    return this._process !== undefined
+  }
+
+  public async start (): Promise<void> {
+    const [caller = 0, ready = 0, control = 0, peer = 0, status = 0] = await meshes.freePorts(5)
+    this._ports = { caller, ready, control, peer, status }
+    await this.caller.close()
+    this.caller = new callerStandIn.CallerStandIn(`127.0.0.1:${caller}`)
+    await this.target.listen()
+    this._targetPort = Number(this.target.address.split(':')[1])
+    this.target.address = `127.0.0.1:${await this.targetRelay.listen()}`
+    const peerPort = await this.peerRelay.listen()
+    const settings = {
+      nodeName: this.name,
+      zone: this._options.zone,
+      service: this._options.service,
+      ip: '127.0.0.1',
+      peerPorts: [peerPort, peerPort],
+      peerListenAddress: `127.0.0.1:${peer}`,
+      seeds: [],
+      targetAddress: this.target.address,
+      callerAddress: `127.0.0.1:${caller}`,
+      readyAddress: `127.0.0.1:${ready}`,
+      controlAddress: `127.0.0.1:${control}`,
+      storeAddress: `127.0.0.1:${await this.storeRelay.listen()}`,
+      statusPort: status,
+      bounds: { grace: '6s', 'retry-budget-ratio': '0.2', 'budget-slack': '60', 'budget-window': '10s' }
+    }
+    fs.writeFileSync(this._settingsPath, JSON.stringify(settings))
+    this._spawn()
+    this._announceAgain()
+  }
+
+  /** Sends a signal to the process of this node, and to no other. */
+  public signal (signal: NodeJS.Signals): void {
+    this._process?.kill(signal)
+  }
+
+  /** Resolves when the present process has ended. Another one is started soon after it. */
+  public async ended (): Promise<void> {
+    const running = this._process
+    if (running === undefined || running.exitCode !== null || running.signalCode !== null) return
+    await new Promise(resolve => { running.once('exit', resolve) })
+  }
+
+  public async isReady (): Promise<boolean> {
+    const answer = await undici.request(`http://127.0.0.1:${this._ports.ready}/v1/readiness`).catch(() => undefined)
+    await answer?.body.dump()
+    return answer?.statusCode === 200
+  }
+
+  /** The target says that it leaves, serves a while, and another one takes its place. */
+  public async replaceTarget (servesForMs: number): Promise<void> {
+    if (this._targetState !== 'ready') return
+    this._targetState = 'draining'
+    await this._announce()
+    await timers.setTimeout(servesForMs)
+    await this.target.deregister(this._controlAddress).catch(() => 0)
+    await this._restartTarget()
+  }
+
+  /** The target ends without notice, and another one takes its place. */
+  public async crashTarget (downMs: number): Promise<void> {
+    if (this._targetState !== 'ready') return
+    this._targetState = 'gone'
+    await this.target.close()
+    await timers.setTimeout(downMs)
+    await this._restartTarget()
+  }
+
+  public async close (): Promise<void> {
+    this._isClosing = true
+    const ended = this.ended()
+    this.signal('SIGCONT')
+    this.signal('SIGKILL')
+    await ended
+    await this.caller.close()
+    await Promise.all([this.peerRelay.close(), this.storeRelay.close(), this.targetRelay.close()])
+    await this.target.close()
+  }
+
+  private _targetPort = 0
+
+  private get _settingsPath (): string {
+    return path.join(this._options.folder, `${this.name}.json`)
+  }
+
+  private get _controlAddress (): string {
+    return `127.0.0.1:${this._ports.control}`
+  }
+
+  private _spawn (): void {
+    if (this._isClosing) return
+    const { program, folder } = this._options
+    const child = childProcess.spawn(process.execPath, ['--max-old-space-size=96', program], { cwd: folder, env: { ...process.env, ELMPOST_CONFIG: this._settingsPath }, stdio: ['ignore', 'pipe', 'pipe'] })
+    this._process = child
+    for (const stream of [child.stdout, child.stderr]) stream.on('data', (part: Buffer) => { this._keep(part) })
+    child.once('exit', () => {
+      this._process = undefined
+      setTimeout(() => { this._spawn() }, RESTART_MS)
+    })
+  }
+
+  private _keep (part: Buffer): void {
+    this.lines.push(...part.toString().split('\n').filter(line => line !== ''))
+    this.lines.splice(0, Math.max(0, this.lines.length - LINES_KEPT))
+  }
+
+  private _announceAgain (): void {
+    if (this._isClosing) return
+    this._announce().finally(() => { setTimeout(() => { this._announceAgain() }, ANNOUNCE_MS) }).catch(() => {})
+  }
+
+  private async _announce (): Promise<void> {
+    if (this._targetState === 'gone') return
+    const { targetId } = this.target
+    const isLeaving = this._targetState === 'draining'
+    const status = await this.target.announce(this._controlAddress, this._targetState).catch(() => 0)
+    if (status === 200 && isLeaving) this.onLeavingAcknowledged(targetId)
+  }
+
+  private async _restartTarget (): Promise<void> {
+    const relayAddress = this.target.address
+    await this.target.close()
+    this.target.targetId = this._nextTargetId()
+    await this.target.listen(this._targetPort)
+    this.target.address = relayAddress
+    this._targetState = 'ready'
+  }
+
+  private _nextTargetId (): string {
+    this._targetStarts += 1
+    return `${this._options.name}-t${this._targetStarts}`
+  }
+}
--- /dev/null
+++ b/packages/testbed/src/soak/SoakRun.ts
@@ -0,0 +1,274 @@
+import * as callerStandIn from '@elmpost/platform/standins/CallerStandIn.js'
+import * as documents from '@elmpost/platform/standins/Documents.js'
+import * as faultPlan from './FaultPlan.js'
+import * as fs from 'node:fs'
+import * as random from '@elmpost/common/base/Random.js'
+import * as rulesFormat from '@elmpost/platform/RulesFormat.js'
+import * as soakLedger from './SoakLedger.js'
+import * as soakNode from './SoakNode.js'
+import * as storeStandIn from '@elmpost/platform/standins/StoreStandIn.js'
+import * as timers from 'node:timers/promises'
+import * as versionWatch from './VersionWatch.js'
+
+const ZONES = ['vake', 'didube']
+const SERVICES = ['till', 'vault']
+const CALLS_PER_S = 120
+const DEADLINE_MS = 1_500
+const MAX_SENDS = 3
+const MAX_RETRY_MS = 400
+const POLL_MS = 50
+const START_MS = 20_000
+/** Stated by the users: most calls are served again this long after the last fault. */
+const RECOVERY_MS = 15_000
+const RECOVERED_SHARE = 0.95
+const RECOVERY_CALLS = 100
+/** How long a target that leaves goes on. */
+const DRAIN_MS = 2_500
+
+export interface SoakOptions {
+  readonly seed: number
+  readonly nodeCount: number
+  readonly lengthMs: number
+  readonly faultCount: number
+  /** The bundled program. */
+  readonly program: string
+  /** For settings files. */
+  readonly folder: string
+}
+
+export interface SoakResult {
+  readonly seed: number
+  readonly faults: readonly faultPlan.Fault[]
+  readonly calls: number
+  readonly answered: number
+  /** Broken promises, one line each. */
+  readonly problems: readonly string[]
+  /** Last log lines of each node, if a promise was broken. */
+  readonly logs: ReadonlyMap<string, readonly string[]>
+}
+
+/** One soak: real processes under load, faults by a seeded plan, and checks of what callers and targets saw. */
+export class SoakRun {
+  private readonly _options: SoakOptions
+  private readonly _random: random.Random
+  private readonly _store = new storeStandIn.StoreStandIn()
+  private readonly _ledger = new soakLedger.SoakLedger()
+  private readonly _versions: versionWatch.VersionWatch
+  private readonly _nodes: soakNode.SoakNode[] = []
+  private readonly _pending = new Set<Promise<void>>()
+  private _isLoading = true
+  private _nextCall = 1
+
+  constructor (options: SoakOptions) {
+    this._options = options
+    this._random = new random.Random(options.seed + 1)
+    this._versions = new versionWatch.VersionWatch(version => { this._configure(version) })
+  }
+
+  public async run (): Promise<SoakResult> {
+    const plan = faultPlan.faultPlan(this._options)
+    try {
+      await this._start()
+      const load = this._load()
+      const watch = this._versions.watch(this._nodes, () => this._isLoading)
+      await this._play(plan)
+      const problems = await this._recover()
+      this._isLoading = false
+      await Promise.all([load, watch, ...this._pending])
+      return this._result(plan, problems)
+    } finally {
+      this._isLoading = false
+      await Promise.all(this._nodes.map(async node => { await node.close() }))
+      await this._store.close()
+    }
+  }
+
+  private async _start (): Promise<void> {
+    const storePort = Number((await this._store.listen()).split(':')[1])
+    this._versions.apply()
+    const { nodeCount, program, folder } = this._options
+    for (let at = 0; at < nodeCount; at++) {
+      const node = new soakNode.SoakNode({ name: `vm-${at + 1}`, service: SERVICES[at % 2] ?? '', zone: ZONES[(at >> 1) % 2] ?? '', program, folder, store: this._store, storePort })
+      node.onLeavingAcknowledged = targetId => {
+        if (!this._ledger.leavings.has(targetId)) this._ledger.leavings.set(targetId, performance.now())
+      }
+      this._nodes.push(node)
+    }
+    await Promise.all(this._nodes.map(async node => { await node.start() }))
+    if (!await this._until(START_MS, async () => await this._servedShare(2) === 1)) throw new Error('The nodes do not serve calls before the first fault.')
+  }
+
+  private _configure (version: number): void {
+    const routes = [
+      { prefix: '/price/', service: 'till' },
+      { prefix: '/photo/', service: 'vault' },
+      { prefix: '/charge/', service: 'till', kind: 'non_idempotent' },
+      { prefix: '/issue/', service: 'vault', kind: 'non_idempotent' },
+      { prefix: versionWatch.prefixOf(version), service: SERVICES[version % 2] ?? '' }
+    ]
+    const format = new rulesFormat.RulesFormat()
+    this._store.put(format.topic, format.key, JSON.stringify(documents.configuration(version, routes)))
+  }
+
+  private async _play (plan: readonly faultPlan.Fault[]): Promise<void> {
+    const beganAtMs = performance.now()
+    await Promise.all(plan.map(async fault => {
+      await timers.setTimeout(beganAtMs + fault.atMs - performance.now())
+      await this._strike(fault)
+    }))
+    await timers.setTimeout(Math.max(0, beganAtMs + this._options.lengthMs - performance.now()))
+  }
+
+  private async _strike ({ kind, node: place, durationMs, link, store }: faultPlan.Fault): Promise<void> {
+    const node = this._nodes[place]
+    if (node === undefined) return
+    switch (kind) {
+      case 'kill': return await this._interrupt(node, async () => {
+        node.signal('SIGKILL')
+        await node.ended()
+      })
+      case 'pause': return await this._interrupt(node, async () => {
+        node.signal('SIGSTOP')
+        await timers.setTimeout(durationMs)
+        node.signal('SIGCONT')
+      })
+      case 'stop': return await this._stop(node)
+      case 'reload':
+        node.signal('SIGHUP')
+        return
+      case 'links': return await harm(node.peerRelay, link, durationMs)
+      case 'store-link': return await harm(node.storeRelay, link, durationMs)
+      case 'target-link': return await harm(node.targetRelay, link, durationMs)
+      case 'store':
+        this._store.mode = store
+        await timers.setTimeout(durationMs)
+        this._store.mode = 'up'
+        return
+      case 'target-leaves': return await node.replaceTarget(DRAIN_MS)
+      case 'target-crashes': return await node.crashTarget(durationMs)
+      case 'configure': this._versions.apply()
+    }
+  }
+
+  private async _interrupt (node: soakNode.SoakNode, interruption: () => Promise<void>): Promise<void> {
+    const fromMs = performance.now()
+    await interruption()
+    this._ledger.interruptions.push({ subject: node.name, fromMs, toMs: performance.now() })
+    this._versions.interrupted(node.name)
+  }
+
+  private async _stop (node: soakNode.SoakNode): Promise<void> {
+    const fromMs = performance.now()
+    node.signal('SIGTERM')
+    await node.ended()
+    const span = { subject: node.name, fromMs, toMs: performance.now() }
+    const isHarmed = this._ledger.interruptions.some(other => other.subject === node.name && other.toMs >= fromMs)
+    if (!isHarmed) this._ledger.stops.push(span)
+    this._versions.interrupted(node.name)
+  }
+
+  private async _load (): Promise<void> {
+    const intervalMs = 1000 / CALLS_PER_S
+    for (let nextAtMs = performance.now(); this._isLoading; nextAtMs += intervalMs) {
+      await timers.setTimeout(Math.max(0, nextAtMs - performance.now()))
+      const pending = this._callUntilFinal().finally(() => { this._pending.delete(pending) })
+      this._pending.add(pending)
+    }
+  }
+
+  /** Like the callers of the platform: after a refusal any request is sent again, after a failure only one that may run twice. */
+  private async _callUntilFinal (): Promise<void> {
+    const node = this._nodes[this._random.nextInt(this._nodes.length)]
+    const route = ['/price/', '/photo/', '/charge/', '/issue/'][this._random.nextInt(4)] ?? ''
+    if (node === undefined || !node.isRunning) return
+    for (let sends = 1; sends <= MAX_SENDS; sends++) {
+      const { call, retryAfterMs } = await this._callOnce(node, route)
+      const mayRetry = call.saysNotRun || (call.isIdempotent && call.status !== 200)
+      if (!mayRetry || !this._isLoading) return
+      await timers.setTimeout(Math.min(MAX_RETRY_MS, retryAfterMs))
+    }
+  }
+
+  private async _callOnce (node: soakNode.SoakNode, route: string): Promise<{ readonly call: soakLedger.SoakCall, readonly retryAfterMs: number }> {
+    const requestId = `s${this._options.seed}-${this._nextCall++}`
+    const isIdempotent = route === '/price/' || route === '/photo/'
+    const call: soakLedger.SoakCall = {
+      requestId,
+      entry: node.name,
+      isIdempotent,
+      path: `${route}${requestId}`,
+      body: isIdempotent ? '' : `body of ${requestId}`,
+      deadlineMs: DEADLINE_MS,
+      beganAtMs: performance.now(),
+      endedAtMs: Infinity,
+      status: 0,
+      saysNotRun: false,
+      answerId: undefined,
+      isMarked: false,
+      answerBody: '',
+      problem: ''
+    }
+    this._ledger.calls.push(call)
+    const answer = await node.caller.call({ requestId, method: isIdempotent ? 'GET' : 'POST', path: call.path, ...(isIdempotent ? {} : { body: call.body }), deadlineMs: DEADLINE_MS })
+    call.endedAtMs = performance.now()
+    if (answer.kind === 'none') {
+      call.problem = answer.problem
+      return { call, retryAfterMs: MAX_RETRY_MS }
+    }
+    call.status = answer.status
+    call.saysNotRun = callerStandIn.saysNotRun(answer.status)
+    call.answerId = answer.requestId
+    call.isMarked = answer.isMarked
+    call.answerBody = answer.body
+    return { call, retryAfterMs: answer.retryAfterMs }
+  }
+
+  /** Ends all faults and waits until calls are served again. */
+  private async _recover (): Promise<string[]> {
+    this._store.mode = 'up'
+    for (const node of this._nodes) node.signal('SIGCONT')
+    const isRecovered = await this._until(RECOVERY_MS, async () => await this._servedShare(RECOVERY_CALLS / this._nodes.length) >= RECOVERED_SHARE)
+    const problems = isRecovered ? [] : [`fewer than ${RECOVERED_SHARE * 100} in 100 calls were served ${RECOVERY_MS / 1000} s after the last fault`]
+    if (!await this._until(RECOVERY_MS, async () => await this._versions.isEverywhere(this._nodes))) problems.push('the newest configuration is not in force on each node')
+    return problems
+  }
+
+  private async _servedShare (callsEach: number): Promise<number> {
+    const calls = this._nodes.flatMap(node => Array.from({ length: Math.ceil(callsEach) }, async (_, index) => {
+      const { call } = await this._callOnce(node, index % 2 === 0 ? '/price/' : '/charge/')
+      return call.status === 200
+    }))
+    const served = await Promise.all(calls)
+    return served.filter(isServed => isServed).length / served.length
+  }
+
+  private async _until (patienceMs: number, condition: () => Promise<boolean>): Promise<boolean> {
+    const endAtMs = performance.now() + patienceMs
+    while (performance.now() < endAtMs) {
+      if (await condition()) return true
+      await timers.setTimeout(POLL_MS)
+    }
+    return false
+  }
+
+  private _result (faults: readonly faultPlan.Fault[], found: readonly string[]): SoakResult {
+    for (const node of this._nodes) this._ledger.runs.push(...node.target.runs.filter(({ requestId }) => !versionWatch.isProbe(requestId)))
+    const problems = [...found, ...this._versions.problems, ...this._ledger.check()]
+    const logs = new Map(problems.length === 0 ? [] : this._nodes.map(({ name, lines }) => [name, lines]))
+    const answered = this._ledger.calls.filter(({ status }) => status === 200).length
+    return { seed: this._options.seed, faults, calls: this._ledger.calls.length, answered, problems, logs }
+  }
+}
+
+async function harm (relay: soakNode.SoakNode['peerRelay'], fault: faultPlan.LinkFault, durationMs: number): Promise<void> {
+  relay.harm(fault)
+  await timers.setTimeout(fault === 'reset' ? 0 : durationMs)
+  relay.heal()
+}
+
+/** Writes what a failed soak needs to be played again. */
+export function report (result: SoakResult, folder: string): void {
+  fs.mkdirSync(folder, { recursive: true })
+  for (const [name, lines] of result.logs) fs.writeFileSync(`${folder}/${result.seed}-${name}.log`, `${lines.join('\n')}\n`)
+  fs.writeFileSync(`${folder}/${result.seed}.json`, JSON.stringify({ faults: result.faults, problems: result.problems }, null, 2))
+}
--- /dev/null
+++ b/packages/testbed/src/soak/main.ts
@@ -0,0 +1,41 @@
+/** Runs soaks by hand: fresh seeds, or given ones again. */
+import * as childProcess from 'node:child_process'
+import * as fs from 'node:fs'
+import * as os from 'node:os'
+import * as path from 'node:path'
+import * as soakRun from './SoakRun.js'
+import * as url from 'node:url'
+import * as yargs from 'yargs'
+
+const ROOT = url.fileURLToPath(new URL('../../../../', import.meta.url))
+
+async function main (): Promise<void> {
+  const options = await yargs.default(process.argv.slice(2))
+    .usage('Runs the platform program as processes under seeded faults and checks the promises to callers and targets.')
+    .option('seed', { type: 'number', describe: 'first seed; a fresh one if it is left out' })
+    .option('seeds', { type: 'number', default: 1, describe: 'number of seeds, one after the other' })
+    .option('nodes', { type: 'number', default: 6, describe: 'nodes, each a process' })
+    .option('length', { type: 'number', default: 12, describe: 'time in which faults begin, in seconds' })
+    .option('faults', { type: 'number', default: 10, describe: 'faults in one run' })
+    .option('report', { type: 'string', default: path.join(os.tmpdir(), 'elmpost-soak'), describe: 'folder for the logs of failed runs' })
+    .strict()
+    .parseAsync()
+  const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'elmpost-soak-run-'))
+  const program = path.join(folder, 'elmpost-node.cjs')
+  childProcess.execFileSync('npm', ['run', '--silent', 'bundle', '--', `--outfile=${program}`], { cwd: ROOT, stdio: 'inherit' })
+  const first = options.seed ?? Date.now() % 1_000_000
+  let failed = 0
+  for (let seed = first; seed < first + options.seeds; seed++) {
+    const result = await new soakRun.SoakRun({ seed, nodeCount: options.nodes, lengthMs: options.length * 1000, faultCount: options.faults, program, folder }).run()
+    process.stdout.write(`seed ${seed}: ${result.calls} calls, ${result.answered} answered, ${result.faults.length} faults, ${result.problems.length} broken promises\n`)
+    if (result.problems.length === 0) continue
+    failed += 1
+    soakRun.report(result, options.report)
+    for (const problem of result.problems.slice(0, 5)) process.stdout.write(`  ${problem}\n`)
+  }
+  fs.rmSync(folder, { recursive: true })
+  process.stdout.write(`${options.seeds - failed} passed, ${failed} failed\n`)
+  process.exitCode = failed === 0 ? 0 : 1
+}
+
+await main()
