Let VMs with fast links read the store, and pass configurations on compressed

A configuration of 1,600 routes has about 200 KB. The reader of a zone was the node with the lowest id, mostly one with 5 Mbit/s, and passed it on to 21 others uncompressed: 7 s a version, while calls waited behind it. Each greeting of a link was answered by a status to all nodes: 66 x 66 messages a node at the start. Change: nodes tell the capacity of their link; the reader of a zone is the one with the fastest. Configurations pass between nodes deflated. A greeting is answered on its own link only.

--- a/packages/common/src/direct/TargetTable.ts
+++ b/packages/common/src/direct/TargetTable.ts
@@ -17,6 +17,8 @@
   readonly nodeId: base.NodeId
   readonly zone: string
   service: string
+  /** Capacity of the VM's link, in Mbit/s; 0 if it is not known. */
+  linkMbps: number
   /** A link to the node is open, or it is this node. */
   isConnected: boolean
   state: types.TargetState
@@ -68,9 +70,10 @@
   }
 
   /** Adds a node, or updates the service of one. A node that moved to another zone is a new one. */
-  public put (nodeId: base.NodeId, zone: string, service: string): TargetRow {
+  public put (nodeId: base.NodeId, zone: string, service: string, linkMbps = 0): TargetRow {
     const known = this._rows.get(nodeId)
     if (known !== undefined && known.zone === zone) {
+      known.linkMbps = linkMbps
       if (known.service !== service) this._move(known, service)
       return known
     }
@@ -79,6 +82,7 @@
       nodeId,
       zone,
       service,
+      linkMbps,
       isConnected: known?.isConnected ?? false,
       state: 'absent',
       load: NO_LOAD,
--- a/packages/common/src/direct/Types.ts
+++ b/packages/common/src/direct/Types.ts
@@ -55,6 +55,8 @@
   readonly nodeId: base.NodeId
   readonly zone: string
   readonly service: string
+  /** Capacity of the VM's link, in Mbit/s; 0 if it is not known. */
+  readonly linkMbps: number
   /** Target that the node knew last, so that its next process need not wait for an announcement. */
   readonly target: KnownTarget | undefined
 }
--- a/packages/node/src/direct/DirectNode.ts
+++ b/packages/node/src/direct/DirectNode.ts
@@ -171,7 +171,7 @@
   public async start (): Promise<void> {
     const { settings, logger, nowMs } = this._options
     this._startedAtMs = nowMs()
-    this._table.put(settings.peerAddress, settings.zone, settings.service)
+    this._table.put(settings.peerAddress, settings.zone, settings.service, settings.linkMbps)
     this._table.connected(settings.peerAddress, true)
     this._watch.start()
     this._registry.start()
@@ -221,10 +221,10 @@
     if (isConnected && !this._knowsNodes) this._links.send(nodeId, { kind: 'nodes-request' })
   }
 
-  public greeted (hello: linkCodec.HelloMessage): void {
+  public greeted (hello: linkCodec.HelloMessage, reply: (message: linkCodec.LinkMessage) => void): void {
     this._know(hello)
     this._exchange.heard(hello.nodeId, hello.version)
-    this._tellStatus()
+    reply({ kind: 'status', status: this._status() })
   }
 
   public lost (nodeId: base.NodeId, callIds: readonly number[]): void {
@@ -247,7 +247,7 @@
         this._exchange.heard(nodeId, message.version)
         break
       case 'rules-request':
-        if (this._exchange.bytes !== undefined) reply({ kind: 'rules', bytes: this._exchange.bytes })
+        if (this._exchange.packed !== undefined) reply({ kind: 'rules', bytes: this._exchange.packed })
         break
       case 'rules': {
         const stored = this._watch.decode(message.bytes)
@@ -255,7 +255,7 @@
         break
       }
       case 'nodes-request':
-        reply({ kind: 'nodes', nodes: [...this._table.all()].map(({ nodeId: id, zone, service }) => ({ nodeId: id, zone, service, target: undefined })) })
+        reply({ kind: 'nodes', nodes: [...this._table.all()].map(({ nodeId: id, zone, service, linkMbps }) => ({ nodeId: id, zone, service, linkMbps, target: undefined })) })
         break
       case 'nodes':
         this._add(message.nodes)
@@ -321,19 +321,19 @@
 
   private _tellStatus (): void {
     this._statusAtMs = this._options.nowMs() + STATUS_MS
-    const { state, load } = this._status()
-    const status: direct.HostStatus = { state, load, version: this.version, storeAgeMs: this._watch.storeAgeMs }
+    const status = this._status()
     this._table.status(this._options.settings.peerAddress, status)
     this._links.broadcast({ kind: 'status', status })
   }
 
-  private _status (): { readonly state: direct.TargetState, readonly load: direct.TargetLoad } {
-    return { state: this._stop.closesTarget ? 'leaving' : this._target.watch.state, load: this._target.host.load }
+  private _status (): direct.HostStatus {
+    const state = this._stop.closesTarget ? 'leaving' : this._target.watch.state
+    return { state, load: this._target.host.load, version: this.version, storeAgeMs: this._watch.storeAgeMs }
   }
 
   private _hello (): linkCodec.HelloMessage {
-    const { peerAddress, zone, service } = this._options.settings
-    return { kind: 'hello', nodeId: peerAddress, zone, service, version: this.version }
+    const { peerAddress, zone, service, linkMbps } = this._options.settings
+    return { kind: 'hello', nodeId: peerAddress, zone, service, version: this.version, linkMbps }
   }
 
   private _targetChanged (): void {
@@ -342,10 +342,10 @@
   }
 
   private _publish (): Promise<void> {
-    const { peerAddress, zone, service } = this._options.settings
+    const { peerAddress, zone, service, linkMbps } = this._options.settings
     // The first record waits for what the previous process has written, which is usually the same.
     if (!this._knowsNodes) return Promise.resolve()
-    return this._registry.publish({ nodeId: peerAddress, zone, service, target: this._target.watch.known })
+    return this._registry.publish({ nodeId: peerAddress, zone, service, linkMbps, target: this._target.watch.known })
   }
 
   /** Keeps the leaving for a later process of this node before the target is told that it will get no more calls. */
@@ -370,9 +370,9 @@
     }
   }
 
-  private _know ({ nodeId, zone, service }: Pick<direct.NodeRecord, 'nodeId' | 'zone' | 'service'>): void {
+  private _know ({ nodeId, zone, service, linkMbps }: Omit<direct.NodeRecord, 'target'>): void {
     if (nodeId === this._options.settings.peerAddress) return
-    this._table.put(nodeId, zone, service)
+    this._table.put(nodeId, zone, service, linkMbps)
     // The link to a seed is open before anything is known of the node there.
     this._table.connected(nodeId, this._links.isConnected(nodeId))
     this._links.connect(nodeId)
@@ -382,7 +382,7 @@
     const previous = this._calls.rules
     if (!this._calls.enforce(stored.rules)) return
     this._audit.enforced(previous, stored.rules)
-    this._exchange.bytes = stored.bytes
+    this._exchange.keep(stored.bytes)
     const { rules } = stored
     this._ingress.setLimits(rules.limits)
     this._options.logger.log('info', 'enforced', { enforcedVersion: rules.version, routes: rules.routes.length, source })
--- a/packages/node/src/direct/LinkCodec.test.ts
+++ b/packages/node/src/direct/LinkCodec.test.ts
@@ -7,7 +7,7 @@
 const LOAD = { running: 1, queued: 2, urgentQueued: 1, leastUrgent: 2, slots: 4, serviceMs: 50 }
 
 const MESSAGES: readonly linkCodec.LinkMessage[] = [
-  { kind: 'hello', nodeId: '10.0.0.1:7080', zone: 'vake', service: 'till', version: 7 },
+  { kind: 'hello', nodeId: '10.0.0.1:7080', zone: 'vake', service: 'till', version: 7, linkMbps: 70 },
   { kind: 'status', status: { state: 'leaving', load: LOAD, version: 7, storeAgeMs: Infinity } },
   {
     kind: 'call',
@@ -34,7 +34,7 @@
   { kind: 'rules-request' },
   { kind: 'rules', bytes: Buffer.from('{}') },
   { kind: 'nodes-request' },
-  { kind: 'nodes', nodes: [{ nodeId: '10.0.0.1:7080', zone: 'vake', service: 'till', target: undefined }] }
+  { kind: 'nodes', nodes: [{ nodeId: '10.0.0.1:7080', zone: 'vake', service: 'till', linkMbps: 3.5, target: undefined }] }
 ]
 
 test.describe('LinkCodec', () => {
--- a/packages/node/src/direct/LinkCodec.ts
+++ b/packages/node/src/direct/LinkCodec.ts
@@ -16,6 +16,8 @@
   readonly zone: string
   readonly service: string
   readonly version: number
+  /** Capacity of the VM's link, in Mbit/s. */
+  readonly linkMbps: number
 }
 
 /** Messages between two nodes. The side that opened the link sends calls; the other one answers them. */
@@ -54,7 +56,7 @@
 
 function valuesOf (message: LinkMessage): Values {
   switch (message.kind) {
-    case 'hello': return [KIND.hello, message.nodeId, message.zone, message.service, message.version]
+    case 'hello': return [KIND.hello, message.nodeId, message.zone, message.service, message.version, message.linkMbps]
     case 'status': return statusValues(message.status)
     case 'call': return callValues(message.call)
     case 'result': return resultValues(message.callId, message.result, message.load)
@@ -63,7 +65,7 @@
     case 'rules-request': return [KIND.rulesRequest]
     case 'rules': return [KIND.rules, message.bytes]
     case 'nodes-request': return [KIND.nodesRequest]
-    case 'nodes': return [KIND.nodes, message.nodes.map(({ nodeId, zone, service }) => [nodeId, zone, service])]
+    case 'nodes': return [KIND.nodes, message.nodes.map(({ nodeId, zone, service, linkMbps }) => [nodeId, zone, service, linkMbps])]
   }
 }
 
@@ -112,9 +114,9 @@
   }
 }
 
-function helloOf ([, nodeId, zone, service, version]: Values): LinkMessage | undefined {
-  if (!isText(nodeId) || !isText(zone) || !isText(service) || !isNumber(version)) return undefined
-  return { kind: 'hello', nodeId, zone, service, version }
+function helloOf ([, nodeId, zone, service, version, linkMbps]: Values): LinkMessage | undefined {
+  if (!isText(nodeId) || !isText(zone) || !isText(service) || !isNumber(version) || !isNumber(linkMbps)) return undefined
+  return { kind: 'hello', nodeId, zone, service, version, linkMbps }
 }
 
 function statusOf ([, stateCode, version, storeAgeMs, ...load]: Values): LinkMessage | undefined {
@@ -170,9 +172,9 @@
   if (!Array.isArray(list)) return undefined
   const nodes: direct.NodeRecord[] = []
   for (const entry of list as unknown[]) {
-    const [nodeId, zone, service] = Array.isArray(entry) ? entry as Values : []
-    if (!isText(nodeId) || !isText(zone) || !isText(service)) return undefined
-    nodes.push({ nodeId, zone, service, target: undefined })
+    const [nodeId, zone, service, linkMbps] = Array.isArray(entry) ? entry as Values : []
+    if (!isText(nodeId) || !isText(zone) || !isText(service) || !isNumber(linkMbps)) return undefined
+    nodes.push({ nodeId, zone, service, linkMbps, target: undefined })
   }
   return { kind: 'nodes', nodes }
 }
--- a/packages/node/src/direct/NodeLinks.ts
+++ b/packages/node/src/direct/NodeLinks.ts
@@ -19,7 +19,7 @@
   /** Calls can be sent to the node, or not any more. */
   connected(nodeId: base.NodeId, isConnected: boolean): void
   /** Another node has opened a link to this one. */
-  greeted(hello: linkCodec.HelloMessage): void
+  greeted(hello: linkCodec.HelloMessage, reply: (message: linkCodec.LinkMessage) => void): void
   lost(nodeId: base.NodeId, callIds: readonly number[]): void
   result(nodeId: base.NodeId, message: linkCodec.LinkMessage & { readonly kind: 'result' }): void
   /** Everything but calls and their results. */
@@ -114,8 +114,8 @@
     events.told(link.nodeId, message, reply => { link.send(reply) })
   }
 
-  public greeted (_link: incomingLink.IncomingLink, hello: linkCodec.HelloMessage): void {
-    this._options.events.greeted(hello)
+  public greeted (link: incomingLink.IncomingLink, hello: linkCodec.HelloMessage): void {
+    this._options.events.greeted(hello, message => { link.send(message) })
     // The node there has just started or come back into reach.
     this._outgoing.get(hello.nodeId)?.hurry()
   }
--- a/packages/node/src/direct/NodeRegistry.ts
+++ b/packages/node/src/direct/NodeRegistry.ts
@@ -132,7 +132,7 @@
   try {
     const record = JSON.parse(value.toString()) as Partial<direct.NodeRecord> | null
     const isValid = record?.nodeId === key && typeof record.zone === 'string' && typeof record.service === 'string'
-    return isValid ? { nodeId: key, zone: record.zone ?? '', service: record.service ?? '', target: targetOf(record.target) } : undefined
+    return isValid ? { nodeId: key, zone: record.zone ?? '', service: record.service ?? '', linkMbps: typeof record.linkMbps === 'number' ? record.linkMbps : 0, target: targetOf(record.target) } : undefined
   } catch {
     return undefined
   }
--- a/packages/node/src/direct/RulesExchange.ts
+++ b/packages/node/src/direct/RulesExchange.ts
@@ -1,3 +1,4 @@
+import * as frameCompression from '../FrameCompression.js'
 import type * as base from '@elmpost/common/base/Types.js'
 import type * as targetTable from '@elmpost/common/direct/TargetTable.js'
 
@@ -21,30 +22,42 @@
  * newer version than their own. A node that sees no other one with a working store follows the store itself.
  */
 export class RulesExchange {
-  /** The configuration in force, as it was stored. */
-  public bytes: Uint8Array | undefined
   private readonly _versions = new Map<base.NodeId, number>()
   private _askedAtMs = -Infinity
+  private _bytes: Uint8Array | undefined
+  private _packed: Uint8Array | undefined
 
   constructor (private readonly _options: RulesExchangeOptions) {}
 
-  /** The first node of the zone by id, or any node without a fresh one in its zone, reads the store. */
+  /** The configuration in force for other nodes, compressed: it passes over the link of this VM many times. */
+  public get packed (): Uint8Array | undefined {
+    if (this._packed === undefined && this._bytes !== undefined) this._packed = frameCompression.compress(Buffer.from(this._bytes))
+    return this._packed
+  }
+
+  /** The first node of the zone, or any node without a fresh one in its zone, reads the store. */
   public get isReader (): boolean {
-    const { table, selfId, zone } = this._options
+    const { table, zone } = this._options
     for (const row of table.all()) {
-      if (row.nodeId < selfId && row.zone === zone && row.isConnected && row.storeAgeMs < FRESH_MS) return false
+      if (this._precedes(row) && row.zone === zone && row.isConnected && row.storeAgeMs < FRESH_MS) return false
     }
     return true
   }
 
-  /** Whether this node acts for the fleet: it has the lowest id of those that it can reach. */
+  /** Whether this node acts for the fleet: it is the first of those that it can reach. */
   public get isFirst (): boolean {
     for (const row of this._options.table.all()) {
-      if (row.nodeId < this._options.selfId && row.isConnected) return false
+      if (this._precedes(row) && row.isConnected) return false
     }
     return true
   }
 
+  /** Keeps the configuration in force, as it was stored. */
+  public keep (bytes: Uint8Array): void {
+    this._bytes = bytes
+    this._packed = undefined
+  }
+
   /** A node has told the version that it enforces. */
   public heard (nodeId: base.NodeId, version: number): void {
     this._versions.set(nodeId, version)
@@ -59,6 +72,13 @@
     }
   }
 
+  /** VMs with fast links come first, because a configuration passes from them to all others of the zone. */
+  private _precedes ({ nodeId, linkMbps }: targetTable.TargetRow): boolean {
+    const { table, selfId } = this._options
+    const ownMbps = table.get(selfId)?.linkMbps ?? 0
+    return linkMbps === ownMbps ? nodeId < selfId : linkMbps > ownMbps
+  }
+
   private _ask (): void {
     const { nowMs, version, table, zone, request } = this._options
     if (nowMs() - this._askedAtMs < REQUEST_TIMEOUT_MS) return
@@ -73,3 +93,12 @@
     request(best)
   }
 }
+
+/** Configuration that another node has passed on. */
+export function unpack (packed: Uint8Array): Uint8Array | Error {
+  try {
+    return frameCompression.decompress(packed)
+  } catch (error) {
+    return error instanceof Error ? error : new Error(String(error))
+  }
+}
--- a/packages/node/src/direct/RulesWatch.ts
+++ b/packages/node/src/direct/RulesWatch.ts
@@ -1,4 +1,5 @@
 import * as emitter from '@elmpost/common/base/Emitter.js'
+import * as rulesExchange from './RulesExchange.js'
 import type * as base from '@elmpost/common/base/Types.js'
 import type * as nodeServices from '../Services.js'
 import type * as services from './Services.js'
@@ -49,12 +50,15 @@
     this._step()
   }
 
-  /** Reads bytes that another node has passed on. */
-  public decode (bytes: Uint8Array): types.StoredRules | undefined {
-    const rules = this._options.format.decode(bytes)
-    if (!(rules instanceof Error)) return { rules, bytes }
-    this._options.logger.log('warn', 'configuration-refused', { problem: rules.message })
-    return undefined
+  /** Reads bytes of the store or those, maybe compressed, that another node has passed on. */
+  public decode (passed: Uint8Array): types.StoredRules | undefined {
+    const bytes = rulesExchange.unpack(passed)
+    const rules = bytes instanceof Error ? bytes : this._options.format.decode(bytes)
+    if (bytes instanceof Error || rules instanceof Error) {
+      this._options.logger.log('warn', 'configuration-refused', { problem: (rules as Error).message })
+      return undefined
+    }
+    return { rules, bytes }
   }
 
   public dispose (): void {
--- a/packages/node/src/direct/Types.ts
+++ b/packages/node/src/direct/Types.ts
@@ -105,6 +105,8 @@
   readonly peerAddress: string
   /** `host:port` to listen on for other nodes; another one than `peerAddress` if they come through a relay. */
   readonly peerListenAddress: string
+  /** Capacity of the VM's link, in Mbit/s; 0 if it is not known. */
+  readonly linkMbps: number
   /** Peer addresses of nodes that may be up. */
   readonly seeds: readonly string[]
   /** Longest time from a stop signal until the process has to be gone. */
