Choose the ports of the soak outside the range of outgoing connections

Cause: with 40 nodes, 4 to 6 programs did not start (EADDRINUSE): their ports were chosen from the ephemeral range, where an outgoing connection of another program had taken them meanwhile. Change: the soak uses ports.findFreePorts, which was written for that.

--- a/packages/testbed/src/soak/SoakNode.ts
+++ b/packages/testbed/src/soak/SoakNode.ts
@@ -2,7 +2,7 @@
 import * as callerStandIn from '@elmpost/platform/standins/CallerStandIn.js'
 import * as faultRelay from './FaultRelay.js'
 import * as fs from 'node:fs'
-import * as meshes from '@elmpost/platform/standins/Mesh.js'
+import * as ports from '../harness/ports.js'
 import * as path from 'node:path'
 import * as targetStandIn from '@elmpost/platform/standins/TargetStandIn.js'
 import * as timers from 'node:timers/promises'
@@ -62,7 +62,7 @@
   }
 
   public async start (): Promise<void> {
-    const [caller = 0, ready = 0, control = 0, peer = 0, status = 0] = await meshes.freePorts(5)
+    const [caller = 0, ready = 0, control = 0, peer = 0, status = 0] = await ports.findFreePorts(5)
     this._ports = { caller, ready, control, peer, status }
     await this.caller.close()
     this.caller = new callerStandIn.CallerStandIn(`127.0.0.1:${caller}`)
