Compare a few drawn targets where there are many, and fetch fewer versions of a storm

Dozens of nodes choose by reports that are up to 1 s old, and all find the same target the least busy. In a storm of versions each node parses each of them (about 20 ms of processor time at full speed, on a quarter of a core). Change: with more than 6 usable targets, a node compares its own, 3 drawn ones of its zone and 2 of others. Versions are asked for at most each 500 ms. The test of the herd: 120 of 120 calls at one of 12 targets before.

--- a/packages/common/src/direct/TargetPicker.test.ts
+++ b/packages/common/src/direct/TargetPicker.test.ts
@@ -57,6 +57,22 @@
     assert.equal(picked.get('two'), 4)
   })
 
+  test.it('spreads the calls of many nodes that choose by the same old reports, so that no target gets a herd', () => {
+    const nodes = 30
+    const targets = 12
+    const callsEach = 4
+    const counts = new Map<string, number>()
+    for (let node = 0; node < nodes; node++) {
+      table = new targetTable.TargetTable()
+      picker = new targetPicker.TargetPicker({ table, selfId: 'self', zone: 'vake', random: new random.Random(node), otherZoneCostMs: () => 4 })
+      // One target seems to be idle.
+      for (let target = 0; target < targets; target++) add(`t${target}`, 'vake', target === 5 ? {} : { running: 4, queued: 2 })
+      for (const [nodeId, count] of pick(callsEach)) counts.set(nodeId, (counts.get(nodeId) ?? 0) + count)
+    }
+    const most = Math.max(...counts.values())
+    assert.ok(most <= 4 * nodes * callsEach / targets, `${most} of ${nodes * callsEach} calls went to one of ${targets} targets`)
+  })
+
   test.it('takes no target that is down, leaving or out of reach', () => {
     add('down', 'vake', {}, 'down')
     add('leaving', 'vake', {}, 'leaving')
--- a/packages/common/src/direct/TargetPicker.ts
+++ b/packages/common/src/direct/TargetPicker.ts
@@ -17,6 +17,12 @@
 const UNANSWERED_CALLS = 4
 /** Spreads calls over targets that cost about the same. */
 const JITTER_SHARE = 0.1
+/**
+ * With more targets than this, only a few that are drawn at random are compared. Many nodes choose at the same time by
+ * reports that are up to 1 s old, and would all send to the target that seemed the least busy.
+ */
+const COMPARE_ALL = 6
+const DRAWN = { near: 3, far: 2 } as const
 
 export interface TargetPickerOptions {
   readonly table: targetTable.TargetTable
@@ -49,15 +55,16 @@
   constructor (private readonly _options: TargetPickerOptions) {}
 
   public pick (call: PickedCall, exclude: ReadonlySet<base.NodeId>, nowMs: base.Millis): Pick {
-    let best: targetTable.TargetRow | undefined
-    let bestCost = Infinity
+    const usable: targetTable.TargetRow[] = []
     let isBusy = false
     for (const row of this._options.table.ofService(call.service)) {
       if (!row.isConnected || row.state !== 'ready' || exclude.has(row.nodeId)) continue
-      if (this._isTooBusy(row, call, nowMs)) {
-        isBusy = true
-        continue
-      }
+      if (this._isTooBusy(row, call, nowMs)) isBusy = true
+      else usable.push(row)
+    }
+    let best: targetTable.TargetRow | undefined
+    let bestCost = Infinity
+    for (const row of this._compared(usable)) {
       const cost = this._cost(row, call, nowMs)
       if (cost >= bestCost) continue
       best = row
@@ -66,6 +73,28 @@
     return { row: best, isBusy }
   }
 
+  /** What is known of the own target is exact, so it is always compared. */
+  private _compared (usable: targetTable.TargetRow[]): readonly targetTable.TargetRow[] {
+    if (usable.length <= COMPARE_ALL) return usable
+    const { selfId, zone } = this._options
+    const own = usable.filter(({ nodeId }) => nodeId === selfId)
+    const near = usable.filter(row => row.zone === zone && row.nodeId !== selfId)
+    const far = usable.filter(row => row.zone !== zone)
+    return [...own, ...this._draw(near, DRAWN.near), ...this._draw(far, DRAWN.far)]
+  }
+
+  /** Some rows at random, none twice. */
+  private _draw (rows: targetTable.TargetRow[], count: number): readonly targetTable.TargetRow[] {
+    const last = Math.min(count, rows.length)
+    for (let at = 0; at < last; at++) {
+      const from = at + this._options.random.nextInt(rows.length - at)
+      const drawn = rows[from] as targetTable.TargetRow
+      rows[from] = rows[at] as targetTable.TargetRow
+      rows[at] = drawn
+    }
+    return rows.slice(0, last)
+  }
+
   /** A host that refuses calls is not asked again at once, nor is one in another zone that the call would cross to in vain. */
   private _isTooBusy (row: targetTable.TargetRow, call: PickedCall, nowMs: base.Millis): boolean {
     if (row.avoidUntilMs > nowMs && call.priority >= row.avoidedPriority) return true
--- a/packages/node/src/direct/RulesExchange.ts
+++ b/packages/node/src/direct/RulesExchange.ts
@@ -4,8 +4,11 @@
 
 /** A node that has heard from the store within this time is taken as a source of new versions. */
 const FRESH_MS = 3_500
-/** Wait for a version that was asked for, before another node is asked. */
-const REQUEST_TIMEOUT_MS = 300
+/**
+ * Least time between two requests for a version. It lets a slow node pass over versions that come in quick succession,
+ * and is the wait before another node is asked.
+ */
+const REQUEST_INTERVAL_MS = 500
 
 export interface RulesExchangeOptions {
   readonly selfId: base.NodeId
@@ -81,7 +84,7 @@
 
   private _ask (): void {
     const { nowMs, version, table, zone, request } = this._options
-    if (nowMs() - this._askedAtMs < REQUEST_TIMEOUT_MS) return
+    if (nowMs() - this._askedAtMs < REQUEST_INTERVAL_MS) return
     let best: base.NodeId | undefined
     for (const [nodeId, known] of this._versions) {
       const row = table.get(nodeId)
