Wait for the last calls of a soak before its promises are checked

It was the last one of the run: the soak took the set of pending calls before its load loop had ended, so a call that began in that moment was not waited for. Change: the loop is awaited first. Conclusion: a fault of the soak, not of the product.

--- a/packages/testbed/src/soak/SoakRun.ts
+++ b/packages/testbed/src/soak/SoakRun.ts
@@ -74,7 +74,8 @@
       await this._play(plan)
       const problems = await this._recover()
       this._isLoading = false
-      await Promise.all([load, watch, ...this._pending])
+      await Promise.all([load, watch])
+      await Promise.all(this._pending)
       return this._result(plan, problems)
     } finally {
       this._isLoading = false
