Judge stops and recovery in the soak by what the plan really did

Traced: the plan kills vm-1 3.8 s after its SIGTERM; the stop was judged before the kill was noted. Change: an interruption is noted when it begins; the recovery is measured with one call after the other at each node.

--- a/packages/testbed/src/soak/SoakNode.ts
+++ b/packages/testbed/src/soak/SoakNode.ts
@@ -9,6 +9,8 @@
 import * as undici from 'undici'
 import type * as storeStandIn from '@elmpost/platform/standins/StoreStandIn.js'
 
+/** Time of a call on a target, so that faults meet calls that run. */
+const WORK_MS = 60
 /** Between two announcements of a target. */
 const ANNOUNCE_MS = 500
 /** Log lines of a process that are kept for the report of a failure. */
@@ -47,6 +49,7 @@
   constructor (options: SoakNodeOptions) {
     this._options = options
     this.target = new targetStandIn.TargetStandIn(this._nextTargetId(), options.service)
+    this.target.workMs = WORK_MS
     this.peerRelay = new faultRelay.FaultRelay(() => this._ports.peer)
     this.storeRelay = new faultRelay.FaultRelay(() => options.storePort)
     this.targetRelay = new faultRelay.FaultRelay(() => this._targetPort)
--- a/packages/testbed/src/soak/SoakRun.ts
+++ b/packages/testbed/src/soak/SoakRun.ts
@@ -152,9 +152,10 @@
   }
 
   private async _interrupt (node: soakNode.SoakNode, interruption: () => Promise<void>): Promise<void> {
-    const fromMs = performance.now()
+    const span = { subject: node.name, fromMs: performance.now(), toMs: Infinity }
+    this._ledger.interruptions.push(span)
     await interruption()
-    this._ledger.interruptions.push({ subject: node.name, fromMs, toMs: performance.now() })
+    span.toMs = performance.now()
     this._versions.interrupted(node.name)
   }
 
@@ -228,19 +229,22 @@
   private async _recover (): Promise<string[]> {
     this._store.mode = 'up'
     for (const node of this._nodes) node.signal('SIGCONT')
-    const isRecovered = await this._until(RECOVERY_MS, async () => await this._servedShare(RECOVERY_CALLS / this._nodes.length) >= RECOVERED_SHARE)
+    const isRecovered = await this._until(RECOVERY_MS, async () => await this._servedShare(Math.ceil(RECOVERY_CALLS / this._nodes.length)) >= RECOVERED_SHARE)
     const problems = isRecovered ? [] : [`fewer than ${RECOVERED_SHARE * 100} in 100 calls were served ${RECOVERY_MS / 1000} s after the last fault`]
     if (!await this._until(RECOVERY_MS, async () => await this._versions.isEverywhere(this._nodes))) problems.push('the newest configuration is not in force on each node')
     return problems
   }
 
+  /** Each node gets one call after the other, because a burst would be refused with good reason. */
   private async _servedShare (callsEach: number): Promise<number> {
-    const calls = this._nodes.flatMap(node => Array.from({ length: Math.ceil(callsEach) }, async (_, index) => {
-      const { call } = await this._callOnce(node, index % 2 === 0 ? '/price/' : '/charge/')
-      return call.status === 200
+    let served = 0
+    await Promise.all(this._nodes.map(async node => {
+      for (let at = 0; at < callsEach; at++) {
+        const { call } = await this._callOnce(node, at % 2 === 0 ? '/price/' : '/issue/')
+        if (call.status === 200) served += 1
+      }
     }))
-    const served = await Promise.all(calls)
-    return served.filter(isServed => isServed).length / served.length
+    return served / (callsEach * this._nodes.length)
   }
 
   private async _until (patienceMs: number, condition: () => Promise<boolean>): Promise<boolean> {
