Send urgent calls with few bytes out of a full zone before others must leave it

At a full zone urgent calls stayed, because they pass the queue, and the least urgent calls, which have the most bytes (browse: 5 KB and 60 ms of work, book: 2 KB and 78 ms), were refused there and crossed. Change: where a call goes is chosen by the whole queue, whether the call would pass it or not; whether a target in another zone is too busy is still judged by the urgent part.

--- a/packages/common/src/direct/TargetPicker.ts
+++ b/packages/common/src/direct/TargetPicker.ts
@@ -1,5 +1,6 @@
-import type * as base from '../base/Types.js'
 import * as targetTable from './TargetTable.js'
+import type * as base from '../base/Types.js'
+import type * as types from './Types.js'
 
 /** Way to another node of the zone and back. */
 const SAME_ZONE_MS = 0.5
@@ -101,10 +102,11 @@
     return row.zone !== this._options.zone && expectedWaitMs(row, call.priority) + row.load.serviceMs > Math.max(call.onTimeMs, row.load.serviceMs)
   }
 
-  private _cost (row: targetTable.TargetRow, { bytes, isIdempotent, priority }: PickedCall, nowMs: base.Millis): number {
+  private _cost (row: targetTable.TargetRow, { bytes, isIdempotent }: PickedCall, nowMs: base.Millis): number {
     const { running, queued, slots, serviceMs } = row.load
     const occupied = running + queued + row.sentSince
-    const waitMs = expectedWaitMs(row, priority)
+    // An urgent call passes those that wait, and makes them wait longer, so it leaves the zone as soon as one of them would.
+    const waitMs = wholeWaitMs(row)
     const crowded = Math.max(0, Math.min(1, occupied / slots) - CROWDED_SHARE) / (1 - CROWDED_SHARE)
     const memory = targetTable.memoryAt(row, nowMs)
     const failures = row.failureShare * memory * (isIdempotent ? FAILURE_COST.idempotent : FAILURE_COST.other)
@@ -121,8 +123,15 @@
 
 /** Urgent calls wait only for others like them. */
 function expectedWaitMs ({ load, sentSince }: targetTable.TargetRow, priority: number): base.Millis {
-  const ahead = priority < load.leastUrgent ? load.urgentQueued : load.queued
-  return Math.max(0, load.running + ahead + sentSince + 1 - load.slots) / load.slots * load.serviceMs
+  return waitBehindMs(load, sentSince, priority < load.leastUrgent ? load.urgentQueued : load.queued)
+}
+
+function wholeWaitMs ({ load, sentSince }: targetTable.TargetRow): base.Millis {
+  return waitBehindMs(load, sentSince, load.queued)
+}
+
+function waitBehindMs ({ running, slots, serviceMs }: types.TargetLoad, sentSince: number, ahead: number): base.Millis {
+  return Math.max(0, running + ahead + sentSince + 1 - slots) / slots * serviceMs
 }
 
 function isSilent ({ heardAtMs, sentSince, sentSinceMs, load }: targetTable.TargetRow, nowMs: base.Millis): boolean {
