Let a node that is dialed say what it is

Cause: found by reading. A node learned the service of another one from its greeting or from the store. With links to a subset, a node that now stands beside a target of another service at the same address need not greet those that know it under the old one; they would send it calls that it refuses, for up to 30 s. Change: the greeted side answers with its own hello, and its word replaces what was known; the word of others does not. Tests of NodeDirectory: news, moves, forgetting, closing of links.

--- a/packages/node/src/direct/DirectNode.ts
+++ b/packages/node/src/direct/DirectNode.ts
@@ -231,9 +231,8 @@
   }
 
   public greeted (hello: linkCodec.HelloMessage, reply: (message: linkCodec.LinkMessage) => void): void {
-    const { nodeId, zone, service, linkMbps } = hello
-    this._directory.greeted({ nodeId, zone, service, linkMbps, target: undefined })
-    this._exchange.heard(hello.nodeId, hello.version)
+    this._met(hello)
+    reply(this._hello())
     reply({ kind: 'status', status: this._status() })
   }
 
@@ -248,6 +247,9 @@
 
   public told (nodeId: base.NodeId, message: linkCodec.LinkMessage, reply: (message: linkCodec.LinkMessage) => void): void {
     switch (message.kind) {
+      case 'hello':
+        this._met(message)
+        break
       case 'status':
         this._table.heard(nodeId, this._options.nowMs())
         this._table.status(nodeId, message.status)
@@ -363,6 +365,12 @@
     this._publish().catch((error: unknown) => { this._unexpected(error) })
   }
 
+  /** A node has said itself what it is. */
+  private _met ({ nodeId, zone, service, linkMbps, version }: linkCodec.HelloMessage): void {
+    this._directory.met({ nodeId, zone, service, linkMbps, target: undefined })
+    this._exchange.heard(nodeId, version)
+  }
+
   private _enforce (stored: types.StoredRules, source: string): void {
     const previous = this._calls.rules
     if (!this._calls.enforce(stored.rules)) return
--- /dev/null
+++ b/packages/node/src/direct/NodeDirectory.test.ts
@@ -0,0 +1,126 @@
+import * as assert from 'node:assert/strict'
+import * as nodeDirectory from './NodeDirectory.js'
+import * as targetTable from '@elmpost/common/direct/TargetTable.js'
+import * as test from 'node:test'
+import type * as direct from '@elmpost/common/direct/Types.js'
+import type * as linkCodec from './LinkCodec.js'
+
+const FLEET_SIZE = 60
+
+class FakeLinks implements nodeDirectory.ILinkKeeper {
+  public readonly open = new Set<string>()
+  public readonly busy = new Set<string>()
+  public readonly sent: linkCodec.LinkMessage[] = []
+
+  public connect (nodeId: string): void {
+    this.open.add(nodeId)
+  }
+
+  public disconnect (nodeId: string): void {
+    this.open.delete(nodeId)
+  }
+
+  public isConnected (nodeId: string): boolean {
+    return this.open.has(nodeId)
+  }
+
+  public isIdle (nodeId: string): boolean {
+    return !this.busy.has(nodeId)
+  }
+
+  public sendToAll (message: linkCodec.LinkMessage): void {
+    this.sent.push(message)
+  }
+}
+
+function record (nodeId: string, service = 'till', zone = 'vake'): direct.NodeRecord {
+  return { nodeId, zone, service, linkMbps: 5, target: undefined }
+}
+
+test.describe('NodeDirectory', () => {
+  let nowMs: number
+  let table: targetTable.TargetTable
+  let links: FakeLinks
+  let gone: string[]
+  let directory: nodeDirectory.NodeDirectory
+
+  test.beforeEach(() => {
+    nowMs = 0
+    table = new targetTable.TargetTable()
+    links = new FakeLinks()
+    gone = []
+    directory = new nodeDirectory.NodeDirectory({
+      selfId: 'self',
+      zone: 'vake',
+      table,
+      links,
+      nowMs: () => nowMs,
+      logger: { isEnabled: () => true, log: () => {} },
+      gone: nodeId => { gone.push(nodeId) }
+    })
+  })
+
+  function newsOf (message: linkCodec.LinkMessage | undefined): readonly string[] {
+    return message?.kind === 'nodes' ? message.nodes.map(({ nodeId }) => nodeId) : []
+  }
+
+  test.describe('new nodes', () => {
+    test.it('are connected to at once, so that a small fleet uses them for the next call', () => {
+      directory.met(record('a'))
+      assert.deepEqual([...links.open], ['a'])
+    })
+
+    test.it('are passed on once, together, because not every node meets each other one', () => {
+      directory.met(record('a'))
+      directory.told([record('b'), record('a')])
+      directory.tick()
+      nowMs = 100
+      directory.told([record('c'), record('b')])
+      directory.tick()
+      nowMs = 500
+      directory.tick()
+      nowMs = 2_000
+      directory.tick()
+      assert.deepEqual(links.sent.map(newsOf), [['a', 'b'], ['c']])
+    })
+
+    test.it('from the store are not passed on, because all nodes read it', () => {
+      directory.read([record('a')])
+      directory.tick()
+      assert.deepEqual(links.sent, [])
+    })
+  })
+
+  test.describe('a known node', () => {
+    test.it('is moved to another service by its own word, and not by the word of others, which may be old', () => {
+      directory.met(record('a', 'till'))
+      directory.told([record('a', 'vault')])
+      assert.equal(table.get('a')?.service, 'till')
+      directory.met(record('a', 'vault'))
+      assert.deepEqual(table.ofService('till'), [])
+      assert.equal(table.get('a')?.service, 'vault')
+    })
+
+    test.it('is forgotten after it has been out of reach for long, and its record is of no use any more', () => {
+      directory.met(record('a'))
+      table.connected('a', false)
+      for (nowMs = 0; nowMs <= 121_000; nowMs += 1_000) directory.tick()
+      assert.deepEqual([table.get('a'), gone], [undefined, ['a']])
+    })
+  })
+
+  test.describe('links in a large fleet', () => {
+    test.it('are closed when the plan does not want them any more, unless a call is on them', () => {
+      directory.read(Array.from({ length: FLEET_SIZE }, (_, at) => record(`n${at}`)))
+      const planned = [...links.open]
+      assert.ok(planned.length < FLEET_SIZE / 2, `${planned.length} links`)
+      const extra = Array.from({ length: FLEET_SIZE }, (_, at) => `n${at}`).filter(nodeId => !planned.includes(nodeId)).slice(0, 2)
+      for (const nodeId of extra) links.connect(nodeId)
+      links.busy.add(extra[0] ?? '')
+      nowMs = 600
+      directory.tick()
+      assert.deepEqual(extra.map(nodeId => links.open.has(nodeId)), [true, false])
+      assert.ok(planned.every(nodeId => links.open.has(nodeId)))
+    })
+  })
+})
--- a/packages/node/src/direct/NodeDirectory.ts
+++ b/packages/node/src/direct/NodeDirectory.ts
@@ -46,8 +46,8 @@
     this._plan = new linkPlan.LinkPlan(options)
   }
 
-  /** A node has greeted this one. What a node says itself is newer than what others know of it. */
-  public greeted (record: direct.NodeRecord): void {
+  /** A node has greeted this one or answered its greeting. What a node says itself is newer than what others know of it. */
+  public met (record: direct.NodeRecord): void {
     if (this._options.table.get(record.nodeId) === undefined) this._news.set(record.nodeId, record)
     this._put(record)
     this._followPlan()
