End the programs of a soak that is interrupted

Cause: a soak that was ended by SIGINT left six programs running. Change: they are killed when the process of the soak exits, and SIGINT and SIGTERM make it exit.

--- a/packages/testbed/src/soak/SoakNode.ts
+++ b/packages/testbed/src/soak/SoakNode.ts
@@ -18,6 +18,12 @@
 /** Wait before a process that has ended is started again. */
 const RESTART_MS = 200
 
+/** Programs that must not outlive the soak, however it ends. */
+const running = new Set<childProcess.ChildProcess>()
+process.on('exit', () => {
+  for (const child of running) child.kill('SIGKILL')
+})
+
 export interface SoakNodeOptions {
   readonly name: string
   readonly service: string
@@ -157,9 +163,11 @@
     const { program, folder } = this._options
     const child = childProcess.spawn(process.execPath, ['--max-old-space-size=96', program], { cwd: folder, env: { ...process.env, ELMPOST_CONFIG: this._settingsPath }, stdio: ['ignore', 'pipe', 'pipe'] })
     this._process = child
+    running.add(child)
     for (const stream of [child.stdout, child.stderr]) stream.on('data', (part: Buffer) => { this._keep(part) })
     child.once('exit', () => {
       this._process = undefined
+      running.delete(child)
       setTimeout(() => { this._spawn() }, RESTART_MS)
     })
   }
--- a/packages/testbed/src/soak/main.ts
+++ b/packages/testbed/src/soak/main.ts
@@ -9,7 +9,11 @@
 
 const ROOT = url.fileURLToPath(new URL('../../../../', import.meta.url))
 
+const EXIT_INTERRUPTED = 130
+
 async function main (): Promise<void> {
+  // The default action would leave the programs running.
+  for (const signal of ['SIGINT', 'SIGTERM']) process.once(signal, () => { process.exit(EXIT_INTERRUPTED) })
   const options = await yargs.default(process.argv.slice(2))
     .usage('Runs the platform program as processes under seeded faults and checks the promises to callers and targets.')
     .option('seed', { type: 'number', describe: 'first seed; a fresh one if it is left out' })
