--- a/packages/common/src/direct/NodeExpiry.test.ts
+++ b/packages/common/src/direct/NodeExpiry.test.ts
@@ -24,4 +24,14 @@
     expiry.expired(table.all(), 110_000)
     assert.deepEqual(expiry.expired(table.all(), 200_000), [])
   })
+
+  test.it('does not count the time in which nobody looked for the node, so that one that lives is not forgotten at once', () => {
+    const expiry = new nodeExpiry.NodeExpiry()
+    const table = new targetTable.TargetTable()
+    table.put('unplanned', 'vake', 'till')
+    expiry.expired(table.all(), 0)
+    expiry.expired([], 60_000)
+    assert.deepEqual(expiry.expired(table.all(), 130_000), [])
+    assert.deepEqual(expiry.expired(table.all(), 250_001), ['unplanned'])
+  })
 })
