--- a/packages/common/src/membership/Membership.ts
+++ b/packages/common/src/membership/Membership.ts
@@ -322,10 +322,10 @@
     this._send('', { kind: 'join', row: this._table.toWire(this._self), wantsRows: !this.isJoined || this._table.size === 1 }, address)
   }
 
-  /** Tells a dead member of its row, so that it refutes if it was only cut off. */
+  /** Tells dead members of their rows, so that they refute if they were only cut off. */
   private _probeDead (nowMs: base.Millis): void {
-    const row = this._rejoinProbe.due(nowMs, this._table.size)
-    if (row !== undefined && this._self.state !== 'left') this._sendRows(row.nodeId, [row])
+    if (this._self.state === 'left') return
+    for (const row of this._rejoinProbe.due(nowMs, this._table.size)) this._sendRows(row.nodeId, [row])
   }
 
   private _sendUrgent (): void {
--- a/packages/common/src/membership/RejoinProbe.ts
+++ b/packages/common/src/membership/RejoinProbe.ts
@@ -3,6 +3,8 @@
 import type * as types from './Types.js'
 
 const INTERVAL_MS = 1_000
+/** Dead members contacted at once by a node that was cut off and has just reached one. */
+const REACHED_FANOUT = 16
 
 /**
  * Decides when a dead member is contacted, in case it was only cut off. A node alone on its side of a partition asks once a
@@ -12,23 +14,39 @@
 export class RejoinProbe {
   private readonly _dead = new Map<base.NodeId, types.MemberRow>()
   private _nextAtMs = 0
+  private _hasReachedOne = false
 
   constructor (private readonly _random: base.IRandom, onChange: services.IMembership['onChange']) {
     onChange(change => { this._changed(change) })
   }
 
-  /** Dead member to contact now, if any. `size` counts the members, dead ones included. */
-  public due (nowMs: base.Millis, size: number): types.MemberRow | undefined {
-    if (this._dead.size === 0 || nowMs < this._nextAtMs) return undefined
+  /** Dead members to contact now. `size` counts the members, dead ones included. */
+  public due (nowMs: base.Millis, size: number): readonly types.MemberRow[] {
+    const hasReachedOne = this._hasReachedOne
+    this._hasReachedOne = false
+    if (this._dead.size === 0) return []
+    // Where most members are dead, this node was cut off, and one that lives after all means that the others do too.
+    if (hasReachedOne && this._dead.size * 2 > size) return this._pick(REACHED_FANOUT)
+    if (nowMs < this._nextAtMs) return []
     this._nextAtMs = nowMs + INTERVAL_MS / 2 + this._random.nextInt(INTERVAL_MS)
     const others = Math.max(1, size - this._dead.size)
-    if (this._random.nextFloat() * others >= this._dead.size) return undefined
-    return [...this._dead.values()][this._random.nextInt(this._dead.size)]
+    if (this._random.nextFloat() * others >= this._dead.size) return []
+    return this._pick(1)
   }
 
-  private _changed ({ current, forgotten }: types.MemberChange): void {
-    if (current.state === 'dead' && !forgotten) this._dead.set(current.nodeId, current)
-    else this._dead.delete(current.nodeId)
+  private _pick (count: number): readonly types.MemberRow[] {
+    const rows = [...this._dead.values()]
+    const first = this._random.nextInt(rows.length)
+    return [...rows.slice(first), ...rows.slice(0, first)].slice(0, count)
+  }
+
+  private _changed ({ previous, current, forgotten }: types.MemberChange): void {
+    if (current.state === 'dead' && !forgotten) {
+      this._dead.set(current.nodeId, current)
+      return
+    }
+    this._dead.delete(current.nodeId)
+    if (previous?.state === 'dead' && !forgotten) this._hasReachedOne = true
   }
 }
 
--- a/packages/testbed/src/network/MembershipFaults.test.ts
+++ b/packages/testbed/src/network/MembershipFaults.test.ts
@@ -8,8 +8,8 @@
 const ZONES = ['vake', 'saburtalo', 'didube']
 const MINUTE_MS = 60_000
 
-function started (size: number): fleets.SteppedFleet {
-  const fleet = new fleets.SteppedFleet({ size, zones: ZONES, seed: 21 })
+function started (size: number, seed = 21): fleets.SteppedFleet {
+  const fleet = new fleets.SteppedFleet({ size, zones: ZONES, seed })
   fleet.propose()
   fleet.startAll()
   assert.notEqual(fleet.converge(1, 20_000), undefined)
@@ -173,6 +173,25 @@
       assert.ok(fleet.network.advanceUntil(() => allLive(fleet), 10_000))
     })
 
+    test.it('takes a node back within 3 s that alone was cut off for some seconds, because payments through it need its owners', () => {
+      for (let seed = 1; seed <= 20; seed++) {
+        const fleet = started(10, seed)
+        const alone = fleet.get(fleet.ids[1] ?? '')
+        const others = fleet.ids.filter(id => id !== alone.nodeId)
+        fleet.network.isLost = (from, to) => (from === alone) !== (to === alone)
+        for (const id of others) {
+          alone.membership.connectionLost(id, fleet.network.nowMs)
+          fleet.get(id).membership.connectionLost(alone.nodeId, fleet.network.nowMs)
+        }
+        for (const node of fleet.nodes.values()) fleet.network.flush(node)
+        fleet.network.advance(4_000)
+        assert.ok(others.some(id => alone.membership.get(id)?.state === 'dead'), `seed ${seed}: nobody was found dead, so nothing is shown`)
+        heal(fleet)
+        const isBack = (): boolean => others.every(id => alone.membership.get(id)?.state === 'ready')
+        assert.ok(fleet.network.advanceUntil(isBack, 3_000), `seed ${seed}`)
+      }
+    })
+
     test.it('heals after ten minutes without members of one side losing each other to claims of the other side', () => {
       const fleet = started(18)
       cutOff(fleet, 'didube')
