Keep the port of a target in the soak free while the target is down

Cause: found by reading. A target of the soak that ends and comes back listens on a port of the ephemeral range again, which an outgoing connection can have taken meanwhile; the soak itself would then end with EADDRINUSE. Change: its port is chosen with the others, below that range.

--- a/packages/testbed/src/soak/SoakNode.ts
+++ b/packages/testbed/src/soak/SoakNode.ts
@@ -50,6 +50,7 @@
   private _ports = { caller: 0, ready: 0, control: 0, peer: 0, status: 0 }
   private _targetState: 'ready' | 'draining' | 'gone' = 'ready'
   private _targetStarts = 0
+  private _targetPort = 0
   private _isClosing = false
 
   constructor (options: SoakNodeOptions) {
@@ -71,12 +72,13 @@
   }
 
   public async start (): Promise<void> {
-    const [caller = 0, ready = 0, control = 0, peer = 0, status = 0] = await ports.findFreePorts(5)
+    const [caller = 0, ready = 0, control = 0, peer = 0, status = 0, target = 0] = await ports.findFreePorts(6)
     this._ports = { caller, ready, control, peer, status }
     await this.caller.close()
     this.caller = new callerStandIn.CallerStandIn(`127.0.0.1:${caller}`)
-    await this.target.listen()
-    this._targetPort = Number(this.target.address.split(':')[1])
+    // The target listens there again after it has ended.
+    this._targetPort = target
+    await this.target.listen(target)
     this.target.address = `127.0.0.1:${await this.targetRelay.listen()}`
     const peerPort = await this.peerRelay.listen()
     const settings = {
@@ -148,8 +150,6 @@
     await this.target.close()
   }
 
-  private _targetPort = 0
-
   private get _settingsPath (): string {
     return path.join(this._options.folder, `${this.name}.json`)
   }
