Tell each retry with the counts that decided it

Logs and metrics could not tell why the retries of a service exceeded the bound of the fleet: an entry node logged only the final outcome.

Each decision on a retry is now a log line (call-retry, call-retry-denied) and a counter by service, with the first sends and retries of the window, the nodes that share the slack, the age of the process and the calls that targets made below retries. Calls carry to their host whether they are retries; nodes of earlier versions leave this out and still understand it. No decision has changed.

--- a/addons/addon-metrics/src/DirectMetrics.ts
+++ b/addons/addon-metrics/src/DirectMetrics.ts
@@ -31,6 +31,20 @@
     registers: [this._registry]
   })
 
+  private readonly _retries = new promClient.Counter({
+    name: 'elmpost_direct_retries_total',
+    help: 'Sends after one that reached a target, or may have, by service and cause',
+    labelNames: ['service', 'cause'],
+    registers: [this._registry]
+  })
+
+  private readonly _deniedRetries = new promClient.Counter({
+    name: 'elmpost_direct_retries_denied_total',
+    help: 'Retries that the bound of the fleet did not allow, by service',
+    labelNames: ['service'],
+    registers: [this._registry]
+  })
+
   constructor (node: direct.IDirectView) {
     super()
     this._registry.setDefaultLabels({ node: node.nodeName, zone: node.zone })
@@ -39,6 +53,10 @@
       this._sends.inc(sends)
       this._durations.observe({ outcome }, totalMs / MS_PER_S)
     }))
+    this._register(node.onRetry(({ service, cause, isAllowed }) => {
+      if (isAllowed) this._retries.inc({ service, cause })
+      else this._deniedRetries.inc({ service })
+    }))
     this._gauge('elmpost_direct_version', 'Configuration version in force; 0 if none', () => node.gauges().version)
     this._gauge('elmpost_direct_ready', '1 if the node is ready, else 0', () => node.gauges().isReady ? 1 : 0)
     this._gauge('elmpost_direct_entry_calls', 'Calls that entered at this node and have no answer yet', () => node.gauges().entryInFlight)
--- a/packages/common/src/direct/DirectCalls.test.ts
+++ b/packages/common/src/direct/DirectCalls.test.ts
@@ -9,7 +9,7 @@
 import type * as types from './Types.js'
 
 const LOAD = { running: 0, queued: 0, urgentQueued: 0, leastUrgent: 2, slots: 4, serviceMs: 50 }
-const REQUEST = { host: 'booth.example', path: '/price/1', remainingMs: 800, bodyBytes: 0, endByMs: Infinity }
+const REQUEST = { host: 'booth.example', path: '/price/1', remainingMs: 800, bodyBytes: 0, endByMs: Infinity, belowShare: 0 }
 const CHARGE = { ...REQUEST, path: '/charge/1' }
 const ROUTES = [testRules.route(), testRules.route({ name: 'charge', pathPrefix: '/charge/', kind: 'non-idempotent', priority: 1 })]
 
@@ -95,6 +95,27 @@
     })
   })
 
+  test.describe('a retry', () => {
+    test.it('is told with what decided it, so that too many of them can be traced to their cause', () => {
+      const { calls } = create()
+      const told: types.RetryDecided[] = []
+      calls.onRetry(retry => { told.push(retry) })
+      for (let other = 0; other < 20; other++) sent(calls.begin(REQUEST, 0))
+      const first = sent(calls.begin({ ...REQUEST, belowShare: 0.5 }, 0))
+      sent(calls.failed(first.callId, first.nodeId, 'target-lost', 10))
+      const view = { firstSends: 21, retries: 1, callsBelow: 0.5, nodeCount: 3, lifeMs: 10 }
+      assert.deepEqual(told, [{ callId: first.callId, service: 'till', route: 'price', cause: 'target-lost', isAllowed: true, view }])
+    })
+
+    test.it('is marked, so that its host knows which calls of the target are made below one', () => {
+      const { calls } = create()
+      const first = sent(calls.begin(REQUEST, 0))
+      const second = sent(calls.refused(first.callId, first.nodeId, BUSY, 1))
+      const third = sent(calls.failed(second.callId, second.nodeId, 'target-lost', 10))
+      assert.deepEqual([first.isRetry, second.isRetry, third.isRetry], [false, false, true])
+    })
+  })
+
   test.describe('a refusal', () => {
     test.it('tells callers to come back within the share of their time that they keep to', () => {
       const { calls } = create(1)
--- a/packages/common/src/direct/DirectCalls.ts
+++ b/packages/common/src/direct/DirectCalls.ts
@@ -1,6 +1,6 @@
 import type * as base from '../base/Types.js'
 import * as callerBudgets from './CallerBudgets.js'
-import * as retryAllowance from './RetryAllowance.js'
+import * as retryBudgets from './RetryBudgets.js'
 import * as routeIndex from './RouteIndex.js'
 import * as splitRotation from './SplitRotation.js'
 import type * as targetPicker from './TargetPicker.js'
@@ -65,13 +65,21 @@
   private readonly _calls = new Map<number, Call>()
   private readonly _budgets = new callerBudgets.CallerBudgets()
   private readonly _splits = new splitRotation.SplitRotation()
-  private readonly _allowances = new Map<string, retryAllowance.RetryAllowance>()
+  private readonly _retries: retryBudgets.RetryBudgets
   private readonly _sizes = new Map<string, number>()
   private _rules: types.MeshRules | undefined
   private _routes = new routeIndex.RouteIndex([])
   private _nextCallId = 1
 
-  constructor (private readonly _options: DirectCallsOptions) {}
+  constructor (private readonly _options: DirectCallsOptions) {
+    const { table, retryTerms } = _options
+    this._retries = new retryBudgets.RetryBudgets({ retryTerms, nodeCount: () => table.size })
+  }
+
+  /** A call that had reached a target, or may have, is sent again, or may not be. */
+  public get onRetry (): base.IEvent<types.RetryDecided> {
+    return this._retries.onRetry
+  }
 
   public get rules (): types.MeshRules | undefined {
     return this._rules
@@ -111,7 +119,7 @@
       isAnswered: false,
       tried: undefined
     }
-    this._allowance(call.service, nowMs).firstSend(nowMs)
+    this._retries.firstSend(call.service, request.belowShare, nowMs)
     this._calls.set(callId, call)
     return this._sendNext(call, nowMs) ?? this._refuse(call, this._pick(call, nowMs).isBusy ? 'busy' : 'no-target', nowMs)
   }
@@ -127,7 +135,7 @@
       call.shortestWaitMs = Math.min(call.shortestWaitMs, refused.waitMs)
       this._avoid(from, call.rule.priority, refused.waitMs, nowMs)
     }
-    const mayRetry = call.refusals < MAX_REFUSALS && (!refused.reachedTarget || this._mayAttempt(call, nowMs))
+    const mayRetry = call.refusals < MAX_REFUSALS && (!refused.reachedTarget || this._mayAttempt(call, 'declined', nowMs))
     const next = mayRetry ? this._sendNext(call, nowMs) : undefined
     if (next !== undefined) return next
     return call.mayHaveRun ? this._endUnknown(call, 'target-lost') : this._refuse(call, refused.reason, nowMs)
@@ -139,7 +147,7 @@
     if (call === undefined) return undefined
     this._options.table.ended(from, true, nowMs - call.sentAtMs, nowMs)
     call.mayHaveRun = true
-    return this._retry(call, nowMs) ?? this._endUnknown(call, reason)
+    return this._retry(call, reason, nowMs) ?? this._endUnknown(call, reason)
   }
 
   /** The target has answered. */
@@ -152,7 +160,7 @@
       call.mayHaveRun = true
       call.isAnswered = true
       // An error is often that of a service called in turn, and would come again. Other callers need busy slots more.
-      const next = this._hasFreeSlot(call, nowMs) ? this._retry(call, nowMs) : undefined
+      const next = this._hasFreeSlot(call, nowMs) ? this._retry(call, 'error', nowMs) : undefined
       if (next !== undefined) return next
     }
     const sizeBytes = this._sizeOf(call)
@@ -196,8 +204,8 @@
     return call?.to === from ? call : undefined
   }
 
-  private _retry (call: Call, nowMs: base.Millis): types.CallDecision | undefined {
-    if (call.rule.kind !== 'idempotent' || !this._mayAttempt(call, nowMs)) return undefined
+  private _retry (call: Call, cause: types.RetryCause, nowMs: base.Millis): types.CallDecision | undefined {
+    if (call.rule.kind !== 'idempotent' || !this._mayAttempt(call, cause, nowMs)) return undefined
     return this._sendNext(call, nowMs)
   }
 
@@ -207,14 +215,16 @@
   }
 
   /** Whether another target may be asked after one was reached. Takes from the allowance if so. */
-  private _mayAttempt (call: Call, nowMs: base.Millis): boolean {
-    if (call.attempts >= call.rule.maxAttempts || call.deadlineAtMs - nowMs < MIN_RETRY_TIME_MS) return false
-    return this._pick(call, nowMs).row !== undefined && this._allowance(call.service, nowMs).take(nowMs)
+  private _mayAttempt (call: Call, cause: types.RetryCause, nowMs: base.Millis): boolean {
+    const { callId, service, rule } = call
+    if (call.attempts >= rule.maxAttempts || call.deadlineAtMs - nowMs < MIN_RETRY_TIME_MS) return false
+    return this._pick(call, nowMs).row !== undefined && this._retries.take({ callId, service, route: rule.name, cause }, nowMs)
   }
 
   private _sendNext (call: Call, nowMs: base.Millis): types.SendDecision | undefined {
     const { row } = this._pick(call, nowMs)
     if (row === undefined) return undefined
+    const isRetry = call.attempts > 0
     call.to = row.nodeId
     call.sentAtMs = nowMs
     call.attempts += 1
@@ -222,7 +232,7 @@
     call.tried.add(row.nodeId)
     this._options.table.sent(row.nodeId, nowMs)
     const { callId, service, rule, deadlineAtMs, beganAtMs } = call
-    return { kind: 'send', callId, nodeId: row.nodeId, service, rule, deadlineAtMs, beganAtMs }
+    return { kind: 'send', callId, nodeId: row.nodeId, service, rule, deadlineAtMs, beganAtMs, isRetry }
   }
 
   private _pick (call: Call, nowMs: base.Millis): targetPicker.Pick {
@@ -260,15 +270,6 @@
     this._calls.delete(call.callId)
     return { kind: 'fail', callId: call.callId, reason, retryAfterMs: 0, rule: call.rule, sends: call.attempts + call.refusals }
   }
-
-  private _allowance (service: string, nowMs: base.Millis): retryAllowance.RetryAllowance {
-    let allowance = this._allowances.get(service)
-    if (allowance === undefined) {
-      allowance = new retryAllowance.RetryAllowance(this._options.retryTerms, () => this._options.table.size, nowMs)
-      this._allowances.set(service, allowance)
-    }
-    return allowance
-  }
 }
 
 function refusal (callId: number, reason: types.RefusalReason, retryAfterMs: base.Millis, rule?: types.RouteRule): types.OwnAnswer {
--- a/packages/common/src/direct/RetryAllowance.ts
+++ b/packages/common/src/direct/RetryAllowance.ts
@@ -1,3 +1,4 @@
+import * as slidingWindow from './SlidingWindow.js'
 import type * as base from '../base/Types.js'
 import type * as types from './Types.js'
 
@@ -15,10 +16,18 @@
   private _earned = 0
   private _slack: number
   private _updatedAtMs: base.Millis
+  private readonly _beganAtMs: base.Millis
+  private readonly _firstSends: slidingWindow.SlidingWindow
+  private readonly _retries: slidingWindow.SlidingWindow
+  private readonly _callsBelow: slidingWindow.SlidingWindow
 
   constructor (private readonly _terms: types.RetryTerms, private readonly _nodeCount: () => number, nowMs: base.Millis) {
     this._slack = this._slackCapacity
     this._updatedAtMs = nowMs
+    this._beganAtMs = nowMs
+    this._firstSends = new slidingWindow.SlidingWindow(_terms.windowMs, nowMs)
+    this._retries = new slidingWindow.SlidingWindow(_terms.windowMs, nowMs)
+    this._callsBelow = new slidingWindow.SlidingWindow(_terms.windowMs, nowMs)
   }
 
   private get _slackCapacity (): number {
@@ -27,12 +36,34 @@
 
   /** Counts the first send of a call. */
   public firstSend (nowMs: base.Millis): void {
+    this._firstSends.add(1, nowMs)
     this._refill(nowMs)
     this._earned = Math.min(this._earned + this._terms.ratio * USED_SHARE, this._slackCapacity + 1)
   }
 
+  /** Counts a call that a target made with this probability in a run that was a retry. */
+  public callBelow (probability: number, nowMs: base.Millis): void {
+    this._callsBelow.add(probability, nowMs)
+  }
+
   /** Takes one retry. False if none may be made now. */
   public take (nowMs: base.Millis): boolean {
+    const isAllowed = this._take(nowMs)
+    if (isAllowed) this._retries.add(1, nowMs)
+    return isAllowed
+  }
+
+  public view (nowMs: base.Millis): types.RetryView {
+    return {
+      firstSends: this._firstSends.atLeast(nowMs),
+      retries: this._retries.atMost(nowMs),
+      callsBelow: this._callsBelow.atMost(nowMs),
+      nodeCount: this._nodeCount(),
+      lifeMs: nowMs - this._beganAtMs
+    }
+  }
+
+  private _take (nowMs: base.Millis): boolean {
     this._refill(nowMs)
     if (this._earned >= 1) {
       this._earned -= 1
--- a/packages/common/src/direct/Services.ts
+++ b/packages/common/src/direct/Services.ts
@@ -29,5 +29,6 @@
   readonly nodeName: string
   readonly zone: string
   readonly onCallEnded: base.IEvent<CallMeasured>
+  readonly onRetry: base.IEvent<types.RetryDecided>
   gauges(): DirectGauges
 }
--- a/packages/common/src/direct/Types.ts
+++ b/packages/common/src/direct/Types.ts
@@ -115,6 +115,8 @@
   readonly bodyBytes: number
   /** Until when the call must have ended, because the node ends then. */
   readonly endByMs: base.Millis
+  /** Probability that the target beside the node made the call in a run that was a retry. */
+  readonly belowShare: number
 }
 
 export type RefusalReason =
@@ -141,6 +143,8 @@
   readonly deadlineAtMs: base.Millis
   /** Since when the caller waits, earlier requests that were refused included. */
   readonly beganAtMs: base.Millis
+  /** An earlier send of the call reached a target, or may have. */
+  readonly isRetry: boolean
 }
 
 /** Final answer of the node itself. */
@@ -159,6 +163,31 @@
 
 export type CallDecision = SendDecision | FinalDecision
 
+/** Why a call that had reached a target, or may have, is sent to another one. */
+export type RetryCause = FailureReason | 'error' | 'declined'
+
+/** What a node knows when it decides on a retry. The counts are those of one service in the last window, at this node. */
+export interface RetryView {
+  readonly firstSends: number
+  readonly retries: number
+  /** Calls of the target beside this node that it made in runs that were retries. */
+  readonly callsBelow: number
+  /** Nodes that share the slack of the fleet, as far as this one knows. */
+  readonly nodeCount: number
+  /** Since this process counts. */
+  readonly lifeMs: base.Millis
+}
+
+/** Whether a call may be sent again after it reached a target, or may have. */
+export interface RetryDecided {
+  readonly callId: number
+  readonly service: string
+  readonly route: string
+  readonly cause: RetryCause
+  readonly isAllowed: boolean
+  readonly view: RetryView
+}
+
 /** Bound on sends beyond the first of each call, for the whole fleet. */
 export interface RetryTerms {
   /** Retries per first send. */
--- a/packages/node/src/direct/DirectNode.ts
+++ b/packages/node/src/direct/DirectNode.ts
@@ -54,6 +54,7 @@
   public readonly nodeName: string
   public readonly zone: string
   public readonly onCallEnded: base.IEvent<directServices.CallMeasured>
+  public readonly onRetry: base.IEvent<direct.RetryDecided>
   private readonly _callEnded = new emitter.Emitter<directServices.CallMeasured>()
   private readonly _options: DirectNodeOptions
   private readonly _table = new targetTable.TargetTable()
@@ -94,6 +95,8 @@
       otherZoneCostMs: zoneCost.otherZoneCostMs
     })
     this._calls = new directCalls.DirectCalls({ table: this._table, picker, random, retryTerms: settings.retryTerms })
+    this.onRetry = this._calls.onRetry
+    this._register(this.onRetry(retry => { this._retried(retry) }))
     this._target = this._register(new localTarget.LocalTarget({ settings, dialect, nowMs, logger, callLog: this._log, changed: () => { this._targetChanged() } }))
     this._links = this._register(new nodeLinks.NodeLinks({ selfId, hello: () => this._hello(), nowMs, random, host: this._target.host, events: this }))
     this._entry = this._register(new entryGate.EntryGate({
@@ -106,7 +109,8 @@
       send: (nodeId, call) => this._send(nodeId, call),
       cancel: (nodeId, callId) => this._cancel(nodeId, callId),
       finished: (exchange, end) => { this._finished(exchange, end) },
-      callsEndByMs: () => this._stop.callsEndByMs
+      callsEndByMs: () => this._stop.callsEndByMs,
+      retryShare: () => this._target.host.retryShare
     }))
     this._ingress = this._register(new ingress.Ingress({ address: addresses.parse(settings.callerAddress), owner: this._entry, dialect }))
     this._peers = this._register(new peerServer.PeerServer({ address: addresses.parse(settings.peerListenAddress), accept: socket => { this._links.accept(socket) } }))
@@ -308,6 +312,12 @@
     this._log.log(level, `call-${outcome}`, { requestId, reason, status, route, peer: nodeId, sends, totalMs: Math.round(totalMs), retryAfterMs: Math.round(retryAfterMs), budgetMs: exchange.info.remainingMs })
   }
 
+  private _retried ({ callId, service, route, cause, isAllowed, view }: direct.RetryDecided): void {
+    const { firstSends, retries, callsBelow, nodeCount, lifeMs } = view
+    const counts = { firstSends, retries, callsBelow: Math.round(callsBelow), nodeCount, lifeMs: Math.round(lifeMs) }
+    this._log.log('info', isAllowed ? 'call-retry' : 'call-retry-denied', { requestId: this._entry.requestIdOf(callId), service, route, cause, ...counts })
+  }
+
   private _tick (): void {
     const nowMs = this._options.nowMs()
     this._links.tick()
--- a/packages/node/src/direct/EntryGate.ts
+++ b/packages/node/src/direct/EntryGate.ts
@@ -21,6 +21,8 @@
   readonly finished: (exchange: services.IExchange, end: CallEnd) => void
   /** Calls that may last longer are refused, because the node ends then. */
   readonly callsEndByMs: () => base.Millis
+  /** Share of retries among the calls that run on the target beside the node, which may make calls of its own. */
+  readonly retryShare: () => number
 }
 
 /** How a call ended for its caller. */
@@ -68,17 +70,22 @@
   }
 
   public begin (exchange: services.IExchange): void {
-    const { calls, nowMs, callsEndByMs } = this._options
+    const { calls, nowMs, callsEndByMs, retryShare } = this._options
     const beganAtMs = nowMs()
     this._lastBeganAtMs = beganAtMs
     const { host, path, body, info } = exchange
-    const decision = calls.begin({ host, path, remainingMs: info.remainingMs, bodyBytes: body?.length ?? 0, endByMs: callsEndByMs() }, beganAtMs)
+    const decision = calls.begin({ host, path, remainingMs: info.remainingMs, bodyBytes: body?.length ?? 0, endByMs: callsEndByMs(), belowShare: retryShare() }, beganAtMs)
     const call: PendingCall = { exchange, beganAtMs, headers: this._entryHeaders(exchange), route: undefined, nodeId: '', sends: 0, answer: undefined }
     this._pending.set(decision.callId, call)
     this._ids.set(exchange, decision.callId)
     this._carryOut(decision)
   }
 
+  /** Id that the caller gave to a call without an answer. */
+  public requestIdOf (callId: number): string | undefined {
+    return this._pending.get(callId)?.exchange.info.requestId
+  }
+
   public cancel (exchange: services.IExchange): void {
     const callId = this._ids.get(exchange)
     if (callId === undefined) return
@@ -132,7 +139,7 @@
   /** Returns the next decision if the call could not be sent. */
   private _send (call: PendingCall, decision: direct.SendDecision): direct.CallDecision | undefined {
     const { nowMs, send, calls } = this._options
-    const { callId, nodeId, rule, deadlineAtMs, beganAtMs, service } = decision
+    const { callId, nodeId, rule, deadlineAtMs, beganAtMs, service, isRetry } = decision
     const sentAtMs = nowMs()
     call.route = rule.name
     call.nodeId = nodeId
@@ -151,7 +158,8 @@
       method,
       path,
       headers: call.headers,
-      body
+      body,
+      isRetry
     }
     if (send(nodeId, message)) return undefined
     return calls.refused(callId, nodeId, { reason: 'no-target', reachedTarget: false, waitMs: 0 }, sentAtMs)
--- a/packages/node/src/direct/LinkCodec.test.ts
+++ b/packages/node/src/direct/LinkCodec.test.ts
@@ -23,7 +23,8 @@
       method: 'POST',
       path: '/charge/1?a=b',
       headers: ['Host', 'booth.example'],
-      body: Buffer.from([0, 255, 1])
+      body: Buffer.from([0, 255, 1]),
+      isRetry: true
     }
   },
   { kind: 'result', callId: 9, result: { kind: 'answered', answer: { status: 200, headers: ['A', 'b', 'A', 'c'], body: undefined, isUnframed: false } }, load: LOAD },
--- a/packages/node/src/direct/LinkCodec.ts
+++ b/packages/node/src/direct/LinkCodec.ts
@@ -75,7 +75,7 @@
 
 function callValues (call: types.CallMessage): Values {
   return [KIND.call, call.callId, call.service, call.isIdempotent, call.priority, Math.round(call.remainingMs), Math.round(call.objectiveMs),
-    Math.round(call.elapsedMs), call.requestId, call.method, call.path, call.headers, call.body ?? null]
+    Math.round(call.elapsedMs), call.requestId, call.method, call.path, call.headers, call.body ?? null, call.isRetry]
 }
 
 function resultValues (callId: number, result: types.HostResult, load: direct.TargetLoad): Values {
@@ -127,10 +127,11 @@
 }
 
 function callOf (values: Values): LinkMessage | undefined {
-  const [, callId, service, isIdempotent, priority, remainingMs, objectiveMs, elapsedMs, requestId, method, path, headers, body] = values
+  const [, callId, service, isIdempotent, priority, remainingMs, objectiveMs, elapsedMs, requestId, method, path, headers, body, isRetry = false] = values
   if (!isNumber(callId) || !isText(service) || typeof isIdempotent !== 'boolean' || !isNumber(priority) || !isNumber(remainingMs)) return undefined
   if (!isNumber(objectiveMs) || !isNumber(elapsedMs) || !isText(requestId) || !isText(method) || !isText(path)) return undefined
-  if (!isHeaders(headers) || !isBody(body)) return undefined
+  // Nodes of earlier versions do not send the last value.
+  if (!isHeaders(headers) || !isBody(body) || typeof isRetry !== 'boolean') return undefined
   const call = {
     callId,
     service,
@@ -143,7 +144,8 @@
     method,
     path,
     headers,
-    body: body ?? undefined
+    body: body ?? undefined,
+    isRetry
   }
   return { kind: 'call', call }
 }
--- a/packages/node/src/direct/TargetHost.test.ts
+++ b/packages/node/src/direct/TargetHost.test.ts
@@ -31,7 +31,7 @@
 const ANSWER: types.RunResult = { kind: 'answered', answer: { status: 200, headers: [], body: undefined, isUnframed: false }, serviceMs: 50 }
 
 function call (callId: number, change: Partial<types.CallMessage> = {}): types.CallMessage {
-  return { callId, service: 'till', isIdempotent: true, priority: 1, remainingMs: 1000, objectiveMs: 500, elapsedMs: 0, requestId: `r${callId}`, method: 'GET', path: '/', headers: [], body: undefined, ...change }
+  return { callId, service: 'till', isIdempotent: true, priority: 1, remainingMs: 1000, objectiveMs: 500, elapsedMs: 0, requestId: `r${callId}`, method: 'GET', path: '/', headers: [], body: undefined, isRetry: false, ...change }
 }
 
 test.describe('TargetHost', () => {
--- a/packages/node/src/direct/TargetHost.ts
+++ b/packages/node/src/direct/TargetHost.ts
@@ -1,3 +1,4 @@
+import * as runMix from '@elmpost/common/direct/RunMix.js'
 import * as slotQueue from '@elmpost/common/direct/SlotQueue.js'
 import type * as base from '@elmpost/common/base/Types.js'
 import type * as direct from '@elmpost/common/direct/Types.js'
@@ -47,6 +48,7 @@
 export class TargetHost implements services.IHost {
   private readonly _options: TargetHostOptions
   private readonly _queue = new slotQueue.SlotQueue()
+  private readonly _mix = new runMix.RunMix()
   private readonly _calls = new Map<number, HostedCall>()
   private readonly _byCaller = new Map<services.IHostCaller, Map<number, HostedCall>>()
   private _nextId = 1
@@ -60,6 +62,11 @@
     return this._queue.load
   }
 
+  /** Probability that a call of the target beside this node belongs to a run that is a retry. */
+  public get retryShare (): number {
+    return this._mix.retryShare
+  }
+
   public get isIdle (): boolean {
     return this._calls.size === 0
   }
@@ -160,6 +167,7 @@
     const request = { requestId, method, path, body, headers: [...headers, ...dialect.targetHeaders(requestId, remainingMs, targetId())] }
     let hasEnded = false
     call.startedAtMs = nowMs()
+    this._mix.started(call.message.isIdempotent, call.message.isRetry)
     const run = client().run(request, result => {
       hasEnded = true
       this._ended(call, result)
@@ -168,6 +176,7 @@
   }
 
   private _ended (call: HostedCall, result: types.RunResult): void {
+    this._mix.ended(call.message.isIdempotent, call.message.isRetry)
     this._queue.ended(call.id, result.kind === 'answered' ? result.serviceMs : undefined)
     if (result.kind === 'answered' || result.kind === 'declined') this._answeredAtMs = this._options.nowMs()
     switch (result.kind) {
--- a/packages/node/src/direct/Types.ts
+++ b/packages/node/src/direct/Types.ts
@@ -20,6 +20,8 @@
   readonly path: string
   readonly headers: RawHeaders
   readonly body: Uint8Array | undefined
+  /** An earlier send of the call reached a target, or may have. */
+  readonly isRetry: boolean
 }
 
 /** Whole answer of a target. */
