Reproduce the excess of retries in failing tests

Users saw the retries of a service exceed the bound of the fleet. The tests play fleets without a network and check the bound at every position of the window, against targets that see each arrival.

--- /dev/null
+++ b/packages/common/src/direct/RetryAllowance.fleet.test.ts
@@ -0,0 +1,95 @@
+import * as assert from 'node:assert/strict'
+import * as fastCheck from 'fast-check'
+import * as random from '../base/Random.js'
+import * as retryAllowance from './RetryAllowance.js'
+import * as retryBound from './testing/RetryBound.js'
+import * as test from 'node:test'
+
+const TERMS = { ratio: 0.2, slack: 60, windowMs: 10_000 }
+const STEP_MS = 50
+const LENGTH_MS = 45_000
+const FAILS_FROM_MS = 21_000
+
+interface Play {
+  readonly nodeCount: number
+  /** Calls of the whole fleet. */
+  readonly callsPerS: number
+  readonly failedShare: number
+  /** When all processes are replaced. */
+  readonly restartsAtMs: readonly number[]
+  /** How long a new process knows no other node. */
+  readonly aloneMs: number
+  readonly seed: number
+}
+
+/** Fails on the present code, see KNOWN-RED.txt. Node.js reports such tests and passes over them. */
+const KNOWN_RED = { todo: 'issue 14' }
+
+const USUAL: Play = { nodeCount: 10, callsPerS: 600, failedShare: 1, restartsAtMs: [], aloneMs: 0, seed: 1 }
+
+/** Plays calls that fail from one moment on at all nodes, after a time without failures in which allowances are saved. */
+function play ({ nodeCount, callsPerS, failedShare, restartsAtMs, aloneMs, seed }: Play): retryBound.WorstWindow {
+  const source = new random.Random(seed)
+  const bound = new retryBound.RetryBound(TERMS)
+  let nowMs = 0
+  let startedAtMs = -Infinity
+  const process = (): retryAllowance.RetryAllowance => new retryAllowance.RetryAllowance(TERMS, () => nowMs - startedAtMs < aloneMs ? 1 : nodeCount, nowMs)
+  let nodes = Array.from({ length: nodeCount }, process)
+  for (; nowMs < LENGTH_MS; nowMs += STEP_MS) {
+    if (restartsAtMs.some(atMs => atMs >= nowMs && atMs < nowMs + STEP_MS)) {
+      startedAtMs = nowMs
+      nodes = nodes.map(process)
+    }
+    const calls = Math.floor(callsPerS * STEP_MS / 1000 + source.nextFloat())
+    for (let call = 0; call < calls; call++) {
+      const node = nodes[source.nextInt(nodeCount)]
+      node?.firstSend(nowMs)
+      bound.request('till', nowMs)
+      const hasFailed = nowMs >= FAILS_FROM_MS && source.nextFloat() < failedShare
+      if (hasFailed && node?.take(nowMs) === true) bound.retry('till', nowMs)
+    }
+  }
+  return bound.worst()
+}
+
+function assertKept (worst: retryBound.WorstWindow): void {
+  assert.ok(worst.retries <= worst.allowed, `${worst.retries} retries, ${worst.allowed} allowed, in the window from ${worst.fromMs} ms`)
+}
+
+test.describe('The retry allowances of a fleet', () => {
+  // Guards against saved and refilled allowances that add up to more than a window may have when traffic is low.
+  for (const callsPerS of [1, 5, 10, 20, 40, 80, 160, 600]) {
+    test.it(`keep the bound in each window at ${callsPerS} calls a second when all calls begin to fail`, callsPerS >= 10 && callsPerS <= 80 ? KNOWN_RED : {}, () => {
+      assertKept(play({ ...USUAL, callsPerS }))
+    })
+  }
+
+  // Guards against processes that start with an allowance which their predecessors have spent.
+  for (const callsPerS of [20, 64, 200, 600]) {
+    test.it(`keep the bound at ${callsPerS} calls a second while all nodes restart again and again`, callsPerS <= 200 ? KNOWN_RED : {}, () => {
+      assertKept(play({ ...USUAL, callsPerS, restartsAtMs: [22_000, 24_000, 26_000, 28_000] }))
+    })
+  }
+
+  // Guards against nodes that share the slack among the few nodes that they know.
+  for (const callsPerS of [64, 600]) {
+    test.it(`keep the bound at ${callsPerS} calls a second while restarted nodes know no other one`, KNOWN_RED, () => {
+      assertKept(play({ ...USUAL, callsPerS, restartsAtMs: [24_000], aloneMs: 3_000 }))
+    })
+  }
+
+  // Guards against a bound that holds only for the fleets, rates and restarts of the cases above.
+  test.it('keep the bound whatever the size, the rate, the failures and the restarts are', KNOWN_RED, () => {
+    fastCheck.assert(fastCheck.property(
+      fastCheck.record({
+        nodeCount: fastCheck.constantFrom(1, 2, 9, 10, 70),
+        callsPerS: fastCheck.integer({ min: 0, max: 150 }),
+        failedShare: fastCheck.constantFrom(0.1, 0.5, 1),
+        restartsAtMs: fastCheck.array(fastCheck.integer({ min: FAILS_FROM_MS - 5_000, max: LENGTH_MS }), { maxLength: 6 }),
+        aloneMs: fastCheck.constantFrom(0, 500, 3_000),
+        seed: fastCheck.integer({ min: 1, max: 1_000 })
+      }),
+      played => { assertKept(play(played)) }
+    ), { seed: 14, numRuns: 60 })
+  })
+})
--- /dev/null
+++ b/packages/node/src/direct/RetriesBelow.test.ts
@@ -0,0 +1,58 @@
+import * as assert from 'node:assert/strict'
+import * as rules from '@elmpost/common/direct/testing/Rules.js'
+import * as test from 'node:test'
+import * as virtualFleet from './testing/VirtualFleet.js'
+
+const TERMS = { ratio: 0.2, slack: 58, windowMs: 10_000 }
+const NODES = ['booking', 'booking', 'booking', 'booking', 'booking', 'tutor', 'tutor', 'tutor', 'tutor']
+const LENGTH_MS = 32_000
+const FAULT = { fromMs: 12_000, toMs: 26_000 }
+
+/** Fails on the present code, see KNOWN-RED.txt. Node.js reports such tests and passes over them. */
+const KNOWN_RED = { todo: 'issue 14' }
+
+function route (name: string, service: string, callsPerS: number, workMs: number, change: object = {}): virtualFleet.VirtualRoute {
+  return { rule: rules.route({ name, pathPrefix: `/${name}/`, parts: [{ service, weight: 1 }], timeoutMs: 1_200, maxAttempts: 3 }), callsPerS, workMs, ...change }
+}
+
+/** Routes as at a marketplace: most reads of one service make a call to the other one. */
+function routes (rate: number): virtualFleet.VirtualRoute[] {
+  return [
+    route('browse', 'booking', 211 * rate, 60, { below: { path: '/avail/', share: 0.7 } }),
+    route('history', 'tutor', 107 * rate, 90),
+    route('avail', 'tutor', 0, 15)
+  ]
+}
+
+function play (rate: number, lostShare: number, seed: number): virtualFleet.VirtualFleet {
+  const fleet = new virtualFleet.VirtualFleet({
+    nodes: NODES,
+    slots: 12,
+    routes: routes(rate),
+    retryTerms: TERMS,
+    seed,
+    lostShare: (_service, nowMs) => nowMs >= FAULT.fromMs && nowMs < FAULT.toMs ? lostShare : 0
+  })
+  fleet.play(LENGTH_MS)
+  return fleet
+}
+
+// Guards against calls that targets make in retried runs, which reach their service beyond its own bound.
+test.describe('Calls that targets make while they run retries', () => {
+  for (const rate of [0.05, 0.2, 1]) {
+    for (const lostShare of [0.3, 0.5, 0.9]) {
+      test.it(`count against the bound of their service: ${rate} of the usual traffic, ${lostShare} of the answers lost`, KNOWN_RED, () => {
+        const worst = play(rate, lostShare, 14).bound.worst()
+        assert.ok(worst.retries <= worst.allowed, `${worst.service}: ${worst.retries} retries, ${Math.round(worst.allowed)} allowed, in the window from ${worst.fromMs} ms`)
+      })
+    }
+  }
+})
+
+// Guards against a bound that is kept because nothing is retried.
+test.describe('Calls of callers', () => {
+  test.it('are nearly all answered when 3 in 100 answers are lost, because these are retried', () => {
+    const { answered, failed } = play(1, 0.03, 14)
+    assert.ok(failed / (answered + failed) < 0.005, `${failed} of ${answered + failed} calls failed`)
+  })
+})
--- /dev/null
+++ b/packages/node/src/direct/testing/VirtualFleet.ts
@@ -0,0 +1,189 @@
+import * as directCalls from '@elmpost/common/direct/DirectCalls.js'
+import * as entryGate from '../EntryGate.js'
+import * as random from '@elmpost/common/base/Random.js'
+import * as retryBound from '@elmpost/common/direct/testing/RetryBound.js'
+import * as targetHost from '../TargetHost.js'
+import * as targetPicker from '@elmpost/common/direct/TargetPicker.js'
+import * as targetTable from '@elmpost/common/direct/TargetTable.js'
+import type * as base from '@elmpost/common/base/Types.js'
+import type * as direct from '@elmpost/common/direct/Types.js'
+import type * as services from '../Services.js'
+import type * as types from '../Types.js'
+
+const STATUS_EACH_MS = 1_000
+const DIALECT = { targetHeaders: () => [], entryHeaders: () => [], isSetByNode: () => false } as unknown as services.ICallDialect
+
+/** What callers and targets ask for on one route. */
+export interface VirtualRoute {
+  readonly rule: direct.RouteRule
+  /** Calls of callers to the whole fleet. */
+  readonly callsPerS: number
+  readonly workMs: base.Millis
+  /** Route that a target calls in a share of its runs. */
+  readonly below?: { readonly path: string, readonly share: number }
+}
+
+export interface VirtualFleetOptions {
+  /** Service of each node. */
+  readonly nodes: readonly string[]
+  readonly slots: number
+  readonly routes: readonly VirtualRoute[]
+  readonly retryTerms: direct.RetryTerms
+  readonly seed: number
+  /** Probability that a target loses the answer of a run. */
+  readonly lostShare: (service: string, nowMs: base.Millis) => number
+}
+
+interface VirtualNode {
+  readonly id: base.NodeId
+  readonly service: string
+  readonly table: targetTable.TargetTable
+  readonly gate: entryGate.EntryGate
+  readonly host: targetHost.TargetHost
+}
+
+/** Entry nodes, hosts and targets of a fleet in virtual time, without a network. It counts what reaches the targets. */
+export class VirtualFleet {
+  public readonly bound: retryBound.RetryBound
+  public answered = 0
+  public failed = 0
+  private readonly _options: VirtualFleetOptions
+  private readonly _random: random.Random
+  private readonly _nodes: VirtualNode[] = []
+  private readonly _due = new Map<number, (() => void)[]>()
+  private readonly _arrived = new Set<string>()
+  private _nowMs = 0
+  private _nextRequest = 1
+
+  constructor (options: VirtualFleetOptions) {
+    this._options = options
+    this._random = new random.Random(options.seed)
+    this.bound = new retryBound.RetryBound(options.retryTerms)
+    options.nodes.forEach((service, at) => this._nodes.push(this._create(`n${at}`, service)))
+  }
+
+  public play (lengthMs: base.Millis): void {
+    for (; this._nowMs < lengthMs; this._nowMs++) {
+      if (this._nowMs % STATUS_EACH_MS === 0) this._tellStatus()
+      for (const action of this._due.get(this._nowMs) ?? []) action()
+      this._due.delete(this._nowMs)
+      for (const route of this._options.routes) this._callAtRate(route)
+    }
+    for (const { gate } of this._nodes) gate.dispose()
+  }
+
+  private _callAtRate ({ rule, callsPerS }: VirtualRoute): void {
+    if (this._random.nextFloat() >= callsPerS / 1000) return
+    const node = this._nodes[this._random.nextInt(this._nodes.length)]
+    node?.gate.begin(this._exchange(rule.pathPrefix, rule.timeoutMs, false, isServed => {
+      if (isServed) this.answered += 1
+      else this.failed += 1
+    }))
+  }
+
+  /** `isBelowRetry`: a run that is a retry makes the call. It counts as a retry itself and not as a request. */
+  private _exchange (path: string, remainingMs: base.Millis, isBelowRetry: boolean, ended: (isServed: boolean) => void): services.IExchange {
+    const requestId = `r${this._nextRequest++}`
+    const service = this._routeOf(path).rule.parts[0]?.service ?? ''
+    if (isBelowRetry) this._arrived.add(requestId)
+    else this.bound.request(service, this._nowMs)
+    return {
+      method: 'GET',
+      host: 'booth.example',
+      path,
+      headers: [],
+      body: undefined,
+      info: { requestId, remainingMs },
+      answer: ({ status }) => { ended(status === 200) },
+      refuse: () => { ended(false) }
+    }
+  }
+
+  private _create (id: base.NodeId, service: string): VirtualNode {
+    const table = new targetTable.TargetTable()
+    const nowMs = (): base.Millis => this._nowMs
+    this._options.nodes.forEach((other, at) => {
+      table.put(`n${at}`, 'vake', other)
+      table.connected(`n${at}`, true)
+    })
+    const picker = new targetPicker.TargetPicker({ table, selfId: id, zone: 'vake', random: this._random, otherZoneCostMs: () => 5 })
+    const calls = new directCalls.DirectCalls({ table, picker, random: this._random, retryTerms: this._options.retryTerms })
+    const limits = { maxBodyBytes: 65_536, idleTimeoutMs: 15_000 }
+    calls.enforce({ version: 1, routes: this._options.routes.map(({ rule }) => rule), services: [], limits })
+    const host: targetHost.TargetHost = new targetHost.TargetHost({
+      nodeId: id,
+      service,
+      dialect: DIALECT,
+      client: () => ({ run: (request, ended) => this._run(node, request, ended), health: () => Promise.resolve(undefined), dispose: () => {} }),
+      targetId: () => id,
+      state: () => 'ready',
+      nowMs,
+      events: { unreachable: () => {}, silent: () => {}, displaced: () => {}, failed: () => {}, refused: () => {} }
+    })
+    host.setSlots(this._options.slots)
+    const gate: entryGate.EntryGate = new entryGate.EntryGate({
+      nodeId: id,
+      service,
+      calls,
+      table,
+      dialect: DIALECT,
+      nowMs,
+      send: (nodeId, call) => {
+        this._nodeOf(nodeId).host.accept(gate, call)
+        return true
+      },
+      cancel: (nodeId, callId) => this._nodeOf(nodeId).host.cancel(gate, callId),
+      finished: () => {},
+      callsEndByMs: () => Infinity,
+      retryShare: () => host.retryShare
+    })
+    const node = { id, service, table, gate, host }
+    return node
+  }
+
+  private _run (node: VirtualNode, request: services.ITargetRequest, ended: (result: types.RunResult) => void): services.ITargetRun {
+    const isRetry = this._arrived.has(request.requestId)
+    this._arrived.add(request.requestId)
+    if (isRetry) this.bound.retry(node.service, this._nowMs)
+    const { workMs, below } = this._routeOf(request.path)
+    this._after(workMs, () => {
+      if (below === undefined || this._random.nextFloat() >= below.share) this._answer(node, 200, workMs, ended)
+      else node.gate.begin(this._exchange(below.path, workMs * 4, isRetry, isServed => { this._answer(node, isServed ? 200 : 500, workMs, ended) }))
+    })
+    return { abort: () => {} }
+  }
+
+  private _answer (node: VirtualNode, status: number, serviceMs: base.Millis, ended: (result: types.RunResult) => void): void {
+    const isLost = this._random.nextFloat() < this._options.lostShare(node.service, this._nowMs)
+    if (isLost) ended({ kind: 'failed', reason: 'target-lost', detail: 'TARGET_RESET' })
+    else ended({ kind: 'answered', answer: { status, headers: [], body: undefined, isUnframed: false }, serviceMs })
+  }
+
+  private _tellStatus (): void {
+    for (const { table } of this._nodes) {
+      for (const { id, host } of this._nodes) {
+        table.heard(id, this._nowMs)
+        table.status(id, { state: 'ready', load: host.load, version: 1, storeAgeMs: 0 })
+      }
+    }
+  }
+
+  private _after (delayMs: base.Millis, action: () => void): void {
+    const atMs = this._nowMs + Math.max(1, delayMs)
+    const due = this._due.get(atMs) ?? []
+    due.push(action)
+    this._due.set(atMs, due)
+  }
+
+  private _nodeOf (id: base.NodeId): VirtualNode {
+    const node = this._nodes.find(other => other.id === id)
+    if (node === undefined) throw new Error(`There is no node ${id} in the fleet.`)
+    return node
+  }
+
+  private _routeOf (path: string): VirtualRoute {
+    const route = this._options.routes.find(({ rule }) => path.startsWith(rule.pathPrefix))
+    if (route === undefined) throw new Error(`There is no route for ${path}.`)
+    return route
+  }
+}
