Bound the retries of a node in each position of a sliding window

Callers of a service with little traffic made the fleet send more retries than its bound: at 20 calls/s 142 in a window that allows 100.

Cause: RetryAllowance kept two stores of tokens, one refilled over a window and one earned by first sends. In one window a node could spend what it had saved, what was refilled meanwhile and what it earned. The unused 0.3 of the ratio hid this at high traffic.

The fleet's property test has the exact bound now; it had one retry a node more. Still failing and listed: restarts, and a new test of a chain of services (843 retries of 456 at the last of five).

--- a/packages/common/src/direct/RetryAllowance.fleet.test.ts
+++ b/packages/common/src/direct/RetryAllowance.fleet.test.ts
@@ -59,21 +59,24 @@
 test.describe('The retry allowances of a fleet', () => {
   // Guards against saved and refilled allowances that add up to more than a window may have when traffic is low.
   for (const callsPerS of [1, 5, 10, 20, 40, 80, 160, 600]) {
-    test.it(`keep the bound in each window at ${callsPerS} calls a second when all calls begin to fail`, callsPerS >= 10 && callsPerS <= 80 ? KNOWN_RED : {}, () => {
+    test.it(`keep the bound in each window at ${callsPerS} calls a second when all calls begin to fail`, () => {
       assertKept(play({ ...USUAL, callsPerS }))
     })
   }
 
   // Guards against processes that start with an allowance which their predecessors have spent.
   for (const callsPerS of [20, 64, 200, 600]) {
-    test.it(`keep the bound at ${callsPerS} calls a second while all nodes restart again and again`, callsPerS <= 200 ? KNOWN_RED : {}, () => {
-      assertKept(play({ ...USUAL, callsPerS, restartsAtMs: [22_000, 24_000, 26_000, 28_000] }))
-    })
+    for (const eachMs of [1_000, 2_000]) {
+      test.it(`keep the bound at ${callsPerS} calls a second while all nodes restart each ${eachMs} ms`, callsPerS <= 64 || (callsPerS === 200 && eachMs === 1_000) ? KNOWN_RED : {}, () => {
+        const restartsAtMs = Array.from({ length: 10 }, (_, place) => 22_000 + place * eachMs)
+        assertKept(play({ ...USUAL, callsPerS, restartsAtMs }))
+      })
+    }
   }
 
   // Guards against nodes that share the slack among the few nodes that they know.
   for (const callsPerS of [64, 600]) {
-    test.it(`keep the bound at ${callsPerS} calls a second while restarted nodes know no other one`, KNOWN_RED, () => {
+    test.it(`keep the bound at ${callsPerS} calls a second while restarted nodes know no other one`, callsPerS === 64 ? KNOWN_RED : {}, () => {
       assertKept(play({ ...USUAL, callsPerS, restartsAtMs: [24_000], aloneMs: 3_000 }))
     })
   }
--- a/packages/common/src/direct/RetryAllowance.test.ts
+++ b/packages/common/src/direct/RetryAllowance.test.ts
@@ -30,8 +30,7 @@
           const sum = (entries: typeof taken, field: 'firsts' | 'retries'): number => entries.reduce((total, entry) => total + entry[field], 0)
           // The bound counts the requests of the window or of the one before it, whichever are more.
           const firsts = Math.max(sum(window, 'firsts'), sum(before, 'firsts'))
-          // Each node may keep the part of one retry from before the windows.
-          assert.ok(sum(window, 'retries') <= TERMS.ratio * firsts + TERMS.slack + nodeCount)
+          assert.ok(sum(window, 'retries') <= TERMS.ratio * firsts + TERMS.slack)
         }
       }
     ))
--- a/packages/node/src/direct/RetriesBelow.test.ts
+++ b/packages/node/src/direct/RetriesBelow.test.ts
@@ -41,7 +41,7 @@
 test.describe('Calls that targets make while they run retries', () => {
   for (const rate of [0.05, 0.2, 1]) {
     for (const lostShare of [0.3, 0.5, 0.9]) {
-      test.it(`count against the bound of their service: ${rate} of the usual traffic, ${lostShare} of the answers lost`, KNOWN_RED, () => {
+      test.it(`count against the bound of their service: ${rate} of the usual traffic, ${lostShare} of the answers lost`, () => {
         const worst = play(rate, lostShare, 14).bound.worst()
         assert.ok(worst.retries <= worst.allowed, `${worst.service}: ${worst.retries} retries, ${Math.round(worst.allowed)} allowed, in the window from ${worst.fromMs} ms`)
       })
@@ -49,6 +49,30 @@
   }
 })
 
+// Guards against retries that add up along a chain of services, each of which retries what the one before it has retried.
+test.describe('A chain of services that call one another', () => {
+  for (const rate of [0.1, 1]) {
+    test.it(`keeps the bound of each service at ${rate} of the usual traffic`, KNOWN_RED, () => {
+      const services = ['gate', 'offer', 'price', 'tax', 'audit']
+      const chain = services.map((service, at) => {
+        const next = services[at + 1]
+        return route(service, service, at === 0 ? 200 * rate : 0, 20, next === undefined ? {} : { below: { path: `/${next}/`, share: 1 } })
+      })
+      const fleet = new virtualFleet.VirtualFleet({
+        nodes: services.flatMap(service => [service, service, service]),
+        slots: 40,
+        routes: chain,
+        retryTerms: TERMS,
+        seed: 14,
+        lostShare: (_service, nowMs) => nowMs >= FAULT.fromMs && nowMs < FAULT.toMs ? 0.3 : 0
+      })
+      fleet.play(LENGTH_MS)
+      const worst = fleet.bound.worst()
+      assert.ok(worst.retries <= worst.allowed, `${worst.service}: ${worst.retries} retries, ${Math.round(worst.allowed)} allowed, in the window from ${worst.fromMs} ms`)
+    })
+  }
+})
+
 // Guards against a bound that is kept because nothing is retried.
 test.describe('Calls of callers', () => {
   test.it('are nearly all answered when 3 in 100 answers are lost, because these are retried', () => {
