Check the bound on retries in the soak

The soak saw each arrival at the targets and had no check of retries, so it could not find that the fleet exceeded its bound.

Targets now lose answers and make calls of their own while faults are played, and RetryLedger compares the arrivals beyond the first of each request with the bound at every position of the window.

--- /dev/null
+++ b/packages/testbed/src/soak/RetryLedger.test.ts
@@ -0,0 +1,41 @@
+import * as assert from 'node:assert/strict'
+import * as retryLedger from './RetryLedger.js'
+import * as test from 'node:test'
+
+test.describe('RetryLedger', () => {
+  let ledger: retryLedger.RetryLedger
+
+  test.beforeEach(() => { ledger = new retryLedger.RetryLedger() })
+
+  function ask (count: number, arrivals: number): void {
+    for (let at = 0; at < count; at++) {
+      ledger.asked('till', `r${at}`)
+      for (let arrival = 0; arrival < arrivals; arrival++) ledger.arrived('till', `r${at}`)
+    }
+  }
+
+  test.it('finds nothing wrong with requests that arrive once, however many they are', () => {
+    ask(500, 1)
+    assert.deepEqual(ledger.check(), [])
+  })
+
+  test.it('finds retries beyond a share of the requests and the slack', () => {
+    ask(70, 2)
+    assert.deepEqual(ledger.check(), [])
+    ask(5, 2)
+    assert.match(ledger.check().join(), /till got 80 retries .* 75 are allowed/)
+  })
+
+  test.it('counts what a target calls in a retried run as retries, and what it calls in other runs not', () => {
+    ask(1, 1)
+    for (let call = 0; call < 80; call++) ledger.asked('vault', `r0.${call}`, 'r0')
+    for (let call = 0; call < 80; call++) ledger.arrived('vault', `r0.${call}`)
+    assert.deepEqual(ledger.check(), [])
+    ledger.arrived('till', 'r0')
+    for (let call = 80; call < 160; call++) {
+      ledger.asked('vault', `r0.${call}`, 'r0')
+      ledger.arrived('vault', `r0.${call}`)
+    }
+    assert.match(ledger.check().join(), /vault got 80 retries/)
+  })
+})
--- a/packages/testbed/src/soak/SoakLedger.ts
+++ b/packages/testbed/src/soak/SoakLedger.ts
@@ -41,6 +41,8 @@
 export class SoakLedger {
   public readonly calls: SoakCall[] = []
   public readonly runs: SoakRun[] = []
+  /** Ids of calls that targets made themselves. */
+  public readonly callsOfTargets = new Set<string>()
   /** When the leaving of a target was acknowledged. */
   public readonly leavings = new Map<string, number>()
   /** Planned stops of nodes that nothing else harmed. */
@@ -53,7 +55,7 @@
     const runs = new Map<string, SoakRun[]>()
     for (const run of this.runs) runs.set(run.requestId, [...runs.get(run.requestId) ?? [], run])
     const asked = new Set(this.calls.map(({ requestId }) => requestId))
-    const unasked = this.runs.filter(({ requestId }) => !asked.has(requestId)).map(({ requestId, targetId }) => `${targetId} ran ${requestId}, which no caller sent`)
+    const unasked = this.runs.filter(({ requestId }) => !asked.has(requestId) && !this.callsOfTargets.has(requestId)).map(({ requestId, targetId }) => `${targetId} ran ${requestId}, which no caller sent`)
     return [...this.calls.flatMap(call => this._problemsOf(call, runs.get(call.requestId) ?? [])), ...this._lateWork(), ...unasked]
   }
 
--- a/packages/testbed/src/soak/SoakNode.ts
+++ b/packages/testbed/src/soak/SoakNode.ts
@@ -67,6 +67,10 @@
     return this._options.name
   }
 
+  public get service (): string {
+    return this._options.service
+  }
+
   public get isRunning (): boolean {
     return this._process !== undefined
   }
--- a/packages/testbed/src/soak/SoakRun.ts
+++ b/packages/testbed/src/soak/SoakRun.ts
@@ -3,6 +3,7 @@
 import * as faultPlan from './FaultPlan.js'
 import * as fs from 'node:fs'
 import * as random from '@elmpost/common/base/Random.js'
+import * as retryLedger from './RetryLedger.js'
 import * as rulesFormat from '@elmpost/platform/RulesFormat.js'
 import * as soakLedger from './SoakLedger.js'
 import * as soakNode from './SoakNode.js'
@@ -13,6 +14,8 @@
 const ZONES = ['vake', 'didube']
 const SERVICES = ['till', 'vault']
 const CALLS_PER_S = 120
+/** Share of the answers that a target loses while faults are played. Most targets lose none. */
+const LOST_SHARES = [0, 0, 0, 0.1, 0.5]
 const DEADLINE_MS = 1_500
 const MAX_SENDS = 3
 const MAX_RETRY_MS = 400
@@ -53,10 +56,12 @@
   private readonly _random: random.Random
   private readonly _store = new storeStandIn.StoreStandIn()
   private readonly _ledger = new soakLedger.SoakLedger()
+  private readonly _retries = new retryLedger.RetryLedger()
   private readonly _versions: versionWatch.VersionWatch
   private readonly _nodes: soakNode.SoakNode[] = []
   private readonly _pending = new Set<Promise<void>>()
   private _isLoading = true
+  private _isLosingAnswers = false
   private _nextCall = 1
 
   constructor (options: SoakOptions) {
@@ -93,12 +98,29 @@
       node.onLeavingAcknowledged = targetId => {
         if (!this._ledger.leavings.has(targetId)) this._ledger.leavings.set(targetId, performance.now())
       }
+      this._watchTarget(node)
       this._nodes.push(node)
     }
     await Promise.all(this._nodes.map(async node => { await node.start() }))
     if (!await this._until(START_MS, async () => await this._servedShare(2) === 1)) throw new Error('The nodes do not serve calls before the first fault.')
   }
 
+  /** While faults are played, targets lose answers and make calls of their own, so that retries cause further ones. */
+  private _watchTarget (node: soakNode.SoakNode): void {
+    const { target, service } = node
+    const lostShare = pickOf(LOST_SHARES, this._random)
+    target.onArrival = requestId => { if (!versionWatch.isProbe(requestId)) this._retries.arrived(service, requestId) }
+    target.losesAnswer = () => this._isLosingAnswers && this._random.nextFloat() < lostShare
+    target.callsBelow = async (parentId, path) => {
+      if (!this._isLosingAnswers || !path.startsWith('/price/')) return true
+      const requestId = `${parentId}.${this._nextCall++}`
+      this._retries.asked(SERVICES[1] ?? '', requestId, parentId)
+      this._ledger.callsOfTargets.add(requestId)
+      const answer = await node.caller.call({ requestId, method: 'GET', path: `/photo/${requestId}`, deadlineMs: DEADLINE_MS })
+      return answer.kind === 'answer' && answer.status === 200
+    }
+  }
+
   private _configure (version: number): void {
     const routes = [
       { prefix: '/price/', service: 'till' },
@@ -113,11 +135,13 @@
 
   private async _play (plan: readonly faultPlan.Fault[]): Promise<void> {
     const beganAtMs = performance.now()
+    this._isLosingAnswers = true
     await Promise.all(plan.map(async fault => {
       await timers.setTimeout(beganAtMs + fault.atMs - performance.now())
       await this._strike(fault)
     }))
     await timers.setTimeout(Math.max(0, beganAtMs + this._options.lengthMs - performance.now()))
+    this._isLosingAnswers = false
   }
 
   private async _strike ({ kind, node: place, durationMs, link, store }: faultPlan.Fault): Promise<void> {
@@ -211,6 +235,7 @@
       problem: ''
     }
     this._ledger.calls.push(call)
+    this._retries.asked(serviceOf(route), requestId)
     const answer = await node.caller.call({ requestId, method: isIdempotent ? 'GET' : 'POST', path: call.path, ...(isIdempotent ? {} : { body: call.body }), deadlineMs: DEADLINE_MS })
     call.endedAtMs = performance.now()
     if (answer.kind === 'none') {
@@ -258,13 +283,21 @@
 
   private _result (faults: readonly faultPlan.Fault[], found: readonly string[]): SoakResult {
     for (const node of this._nodes) this._ledger.runs.push(...node.target.runs.filter(({ requestId }) => !versionWatch.isProbe(requestId)))
-    const problems = [...found, ...this._versions.problems, ...this._ledger.check()]
+    const problems = [...found, ...this._versions.problems, ...this._ledger.check(), ...this._retries.check()]
     const logs = new Map(problems.length === 0 ? [] : this._nodes.map(({ name, lines }) => [name, lines]))
     const answered = this._ledger.calls.filter(({ status }) => status === 200).length
     return { seed: this._options.seed, faults, calls: this._ledger.calls.length, answered, problems, logs }
   }
 }
 
+function serviceOf (route: string): string {
+  return (route === '/price/' || route === '/charge/' ? SERVICES[0] : SERVICES[1]) ?? ''
+}
+
+function pickOf (values: readonly number[], generator: random.Random): number {
+  return values[generator.nextInt(values.length)] ?? 0
+}
+
 async function harm (relay: soakNode.SoakNode['peerRelay'], fault: faultPlan.LinkFault, durationMs: number): Promise<void> {
   relay.harm(fault)
   await timers.setTimeout(fault === 'reset' ? 0 : durationMs)
