--- a/eslint.config.js
+++ b/eslint.config.js
@@ -15,7 +15,7 @@
 const platformGlobals = ['setTimeout', 'setInterval', 'setImmediate', 'process', 'fetch', 'performance', 'console']
 
 export default [
-  { ignores: ['**/lib/**', '**/node_modules/**', '**/generated/**'] },
+  { ignores: ['target/**', '**/lib/**', '**/node_modules/**', '**/generated/**'] },
   ...neostandard({ ts: true }),
   ...tseslint.configs.strict.map(config => ({ ...config, files: ['**/*.ts'] })),
   {
