Name the allowances of a node after what they hold

RetryBudgets held RetryAllowance objects and stood beside RetryBudget and CallerBudgets, which are other things.

--- a/packages/common/src/direct/DirectCalls.ts
+++ b/packages/common/src/direct/DirectCalls.ts
@@ -1,6 +1,6 @@
 import type * as base from '../base/Types.js'
 import * as callerBudgets from './CallerBudgets.js'
-import * as retryBudgets from './RetryBudgets.js'
+import * as retryAllowances from './RetryAllowances.js'
 import * as routeIndex from './RouteIndex.js'
 import * as splitRotation from './SplitRotation.js'
 import type * as targetPicker from './TargetPicker.js'
@@ -70,14 +70,14 @@
   private readonly _calls = new Map<number, Call>()
   private readonly _budgets = new callerBudgets.CallerBudgets()
   private readonly _splits = new splitRotation.SplitRotation()
-  private readonly _retries: retryBudgets.RetryBudgets
+  private readonly _retries: retryAllowances.RetryAllowances
   private readonly _sizes = new Map<string, number>()
   private _rules: types.MeshRules | undefined
   private _routes = new routeIndex.RouteIndex([])
   private _nextCallId = 1
 
   constructor (private readonly _options: DirectCallsOptions) {
-    this._retries = new retryBudgets.RetryBudgets(_options)
+    this._retries = new retryAllowances.RetryAllowances(_options)
   }
 
   /** A call that had reached a target, or may have, is sent again, or may not be. */
--- a/packages/common/src/direct/RetryBudgets.ts
+++ b/packages/common/src/direct/RetryAllowances.ts
@@ -3,7 +3,7 @@
 import type * as base from '../base/Types.js'
 import type * as types from './Types.js'
 
-export interface RetryBudgetsOptions {
+export interface RetryAllowancesOptions {
   readonly retryTerms: types.RetryTerms
   /** Nodes that share the slack of the fleet; undefined if that is not known. */
   readonly nodeCount: () => number | undefined
@@ -12,12 +12,12 @@
 }
 
 /** Retries of this node for each service, and the calls that have to be counted with them. */
-export class RetryBudgets {
+export class RetryAllowances {
   public readonly onRetry: base.IEvent<types.RetryDecided>
   private readonly _retry = new emitter.Emitter<types.RetryDecided>()
   private readonly _allowances = new Map<string, retryAllowance.RetryAllowance>()
 
-  constructor (private readonly _options: RetryBudgetsOptions) {
+  constructor (private readonly _options: RetryAllowancesOptions) {
     this.onRetry = this._retry.event
   }
 
