--- a/packages/common/src/direct/RetryAllowance.fleet.test.ts
+++ b/packages/common/src/direct/RetryAllowance.fleet.test.ts
@@ -19,13 +19,15 @@
   readonly restartsAtMs: readonly number[]
   /** How long a new process knows no other node. */
   readonly aloneMs: number
+  /** All calls come to one node for this time, then to the next one; 0 if they are spread over all. */
+  readonly movesEachMs: number
   readonly seed: number
 }
 
-const USUAL: Play = { nodeCount: 10, callsPerS: 600, failedShare: 1, restartsAtMs: [], aloneMs: 0, seed: 1 }
+const USUAL: Play = { nodeCount: 10, callsPerS: 600, failedShare: 1, restartsAtMs: [], aloneMs: 0, movesEachMs: 0, seed: 1 }
 
 /** Plays calls that fail from one moment on at all nodes, after a time without failures in which allowances are saved. */
-function play ({ nodeCount, callsPerS, failedShare, restartsAtMs, aloneMs, seed }: Play): retryBound.WorstWindow {
+function play ({ nodeCount, callsPerS, failedShare, restartsAtMs, aloneMs, movesEachMs, seed }: Play): retryBound.WorstWindow {
   const source = new random.Random(seed)
   const bound = new retryBound.RetryBound(TERMS)
   let nowMs = 0
@@ -39,7 +41,8 @@
     }
     const calls = Math.floor(callsPerS * STEP_MS / 1000 + source.nextFloat())
     for (let call = 0; call < calls; call++) {
-      const node = nodes[source.nextInt(nodeCount)]
+      const place = movesEachMs === 0 ? source.nextInt(nodeCount) : Math.floor(nowMs / movesEachMs) % nodeCount
+      const node = nodes[place]
       node?.firstSend(nowMs)
       bound.request('till', nowMs)
       const hasFailed = nowMs >= FAILS_FROM_MS && source.nextFloat() < failedShare
@@ -80,6 +83,20 @@
     }
   }
 
+  // Guards against a bound that holds only while calls are spread evenly over the nodes.
+  for (const movesEachMs of [1_000, 5_000, 10_000, 20_000]) {
+    test.it(`keep the bound while all calls move to another node each ${movesEachMs} ms`, () => {
+      assertKept(play({ ...USUAL, movesEachMs }))
+    })
+  }
+
+  // Guards against a bound that holds at one size of the fleet only.
+  for (const nodeCount of [1, 70, 300]) {
+    test.it(`keep the bound at 2,000 calls a second on ${nodeCount} nodes`, () => {
+      assertKept(play({ ...USUAL, nodeCount, callsPerS: 2_000 }))
+    })
+  }
+
   // Guards against a bound that holds only for the fleets, rates and restarts of the cases above.
   test.it('keep the bound whatever the size, the rate, the failures and the restarts are', () => {
     fastCheck.assert(fastCheck.property(
@@ -89,6 +106,7 @@
         failedShare: fastCheck.constantFrom(0.1, 0.5, 1),
         restartsAtMs: fastCheck.array(fastCheck.integer({ min: FAILS_FROM_MS - 5_000, max: LENGTH_MS }), { maxLength: 6 }),
         aloneMs: fastCheck.constantFrom(0, 500, 3_000, 18_000),
+        movesEachMs: fastCheck.constantFrom(0, 2_000, 10_000),
         seed: fastCheck.integer({ min: 1, max: 1_000 })
       }),
       played => { assertKept(play(played)) }
