End the processes of a fleet whose start fails, and say how nodes ended

When a target could not listen, the hook after the scenario failed too, because it read the output of a node that had not been started, and processes that were started after the failure were never ended: the run stood still for 8 minutes, until it was ended by hand.

The start of a fleet waits for all starts before it fails, and the hook reports every node that was started, with its exit code or signal. The report is what the known red scenario of cut connections lacked.

--- a/packages/testbed/src/harness/Fleet.ts
+++ b/packages/testbed/src/harness/Fleet.ts
@@ -71,6 +71,11 @@
     return this._options.spec
   }
 
+  /** Every node that was started, the ones that were replaced included. */
+  public get startedNodes (): readonly managed.ManagedProcess[] {
+    return this._nodes
+  }
+
   public async start (): Promise<void> {
     this._directory = await fs.mkdtemp(path.join(os.tmpdir(), 'elmpost-'))
     const count = this.spec.services.reduce((sum, service) => sum + service.workers, 0)
@@ -171,10 +176,12 @@
   }
 
   private async _startWorkers (workers: readonly Worker[]): Promise<void> {
-    await Promise.all(workers.map(async worker => {
+    const starts = await Promise.allSettled(workers.map(async worker => {
       await this.startTarget(worker)
       await this.startNode(worker)
     }))
+    // A start that fails is told after all others have ended, so that `stop` ends the processes of those as well.
+    for (const start of starts) if (start.status === 'rejected') throw start.reason
   }
 
   private async _waitForVersion (workers: readonly Worker[], version: number, timeoutMs: number): Promise<number> {
--- a/packages/testbed/src/harness/ManagedProcess.ts
+++ b/packages/testbed/src/harness/ManagedProcess.ts
@@ -3,6 +3,7 @@
 
 const OUTPUT_LINES_KEPT = 200
 const FORCED_STOP_MS = 20_000
+const DESCRIBED_LINES = 5
 
 export interface ManagedProcessOptions {
   readonly name: string
@@ -61,6 +62,12 @@
     return this._lines
   }
 
+  /** How the process ended, if it has, and its last lines. */
+  public describe (): string {
+    const state = this._exit === undefined ? 'runs' : `ended with ${JSON.stringify(this._exit)}`
+    return `${this.name} ${state}: ${this._lines.slice(-DESCRIBED_LINES).join('\n')}`
+  }
+
   public send (message: object): void {
     this._child.send(message)
   }
--- a/packages/testbed/src/scenarios/MeshWorld.ts
+++ b/packages/testbed/src/scenarios/MeshWorld.ts
@@ -5,6 +5,7 @@
 import * as ledger from '../harness/Ledger.js'
 import * as loadGenerator from '../harness/LoadGenerator.js'
 import * as operator from '../harness/Operator.js'
+import type * as managed from '../harness/ManagedProcess.js'
 import type * as slowFetch from '../harness/SlowFetch.js'
 
 const LOAD_SEED = 11
@@ -37,6 +38,11 @@
     return this._fleet
   }
 
+  /** Every node that was started, also of a fleet whose start has failed. */
+  public get startedNodes (): readonly managed.ManagedProcess[] {
+    return this._fleet?.startedNodes ?? []
+  }
+
   public get operator (): operator.Operator {
     return new operator.Operator('operator', this.fleet.logUrl)
   }
--- a/packages/testbed/src/scenarios/hooks.ts
+++ b/packages/testbed/src/scenarios/hooks.ts
@@ -9,7 +9,7 @@
 
 cucumber.After(async function (this: meshWorld.MeshWorld, { result }: cucumber.ITestCaseHookParameter) {
   if (result?.status === cucumber.Status.FAILED) {
-    for (const worker of this.fleet.workers) this.log(`${worker.nodeId}: ${worker.node.output.slice(-5).join('\n')}`)
+    for (const node of this.startedNodes) this.log(node.describe())
   }
   await this.stop()
 })
