Close sockets of a target that cannot be reset in place of resetting them

A reset that waits for a write is pending when Node.js 20 ends; FaultRelay closes such sockets, and the stand-in of a target did not.

Both use the same function now.

--- a/packages/testbed/src/soak/FaultRelay.ts
+++ b/packages/testbed/src/soak/FaultRelay.ts
@@ -1,4 +1,5 @@
 import * as net from 'node:net'
+import * as resets from '@elmpost/platform/standins/Reset.js'
 import type * as faultPlan from './FaultPlan.js'
 
 /** Delay in each direction while connections are delayed. */
@@ -71,20 +72,11 @@
 
   private _reset (pair: Pair): void {
     this._pairs.delete(pair)
-    reset(pair.caller)
-    reset(pair.callee)
+    resets.reset(pair.caller)
+    resets.reset(pair.callee)
   }
 }
 
-/**
- * A reset waits for the connection and for what is still to be written. Node.js 20 does not end while such a reset is
- * pending, so a socket in this state is closed instead.
- */
-function reset (socket: net.Socket): void {
-  if (socket.connecting || socket.writableLength > 0 || socket.writableEnded) socket.destroy()
-  else socket.resetAndDestroy()
-}
-
 /** Delays what passes in one direction without changing its order. */
 class Deliveries {
   private readonly _waiting: { readonly dueAtMs: number, readonly deliver: () => void }[] = []
