Let calls end that come while a stopping node closes for callers

Cause: a stopping node that was quiet and idle closed for callers and ended after 0.5 s at the latest. Callers may send on open connections until these are closed, which takes 0.8 s; the log of the node has 'stopped' and, 363 ms later, a retry of the call that was cut.

The node now waits until the callers are gone, at most until 0.5 s before the end of the grace.

--- a/packages/node/src/direct/PlannedStop.ts
+++ b/packages/node/src/direct/PlannedStop.ts
@@ -68,11 +68,13 @@
     if (elapsedMs < graceMs - MARGIN_MS && !(isQuiet && isIdle)) return
     this._isFinishing = true
     logger.log(isIdle ? 'info' : 'warn', 'stopped', { inFlight: inFlight() })
-    this._finish(isIdle).catch((error: unknown) => { logger.log('error', 'unexpected-error', { problem: String(error) }) })
+    // Callers may still send on open connections until these are closed, and their calls must end as well.
+    const closeWithinMs = isIdle ? Math.max(0, graceMs - MARGIN_MS - elapsedMs) : 0
+    this._finish(closeWithinMs).catch((error: unknown) => { logger.log('error', 'unexpected-error', { problem: String(error) }) })
   }
 
-  private async _finish (isIdle: boolean): Promise<void> {
-    if (isIdle) await Promise.race([this._options.closeCallers(), new Promise(resolve => { setTimeout(resolve, MARGIN_MS) })])
+  private async _finish (closeWithinMs: base.Millis): Promise<void> {
+    await Promise.race([this._options.closeCallers(), new Promise(resolve => { setTimeout(resolve, closeWithinMs) })])
     this._options.finished()
   }
 }
