Count results of calls by priority and origin, so that one kind that is served badly shows

Metrics had one histogram for all calls, and lines about calls neither the urgency of the route nor who made the call.

Added: elmpost_direct_results_total{priority,origin,result}; priority and origin on the call lines, priority and elapsedMs on run-refused. No decision changes. DirectMetrics.test.ts is new; the tests of packages/node/direct and platform pass.

--- /dev/null
+++ b/addons/addon-metrics/src/DirectMetrics.test.ts
@@ -0,0 +1,34 @@
+import * as assert from 'node:assert/strict'
+import * as directMetrics from './DirectMetrics.js'
+import * as emitter from '@elmpost/common/base/Emitter.js'
+import * as test from 'node:test'
+import type * as direct from '@elmpost/common/direct/Services.js'
+import type * as types from '@elmpost/common/direct/Types.js'
+
+class FakeNode implements direct.IDirectView {
+  public readonly nodeName = 'n1'
+  public readonly zone = 'ann'
+  public readonly calls = new emitter.Emitter<direct.CallMeasured>()
+  public readonly onCallEnded = this.calls.event
+  public readonly onRetry = new emitter.Emitter<types.RetryDecided>().event
+
+  public gauges (): direct.DirectGauges {
+    const load = { running: 0, queued: 0, urgentQueued: 0, leastUrgent: 0, slots: 4, serviceMs: 0 }
+    return { version: 1, isReady: true, entryInFlight: 0, load, state: 'ready', knownNodes: 1, connectedNodes: 1, storeAgeMs: 0 }
+  }
+}
+
+test.describe('DirectMetrics', () => {
+  test.it('counts results by priority and origin, so that one kind of call that is served badly is not hidden by the others', async () => {
+    const node = new FakeNode()
+    const metrics = new directMetrics.DirectMetrics(node)
+    const call = { reason: 'ok', totalMs: 3, sends: 1 } as const
+    node.calls.fire({ ...call, outcome: 'answered', result: 'late', origin: 'client', priority: 2 })
+    node.calls.fire({ ...call, outcome: 'answered', result: 'on-time', origin: 'target', priority: 0 })
+    node.calls.fire({ ...call, outcome: 'not-run', result: 'not-run', origin: 'client', priority: undefined })
+    const text = await metrics.render()
+    assert.match(text, /elmpost_direct_results_total\{priority="2",origin="client",result="late",node="n1",zone="ann"\} 1/)
+    assert.match(text, /elmpost_direct_results_total\{priority="0",origin="target",result="on-time",node="n1",zone="ann"\} 1/)
+    assert.doesNotMatch(text, /priority="undefined"/)
+  })
+})
--- a/addons/addon-metrics/src/DirectMetrics.ts
+++ b/addons/addon-metrics/src/DirectMetrics.ts
@@ -17,6 +17,13 @@
     registers: [this._registry]
   })
 
+  private readonly _results = new promClient.Counter({
+    name: 'elmpost_direct_results_total',
+    help: 'Calls that entered at this node, by priority of their route, who made them, and result: on-time, late, error (5xx of the target), not-run, unknown',
+    labelNames: ['priority', 'origin', 'result'],
+    registers: [this._registry]
+  })
+
   private readonly _sends = new promClient.Counter({
     name: 'elmpost_direct_sends_total',
     help: 'Sends of these calls to host nodes',
@@ -48,8 +55,9 @@
   constructor (node: direct.IDirectView) {
     super()
     this._registry.setDefaultLabels({ node: node.nodeName, zone: node.zone })
-    this._register(node.onCallEnded(({ outcome, reason, totalMs, sends }) => {
+    this._register(node.onCallEnded(({ outcome, result, reason, origin, priority, totalMs, sends }) => {
       this._calls.inc({ outcome, reason })
+      if (priority !== undefined) this._results.inc({ priority, origin, result })
       this._sends.inc(sends)
       this._durations.observe({ outcome }, totalMs / MS_PER_S)
     }))
--- a/packages/common/src/direct/Services.ts
+++ b/packages/common/src/direct/Services.ts
@@ -2,9 +2,19 @@
 import type * as base from '../base/Types.js'
 import type * as types from './Types.js'
 
+/** Who made a call: a client, or the target beside the node in one of its runs, as far as the id of the call tells. */
+export type CallOrigin = 'client' | 'target'
+
+/** `late`: after the objective of the route, counted from the first request of the caller. `error`: the target answered with a 5xx status. */
+export type CallResult = 'on-time' | 'late' | 'error' | 'not-run' | 'unknown'
+
 /** A call has its final answer. */
 export interface CallMeasured {
   readonly outcome: 'answered' | 'not-run' | 'unknown'
+  readonly result: CallResult
+  readonly origin: CallOrigin
+  /** Priority of the route; undefined if no route was found. */
+  readonly priority: number | undefined
   /** `ok` for an answer of a target. */
   readonly reason: string
   /** From the whole request to the answer. */
--- a/packages/node/src/direct/DirectNode.ts
+++ b/packages/node/src/direct/DirectNode.ts
@@ -313,12 +313,24 @@
   }
 
   private _finished (exchange: services.IExchange, end: entryGate.CallEnd): void {
-    this._callEnded.fire({ outcome: CALL_OUTCOMES[end.outcome], reason: end.reason, totalMs: end.totalMs, sends: end.sends })
-    if (end.outcome === 'answered' && end.status < 500 && end.sends === 1) return
-    const { outcome, reason, status, totalMs, route, nodeId, sends, retryAfterMs } = end
+    const { outcome, reason, status, totalMs, origin, rule, nodeId, sends, retryAfterMs } = end
+    this._callEnded.fire({ outcome: CALL_OUTCOMES[outcome], result: resultOf(end), reason, origin, priority: rule?.priority, totalMs, sends })
+    if (outcome === 'answered' && status < 500 && sends === 1) return
     const level = outcome === 'fail' ? 'warn' : 'info'
     const { requestId } = exchange.info
-    this._log.log(level, `call-${outcome}`, { requestId, reason, status, route, peer: nodeId, sends, totalMs: Math.round(totalMs), retryAfterMs: Math.round(retryAfterMs), budgetMs: exchange.info.remainingMs })
+    this._log.log(level, `call-${outcome}`, {
+      requestId,
+      reason,
+      status,
+      route: rule?.name,
+      priority: rule?.priority,
+      origin,
+      peer: nodeId,
+      sends,
+      totalMs: Math.round(totalMs),
+      retryAfterMs: Math.round(retryAfterMs),
+      budgetMs: exchange.info.remainingMs
+    })
   }
 
   private _tick (): void {
@@ -375,3 +387,9 @@
     this._tellStatus(true)
   }
 }
+
+function resultOf ({ outcome, status, callerWaitMs, rule }: entryGate.CallEnd): directServices.CallResult {
+  if (outcome !== 'answered') return CALL_OUTCOMES[outcome]
+  if (status >= 500) return 'error'
+  return callerWaitMs <= (rule?.objectiveMs ?? 0) ? 'on-time' : 'late'
+}
--- a/packages/node/src/direct/EntryGate.ts
+++ b/packages/node/src/direct/EntryGate.ts
@@ -3,6 +3,7 @@
 import * as rawHeaderFilter from './RawHeaderFilter.js'
 import type * as base from '@elmpost/common/base/Types.js'
 import type * as direct from '@elmpost/common/direct/Types.js'
+import type * as directServices from '@elmpost/common/direct/Services.js'
 import type * as services from './Services.js'
 import type * as targetTable from '@elmpost/common/direct/TargetTable.js'
 import type * as types from './Types.js'
@@ -31,7 +32,11 @@
   readonly reason: string
   readonly status: number
   readonly totalMs: base.Millis
-  readonly route: string | undefined
+  /** Since the first request of the caller, earlier ones that were refused included. */
+  readonly callerWaitMs: base.Millis
+  readonly origin: directServices.CallOrigin
+  /** Undefined if no route was found. */
+  readonly rule: direct.RouteRule | undefined
   readonly nodeId: base.NodeId
   readonly sends: number
   readonly retryAfterMs: base.Millis
@@ -41,7 +46,10 @@
   readonly exchange: services.IExchange
   readonly beganAtMs: base.Millis
   readonly headers: types.RawHeaders
-  route: string | undefined
+  readonly origin: directServices.CallOrigin
+  rule: direct.RouteRule | undefined
+  /** First request of the caller. */
+  callerSinceMs: base.Millis
   nodeId: base.NodeId
   sends: number
   answer: types.TargetAnswer | undefined
@@ -74,8 +82,20 @@
     const beganAtMs = nowMs()
     this._lastBeganAtMs = beganAtMs
     const { host, path, body, info } = exchange
-    const decision = calls.begin({ host, path, remainingMs: info.remainingMs, bodyBytes: body?.length ?? 0, endByMs: callsEndByMs(), isBelowRetry: this._isBelowRetry(info.requestId) }, beganAtMs)
-    const call: PendingCall = { exchange, beganAtMs, headers: this._entryHeaders(exchange), route: undefined, nodeId: '', sends: 0, answer: undefined }
+    const parentId = this._options.dialect.parentIdOf(info.requestId)
+    const isBelowRetry = parentId !== undefined && this._options.runsRetry(parentId)
+    const decision = calls.begin({ host, path, remainingMs: info.remainingMs, bodyBytes: body?.length ?? 0, endByMs: callsEndByMs(), isBelowRetry }, beganAtMs)
+    const call: PendingCall = {
+      exchange,
+      beganAtMs,
+      callerSinceMs: beganAtMs,
+      headers: this._entryHeaders(exchange),
+      origin: parentId === undefined ? 'client' : 'target',
+      rule: undefined,
+      nodeId: '',
+      sends: 0,
+      answer: undefined
+    }
     this._pending.set(decision.callId, call)
     this._ids.set(exchange, decision.callId)
     this._carryOut(decision)
@@ -151,7 +171,8 @@
     const { nowMs, send, calls } = this._options
     const { callId, nodeId, rule, deadlineAtMs, beganAtMs, service, isRetry } = decision
     const sentAtMs = nowMs()
-    call.route = rule.name
+    call.rule = rule
+    call.callerSinceMs = beganAtMs
     call.nodeId = nodeId
     call.sends += 1
     this._deadlines.arm(deadlineAtMs)
@@ -185,14 +206,26 @@
 
   private _end (call: PendingCall, decision: direct.OwnAnswer): void {
     this._forget(decision.callId)
+    call.rule ??= decision.rule
     call.exchange.refuse(decision)
     this._finished(call, decision.kind, decision.reason, 0, decision.retryAfterMs)
   }
 
   private _finished (call: PendingCall, outcome: CallEnd['outcome'], reason: string, status: number, retryAfterMs: base.Millis): void {
-    const { route, nodeId, sends } = call
-    const totalMs = this._options.nowMs() - call.beganAtMs
-    this._options.finished(call.exchange, { outcome, reason, status, totalMs, route, nodeId, sends, retryAfterMs })
+    const { rule, origin, nodeId, sends } = call
+    const nowMs = this._options.nowMs()
+    this._options.finished(call.exchange, {
+      outcome,
+      reason,
+      status,
+      totalMs: nowMs - call.beganAtMs,
+      callerWaitMs: nowMs - call.callerSinceMs,
+      origin,
+      rule,
+      nodeId,
+      sends,
+      retryAfterMs
+    })
   }
 
   private _expire (): base.Millis {
@@ -201,12 +234,6 @@
     return calls.nextDeadlineMs
   }
 
-  private _isBelowRetry (requestId: string): boolean {
-    const { dialect, runsRetry } = this._options
-    const parentId = dialect.parentIdOf(requestId)
-    return parentId !== undefined && runsRetry(parentId)
-  }
-
   private _forget (callId: number): void {
     const call = this._pending.get(callId)
     this._pending.delete(callId)
--- a/packages/node/src/direct/LocalTarget.ts
+++ b/packages/node/src/direct/LocalTarget.ts
@@ -89,7 +89,7 @@
 
   public refused (call: types.CallMessage, reason: direct.RefusalReason, waitMs: base.Millis): void {
     const { running, queued, slots } = this.host.load
-    this._options.callLog.log('info', 'run-refused', { requestId: call.requestId, reason, waitMs: Math.round(waitMs), running, queued, slots, state: this.watch.state })
+    this._options.callLog.log('info', 'run-refused', { requestId: call.requestId, reason, priority: call.priority, elapsedMs: Math.round(call.elapsedMs), waitMs: Math.round(waitMs), running, queued, slots, state: this.watch.state })
   }
 
   public dispose (): void {
