Take back all requests of a connection that its caller closes, also pipelined ones

Cause: the server of Node.js emits 'close' only on the response that has the socket. Requests that were sent behind it on the same connection were never cancelled, and waited at hosts for slots that they then took.

CallerConnections keeps the requests without an answer by connection and takes all of them back when it ends. Ingress.test.ts failed before for a reset and for a close (one of three requests was cancelled); 141 tests of packages/node/direct and platform pass.

--- a/packages/node/src/direct/Ingress.ts
+++ b/packages/node/src/direct/Ingress.ts
@@ -1,9 +1,11 @@
 import * as bodyReader from '../BodyReader.js'
+import * as callerConnections from './CallerConnections.js'
 import * as callerListener from '../CallerListener.js'
 import * as reasons from './Reasons.js'
 import type * as base from '@elmpost/common/base/Types.js'
 import type * as direct from '@elmpost/common/direct/Types.js'
 import type * as http from 'node:http'
+import type * as net from 'node:net'
 import type * as services from './Services.js'
 import type * as nodeTypes from '../Types.js'
 import type * as types from './Types.js'
@@ -28,6 +30,7 @@
 export class Ingress implements base.IDisposable {
   private readonly _options: IngressOptions
   private readonly _listener: callerListener.CallerListener
+  private readonly _connections = new callerConnections.CallerConnections()
   private _maxBodyBytes = DEFAULT_MAX_BODY_BYTES
 
   constructor (options: IngressOptions) {
@@ -66,7 +69,7 @@
   }
 
   private _handle (request: http.IncomingMessage, response: http.ServerResponse): void {
-    const exchange = new IngressExchange(request, response, this, this._options)
+    const exchange = new IngressExchange(request, response, this, this._connections, this._options)
     bodyReader.readBody(request, this._maxBodyBytes, {
       complete: body => { exchange.begin(body) },
       tooLarge: () => {
@@ -78,16 +81,23 @@
   }
 }
 
-class IngressExchange implements services.IExchange {
+class IngressExchange implements services.IExchange, callerConnections.ILeavable {
   public readonly info: types.CallerRequestInfo
   public readonly method: string
   public readonly host: string
   public readonly path: string
   public readonly headers: types.RawHeaders
   public body: Uint8Array | undefined
-  private _isAnswered = false
-
-  constructor (request: http.IncomingMessage, private readonly _response: http.ServerResponse, private readonly _ingress: Ingress, private readonly _options: IngressOptions) {
+  private readonly _socket: net.Socket
+
+  constructor (
+    request: http.IncomingMessage,
+    private readonly _response: http.ServerResponse,
+    private readonly _ingress: Ingress,
+    private readonly _connections: callerConnections.CallerConnections,
+    private readonly _options: IngressOptions
+  ) {
+    this._socket = request.socket
     this.info = _options.dialect.readRequest(request.headers)
     this.method = request.method ?? 'GET'
     this.host = request.headers.host ?? ''
@@ -97,10 +107,12 @@
 
   public begin (body: Buffer | undefined): void {
     this.body = body
-    this._response.on('close', () => {
-      if (!this._isAnswered) this._options.owner.cancel(this)
-    })
     this._options.owner.begin(this)
+    if (!this._response.headersSent) this._connections.add(this._socket, this)
+  }
+
+  public left (): void {
+    this._options.owner.cancel(this)
   }
 
   public answer (answer: types.TargetAnswer): void {
@@ -125,7 +137,7 @@
   }
 
   private _write (status: number, headers: types.RawHeaders, body: Uint8Array): void {
-    this._isAnswered = true
+    this._connections.remove(this._socket, this)
     if (this._response.destroyed) return
     if (this._ingress.isClosing) this._response.shouldKeepAlive = false
     this._response.writeHead(status, [...headers])
