Give up answers of a target that do not end before they fill the memory

Cause: the host keeps an answer until it is whole and had no bound on it, so a target in trouble that sends without end could take all of a VM's 178 MB until the deadline of the call.

UnfinishedAnswers bounds what one target has under way to 24 MiB. The keyed path streams large answers with back pressure and keeps no more than 256 KiB (read, not changed).

--- a/packages/node/src/direct/TargetClient.ts
+++ b/packages/node/src/direct/TargetClient.ts
@@ -1,6 +1,7 @@
 import * as httpClients from '../HttpClients.js'
 import * as idleLimit from '@elmpost/common/direct/IdleLimit.js'
 import * as targetExchange from './TargetExchange.js'
+import * as unfinishedAnswers from './UnfinishedAnswers.js'
 import type * as base from '@elmpost/common/base/Types.js'
 import type * as services from './Services.js'
 import type * as types from './Types.js'
@@ -25,6 +26,7 @@
 /** Sends requests to the target, one at a time on each connection. */
 export class TargetClient implements services.ITargetClient {
   private readonly _idle = new idleLimit.IdleLimit()
+  private readonly _unfinished = new unfinishedAnswers.UnfinishedAnswers()
   private _idleLimitMs: base.Millis
   private _pool: undici.Pool
 
@@ -40,6 +42,7 @@
       requestId: request.requestId,
       dialect,
       nowMs,
+      unfinished: this._unfinished,
       ended,
       reset: afterMs => { this._idle.reset(afterMs, nowMs()) }
     })
--- a/packages/node/src/direct/TargetExchange.ts
+++ b/packages/node/src/direct/TargetExchange.ts
@@ -4,6 +4,7 @@
 import type * as services from './Services.js'
 import type * as types from './Types.js'
 import type * as undici from 'undici'
+import type * as unfinishedAnswers from './UnfinishedAnswers.js'
 
 type Phase = 'waiting' | 'written' | 'done'
 
@@ -11,13 +12,15 @@
   readonly requestId: string
   readonly dialect: services.ICallDialect
   readonly nowMs: () => base.Millis
+  /** All answers of the target that are not whole yet. */
+  readonly unfinished: unfinishedAnswers.UnfinishedAnswers
   readonly ended: (result: types.RunResult) => void
   /** The connection ended this long after the request was written, before any part of an answer. */
   readonly reset: (afterMs: base.Millis) => void
 }
 
 /** One request to the target: the handler of its exchange. */
-export class TargetExchange implements undici.Dispatcher.DispatchHandler, services.ITargetRun {
+export class TargetExchange implements undici.Dispatcher.DispatchHandler, services.ITargetRun, unfinishedAnswers.IUnfinishedAnswer {
   private _phase: Phase = 'waiting'
   private _controller: undici.Dispatcher.DispatchController | undefined
   private _isAborted = false
@@ -26,7 +29,7 @@
   private _headers: types.RawHeaders = []
   private _isUnframed = false
   private _declined: { readonly targetId: string | undefined } | undefined
-  private readonly _parts: Buffer[] = []
+  private _parts: Buffer[] = []
 
   constructor (private readonly _options: TargetExchangeOptions) {}
 
@@ -38,6 +41,10 @@
     this._controller?.abort(new Error('the call has been given up'))
   }
 
+  public tooLarge (): void {
+    this._break('the answer does not end, or is too large')
+  }
+
   public onRequestStart (controller: undici.Dispatcher.DispatchController): void {
     if (this._phase === 'waiting' && !this._isAborted) {
       this._controller = controller
@@ -56,8 +63,7 @@
     const info = dialect.readAnswer(status, received)
     const problem = problemOf(info, requestId, status, received)
     if (problem !== undefined) {
-      this._end({ kind: 'failed', reason: 'bad-answer', detail: problem })
-      controller.abort(new Error(problem))
+      this._break(problem)
       return
     }
     this._status = status
@@ -67,7 +73,9 @@
   }
 
   public onResponseData (_controller: undici.Dispatcher.DispatchController, chunk: Buffer): void {
-    if (this._phase === 'written') this._parts.push(chunk)
+    if (this._phase !== 'written') return
+    this._parts.push(chunk)
+    this._options.unfinished.grew(this, chunk.length)
   }
 
   public onResponseEnd (): void {
@@ -88,9 +96,17 @@
     else this._end({ kind: 'failed', reason: 'target-lost', detail: code })
   }
 
+  /** Closes the connection, because what comes on it is not the answer. */
+  private _break (problem: string): void {
+    this._end({ kind: 'failed', reason: 'bad-answer', detail: problem })
+    this._controller?.abort(new Error(problem))
+  }
+
   private _end (result: types.RunResult): void {
     if (this._phase === 'done') return
     this._phase = 'done'
+    this._parts = []
+    this._options.unfinished.ended(this)
     this._options.ended(result)
   }
 }
