Ask no further host for a refused call if none tells of room

Cause: a least urgent call that a host refused was sent to up to two others, chosen by cost alone. When all are full each of them refuses it too, so under overload most messages between nodes were for calls that nobody could take, on links of 5 Mbit/s and 0.27 of a core.

A call that one host has refused as busy now goes only to hosts that by their own reports can have it on time, as calls to other zones already did. More urgent calls are sent on as before, because hosts take them late.

--- a/packages/common/src/direct/DirectCalls.ts
+++ b/packages/common/src/direct/DirectCalls.ts
@@ -44,6 +44,7 @@
   /** Sends that reached a target, or may have. */
   attempts: number
   refusals: number
+  isRefusedAsBusy: boolean
   shortestWaitMs: base.Millis
   mayHaveRun: boolean
   /** An earlier send has an answer of a target. It stands if no later one is better. */
@@ -119,6 +120,7 @@
       sentAtMs: nowMs,
       attempts: 0,
       refusals: 0,
+      isRefusedAsBusy: false,
       shortestWaitMs: Infinity,
       mayHaveRun: false,
       isAnswered: false,
@@ -138,6 +140,7 @@
     else call.attempts -= 1
     call.refusals += 1
     if (refused.reason === 'busy') {
+      call.isRefusedAsBusy = true
       call.shortestWaitMs = Math.min(call.shortestWaitMs, refused.waitMs)
       this._avoid(from, call.rule.priority, refused.waitMs, nowMs)
     }
@@ -254,8 +257,9 @@
   }
 
   private _pick (call: Call, nowMs: base.Millis): targetPicker.Pick {
-    const { service, rule, tried, beganAtMs } = call
-    return this._options.picker.pick({ service, priority: rule.priority, bytes: this._sizeOf(call), onTimeMs: beganAtMs + rule.objectiveMs - nowMs, isIdempotent: rule.kind === 'idempotent' }, tried ?? NOTHING, nowMs)
+    const { service, rule, tried, beganAtMs, isRefusedAsBusy } = call
+    const picked = { service, priority: rule.priority, bytes: this._sizeOf(call), onTimeMs: beganAtMs + rule.objectiveMs - nowMs, isIdempotent: rule.kind === 'idempotent', isRefusedAsBusy }
+    return this._options.picker.pick(picked, tried ?? NOTHING, nowMs)
   }
 
   private _sizeOf (call: Call): number {
--- a/packages/common/src/direct/TargetPicker.test.ts
+++ b/packages/common/src/direct/TargetPicker.test.ts
@@ -6,7 +6,7 @@
 import type * as types from './Types.js'
 
 const NOTHING: ReadonlySet<string> = new Set()
-const CALL = { service: 'till', priority: 1, bytes: 1000, onTimeMs: 200, isIdempotent: true }
+const CALL = { service: 'till', priority: 1, bytes: 1000, onTimeMs: 200, isIdempotent: true, isRefusedAsBusy: false }
 const LOAD = { running: 0, queued: 0, urgentQueued: 0, leastUrgent: 1, slots: 4, serviceMs: 50 }
 
 test.describe('TargetPicker', () => {
@@ -57,6 +57,26 @@
     assert.deepEqual([...pick(1, 20_000).keys()], ['home'])
   })
 
+  test.describe('a least urgent call that a busy host has refused', () => {
+    const refused = { ...CALL, isRefusedAsBusy: true }
+
+    test.it('is not sent to hosts that tell of no room, because each of them would refuse it as well', () => {
+      add('full', 'vake', { running: 4, queued: 12 })
+      assert.deepEqual(picker.pick(refused, NOTHING, 0), { row: undefined, isBusy: true })
+    })
+
+    test.it('is sent to one where it can be on time', () => {
+      add('full', 'vake', { running: 4, queued: 12 })
+      add('room', 'vake', { running: 4, queued: 2 })
+      assert.equal(picker.pick(refused, NOTHING, 0).row?.nodeId, 'room')
+    })
+
+    test.it('differs from a more urgent one, which hosts take also if it will be late', () => {
+      add('full', 'vake', { running: 4, queued: 12, urgentQueued: 12 })
+      assert.equal(picker.pick({ ...refused, priority: 0 }, NOTHING, 0).row?.nodeId, 'full')
+    })
+  })
+
   test.it('counts the calls that it has sent since the last report, so that a burst does not go to one target', () => {
     add('one', 'vake')
     add('two', 'vake')
--- a/packages/common/src/direct/TargetPicker.ts
+++ b/packages/common/src/direct/TargetPicker.ts
@@ -44,6 +44,8 @@
   readonly isIdempotent: boolean
   /** Time left in which an answer is on time. */
   readonly onTimeMs: base.Millis
+  /** A host has refused the call because it is busy. */
+  readonly isRefusedAsBusy: boolean
 }
 
 export interface Pick {
@@ -102,10 +104,15 @@
     return rows.slice(0, last)
   }
 
-  /** A host that refuses calls is not asked again at once, nor is one in another zone that the call would cross to in vain. */
+  /**
+   * A host that refuses calls is not asked again at once, nor is one in another zone that the call would cross to in vain.
+   * A least urgent call that one host has refused is likely to be refused by others that tell of no room either.
+   */
   private _isTooBusy (row: targetTable.TargetRow, call: PickedCall, nowMs: base.Millis): boolean {
     if (row.avoidUntilMs > nowMs && call.priority >= row.avoidedPriority) return true
-    return row.zone !== this._options.zone && this._expectedWaitMs(row, call) + this._serviceMs(row, call) > Math.max(call.onTimeMs, this._serviceMs(row, call))
+    if (row.zone === this._options.zone && !(call.isRefusedAsBusy && call.priority >= row.load.leastUrgent)) return false
+    const serviceMs = this._serviceMs(row, call)
+    return this._expectedWaitMs(row, call) + serviceMs > Math.max(call.onTimeMs, serviceMs)
   }
 
   private _cost (row: targetTable.TargetRow, call: PickedCall, nowMs: base.Millis): number {
--- a/packages/node/src/direct/testing/VirtualFleet.ts
+++ b/packages/node/src/direct/testing/VirtualFleet.ts
@@ -54,6 +54,10 @@
 export class VirtualFleet {
   public readonly bound: retryBound.RetryBound
   public answered = 0
+  /** Answered calls that took no longer than the objective of their route. */
+  public onTime = 0
+  /** Calls that entry nodes handed to hosts, their own included. */
+  public sends = 0
   public failed = 0
   private readonly _options: VirtualFleetOptions
   private readonly _random: random.Random
@@ -81,10 +85,15 @@
   }
 
   private _callAtRate ({ rule, callsPerS }: VirtualRoute): void {
-    if (this._random.nextFloat() >= callsPerS / 1000) return
+    for (let dueCalls = callsPerS / 1000; dueCalls > 0 && this._random.nextFloat() < dueCalls; dueCalls--) this._call(rule)
+  }
+
+  private _call (rule: direct.RouteRule): void {
     const node = this._nodes[this._random.nextInt(this._nodes.length)]
+    const beganAtMs = this._nowMs
     node?.gate.begin(this._exchange(rule.pathPrefix, rule.timeoutMs, { parentId: undefined, isRetry: false }, isServed => {
       if (isServed) this.answered += 1
+      if (isServed && this._nowMs - beganAtMs <= rule.objectiveMs) this.onTime += 1
       else this.failed += 1
     }))
   }
@@ -138,6 +147,7 @@
       dialect: DIALECT,
       nowMs,
       send: (nodeId, call) => {
+        this.sends += 1
         this._nodeOf(nodeId).host.accept(gate, call)
         return true
       },
