Take the time that a process stood still off calls that it reads before its next tick

Cause: the time was known only after a tick. After a long turn of the event loop, what had arrived for the same turn is handed out before the next tick (checked on Node.js 20 with a turn of 600 ms: data of a second connection was read with the last tick 600 ms ago), so calls that had waited kept the time that they had before, and a host could start them after their callers had left. After a stop by SIGSTOP the tick came first in 5 of 5 trials, so that case was covered already. An entry node took nothing off the requests of its own callers at all.

StallWatch.suspectedMs tells a stop that no tick has followed yet, and EntryGate takes it off the time of requests. Tests in StallWatch, NodeLinks and EntryGate (new) failed before; 255 tests of both direct folders pass. A time of day that is set forward shortens the requests of 0.1 s, as it already did for calls on links; those without time left are refused as not run.

--- a/packages/common/src/direct/StallWatch.test.ts
+++ b/packages/common/src/direct/StallWatch.test.ts
@@ -32,6 +32,13 @@
     assert.deepEqual(pass(100, 5_300), [0, 5_000])
   })
 
+  test.it('tells a stop that no tick has followed yet, because arrived calls are read before the next tick', () => {
+    pass(100)
+    nowMs += 4_300
+    timeOfDayMs += 4_300
+    assert.equal(watch.suspectedMs, 4_000)
+  })
+
   test.it('suspects nothing when the time of day is set back', () => {
     assert.deepEqual(pass(100, -8_000), [0, 0])
   })
--- a/packages/common/src/direct/StallWatch.ts
+++ b/packages/common/src/direct/StallWatch.ts
@@ -10,7 +10,10 @@
   readonly timeOfDayMs: () => base.Millis
 }
 
-/** How long a process stood still before its last tick. What it reads until the next one may have waited for as long. */
+/**
+ * How long a process stood still. What it reads just after that may have waited for as long. After a stall the event loop
+ * hands out what has arrived before its timers, so a reader that comes before the next tick sees the stall as well.
+ */
 export class StallWatch {
   private readonly _options: StallWatchOptions
   private _tickedAtMs: base.Millis
@@ -24,22 +27,26 @@
     this._tickedAtTimeOfDayMs = options.timeOfDayMs()
   }
 
-  /** By the steady clock. */
+  /** Before the last tick, by the steady clock. */
   public get stalledMs (): base.Millis {
     return this._stalledMs
   }
 
-  /** By either clock. Larger than the truth when the time of day was set forward, so a reason for doubt only. */
+  /** Before the last tick or since then, by either clock. Larger than the truth when the time of day was set forward, so a reason for doubt only. */
   public get suspectedMs (): base.Millis {
-    return this._suspectedMs
+    return Math.max(this._suspectedMs, this._excessMs(this._options.nowMs(), this._options.timeOfDayMs()))
   }
 
   public tick (): void {
     const nowMs = this._options.nowMs()
     const timeOfDayMs = this._options.timeOfDayMs()
     this._stalledMs = Math.max(0, nowMs - this._tickedAtMs - STALL_MS)
-    this._suspectedMs = Math.max(this._stalledMs, timeOfDayMs - this._tickedAtTimeOfDayMs - STALL_MS)
+    this._suspectedMs = this._excessMs(nowMs, timeOfDayMs)
     this._tickedAtMs = nowMs
     this._tickedAtTimeOfDayMs = timeOfDayMs
   }
+
+  private _excessMs (nowMs: base.Millis, timeOfDayMs: base.Millis): base.Millis {
+    return Math.max(0, nowMs - this._tickedAtMs - STALL_MS, timeOfDayMs - this._tickedAtTimeOfDayMs - STALL_MS)
+  }
 }
--- a/packages/node/src/direct/DirectNode.ts
+++ b/packages/node/src/direct/DirectNode.ts
@@ -126,6 +126,7 @@
       cancel: (nodeId, callId) => this._cancel(nodeId, callId),
       finished: (exchange, end) => { this._finished(exchange, end) },
       callsEndByMs: () => this._stop.callsEndByMs,
+      suspectedMs: () => this._stalls.suspectedMs,
       runsRetry: requestId => this._target.host.runsRetry(requestId)
     }))
     this._ingress = this._register(new ingress.Ingress({ address: addresses.parse(settings.callerAddress), owner: this._entry, dialect }))
--- /dev/null
+++ b/packages/node/src/direct/EntryGate.test.ts
@@ -0,0 +1,90 @@
+import * as assert from 'node:assert/strict'
+import * as directCalls from '@elmpost/common/direct/DirectCalls.js'
+import * as entryGate from './EntryGate.js'
+import * as random from '@elmpost/common/base/Random.js'
+import * as rules from '@elmpost/common/direct/testing/Rules.js'
+import * as targetPicker from '@elmpost/common/direct/TargetPicker.js'
+import * as targetTable from '@elmpost/common/direct/TargetTable.js'
+import * as test from 'node:test'
+import type * as direct from '@elmpost/common/direct/Types.js'
+import type * as services from './Services.js'
+import type * as types from './Types.js'
+
+const SELF = 'n1'
+const SERVICE = 'till'
+const DIALECT = { entryHeaders: () => [], isSetByNode: () => false, parentIdOf: () => undefined } as unknown as services.ICallDialect
+const LOAD = { running: 0, queued: 0, urgentQueued: 0, leastUrgent: 1, slots: 4, serviceMs: 50 }
+
+test.describe('EntryGate', () => {
+  let suspectedMs: number
+  let sent: types.CallMessage[]
+  let refusals: direct.OwnAnswer[]
+  let gate: entryGate.EntryGate
+
+  function begin (remainingMs: number | undefined): void {
+    gate.begin({
+      method: 'GET',
+      host: 'booth.example',
+      path: '/price/1',
+      headers: [],
+      body: undefined,
+      info: { requestId: 'r1', remainingMs },
+      answer: () => {},
+      refuse: answer => { refusals.push(answer) }
+    })
+  }
+
+  test.beforeEach(() => {
+    suspectedMs = 0
+    sent = []
+    refusals = []
+    const table = new targetTable.TargetTable()
+    table.put(SELF, 'vake', SERVICE)
+    table.connected(SELF, true)
+    table.status(SELF, { state: 'ready', load: LOAD, version: 1, storeAgeMs: 0, fleetStoreAgeMs: 0 })
+    const source = new random.Random(1)
+    const picker = new targetPicker.TargetPicker({ table, selfId: SELF, zone: 'vake', random: source, otherZoneCostMs: () => 5 })
+    const calls = new directCalls.DirectCalls({ table, picker, random: source, retryTerms: { ratio: 0.2, slack: 58, windowMs: 10_000 }, nodeCount: () => 1, startedAtMs: 0 })
+    calls.enforce(rules.rules([rules.route({ name: 'price', host: 'booth.example', pathPrefix: '/price/', parts: [{ service: SERVICE, weight: 1 }], timeoutMs: 4_000 })]))
+    gate = new entryGate.EntryGate({
+      nodeId: SELF,
+      service: SERVICE,
+      calls,
+      table,
+      dialect: DIALECT,
+      nowMs: () => 0,
+      send: (_nodeId, call) => {
+        sent.push(call)
+        return true
+      },
+      cancel: () => true,
+      finished: () => {},
+      callsEndByMs: () => Infinity,
+      suspectedMs: () => suspectedMs,
+      runsRetry: () => false
+    })
+  })
+
+  test.afterEach(() => { gate.dispose() })
+
+  // Guards against a process that stood still and gives requests which waited meanwhile the time that they had before.
+  test.describe('a request that is read after the process stood still', () => {
+    test.it('gives its target only what may be left of its time', () => {
+      suspectedMs = 600
+      begin(1_000)
+      assert.equal(sent[0]?.remainingMs, 400)
+    })
+
+    test.it('is refused as not run if its time may be over', () => {
+      suspectedMs = 1_200
+      begin(1_000)
+      assert.deepEqual([sent.length, refusals[0]?.kind, refusals[0]?.reason], [0, 'refuse', 'deadline'])
+    })
+
+    test.it('has the time of its route if its caller does not say how long it waits', () => {
+      suspectedMs = 600
+      begin(undefined)
+      assert.equal(sent[0]?.remainingMs, 4_000)
+    })
+  })
+})
--- a/packages/node/src/direct/EntryGate.ts
+++ b/packages/node/src/direct/EntryGate.ts
@@ -22,6 +22,8 @@
   readonly finished: (exchange: services.IExchange, end: CallEnd) => void
   /** Calls that may last longer are refused, because the node ends then. */
   readonly callsEndByMs: () => base.Millis
+  /** Requests that are read now may have waited for this time, because the process stood still. */
+  readonly suspectedMs: () => base.Millis
   /** Whether the target beside the node runs a retry with this id. It may make calls of its own meanwhile. */
   readonly runsRetry: (requestId: string) => boolean
 }
@@ -84,7 +86,8 @@
     const { host, path, body, info } = exchange
     const parentId = this._options.dialect.parentIdOf(info.requestId)
     const isBelowRetry = parentId !== undefined && this._options.runsRetry(parentId)
-    const decision = calls.begin({ host, path, remainingMs: info.remainingMs, bodyBytes: body?.length ?? 0, endByMs: callsEndByMs(), isBelowRetry }, beganAtMs)
+    const remainingMs = info.remainingMs === undefined ? undefined : info.remainingMs - this._options.suspectedMs()
+    const decision = calls.begin({ host, path, remainingMs, bodyBytes: body?.length ?? 0, endByMs: callsEndByMs(), isBelowRetry }, beganAtMs)
     const call: PendingCall = {
       exchange,
       beganAtMs,
--- a/packages/node/src/direct/NodeLinks.test.ts
+++ b/packages/node/src/direct/NodeLinks.test.ts
@@ -192,6 +192,15 @@
     })
   })
 
+  test.describe('a host that stood still and has not ticked yet', () => {
+    test.it('takes off the time as well, because the event loop hands out what has arrived before its timers', async () => {
+      host.nowMs += 5_300
+      caller.links.sendCall(hostId, CALL)
+      await testMesh.until(() => host.host.held.length === 1)
+      assert.equal(host.host.held[0]?.call.remainingMs, 3_000)
+    })
+  })
+
   test.describe('messages at rest', () => {
     test.it('are one in a second from the host and one in four seconds to it on each link, and none beside calls', async () => {
       const told: string[] = []
--- a/packages/node/src/direct/testing/VirtualFleet.ts
+++ b/packages/node/src/direct/testing/VirtualFleet.ts
@@ -154,6 +154,7 @@
       cancel: (nodeId, callId) => this._nodeOf(nodeId).host.cancel(gate, callId),
       finished: () => {},
       callsEndByMs: () => Infinity,
+      suspectedMs: () => 0,
       runsRetry: requestId => host.runsRetry(requestId)
     })
     const node = { id, service, table, gate, host }
