Judge calls that wait on a suspended VM by the time that passed meanwhile

Cause: the steady clock of a VM may leave out the time in which it was suspended. Calls in the queue of its host then had all of their time left when it woke, and were started although their callers had gone, on their whole old deadline.

StallWatch adds up the time that the time of day shows beyond the steady clock, and TargetHost judges waiting calls by a clock that includes it: on arrival, when a slot becomes free (also before the next tick) and when it tells the target how much is left. Running calls go by the steady clock, so a time of day that was only set breaks none off; calls that wait meanwhile may then be refused as not run, and are sent elsewhere.

--- a/packages/common/src/direct/StallWatch.test.ts
+++ b/packages/common/src/direct/StallWatch.test.ts
@@ -39,6 +39,18 @@
     assert.equal(watch.suspectedMs, 4_000)
   })
 
+  test.it('adds up the time that the steady clock may have left out, and takes nothing back when the time of day does', () => {
+    assert.equal(watch.uncountedMs, 0)
+    pass(100, 5_100)
+    pass(400)
+    nowMs += 100
+    timeOfDayMs += 2_100
+    assert.equal(watch.uncountedMs, 7_000)
+    watch.tick()
+    pass(100, -8_000)
+    assert.equal(watch.uncountedMs, 7_000)
+  })
+
   test.it('suspects nothing when the time of day is set back', () => {
     assert.deepEqual(pass(100, -8_000), [0, 0])
   })
--- a/packages/common/src/direct/StallWatch.ts
+++ b/packages/common/src/direct/StallWatch.ts
@@ -11,8 +11,8 @@
 }
 
 /**
- * How long a process stood still. What it reads just after that may have waited for as long. After a stall the event loop
- * hands out what has arrived before its timers, so a reader that comes before the next tick sees the stall as well.
+ * How long a process stood still. What it reads just after that may have waited for as long. What has arrived for one turn
+ * of the event loop is handed out before the next tick, so a reader that comes before that tick sees the stall as well.
  */
 export class StallWatch {
   private readonly _options: StallWatchOptions
@@ -20,6 +20,7 @@
   private _tickedAtTimeOfDayMs: base.Millis
   private _stalledMs: base.Millis = 0
   private _suspectedMs: base.Millis = 0
+  private _uncountedMs: base.Millis = 0
 
   constructor (options: StallWatchOptions) {
     this._options = options
@@ -37,15 +38,26 @@
     return Math.max(this._suspectedMs, this._excessMs(this._options.nowMs(), this._options.timeOfDayMs()))
   }
 
+  /** Time since the start that the steady clock may not have counted, because the VM was suspended. It never falls. */
+  public get uncountedMs (): base.Millis {
+    return this._uncountedMs + this._uncountedSinceTickMs(this._options.nowMs(), this._options.timeOfDayMs())
+  }
+
   public tick (): void {
     const nowMs = this._options.nowMs()
     const timeOfDayMs = this._options.timeOfDayMs()
+    this._uncountedMs += this._uncountedSinceTickMs(nowMs, timeOfDayMs)
     this._stalledMs = Math.max(0, nowMs - this._tickedAtMs - STALL_MS)
     this._suspectedMs = this._excessMs(nowMs, timeOfDayMs)
     this._tickedAtMs = nowMs
     this._tickedAtTimeOfDayMs = timeOfDayMs
   }
 
+  private _uncountedSinceTickMs (nowMs: base.Millis, timeOfDayMs: base.Millis): base.Millis {
+    const aheadMs = (timeOfDayMs - this._tickedAtTimeOfDayMs) - (nowMs - this._tickedAtMs)
+    return aheadMs > STALL_MS ? aheadMs : 0
+  }
+
   private _excessMs (nowMs: base.Millis, timeOfDayMs: base.Millis): base.Millis {
     return Math.max(0, nowMs - this._tickedAtMs - STALL_MS, timeOfDayMs - this._tickedAtTimeOfDayMs - STALL_MS)
   }
--- a/packages/node/src/direct/DirectNode.ts
+++ b/packages/node/src/direct/DirectNode.ts
@@ -1,6 +1,7 @@
 import * as addresses from '../Addresses.js'
 import * as auditTrail from './AuditTrail.js'
 import * as callLog from './CallLog.js'
+import * as callMeasure from './CallMeasure.js'
 import * as directCalls from '@elmpost/common/direct/DirectCalls.js'
 import * as disposable from '@elmpost/common/base/Disposable.js'
 import * as emitter from '@elmpost/common/base/Emitter.js'
@@ -33,7 +34,6 @@
 const READY_WITHOUT_NODES_MS = 1_500
 /** How long a node that does not follow the store for others waits for the configuration of theirs, after a start of the whole fleet and otherwise. */
 const FIRST_WAIT_MS = { fleet: 5_000, node: 800 } as const
-const CALL_OUTCOMES = { answered: 'answered', refuse: 'not-run', fail: 'unknown' } as const
 
 export interface DirectNodeOptions {
   readonly settings: types.DirectSettings
@@ -98,8 +98,16 @@
     this._calls = new directCalls.DirectCalls({ table: this._table, picker, random, retryTerms: settings.retryTerms, nodeCount: () => this._fleet.nodeCount, startedAtMs: nowMs() })
     this.onRetry = this._calls.onRetry
     this._register(this.onRetry(retry => { this._log.retry(this._entry.requestIdOf(retry.callId), retry) }))
-    this._target = this._register(new localTarget.LocalTarget({ settings, dialect, nowMs, logger, callLog: this._log, changed: () => { this._targetChanged() } }))
     this._stalls = new stallWatch.StallWatch(options)
+    this._target = this._register(new localTarget.LocalTarget({
+      settings,
+      dialect,
+      nowMs,
+      uncountedMs: () => this._stalls.uncountedMs,
+      logger,
+      callLog: this._log,
+      changed: () => { this._targetChanged() }
+    }))
     this._links = this._register(new nodeLinks.NodeLinks({ selfId, hello: () => this._hello(), nowMs, stalls: this._stalls, random, host: this._target.host, events: this }))
     const firstWaitMs = settings.isFirstStart ? FIRST_WAIT_MS.fleet : FIRST_WAIT_MS.node
     this._readers = new readerPlan.ReaderPlan({ selfId, table: this._table, random, nowMs, startedAtMs: nowMs(), firstWaitMs, isFleetKnown: () => this._fleet.isKnown })
@@ -315,7 +323,7 @@
 
   private _finished (exchange: services.IExchange, end: entryGate.CallEnd): void {
     const { outcome, reason, status, totalMs, origin, rule, nodeId, sends, retryAfterMs } = end
-    this._callEnded.fire({ outcome: CALL_OUTCOMES[outcome], result: resultOf(end), reason, origin, priority: rule?.priority, totalMs, sends })
+    this._callEnded.fire(callMeasure.measure(end))
     if (outcome === 'answered' && status < 500 && sends === 1) return
     const level = outcome === 'fail' ? 'warn' : 'info'
     const { requestId } = exchange.info
@@ -388,9 +396,3 @@
     this._tellStatus(true)
   }
 }
-
-function resultOf ({ outcome, status, callerWaitMs, rule }: entryGate.CallEnd): directServices.CallResult {
-  if (outcome !== 'answered') return CALL_OUTCOMES[outcome]
-  if (status >= 500) return 'error'
-  return callerWaitMs <= (rule?.objectiveMs ?? 0) ? 'on-time' : 'late'
-}
--- a/packages/node/src/direct/LocalTarget.ts
+++ b/packages/node/src/direct/LocalTarget.ts
@@ -15,6 +15,8 @@
   readonly settings: types.DirectSettings
   readonly dialect: services.ICallDialect
   readonly nowMs: () => base.Millis
+  /** Time that the steady clock may have left out so far. */
+  readonly uncountedMs: () => base.Millis
   readonly logger: nodeServices.ILogger
   readonly callLog: callLog.CallLog
   /** The state, the slots or the id of the target has changed. */
@@ -50,6 +52,7 @@
       targetId: () => this.watch.targetId,
       state: () => this.watch.state,
       nowMs,
+      uncountedMs: options.uncountedMs,
       events: this
     })
   }
--- a/packages/node/src/direct/NodeLinks.test.ts
+++ b/packages/node/src/direct/NodeLinks.test.ts
@@ -193,7 +193,7 @@
   })
 
   test.describe('a host that stood still and has not ticked yet', () => {
-    test.it('takes off the time as well, because the event loop hands out what has arrived before its timers', async () => {
+    test.it('takes off the time as well, because what arrived for the same turn of the event loop is read before the tick', async () => {
       host.nowMs += 5_300
       caller.links.sendCall(hostId, CALL)
       await testMesh.until(() => host.host.held.length === 1)
--- a/packages/node/src/direct/TargetHost.test.ts
+++ b/packages/node/src/direct/TargetHost.test.ts
@@ -36,6 +36,7 @@
 
 test.describe('TargetHost', () => {
   let nowMs: number
+  let uncountedMs: number
   let state: direct.TargetState
   let client: FakeClient
   let host: targetHost.TargetHost
@@ -45,6 +46,7 @@
 
   test.beforeEach(() => {
     nowMs = 0
+    uncountedMs = 0
     state = 'ready'
     client = new FakeClient()
     results = new Map()
@@ -57,6 +59,7 @@
       targetId: () => 't',
       state: () => state,
       nowMs: () => nowMs,
+      uncountedMs: () => uncountedMs,
       events: {
         unreachable: code => { events.push(`unreachable ${code}`) },
         silent: () => { events.push('silent') },
@@ -75,6 +78,32 @@
     })
   })
 
+  // Guards against a VM that was suspended and starts calls whose callers have gone meanwhile.
+  test.describe('a VM that was suspended, without its steady clock', () => {
+    test.beforeEach(() => {
+      host.accept(caller, call(1, { isIdempotent: false }))
+      host.accept(caller, call(2, { isIdempotent: false }))
+      uncountedMs = 3_000
+    })
+
+    test.it('refuses calls that wait and whose time is over as not run, before it ticks', () => {
+      client.running[0]?.end(ANSWER)
+      assert.deepEqual([results.get(1)?.kind, results.get(2)?.kind, client.running.length], ['answered', 'refused', 1])
+    })
+
+    test.it('does not break off calls that run, because the time of day may only have been set', () => {
+      nowMs = 900
+      host.tick()
+      assert.equal(client.running[0]?.isAborted, false)
+    })
+
+    test.it('gives calls that come after it their whole time', () => {
+      client.running[0]?.end(ANSWER)
+      host.accept(caller, call(3))
+      assert.deepEqual([results.has(3), client.running.length], [false, 2])
+    })
+  })
+
   test.describe('a retry', () => {
     test.it('is known by its id while it runs, and neither before nor after, so that calls of the target below it are', () => {
       host.accept(caller, call(1))
--- a/packages/node/src/direct/TargetHost.ts
+++ b/packages/node/src/direct/TargetHost.ts
@@ -23,6 +23,8 @@
   readonly targetId: () => string | undefined
   readonly state: () => direct.TargetState
   readonly nowMs: () => base.Millis
+  /** Time that the steady clock may have left out so far, because the VM was suspended. It never falls. */
+  readonly uncountedMs: () => base.Millis
   readonly events: ITargetHostEvents
 }
 
@@ -43,6 +45,8 @@
   readonly message: types.CallMessage
   run: services.ITargetRun | undefined
   startedAtMs: base.Millis
+  /** By the steady clock. Infinite until the call is started. */
+  overdueAtMs: base.Millis
 }
 
 /** Runs calls on the target beside this node, as many at a time as it has slots. */
@@ -79,7 +83,7 @@
   }
 
   public accept (caller: services.IHostCaller, message: types.CallMessage): void {
-    const nowMs = this._options.nowMs()
+    const nowMs = this._waitClockMs
     const call = this._track(caller, message, nowMs)
     if (message.service !== this._options.service || this._options.state() !== 'ready') {
       this._refuse(call, { reason: 'no-target', reachedTarget: false, waitMs: 0 })
@@ -113,9 +117,9 @@
   /** Refuses waiting calls that cannot end in time, so that they are sent elsewhere, and breaks overdue ones off. */
   public tick (): void {
     const nowMs = this._options.nowMs()
-    this._prune(nowMs)
+    this._prune(this._waitClockMs)
     for (const call of this._calls.values()) {
-      if (nowMs > call.deadlineAtMs + OVERDUE_MS) call.run?.abort()
+      if (nowMs > call.overdueAtMs) call.run?.abort()
     }
     if (this._isSilent(nowMs)) this._options.events.silent()
   }
@@ -132,6 +136,14 @@
     for (const { id } of this._queue.clear()) this._refuseWaiting(id, 'no-target')
   }
 
+  /**
+   * Calls that wait are judged by a clock that also counts the time in which the VM may have been suspended. If it was not,
+   * some are refused as not run and are sent elsewhere. Running calls go by the steady clock, as nothing takes them back.
+   */
+  private get _waitClockMs (): base.Millis {
+    return this._options.nowMs() + this._options.uncountedMs()
+  }
+
   /** A target that gives answers is up. It may still take no more connections. */
   private get _isAnswering (): boolean {
     return this._queue.load.running > 0 && this._options.nowMs() - this._answeredAtMs < SILENCE_MS
@@ -155,7 +167,8 @@
       caller,
       message,
       run: undefined,
-      startedAtMs: Infinity
+      startedAtMs: Infinity,
+      overdueAtMs: Infinity
     }
     this._calls.set(call.id, call)
     let calls = this._byCaller.get(caller)
@@ -170,10 +183,11 @@
   private _start (call: HostedCall): void {
     const { dialect, client, targetId, nowMs } = this._options
     const { requestId, method, path, headers, body } = call.message
-    const remainingMs = Math.max(MIN_REMAINING_MS, Math.floor(call.deadlineAtMs - nowMs()))
+    const remainingMs = Math.max(MIN_REMAINING_MS, Math.floor(call.deadlineAtMs - this._waitClockMs))
     const request = { requestId, method, path, body, headers: [...headers, ...dialect.targetHeaders(requestId, remainingMs, targetId())] }
     let hasEnded = false
     call.startedAtMs = nowMs()
+    call.overdueAtMs = call.startedAtMs + remainingMs + OVERDUE_MS
     if (call.message.isRetry) this._retries.add(requestId)
     const run = client().run(request, result => {
       hasEnded = true
@@ -214,7 +228,7 @@
   }
 
   private _startNext (): void {
-    const nowMs = this._options.nowMs()
+    const nowMs = this._waitClockMs
     this._prune(nowMs)
     for (let next = this._queue.next(nowMs); next !== undefined; next = this._queue.next(nowMs)) {
       const call = this._calls.get(next.id)
--- a/packages/node/src/direct/testing/VirtualFleet.ts
+++ b/packages/node/src/direct/testing/VirtualFleet.ts
@@ -136,6 +136,7 @@
       targetId: () => id,
       state: () => 'ready',
       nowMs,
+      uncountedMs: () => 0,
       events: { unreachable: () => {}, silent: () => {}, displaced: () => {}, failed: () => {}, refused: () => {} }
     })
     host.setSlots(this._options.slots)
