Log and count what a target states about itself in its answers

Cause: no log line and no metric showed whether a node knows that its target has named a limit, or says that it leaves; two hypotheses of the incident could not be told apart. Nothing decides by them yet.

--- a/addons/addon-metrics/src/DirectMetrics.test.ts
+++ b/addons/addon-metrics/src/DirectMetrics.test.ts
@@ -14,7 +14,7 @@
 
   public gauges (): direct.DirectGauges {
     const load = { running: 0, queued: 0, urgentQueued: 0, leastUrgent: 0, slots: 4, serviceMs: 0 }
-    return { version: 1, isReady: true, entryInFlight: 0, load, state: 'ready', knownNodes: 1, connectedNodes: 1, storeAgeMs: 0 }
+    return { version: 1, isReady: true, entryInFlight: 0, load, state: 'ready', targetCalls: 42, targetLimitPerS: 9.8, knownNodes: 1, connectedNodes: 1, storeAgeMs: 0 }
   }
 }
 
@@ -31,4 +31,10 @@
     assert.match(text, /elmpost_direct_results_total\{priority="0",origin="target",result="on-time",node="n1",zone="ann"\} 1/)
     assert.doesNotMatch(text, /priority="undefined"/)
   })
+
+  test.it('shows the limit that the target names beside the calls that it got', async () => {
+    const text = await new directMetrics.DirectMetrics(new FakeNode()).render()
+    assert.match(text, /elmpost_direct_target_calls\{.*\} 42\n/)
+    assert.match(text, /elmpost_direct_target_limit_per_second\{.*\} 9\.8\n/)
+  })
 })
--- a/packages/common/src/direct/Services.ts
+++ b/packages/common/src/direct/Services.ts
@@ -30,6 +30,10 @@
   readonly entryInFlight: number
   readonly load: types.TargetLoad
   readonly state: types.TargetState
+  /** Calls that have been sent to the target beside the node. */
+  readonly targetCalls: number
+  /** Requests a second that the target says it takes; Infinity if it names no limit. */
+  readonly targetLimitPerS: number
   readonly knownNodes: number
   readonly connectedNodes: number
   readonly storeAgeMs: base.Millis
--- a/packages/common/src/direct/Types.ts
+++ b/packages/common/src/direct/Types.ts
@@ -68,6 +68,14 @@
   readonly isLeaving: boolean
 }
 
+/** What a target states about itself in an answer. */
+export interface TargetNotice {
+  /** Requests a second that it takes from all nodes together. Infinity if it names no limit; undefined if it names one that is not a number. */
+  readonly maxCallsPerS: number | undefined
+  /** It takes no new work. */
+  readonly isLeaving: boolean
+}
+
 export type TargetState = 'ready' | 'leaving' | 'down' | 'absent'
 
 /** Load of a target, as counted by its host node. */
--- a/packages/node/src/direct/DirectNode.ts
+++ b/packages/node/src/direct/DirectNode.ts
@@ -182,6 +182,8 @@
       entryInFlight: this._entry.inFlight,
       load: this._target.host.load,
       state: this._target.watch.state,
+      targetCalls: this._target.host.started,
+      targetLimitPerS: this._target.notice.maxCallsPerS ?? Infinity,
       knownNodes: this._table.size,
       connectedNodes: this._table.connectedCount,
       storeAgeMs: this._watch.storeAgeMs
--- a/packages/node/src/direct/LocalTarget.ts
+++ b/packages/node/src/direct/LocalTarget.ts
@@ -10,6 +10,7 @@
 
 /** Connections to the target before a configuration sets its limit. */
 const DEFAULT_MAX_CONNECTIONS = 64
+const NO_NOTICE: direct.TargetNotice = { maxCallsPerS: Infinity, isLeaving: false }
 
 export interface LocalTargetOptions {
   readonly settings: types.DirectSettings
@@ -31,6 +32,7 @@
   private _client: targetClient.TargetClient
   private _maxConnections = DEFAULT_MAX_CONNECTIONS
   private _healthPath: string | undefined
+  private _notice = NO_NOTICE
 
   constructor (options: LocalTargetOptions) {
     this._options = options
@@ -69,6 +71,11 @@
     previous.close()
   }
 
+  /** What the target stated in its last answer. */
+  public get notice (): direct.TargetNotice {
+    return this._notice
+  }
+
   public tick (): void {
     this.watch.tick()
     this.host.tick()
@@ -95,6 +102,14 @@
     this._options.callLog.log('info', 'run-refused', { requestId: call.requestId, reason, priority: call.priority, elapsedMs: Math.round(call.elapsedMs), waitMs: Math.round(waitMs), running, queued, slots, state: this.watch.state })
   }
 
+  public onTargetNotice (targetId: string, notice: direct.TargetNotice): void {
+    if (targetId !== this.watch.targetId) return
+    const { maxCallsPerS, isLeaving } = this._notice
+    this._notice = notice
+    if (notice.maxCallsPerS === maxCallsPerS && notice.isLeaving === isLeaving) return
+    this._options.callLog.log('info', 'target-notice', { target: targetId, maxCallsPerS: notice.maxCallsPerS ?? 'unreadable', leaving: notice.isLeaving })
+  }
+
   public dispose (): void {
     this._client.dispose()
   }
--- a/packages/node/src/direct/Services.ts
+++ b/packages/node/src/direct/Services.ts
@@ -8,6 +8,8 @@
 export interface ICallDialect {
   readRequest(headers: http.IncomingHttpHeaders): types.CallerRequestInfo
   readAnswer(status: number, headers: http.IncomingHttpHeaders): types.TargetAnswerInfo
+  /** Reads what a target states about itself in the headers of an answer. */
+  readNotice(headers: types.RawHeaders): direct.TargetNotice
   /** Whether elmpost sets this header of a request itself. `name` is in lower case. */
   isSetByNode(name: string): boolean
   /** Whether a header of an answer is for the node alone. `name` is in lower case. */
@@ -58,7 +60,8 @@
 
 /** Sends HTTP requests to the target. */
 export interface ITargetClient extends base.IDisposable {
-  run(request: ITargetRequest, onResult: (result: types.RunResult) => void): ITargetRun
+  /** `onNotice` is called for an answer to the request, before its body is complete. */
+  run(request: ITargetRequest, onResult: (result: types.RunResult) => void, onNotice: (notice: direct.TargetNotice) => void): ITargetRun
   health(path: string, timeoutMs: base.Millis): Promise<types.TargetHealth | undefined>
 }
 
--- a/packages/node/src/direct/TargetClient.test.ts
+++ b/packages/node/src/direct/TargetClient.test.ts
@@ -7,7 +7,8 @@
 import type * as types from './Types.js'
 
 const DIALECT = {
-  readAnswer: (_status: number, headers: Record<string, string>) => ({ requestId: headers['request-id'], isDeclined: false, isMarked: true, targetId: undefined }),
+  readAnswer: (_status: number, headers: Record<string, string>) => ({ requestId: headers['request-id'], isDeclined: false, isMarked: true, targetId: undefined, isFromOther: false }),
+  readNotice: () => ({ maxCallsPerS: Infinity, isLeaving: false }),
   isForNode: () => false,
   targetIdOf: () => undefined
 } as unknown as services.ICallDialect
@@ -85,7 +86,7 @@
   })
 
   function run (onEnd: (result: types.RunResult) => void): services.ITargetRun {
-    return client.run({ requestId: 'r', method: 'POST', path: '/charge/1', headers: [], body: undefined }, onEnd)
+    return client.run({ requestId: 'r', method: 'POST', path: '/charge/1', headers: [], body: undefined }, onEnd, () => {})
   }
 
   for (const [part, answer] of Object.entries(ENDLESS)) {
--- a/packages/node/src/direct/TargetClient.ts
+++ b/packages/node/src/direct/TargetClient.ts
@@ -3,6 +3,7 @@
 import * as targetExchange from './TargetExchange.js'
 import * as unfinishedAnswers from './UnfinishedAnswers.js'
 import type * as base from '@elmpost/common/base/Types.js'
+import type * as direct from '@elmpost/common/direct/Types.js'
 import type * as services from './Services.js'
 import type * as types from './Types.js'
 import type * as undici from 'undici'
@@ -35,7 +36,7 @@
     this._pool = this._createPool()
   }
 
-  public run (request: services.ITargetRequest, onEnd: (result: types.RunResult) => void): services.ITargetRun {
+  public run (request: services.ITargetRequest, onEnd: (result: types.RunResult) => void, onNotice: (notice: direct.TargetNotice) => void): services.ITargetRun {
     const { dialect, nowMs } = this._options
     this._applyIdleLimit()
     const exchange = new targetExchange.TargetExchange({
@@ -44,6 +45,7 @@
       nowMs,
       unfinished: this._unfinished,
       onEnd,
+      onNotice,
       onReset: afterMs => { this._idleLimit.recordReset(afterMs, nowMs()) }
     })
     try {
--- a/packages/node/src/direct/TargetExchange.ts
+++ b/packages/node/src/direct/TargetExchange.ts
@@ -1,5 +1,6 @@
 import * as rawHeaderFilter from './RawHeaderFilter.js'
 import type * as base from '@elmpost/common/base/Types.js'
+import type * as direct from '@elmpost/common/direct/Types.js'
 import type * as http from 'node:http'
 import type * as services from './Services.js'
 import type * as types from './Types.js'
@@ -15,6 +16,7 @@
   /** All answers of the target that are not complete yet. */
   readonly unfinished: unfinishedAnswers.UnfinishedAnswers
   readonly onEnd: (result: types.RunResult) => void
+  readonly onNotice: (notice: direct.TargetNotice) => void
   /** The connection failed before any part of an answer, `afterMs` after the request was written. */
   readonly onReset: (afterMs: base.Millis) => void
 }
@@ -69,7 +71,9 @@
     this._status = status
     this._isUnframed = received['content-length'] === undefined && received['transfer-encoding'] === undefined
     this._declined = info.isDeclined ? { targetId: info.targetId } : undefined
-    this._headers = rawHeaderFilter.forwardable(stringsOf(controller.rawHeaders), name => dialect.isForNode(name))
+    const headers = stringsOf(controller.rawHeaders)
+    this._headers = rawHeaderFilter.forwardable(headers, name => dialect.isForNode(name))
+    if (!info.isFromOther) this._options.onNotice(dialect.readNotice(headers))
   }
 
   public onResponseData (_controller: undici.Dispatcher.DispatchController, chunk: Buffer): void {
--- a/packages/node/src/direct/TargetHost.test.ts
+++ b/packages/node/src/direct/TargetHost.test.ts
@@ -65,7 +65,8 @@
         onTargetSilent: () => { events.push('silent') },
         onTargetDisplaced: targetId => { events.push(`displaced ${targetId}`) },
         onCallFailed: () => {},
-        onCallRefused: () => {}
+        onCallRefused: () => {},
+        onTargetNotice: () => {}
       }
     })
     host.setSlots(1)
--- a/packages/node/src/direct/TargetHost.ts
+++ b/packages/node/src/direct/TargetHost.ts
@@ -38,6 +38,8 @@
   /** A call ended without a valid answer from the target. */
   onCallFailed(call: types.CallMessage, reason: string, detail: string): void
   onCallRefused(call: types.CallMessage, reason: direct.RefusalReason, waitMs: base.Millis): void
+  /** An answer of the target contains this notice. */
+  onTargetNotice(targetId: string, notice: direct.TargetNotice): void
 }
 
 interface HostedCall extends slotQueue.SlotCall {
@@ -58,6 +60,7 @@
   private readonly _calls = new Map<number, HostedCall>()
   private readonly _callsByCaller = new Map<services.IHostCaller, Map<number, HostedCall>>()
   private _nextId = 1
+  private _started = 0
   private _answeredAtMs = -Infinity
 
   constructor (options: TargetHostOptions) {
@@ -68,6 +71,11 @@
     return this._queue.load
   }
 
+  /** Number of calls that have been sent to the target. */
+  public get started (): number {
+    return this._started
+  }
+
   /** Whether a retry with this request id runs on the target. */
   public runsRetry (requestId: string): boolean {
     return this._retryIds.has(requestId)
@@ -181,17 +189,21 @@
   }
 
   private _start (call: HostedCall): void {
-    const { dialect, client, targetId, nowMs } = this._options
+    const { dialect, client, nowMs, events } = this._options
+    const targetId = this._options.targetId()
     const { requestId, method, path, headers, body } = call.message
     const remainingMs = Math.max(MIN_REMAINING_MS, Math.floor(call.deadlineAtMs - this._waitClockMs))
-    const request = { requestId, method, path, body, headers: [...headers, ...dialect.targetHeaders(requestId, remainingMs, targetId())] }
+    const request = { requestId, method, path, body, headers: [...headers, ...dialect.targetHeaders(requestId, remainingMs, targetId)] }
     let hasEnded = false
+    this._started += 1
     call.startedAtMs = nowMs()
     call.overdueAtMs = call.startedAtMs + remainingMs + OVERDUE_MS
     if (call.message.isRetry) this._retryIds.add(requestId)
     const run = client().run(request, result => {
       hasEnded = true
       this._handleEnd(call, result)
+    }, notice => {
+      if (targetId !== undefined) events.onTargetNotice(targetId, notice)
     })
     if (!hasEnded) call.run = run
   }
--- a/packages/node/src/direct/Types.ts
+++ b/packages/node/src/direct/Types.ts
@@ -70,6 +70,8 @@
   /** Whether the answer bears the header by which targets mark their answers. */
   readonly isMarked: boolean
   readonly targetId: string | undefined
+  /** Whether another target has the address now and answered in place of the expected one. */
+  readonly isFromOther: boolean
 }
 
 /** A configuration and the bytes from which it was decoded. */
--- a/packages/node/src/direct/testing/VirtualFleet.ts
+++ b/packages/node/src/direct/testing/VirtualFleet.ts
@@ -137,7 +137,7 @@
       state: () => 'ready',
       nowMs,
       uncountedMs: () => 0,
-      events: { onTargetUnreachable: () => {}, onTargetSilent: () => {}, onTargetDisplaced: () => {}, onCallFailed: () => {}, onCallRefused: () => {} }
+      events: { onTargetUnreachable: () => {}, onTargetSilent: () => {}, onTargetDisplaced: () => {}, onCallFailed: () => {}, onCallRefused: () => {}, onTargetNotice: () => {} }
     })
     host.setSlots(this._options.slots)
     const gate: entryGate.EntryGate = new entryGate.EntryGate({
