--- a/packages/node/src/direct/testing/VirtualFleet.ts
+++ b/packages/node/src/direct/testing/VirtualFleet.ts
@@ -1,5 +1,6 @@
 import * as directCalls from '@elmpost/common/direct/DirectCalls.js'
 import * as entryGate from '../EntryGate.js'
+import * as limitBound from '@elmpost/common/direct/testing/LimitBound.js'
 import * as random from '@elmpost/common/base/Random.js'
 import * as retryBound from '@elmpost/common/direct/testing/RetryBound.js'
 import * as targetHost from '../TargetHost.js'
@@ -11,7 +12,15 @@
 import type * as types from '../Types.js'
 
 const STATUS_INTERVAL_MS = 1_000
-const DIALECT = { targetHeaders: () => [], entryHeaders: () => [], isSetByNode: () => false, parentIdOf: (id: string) => id.includes('.') ? id.slice(0, id.lastIndexOf('.')) : undefined } as unknown as services.ICallDialect
+const TARGET_HEADER = 'target'
+const LIMIT_HEADER = 'limit'
+const DIALECT = {
+  targetHeaders: () => [],
+  readNotice: (headers: types.RawHeaders) => ({ maxCallsPerS: Number(valueOf(headers, LIMIT_HEADER)), isLeaving: false }),
+  entryHeaders: () => [],
+  isSetByNode: () => false,
+  parentIdOf: (id: string) => id.includes('.') ? id.slice(0, id.lastIndexOf('.')) : undefined
+} as unknown as services.ICallDialect
 
 /** Load and work of one route. */
 export interface VirtualRoute {
@@ -34,6 +43,8 @@
   readonly hidesParentIds?: boolean
   /** Probability with which a target loses the answer of a run. */
   readonly lostShare: (service: string, nowMs: base.Millis) => number
+  /** Limit in calls a second that the target beside a node names. Infinity without a limit. */
+  readonly limitOf?: (nodeId: base.NodeId, nowMs: base.Millis) => number
 }
 
 /** Run of a target that makes a nested call. */
@@ -53,6 +64,7 @@
 /** Entry nodes, hosts and targets of a fleet in virtual time, without a network. Counts the calls and the retries that reach the targets. */
 export class VirtualFleet {
   public readonly bound: retryBound.RetryBound
+  public readonly limitBound = new limitBound.LimitBound()
   public answered = 0
   /** Answered calls that took no longer than the objective of their route. */
   public onTime = 0
@@ -63,6 +75,8 @@
   private readonly _random: random.Random
   private readonly _nodes: VirtualNode[] = []
   private readonly _due = new Map<number, (() => void)[]>()
+  /** Entry nodes by the last part of the request id. */
+  private readonly _entries = new Map<string, base.NodeId>()
   private readonly _arrivedIds = new Set<string>()
   private _nowMs = 0
   private _nextRequest = 1
@@ -91,7 +105,8 @@
   private _call (rule: direct.RouteRule): void {
     const node = this._nodes[this._random.nextInt(this._nodes.length)]
     const beganAtMs = this._nowMs
-    node?.gate.begin(this._exchange(rule.pathPrefix, rule.timeoutMs, { parentId: undefined, isRetry: false }, isServed => {
+    if (node === undefined) return
+    node.gate.begin(this._exchange(node, rule.pathPrefix, rule.timeoutMs, { parentId: undefined, isRetry: false }, isServed => {
       if (isServed) this.answered += 1
       if (isServed && this._nowMs - beganAtMs <= rule.objectiveMs) this.onTime += 1
       else this.failed += 1
@@ -99,8 +114,9 @@
   }
 
   /** A call that is nested in a retry counts as a retry and not as a request. */
-  private _exchange (path: string, remainingMs: base.Millis, { parentId, isRetry }: VirtualParent, onResult: (isServed: boolean) => void): services.IExchange {
+  private _exchange (entry: VirtualNode, path: string, remainingMs: base.Millis, { parentId, isRetry }: VirtualParent, onResult: (isServed: boolean) => void): services.IExchange {
     const ownId = `r${this._nextRequest++}`
+    this._entries.set(ownId, entry.id)
     const requestId = parentId === undefined || this._options.hidesParentIds === true ? ownId : `${parentId}.${ownId}`
     const service = this._routeOf(path).rule.parts[0]?.service ?? ''
     if (isRetry) this._arrivedIds.add(requestId)
@@ -112,7 +128,10 @@
       headers: [],
       body: undefined,
       info: { requestId, remainingMs },
-      answer: ({ status }) => { onResult(status === 200) },
+      answer: ({ status, headers }) => {
+        if (Number(valueOf(headers, LIMIT_HEADER)) < Infinity) this.limitBound.recordPassedOn(valueOf(headers, TARGET_HEADER), entry.id, this._nowMs)
+        onResult(status === 200)
+      },
       refuse: () => { onResult(false) }
     }
   }
@@ -132,7 +151,7 @@
       nodeId: id,
       service,
       dialect: DIALECT,
-      client: () => ({ run: (request, onResult) => this._run(node, request, onResult), health: () => Promise.resolve(undefined), dispose: () => {} }),
+      client: () => ({ run: (request, onResult, onNotice) => this._run(node, request, onResult, onNotice), health: () => Promise.resolve(undefined), dispose: () => {} }),
       targetId: () => id,
       state: () => 'ready',
       nowMs,
@@ -162,14 +181,18 @@
     return node
   }
 
-  private _run (node: VirtualNode, request: services.ITargetRequest, onResult: (result: types.RunResult) => void): services.ITargetRun {
+  private _run (node: VirtualNode, request: services.ITargetRequest, onResult: (result: types.RunResult) => void, onNotice: (notice: direct.TargetNotice) => void): services.ITargetRun {
+    const ownId = request.requestId.slice(request.requestId.lastIndexOf('.') + 1)
+    this.limitBound.recordLimit(node.id, this._limitOf(node), this._nowMs)
+    this.limitBound.recordArrival(node.id, this._entries.get(ownId) ?? '', this._nowMs)
     const isRetry = this._arrivedIds.has(request.requestId)
     this._arrivedIds.add(request.requestId)
     if (isRetry) this.bound.recordRetry(node.service, this._nowMs)
     const { workMs, below } = this._routeOf(request.path)
     this._after(workMs, () => {
+      onNotice({ maxCallsPerS: this._limitOf(node), isLeaving: false })
       if (below === undefined || this._random.nextFloat() >= below.share) this._answer(node, 200, workMs, onResult)
-      else node.gate.begin(this._exchange(below.path, workMs * 4, { parentId: request.requestId, isRetry }, isServed => { this._answer(node, isServed ? 200 : 500, workMs, onResult) }))
+      else node.gate.begin(this._exchange(node, below.path, workMs * 4, { parentId: request.requestId, isRetry }, isServed => { this._answer(node, isServed ? 200 : 500, workMs, onResult) }))
     })
     return { abort: () => {} }
   }
@@ -177,7 +200,11 @@
   private _answer (node: VirtualNode, status: number, serviceMs: base.Millis, onResult: (result: types.RunResult) => void): void {
     const isLost = this._random.nextFloat() < this._options.lostShare(node.service, this._nowMs)
     if (isLost) onResult({ kind: 'failed', reason: 'target-lost', detail: 'TARGET_RESET' })
-    else onResult({ kind: 'answered', answer: { status, headers: [], body: undefined, isUnframed: false }, serviceMs })
+    else onResult({ kind: 'answered', answer: { status, headers: [TARGET_HEADER, node.id, LIMIT_HEADER, String(this._limitOf(node))], body: undefined, isUnframed: false }, serviceMs })
+  }
+
+  private _limitOf ({ id }: VirtualNode): number {
+    return this._options.limitOf?.(id, this._nowMs) ?? Infinity
   }
 
   private _broadcastStatus (): void {
@@ -208,3 +235,7 @@
     return route
   }
 }
+
+function valueOf (headers: types.RawHeaders, name: string): string {
+  return headers[headers.indexOf(name) + 1] ?? ''
+}
