Send no more calls to a target that says in an answer that it leaves

What targets saw: a target whose answers say that it leaves got calls until it announced the same to the node beside it, and again after a restart of that node. Cause: the same as for limits: the header was passed on and read by nobody. Change: the host treats it like a deregistration and records it in the store. Each entry node remembers what it has passed on: it picks the target no more, whatever the host reports, and tells a host that may have restarted before its first call. Records and statuses name the start of the target, so that it does not hold for a later start under the same id. Health answers are read as well. An announcement of a leaving target is acknowledged after the attempt to record it, also if an answer said so first.

--- a/packages/common/src/direct/TargetPicker.test.ts
+++ b/packages/common/src/direct/TargetPicker.test.ts
@@ -190,6 +190,14 @@
     assert.equal(picker.pick({ ...CALL, bytes: 2_000, priority: 0 }, NO_NODES, 0).row?.nodeId, 'home')
   })
 
+  // Guards against a host that has restarted, or runs an earlier version, and does not know that its target leaves.
+  test.it('picks no target that has said in an answer to this node that it leaves, whatever its host reports', () => {
+    add('leaving', 'vake')
+    add('other', 'didube')
+    table.recordNotice('leaving', { maxCallsPerS: Infinity, isLeaving: true })
+    assert.deepEqual([...pick(4).keys()], ['other'])
+  })
+
   // Guards against a target that attracts calls because it is idle, although its limit does not allow them.
   test.describe('a target that has named a limit', () => {
     const limit = { maxCallsPerS: 10, permits: 2 }
--- a/packages/common/src/direct/TargetPicker.ts
+++ b/packages/common/src/direct/TargetPicker.ts
@@ -72,7 +72,7 @@
     let limitWaitMs = Infinity
     this._usualServiceMs = undefined
     for (const row of this._options.table.connectedOf(call.service)) {
-      if (row.state !== 'ready' || exclude.has(row.nodeId)) continue
+      if (row.state !== 'ready' || row.notice?.isLeaving === true || exclude.has(row.nodeId)) continue
       if (this._isTooBusy(row, call, nowMs)) {
         isBusy = true
         if (row.load.limit === undefined) isFull = true
--- a/packages/common/src/direct/TargetRegister.test.ts
+++ b/packages/common/src/direct/TargetRegister.test.ts
@@ -54,6 +54,13 @@
   })
 
   test.describe('restore', () => {
+    // Guards against a target that starts again under its id while the node restarts, and would never be used again.
+    test.it('does not keep a target leaving that has started again since', () => {
+      register.restore({ targetId: 'a', startedAtMs: 1000, slots: 4, isLeaving: true })
+      assert.equal(register.applyAnnouncement(announcement({ startedAtMs: 2000, sequence: 1 })), 'new')
+      assert.equal(register.current?.isLeaving, false)
+    })
+
     test.it('keeps a restored target leaving when it announces itself as ready', () => {
       register.restore({ targetId: 'a', startedAtMs: 0, slots: 4, isLeaving: true })
       register.applyAnnouncement(announcement({ sequence: 7 }))
--- a/packages/common/src/direct/TargetTable.ts
+++ b/packages/common/src/direct/TargetTable.ts
@@ -162,7 +162,7 @@
     // The target may be a new one, so failures before it became ready do not count.
     if (row.state !== 'ready' && status.state === 'ready') row.failureShare = 0
     if (isOtherTarget(row, status)) row.notice = undefined
-    row.target = status.target ?? row.target
+    row.target = newerOf(row.target, status.target)
     row.state = status.state
     row.version = status.version
     row.storeAgeMs = status.storeAgeMs
@@ -237,6 +237,11 @@
   }
 }
 
+/** A host that has restarted does not know when its target started, until that announces itself. */
+function newerOf (known: types.TargetStart | undefined, reported: types.TargetStart | undefined): types.TargetStart | undefined {
+  return reported?.startedAtMs === 0 && reported.targetId === known?.targetId ? known : reported ?? known
+}
+
 /** Whether a status is about another start of a target than the one known. Nodes of earlier versions do not name it, so their target counts as another one once it is ready again. */
 function isOtherTarget ({ target, state }: TargetRow, status: types.HostStatus): boolean {
   if (status.target !== undefined) return target !== undefined && !targetRegister.isSameStart(target, status.target)
--- a/packages/node/src/direct/DirectNode.ts
+++ b/packages/node/src/direct/DirectNode.ts
@@ -227,10 +227,9 @@
   }
 
   public async announce (announcement: direct.Announcement): Promise<boolean> {
-    const before = this._target.watch.state
     const isOwn = this._target.watch.recordAnnouncement(announcement)
-    const after = this._target.watch.state
-    if (after === 'leaving' && before !== after) await this._fleet.recordLeaving()
+    // It may have been known before from an answer of the target, and not be recorded yet.
+    if (isOwn && this._target.watch.state === 'leaving') await this._fleet.recordLeaving()
     return isOwn
   }
 
--- a/packages/node/src/direct/LocalTarget.ts
+++ b/packages/node/src/direct/LocalTarget.ts
@@ -51,6 +51,7 @@
       nowMs,
       logger,
       mayProbe: () => this.host.takePermit(),
+      onHealth: health => { this._handleHealth(health) },
       onChange: () => { this._handleChange() }
     })
     this.host = new targetHost.TargetHost({
@@ -112,7 +113,7 @@
   public onTargetNotice (targetId: string, notice: direct.TargetNotice): void {
     if (targetId !== this.watch.targetId) return
     this._hasAnswer = true
-    this._apply(notice, 'answer')
+    this._apply(this.watch.start, notice, 'answer')
   }
 
   /** Takes over what another node knows of the target, unless this process has a newer answer. */
@@ -130,10 +131,17 @@
     const notice = start === undefined ? undefined : this._peerNotices.take(start)
     if (notice === undefined) return
     const maxCallsPerS = this._hasAnswer ? undefined : Math.min(notice.maxCallsPerS ?? Infinity, this._notice.maxCallsPerS ?? Infinity)
-    this._apply({ maxCallsPerS, isLeaving: notice.isLeaving }, 'peer')
+    this._apply(notice, { maxCallsPerS, isLeaving: notice.isLeaving }, 'peer')
   }
 
-  private _apply (notice: direct.TargetNotice, source: 'answer' | 'peer'): void {
+  /** A health answer without a limit says nothing about the limit on calls. */
+  private _handleHealth ({ targetId, notice }: types.TargetHealth): void {
+    const { start } = this.watch
+    if (start?.targetId !== targetId) return
+    this._apply(start, { ...notice, maxCallsPerS: notice.maxCallsPerS === Infinity ? undefined : notice.maxCallsPerS }, 'health')
+  }
+
+  private _apply (start: direct.TargetStart | undefined, notice: direct.TargetNotice, source: 'answer' | 'peer' | 'health'): void {
     const before = this._notice
     // A limit that cannot be read leaves the last one in force.
     const maxCallsPerS = notice.maxCallsPerS ?? before.maxCallsPerS
@@ -142,6 +150,7 @@
     this._notice = { maxCallsPerS, isLeaving }
     this._options.callLog.log('info', 'target-notice', { target: this.watch.targetId, maxCallsPerS, leaving: isLeaving, source })
     if (maxCallsPerS !== before.maxCallsPerS) this.host.setLimit(maxCallsPerS ?? Infinity)
+    if (isLeaving && start !== undefined) this.watch.recordLeaving(start.targetId, start.startedAtMs)
   }
 
   /** Nothing that an earlier start of the target has stated holds for the next one. */
--- a/packages/node/src/direct/TargetClient.ts
+++ b/packages/node/src/direct/TargetClient.ts
@@ -66,7 +66,9 @@
     try {
       const answer = await this._pool.request({ path, method: 'GET', signal: AbortSignal.timeout(timeoutMs) })
       await answer.body.dump()
-      return { isHealthy: answer.statusCode === 200, targetId: this._options.dialect.targetIdOf(answer.headers) }
+      const { dialect } = this._options
+      const headers = Object.entries(answer.headers).flatMap(([name, value]) => [name, String(value)])
+      return { isHealthy: answer.statusCode === 200, targetId: dialect.targetIdOf(answer.headers), notice: dialect.readNotice(headers) }
     } catch {
       // No answer is a valid result; the caller logs it.
       return undefined
--- a/packages/node/src/direct/TargetWatch.test.ts
+++ b/packages/node/src/direct/TargetWatch.test.ts
@@ -19,7 +19,7 @@
 
   test.beforeEach(() => {
     const client = { health: () => Promise.resolve({ isHealthy: true, targetId: 't1' }) } as unknown as services.ITargetClient
-    watch = new targetWatch.TargetWatch({ settings: SETTINGS, client: () => client, healthPath: () => '/health', nowMs: () => 0, logger: { isEnabled: () => true, log: () => {} }, mayProbe: () => true, onChange: () => {} })
+    watch = new targetWatch.TargetWatch({ settings: SETTINGS, client: () => client, healthPath: () => '/health', nowMs: () => 0, logger: { isEnabled: () => true, log: () => {} }, mayProbe: () => true, onHealth: () => {}, onChange: () => {} })
   })
 
   test.describe('a target that was found by a health check', () => {
--- a/packages/node/src/direct/TargetWatch.ts
+++ b/packages/node/src/direct/TargetWatch.ts
@@ -19,6 +19,8 @@
   readonly logger: nodeServices.ILogger
   /** Whether a health check may be sent now. It counts towards the limit that the target has named. */
   readonly mayProbe: () => boolean
+  /** A health check was answered, by whichever target has the address. */
+  readonly onHealth: (health: types.TargetHealth) => void
   /** The state, the slots or the id of the target has changed. */
   readonly onChange: () => void
 }
@@ -148,6 +150,7 @@
     this._probeAtMs = this._options.nowMs() + PROBE_INTERVAL_MS
     this._options.client().health(path, PROBE_TIMEOUT_MS).then(health => {
       this._isProbing = false
+      if (health !== undefined) this._options.onHealth(health)
       onResult(health)
     }, error => {
       this._isProbing = false
--- a/packages/node/src/direct/Types.ts
+++ b/packages/node/src/direct/Types.ts
@@ -54,6 +54,7 @@
 export interface TargetHealth {
   readonly isHealthy: boolean
   readonly targetId: string | undefined
+  readonly notice: direct.TargetNotice
 }
 
 /** Values from the headers of a caller's request. */
