Play targets that name a limit or say that they leave in the soak

Cause: no fault of the soak made a target state anything in its answers, so no soak could find what the incident showed. Change: two faults, drawn beside the others of a seed, and NoticeLedger, which checks both bounds from what callers and targets see. LimitBound no longer allows any number of calls in a window that ends after a limit.

--- a/packages/common/src/direct/testing/LimitBound.ts
+++ b/packages/common/src/direct/testing/LimitBound.ts
@@ -78,8 +78,8 @@
   }
 }
 
-/** Calls allowed in the window by the highest limit that was named in it or in the time that nodes have to adapt before it. */
+/** Calls allowed in the window by the highest limit that was named in it or in the time that nodes have to adapt before it. Calls after the end of a limit are not recorded. */
 function allowedIn (limits: Target['limits'], fromMs: base.Millis): number {
-  const named = limits.filter(({ atMs }, at) => atMs < fromMs + WINDOW_MS && (limits[at + 1]?.atMs ?? Infinity) > fromMs - ADAPTATION_MS)
+  const named = limits.filter(({ atMs, maxCallsPerS }, at) => maxCallsPerS < Infinity && atMs < fromMs + WINDOW_MS && (limits[at + 1]?.atMs ?? Infinity) > fromMs - ADAPTATION_MS)
   return Math.max(...named.map(({ maxCallsPerS }) => maxCallsPerS)) * FACTOR * WINDOW_MS / MS_PER_S + SLACK_CALLS
 }
--- /dev/null
+++ b/packages/testbed/src/soak/NoticeLedger.ts
@@ -0,0 +1,59 @@
+import * as limitBound from '@elmpost/common/direct/testing/LimitBound.js'
+
+/** A target gets no call that was sent later than this through a node which has passed on that it leaves. */
+const LEAVING_TOLERANCE_MS = 2_000
+
+interface CallStart {
+  readonly entry: string
+  readonly startedAtMs: number
+}
+
+/** Checks what targets get after they have named a limit, or said that they leave, in answers that nodes have passed on. */
+export class NoticeLedger {
+  private readonly _limits = new limitBound.LimitBound()
+  private readonly _calls = new Map<string, CallStart>()
+  /** By target: when each entry node first passed on that it leaves. */
+  private readonly _leavingAtMs = new Map<string, Map<string, number>>()
+  private readonly _problems: string[] = []
+
+  public recordCall (requestId: string, entry: string, atMs: number): void {
+    this._calls.set(requestId, { entry, startedAtMs: atMs })
+  }
+
+  public recordLimit (targetId: string, maxCallsPerS: number, atMs: number): void {
+    this._limits.recordLimit(targetId, maxCallsPerS, atMs)
+  }
+
+  /** Records that an entry node has passed on an answer in which the target names a limit. */
+  public recordLimitPassedOn (targetId: string, entry: string, atMs: number): void {
+    this._limits.recordPassedOn(targetId, entry, atMs)
+  }
+
+  /** Records that an entry node has passed on an answer in which the target says that it leaves. */
+  public recordLeavingPassedOn (targetId: string, entry: string, atMs: number): void {
+    const entries = this._leavingAtMs.get(targetId) ?? new Map<string, number>()
+    if (!entries.has(entry)) entries.set(entry, atMs)
+    this._leavingAtMs.set(targetId, entries)
+  }
+
+  /** A node that was restarted or paused is bound again when it passes on the next answer. */
+  public recordInterruption (entry: string): void {
+    this._limits.recordInterruption(entry)
+    for (const entries of this._leavingAtMs.values()) entries.delete(entry)
+  }
+
+  public recordArrival (targetId: string, requestId: string, atMs: number): void {
+    const call = this._calls.get(requestId)
+    if (call === undefined) return
+    this._limits.recordArrival(targetId, call.entry, atMs)
+    const leavingAtMs = this._leavingAtMs.get(targetId)?.get(call.entry) ?? Infinity
+    if (call.startedAtMs > leavingAtMs + LEAVING_TOLERANCE_MS) this._problems.push(`${targetId} got ${requestId} ${Math.round(atMs - leavingAtMs)} ms after ${call.entry} had passed on that it leaves`)
+  }
+
+  /** Violated guarantees, one line each. */
+  public check (): readonly string[] {
+    const { targetId, fromMs, calls, allowed } = this._limits.findWorstWindow()
+    const beyond = calls <= allowed ? [] : [`${targetId} got ${calls} calls in the 4 s from ${Math.round(fromMs)} ms, its limit allows ${Math.round(allowed)}`]
+    return [...beyond, ...this._problems]
+  }
+}
--- a/packages/testbed/src/soak/SoakRun.ts
+++ b/packages/testbed/src/soak/SoakRun.ts
@@ -2,6 +2,7 @@
 import * as documents from '@elmpost/platform/standins/Documents.js'
 import * as faultPlan from './FaultPlan.js'
 import * as fs from 'node:fs'
+import * as noticeLedger from './NoticeLedger.js'
 import * as random from '@elmpost/common/base/Random.js'
 import * as retryLedger from './RetryLedger.js'
 import * as rulesFormat from '@elmpost/platform/RulesFormat.js'
@@ -60,6 +61,7 @@
   private readonly _store = new storeStandIn.StoreStandIn()
   private readonly _ledger = new soakLedger.SoakLedger()
   private readonly _retries = new retryLedger.RetryLedger()
+  private readonly _notices = new noticeLedger.NoticeLedger()
   private readonly _versions: versionWatch.VersionWatch
   private readonly _nodes: soakNode.SoakNode[] = []
   private readonly _pending = new Set<Promise<void>>()
@@ -113,18 +115,30 @@
   /** While faults are injected, targets lose answers and make nested calls, so that retries cause further retries. */
   private _instrumentTarget (node: soakNode.SoakNode): void {
     const { target, service } = node
-    target.onArrival = requestId => { if (!versionWatch.isProbe(requestId)) this._retries.recordArrival(service, requestId) }
+    target.onArrival = requestId => {
+      if (versionWatch.isProbe(requestId)) return
+      this._retries.recordArrival(service, requestId)
+      this._notices.recordArrival(target.targetId, requestId, performance.now())
+    }
     target.shouldResetRun = () => this._isLosingAnswers && this._random.nextFloat() < this._targets.lostShare
     target.callNested = async (parentId, path) => {
       if (!this._isLosingAnswers || !path.startsWith('/price/')) return true
       const requestId = `${parentId}.${this._nextCall++}`
       this._retries.recordRequest(SERVICES[1] ?? '', requestId, parentId)
       this._ledger.nestedCallIds.add(requestId)
+      this._notices.recordCall(requestId, node.name, performance.now())
       const answer = await node.caller.call({ requestId, method: 'GET', path: `/photo/${requestId}`, deadlineMs: DEADLINE_MS })
+      this._recordNotices(node, answer)
       return answer.kind === 'answer' && answer.status === 200
     }
   }
 
+  private _recordNotices (entry: soakNode.SoakNode, answer: callerStandIn.CallerAnswer | callerStandIn.NoAnswer): void {
+    if (answer.kind === 'none' || answer.targetId === undefined) return
+    if (answer.namesLimit) this._notices.recordLimitPassedOn(answer.targetId, entry.name, performance.now())
+    if (answer.saysLeaving) this._notices.recordLeavingPassedOn(answer.targetId, entry.name, performance.now())
+  }
+
   private _configure (version: number): void {
     const routes = [
       { prefix: '/price/', service: 'till' },
@@ -148,7 +162,7 @@
     this._isLosingAnswers = false
   }
 
-  private async _injectFault ({ kind, node: index, durationMs, link, store }: faultPlan.Fault): Promise<void> {
+  private async _injectFault ({ kind, node: index, durationMs, link, store, limit }: faultPlan.Fault): Promise<void> {
     const node = this._nodes[index]
     if (node === undefined) return
     switch (kind) {
@@ -174,6 +188,8 @@
         this._store.mode = 'up'
         return
       case 'target-leaves': return await node.replaceTarget(TARGET_DRAIN_MS)
+      case 'target-says-leaving': return await node.replaceTargetUnannounced(durationMs)
+      case 'target-names-limit': return await node.limitTarget(limit, durationMs, (targetId, maxCallsPerS) => { this._notices.recordLimit(targetId, maxCallsPerS, performance.now()) })
       case 'target-crashes': return await node.crashTarget(durationMs)
       case 'configure': this._versions.publishNext()
     }
@@ -184,6 +200,7 @@
     this._ledger.interruptions.push(period)
     await interruption()
     period.toMs = performance.now()
+    this._notices.recordInterruption(node.name)
     this._versions.recordInterruption(node.name)
   }
 
@@ -192,6 +209,7 @@
     node.signal('SIGTERM')
     await node.waitForExit()
     const period = { subject: node.name, fromMs, toMs: performance.now() }
+    this._notices.recordInterruption(node.name)
     const wasInterrupted = this._ledger.interruptions.some(other => other.subject === node.name && other.toMs >= fromMs)
     if (!wasInterrupted) this._ledger.stops.push(period)
     this._versions.recordInterruption(node.name)
@@ -240,8 +258,10 @@
     }
     this._ledger.calls.push(call)
     this._retries.recordRequest(serviceOf(route), requestId)
+    this._notices.recordCall(requestId, node.name, call.startedAtMs)
     const answer = await node.caller.call({ requestId, method: isIdempotent ? 'GET' : 'POST', path: call.path, ...(isIdempotent ? {} : { body: call.body }), deadlineMs: DEADLINE_MS })
     call.endedAtMs = performance.now()
+    this._recordNotices(node, answer)
     if (answer.kind === 'none') {
       call.problem = answer.problem
       return { call, retryAfterMs: MAX_RETRY_DELAY_MS }
@@ -287,7 +307,7 @@
 
   private _collectResult (faults: readonly faultPlan.Fault[], recoveryProblems: readonly string[]): SoakResult {
     for (const node of this._nodes) this._ledger.runs.push(...node.target.runs.filter(({ requestId }) => !versionWatch.isProbe(requestId)))
-    const problems = [...recoveryProblems, ...this._versions.problems, ...this._ledger.check(), ...this._retries.check()]
+    const problems = [...recoveryProblems, ...this._versions.problems, ...this._ledger.check(), ...this._retries.check(), ...this._notices.check()]
     const logs = new Map(problems.length === 0 ? [] : this._nodes.map(({ name, logLines }) => [name, logLines]))
     const answered = this._ledger.calls.filter(({ status }) => status === 200).length
     return { seed: this._options.seed, faults, calls: this._ledger.calls.length, answered, problems, logs }
