Tell a restarted host that its target's leaving was acknowledged

What targets saw: a target whose leaving the node beside it had acknowledged got calls again when that node restarted while the store was away and a late announcement said that the target is ready. Cause: the class of the incident: something that a target tells is known to one process only. The record in the store waits 0.3 s at most, and the acknowledgement is given without it. Change: the status names the target and says whether it leaves; entry nodes keep that as they keep what is said in answers, and tell the host in their hello. A planned stop of the node is still reported as before and is not taken for a leaving of the target.

--- a/packages/common/src/direct/TargetTable.test.ts
+++ b/packages/common/src/direct/TargetTable.test.ts
@@ -9,8 +9,8 @@
 test.describe('TargetTable', () => {
   let table: targetTable.TargetTable
 
-  function report (state: types.TargetState, target?: types.TargetStart): void {
-    table.updateStatus('n1', { state, load: LOAD, version: 1, storeAgeMs: 0, fleetStoreAgeMs: 0, target }, 0)
+  function report (state: types.TargetState, target?: types.TargetStart & Partial<types.ReportedTarget>): void {
+    table.updateStatus('n1', { state, load: LOAD, version: 1, storeAgeMs: 0, fleetStoreAgeMs: 0, target: target === undefined ? undefined : { isLeaving: false, ...target } }, 0)
   }
 
   test.beforeEach(() => {
@@ -53,6 +53,17 @@
       assert.equal(table.get('n1')?.notice, undefined)
     })
 
+    test.it('includes that the node beside it has acknowledged its leaving', () => {
+      report('leaving', { targetId: 't1', startedAtMs: 5, isLeaving: true })
+      report('ready', { targetId: 't1', startedAtMs: 5 })
+      assert.deepEqual(table.noticeFor('n1'), { targetId: 't1', startedAtMs: 5, ...LEAVING })
+    })
+
+    test.it('does not include that the node beside it stops', () => {
+      report('leaving', { targetId: 't1', startedAtMs: 5 })
+      assert.equal(table.noticeFor('n1'), undefined)
+    })
+
     test.it('is a limit until an answer names none; one that cannot be read changes nothing', () => {
       const notices = [9.8, undefined, Infinity].map(maxCallsPerS => {
         table.recordNotice('n1', { maxCallsPerS, isLeaving: false })
--- a/packages/common/src/direct/TargetTable.ts
+++ b/packages/common/src/direct/TargetTable.ts
@@ -28,7 +28,7 @@
   loadAtMs: base.Millis
   /** Target beside the node, as last reported. */
   target: types.TargetStart | undefined
-  /** What that target has stated in the answers that this node has passed on. */
+  /** What that target has stated in the answers that this node has passed on, and whether the node has reported that it leaves. */
   notice: types.TargetNotice | undefined
   version: number
   storeAgeMs: base.Millis
@@ -163,6 +163,7 @@
     if (row.state !== 'ready' && status.state === 'ready') row.failureShare = 0
     if (isOtherTarget(row, status)) row.notice = undefined
     row.target = newerOf(row.target, status.target)
+    if (status.target?.isLeaving === true) this.recordNotice(nodeId, { maxCallsPerS: undefined, isLeaving: true })
     row.state = status.state
     row.version = status.version
     row.storeAgeMs = status.storeAgeMs
--- a/packages/common/src/direct/Types.ts
+++ b/packages/common/src/direct/Types.ts
@@ -68,12 +68,16 @@
   readonly startedAtMs: base.Millis
 }
 
-export interface KnownTarget extends TargetStart {
-  readonly slots: number
-  /** Whether the target has announced that it is leaving. */
+/** What a host reports of its target. */
+export interface ReportedTarget extends TargetStart {
+  /** Whether the target has announced that it is leaving, or has ended. */
   readonly isLeaving: boolean
 }
 
+export interface KnownTarget extends ReportedTarget {
+  readonly slots: number
+}
+
 /** What a target states about itself in an answer. */
 export interface TargetNotice {
   /** Requests a second that it takes from all nodes together. Infinity if it names no limit; undefined if it names one that is not a number. */
@@ -82,7 +86,7 @@
   readonly isLeaving: boolean
 }
 
-/** What a node knows of a target from the answers that it has passed on. */
+/** What a node knows of a target beside another node, from the answers that it has passed on and from that node. */
 export interface KnownNotice extends TargetNotice, TargetStart {}
 
 export type TargetState = 'ready' | 'leaving' | 'down' | 'absent'
@@ -120,7 +124,7 @@
   /** Time since the last contact of any node to the store, as far as this node knows. */
   readonly fleetStoreAgeMs: base.Millis
   /** Undefined if the node knows no target, or runs a version that does not report it. */
-  readonly target?: TargetStart | undefined
+  readonly target?: ReportedTarget | undefined
 }
 
 /** What a target announces about itself. */
--- a/packages/node/src/direct/DirectNode.ts
+++ b/packages/node/src/direct/DirectNode.ts
@@ -366,7 +366,7 @@
 
   private _status (): direct.HostStatus {
     const state = this._stop.closesTarget ? 'leaving' : this._target.watch.state
-    return { state, load: this._target.host.load, version: this.version, storeAgeMs: this._watch.storeAgeMs, fleetStoreAgeMs: this._readers.fleetStoreAgeMs, target: this._target.watch.start }
+    return { state, load: this._target.host.load, version: this.version, storeAgeMs: this._watch.storeAgeMs, fleetStoreAgeMs: this._readers.fleetStoreAgeMs, target: this._target.watch.reported }
   }
 
   private _handleTargetChange (): void {
--- a/packages/node/src/direct/LinkCodec.ts
+++ b/packages/node/src/direct/LinkCodec.ts
@@ -82,7 +82,7 @@
 }
 
 function statusValues ({ state, load, version, storeAgeMs, fleetStoreAgeMs, target }: direct.HostStatus): Values {
-  const targetValues = target === undefined ? [] : [target.targetId, target.startedAtMs]
+  const targetValues = target === undefined ? [] : [target.targetId, target.startedAtMs, target.isLeaving]
   return [KIND.status, STATES.indexOf(state), version, ageValue(storeAgeMs), ...loadValues(load), ageValue(fleetStoreAgeMs), ...limitValues(load.limit), ...targetValues]
 }
 
@@ -170,11 +170,12 @@
   // Earlier versions do not send the last values.
   const [fleetStoreAgeMs = UNKNOWN_AGE, ...last] = rest.slice(LOAD_VALUES)
   const load = loadOf([...rest.slice(0, LOAD_VALUES), ...last.slice(0, LIMIT_VALUES)])
-  const [targetId, startedAtMs] = last.slice(LIMIT_VALUES)
+  const [targetId, startedAtMs, isLeaving] = last.slice(LIMIT_VALUES)
   if (state === undefined || !isNumber(version) || !isNumber(storeAgeMs) || !isNumber(fleetStoreAgeMs) || load === undefined) return undefined
   const status = { state, version, storeAgeMs: ageOf(storeAgeMs), fleetStoreAgeMs: ageOf(fleetStoreAgeMs), load }
   if (targetId === undefined) return { kind: 'status', status }
-  return isText(targetId) && isNumber(startedAtMs) ? { kind: 'status', status: { ...status, target: { targetId, startedAtMs } } } : undefined
+  if (!isText(targetId) || !isNumber(startedAtMs) || typeof isLeaving !== 'boolean') return undefined
+  return { kind: 'status', status: { ...status, target: { targetId, startedAtMs, isLeaving } } }
 }
 
 function callOf (values: Values): LinkMessage | undefined {
--- a/packages/node/src/direct/LocalTarget.ts
+++ b/packages/node/src/direct/LocalTarget.ts
@@ -113,7 +113,7 @@
   public onTargetNotice (targetId: string, notice: direct.TargetNotice): void {
     if (targetId !== this.watch.targetId) return
     this._hasAnswer = true
-    this._apply(this.watch.start, notice, 'answer')
+    this._apply(this.watch.reported, notice, 'answer')
   }
 
   /** Takes over what another node knows of the target, unless this process has a newer answer. */
@@ -127,7 +127,7 @@
   }
 
   private _applyPeerNotices (): void {
-    const { start } = this.watch
+    const { reported: start } = this.watch
     const notice = start === undefined ? undefined : this._peerNotices.take(start)
     if (notice === undefined) return
     const maxCallsPerS = this._hasAnswer ? undefined : Math.min(notice.maxCallsPerS ?? Infinity, this._notice.maxCallsPerS ?? Infinity)
@@ -136,7 +136,7 @@
 
   /** A health answer without a limit says nothing about the limit on calls. */
   private _handleHealth ({ targetId, notice }: types.TargetHealth): void {
-    const { start } = this.watch
+    const { reported: start } = this.watch
     if (start?.targetId !== targetId) return
     this._apply(start, { ...notice, maxCallsPerS: notice.maxCallsPerS === Infinity ? undefined : notice.maxCallsPerS }, 'health')
   }
@@ -155,7 +155,7 @@
 
   /** Nothing that an earlier start of the target has stated holds for the next one. */
   private _resetOnNewStart (): void {
-    const { start } = this.watch
+    const { reported: start } = this.watch
     const isNew = start !== undefined && (this._start === undefined || !targetRegister.isSameStart(this._start, start))
     this._start = start ?? this._start
     if (!isNew) return
--- a/packages/node/src/direct/TargetWatch.ts
+++ b/packages/node/src/direct/TargetWatch.ts
@@ -57,10 +57,10 @@
     return this._register.current?.targetId
   }
 
-  /** Identifies the target from its start until its end. */
-  public get start (): direct.TargetStart | undefined {
+  /** What other nodes are told of the target. */
+  public get reported (): direct.ReportedTarget | undefined {
     const { current } = this._register
-    return current === undefined ? undefined : { targetId: current.targetId, startedAtMs: current.startedAtMs }
+    return current === undefined ? undefined : { targetId: current.targetId, startedAtMs: current.startedAtMs, isLeaving: current.isLeaving }
   }
 
   /** State that the next process of this node can start from. */
--- a/packages/node/src/direct/testing/VirtualFleet.ts
+++ b/packages/node/src/direct/testing/VirtualFleet.ts
@@ -229,7 +229,7 @@
     for (const { table } of this._nodes) {
       for (const { id, host } of this._nodes) {
         table.recordMessage(id, this._nowMs)
-        table.updateStatus(id, { state: 'ready', load: host.load, version: 1, storeAgeMs: 0, fleetStoreAgeMs: 0, target: { targetId: id, startedAtMs: 0 } }, this._nowMs)
+        table.updateStatus(id, { state: 'ready', load: host.load, version: 1, storeAgeMs: 0, fleetStoreAgeMs: 0, target: { targetId: id, startedAtMs: 0, isLeaving: false } }, this._nowMs)
       }
     }
   }
