Keep a deregistration that arrives before the target is known

Cause: a node that does not know a target yet acknowledged its deregistration and forgot it; a late announcement then made the target ready. Change: the register keeps such deregistrations, and the target leaves as soon as it is announced. They do not hold for its next start. Result: two tests of TargetRegister fail before and pass now.

--- a/packages/common/src/direct/TargetRegister.test.ts
+++ b/packages/common/src/direct/TargetRegister.test.ts
@@ -53,6 +53,26 @@
     })
   })
 
+  // Guards against a restarted node that acknowledges a deregistration and then uses the target because of a late announcement.
+  test.describe('a deregistration that arrives before the first announcement', () => {
+    for (const startedAtMs of [0, 1000]) {
+      test.it(`makes the target leave when it is announced with start ${startedAtMs}`, () => {
+        register.markLeaving('a')
+        register.applyAnnouncement(announcement({ startedAtMs, sequence: 21 }))
+        assert.equal(register.current?.isLeaving, true)
+      })
+    }
+
+    test.it('does not hold for other targets, or for the next start under the same id', () => {
+      register.markLeaving('a')
+      register.applyAnnouncement(announcement({ targetId: 'b', startedAtMs: 500 }))
+      assert.equal(register.current?.isLeaving, false)
+      register.applyAnnouncement(announcement({ startedAtMs: 1000 }))
+      register.applyAnnouncement(announcement({ startedAtMs: 2000 }))
+      assert.equal(register.current.isLeaving, false)
+    })
+  })
+
   test.describe('restore', () => {
     // Guards against a target that starts again under its id while the node restarts, and would never be used again.
     test.it('does not keep a target leaving that has started again since', () => {
--- a/packages/common/src/direct/TargetRegister.ts
+++ b/packages/common/src/direct/TargetRegister.ts
@@ -1,7 +1,7 @@
 import type * as base from '../base/Types.js'
 import type * as types from './Types.js'
 
-/** Number of ended target starts that are kept, so that a late announcement does not make one current again. */
+/** Number of ended target starts, and of deregistrations of unknown targets, that are kept, so that a late announcement does not make one current again. */
 const MAX_ENDED = 64
 
 /** One start of the target beside this node. */
@@ -17,6 +17,8 @@
  */
 export class TargetRegister {
   private readonly _ended: string[] = []
+  /** Targets that have deregistered before they were known, at starts that are not known. */
+  private readonly _deregistered: string[] = []
   private _current: RegisteredTarget | undefined
   private _isConfirmed = false
 
@@ -46,7 +48,7 @@
     if (current === undefined || !(this._isConfirmed ? isEqual(current, announcement) : isSameStart(current, announcement))) {
       if (current !== undefined && this._isConfirmed && startedAtMs < current.startedAtMs) return 'outdated'
       if (current !== undefined) this._addEnded(current)
-      return this._replace({ targetId, startedAtMs, sequence, slots, isLeaving }, 'new')
+      return this._replace({ targetId, startedAtMs, sequence, slots, isLeaving: isLeaving || this._takeDeregistered(targetId) }, 'new')
     }
     if (this._isConfirmed && sequence <= current.sequence) return 'outdated'
     // A target that has announced that it is leaving does not become ready again in the same start.
@@ -55,10 +57,13 @@
     return this._replace(next, isChanged ? 'changed' : 'unchanged')
   }
 
-  /** Records that the target has ended or is about to end. False if it is not the current one. */
+  /** Records that the target has ended or is about to end. False if it is not the current one; it may become known later. */
   public markLeaving (targetId: string, startedAtMs = 0): boolean {
     const current = this._current
-    if (current === undefined || !isSameStart(current, { targetId, startedAtMs })) return false
+    if (current === undefined || !isSameStart(current, { targetId, startedAtMs })) {
+      addBounded(this._deregistered, targetId)
+      return false
+    }
     const leaving = { ...current, startedAtMs: Math.max(current.startedAtMs, startedAtMs), isLeaving: true }
     this._current = leaving
     this._addEnded(leaving)
@@ -79,11 +84,22 @@
   }
 
   private _addEnded (target: RegisteredTarget): void {
-    this._ended.push(startKey(target.targetId, target.startedAtMs))
-    if (this._ended.length > MAX_ENDED) this._ended.shift()
+    addBounded(this._ended, startKey(target.targetId, target.startedAtMs))
+  }
+
+  /** Whether a target that becomes known has deregistered before. A later start under its id has not. */
+  private _takeDeregistered (targetId: string): boolean {
+    const at = this._deregistered.indexOf(targetId)
+    if (at >= 0) this._deregistered.splice(at, 1)
+    return at >= 0
   }
 }
 
+function addBounded (list: string[], value: string): void {
+  if (!list.includes(value)) list.push(value)
+  if (list.length > MAX_ENDED) list.shift()
+}
+
 /** Whether both may be the same start of a target. A start at an unknown time may be any start of that target. */
 export function isSameStart (one: types.TargetStart, other: types.TargetStart): boolean {
   return one.targetId === other.targetId && (one.startedAtMs === 0 || other.startedAtMs === 0 || one.startedAtMs === other.startedAtMs)
