Name the target in a status only when something has changed

Cause: each status repeated the id of the target, which doubles its size, on each link once a second to once in 3 s. Change: the first status on a link and each that tells a change name it; that its start becomes known is a change. A failed call is sent again for free capacity only if the limit of the target allows it.

--- a/packages/common/src/direct/DirectCalls.ts
+++ b/packages/common/src/direct/DirectCalls.ts
@@ -232,7 +232,9 @@
 
   private _hasFreeSlot (call: Call, nowMs: base.Millis): boolean {
     const { row } = this._pick(call, nowMs)
-    return row !== undefined && row.load.running + row.sentSinceReport < row.load.slots
+    if (row === undefined) return false
+    const { load: { running, slots, limit }, sentSinceReport } = row
+    return running + sentSinceReport < slots && sentSinceReport < (limit?.permits ?? Infinity)
   }
 
   /** Whether the call may be sent to another target after it reached one. Takes a retry from the allowance if so. */
--- a/packages/common/src/direct/Types.ts
+++ b/packages/common/src/direct/Types.ts
@@ -123,7 +123,7 @@
   readonly storeAgeMs: base.Millis
   /** Time since the last contact of any node to the store, as far as this node knows. */
   readonly fleetStoreAgeMs: base.Millis
-  /** Undefined if the node knows no target, or runs a version that does not report it. */
+  /** Part of the first status on a link and of each that tells a change. Undefined if the node knows no target, or runs a version that does not report it. */
   readonly target?: ReportedTarget | undefined
 }
 
--- a/packages/node/src/direct/DirectNode.ts
+++ b/packages/node/src/direct/DirectNode.ts
@@ -359,14 +359,14 @@
   /** Sends the status to all nodes that may send calls to this one, or only to those that are due a report. */
   private _sendStatus (isForAll: boolean): void {
     this._statusAtMs = this._options.nowMs() + STATUS_MS
-    const status = this._status()
+    const status = this._status(isForAll)
     this._fleet.handleStatus(this._options.settings.peerAddress, status)
     this._links.broadcastStatus(status, isForAll)
   }
 
-  private _status (): direct.HostStatus {
+  private _status (includesTarget = true): direct.HostStatus {
     const state = this._stop.closesTarget ? 'leaving' : this._target.watch.state
-    return { state, load: this._target.host.load, version: this.version, storeAgeMs: this._watch.storeAgeMs, fleetStoreAgeMs: this._readers.fleetStoreAgeMs, target: this._target.watch.reported }
+    return { state, load: this._target.host.load, version: this.version, storeAgeMs: this._watch.storeAgeMs, fleetStoreAgeMs: this._readers.fleetStoreAgeMs, target: includesTarget ? this._target.watch.reported : undefined }
   }
 
   private _handleTargetChange (): void {
--- a/packages/node/src/direct/LinkCodec.test.ts
+++ b/packages/node/src/direct/LinkCodec.test.ts
@@ -23,6 +23,7 @@
   { kind: 'hello', nodeId: '10.0.0.1:7080', zone: 'vake', service: 'till', version: 7, linkMbps: 70, notice: { targetId: 't1', startedAtMs: 0, maxCallsPerS: Infinity, isLeaving: true } },
   { kind: 'status', status: { state: 'ready', load: LIMITED, version: 7, storeAgeMs: 3, fleetStoreAgeMs: 1, target: { targetId: 't1', startedAtMs: 5, isLeaving: true } } },
   { kind: 'result', callId: 9, result: { kind: 'refused', refusal: { reason: 'busy', reachedTarget: false, waitMs: 12 } }, load: LIMITED },
+  { kind: 'status', status: { state: 'ready', load: LIMITED, version: 7, storeAgeMs: 3, fleetStoreAgeMs: 1 } },
   { kind: 'status', status: { state: 'leaving', load: LOAD, version: 7, storeAgeMs: Infinity, fleetStoreAgeMs: 1_500 } },
   {
     kind: 'call',
--- a/packages/node/src/direct/LinkCodec.ts
+++ b/packages/node/src/direct/LinkCodec.ts
@@ -82,8 +82,9 @@
 }
 
 function statusValues ({ state, load, version, storeAgeMs, fleetStoreAgeMs, target }: direct.HostStatus): Values {
-  const targetValues = target === undefined ? [] : [target.targetId, target.startedAtMs, target.isLeaving]
-  return [KIND.status, STATES.indexOf(state), version, ageValue(storeAgeMs), ...loadValues(load), ageValue(fleetStoreAgeMs), ...limitValues(load.limit), ...targetValues]
+  const values = [KIND.status, STATES.indexOf(state), version, ageValue(storeAgeMs), ...loadValues(load), ageValue(fleetStoreAgeMs)]
+  if (target !== undefined) return [...values, ...limitValues(load.limit), target.targetId, target.startedAtMs, target.isLeaving]
+  return load.limit === undefined ? values : [...values, ...limitValues(load.limit)]
 }
 
 function noticeValues (notice: direct.KnownNotice | undefined): Values {
--- a/packages/node/src/direct/TargetWatch.test.ts
+++ b/packages/node/src/direct/TargetWatch.test.ts
@@ -12,6 +12,8 @@
   let watch: targetWatch.TargetWatch
 
   /** Runs a health check and waits for its answer. */
+  let changes = 0
+
   async function probe (): Promise<void> {
     watch.tick()
     await new Promise(resolve => { setImmediate(resolve) })
@@ -19,7 +21,7 @@
 
   test.beforeEach(() => {
     const client = { health: () => Promise.resolve({ isHealthy: true, targetId: 't1' }) } as unknown as services.ITargetClient
-    watch = new targetWatch.TargetWatch({ settings: SETTINGS, client: () => client, healthPath: () => '/health', nowMs: () => 0, logger: { isEnabled: () => true, log: () => {} }, mayProbe: () => true, onHealth: () => {}, onChange: () => {} })
+    watch = new targetWatch.TargetWatch({ settings: SETTINGS, client: () => client, healthPath: () => '/health', nowMs: () => 0, logger: { isEnabled: () => true, log: () => {} }, mayProbe: () => true, onHealth: () => {}, onChange: () => { changes += 1 } })
   })
 
   test.describe('a target that was found by a health check', () => {
@@ -30,6 +32,14 @@
       assert.deepEqual(watch.knownTarget, { targetId: 't1', startedAtMs: 5, slots: 10, isLeaving: false })
     })
 
+    // Guards against records without the start of a target, which a later start under the same id could not be told from.
+    test.it('tells a change when its start becomes known', async () => {
+      await probe()
+      changes = 0
+      watch.recordAnnouncement(READY)
+      assert.deepEqual([changes > 0, watch.reported?.startedAtMs], [true, READY.startedAtMs])
+    })
+
     test.it('is recorded when it leaves, so that the next process of the node does not use it', async () => {
       await probe()
       watch.recordLeaving('t1')
--- a/packages/node/src/direct/TargetWatch.ts
+++ b/packages/node/src/direct/TargetWatch.ts
@@ -85,6 +85,7 @@
   /** Applies an announcement. Returns false if it is not about the target beside this node. */
   public recordAnnouncement (announcement: direct.Announcement): boolean {
     const before = this.state
+    const startBeforeMs = this.reported?.startedAtMs
     const result = this._register.applyAnnouncement(announcement)
     const { targetId, sequence, state, slots, startedAtMs } = announcement
     if (result === 'foreign') {
@@ -96,7 +97,7 @@
       this._isProbed = false
     }
     if (result === 'new' || result === 'changed') this._options.logger.log('info', 'target-announced', { target: targetId, state, slots, sequence, startedAtMs, result })
-    if (result === 'new' || result === 'changed' || before !== this.state) this._options.onChange()
+    if (result === 'new' || result === 'changed' || before !== this.state || startBeforeMs !== this.reported?.startedAtMs) this._options.onChange()
     return true
   }
 
