Notice that the store has come back from an older copy, and write again what it has lost

What operators and callers saw: a configuration acknowledged after such a return was not in force on any node, because readers waited at an offset that the store gives out again; records of nodes, of leaving targets and of the audit trail stayed away for up to 2 min, so that starting nodes found no others. Cause: nothing read the era of the store, and every record that was acknowledged once was taken as written for good. Change: each answer of the store, and each status of another node, tells the era. Answers of an earlier one count as none. At a later one readers read the newest records, waiting reads are ended, each node writes again what it wrote in the last minute (its record, spread over 0.5 s; audit records), tells the others at once, and readers and newly started nodes read the list of nodes again after 2.5 s. After a failed read the newest record is read. Long polls wait 1.5 s instead of 3, because a return shows at their end only. A store that tells no era is used as before. The soak plays such returns and checks that the store has the record of each node at the end.

--- a/packages/common/src/direct/Types.ts
+++ b/packages/common/src/direct/Types.ts
@@ -123,6 +123,8 @@
   readonly storeAgeMs: base.Millis
   /** Time since the last contact of any node to the store, as far as this node knows. */
   readonly fleetStoreAgeMs: base.Millis
+  /** Era of the store; undefined if it is not known. */
+  readonly storeEra?: number | undefined
   /** Part of the first status on a link and of each that tells a change. Undefined if the node knows no target, or runs a version that does not report it. */
   readonly target?: ReportedTarget | undefined
 }
--- a/packages/node/src/direct/AuditTrail.ts
+++ b/packages/node/src/direct/AuditTrail.ts
@@ -4,6 +4,7 @@
 import type * as direct from '@elmpost/common/direct/Types.js'
 import type * as nodeServices from '../Services.js'
 import type * as services from './Services.js'
+import type * as storeReturns from './StoreReturns.js'
 import type * as types from './Types.js'
 
 const PQueue = pQueue.default
@@ -24,15 +25,22 @@
   readonly logger: nodeServices.ILogger
   /** Whether this node writes for the fleet. Two writers at once are harmless: the later record of a version replaces the earlier one. */
   readonly isWriter: () => boolean
+  readonly nowMs: () => base.Millis
   /** Time of day, stored in the records. */
   readonly timeOfDayMs: () => base.Millis
 }
 
+interface WrittenRecord {
+  readonly record: types.KeyedRecord
+  readonly atMs: base.Millis
+}
+
 /** Records in the store which routes each configuration version added, removed and changed, for operators. */
-export class AuditTrail {
+export class AuditTrail implements storeReturns.IStoreWriter {
   private readonly _options: AuditTrailOptions
   private readonly _writes = new PQueue({ concurrency: 1, intervalCap: 1, interval: WRITE_INTERVAL_MS })
   private readonly _pending: types.KeyedRecord[] = []
+  private _written: readonly WrittenRecord[] = []
 
   constructor (options: AuditTrailOptions) {
     this._options = options
@@ -52,6 +60,13 @@
     })
   }
 
+  public writeAgain (ageMs: base.Millis): number {
+    const sinceMs = this._options.nowMs() - ageMs
+    const lost = this._written.filter(({ atMs }) => atMs >= sinceMs).map(({ record }) => record)
+    if (lost.length > 0) this._put(lost).catch((error: unknown) => { this._options.logger.log('error', 'unexpected-error', { problem: String(error) }) })
+    return lost.length
+  }
+
   private _recordOf (previous: direct.MeshRules, next: direct.MeshRules): object {
     const { added, removed, changed } = rulesDiff.diffOf(previous, next)
     return {
@@ -67,9 +82,19 @@
 
   private async _write (): Promise<void> {
     const records = this._pending.splice(0)
-    if (records.length === 0) return
-    const result = await this._options.store.put(AUDIT_TOPIC, records, PUT_TIMEOUT_MS)
-    if (result.kind === 'written') return
+    if (records.length > 0) await this._put(records)
+  }
+
+  private async _put (records: readonly types.KeyedRecord[]): Promise<void> {
+    const { store, nowMs } = this._options
+    const result = await store.put(AUDIT_TOPIC, records, PUT_TIMEOUT_MS)
+    if (result.kind === 'written') {
+      const atMs = nowMs()
+      const versions = new Set(records.map(({ key }) => key))
+      const others = this._written.filter(({ record }) => !versions.has(record.key))
+      this._written = [...others, ...records.map(record => ({ record, atMs }))].slice(-MAX_PENDING)
+      return
+    }
     this._options.logger.log('warn', 'audit-not-written', { recordVersions: records.map(({ key }) => key).join(' '), outcome: result.kind, problem: result.problem })
   }
 }
--- a/packages/node/src/direct/DirectNode.ts
+++ b/packages/node/src/direct/DirectNode.ts
@@ -16,6 +16,7 @@
 import * as rulesExchange from './RulesExchange.js'
 import * as rulesWatch from './RulesWatch.js'
 import * as stallWatch from '@elmpost/common/direct/StallWatch.js'
+import * as storeReturns from './StoreReturns.js'
 import * as targetPicker from '@elmpost/common/direct/TargetPicker.js'
 import * as targetTable from '@elmpost/common/direct/TargetTable.js'
 import * as zoneCost from '@elmpost/common/direct/ZoneCost.js'
@@ -148,7 +149,8 @@
       request: nodeId => { this._links.send(nodeId, { kind: 'rules-request' }) },
       isZoneFirst: () => this._readers.isZoneFirst
     })
-    this._audit = new auditTrail.AuditTrail({ store, nodeId: selfId, logger, isWriter: () => this._readers.isWriter, timeOfDayMs: options.timeOfDayMs })
+    this._audit = new auditTrail.AuditTrail({ store, nodeId: selfId, logger, nowMs, isWriter: () => this._readers.isWriter, timeOfDayMs: options.timeOfDayMs })
+    this._register(new storeReturns.StoreReturns({ era: store.era, nodeRecord: this._fleet.record, auditTrail: this._audit, logger, spread: () => { this._sendStatus(true) } }))
     this._stop = new plannedStop.PlannedStop({
       graceMs: settings.graceMs,
       nowMs,
@@ -366,7 +368,7 @@
 
   private _status (includesTarget = true): direct.HostStatus {
     const state = this._stop.closesTarget ? 'leaving' : this._target.watch.state
-    return { state, load: this._target.host.load, version: this.version, storeAgeMs: this._watch.storeAgeMs, fleetStoreAgeMs: this._readers.fleetStoreAgeMs, target: includesTarget ? this._target.watch.reported : undefined }
+    return { state, load: this._target.host.load, version: this.version, storeAgeMs: this._watch.storeAgeMs, fleetStoreAgeMs: this._readers.fleetStoreAgeMs, storeEra: this._options.store.era.current, target: includesTarget ? this._target.watch.reported : undefined }
   }
 
   private _handleTargetChange (): void {
--- a/packages/node/src/direct/FleetMembership.ts
+++ b/packages/node/src/direct/FleetMembership.ts
@@ -7,6 +7,7 @@
 import type * as nodeServices from '../Services.js'
 import type * as readerPlan from '@elmpost/common/direct/ReaderPlan.js'
 import type * as services from './Services.js'
+import type * as storeReturns from './StoreReturns.js'
 import type * as targetTable from '@elmpost/common/direct/TargetTable.js'
 import type * as types from './Types.js'
 
@@ -61,6 +62,11 @@
     })
   }
 
+  /** Writes this node's record. */
+  public get record (): storeReturns.IStoreWriter {
+    return this._registry
+  }
+
   /** Whether the records of all nodes have been read. */
   public get isKnown (): boolean {
     return this._size.isKnown
@@ -110,7 +116,8 @@
   }
 
   public handleStatus (nodeId: base.NodeId, status: direct.HostStatus): void {
-    const { table, readers, nowMs } = this._options
+    const { table, readers, store, nowMs } = this._options
+    store.era.record(status.storeEra)
     if (table.get(nodeId)?.state !== status.state) this._directory.invalidatePlan()
     table.updateStatus(nodeId, status, nowMs())
     readers.recordStoreContact(nodeId, status.storeAgeMs, status.fleetStoreAgeMs)
--- a/packages/node/src/direct/LinkCodec.test.ts
+++ b/packages/node/src/direct/LinkCodec.test.ts
@@ -24,6 +24,7 @@
   { kind: 'status', status: { state: 'ready', load: LIMITED, version: 7, storeAgeMs: 3, fleetStoreAgeMs: 1, target: { targetId: 't1', startedAtMs: 5, isLeaving: true } } },
   { kind: 'result', callId: 9, result: { kind: 'refused', refusal: { reason: 'busy', reachedTarget: false, waitMs: 12 } }, load: LIMITED },
   { kind: 'status', status: { state: 'ready', load: LIMITED, version: 7, storeAgeMs: 3, fleetStoreAgeMs: 1 } },
+  { kind: 'status', status: { state: 'ready', load: LOAD, version: 7, storeAgeMs: 3, fleetStoreAgeMs: 1, storeEra: 4 } },
   { kind: 'status', status: { state: 'leaving', load: LOAD, version: 7, storeAgeMs: Infinity, fleetStoreAgeMs: 1_500 } },
   {
     kind: 'call',
--- a/packages/node/src/direct/LinkCodec.ts
+++ b/packages/node/src/direct/LinkCodec.ts
@@ -12,6 +12,8 @@
 const UNKNOWN_AGE = -1
 /** Encodes that there is no limit. */
 const NO_LIMIT = -1
+/** Encodes an era that is not known. */
+const UNKNOWN_ERA = -1
 /** Number of values that encode a load, without its limit. */
 const LOAD_VALUES = 6
 /** Number of values that encode a limit. */
@@ -81,10 +83,11 @@
   }
 }
 
-function statusValues ({ state, load, version, storeAgeMs, fleetStoreAgeMs, target }: direct.HostStatus): Values {
+function statusValues ({ state, load, version, storeAgeMs, fleetStoreAgeMs, storeEra = UNKNOWN_ERA, target }: direct.HostStatus): Values {
   const values = [KIND.status, STATES.indexOf(state), version, ageValue(storeAgeMs), ...loadValues(load), ageValue(fleetStoreAgeMs)]
-  if (target !== undefined) return [...values, ...limitValues(load.limit), target.targetId, target.startedAtMs, target.isLeaving]
-  return load.limit === undefined ? values : [...values, ...limitValues(load.limit)]
+  if (target !== undefined) return [...values, storeEra, ...limitValues(load.limit), target.targetId, target.startedAtMs, target.isLeaving]
+  if (load.limit !== undefined) return [...values, storeEra, ...limitValues(load.limit)]
+  return storeEra === UNKNOWN_ERA ? values : [...values, storeEra]
 }
 
 function noticeValues (notice: direct.KnownNotice | undefined): Values {
@@ -169,11 +172,12 @@
 function statusOf ([, stateCode, version, storeAgeMs, ...rest]: Values): LinkMessage | undefined {
   const state = isNumber(stateCode) ? STATES[stateCode] : undefined
   // Earlier versions do not send the last values.
-  const [fleetStoreAgeMs = UNKNOWN_AGE, ...last] = rest.slice(LOAD_VALUES)
+  const [fleetStoreAgeMs = UNKNOWN_AGE, era = UNKNOWN_ERA, ...last] = rest.slice(LOAD_VALUES)
   const load = loadOf([...rest.slice(0, LOAD_VALUES), ...last.slice(0, LIMIT_VALUES)])
   const [targetId, startedAtMs, isLeaving] = last.slice(LIMIT_VALUES)
-  if (state === undefined || !isNumber(version) || !isNumber(storeAgeMs) || !isNumber(fleetStoreAgeMs) || load === undefined) return undefined
-  const status = { state, version, storeAgeMs: ageOf(storeAgeMs), fleetStoreAgeMs: ageOf(fleetStoreAgeMs), load }
+  if (state === undefined || !isNumber(version) || !isNumber(storeAgeMs) || !isNumber(fleetStoreAgeMs) || !isNumber(era) || load === undefined) return undefined
+  const known = { state, version, storeAgeMs: ageOf(storeAgeMs), fleetStoreAgeMs: ageOf(fleetStoreAgeMs), load }
+  const status = era < 0 ? known : { ...known, storeEra: era }
   if (targetId === undefined) return { kind: 'status', status }
   if (!isText(targetId) || !isNumber(startedAtMs) || typeof isLeaving !== 'boolean') return undefined
   return { kind: 'status', status: { ...status, target: { targetId, startedAtMs, isLeaving } } }
--- a/packages/node/src/direct/NodeRegistry.ts
+++ b/packages/node/src/direct/NodeRegistry.ts
@@ -4,6 +4,7 @@
 import type * as direct from '@elmpost/common/direct/Types.js'
 import type * as nodeServices from '../Services.js'
 import type * as services from './Services.js'
+import type * as storeReturns from './StoreReturns.js'
 
 const PQueue = pQueue.default
 
@@ -21,6 +22,12 @@
 /** The first write of a node waits this long for the announcement of its target, so that a single write suffices. */
 const RECORD_WAIT_MS = 2_000
 
+/** After the return of the store from an older copy, nodes write again within this time, and read when all of them have. */
+const WRITE_AGAIN_SPREAD_MS = 500
+const READ_AGAIN_MS = 2_500
+/** A process that started this recently may have read before others had written again. */
+const RECENT_START_MS = 10_000
+
 export interface NodeRegistryOptions {
   readonly store: services.IKeyedStore
   readonly selfId: base.NodeId
@@ -34,7 +41,7 @@
 }
 
 /** Reads and writes the records in the store by which nodes discover each other. */
-export class NodeRegistry implements base.IDisposable {
+export class NodeRegistry implements base.IDisposable, storeReturns.IStoreWriter {
   private readonly _options: NodeRegistryOptions
   private readonly _nodesEmitter = new emitter.Emitter<readonly direct.NodeRecord[]>()
   public readonly onNodes = this._nodesEmitter.event
@@ -42,6 +49,8 @@
   private readonly _writes = new PQueue({ concurrency: 1 })
   private _wantedValue: Buffer | undefined
   private _writtenValue: Buffer | undefined
+  private _writtenAtMs = -Infinity
+  private readonly _startedAtMs: base.Millis
   private _hasWritten = false
   private _hasRead = false
   private _isDisposed = false
@@ -51,6 +60,7 @@
 
   constructor (options: NodeRegistryOptions) {
     this._options = options
+    this._startedAtMs = options.nowMs()
   }
 
   /** Reads the records of all nodes, retrying until the store answers. `record` returns the record of this node. */
@@ -79,6 +89,15 @@
     this._options.logger.log('info', 'node-record-dropped', { peer: nodeId, outcome: result.kind })
   }
 
+  public writeAgain (ageMs: base.Millis): number {
+    const { nowMs, random, isReader } = this._options
+    if (isReader() || nowMs() - this._startedAtMs < RECENT_START_MS) this._refreshAfter(READ_AGAIN_MS)
+    if (this._wantedValue === undefined || nowMs() - this._writtenAtMs > ageMs) return 0
+    this._writtenValue = undefined
+    setTimeout(() => { this._writeLogged() }, WRITE_AGAIN_SPREAD_MS * random.nextFloat())
+    return 1
+  }
+
   public dispose (): void {
     this._isDisposed = true
     clearTimeout(this._timer)
@@ -97,6 +116,7 @@
         const result = await this._options.store.put(NODES_TOPIC, [{ key: this._options.selfId, value }], PUT_TIMEOUT_MS)
         if (result.kind === 'written') {
           this._writtenValue = value
+          this._writtenAtMs = this._options.nowMs()
           this._readAfterFirstWrite()
           continue
         }
@@ -110,6 +130,10 @@
   private _rewriteIfChanged (stored: Buffer | undefined): void {
     this._writtenValue = stored
     if (this._wantedValue === undefined || this._writes.size + this._writes.pending > 0) return
+    this._writeLogged()
+  }
+
+  private _writeLogged (): void {
     this._write().catch((error: unknown) => { this._options.logger.log('error', 'unexpected-error', { problem: String(error) }) })
   }
 
@@ -117,9 +141,12 @@
   private _readAfterFirstWrite (): void {
     if (this._hasWritten) return
     this._hasWritten = true
+    this._refreshAfter(this._options.isFirstStart ? FIRST_READ_MS : 0)
+  }
+
+  private _refreshAfter (waitMs: base.Millis): void {
     clearTimeout(this._timer)
-    if (this._options.isFirstStart) this._timer = setTimeout(() => { this._refresh(FIRST_RETRY_MS) }, FIRST_READ_MS)
-    else this._refresh(FIRST_RETRY_MS)
+    this._timer = setTimeout(() => { this._refresh(FIRST_RETRY_MS) }, waitMs)
   }
 
   private _refresh (retryMs: base.Millis): void {
--- a/packages/node/src/direct/RulesWatch.ts
+++ b/packages/node/src/direct/RulesWatch.ts
@@ -5,8 +5,8 @@
 import type * as services from './Services.js'
 import type * as types from './Types.js'
 
-/** Longest wait of one read in the store. A silent store is detected after this time plus the margin. */
-const READ_WAIT_MS = 3_000
+/** Longest wait of one read in the store, after which a return of the store from an older copy is noticed. A silent store is detected after this time plus the margin. */
+const READ_WAIT_MS = 1_500
 const READ_MARGIN_MS = 1_000
 const NEWEST_TIMEOUT_MS = 1_000
 /** Bounds of the wait after failures, which doubles each time and has jitter. */
@@ -105,7 +105,13 @@
 
   private async _readNext (fromOffset: number): Promise<base.Millis> {
     const { store, format } = this._options
+    const era = store.era.current
     const result = await store.read(format.topic, fromOffset, READ_WAIT_MS, READ_WAIT_MS + READ_MARGIN_MS)
+    if (store.era.current !== era) {
+      // The store may have given out the offset again, after records that were not read.
+      this._nextOffset = undefined
+      return 0
+    }
     if (result.kind === 'unavailable') return this._handleFailure(result.problem)
     if (result.kind === 'compacted') {
       this._nextOffset = undefined
@@ -129,6 +135,8 @@
 
   private _handleFailure (problem: string): base.Millis {
     this._setAvailable(false, problem)
+    // The store may come back from an older copy, and a read at an offset that it does not have yet would wait.
+    this._nextOffset = undefined
     const waitMs = this._retryMs * (0.5 + 0.5 * this._options.random.nextFloat())
     this._retryMs = Math.min(this._retryMs * 2, this._options.isCandidate() ? MAX_RETRY_MS : MAX_FALLBACK_RETRY_MS)
     return waitMs
--- a/packages/node/src/direct/Services.ts
+++ b/packages/node/src/direct/Services.ts
@@ -2,6 +2,7 @@
 import type * as base from '@elmpost/common/base/Types.js'
 import type * as direct from '@elmpost/common/direct/Types.js'
 import type * as http from 'node:http'
+import type * as storeEra from '@elmpost/common/direct/StoreEra.js'
 import type * as types from './Types.js'
 
 /** Headers of callers and targets. */
@@ -27,9 +28,11 @@
 
 /** Topics of the store that keep the newest record of each key. A failure is a result, never an exception. */
 export interface IKeyedStore extends base.IDisposable {
+  /** Learns the era of each answer. Answers of an earlier era count as none. */
+  readonly era: storeEra.StoreEra
   /** Newest record of each key. */
   newest(topic: string, timeoutMs: base.Millis): Promise<types.NewestResult>
-  /** Records from an offset on. Waits up to `waitMs` for the next one. */
+  /** Records from an offset on. Waits up to `waitMs` for the next one, but not beyond a new era, in which offsets are given out again. */
   read(topic: string, fromOffset: number, waitMs: base.Millis, timeoutMs: base.Millis): Promise<types.ReadResult>
   /** Writes all of the records or none. */
   put(topic: string, records: readonly types.KeyedRecord[], timeoutMs: base.Millis): Promise<types.PutResult>
--- a/packages/testbed/src/soak/FaultPlan.ts
+++ b/packages/testbed/src/soak/FaultPlan.ts
@@ -4,12 +4,13 @@
  * Faults injected from outside the processes. `kill`, `stop`, `pause` and `reload` signal a node; `links`, `store-link` and
  * `target-link` disturb the connections of one node; `store` disturbs the store for all nodes; `target-leaves` and
  * `target-crashes` end the target beside a node; `target-names-limit` and `target-says-leaving` make it state this in its
- * answers, and the second ends it afterwards; `configure` publishes a new configuration.
+ * answers, and the second ends it afterwards; `store-returns` makes the store lose what it got in the time of the fault;
+ * `configure` publishes a new configuration.
  */
 export type FaultKind =
-  | 'kill' | 'stop' | 'pause' | 'reload' | 'links' | 'store-link' | 'target-link' | 'store' | 'target-leaves' | 'target-crashes' | NoticeKind | 'configure'
+  | 'kill' | 'stop' | 'pause' | 'reload' | 'links' | 'store-link' | 'target-link' | 'store' | 'target-leaves' | 'target-crashes' | AddedKind | 'configure'
 
-type NoticeKind = 'target-names-limit' | 'target-says-leaving'
+type AddedKind = 'target-names-limit' | 'target-says-leaving' | 'store-returns'
 
 /** Fault that a relay injects into connections. `one-way` drops only the data that the caller sends. */
 export type LinkFault = 'delay' | 'reset' | 'silent' | 'one-way'
@@ -40,15 +41,15 @@
   'kill', 'kill', 'stop', 'stop', 'pause', 'reload', 'links', 'links', 'store-link', 'target-link', 'store', 'store', 'target-leaves',
   'target-crashes', 'configure', 'configure', 'configure'
 ]
-const NOTICE_KINDS: readonly NoticeKind[] = ['target-names-limit', 'target-names-limit', 'target-says-leaving']
+const ADDED_KINDS: readonly AddedKind[] = ['target-names-limit', 'target-names-limit', 'target-says-leaving', 'store-returns']
 const LIMITS = [0, 0.5, 2, 6, 12]
-/** Faults for each statement of a target that is added to them. */
-const FAULTS_PER_NOTICE = 3
+/** Faults for each one that is added to them. */
+const FAULTS_PER_ADDED = 3
 /** The bound of a limit holds from 3 s after it was named, for windows of 4 s. */
-const MIN_NOTICE_MS = 4_000
-const MAX_NOTICE_MS = 10_000
-/** The statements of targets have their own random numbers, so that the other faults of a seed stay the same. */
-const NOTICE_SEED = 0x5eed
+const MIN_ADDED_MS = 4_000
+const MAX_ADDED_MS = 10_000
+/** Added faults have their own random numbers, so that the other faults of a seed stay the same. */
+const ADDED_SEED = 0x5eed
 const LINK_FAULTS: readonly LinkFault[] = ['delay', 'reset', 'silent', 'one-way']
 const STORE_FAULTS: readonly StoreFault[] = ['down', 'silent', 'lost']
 const MIN_DURATION_MS = 300
@@ -79,17 +80,17 @@
       faults.push({ ...first, atMs: Math.min(lengthMs, first.atMs + step * gapMs), node: (first.node + step) % nodeCount })
     }
   }
-  return [...faults, ...createNotices(options)].sort((one, other) => one.atMs - other.atMs)
+  return [...faults, ...createAdded(options)].sort((one, other) => one.atMs - other.atMs)
 }
 
-function createNotices ({ seed, nodeCount, lengthMs, faultCount }: FaultPlanOptions): Fault[] {
-  const generator = new random.Random(seed ^ NOTICE_SEED)
-  return Array.from({ length: Math.ceil(faultCount / FAULTS_PER_NOTICE) }, () => ({
-    kind: pick(NOTICE_KINDS, generator),
+function createAdded ({ seed, nodeCount, lengthMs, faultCount }: FaultPlanOptions): Fault[] {
+  const generator = new random.Random(seed ^ ADDED_SEED)
+  return Array.from({ length: Math.ceil(faultCount / FAULTS_PER_ADDED) }, () => ({
+    kind: pick(ADDED_KINDS, generator),
     atMs: generator.nextInt(lengthMs),
-    durationMs: MIN_NOTICE_MS + generator.nextInt(MAX_NOTICE_MS - MIN_NOTICE_MS),
+    durationMs: MIN_ADDED_MS + generator.nextInt(MAX_ADDED_MS - MIN_ADDED_MS),
     node: generator.nextInt(nodeCount),
-    link: 'delay' as const,
+    link: pick(LINK_FAULTS, generator),
     store: 'down' as const,
     limit: pick(LIMITS, generator)
   }))
--- a/packages/testbed/src/soak/SoakRun.ts
+++ b/packages/testbed/src/soak/SoakRun.ts
@@ -31,6 +31,9 @@
 const RECOVERY_CALLS = 100
 /** Time for which a leaving target continues to serve. */
 const TARGET_DRAIN_MS = 2_500
+/** Time for which the store is away before it comes back from a copy. */
+const OUTAGE_MS = 400
+const NODES_TOPIC = 'keyed.elmpost-nodes'
 
 export interface SoakOptions {
   readonly seed: number
@@ -187,6 +190,7 @@
         await timers.setTimeout(durationMs)
         this._store.mode = 'up'
         return
+      case 'store-returns': return await this._returnStore(durationMs, link)
       case 'target-leaves': return await node.replaceTarget(TARGET_DRAIN_MS)
       case 'target-says-leaving': return await node.replaceTargetUnannounced(durationMs)
       case 'target-names-limit': return await node.limitTarget(limit, durationMs, (targetId, maxCallsPerS) => { this._notices.recordLimit(targetId, maxCallsPerS, performance.now()) })
@@ -195,6 +199,17 @@
     }
   }
 
+  /** Takes a copy of the store, from which it comes back after a short outage. Operators write again what it has lost. */
+  private async _returnStore (durationMs: number, link: faultPlan.LinkFault): Promise<void> {
+    const copy = this._store.copy()
+    await timers.setTimeout(durationMs)
+    this._store.mode = 'down'
+    await timers.setTimeout(OUTAGE_MS)
+    this._store.comeBackFrom(copy, link === 'reset' ? 'cut' : 'held')
+    this._store.mode = 'up'
+    this._versions.publishAgain()
+  }
+
   private async _interruptNode (node: soakNode.SoakNode, interruption: () => Promise<void>): Promise<void> {
     const period = { subject: node.name, fromMs: performance.now(), toMs: Infinity }
     this._ledger.interruptions.push(period)
@@ -281,6 +296,7 @@
     const isRecovered = await this._waitUntil(RECOVERY_TIMEOUT_MS, async () => await this._servedShare(Math.ceil(RECOVERY_CALLS / this._nodes.length)) >= RECOVERED_SHARE)
     const problems = isRecovered ? [] : [`fewer than ${RECOVERED_SHARE * 100} in 100 calls were served ${RECOVERY_TIMEOUT_MS / 1000} s after the last fault`]
     if (!await this._waitUntil(RECOVERY_TIMEOUT_MS, async () => await this._versions.isEnforcedOnAll(this._nodes))) problems.push('the newest configuration is not in force on each node')
+    if (!await this._waitUntil(RECOVERY_TIMEOUT_MS, () => Promise.resolve(this._store.values(NODES_TOPIC).size === this._nodes.length))) problems.push(`the store has the records of ${this._store.values(NODES_TOPIC).size} of ${this._nodes.length} nodes`)
     return problems
   }
 
--- a/packages/testbed/src/soak/VersionWatch.ts
+++ b/packages/testbed/src/soak/VersionWatch.ts
@@ -38,6 +38,11 @@
     this._publish(this._version)
   }
 
+  /** Publishes the newest configuration again, because the store has lost it. */
+  public publishAgain (): void {
+    this._publish(this._version)
+  }
+
   /** Records that the process of the node has ended or was paused. */
   public recordInterruption (name: string): void {
     this._enforcedVersions.delete(name)
