Wait for the first echo in the tests of the soak's relay instead of 30 ms

With 1 ms the untouched test fails in the same way, so the test is wrong, not the relay. Change: the two tests that change the fault after the first text wait until its echo has arrived; what they expect is the same.

--- a/packages/testbed/src/soak/FaultRelay.test.ts
+++ b/packages/testbed/src/soak/FaultRelay.test.ts
@@ -27,14 +27,21 @@
     callee.close()
   })
 
-  /** Sends the texts and returns what was received 300 ms after the last one. */
-  async function echo (texts: readonly string[], between: (at: number) => void = () => {}): Promise<string> {
+  /**
+   * Sends the texts and returns what was received 300 ms after the last one. `before` runs before each text; `hasArrived`
+   * resolves when the echo of an earlier one has arrived.
+   */
+  async function echo (texts: readonly string[], before: (at: number, hasArrived: (text: string) => Promise<void>) => Promise<void> | void = () => {}): Promise<string> {
     const socket = net.connect(port, '127.0.0.1')
     let received = ''
     socket.on('data', part => { received += part.toString() })
     socket.on('error', () => { received += ' reset' })
+    const isReceived = (text: string): boolean => received === text
+    const hasArrived = async (text: string): Promise<void> => {
+      while (!isReceived(text)) await timers.setTimeout(1)
+    }
     for (const [at, text] of texts.entries()) {
-      between(at)
+      await before(at, hasArrived)
       socket.write(text)
       await timers.setTimeout(30)
     }
@@ -53,12 +60,22 @@
   })
 
   test.it('drops all bytes while silent, and resets the silenced connections afterwards, because bytes are missing', async () => {
-    assert.equal(await echo(['one ', 'two ', 'three'], at => { if (at === 1) relay.setFault('silent') }), 'one ')
+    const silenced = await echo(['one ', 'two ', 'three'], async (at, hasArrived) => {
+      if (at !== 1) return
+      await hasArrived('one ')
+      relay.setFault('silent')
+    })
+    assert.equal(silenced, 'one ')
     assert.equal(await echo(['one'], () => { setTimeout(() => { relay.clearFault() }, 50) }), ' reset')
   })
 
   test.it('resets open and new connections during a reset fault', async () => {
-    assert.equal(await echo(['one', 'two'], at => { if (at === 1) relay.setFault('reset') }), 'one reset')
+    const reset = await echo(['one', 'two'], async (at, hasArrived) => {
+      if (at !== 1) return
+      await hasArrived('one')
+      relay.setFault('reset')
+    })
+    assert.equal(reset, 'one reset')
     assert.equal(await echo(['one']), ' reset')
   })
 })
