--- a/packages/common/src/direct/TargetPicker.ts
+++ b/packages/common/src/direct/TargetPicker.ts
@@ -25,8 +25,8 @@
  * up to 1 s old, and would otherwise all send to the target that seems the least busy.
  */
 const SAMPLING_THRESHOLD = 6
-const MS_PER_S = 1000
 const SAMPLE_SIZES = { near: 3, far: 2 } as const
+const MS_PER_S = 1000
 
 export interface TargetPickerOptions {
   readonly table: targetTable.TargetTable
--- a/packages/node/src/direct/LocalTarget.ts
+++ b/packages/node/src/direct/LocalTarget.ts
@@ -35,6 +35,7 @@
   private _maxConnections = DEFAULT_MAX_CONNECTIONS
   private _healthPath: string | undefined
   private readonly _peerNotices = new peerNotices.PeerNotices()
+  /** Start of the target that `_notice` is about. */
   private _start: direct.TargetStart | undefined
   private _notice = NO_NOTICE
   /** Whether this process has an answer of the target, which is newer than what other nodes know. */
@@ -150,7 +151,7 @@
     this._notice = { maxCallsPerS, isLeaving }
     this._options.callLog.log('info', 'target-notice', { target: this.watch.targetId, maxCallsPerS, leaving: isLeaving, source })
     if (maxCallsPerS !== before.maxCallsPerS) this.host.setLimit(maxCallsPerS ?? Infinity)
-    if (isLeaving && start !== undefined) this.watch.recordLeaving(start.targetId, start.startedAtMs)
+    if (isLeaving && !before.isLeaving && start !== undefined) this.watch.recordLeaving(start.targetId, start.startedAtMs)
   }
 
   /** Nothing that an earlier start of the target has stated holds for the next one. */
