Spread the records that a fleet writes again by its size

Cause: all nodes that had written in the last minute wrote again within 0.5 s, with 195 nodes near the rate that the store allows, with more beyond it. Change: the spread follows from the number of records read last, at 200 a second.

--- a/packages/node/src/direct/NodeRegistry.ts
+++ b/packages/node/src/direct/NodeRegistry.ts
@@ -22,8 +22,10 @@
 /** The first write of a node waits this long for the announcement of its target, so that a single write suffices. */
 const RECORD_WAIT_MS = 2_000
 
-/** After the return of the store from an older copy, nodes write again within this time, and read when all of them have. */
-const WRITE_AGAIN_SPREAD_MS = 500
+/** After the return of the store from an older copy, nodes write again within this time, or longer if the fleet is so large that it would exceed this rate. */
+const MIN_SPREAD_MS = 500
+const MAX_WRITES_PER_MS = 0.2
+/** Readers read again when most nodes have written. */
 const READ_AGAIN_MS = 2_500
 /** A process that started this recently may have read before others had written again. */
 const RECENT_START_MS = 10_000
@@ -52,6 +54,7 @@
   private _writtenAtMs = -Infinity
   private readonly _startedAtMs: base.Millis
   private _hasWritten = false
+  private _knownRecords = 0
   private _hasRead = false
   private _isDisposed = false
   private _mayWriteWithoutTarget = false
@@ -94,7 +97,8 @@
     if (isReader() || nowMs() - this._startedAtMs < RECENT_START_MS) this._refreshAfter(READ_AGAIN_MS)
     if (this._wantedValue === undefined || nowMs() - this._writtenAtMs > ageMs) return 0
     this._writtenValue = undefined
-    setTimeout(() => { this._writeLogged() }, WRITE_AGAIN_SPREAD_MS * random.nextFloat())
+    const spreadMs = Math.max(MIN_SPREAD_MS, this._knownRecords / MAX_WRITES_PER_MS)
+    setTimeout(() => { this._writeLogged() }, spreadMs * random.nextFloat())
     return 1
   }
 
@@ -171,6 +175,7 @@
       else if (value !== undefined) this._options.logger.log('warn', 'node-record-refused', { key })
     }
     this._hasRead = true
+    this._knownRecords = records.length
     this._rewriteIfChanged(result.records.find(({ key }) => key === this._options.selfId)?.value)
     this._nodesEmitter.fire(records)
     return true
