--- a/addons/addon-metrics/src/DirectMetrics.test.ts
+++ b/addons/addon-metrics/src/DirectMetrics.test.ts
@@ -32,7 +32,7 @@
     assert.doesNotMatch(text, /priority="undefined"/)
   })
 
-  test.it('shows the limit that the target names beside the calls that it got', async () => {
+  test.it('shows the rate limit that the target advertises beside the calls that it got', async () => {
     const text = await new directMetrics.DirectMetrics(new FakeNode()).render()
     assert.match(text, /elmpost_direct_target_calls\{.*\} 42\n/)
     assert.match(text, /elmpost_direct_target_limit_per_second\{.*\} 9\.8\n/)
--- a/packages/common/src/direct/CallLimiter.ts
+++ b/packages/common/src/direct/CallLimiter.ts
@@ -9,7 +9,7 @@
 /** Absorbs rounding errors of the accumulated permits. */
 const EPSILON = 1e-6
 
-/** Limits the calls to a target to the rate that it has named. It starts with no permits, so that a restart does not add any. */
+/** Limits the calls to a target to the rate that it has advertised. It starts with no permits, so that a restart does not add any. */
 export class CallLimiter {
   private _maxCallsPerS = Infinity
   /** Calls that may start at once, as of `_updatedAtMs`. */
--- a/packages/common/src/direct/Services.ts
+++ b/packages/common/src/direct/Services.ts
@@ -32,7 +32,7 @@
   readonly state: types.TargetState
   /** Calls that have been sent to the target beside the node. */
   readonly targetCalls: number
-  /** Requests a second that the target says it takes; Infinity if it names no limit. */
+  /** Requests a second that the target says it takes; Infinity if it advertises no rate limit. */
   readonly targetLimitPerS: number
   readonly knownNodes: number
   readonly connectedNodes: number
--- a/packages/common/src/direct/SlotQueue.test.ts
+++ b/packages/common/src/direct/SlotQueue.test.ts
@@ -134,7 +134,7 @@
     })
   })
 
-  test.describe('a limit that the target has named', () => {
+  test.describe('a rate limit that the target has advertised', () => {
     function limited (maxCallsPerS: number): slotQueue.SlotQueue {
       const queue = new slotQueue.SlotQueue()
       queue.setSlots(8)
--- a/packages/common/src/direct/SlotQueue.ts
+++ b/packages/common/src/direct/SlotQueue.ts
@@ -35,7 +35,7 @@
 
 export type OfferResult = { readonly kind: 'start' } | { readonly kind: 'queued' } | { readonly kind: 'refused', readonly waitMs: base.Millis }
 
-/** Slots of one target, the limit that it has named, and the queue of calls that wait for either, most urgent first. */
+/** Slots of one target, the rate limit that it advertises, and the queue of calls that wait for either, most urgent first. */
 export class SlotQueue {
   private readonly _running = new Map<number, SlotCall>()
   private readonly _waiting: WaitingCall[] = []
@@ -73,7 +73,7 @@
     this._slots = Math.max(1, slots)
   }
 
-  /** Whether the target has named a limit. */
+  /** Whether the target has advertised a rate limit. */
   public get isLimited (): boolean {
     return this._limiter.isLimited
   }
--- a/packages/common/src/direct/TargetPicker.test.ts
+++ b/packages/common/src/direct/TargetPicker.test.ts
@@ -191,7 +191,7 @@
   })
 
   // Guards against a host that has restarted, or runs an earlier version, and does not know that its target leaves.
-  test.it('picks no target that has said in an answer to this node that it leaves, whatever its host reports', () => {
+  test.it('picks no target that has signalled in an answer to this node that it is leaving, whatever its host reports', () => {
     add('leaving', 'vake')
     add('other', 'didube')
     table.recordNotice('leaving', { maxCallsPerS: Infinity, isLeaving: true })
@@ -199,7 +199,7 @@
   })
 
   // Guards against a target that attracts calls because it is idle, although its limit does not allow them.
-  test.describe('a target that has named a limit', () => {
+  test.describe('a target that has advertised a rate limit', () => {
     const limit = { maxCallsPerS: 10, permits: 2 }
 
     test.it('gets as many calls as it has permits, and the others go elsewhere', () => {
--- a/packages/common/src/direct/TargetPicker.ts
+++ b/packages/common/src/direct/TargetPicker.ts
@@ -165,7 +165,7 @@
   }
 }
 
-/** Expected wait for a slot of the target, or for a permit if it has named a limit. */
+/** Expected wait for a slot of the target, or for a permit if it has advertised a rate limit. */
 function waitBehindMs (row: targetTable.TargetRow, ahead: number, serviceMs: base.Millis, nowMs: base.Millis): base.Millis {
   const { load: { running, slots, limit }, sentSinceReport } = row
   const slotWaitMs = Math.max(0, running + ahead + sentSinceReport + 1 - slots) / slots * serviceMs
--- a/packages/common/src/direct/TargetTable.test.ts
+++ b/packages/common/src/direct/TargetTable.test.ts
@@ -64,7 +64,7 @@
       assert.equal(table.noticeFor('n1'), undefined)
     })
 
-    test.it('is a limit until an answer names none; one that cannot be read changes nothing', () => {
+    test.it('is a limit until an answer advertises none; one that cannot be read changes nothing', () => {
       const notices = [9.8, undefined, Infinity].map(maxCallsPerS => {
         table.recordNotice('n1', { maxCallsPerS, isLeaving: false })
         return table.get('n1')?.notice?.maxCallsPerS
--- a/packages/common/src/direct/Types.ts
+++ b/packages/common/src/direct/Types.ts
@@ -80,7 +80,7 @@
 
 /** What a target states about itself in an answer. */
 export interface TargetNotice {
-  /** Requests a second that it takes from all nodes together. Infinity if it names no limit; undefined if it names one that is not a number. */
+  /** Requests a second that it takes from all nodes together. Infinity if it advertises no rate limit; undefined if it advertises one that is not a number. */
   readonly maxCallsPerS: number | undefined
   /** It takes no new work. */
   readonly isLeaving: boolean
@@ -109,7 +109,7 @@
   readonly slots: number
   /** Moving average of the time that a call takes on the target; 0 before the first answer. */
   readonly serviceMs: base.Millis
-  /** Undefined if the target has named no limit. */
+  /** Undefined if the target has advertised no rate limit. */
   readonly limit?: CallLimit | undefined
 }
 
--- a/packages/common/src/direct/testing/LimitBound.ts
+++ b/packages/common/src/direct/testing/LimitBound.ts
@@ -4,9 +4,9 @@
 /** A target may get this multiple of what its limit allows in a window, and the slack. */
 const FACTOR = 1.5
 const SLACK_CALLS = 5
-/** The bound holds from this time after a target first names a limit. */
+/** The bound holds from this time after a target first advertises a rate limit. */
 const ADAPTATION_MS = 3_000
-/** A node is bound from this time after it has passed on an answer that names a limit. */
+/** A node is bound from this time after it has passed on an answer that advertises a rate limit. */
 const PASSED_ON_MS = 500
 const MS_PER_S = 1000
 
@@ -19,9 +19,9 @@
 }
 
 interface Target {
-  /** Values of the limit with the times from which the target named them, in order. */
+  /** Values of the limit with the times from which the target advertised them, in order. */
   readonly limits: { readonly atMs: base.Millis, readonly maxCallsPerS: number }[]
-  /** By entry node: when it first passed on an answer that names a limit. */
+  /** By entry node: when it first passed on an answer that advertises a rate limit. */
   readonly passedOnAtMs: Map<string, base.Millis>
   readonly arrivalsMs: base.Millis[]
 }
@@ -30,7 +30,7 @@
 export class LimitBound {
   private readonly _targets = new Map<string, Target>()
 
-  /** Records that the target names this limit from now on. Infinity: it names none. */
+  /** Records that the target advertises this limit from now on. Infinity: it advertises none. */
   public recordLimit (targetId: string, maxCallsPerS: number, atMs: base.Millis): void {
     const { limits, passedOnAtMs } = this._of(targetId)
     if ((limits.at(-1)?.maxCallsPerS ?? Infinity) === maxCallsPerS) return
@@ -50,8 +50,8 @@
 
   public recordArrival (targetId: string, entry: string, atMs: base.Millis): void {
     const { arrivalsMs, passedOnAtMs, limits } = this._of(targetId)
-    const namedSinceMs = limits.findLast(({ maxCallsPerS }, at) => maxCallsPerS < Infinity && (limits[at - 1]?.maxCallsPerS ?? Infinity) === Infinity)?.atMs ?? Infinity
-    const isBound = (limits.at(-1)?.maxCallsPerS ?? Infinity) < Infinity && atMs >= namedSinceMs + ADAPTATION_MS
+    const advertisedSinceMs = limits.findLast(({ maxCallsPerS }, at) => maxCallsPerS < Infinity && (limits[at - 1]?.maxCallsPerS ?? Infinity) === Infinity)?.atMs ?? Infinity
+    const isBound = (limits.at(-1)?.maxCallsPerS ?? Infinity) < Infinity && atMs >= advertisedSinceMs + ADAPTATION_MS
     if (isBound && atMs >= (passedOnAtMs.get(entry) ?? Infinity) + PASSED_ON_MS) arrivalsMs.push(atMs)
   }
 
@@ -78,8 +78,8 @@
   }
 }
 
-/** Calls allowed in the window by the highest limit that was named in it or in the time that nodes have to adapt before it. Calls after the end of a limit are not recorded. */
+/** Calls allowed in the window by the highest limit that was advertised in it or in the time that nodes have to adapt before it. Calls after the end of a limit are not recorded. */
 function allowedIn (limits: Target['limits'], fromMs: base.Millis): number {
-  const named = limits.filter(({ atMs, maxCallsPerS }, at) => maxCallsPerS < Infinity && atMs < fromMs + WINDOW_MS && (limits[at + 1]?.atMs ?? Infinity) > fromMs - ADAPTATION_MS)
-  return Math.max(...named.map(({ maxCallsPerS }) => maxCallsPerS)) * FACTOR * WINDOW_MS / MS_PER_S + SLACK_CALLS
+  const advertised = limits.filter(({ atMs, maxCallsPerS }, at) => maxCallsPerS < Infinity && atMs < fromMs + WINDOW_MS && (limits[at + 1]?.atMs ?? Infinity) > fromMs - ADAPTATION_MS)
+  return Math.max(...advertised.map(({ maxCallsPerS }) => maxCallsPerS)) * FACTOR * WINDOW_MS / MS_PER_S + SLACK_CALLS
 }
--- a/packages/node/src/direct/LocalTarget.test.ts
+++ b/packages/node/src/direct/LocalTarget.test.ts
@@ -42,7 +42,7 @@
   test.describe('a limit in an answer of the target', () => {
     test.beforeEach(() => { target.watch.recordAnnouncement(READY) })
 
-    test.it('holds until an answer names another one or none', () => {
+    test.it('holds until an answer advertises another one or none', () => {
       const limits = [limit(9.8), limit(4), limit(undefined), NO_NOTICE].map(notice => {
         target.onTargetNotice('t1', notice)
         return limitInForce()
@@ -96,7 +96,7 @@
     })
   })
 
-  test.describe('an answer that says that the target leaves', () => {
+  test.describe('an answer that signals that the target is leaving', () => {
     test.it('ends its use until its next start, also if later answers do not say so', () => {
       target.watch.recordAnnouncement(READY)
       target.onTargetNotice('t1', { ...NO_NOTICE, isLeaving: true })
--- a/packages/node/src/direct/TargetHost.ts
+++ b/packages/node/src/direct/TargetHost.ts
@@ -90,13 +90,13 @@
     this._startNext()
   }
 
-  /** Sets the limit that the target has named, Infinity for none. */
+  /** Sets the rate limit that the target has advertised, Infinity for none. */
   public setLimit (maxCallsPerS: number): void {
     this._queue.setLimit(maxCallsPerS, this._waitClockMs)
     this._startNext()
   }
 
-  /** Whether a health check may be sent to the target now. It counts towards the limit that the target has named. */
+  /** Whether a health check may be sent to the target now. It counts towards the rate limit that the target has advertised. */
   public takePermit (): boolean {
     return this._queue.takePermit(this._waitClockMs)
   }
--- a/packages/node/src/direct/TargetLimits.test.ts
+++ b/packages/node/src/direct/TargetLimits.test.ts
@@ -34,9 +34,9 @@
   assert.ok(calls <= allowed, `${targetId}: ${calls} calls, ${Math.round(allowed)} allowed, in the 4 s from ${fromMs} ms`)
 }
 
-// Guards against hosts that send a target as many calls as it has slots although its answers name a limit.
-test.describe('Targets that name a limit in their answers', () => {
-  test.it('get no more calls from all entry nodes together than they have named', () => {
+// Guards against hosts that send a target as many calls as it has slots although its answers advertise a rate limit.
+test.describe('Targets that advertise a rate limit in their answers', () => {
+  test.it('get no more calls from all entry nodes together than they have advertised', () => {
     assertLimitsKept(play({ n0: 9.8, n3: 66.4 }))
   })
 
@@ -51,7 +51,7 @@
     })
   }
 
-  test.it('may change their limits at any time, and take part again when they name none', () => {
+  test.it('may change their limits at any time, and take part again when they advertise none', () => {
     const fleet = play({}, (nodeId, nowMs) => {
       if (nodeId === 'n0') return nowMs < 8_000 ? 40 : 5
       if (nodeId === 'n1') return nowMs < 8_000 ? 0 : 60
@@ -62,7 +62,7 @@
     assert.ok(after > 200, `${after} calls after the end of the limit`)
   })
 
-  test.describe('when all targets of the service name one', () => {
+  test.describe('when all targets of the service advertise one', () => {
     const limits = { n0: 20, n1: 20, n2: 20, n3: 20, n4: 20 }
 
     test.it('serve as many calls on time as they allow, the more urgent ones first', () => {
--- a/packages/node/src/direct/TargetWatch.ts
+++ b/packages/node/src/direct/TargetWatch.ts
@@ -17,7 +17,7 @@
   readonly healthPath: () => string | undefined
   readonly nowMs: () => base.Millis
   readonly logger: nodeServices.ILogger
-  /** Whether a health check may be sent now. It counts towards the limit that the target has named. */
+  /** Whether a health check may be sent now. It counts towards the rate limit that the target has advertised. */
   readonly mayProbe: () => boolean
   /** A health check was answered, by whichever target has the address. */
   readonly onHealth: (health: types.TargetHealth) => void
--- a/packages/testbed/src/soak/FaultPlan.ts
+++ b/packages/testbed/src/soak/FaultPlan.ts
@@ -3,14 +3,14 @@
 /**
  * Faults injected from outside the processes. `kill`, `stop`, `pause` and `reload` signal a node; `links`, `store-link` and
  * `target-link` disturb the connections of one node; `store` disturbs the store for all nodes; `target-leaves` and
- * `target-crashes` end the target beside a node; `target-names-limit` and `target-says-leaving` make it state this in its
+ * `target-crashes` end the target beside a node; `target-limits-rate` and `target-signals-leaving` make it state this in its
  * answers, and the second ends it afterwards; `store-returns` makes the store lose what it got in the time of the fault;
  * `configure` publishes a new configuration.
  */
 export type FaultKind =
   | 'kill' | 'stop' | 'pause' | 'reload' | 'links' | 'store-link' | 'target-link' | 'store' | 'target-leaves' | 'target-crashes' | AddedKind | 'configure'
 
-type AddedKind = 'target-names-limit' | 'target-says-leaving' | 'store-returns'
+type AddedKind = 'target-limits-rate' | 'target-signals-leaving' | 'store-returns'
 
 /** Fault that a relay injects into connections. `one-way` drops only the data that the caller sends. */
 export type LinkFault = 'delay' | 'reset' | 'silent' | 'one-way'
@@ -41,11 +41,11 @@
   'kill', 'kill', 'stop', 'stop', 'pause', 'reload', 'links', 'links', 'store-link', 'target-link', 'store', 'store', 'target-leaves',
   'target-crashes', 'configure', 'configure', 'configure'
 ]
-const ADDED_KINDS: readonly AddedKind[] = ['target-names-limit', 'target-names-limit', 'target-says-leaving', 'store-returns']
+const ADDED_KINDS: readonly AddedKind[] = ['target-limits-rate', 'target-limits-rate', 'target-signals-leaving', 'store-returns']
 const LIMITS = [0, 0.5, 2, 6, 12]
 /** Faults for each one that is added to them. */
 const FAULTS_PER_ADDED = 3
-/** The bound of a limit holds from 3 s after it was named, for windows of 4 s. */
+/** The bound of a limit holds from 3 s after it was advertised, for windows of 4 s. */
 const MIN_ADDED_MS = 4_000
 const MAX_ADDED_MS = 10_000
 /** Added faults have their own random numbers, so that the other faults of a seed stay the same. */
--- a/packages/testbed/src/soak/NoticeLedger.test.ts
+++ b/packages/testbed/src/soak/NoticeLedger.test.ts
@@ -45,7 +45,7 @@
 
     test.it('is reported when a target gets a call that was sent long after the node had passed it on', () => {
       assert.equal(callEach(500, 0, 2_001), '')
-      assert.match(callEach(500, 2_100, 2_200), /t got r2100 2100 ms after vm-1 had passed on that it leaves/)
+      assert.match(callEach(500, 2_100, 2_200), /t got r2100 2100 ms after vm-1 had passed on that it is leaving/)
     })
 
     test.it('does not bind a node that has been restarted since', () => {
--- a/packages/testbed/src/soak/NoticeLedger.ts
+++ b/packages/testbed/src/soak/NoticeLedger.ts
@@ -1,6 +1,6 @@
 import * as limitBound from '@elmpost/common/direct/testing/LimitBound.js'
 
-/** A target gets no call that was sent later than this through a node which has passed on that it leaves. */
+/** A target gets no call that was sent later than this through a node which has passed on that it is leaving. */
 const LEAVING_TOLERANCE_MS = 2_000
 
 interface CallStart {
@@ -8,11 +8,11 @@
   readonly startedAtMs: number
 }
 
-/** Checks what targets get after they have named a limit, or said that they leave, in answers that nodes have passed on. */
+/** Checks what targets get after they have advertised a rate limit, or signalled that they are leaving, in answers that nodes have passed on. */
 export class NoticeLedger {
   private readonly _limits = new limitBound.LimitBound()
   private readonly _calls = new Map<string, CallStart>()
-  /** By target: when each entry node first passed on that it leaves. */
+  /** By target: when each entry node first passed on that it is leaving. */
   private readonly _leavingAtMs = new Map<string, Map<string, number>>()
   private readonly _problems: string[] = []
 
@@ -24,12 +24,12 @@
     this._limits.recordLimit(targetId, maxCallsPerS, atMs)
   }
 
-  /** Records that an entry node has passed on an answer in which the target names a limit. */
+  /** Records that an entry node has passed on an answer in which the target advertises a rate limit. */
   public recordLimitPassedOn (targetId: string, entry: string, atMs: number): void {
     this._limits.recordPassedOn(targetId, entry, atMs)
   }
 
-  /** Records that an entry node has passed on an answer in which the target says that it leaves. */
+  /** Records that an entry node has passed on an answer in which the target signals that it is leaving. */
   public recordLeavingPassedOn (targetId: string, entry: string, atMs: number): void {
     const entries = this._leavingAtMs.get(targetId) ?? new Map<string, number>()
     if (!entries.has(entry)) entries.set(entry, atMs)
@@ -47,7 +47,7 @@
     if (call === undefined) return
     this._limits.recordArrival(targetId, call.entry, atMs)
     const leavingAtMs = this._leavingAtMs.get(targetId)?.get(call.entry) ?? Infinity
-    if (call.startedAtMs > leavingAtMs + LEAVING_TOLERANCE_MS) this._problems.push(`${targetId} got ${requestId} ${Math.round(atMs - leavingAtMs)} ms after ${call.entry} had passed on that it leaves`)
+    if (call.startedAtMs > leavingAtMs + LEAVING_TOLERANCE_MS) this._problems.push(`${targetId} got ${requestId} ${Math.round(atMs - leavingAtMs)} ms after ${call.entry} had passed on that it is leaving`)
   }
 
   /** Violated guarantees, one line each. */
--- a/packages/testbed/src/soak/SoakNode.ts
+++ b/packages/testbed/src/soak/SoakNode.ts
@@ -50,7 +50,7 @@
   private readonly _options: SoakNodeOptions
   private _process: childProcess.ChildProcess | undefined
   private _ports = { caller: 0, ready: 0, control: 0, peer: 0, status: 0 }
-  private _targetState: 'ready' | 'draining' | 'saying-leaving' | 'gone' = 'ready'
+  private _targetState: 'ready' | 'draining' | 'signalling-leaving' | 'gone' = 'ready'
   private _targetStartCount = 0
   private _targetPort = 0
   private _isClosing = false
@@ -136,26 +136,26 @@
     await this._restartTarget()
   }
 
-  /** Makes the target say in its answers only that it leaves, and replaces it after the given time. */
+  /** Makes the target signal in its answers only that it is leaving, and replaces it after the given time. */
   public async replaceTargetUnannounced (servesForMs: number): Promise<void> {
     if (this._targetState !== 'ready') return
-    this._targetState = 'saying-leaving'
-    this.target.sayLeaving()
+    this._targetState = 'signalling-leaving'
+    this.target.signalLeaving()
     await timers.setTimeout(servesForMs)
     await this.target.deregister(this._controlAddress).catch(() => 0)
     await this._restartTarget()
   }
 
-  /** Makes the target name a limit in its answers for the given time. Calls `onChange` with each limit; Infinity at the end. */
+  /** Makes the target advertise a rate limit in its answers for the given time. Calls `onChange` with each limit; Infinity at the end. */
   public async limitTarget (maxCallsPerS: number, durationMs: number, onChange: (targetId: string, maxCallsPerS: number) => void): Promise<void> {
     const { targetId } = this.target
     if (this._targetState !== 'ready' || Object.keys(this.target.notices).length > 0) return
-    this.target.nameLimit(maxCallsPerS)
+    this.target.advertiseLimit(maxCallsPerS)
     const { notices } = this.target
     onChange(targetId, maxCallsPerS)
     await timers.setTimeout(durationMs)
     onChange(targetId, Infinity)
-    if (this.target.notices === notices) this.target.nameLimit(undefined)
+    if (this.target.notices === notices) this.target.advertiseLimit(undefined)
   }
 
   /** Ends the target without notice and replaces it after `downMs`. */
@@ -222,7 +222,7 @@
     const relayAddress = this.target.address
     await this.target.close()
     this.target.targetId = this._nextTargetId()
-    this.target.nameLimit(undefined)
+    this.target.advertiseLimit(undefined)
     await this.target.listen(this._targetPort)
     this.target.address = relayAddress
     this._targetState = 'ready'
--- a/packages/testbed/src/soak/SoakRun.ts
+++ b/packages/testbed/src/soak/SoakRun.ts
@@ -138,8 +138,8 @@
 
   private _recordNotices (entry: soakNode.SoakNode, answer: callerStandIn.CallerAnswer | callerStandIn.NoAnswer): void {
     if (answer.kind === 'none' || answer.targetId === undefined) return
-    if (answer.namesLimit) this._notices.recordLimitPassedOn(answer.targetId, entry.name, performance.now())
-    if (answer.saysLeaving) this._notices.recordLeavingPassedOn(answer.targetId, entry.name, performance.now())
+    if (answer.advertisesLimit) this._notices.recordLimitPassedOn(answer.targetId, entry.name, performance.now())
+    if (answer.signalsLeaving) this._notices.recordLeavingPassedOn(answer.targetId, entry.name, performance.now())
   }
 
   private _configure (version: number): void {
@@ -192,8 +192,8 @@
         return
       case 'store-returns': return await this._returnStore(durationMs, link)
       case 'target-leaves': return await node.replaceTarget(TARGET_DRAIN_MS)
-      case 'target-says-leaving': return await node.replaceTargetUnannounced(durationMs)
-      case 'target-names-limit': return await node.limitTarget(limit, durationMs, (targetId, maxCallsPerS) => { this._notices.recordLimit(targetId, maxCallsPerS, performance.now()) })
+      case 'target-signals-leaving': return await node.replaceTargetUnannounced(durationMs)
+      case 'target-limits-rate': return await node.limitTarget(limit, durationMs, (targetId, maxCallsPerS) => { this._notices.recordLimit(targetId, maxCallsPerS, performance.now()) })
       case 'target-crashes': return await node.crashTarget(durationMs)
       case 'configure': this._versions.publishNext()
     }
