Tell a repeated deregistration of an ended target from one of an unknown target

Cause: the fix for deregistrations that arrive before their target is known also kept a repeated one of a target that had ended, so a later start under its id would have been taken to leave. Change: a deregistration of a target that has ended here is not kept. Result: the new test of TargetRegister fails before and passes now.

--- a/packages/common/src/direct/TargetRegister.test.ts
+++ b/packages/common/src/direct/TargetRegister.test.ts
@@ -63,6 +63,15 @@
       })
     }
 
+    test.it('is told from a repeated one of an ended target, which may start again under its id', () => {
+      register.applyAnnouncement(announcement({ startedAtMs: 1000 }))
+      register.markLeaving('a')
+      register.applyAnnouncement(announcement({ targetId: 'b', startedAtMs: 2000 }))
+      assert.equal(register.markLeaving('a'), false)
+      register.applyAnnouncement(announcement({ startedAtMs: 3000 }))
+      assert.equal(register.current?.isLeaving, false)
+    })
+
     test.it('does not hold for other targets, or for the next start under the same id', () => {
       register.markLeaving('a')
       register.applyAnnouncement(announcement({ targetId: 'b', startedAtMs: 500 }))
--- a/packages/common/src/direct/TargetRegister.ts
+++ b/packages/common/src/direct/TargetRegister.ts
@@ -61,7 +61,7 @@
   public markLeaving (targetId: string, startedAtMs = 0): boolean {
     const current = this._current
     if (current === undefined || !isSameStart(current, { targetId, startedAtMs })) {
-      addBounded(this._deregistered, targetId)
+      if (!this._ended.some(key => key.endsWith(` ${targetId}`))) addBounded(this._deregistered, targetId)
       return false
     }
     const leaving = { ...current, startedAtMs: Math.max(current.startedAtMs, startedAtMs), isLeaving: true }
