Log and count calls whose callers have left, late accepts, and since when a newer version is known

Cause: no line said when a caller left, how long its call had been known at the entry node and at the host, or how long connections waited to be accepted; enforced did not say since when a newer version was known. The hypotheses on the incident could not be told apart.

Change: call-cancelled, run-cancelled, accepted-late and newer-version lines, three fields of enforced, two gauges. The lines about calls move from DirectNode to CallLog. No decision changes.

--- a/packages/common/src/direct/Services.ts
+++ b/packages/common/src/direct/Services.ts
@@ -37,6 +37,10 @@
   readonly knownNodes: number
   readonly connectedNodes: number
   readonly storeAgeMs: base.Millis
+  /** How long a connection of a caller that is accepted now may have waited. */
+  readonly acceptWaitMs: base.Millis
+  /** Time since another node is known to enforce a newer version. */
+  readonly behindMs: base.Millis
 }
 
 export interface IDirectView {
--- a/packages/node/src/CallerListener.ts
+++ b/packages/node/src/CallerListener.ts
@@ -20,6 +20,8 @@
   /** Idle time advertised to callers. Idle connections stay open for this time when the listener is closing. */
   readonly closingIdleMs: base.Millis
   readonly handle: (request: http.IncomingMessage, response: http.ServerResponse) => void
+  /** Called with each connection that is accepted. */
+  readonly onAccepted?: () => void
 }
 
 /** Listens for the HTTP requests of callers. Every method and path goes to one handler. */
@@ -106,6 +108,7 @@
   private _handleConnection (socket: net.Socket): void {
     this._acceptedConnections += 1
     this._openConnections += 1
+    this._options.onAccepted?.()
     socket.once('close', () => {
       this._openConnections -= 1
       if (this._isCutting) this._cutConnections += 1
--- a/packages/node/src/direct/CallLog.ts
+++ b/packages/node/src/direct/CallLog.ts
@@ -1,11 +1,25 @@
 import type * as base from '@elmpost/common/base/Types.js'
 import type * as direct from '@elmpost/common/direct/Types.js'
+import type * as entryGate from './EntryGate.js'
 import type * as nodeServices from '../Services.js'
 import type * as nodeTypes from '../Types.js'
+import type * as types from './Types.js'
 
 /** Most lines of one event per window; further ones are counted and reported in a single line. */
 const MAX_LINES_PER_S = 20
 const WINDOW_MS = 1000
+/** Connections that may have waited to be accepted for longer than this are logged. */
+const LOGGED_ACCEPT_WAIT_MS = 50
+
+/** What a node knew when it put a configuration into force. Ages are Infinity if they are not known. */
+export interface VersionAges {
+  /** Since another node was known to enforce a newer version. */
+  readonly behindMs: base.Millis
+  /** Since the store last answered this node. */
+  readonly storeAgeMs: base.Millis
+  /** Since the store last answered any node, as far as is known. */
+  readonly fleetStoreAgeMs: base.Millis
+}
 
 /** Writes log lines about calls, rate-limited per event so that the log volume does not grow with the load. */
 export class CallLog {
@@ -33,6 +47,40 @@
     this.log('info', isAllowed ? 'call-retry' : 'call-retry-denied', { requestId, service, route, cause, ...counts })
   }
 
+  /** Logs how a call ended. Answers of the first target, other than errors, are only counted. */
+  public logEnd ({ requestId, remainingMs }: types.CallerRequestInfo, end: entryGate.CallEnd): void {
+    const { outcome, reason, status, totalMs, origin, rule, nodeId, sends, retryAfterMs } = end
+    if (outcome === 'answered' && status < 500 && sends === 1) return
+    this.log(outcome === 'fail' ? 'warn' : 'info', `call-${outcome}`, {
+      requestId,
+      reason,
+      status,
+      route: rule?.name,
+      priority: rule?.priority,
+      origin,
+      peer: nodeId,
+      sends,
+      totalMs: Math.round(totalMs),
+      retryAfterMs: Math.round(retryAfterMs),
+      budgetMs: remainingMs
+    })
+  }
+
+  /** Logs a call whose caller has disconnected. */
+  public logCancelled ({ requestId, remainingMs }: types.CallerRequestInfo, { rule, nodeId, sends, totalMs }: entryGate.CancelledCall): void {
+    this.log('info', 'call-cancelled', { requestId, route: rule?.name, peer: nodeId, sends, totalMs: Math.round(totalMs), budgetMs: remainingMs })
+  }
+
+  /** Logs that connections of callers were accepted late. */
+  public logAccepts (waitMs: base.Millis, connections: number): void {
+    if (waitMs > LOGGED_ACCEPT_WAIT_MS) this.log('warn', 'accepted-late', { waitMs: Math.round(waitMs), connections })
+  }
+
+  /** Logs a configuration that is in force now. Never omitted. */
+  public logEnforced ({ version, routes }: direct.MeshRules, source: string, { behindMs, storeAgeMs, fleetStoreAgeMs }: VersionAges): void {
+    this._logger.log('info', 'enforced', { enforcedVersion: version, routes: routes.length, source, behindMs: roundedAge(behindMs), storeAgeMs: roundedAge(storeAgeMs), fleetStoreAgeMs: roundedAge(fleetStoreAgeMs) })
+  }
+
   /** Logs how many lines were omitted. Called on each tick, so that the last count is reported without further calls. */
   public tick (): void {
     this._startWindowIfDue()
@@ -47,3 +95,8 @@
     this._omitted.clear()
   }
 }
+
+/** Undefined if the age is not known. */
+function roundedAge (ageMs: base.Millis): number | undefined {
+  return Number.isFinite(ageMs) ? Math.round(ageMs) : undefined
+}
--- a/packages/node/src/direct/DirectNode.ts
+++ b/packages/node/src/direct/DirectNode.ts
@@ -134,11 +134,18 @@
       send: (nodeId, call) => this._send(nodeId, call),
       cancel: (nodeId, callId) => this._cancel(nodeId, callId),
       onCallEnd: (exchange, end) => { this._handleCallEnd(exchange, end) },
+      onCallCancelled: (exchange, cancelled) => { this._log.logCancelled(exchange.info, cancelled) },
       callsEndByMs: () => this._stop.callsEndByMs,
       suspectedMs: () => this._stalls.suspectedMs,
       runsRetry: requestId => this._target.host.runsRetry(requestId)
     }))
-    this._ingress = this._register(new ingress.Ingress({ address: addresses.parse(settings.callerAddress), owner: this._entry, dialect }))
+    this._ingress = this._register(new ingress.Ingress({
+      address: addresses.parse(settings.callerAddress),
+      owner: this._entry,
+      dialect,
+      nowMs,
+      onAcceptsEnd: (waitMs, connections) => { this._log.logAccepts(waitMs, connections) }
+    }))
     this._peers = this._register(new peerServer.PeerServer({ address: addresses.parse(settings.peerListenAddress), onConnection: socket => { this._links.accept(socket) } }))
     this._watch = this._register(new rulesWatch.RulesWatch({ store, format: options.rulesFormat, nowMs, random, logger, isReader: () => this._readers.isReader, isCandidate: () => this._readers.isCandidate }))
     this._exchange = new rulesExchange.RulesExchange({
@@ -147,6 +154,7 @@
       nowMs,
       version: () => this.version,
       request: nodeId => { this._links.send(nodeId, { kind: 'rules-request' }) },
+      onBehind: (newerVersion, peer) => { this._log.log('info', 'newer-version', { newerVersion, peer }) },
       isZoneFirst: () => this._readers.isZoneFirst
     })
     this._audit = new auditTrail.AuditTrail({ store, nodeId: selfId, logger, nowMs, isWriter: () => this._readers.isWriter, timeOfDayMs: options.timeOfDayMs })
@@ -188,7 +196,9 @@
       targetLimitPerS: this._target.notice.maxCallsPerS ?? Infinity,
       knownNodes: this._table.size,
       connectedNodes: this._table.connectedCount,
-      storeAgeMs: this._watch.storeAgeMs
+      storeAgeMs: this._watch.storeAgeMs,
+      acceptWaitMs: this._ingress.acceptWaitMs,
+      behindMs: this._exchange.behindMs
     }
   }
 
@@ -325,24 +335,8 @@
   }
 
   private _handleCallEnd (exchange: services.IExchange, end: entryGate.CallEnd): void {
-    const { outcome, reason, status, totalMs, origin, rule, nodeId, sends, retryAfterMs } = end
     this._callEnded.fire(callMeasure.measure(end))
-    if (outcome === 'answered' && status < 500 && sends === 1) return
-    const level = outcome === 'fail' ? 'warn' : 'info'
-    const { requestId } = exchange.info
-    this._log.log(level, `call-${outcome}`, {
-      requestId,
-      reason,
-      status,
-      route: rule?.name,
-      priority: rule?.priority,
-      origin,
-      peer: nodeId,
-      sends,
-      totalMs: Math.round(totalMs),
-      retryAfterMs: Math.round(retryAfterMs),
-      budgetMs: exchange.info.remainingMs
-    })
+    this._log.logEnd(exchange.info, end)
   }
 
   private _tick (): void {
@@ -386,11 +380,12 @@
   private _enforce (stored: types.StoredRules, source: string): void {
     const previous = this._calls.rules
     if (!this._calls.enforce(stored.rules)) return
+    const { behindMs } = this._exchange
     this._audit.recordChange(previous, stored.rules)
     this._exchange.setCurrent(stored.bytes)
     const { rules } = stored
     this._ingress.setLimits(rules.limits)
-    this._options.logger.log('info', 'enforced', { enforcedVersion: rules.version, routes: rules.routes.length, source })
+    this._log.logEnforced(rules, source, { behindMs, storeAgeMs: this._watch.storeAgeMs, fleetStoreAgeMs: this._readers.fleetStoreAgeMs })
     this._target.applyRules(rules)
     this._sendStatus(true)
   }
--- a/packages/node/src/direct/EntryGate.test.ts
+++ b/packages/node/src/direct/EntryGate.test.ts
@@ -19,10 +19,12 @@
   let suspectedMs: number
   let sent: types.CallMessage[]
   let refusals: direct.OwnAnswer[]
+  let nowMs: number
+  let cancelled: entryGate.CancelledCall[]
   let gate: entryGate.EntryGate
 
-  function begin (remainingMs: number | undefined): void {
-    gate.begin({
+  function begin (remainingMs: number | undefined): services.IExchange {
+    const exchange: services.IExchange = {
       method: 'GET',
       host: 'booth.example',
       path: '/price/1',
@@ -31,10 +33,14 @@
       info: { requestId: 'r1', remainingMs },
       answer: () => {},
       refuse: answer => { refusals.push(answer) }
-    })
+    }
+    gate.begin(exchange)
+    return exchange
   }
 
   test.beforeEach(() => {
+    nowMs = 0
+    cancelled = []
     suspectedMs = 0
     sent = []
     refusals = []
@@ -52,13 +58,14 @@
       calls,
       table,
       dialect: DIALECT,
-      nowMs: () => 0,
+      nowMs: () => nowMs,
       send: (_nodeId, call) => {
         sent.push(call)
         return true
       },
       cancel: () => true,
       onCallEnd: () => {},
+      onCallCancelled: (_exchange, call) => { cancelled.push(call) },
       callsEndByMs: () => Infinity,
       suspectedMs: () => suspectedMs,
       runsRetry: () => false
@@ -67,6 +74,15 @@
 
   test.afterEach(() => { gate.dispose() })
 
+  // Guards against calls of callers that have left, of which no log says how long the entry node knew them.
+  test.it('reports a call whose caller disconnects once, and since when it was known', () => {
+    const exchange = begin(1_000)
+    nowMs = 120
+    gate.cancel(exchange)
+    gate.cancel(exchange)
+    assert.deepEqual(cancelled.map(({ totalMs, nodeId, sends, rule }) => [totalMs, nodeId, sends, rule?.name]), [[120, SELF, 1, 'price']])
+  })
+
   // Guards against an entry node that passes on the full remaining time of a request that waited while the process was stalled.
   test.describe('a request that is read after the process was stalled', () => {
     test.it('is sent with its remaining time reduced by the suspected stall', () => {
--- a/packages/node/src/direct/EntryGate.ts
+++ b/packages/node/src/direct/EntryGate.ts
@@ -20,6 +20,8 @@
   /** Cancels a call at its host node. True if it certainly did not run and will not. */
   readonly cancel: (nodeId: base.NodeId, callId: number) => boolean
   readonly onCallEnd: (exchange: services.IExchange, end: CallEnd) => void
+  /** The caller has disconnected before its call had an answer. */
+  readonly onCallCancelled: (exchange: services.IExchange, cancelled: CancelledCall) => void
   /** Time at which the node stops. Calls that may last longer are refused. */
   readonly callsEndByMs: () => base.Millis
   /** How long requests that are read now may already have waited while the process was stalled. */
@@ -44,6 +46,15 @@
   readonly retryAfterMs: base.Millis
 }
 
+/** A call whose caller has disconnected. */
+export interface CancelledCall {
+  /** Since the whole request was read. */
+  readonly totalMs: base.Millis
+  readonly rule: direct.RouteRule | undefined
+  readonly nodeId: base.NodeId
+  readonly sends: number
+}
+
 interface PendingCall {
   readonly exchange: services.IExchange
   readonly beganAtMs: base.Millis
@@ -111,10 +122,13 @@
 
   public cancel (exchange: services.IExchange): void {
     const callId = this._callIds.get(exchange)
-    if (callId === undefined) return
+    const call = callId === undefined ? undefined : this._pendingCalls.get(callId)
+    if (callId === undefined || call === undefined) return
     this._remove(callId)
     const nodeId = this._options.calls.cancel(callId)
     if (nodeId !== undefined) this._options.cancel(nodeId, callId)
+    const { rule, sends, beganAtMs } = call
+    this._options.onCallCancelled(exchange, { totalMs: this._options.nowMs() - beganAtMs, rule, nodeId: call.nodeId, sends })
   }
 
   public handleHostResult (nodeId: base.NodeId, callId: number, result: types.HostResult, load: direct.TargetLoad): void {
--- a/packages/node/src/direct/Ingress.test.ts
+++ b/packages/node/src/direct/Ingress.test.ts
@@ -38,7 +38,7 @@
 
   test.beforeEach(async () => {
     owner = new FakeOwner()
-    ingress = new ingresses.Ingress({ address: { host: '127.0.0.1', port: 0 }, owner, dialect: DIALECT })
+    ingress = new ingresses.Ingress({ address: { host: '127.0.0.1', port: 0 }, owner, dialect: DIALECT, nowMs: () => performance.now(), onAcceptsEnd: () => {} })
     const port = await ingress.listen()
     client = net.connect(port, '127.0.0.1')
     client.on('error', () => {})
--- a/packages/node/src/direct/Ingress.ts
+++ b/packages/node/src/direct/Ingress.ts
@@ -1,3 +1,4 @@
+import * as acceptStreaks from '../AcceptStreak.js'
 import * as bodyReader from '../BodyReader.js'
 import * as callerConnections from './CallerConnections.js'
 import * as callerListener from '../CallerListener.js'
@@ -24,6 +25,9 @@
   readonly address: nodeTypes.Address
   readonly owner: services.IExchangeOwner
   readonly dialect: services.ICallDialect
+  readonly nowMs: () => base.Millis
+  /** Connections have been accepted in several turns of the event loop, and the last of them may have waited for `waitMs`. */
+  readonly onAcceptsEnd: (waitMs: base.Millis, connections: number) => void
 }
 
 /** HTTP server that accepts direct calls from callers. */
@@ -31,15 +35,18 @@
   private readonly _options: IngressOptions
   private readonly _listener: callerListener.CallerListener
   private readonly _connections = new callerConnections.CallerConnections()
+  private readonly _accepts: acceptStreaks.AcceptStreak
   private _maxBodyBytes = DEFAULT_MAX_BODY_BYTES
 
   constructor (options: IngressOptions) {
     this._options = options
+    this._accepts = new acceptStreaks.AcceptStreak({ nowMs: options.nowMs, onEnd: options.onAcceptsEnd })
     this._listener = new callerListener.CallerListener({
       address: options.address,
       keepAliveMs: DEFAULT_IDLE_MS,
       closingIdleMs: CLOSING_IDLE_MS,
-      handle: (request, response) => { this._handle(request, response) }
+      handle: (request, response) => { this._handle(request, response) },
+      onAccepted: () => { this._accepts.recordAccept() }
     })
   }
 
@@ -47,6 +54,11 @@
     return this._listener.isClosing
   }
 
+  /** How long a connection that is accepted now may have waited. */
+  public get acceptWaitMs (): base.Millis {
+    return this._accepts.waitMs
+  }
+
   public setLimits (limits: direct.CallerLimits): void {
     this._maxBodyBytes = limits.maxBodyBytes
     this._listener.setKeepAlive(limits.idleTimeoutMs + IDLE_MARGIN_MS)
@@ -65,6 +77,7 @@
   }
 
   public dispose (): void {
+    this._accepts.dispose()
     this._listener.dispose()
   }
 
--- a/packages/node/src/direct/LocalTarget.ts
+++ b/packages/node/src/direct/LocalTarget.ts
@@ -111,6 +111,10 @@
     this._options.callLog.log('info', 'run-refused', { requestId: call.requestId, reason, priority: call.priority, elapsedMs: Math.round(call.elapsedMs), waitMs: Math.round(waitMs), running, queued, slots, state: this.watch.state })
   }
 
+  public onCallCancelled (call: types.CallMessage, isRunning: boolean, heldMs: base.Millis): void {
+    this._options.callLog.log('info', 'run-cancelled', { requestId: call.requestId, isRunning, heldMs: Math.round(heldMs), elapsedMs: Math.round(call.elapsedMs), remainingMs: Math.round(call.remainingMs) })
+  }
+
   public onTargetNotice (targetId: string, notice: direct.TargetNotice): void {
     if (targetId !== this.watch.targetId) return
     this._hasAnswer = true
--- a/packages/node/src/direct/RulesExchange.test.ts
+++ b/packages/node/src/direct/RulesExchange.test.ts
@@ -7,18 +7,20 @@
   let nowMs: number
   let isZoneFirst: boolean
   let asked: string[]
+  let behind: [number, string][]
   let exchange: rulesExchange.RulesExchange
 
   test.beforeEach(() => {
     nowMs = 0
     isZoneFirst = false
     asked = []
+    behind = []
     const table = new targetTable.TargetTable()
     for (const [nodeId, zone] of [['near', 'vake'], ['far', 'didube']] as const) {
       table.put(nodeId, zone, 'till')
       table.setConnected(nodeId, true)
     }
-    exchange = new rulesExchange.RulesExchange({ zone: 'vake', table, nowMs: () => nowMs, version: () => 1, request: nodeId => { asked.push(nodeId) }, isZoneFirst: () => isZoneFirst })
+    exchange = new rulesExchange.RulesExchange({ zone: 'vake', table, nowMs: () => nowMs, version: () => 1, request: nodeId => { asked.push(nodeId) }, onBehind: (version, nodeId) => { behind.push([version, nodeId]) }, isZoneFirst: () => isZoneFirst })
   })
 
   test.describe('a new version', () => {
@@ -44,6 +46,17 @@
     })
   })
 
+  // Guards against a late version of which no log says when a newer one was first known.
+  test.it('reports that a newer version is known once, and since when', () => {
+    nowMs = 100
+    exchange.recordVersion('far', 2)
+    nowMs = 350
+    exchange.recordVersion('far', 3)
+    assert.deepEqual([behind, exchange.behindMs], [[[2, 'far']], 250])
+    exchange.setCurrent(Buffer.from('{}'))
+    assert.equal(exchange.behindMs, 0)
+  })
+
   test.describe('a compressed configuration', () => {
     const bytes = Buffer.from(JSON.stringify(Array.from({ length: 1600 }, (_, index) => ({ name: `route-${index}`, 'path-prefix': `/prefix-${index}/`, timeout: '800ms' }))))
 
--- a/packages/node/src/direct/RulesExchange.ts
+++ b/packages/node/src/direct/RulesExchange.ts
@@ -17,6 +17,8 @@
   /** Version in force on this node. */
   readonly version: () => number
   readonly request: (nodeId: base.NodeId) => void
+  /** Another node enforces a newer version than this one, for the first time since this one enforced its own. */
+  readonly onBehind: (newerVersion: number, nodeId: base.NodeId) => void
   /** Whether this node fetches new versions from other zones. */
   readonly isZoneFirst: () => boolean
 }
@@ -48,7 +50,14 @@
   /** Records the version that another node enforces, and requests it if it is newer. */
   public recordVersion (nodeId: base.NodeId, version: number): void {
     this._versions.set(nodeId, version)
-    if (version > this._options.version()) this._requestIfDue()
+    if (version <= this._options.version()) return
+    if (this._behindSinceMs === undefined) this._options.onBehind(version, nodeId)
+    this._requestIfDue()
+  }
+
+  /** Time since a version newer than the one in force is known; 0 if none is. */
+  public get behindMs (): base.Millis {
+    return this._behindSinceMs === undefined ? 0 : this._options.nowMs() - this._behindSinceMs
   }
 
   /** Repeats the request if a newer version has not arrived. */
--- a/packages/node/src/direct/TargetHost.test.ts
+++ b/packages/node/src/direct/TargetHost.test.ts
@@ -66,6 +66,7 @@
         onTargetDisplaced: targetId => { events.push(`displaced ${targetId}`) },
         onCallFailed: () => {},
         onCallRefused: () => {},
+        onCallCancelled: ({ callId }, isRunning, heldMs) => { events.push(`cancelled ${callId} ${isRunning} ${heldMs}`) },
         onTargetNotice: () => {}
       }
     })
@@ -146,6 +147,16 @@
     })
   })
 
+  // Guards against cancelled calls of which no log says how long the host held them and whether they had been started.
+  test.it('reports a cancelled call, whether it was started, and how long it was held', () => {
+    host.accept(caller, call(1))
+    host.accept(caller, call(2))
+    nowMs = 70
+    host.cancel(caller, 2)
+    host.cancel(caller, 1)
+    assert.deepEqual(events, ['cancelled 2 false 70', 'cancelled 1 true 70'])
+  })
+
   test.describe('a call that runs', () => {
     test.it('continues when its caller disconnects, unless it is idempotent', () => {
       host.setSlots(2)
--- a/packages/node/src/direct/TargetHost.ts
+++ b/packages/node/src/direct/TargetHost.ts
@@ -38,6 +38,8 @@
   /** A call ended without a valid answer from the target. */
   onCallFailed(call: types.CallMessage, reason: string, detail: string): void
   onCallRefused(call: types.CallMessage, reason: direct.RefusalReason, waitMs: base.Millis): void
+  /** The entry node has cancelled the call `heldMs` after it arrived here. `isRunning`: it had been started. */
+  onCallCancelled(call: types.CallMessage, isRunning: boolean, heldMs: base.Millis): void
   /** An answer of the target contains this notice. */
   onTargetNotice(targetId: string, notice: direct.TargetNotice): void
 }
@@ -122,7 +124,9 @@
   public cancel (caller: services.IHostCaller, callId: number): boolean {
     const call = this._callsByCaller.get(caller)?.get(callId)
     if (call === undefined) return false
-    if (this._queue.withdraw(call.id)) {
+    const isWaiting = this._queue.withdraw(call.id)
+    this._options.events.onCallCancelled(call.message, !isWaiting, this._waitClockMs - call.arrivedAtMs)
+    if (isWaiting) {
       this._remove(call)
       return true
     }
--- a/packages/node/src/direct/testing/VirtualFleet.ts
+++ b/packages/node/src/direct/testing/VirtualFleet.ts
@@ -173,7 +173,7 @@
       state: () => 'ready',
       nowMs,
       uncountedMs: () => 0,
-      events: { onTargetUnreachable: () => {}, onTargetSilent: () => {}, onTargetDisplaced: () => {}, onCallFailed: () => {}, onCallRefused: () => {}, onTargetNotice: (_targetId, { maxCallsPerS = Infinity }) => { host.setLimit(maxCallsPerS) } }
+      events: { onTargetUnreachable: () => {}, onTargetSilent: () => {}, onTargetDisplaced: () => {}, onCallFailed: () => {}, onCallRefused: () => {}, onCallCancelled: () => {}, onTargetNotice: (_targetId, { maxCallsPerS = Infinity }) => { host.setLimit(maxCallsPerS) } }
     })
     host.setSlots(this._options.slots)
     const gate: entryGate.EntryGate = new entryGate.EntryGate({
@@ -190,6 +190,7 @@
       },
       cancel: (nodeId, callId) => this._nodeOf(nodeId).host.cancel(gate, callId),
       onCallEnd: () => {},
+      onCallCancelled: () => {},
       callsEndByMs: () => Infinity,
       suspectedMs: () => 0,
       runsRetry: requestId => host.runsRetry(requestId)
