Reproduce requests that are begun although their callers have left

Cause (suspected, hypotheses 1 and 2 on GONE): a request is begun as soon as it is read, before the close behind it is; connections are accepted one a turn, so under load a request waits unread while its caller leaves; a call is begun before the cancellation behind it; the time on a link is not counted.

--- a/packages/node/src/direct/Ingress.test.ts
+++ b/packages/node/src/direct/Ingress.test.ts
@@ -7,6 +7,7 @@
 
 const DIALECT = { readRequest: () => ({ requestId: '', remainingMs: 1000 }), answerHeaders: () => [] } as unknown as services.ICallDialect
 const TIMEOUT_MS = 20_000
+const KNOWN_RED = 'listed in KNOWN-RED.txt'
 
 /** Owner that records exchanges and never answers them. */
 class FakeOwner implements services.IExchangeOwner {
@@ -30,6 +31,7 @@
   let owner: FakeOwner
   let ingress: ingresses.Ingress
   let client: net.Socket
+  let port: number
 
   async function send (paths: readonly string[]): Promise<void> {
     client.write(paths.map(path => `GET ${path} HTTP/1.1\r\nHost: booth.example\r\n\r\n`).join(''))
@@ -39,7 +41,7 @@
   test.beforeEach(async () => {
     owner = new FakeOwner()
     ingress = new ingresses.Ingress({ address: { host: '127.0.0.1', port: 0 }, owner, dialect: DIALECT, nowMs: () => performance.now(), onAcceptsEnd: () => {} })
-    const port = await ingress.listen()
+    port = await ingress.listen()
     client = net.connect(port, '127.0.0.1')
     client.on('error', () => {})
   })
@@ -69,6 +71,35 @@
     })
   })
 
+  // Guards against requests that are sent on although everything that takes them back has already arrived (GONE).
+  test.describe('a caller that has left before its request is read', () => {
+    const request = (path: string): string => `GET ${path} HTTP/1.1\r\nHost: booth.example\r\n\r\n`
+
+    test.it('on an open connection makes the node drop the request', { todo: KNOWN_RED }, async () => {
+      await send(['/1'])
+      client.write(request('/2'))
+      client.destroy()
+      await until(() => owner.cancelled.length > 0)
+      await timers.setTimeout(50)
+      assert.deepEqual(owner.begun.map(({ path }) => path), ['/1'])
+    })
+
+    test.it('on a new connection makes the node drop the request, also when many arrive together', { todo: KNOWN_RED }, async () => {
+      const leavers = Array.from({ length: 20 }, (_, at) => {
+        const leaver = net.connect(port, '127.0.0.1', () => {
+          leaver.write(request(`/left/${at}`))
+          leaver.destroy()
+        })
+        return leaver
+      })
+      await until(() => leavers.every(({ destroyed }) => destroyed))
+      await timers.setTimeout(50)
+      client.write(request('/stays'))
+      await until(() => owner.begun.some(({ path }) => path === '/stays'))
+      assert.deepEqual(owner.begun.map(({ path }) => path), ['/stays'])
+    })
+  })
+
   test.it('keeps one listener per connection, regardless of the number of requests on it', async () => {
     const warnings: Error[] = []
     const handleWarning = (warning: Error): void => { warnings.push(warning) }
--- a/packages/node/src/direct/NodeLinks.test.ts
+++ b/packages/node/src/direct/NodeLinks.test.ts
@@ -10,6 +10,7 @@
 import type * as types from './Types.js'
 
 const TICK_MS = 100
+const KNOWN_RED = 'listed in KNOWN-RED.txt'
 const LOAD = { running: 1, queued: 0, urgentQueued: 0, leastUrgent: 0, slots: 4, serviceMs: 50 }
 const STATUS = { state: 'ready', load: LOAD, version: 1, storeAgeMs: 0, fleetStoreAgeMs: 0 } as const
 const CALL: types.CallMessage = {
@@ -142,6 +143,27 @@
     })
   })
 
+  // Guards against calls that are begun although their cancellation, or all of their time, has passed on the way (GONE).
+  test.describe('a call', () => {
+    test.it('is not begun if its cancellation has arrived with it', { todo: KNOWN_RED }, async () => {
+      caller.links.sendCall(hostId, CALL)
+      caller.links.cancel(hostId, CALL.callId)
+      caller.links.sendCall(hostId, { ...CALL, callId: 8 })
+      await testMesh.waitUntil(() => host.host.held.length > 0)
+      assert.deepEqual(host.host.held.map(({ call }) => call.callId), [8])
+    })
+
+    test.it('loses the time that it waited to be read, although the ticks of the process came in time', { todo: KNOWN_RED }, async () => {
+      caller.links.sendCall(hostId, CALL)
+      await testMesh.waitUntil(() => host.host.held.length === 1)
+      caller.links.sendCall(hostId, { ...CALL, callId: 8 })
+      caller.tickFor(700)
+      host.tickFor(700)
+      await testMesh.waitUntil(() => host.host.held.length === 2)
+      assert.deepEqual(host.host.held.map(({ call }) => [call.callId, call.remainingMs]), [[7, 8_000], [8, 7_300]])
+    })
+  })
+
   test.describe('a host that is silent while it has a call', () => {
     test.beforeEach(async () => {
       assert.equal(caller.links.sendCall(hostId, CALL), true)
