Move the parts that get configurations to a node into RulesDistribution

Cause: the ways of a version (store, other nodes) were wired in DirectNode, where no test can play them in virtual time. Needed to reproduce late versions.

Change: ReaderPlan, RulesWatch and RulesExchange are composed by RulesDistribution. No decision changes.

--- a/packages/node/src/direct/DirectNode.ts
+++ b/packages/node/src/direct/DirectNode.ts
@@ -12,9 +12,7 @@
 import * as nodeLinks from './NodeLinks.js'
 import * as peerServer from '../PeerServer.js'
 import * as plannedStop from './PlannedStop.js'
-import * as readerPlan from '@elmpost/common/direct/ReaderPlan.js'
-import * as rulesExchange from './RulesExchange.js'
-import * as rulesWatch from './RulesWatch.js'
+import * as rulesDistribution from './RulesDistribution.js'
 import * as stallWatch from '@elmpost/common/direct/StallWatch.js'
 import * as storeReturns from './StoreReturns.js'
 import * as targetPicker from '@elmpost/common/direct/TargetPicker.js'
@@ -33,8 +31,6 @@
 const STATUS_MS = 1_000
 /** After this time a node counts as ready without the records of other nodes, because the store may be down. */
 const READY_WITHOUT_NODES_MS = 1_500
-/** How long a node that is not a store reader waits for a reader's configuration: after a start of the whole fleet, and after its own start. */
-const FIRST_WAIT_MS = { fleet: 5_000, node: 800 } as const
 
 export interface DirectNodeOptions {
   readonly settings: types.DirectSettings
@@ -61,7 +57,7 @@
   private readonly _options: DirectNodeOptions
   private readonly _table = new targetTable.TargetTable()
   private readonly _fleet: fleetMembership.FleetMembership
-  private readonly _readers: readerPlan.ReaderPlan
+  private readonly _rules: rulesDistribution.RulesDistribution
   private readonly _calls: directCalls.DirectCalls
   private readonly _entry: entryGate.EntryGate
   private readonly _target: localTarget.LocalTarget
@@ -69,8 +65,6 @@
   private readonly _stalls: stallWatch.StallWatch
   private readonly _ingress: ingress.Ingress
   private readonly _peers: peerServer.PeerServer
-  private readonly _watch: rulesWatch.RulesWatch
-  private readonly _exchange: rulesExchange.RulesExchange
   private readonly _audit: auditTrail.AuditTrail
   private readonly _log: callLog.CallLog
   private readonly _stop: plannedStop.PlannedStop
@@ -110,13 +104,26 @@
       onChange: () => { this._handleTargetChange() }
     }))
     this._links = this._register(new nodeLinks.NodeLinks({ selfId, hello: to => this._fleet.hello(this.version, to), nowMs, stalls: this._stalls, random, host: this._target.host, events: this }))
-    const firstWaitMs = settings.isFirstStart ? FIRST_WAIT_MS.fleet : FIRST_WAIT_MS.node
-    this._readers = new readerPlan.ReaderPlan({ selfId, table: this._table, random, nowMs, startedAtMs: nowMs(), firstWaitMs, isFleetKnown: () => this._fleet.isKnown })
+    this._rules = this._register(new rulesDistribution.RulesDistribution({
+      selfId,
+      zone: settings.zone,
+      isFirstStart: settings.isFirstStart,
+      table: this._table,
+      store,
+      format: options.rulesFormat,
+      random,
+      logger,
+      nowMs,
+      isFleetKnown: () => this._fleet.isKnown,
+      version: () => this.version,
+      enforce: (stored, source) => { this._enforce(stored, source) },
+      send: (nodeId, message) => { this._links.send(nodeId, message) }
+    }))
     this._fleet = this._register(new fleetMembership.FleetMembership({
       settings,
       table: this._table,
       links: this._links,
-      readers: this._readers,
+      readers: this._rules.readers,
       store,
       logger,
       random,
@@ -148,17 +155,7 @@
       onAcceptsEnd: (waitMs, connections) => { this._log.logAccepts(waitMs, connections) }
     }))
     this._peers = this._register(new peerServer.PeerServer({ address: addresses.parse(settings.peerListenAddress), onConnection: socket => { this._links.accept(socket) } }))
-    this._watch = this._register(new rulesWatch.RulesWatch({ store, format: options.rulesFormat, nowMs, random, logger, isReader: () => this._readers.isReader, isCandidate: () => this._readers.isCandidate }))
-    this._exchange = new rulesExchange.RulesExchange({
-      zone: settings.zone,
-      table: this._table,
-      nowMs,
-      version: () => this.version,
-      request: nodeId => { this._links.send(nodeId, { kind: 'rules-request' }) },
-      onBehind: (newerVersion, peer) => { this._log.log('info', 'newer-version', { newerVersion, peer }) },
-      isZoneFirst: () => this._readers.isZoneFirst
-    })
-    this._audit = new auditTrail.AuditTrail({ store, nodeId: selfId, logger, nowMs, isWriter: () => this._readers.isWriter, timeOfDayMs: options.timeOfDayMs })
+    this._audit = new auditTrail.AuditTrail({ store, nodeId: selfId, logger, nowMs, isWriter: () => this._rules.readers.isWriter, timeOfDayMs: options.timeOfDayMs })
     this._register(new storeReturns.StoreReturns({ era: store.era, nodeRecord: this._fleet.record, auditTrail: this._audit, logger, spread: () => { this._sendStatus(true) } }))
     this._stop = new plannedStop.PlannedStop({
       graceMs: settings.graceMs,
@@ -173,7 +170,6 @@
         this._resolveStopped()
       }
     })
-    this._register(this._watch.onRules(stored => { this._enforce(stored, 'store') }))
   }
 
   /** Configuration version in force; 0 before the first one. */
@@ -197,9 +193,9 @@
       targetLimitPerS: this._target.notice.maxCallsPerS ?? Infinity,
       knownNodes: this._table.size,
       connectedNodes: this._table.connectedCount,
-      storeAgeMs: this._watch.storeAgeMs,
+      storeAgeMs: this._rules.storeAgeMs,
       acceptWaitMs: this._ingress.acceptWaitMs,
-      behindMs: this._exchange.behindMs
+      behindMs: this._rules.behindMs
     }
   }
 
@@ -215,7 +211,7 @@
     this._startedAtMs = nowMs()
     this._table.put(settings.peerAddress, settings.zone, settings.service, settings.linkMbps)
     this._table.setConnected(settings.peerAddress, true)
-    this._watch.start()
+    this._rules.start()
     this._fleet.start()
     await Promise.all([this._peers.listen(), this._ingress.listen()])
     for (const seed of settings.seeds) this._links.connect(seed)
@@ -289,19 +285,17 @@
       case 'status':
         this._table.recordMessage(nodeId, this._options.nowMs())
         this._fleet.handleStatus(nodeId, message.status)
-        this._exchange.recordVersion(nodeId, message.status.version)
+        this._rules.handleStatus(nodeId, message.status)
         break
       case 'alive':
-        this._exchange.recordVersion(nodeId, message.version)
+        this._rules.handleVersion(nodeId, message.version)
         break
       case 'rules-request':
-        if (this._exchange.packed !== undefined) reply({ kind: 'rules', bytes: this._exchange.packed })
+        this._rules.handleRequest(reply)
         break
-      case 'rules': {
-        const stored = this._watch.decode(message.bytes)
-        if (stored !== undefined) this._enforce(stored, nodeId)
+      case 'rules':
+        this._rules.handleRules(nodeId, message.bytes)
         break
-      }
       case 'nodes-request':
         reply({ kind: 'nodes', nodes: this._fleet.all() })
         break
@@ -347,7 +341,7 @@
     this._links.tick()
     this._target.tick()
     this._log.tick()
-    this._exchange.tick()
+    this._rules.tick()
     if (nowMs >= this._statusAtMs) this._sendStatus(false)
     this._fleet.tick()
     this._stop.tick()
@@ -358,12 +352,13 @@
     this._statusAtMs = this._options.nowMs() + STATUS_MS
     const status = this._status(isForAll)
     this._fleet.handleStatus(this._options.settings.peerAddress, status)
+    this._rules.handleStatus(this._options.settings.peerAddress, status)
     this._links.broadcastStatus(status, isForAll)
   }
 
   private _status (includesTarget = true): direct.HostStatus {
     const state = this._stop.closesTarget ? 'leaving' : this._target.watch.state
-    return { state, load: this._target.host.load, version: this.version, storeAgeMs: this._watch.storeAgeMs, fleetStoreAgeMs: this._readers.fleetStoreAgeMs, storeEra: this._options.store.era.current, target: includesTarget ? this._target.watch.reported : undefined }
+    return { state, load: this._target.host.load, version: this.version, storeAgeMs: this._rules.storeAgeMs, fleetStoreAgeMs: this._rules.readers.fleetStoreAgeMs, storeEra: this._options.store.era.current, target: includesTarget ? this._target.watch.reported : undefined }
   }
 
   private _handleTargetChange (): void {
@@ -375,18 +370,18 @@
   private _handleHello (hello: linkCodec.HelloMessage): void {
     this._fleet.handleHello(hello)
     if (hello.notice !== undefined) this._target.recordPeerNotice(hello.nodeId, hello.notice)
-    this._exchange.recordVersion(hello.nodeId, hello.version)
+    this._rules.handleVersion(hello.nodeId, hello.version)
   }
 
   private _enforce (stored: types.StoredRules, source: string): void {
     const previous = this._calls.rules
     if (!this._calls.enforce(stored.rules)) return
-    const { behindMs } = this._exchange
+    const { behindMs, storeAgeMs } = this._rules
     this._audit.recordChange(previous, stored.rules)
-    this._exchange.setCurrent(stored.bytes)
+    this._rules.setCurrent(stored.bytes)
     const { rules } = stored
     this._ingress.setLimits(rules.limits)
-    this._log.logEnforced(rules, source, { behindMs, storeAgeMs: this._watch.storeAgeMs, fleetStoreAgeMs: this._readers.fleetStoreAgeMs })
+    this._log.logEnforced(rules, source, { behindMs, storeAgeMs, fleetStoreAgeMs: this._rules.readers.fleetStoreAgeMs })
     this._target.applyRules(rules)
     this._sendStatus(true)
   }
--- a/packages/node/src/direct/FleetMembership.ts
+++ b/packages/node/src/direct/FleetMembership.ts
@@ -116,11 +116,10 @@
   }
 
   public handleStatus (nodeId: base.NodeId, status: direct.HostStatus): void {
-    const { table, readers, store, nowMs } = this._options
+    const { table, store, nowMs } = this._options
     store.era.record(status.storeEra)
     if (table.get(nodeId)?.state !== status.state) this._directory.invalidatePlan()
     table.updateStatus(nodeId, status, nowMs())
-    readers.recordStoreContact(nodeId, status.storeAgeMs, status.fleetStoreAgeMs)
   }
 
   /** Writes this node's record to the store after its target has changed. */
