Let a node that does not know whether it is up to date read the store itself

What callers saw: requests were handled by an older configuration more than 2 s after a newer one had been acknowledged (404 for a route that had been added).

Cause: two nodes read the store for the fleet; others took over when the last known contact was 4.5 s old, most nodes after 7 to 10 s. Reports of contact were not tied to a version and were taken at face value however long they had been on their way. When both readers lost the store, their links or power together, a version waited for that long. The class: trust in a report is not bounded by the time within which the promise has to hold.

Change: each node knows until when its version was the newest one (VersionFreshness): from its own reads, and from reports of candidates, whose age includes the time on the link and which count only for their version. Candidates pass such reports on at least each 300 ms as they advance; each node keeps links to the candidates of its zone. A candidate takes over when the readers have reported no contact for 1.1 s, any other node reads the store itself when its version has not been confirmed for 1.2 to 1.6 s. Long polls are 600 ms with a margin of 300, so a silent store is noticed after 0.9 s; the timeout covers the begin of an answer only, so large configurations on slow links still arrive. A node that has just started counts as ready when its version is confirmed, or after 1.5 s.

Tests changed: the fallback after 7 to 10 s was the fault, so the test of it asserts 1.2 to 1.6 s; the spread of 1.5 s between nodes that start to read cannot fit the bound of 2 s and is 0.3 s and 1.61 s at most now. NodeLinks.test.ts waits for the first message of a link, which it missed or not by chance (seen once).

--- a/packages/common/src/direct/ReaderPlan.test.ts
+++ b/packages/common/src/direct/ReaderPlan.test.ts
@@ -3,6 +3,7 @@
 import * as readerPlan from './ReaderPlan.js'
 import * as targetTable from './TargetTable.js'
 import * as test from 'node:test'
+import * as versionFreshness from './VersionFreshness.js'
 
 const ZONES = ['vake', 'saburtalo', 'didube']
 const FIRST_WAIT_MS = 800
@@ -11,6 +12,7 @@
   let nowMs: number
   let isFleetKnown: boolean
   let table: targetTable.TargetTable
+  let freshness: versionFreshness.VersionFreshness
 
   function addNode (nodeId: string, zone: string, linkMbps = 5): void {
     table.put(nodeId, zone, 'till', linkMbps)
@@ -18,13 +20,14 @@
   }
 
   function planOf (selfId: string): readerPlan.ReaderPlan {
-    return new readerPlan.ReaderPlan({ selfId, table, random: new random.Random(1), nowMs: () => nowMs, startedAtMs: 0, firstWaitMs: FIRST_WAIT_MS, isFleetKnown: () => isFleetKnown })
+    return new readerPlan.ReaderPlan({ selfId, table, random: new random.Random(1), nowMs: () => nowMs, startedAtMs: 0, firstWaitMs: FIRST_WAIT_MS, isFleetKnown: () => isFleetKnown, freshness })
   }
 
   test.beforeEach(() => {
     nowMs = 0
     isFleetKnown = true
     table = new targetTable.TargetTable()
+    freshness = new versionFreshness.VersionFreshness(() => nowMs, () => 1)
   })
 
   test.describe('candidates', () => {
@@ -64,37 +67,55 @@
 
     test.it('are two candidates, so that one without contact to the store does not delay configurations', () => {
       const third = planOf('n2')
-      third.recordStoreContact('n0', 100, 100)
+      third.recordStoreContact('n0', 100)
       assert.equal(third.isReader, true)
-      third.recordStoreContact('n1', 100, 100)
+      third.recordStoreContact('n1', 100)
       assert.deepEqual([third.isReader, planOf('n0').isReader, planOf('n1').isReader], [false, true, true])
     })
 
     test.it('are replaced by the next candidate when one is unreachable or has no contact to the store', () => {
       const third = planOf('n2')
-      third.recordStoreContact('n0', 100, 100)
-      third.recordStoreContact('n1', 100, 100)
+      third.recordStoreContact('n0', 100)
+      third.recordStoreContact('n1', 100)
       table.setConnected('n0', false)
       assert.equal(third.isReader, true)
       table.setConnected('n0', true)
       nowMs = 5_000
-      third.recordStoreContact('n1', 100, 100)
-      // n0 reports no contact of its own; that it knows of the contact of n1 does not count for it.
-      third.recordStoreContact('n0', 5_100, 100)
+      third.recordStoreContact('n1', 100)
+      // n0 reports no contact of its own.
+      third.recordStoreContact('n0', 5_100)
       assert.equal(third.isReader, true)
     })
 
-    test.it('are other nodes when all candidates have lost contact to the store, but not while any node has contact', () => {
+    test.it('are other nodes that have not heard for 1.2 to 1.6 s that their version is the newest one, but no others', () => {
       const other = planOf('other')
-      other.recordStoreContact('slow', Infinity, 1_000)
-      nowMs = 5_000
+      freshness.record(1, 1_000)
+      nowMs = 200
       assert.equal(other.isReader, false)
-      nowMs = 20_000
+      nowMs = 600
       assert.equal(other.isReader, true)
-      other.recordStoreContact('slow', Infinity, 3_000)
+      freshness.record(1, 500)
       assert.equal(other.isReader, false)
     })
 
+    test.it('are other nodes that know of a newer version and do not get it, so that no other node can delay it', () => {
+      const other = planOf('other')
+      freshness.record(1, 0)
+      nowMs = 1_600
+      freshness.record(2, 0)
+      assert.equal(other.isReader, true)
+    })
+
+    test.it('are replaced within the time of one long poll when they report no contact any more', () => {
+      const third = planOf('n2')
+      third.recordStoreContact('n0', 0)
+      third.recordStoreContact('n1', 0)
+      nowMs = 900
+      assert.equal(third.isReader, false)
+      nowMs = 1_100
+      assert.equal(third.isReader, true)
+    })
+
     test.it('include a node that has just started if no node reports contact to the store in the first wait', () => {
       const other = planOf('other')
       nowMs = FIRST_WAIT_MS - 1
@@ -113,13 +134,22 @@
 
     test.it('do not start together after an outage of the store, because all would read it at once', () => {
       const source = new random.Random(1)
-      const plans = Array.from({ length: 20 }, () => new readerPlan.ReaderPlan({ selfId: 'other', table, random: source, nowMs: () => nowMs, startedAtMs: 0, firstWaitMs: 0, isFleetKnown: () => true }))
-      for (const plan of plans) plan.recordStoreContact('slow', 0, 0)
+      const plans = Array.from({ length: 20 }, () => new readerPlan.ReaderPlan({ selfId: 'other', table, random: source, nowMs: () => nowMs, startedAtMs: 0, firstWaitMs: 0, isFleetKnown: () => true, freshness }))
+      freshness.record(1, 0)
       const starts = plans.map(plan => {
-        for (nowMs = 0; !plan.isReader; nowMs += 100);
+        for (nowMs = 0; !plan.isReader; nowMs += 10);
         return nowMs
       })
-      assert.ok(Math.max(...starts) - Math.min(...starts) > 1_500, starts.join(' '))
+      assert.ok(Math.max(...starts) - Math.min(...starts) > 300, starts.join(' '))
+      assert.ok(Math.max(...starts) <= 1_610, starts.join(' '))
+    })
+  })
+
+  test.describe('required peers', () => {
+    test.it('are all candidates for a candidate, and those of its zone for any other node', () => {
+      for (let at = 0; at < 9; at++) addNode(`n${at}`, ZONES[at % ZONES.length] ?? '')
+      assert.deepEqual(planOf('n0').requiredPeers, ['n0', 'n1', 'n2', 'n3', 'n4', 'n5'])
+      assert.deepEqual(planOf('n7').requiredPeers, ['n1', 'n4'])
     })
   })
 
@@ -128,7 +158,7 @@
       ZONES.forEach((zone, at) => { addNode(`n${at}`, zone) })
       const second = planOf('n1')
       assert.equal(second.isWriter, true)
-      second.recordStoreContact('n0', 100, 100)
+      second.recordStoreContact('n0', 100)
       assert.equal(second.isWriter, false)
       table.setConnected('n0', false)
       assert.equal(second.isWriter, true)
--- a/packages/common/src/direct/ReaderPlan.ts
+++ b/packages/common/src/direct/ReaderPlan.ts
@@ -1,15 +1,19 @@
 import type * as base from '../base/Types.js'
 import type * as targetTable from './TargetTable.js'
+import type * as versionFreshness from './VersionFreshness.js'
 
 /** Nodes of each zone that may read the store for the whole fleet. Others remain after the loss of a zone or of any one node. */
 const CANDIDATES_PER_ZONE = 2
 /** Candidates that read the store at the same time, because the loss of one's contact to the store is detected with a delay. */
 const READERS = 2
-/** A candidate counts as a reader if its last contact to the store is within this time: one long poll and a margin. */
-const FRESH_MS = 4_500
-/** A node reads the store itself when no node is known to have had contact to it for this time; spread, so that they do not start together. */
-const FALLBACK_MS = 7_000
-const FALLBACK_SPREAD_MS = 3_000
+/** A candidate counts as a reader if its last contact to the store is within this time: one long poll and its margin, and the report. */
+const FRESH_MS = 1_100
+/**
+ * A node reads the store itself when its version has not been confirmed as the newest one for this time; spread, so that they
+ * do not start together. With one read it stays below the time within which a version has to be in force everywhere.
+ */
+const DOUBT_MS = 1_200
+const DOUBT_SPREAD_MS = 400
 
 export interface ReaderPlanOptions {
   readonly selfId: base.NodeId
@@ -21,24 +25,26 @@
   readonly firstWaitMs: base.Millis
   /** Whether the records of all nodes have been read. Before that, a node knows few others and would consider itself a candidate. */
   readonly isFleetKnown: () => boolean
+  /** Until when the version in force is known to have been the newest one. */
+  readonly freshness: versionFreshness.VersionFreshness
 }
 
 /**
  * Chooses the nodes that read the store. All nodes derive the same candidates from the table, and the candidates keep links
- * to each other. The other nodes only need to learn, through any number of nodes, that some node has contact to the store.
+ * to each other. The other nodes keep links to those of their zone, from which they learn that their version is the newest one;
+ * a node that does not learn it reads the store itself.
  */
 export class ReaderPlan {
   private readonly _options: ReaderPlanOptions
-  private readonly _fallbackMs: base.Millis
+  private readonly _doubtMs: base.Millis
   /** Last contact of each candidate to the store. */
   private readonly _contactsAtMs = new Map<base.NodeId, base.Millis>()
-  private _fleetContactAtMs = -Infinity
   private _candidates: readonly base.NodeId[] = []
   private _revision = -1
 
   constructor (options: ReaderPlanOptions) {
     this._options = options
-    this._fallbackMs = FALLBACK_MS + FALLBACK_SPREAD_MS * options.random.nextFloat()
+    this._doubtMs = DOUBT_MS + DOUBT_SPREAD_MS * options.random.nextFloat()
   }
 
   /** The best-ranked nodes of each zone: first the best one of each zone, then the second ones. */
@@ -64,11 +70,11 @@
 
   /** Whether this node reads the store itself. */
   public get isReader (): boolean {
-    const { selfId, nowMs, startedAtMs, firstWaitMs, isFleetKnown } = this._options
+    const { selfId, nowMs, startedAtMs, firstWaitMs, isFleetKnown, freshness } = this._options
     const rank = this.candidates.indexOf(selfId)
     if (rank >= 0 && isFleetKnown()) return this._countReadersBefore(rank) < READERS
-    if (this._fleetContactAtMs === -Infinity) return nowMs() - startedAtMs > firstWaitMs
-    return nowMs() - this._fleetContactAtMs > this._fallbackMs
+    if (freshness.confirmedAtMs === -Infinity) return nowMs() - startedAtMs > firstWaitMs
+    return freshness.ageMs > this._doubtMs
   }
 
   /** Whether this node writes to the store for the whole fleet. Two nodes may do so at the same time. */
@@ -77,16 +83,17 @@
     return rank >= 0 && this._options.isFleetKnown() ? this._countReadersBefore(rank) === 0 : this.isReader
   }
 
-  /** Time since the last known contact of any node to the store. */
-  public get fleetStoreAgeMs (): base.Millis {
-    return this._options.nowMs() - this._fleetContactAtMs
+  /** Nodes that this one keeps links to, so that versions and their confirmations reach it. */
+  public get requiredPeers (): readonly base.NodeId[] {
+    if (this.isCandidate) return this.candidates
+    const { selfId, table } = this._options
+    const zone = table.get(selfId)?.zone
+    return this.candidates.filter(nodeId => table.get(nodeId)?.zone === zone)
   }
 
-  /** Records a node's report: the time since its own contact to the store, and since the last contact of any node that it knows of. */
-  public recordStoreContact (nodeId: base.NodeId, storeAgeMs: base.Millis, fleetAgeMs: base.Millis): void {
-    const nowMs = this._options.nowMs()
-    if (this.candidates.includes(nodeId)) this._contactsAtMs.set(nodeId, nowMs - storeAgeMs)
-    this._fleetContactAtMs = Math.max(this._fleetContactAtMs, nowMs - Math.min(storeAgeMs, fleetAgeMs))
+  /** Records the time since a node's last contact to the store. */
+  public recordStoreContact (nodeId: base.NodeId, storeAgeMs: base.Millis): void {
+    if (this.candidates.includes(nodeId)) this._contactsAtMs.set(nodeId, this._options.nowMs() - storeAgeMs)
   }
 
   private _countReadersBefore (rank: number): number {
--- a/packages/node/src/direct/CallLog.ts
+++ b/packages/node/src/direct/CallLog.ts
@@ -17,8 +17,8 @@
   readonly behindMs: base.Millis
   /** Since the store last answered this node. */
   readonly storeAgeMs: base.Millis
-  /** Since the store last answered any node, as far as is known. */
-  readonly fleetStoreAgeMs: base.Millis
+  /** Since the version in force before is known to have been the newest one. */
+  readonly confirmedAgeMs: base.Millis
 }
 
 /** Writes log lines about calls, rate-limited per event so that the log volume does not grow with the load. */
@@ -77,8 +77,8 @@
   }
 
   /** Logs a configuration that is in force now. Never omitted. */
-  public logEnforced ({ version, routes }: direct.MeshRules, source: string, { behindMs, storeAgeMs, fleetStoreAgeMs }: VersionAges): void {
-    this._logger.log('info', 'enforced', { enforcedVersion: version, routes: routes.length, source, behindMs: roundedAge(behindMs), storeAgeMs: roundedAge(storeAgeMs), fleetStoreAgeMs: roundedAge(fleetStoreAgeMs) })
+  public logEnforced ({ version, routes }: direct.MeshRules, source: string, { behindMs, storeAgeMs, confirmedAgeMs }: VersionAges): void {
+    this._logger.log('info', 'enforced', { enforcedVersion: version, routes: routes.length, source, behindMs: roundedAge(behindMs), storeAgeMs: roundedAge(storeAgeMs), confirmedAgeMs: roundedAge(confirmedAgeMs) })
   }
 
   /** Logs how many lines were omitted. Called on each tick, so that the last count is reported without further calls. */
--- a/packages/node/src/direct/DirectNode.ts
+++ b/packages/node/src/direct/DirectNode.ts
@@ -29,8 +29,8 @@
 const TICK_MS = 100
 /** Interval between status reports to the nodes that may send calls to this one. */
 const STATUS_MS = 1_000
-/** After this time a node counts as ready without the records of other nodes, because the store may be down. */
-const READY_WITHOUT_NODES_MS = 1_500
+/** After this time a node counts as ready without the records of other nodes and without knowing that its version is the newest one, because the store may be down. */
+const READY_WITHOUT_STORE_MS = 1_500
 
 export interface DirectNodeOptions {
   readonly settings: types.DirectSettings
@@ -179,7 +179,8 @@
   }
 
   public get isReady (): boolean {
-    const knowsEnough = this._fleet.isKnown || this._options.nowMs() - this._startedAtMs > READY_WITHOUT_NODES_MS
+    const isConfirmed = Number.isFinite(this._rules.confirmedAgeMs)
+    const knowsEnough = (this._fleet.isKnown && isConfirmed) || this._options.nowMs() - this._startedAtMs > READY_WITHOUT_STORE_MS
     return !this._stop.hasBegun && this._calls.rules !== undefined && knowsEnough
   }
 
@@ -262,6 +263,7 @@
     this._handleHello(hello)
     reply(this._fleet.hello(this.version))
     reply({ kind: 'status', status: this._status() })
+    reply(this._rules.report)
   }
 
   public handleLost (nodeId: base.NodeId, callIds: readonly number[]): void {
@@ -289,7 +291,7 @@
         this._rules.handleStatus(nodeId, message.status)
         break
       case 'alive':
-        this._rules.handleAlive(nodeId, message, 0)
+        this._rules.handleAlive(nodeId, message)
         break
       case 'rules-request':
         this._rules.handleRequest(reply)
@@ -359,7 +361,7 @@
 
   private _status (includesTarget = true): direct.HostStatus {
     const state = this._stop.closesTarget ? 'leaving' : this._target.watch.state
-    return { state, load: this._target.host.load, version: this.version, storeAgeMs: this._rules.storeAgeMs, fleetStoreAgeMs: this._rules.readers.fleetStoreAgeMs, storeEra: this._options.store.era.current, target: includesTarget ? this._target.watch.reported : undefined }
+    return { state, load: this._target.host.load, version: this.version, storeAgeMs: this._rules.storeAgeMs, fleetStoreAgeMs: this._rules.confirmedAgeMs, storeEra: this._options.store.era.current, target: includesTarget ? this._target.watch.reported : undefined }
   }
 
   private _handleTargetChange (): void {
@@ -377,12 +379,12 @@
   private _enforce (stored: types.StoredRules, source: string): void {
     const previous = this._calls.rules
     if (!this._calls.enforce(stored.rules)) return
-    const { behindMs, storeAgeMs } = this._rules
+    const { behindMs, storeAgeMs, confirmedAgeMs } = this._rules
     this._audit.recordChange(previous, stored.rules)
     this._rules.setCurrent(stored.bytes)
     const { rules } = stored
     this._ingress.setLimits(rules.limits)
-    this._log.logEnforced(rules, source, { behindMs, storeAgeMs, fleetStoreAgeMs: this._rules.readers.fleetStoreAgeMs })
+    this._log.logEnforced(rules, source, { behindMs, storeAgeMs, confirmedAgeMs })
     this._target.applyRules(rules)
     this._sendStatus(true)
   }
--- a/packages/node/src/direct/FleetMembership.ts
+++ b/packages/node/src/direct/FleetMembership.ts
@@ -57,7 +57,7 @@
       links,
       nowMs,
       logger,
-      requiredPeers: () => readers.isCandidate ? readers.candidates : [],
+      requiredPeers: () => readers.requiredPeers,
       onExpired: nodeId => { this._registry.deleteRecord(nodeId).catch((error: unknown) => { this._logUnexpected(error) }) }
     })
   }
--- a/packages/node/src/direct/IncomingLink.ts
+++ b/packages/node/src/direct/IncomingLink.ts
@@ -1,8 +1,8 @@
+import * as linkCodec from './LinkCodec.js'
 import * as linkDelays from '@elmpost/common/direct/LinkDelay.js'
 import * as outgoingLink from './OutgoingLink.js'
 import type * as base from '@elmpost/common/base/Types.js'
 import type * as direct from '@elmpost/common/direct/Types.js'
-import type * as linkCodec from './LinkCodec.js'
 import type * as services from './Services.js'
 import type * as types from './Types.js'
 import type * as ws from 'ws'
@@ -112,8 +112,7 @@
       events.handleCall(this, message.call, this._delayOf(message.call.sentAtMs))
       return
     }
-    if (message.kind === 'alive') this._delayOf(message.sentAtMs)
-    events.handleMessage(this, message)
+    events.handleMessage(this, message.kind === 'alive' ? linkCodec.older(message, this._delayOf(message.sentAtMs)) : message)
   }
 
   private _delayOf (sentAtMs: base.Millis | undefined): base.Millis {
--- a/packages/node/src/direct/LinkCodec.test.ts
+++ b/packages/node/src/direct/LinkCodec.test.ts
@@ -53,6 +53,8 @@
   { kind: 'cancel', callId: 9 },
   { kind: 'alive', version: 3 },
   { kind: 'alive', version: 3, sentAtMs: 81_234 },
+  { kind: 'alive', version: 3, sentAtMs: 81_234, storeAgeMs: 20, confirmedAgeMs: 5 },
+  { kind: 'alive', version: 3, sentAtMs: 81_234, storeAgeMs: Infinity, confirmedAgeMs: 700 },
   { kind: 'rules-request' },
   { kind: 'rules', bytes: Buffer.from('{}') },
   { kind: 'nodes-request' },
--- a/packages/node/src/direct/LinkCodec.ts
+++ b/packages/node/src/direct/LinkCodec.ts
@@ -34,12 +34,16 @@
   readonly notice?: direct.KnownNotice | undefined
 }
 
-/** Tells that the sender lives, and which version it enforces. */
+/** Tells that the sender lives, which version it enforces, and what it knows of the store. */
 export interface AliveMessage {
   readonly kind: 'alive'
   readonly version: number
   /** When it was written, on the monotonic clock of the sender. Undefined from a node of an earlier version. */
   readonly sentAtMs?: base.Millis
+  /** Since the store last answered the sender. Undefined if the message does not tell. */
+  readonly storeAgeMs?: base.Millis
+  /** Since the version is known to have been the newest one. Undefined if the message does not tell. */
+  readonly confirmedAgeMs?: base.Millis
 }
 
 /** Messages between two nodes. The side that opened the link sends calls; the other side answers them. */
@@ -57,6 +61,13 @@
 
 type Values = readonly unknown[]
 
+/** The message as it is true after it has waited for `delayMs` on its way. */
+export function older (message: AliveMessage, delayMs: base.Millis): AliveMessage {
+  const { storeAgeMs, confirmedAgeMs } = message
+  if (storeAgeMs === undefined || confirmedAgeMs === undefined) return message
+  return { ...message, storeAgeMs: storeAgeMs + delayMs, confirmedAgeMs: confirmedAgeMs + delayMs }
+}
+
 /** Encodes messages as arrays, because property names would add to the traffic between zones. Validates what it decodes. */
 export class LinkCodec {
   private readonly _packr = new msgpackr.Packr({ useRecords: false })
@@ -83,7 +94,7 @@
     case 'call': return callValues(message.call)
     case 'result': return resultValues(message.callId, message.result, message.load)
     case 'cancel': return [KIND.cancel, message.callId]
-    case 'alive': return [KIND.alive, message.version, ...optional(message.sentAtMs)]
+    case 'alive': return aliveValues(message)
     case 'rules-request': return [KIND.rulesRequest]
     case 'rules': return [KIND.rules, message.bytes]
     case 'nodes-request': return [KIND.nodesRequest]
@@ -221,9 +232,16 @@
   return { kind: 'call', call }
 }
 
-function aliveOf ([, version, sentAtMs]: Values): LinkMessage | undefined {
-  if (!isNumber(version) || !isOptionalNumber(sentAtMs)) return undefined
-  return sentAtMs === undefined ? { kind: 'alive', version } : { kind: 'alive', version, sentAtMs }
+function aliveValues ({ version, sentAtMs, storeAgeMs, confirmedAgeMs }: AliveMessage): Values {
+  const values = [KIND.alive, version, ...optional(sentAtMs)]
+  return storeAgeMs === undefined || confirmedAgeMs === undefined ? values : [...values, ageValue(storeAgeMs), ageValue(confirmedAgeMs)]
+}
+
+function aliveOf ([, version, sentAtMs, storeAgeMs, confirmedAgeMs]: Values): LinkMessage | undefined {
+  if (!isNumber(version) || !isOptionalNumber(sentAtMs) || !isOptionalNumber(storeAgeMs) || !isOptionalNumber(confirmedAgeMs)) return undefined
+  if (sentAtMs === undefined) return { kind: 'alive', version }
+  const alive = { kind: 'alive', version, sentAtMs } as const
+  return storeAgeMs === undefined || confirmedAgeMs === undefined ? alive : { ...alive, storeAgeMs: ageOf(storeAgeMs), confirmedAgeMs: ageOf(confirmedAgeMs) }
 }
 
 function answeredOf ([, callId, status, headers, body, isUnframed, ...rest]: Values): LinkMessage | undefined {
--- a/packages/node/src/direct/NodeLinks.test.ts
+++ b/packages/node/src/direct/NodeLinks.test.ts
@@ -53,6 +53,7 @@
 class Peer implements nodeLinks.INodeLinksEvents {
   public nowMs = 0
   public losses = 0
+  public messages = 0
   public isConnected = false
   public readonly silentCalls: number[] = []
   public readonly lostCalls: number[] = []
@@ -86,7 +87,7 @@
   }
 
   public handleResult: nodeLinks.INodeLinksEvents['handleResult'] = (_nodeId, { callId }) => { this.results.push(callId) }
-  public handleMessage: nodeLinks.INodeLinksEvents['handleMessage'] = () => {}
+  public handleMessage: nodeLinks.INodeLinksEvents['handleMessage'] = () => { this.messages += 1 }
   public handleMalformed: nodeLinks.INodeLinksEvents['handleMalformed'] = () => {}
 
   public handleSilent (_nodeId: string, callIds: readonly number[]): void {
@@ -117,7 +118,8 @@
     hostId = `127.0.0.1:${await host.server.listen()}`
     caller = new Peer('caller')
     caller.links.connect(hostId)
-    await testMesh.waitUntil(() => caller.isConnected)
+    // The first message after the hello, with which later ones are compared.
+    await testMesh.waitUntil(() => caller.isConnected && host.messages === 1)
   })
 
   test.afterEach(() => {
--- a/packages/node/src/direct/OutgoingLink.ts
+++ b/packages/node/src/direct/OutgoingLink.ts
@@ -1,6 +1,7 @@
+import * as linkCodec from './LinkCodec.js'
+import * as linkDelays from '@elmpost/common/direct/LinkDelay.js'
 import * as ws from 'ws'
 import type * as base from '@elmpost/common/base/Types.js'
-import type * as linkCodec from './LinkCodec.js'
 import type * as types from './Types.js'
 
 /** Bounds of the wait between connection attempts. */
@@ -46,6 +47,7 @@
 interface Connection {
   readonly socket: ws.WebSocket
   readonly calls: Set<number>
+  readonly delay: linkDelays.LinkDelay
   isOpen: boolean
   connectingSinceMs: base.Millis
   receivedAtMs: base.Millis
@@ -156,7 +158,7 @@
     if (this._isDisposed) return
     const nowMs = this._options.nowMs()
     const socket = new ws.WebSocket(`ws://${this.nodeId}/`, { perMessageDeflate: false, maxPayload: MAX_MESSAGE_BYTES, handshakeTimeout: CONNECT_TIMEOUT_MS, skipUTF8Validation: true })
-    const connection: Connection = { socket, calls: new Set(), isOpen: false, connectingSinceMs: nowMs, receivedAtMs: nowMs, sentAtMs: nowMs }
+    const connection: Connection = { socket, calls: new Set(), delay: new linkDelays.LinkDelay(this._options.nowMs), isOpen: false, connectingSinceMs: nowMs, receivedAtMs: nowMs, sentAtMs: nowMs }
     this._current = connection
     socket.binaryType = 'nodebuffer'
     socket.on('open', () => { this._handleOpen(connection) })
@@ -199,7 +201,8 @@
       this.reconnectNow()
       if (message.kind !== 'result') return
     }
-    this._options.events.handleMessage(this, message)
+    const isTimed = message.kind === 'alive' && message.sentAtMs !== undefined
+    this._options.events.handleMessage(this, isTimed ? linkCodec.older(message, connection.delay.measure(message.sentAtMs)) : message)
   }
 
   private _handleClose (connection: Connection): void {
--- a/packages/node/src/direct/RulesDistribution.test.ts
+++ b/packages/node/src/direct/RulesDistribution.test.ts
@@ -26,8 +26,6 @@
   ['both readers lose power', [['isWithoutStore', 'isWithoutLinks'], ['isWithoutStore', 'isWithoutLinks']]]
 ]
 
-const KEPT: ReadonlySet<string> = new Set(['no fault', 'one reader loses the store'])
-
 // Guards against a version that is enforced later than the bound by nodes that could have had it (CONFIG).
 test.describe('RulesDistribution', () => {
   let fleet: rulesFleet.RulesFleet
@@ -56,15 +54,27 @@
     return fleet.nodes.filter(({ isInTouch, version, enforcedAtMs }) => isInTouch && !(version === 2 && enforcedAtMs - acknowledgedAtMs <= BOUND_MS)).map(({ nodeId }) => nodeId)
   }
 
-  test.describe('brings a version to all nodes in touch within the bound when', () => {
-    for (const [name, faults] of CASES) {
-      test.it(name, { todo: KEPT.has(name) ? false : 'listed in KNOWN-RED.txt' }, async () => {
-        for (const leadMs of LEADS_MS) {
-          const late = await lateNodes(10, faults, leadMs)
-          fleet.dispose()
-          assert.deepEqual(late, [], `fault ${leadMs} ms before the version`)
-        }
-      })
-    }
+  for (const nodeCount of [10, 60]) {
+    test.describe(`brings a version to all nodes in touch within the bound, with ${nodeCount} nodes, when`, () => {
+      for (const [name, faults] of CASES) {
+        test.it(name, async () => {
+          for (const leadMs of LEADS_MS) {
+            const late = await lateNodes(nodeCount, faults, leadMs)
+            fleet.dispose()
+            assert.deepEqual(late, [], `fault ${leadMs} ms before the version`)
+          }
+        })
+      }
+    })
+  }
+
+  // Guards against nodes that ask the store although nothing is wrong, which the store could not bear from a large fleet.
+  test.it('reads the store from two nodes while nothing is wrong, whatever the size of the fleet', async () => {
+    fleet = new rulesFleet.RulesFleet(60, ZONES)
+    await fleet.run(CALM_MS)
+    const before = fleet.store.calls
+    await fleet.run(6_000)
+    // Two nodes with long polls of 600 ms.
+    assert.ok(fleet.store.calls - before <= 2 * 11, `${fleet.store.calls - before} calls`)
   })
 })
--- a/packages/node/src/direct/RulesDistribution.ts
+++ b/packages/node/src/direct/RulesDistribution.ts
@@ -2,6 +2,7 @@
 import * as readerPlan from '@elmpost/common/direct/ReaderPlan.js'
 import * as rulesExchange from './RulesExchange.js'
 import * as rulesWatch from './RulesWatch.js'
+import * as versionFreshness from '@elmpost/common/direct/VersionFreshness.js'
 import type * as base from '@elmpost/common/base/Types.js'
 import type * as direct from '@elmpost/common/direct/Types.js'
 import type * as linkCodec from './LinkCodec.js'
@@ -13,6 +14,11 @@
 /** How long a node that is not a store reader waits for a reader's configuration: after a start of the whole fleet, and after its own start. */
 const FIRST_WAIT_MS = { fleet: 5_000, node: 800 } as const
 
+/** Least time between two reports of a node that the version is confirmed. */
+const REPORT_INTERVAL_MS = 300
+/** A confirmation is reported if it is later by this time than the one reported before; longer than a message takes, so that two nodes do not report the same one to each other for ever. */
+const MIN_ADVANCE_MS = 150
+
 export interface RulesDistributionOptions {
   readonly selfId: base.NodeId
   readonly zone: string
@@ -35,19 +41,28 @@
   readonly broadcast: (message: linkCodec.LinkMessage) => void
 }
 
-/** Gets new configurations to this node: from the store if it reads for the fleet, otherwise from other nodes. */
+/**
+ * Gets new configurations to this node: from the store if it reads for the fleet, otherwise from other nodes. Nodes that may read
+ * for the fleet report until when their version was the newest one; a node that hears no such report reads the store itself.
+ */
 export class RulesDistribution extends disposable.Disposable {
   public readonly readers: readerPlan.ReaderPlan
   private readonly _options: RulesDistributionOptions
   private readonly _watch: rulesWatch.RulesWatch
   private readonly _exchange: rulesExchange.RulesExchange
+  private readonly _freshness: versionFreshness.VersionFreshness
+  /** Nodes that report when their version was confirmed. Those of earlier versions do not. */
+  private readonly _reporting = new Set<base.NodeId>()
+  private _reportedAtMs = -Infinity
+  private _reportedConfirmationMs = -Infinity
 
   constructor (options: RulesDistributionOptions) {
     super()
     this._options = options
     const { selfId, zone, isFirstStart, table, store, format, random, logger, nowMs, isFleetKnown, version, enforce, send } = options
     const firstWaitMs = isFirstStart ? FIRST_WAIT_MS.fleet : FIRST_WAIT_MS.node
-    this.readers = new readerPlan.ReaderPlan({ selfId, table, random, nowMs, startedAtMs: nowMs(), firstWaitMs, isFleetKnown })
+    this._freshness = new versionFreshness.VersionFreshness(nowMs, version)
+    this.readers = new readerPlan.ReaderPlan({ selfId, table, random, nowMs, startedAtMs: nowMs(), firstWaitMs, isFleetKnown, freshness: this._freshness })
     this._watch = this._register(new rulesWatch.RulesWatch({ store, format, nowMs, random, logger, isReader: () => this.readers.isReader, isCandidate: () => this.readers.isCandidate }))
     this._exchange = new rulesExchange.RulesExchange({
       zone,
@@ -59,6 +74,7 @@
       isZoneFirst: () => this.readers.isZoneFirst
     })
     this._register(this._watch.onRules(stored => { enforce(stored, 'store') }))
+    this._register(this._watch.onContact(() => { this._handleContact() }))
   }
 
   /** Time since the store last answered this node. */
@@ -66,6 +82,16 @@
     return this._watch.storeAgeMs
   }
 
+  /** Time since the version in force is known to have been the newest one; Infinity before it was for the first time. */
+  public get confirmedAgeMs (): base.Millis {
+    return this._freshness.ageMs
+  }
+
+  /** What this node tells others of its version and of the store. */
+  public get report (): linkCodec.AliveMessage {
+    return { kind: 'alive', version: this._options.version(), sentAtMs: this._options.nowMs(), storeAgeMs: this.storeAgeMs, confirmedAgeMs: this.confirmedAgeMs }
+  }
+
   /** Time since another node is known to enforce a newer version; 0 if none is. */
   public get behindMs (): base.Millis {
     return this._exchange.behindMs
@@ -77,6 +103,7 @@
 
   public tick (): void {
     this._exchange.tick()
+    this._reportIfDue()
   }
 
   /** Sets the configuration in force, as it was stored. */
@@ -84,17 +111,25 @@
     this._exchange.setCurrent(bytes)
   }
 
-  public handleStatus (nodeId: base.NodeId, { version, storeAgeMs, fleetStoreAgeMs }: direct.HostStatus): void {
-    this.readers.recordStoreContact(nodeId, storeAgeMs, fleetStoreAgeMs)
+  public handleStatus (nodeId: base.NodeId, { version, storeAgeMs }: direct.HostStatus): void {
     this._exchange.recordVersion(nodeId, version)
+    // A status does not tell how long it was on its way. Only the sender's own contact is sure to be about its version.
+    if (this._reporting.has(nodeId)) return
+    this.readers.recordStoreContact(nodeId, storeAgeMs)
+    this._confirm(version, storeAgeMs)
   }
 
-  /** `delayMs`: how long the message waited on its way, as far as is known. */
-  public handleAlive (nodeId: base.NodeId, { version }: linkCodec.AliveMessage, _delayMs: base.Millis): void {
+  public handleAlive (nodeId: base.NodeId, { version, storeAgeMs, confirmedAgeMs }: linkCodec.AliveMessage): void {
     this._exchange.recordVersion(nodeId, version)
+    if (storeAgeMs === undefined || confirmedAgeMs === undefined) return
+    this._reporting.add(nodeId)
+    this.readers.recordStoreContact(nodeId, storeAgeMs)
+    this._confirm(version, confirmedAgeMs)
   }
 
   public handleHello ({ nodeId, version }: linkCodec.HelloMessage): void {
+    // It may have been replaced by an earlier version.
+    this._reporting.delete(nodeId)
     this._exchange.recordVersion(nodeId, version)
   }
 
@@ -106,4 +141,25 @@
     const stored = this._watch.decode(bytes)
     if (stored !== undefined) this._options.enforce(stored, nodeId)
   }
+
+  private _handleContact (): void {
+    this.readers.recordStoreContact(this._options.selfId, 0)
+    this._confirm(this._options.version(), 0)
+  }
+
+  private _confirm (version: number, ageMs: base.Millis): void {
+    this._freshness.record(version, ageMs)
+    this._reportIfDue()
+  }
+
+  /** Reports a later confirmation, if others rely on this node for it. */
+  private _reportIfDue (): void {
+    const { nowMs, broadcast } = this._options
+    const { confirmedAtMs } = this._freshness
+    if (confirmedAtMs - this._reportedConfirmationMs < MIN_ADVANCE_MS || nowMs() - this._reportedAtMs < REPORT_INTERVAL_MS) return
+    if (!this.readers.isCandidate && this.storeAgeMs > MIN_ADVANCE_MS) return
+    this._reportedAtMs = nowMs()
+    this._reportedConfirmationMs = confirmedAtMs
+    broadcast(this.report)
+  }
 }
--- a/packages/node/src/direct/RulesWatch.ts
+++ b/packages/node/src/direct/RulesWatch.ts
@@ -6,18 +6,19 @@
 import type * as types from './Types.js'
 
 /** Longest wait of one read in the store, after which a return of the store from an older copy is noticed. A silent store is detected after this time plus the margin. */
-const READ_WAIT_MS = 1_500
-const READ_MARGIN_MS = 1_000
-const NEWEST_TIMEOUT_MS = 1_000
+const READ_WAIT_MS = 600
+const READ_MARGIN_MS = 300
+const NEWEST_TIMEOUT_MS = 400
 /** Bounds of the wait after failures, which doubles each time and has jitter. */
 const FIRST_RETRY_MS = 100
 const MAX_RETRY_MS = 1_000
 /** Pause after a read, so that versions that follow in quick succession are read together. */
 const BATCH_MS = 250
-/** Upper bound of the wait for a node that reads only because no other node reaches the store. */
+/** The same for a node that reads only because it does not know whether it is up to date: most nodes of a fleet, if the store is down. */
+const FIRST_FALLBACK_RETRY_MS = 1_000
 const MAX_FALLBACK_RETRY_MS = 4_000
 /** Interval at which a node that does not read checks whether it has to. */
-const STANDBY_MS = 250
+const STANDBY_MS = 100
 
 export interface RulesWatchOptions {
   readonly store: services.IKeyedStore
@@ -36,6 +37,9 @@
   private readonly _options: RulesWatchOptions
   private readonly _rulesEmitter = new emitter.Emitter<types.StoredRules>()
   public readonly onRules = this._rulesEmitter.event
+  private readonly _contactEmitter = new emitter.Emitter<void>()
+  /** Fires when the store has answered, after `onRules`. */
+  public readonly onContact = this._contactEmitter.event
   private _answeredAtMs = -Infinity
   private _nextOffset: number | undefined
   private _retryMs = FIRST_RETRY_MS
@@ -131,14 +135,17 @@
     const newest = result.records.filter(({ key, value }) => key === format.key && value !== undefined).at(-1)
     const stored = newest?.value === undefined ? undefined : this.decode(newest.value)
     if (stored !== undefined) this._rulesEmitter.fire(stored)
+    this._contactEmitter.fire()
   }
 
   private _handleFailure (problem: string): base.Millis {
     this._setAvailable(false, problem)
     // The store may come back from an older copy, and a read at an offset that it does not have yet would wait.
     this._nextOffset = undefined
-    const waitMs = this._retryMs * (0.5 + 0.5 * this._options.random.nextFloat())
-    this._retryMs = Math.min(this._retryMs * 2, this._options.isCandidate() ? MAX_RETRY_MS : MAX_FALLBACK_RETRY_MS)
+    const isCandidate = this._options.isCandidate()
+    const retryMs = isCandidate ? this._retryMs : Math.max(this._retryMs, FIRST_FALLBACK_RETRY_MS)
+    const waitMs = retryMs * (0.5 + 0.5 * this._options.random.nextFloat())
+    this._retryMs = Math.min(retryMs * 2, isCandidate ? MAX_RETRY_MS : MAX_FALLBACK_RETRY_MS)
     return waitMs
   }
 
--- a/packages/node/src/direct/Services.ts
+++ b/packages/node/src/direct/Services.ts
@@ -26,7 +26,7 @@
   parentIdOf(requestId: string): string | undefined
 }
 
-/** Topics of the store that keep the newest record of each key. A failure is a result, never an exception. */
+/** Topics of the store that keep the newest record of each key. A failure is a result, never an exception. Timeouts are for the begin of an answer. */
 export interface IKeyedStore extends base.IDisposable {
   /** Learns the era of each answer. Answers of an earlier era count as none. */
   readonly era: storeEra.StoreEra
--- a/packages/node/src/direct/testing/RulesFleet.ts
+++ b/packages/node/src/direct/testing/RulesFleet.ts
@@ -119,7 +119,7 @@
     this._heardAtMs.set(from, this._fleet.nowMs)
     if (!this.isFrozen) this.table.setConnected(from, true)
     if (message.kind === 'status') this.rules.handleStatus(from, message.status)
-    else if (message.kind === 'alive') this.rules.handleAlive(from, message, 0)
+    else if (message.kind === 'alive') this.rules.handleAlive(from, message)
     else if (message.kind === 'rules-request') this.rules.handleRequest(reply => { this._fleet.deliver(this, from, reply) })
     else if (message.kind === 'rules') this.rules.handleRules(from, message.bytes)
   }
@@ -131,8 +131,8 @@
   }
 
   public report (): void {
-    const { storeAgeMs, readers } = this.rules
-    const status = { state: 'ready', load: LOAD, version: this.version, storeAgeMs, fleetStoreAgeMs: readers.fleetStoreAgeMs } as const
+    const { storeAgeMs, confirmedAgeMs } = this.rules
+    const status = { state: 'ready', load: LOAD, version: this.version, storeAgeMs, fleetStoreAgeMs: confirmedAgeMs } as const
     if (this.isFrozen) return
     this.rules.handleStatus(this.nodeId, status)
     this._fleet.broadcast(this, { kind: 'status', status })
@@ -192,8 +192,9 @@
     setTimeout(() => { if (!receiver.isWithoutLinks && !receiver.isFrozen) receiver.receive(from.nodeId, message) }, LINK_MS)
   }
 
+  /** Reaches the nodes that have a link to the sender: only those that are required, as in a large fleet. */
   public broadcast (from: VirtualRulesNode, message: linkCodec.LinkMessage): void {
-    for (const { nodeId } of this.nodes) this.deliver(from, nodeId, message)
+    for (const { nodeId, rules } of this.nodes) if (rules.readers.requiredPeers.includes(from.nodeId)) this.deliver(from, nodeId, message)
   }
 
   public dispose (): void {
