Do not write a request to a target after its deadline

A host checked the deadline when it gave a request to its HTTP client. The client writes it when a connection is free or open, on a starved node much later.

Cause: the last check stood before a wait.

Change: the deadline is checked when the request is about to be written; an expired one is withdrawn and refused as not run.

Evidence: the new test of TargetClient.test.ts (one connection, a second request behind the first) fails with the check off and passes with it.

--- a/packages/node/src/direct/Services.ts
+++ b/packages/node/src/direct/Services.ts
@@ -74,6 +74,8 @@
   readonly path: string
   readonly headers: types.RawHeaders
   readonly body: Uint8Array | undefined
+  /** Whether the deadline of the call has passed. Asked before the request is written. */
+  isExpired(): boolean
 }
 
 export interface ITargetRun {
--- a/packages/node/src/direct/TargetClient.test.ts
+++ b/packages/node/src/direct/TargetClient.test.ts
@@ -86,7 +86,7 @@
   })
 
   function run (onEnd: (result: types.RunResult) => void): services.ITargetRun {
-    return client.run({ requestId: 'r', method: 'POST', path: '/charge/1', headers: [], body: undefined }, onEnd, () => {})
+    return client.run({ requestId: 'r', method: 'POST', path: '/charge/1', headers: [], body: undefined, isExpired: () => false }, onEnd, () => {})
   }
 
   for (const [part, answer] of Object.entries(ENDLESS)) {
@@ -133,3 +133,43 @@
     assert.equal(target.closed, Object.keys(ENDLESS).length)
   })
 })
+
+// Guards against a request that is written to the target after its deadline, because its connection was opened or became free late.
+test.describe('A request that waits for a connection', () => {
+  const requested: string[] = []
+  let answerFirst: () => void
+  let server: net.Server
+  let client: targetClient.TargetClient
+
+  test.beforeEach(async () => {
+    requested.length = 0
+    server = net.createServer(socket => {
+      socket.on('error', () => {})
+      socket.on('data', (data: Buffer) => {
+        requested.push(data.toString().split(' ')[1] ?? '')
+        answerFirst = () => { socket.write(`${HEAD}Content-Length: 0\r\n\r\n`) }
+      })
+    })
+    await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+    client = new targetClient.TargetClient({ address: `127.0.0.1:${(server.address() as net.AddressInfo).port}`, maxConnections: 1, dialect: DIALECT, nowMs: () => performance.now() })
+  })
+
+  test.afterEach(() => {
+    client.dispose()
+    server.close()
+  })
+
+  for (const [name, expires, expected] of [['is not written after its deadline', true, ['/1']], ['is written before its deadline', false, ['/1', '/2']]] as const) {
+    test.it(name, async () => {
+      const results: types.RunResult[] = []
+      let isExpired = false
+      for (const path of ['/1', '/2']) client.run({ requestId: 'r', method: 'GET', path, headers: [], body: undefined, isExpired: () => isExpired }, result => { results.push(result) }, () => {})
+      for (let waitedMs = 0; waitedMs < TIMEOUT_MS && requested.length < 1; waitedMs += SAMPLE_MS) await timers.setTimeout(SAMPLE_MS)
+      isExpired = expires
+      answerFirst()
+      for (let waitedMs = 0; waitedMs < TIMEOUT_MS && (results.length < 1 || (expires ? results.length : requested.length) < 2); waitedMs += SAMPLE_MS) await timers.setTimeout(SAMPLE_MS)
+      assert.deepEqual(requested, expected)
+      assert.deepEqual(results.map(({ kind }) => kind), expires ? ['answered', 'withdrawn'] : ['answered'])
+    })
+  }
+})
--- a/packages/node/src/direct/TargetClient.ts
+++ b/packages/node/src/direct/TargetClient.ts
@@ -41,6 +41,7 @@
     this._applyIdleLimit()
     const exchange = new targetExchange.TargetExchange({
       requestId: request.requestId,
+      isExpired: () => request.isExpired(),
       dialect,
       nowMs,
       unfinished: this._unfinished,
--- a/packages/node/src/direct/TargetExchange.ts
+++ b/packages/node/src/direct/TargetExchange.ts
@@ -11,6 +11,7 @@
 
 export interface TargetExchangeOptions {
   readonly requestId: string
+  readonly isExpired: () => boolean
   readonly dialect: services.ICallDialect
   readonly nowMs: () => base.Millis
   /** All answers of the target that are not complete yet. */
@@ -48,6 +49,7 @@
   }
 
   public onRequestStart (controller: undici.Dispatcher.DispatchController): void {
+    if (this._phase === 'waiting' && !this._isAborted && this._options.isExpired()) this._end({ kind: 'withdrawn' })
     if (this._phase === 'waiting' && !this._isAborted) {
       this._controller = controller
       this._phase = 'written'
--- a/packages/node/src/direct/TargetHost.ts
+++ b/packages/node/src/direct/TargetHost.ts
@@ -209,7 +209,8 @@
     const targetId = this._options.targetId()
     const { requestId, method, path, headers, body } = call.message
     const remainingMs = Math.max(MIN_REMAINING_MS, Math.floor(call.deadlineAtMs - this._waitClockMs))
-    const request = { requestId, method, path, body, headers: [...headers, ...dialect.targetHeaders(requestId, remainingMs, targetId)] }
+    const isExpired = (): boolean => this._waitClockMs >= call.deadlineAtMs
+    const request = { requestId, method, path, body, isExpired, headers: [...headers, ...dialect.targetHeaders(requestId, remainingMs, targetId)] }
     let hasEnded = false
     this._started += 1
     call.startedAtMs = nowMs()
