Pass confirmations of the newest version on only in zones without a reader

Cause: all six candidates sent each confirmation on all of their links.

Change: readers report their own contacts on all links; a candidate passes reports of others on to its own zone, and only if no candidate there reads.

Measured: the tests of the bound hold as before, with 10 and 60 nodes; a new one bounds the reports at six a node and second (two senders, 300 ms apart at least).

--- a/packages/common/src/direct/ReaderPlan.test.ts
+++ b/packages/common/src/direct/ReaderPlan.test.ts
@@ -145,6 +145,23 @@
     })
   })
 
+  test.describe('a zone relay', () => {
+    test.beforeEach(() => { for (let at = 0; at < 9; at++) addNode(`n${at}`, ZONES[at % ZONES.length] ?? '') })
+
+    test.it('is a candidate in a zone without a reader', () => {
+      const [relay, near, other] = [planOf('n5'), planOf('n3'), planOf('n8')]
+      for (const plan of [relay, near, other]) plan.recordStoreContact('n0', 100)
+      assert.deepEqual([relay.isZoneRelay, near.isZoneRelay, other.isZoneRelay], [true, false, false])
+    })
+
+    test.it('is a candidate in the zone of a reader that has reported no contact for 1.1 s', () => {
+      const near = planOf('n3')
+      near.recordStoreContact('n0', 0)
+      nowMs = 1_100
+      assert.equal(near.isZoneRelay, true)
+    })
+  })
+
   test.describe('required peers', () => {
     test.it('are all candidates for a candidate, and those of its zone for any other node', () => {
       for (let at = 0; at < 9; at++) addNode(`n${at}`, ZONES[at % ZONES.length] ?? '')
--- a/packages/common/src/direct/ReaderPlan.ts
+++ b/packages/common/src/direct/ReaderPlan.ts
@@ -83,6 +83,13 @@
     return rank >= 0 && this._options.isFleetKnown() ? this._countReadersBefore(rank) === 0 : this.isReader
   }
 
+  /** Whether this candidate passes on what the readers report, because the nodes of its zone need not have links to a reader. */
+  public get isZoneRelay (): boolean {
+    const { table, selfId } = this._options
+    const zone = table.get(selfId)?.zone
+    return this.isCandidate && !this.candidates.some(nodeId => table.get(nodeId)?.zone === zone && this._isReading(nodeId))
+  }
+
   /** Nodes that this one keeps links to, so that versions and their confirmations reach it. */
   public get requiredPeers (): readonly base.NodeId[] {
     if (this.isCandidate) return this.candidates
@@ -97,10 +104,12 @@
   }
 
   private _countReadersBefore (rank: number): number {
+    return this.candidates.slice(0, rank).filter(nodeId => this._isReading(nodeId)).length
+  }
+
+  private _isReading (nodeId: base.NodeId): boolean {
     const { table, nowMs } = this._options
-    const isReading = (nodeId: base.NodeId): boolean =>
-      table.get(nodeId)?.isConnected === true && nowMs() - (this._contactsAtMs.get(nodeId) ?? -Infinity) < FRESH_MS
-    return this.candidates.slice(0, rank).filter(isReading).length
+    return table.get(nodeId)?.isConnected === true && nowMs() - (this._contactsAtMs.get(nodeId) ?? -Infinity) < FRESH_MS
   }
 }
 
--- a/packages/node/src/direct/DirectNode.ts
+++ b/packages/node/src/direct/DirectNode.ts
@@ -118,7 +118,7 @@
       version: () => this.version,
       enforce: (stored, source) => { this._enforce(stored, source) },
       send: (nodeId, message) => { this._links.send(nodeId, message) },
-      broadcast: message => { this._links.broadcast(message) }
+      broadcast: (message, zone) => { this._links.broadcast(message, zone) }
     }))
     this._fleet = this._register(new fleetMembership.FleetMembership({
       settings,
--- a/packages/node/src/direct/IncomingLink.ts
+++ b/packages/node/src/direct/IncomingLink.ts
@@ -32,6 +32,7 @@
 export class IncomingLink implements services.IHostCaller {
   /** Empty until the other node has sent its hello. */
   public nodeId = ''
+  public zone = ''
   private readonly _options: IncomingLinkOptions
   private readonly _delay: linkDelays.LinkDelay
   private _receivedAtMs: base.Millis
@@ -100,6 +101,7 @@
       events.handleMalformed(this, message.error)
     } else if (message.value.kind === 'hello') {
       this.nodeId = message.value.nodeId
+      this.zone = message.value.zone
       events.handleHello(this, message.value)
     } else if (this.nodeId !== '') {
       this._handleDecoded(message.value)
--- a/packages/node/src/direct/NodeLinks.ts
+++ b/packages/node/src/direct/NodeLinks.ts
@@ -104,10 +104,10 @@
     for (const link of this._incoming) if (isForAll || link.isStatusDue) link.sendStatus(bytes)
   }
 
-  /** Sends a message to all nodes that have a link to this one. */
-  public broadcast (message: linkCodec.LinkMessage): void {
+  /** Sends a message to all nodes that have a link to this one, or only to those of a zone. */
+  public broadcast (message: linkCodec.LinkMessage, zone?: string): void {
     const bytes = this._codec.encode(message)
-    for (const link of this._incoming) link.sendBytes(bytes)
+    for (const link of this._incoming) if (zone === undefined || link.zone === zone) link.sendBytes(bytes)
   }
 
   /** Sends a message to `count` randomly chosen nodes. */
--- a/packages/node/src/direct/RulesDistribution.test.ts
+++ b/packages/node/src/direct/RulesDistribution.test.ts
@@ -69,6 +69,19 @@
   }
 
   // Guards against nodes that ask the store although nothing is wrong, which the store could not bear from a large fleet.
+  // Guards against a cost of every node that grows with the fleet.
+  test.it('sends each node at most six reports a second while nothing is wrong', async () => {
+    for (const nodeCount of [10, 60]) {
+      fleet = new rulesFleet.RulesFleet(nodeCount, ZONES)
+      await fleet.run(CALM_MS)
+      const before = fleet.reports
+      await fleet.run(5_000)
+      fleet.dispose()
+      const perNodeS = (fleet.reports - before) / nodeCount / 5
+      assert.ok(perNodeS <= 6, `${perNodeS} with ${nodeCount} nodes`)
+    }
+  })
+
   test.it('reads the store from two nodes while nothing is wrong, whatever the size of the fleet', async () => {
     fleet = new rulesFleet.RulesFleet(60, ZONES)
     await fleet.run(CALM_MS)
--- a/packages/node/src/direct/RulesDistribution.ts
+++ b/packages/node/src/direct/RulesDistribution.ts
@@ -37,13 +37,14 @@
   /** Puts a configuration into force if it is newer. */
   readonly enforce: (stored: types.StoredRules, source: string) => void
   readonly send: (nodeId: base.NodeId, message: linkCodec.LinkMessage) => void
-  /** Sends a message to all nodes that have a link to this one. */
-  readonly broadcast: (message: linkCodec.LinkMessage) => void
+  /** Sends a message to all nodes that have a link to this one, or only to those of a zone. */
+  readonly broadcast: (message: linkCodec.LinkMessage, zone?: string) => void
 }
 
 /**
- * Gets new configurations to this node: from the store if it reads for the fleet, otherwise from other nodes. Nodes that may read
- * for the fleet report until when their version was the newest one; a node that hears no such report reads the store itself.
+ * Gets new configurations to this node: from the store if it reads for the fleet, otherwise from other nodes. Readers report until
+ * when their version was the newest one, and candidates pass this on in zones without a reader. A node that hears no such report
+ * reads the store itself.
  */
 export class RulesDistribution extends disposable.Disposable {
   public readonly readers: readerPlan.ReaderPlan
@@ -157,9 +158,11 @@
     const { nowMs, broadcast } = this._options
     const { confirmedAtMs } = this._freshness
     if (confirmedAtMs - this._reportedConfirmationMs < MIN_ADVANCE_MS || nowMs() - this._reportedAtMs < REPORT_INTERVAL_MS) return
-    if (!this.readers.isCandidate && this.storeAgeMs > MIN_ADVANCE_MS) return
+    const isOwn = this.storeAgeMs < MIN_ADVANCE_MS
+    if (!isOwn && !this.readers.isZoneRelay) return
     this._reportedAtMs = nowMs()
     this._reportedConfirmationMs = confirmedAtMs
-    broadcast(this.report)
+    if (isOwn) broadcast(this.report)
+    else broadcast(this.report, this._options.zone)
   }
 }
--- a/packages/node/src/direct/testing/RulesFleet.ts
+++ b/packages/node/src/direct/testing/RulesFleet.ts
@@ -92,7 +92,7 @@
   public readonly rules: rulesDistribution.RulesDistribution
   private readonly _heardAtMs = new Map<base.NodeId, base.Millis>()
 
-  constructor (public readonly nodeId: base.NodeId, zone: string, private readonly _fleet: RulesFleet, at: number, store: VirtualStore) {
+  constructor (public readonly nodeId: base.NodeId, public readonly zone: string, private readonly _fleet: RulesFleet, at: number, store: VirtualStore) {
     this.rules = new rulesDistribution.RulesDistribution({
       selfId: nodeId,
       zone,
@@ -107,7 +107,7 @@
       version: () => this.version,
       enforce: stored => { this._enforce(stored) },
       send: (to, message) => { this._fleet.deliver(this, to, message) },
-      broadcast: message => { this._fleet.broadcast(this, message) }
+      broadcast: (message, only) => { this._fleet.broadcast(this, message, only) }
     })
   }
 
@@ -150,6 +150,8 @@
 /** Nodes that get configurations from a store and from each other, in virtual time. Uses the mock timers of the test runner. */
 export class RulesFleet {
   public nowMs = 0
+  /** Reports of the newest version that nodes have sent to each other. */
+  public reports = 0
   public readonly store = new VirtualStore()
   public readonly nodes: VirtualRulesNode[] = []
   private readonly _zones: readonly string[]
@@ -193,8 +195,12 @@
   }
 
   /** Reaches the nodes that have a link to the sender: only those that are required, as in a large fleet. */
-  public broadcast (from: VirtualRulesNode, message: linkCodec.LinkMessage): void {
-    for (const { nodeId, rules } of this.nodes) if (rules.readers.requiredPeers.includes(from.nodeId)) this.deliver(from, nodeId, message)
+  public broadcast (from: VirtualRulesNode, message: linkCodec.LinkMessage, only?: string): void {
+    for (const { nodeId, zone, rules } of this.nodes) {
+      if (!rules.readers.requiredPeers.includes(from.nodeId) || (only !== undefined && zone !== only)) continue
+      if (message.kind === 'alive') this.reports += 1
+      this.deliver(from, nodeId, message)
+    }
   }
 
   public dispose (): void {
