Play starved processes, readers without the store and restarts of most nodes in the soak

Cause: the soak stopped single processes, but did not starve all of them, cut readers off from the store alone, or restart most nodes under load with a version in between; no caller left early, and late versions were only looked for after the last fault.

Change: three faults of many nodes, with random numbers of their own; 15 in 100 idempotent calls have callers that leave after 20 to 600 ms. Checks: no call is begun more than 0.5 s after its caller has left, and each node enforces a version within 2 s, if the nodes (and the store) were not disturbed in the last 3 s. Starved nodes count as undisturbed.

--- a/packages/testbed/src/soak/FaultPlan.test.ts
+++ b/packages/testbed/src/soak/FaultPlan.test.ts
@@ -25,7 +25,7 @@
       })
       assert.ok(faults.every(({ atMs }) => atMs <= OPTIONS.lengthMs))
     }
-    assert.equal(kinds.size, 14)
+    assert.equal(kinds.size, 17)
     assert.ok(series > 20 && overlaps > 100, `${series} ${overlaps}`)
   })
 })
--- a/packages/testbed/src/soak/FaultPlan.ts
+++ b/packages/testbed/src/soak/FaultPlan.ts
@@ -5,10 +5,13 @@
  * `target-link` disturb the connections of one node; `store` disturbs the store for all nodes; `target-leaves` and
  * `target-crashes` end the target beside a node; `target-limits-rate` and `target-signals-leaving` make it state this in its
  * answers, and the second ends it afterwards; `store-returns` makes the store lose what it got in the time of the fault;
- * `configure` publishes a new configuration.
+ * `configure` publishes a new configuration. `starve` gives all processes half of the processor; `readers-lose-store` cuts half of the
+ * nodes off from the store, and `herd-restart` kills most of them under more load, both with a new configuration just after.
  */
 export type FaultKind =
-  | 'kill' | 'stop' | 'pause' | 'reload' | 'links' | 'store-link' | 'target-link' | 'store' | 'target-leaves' | 'target-crashes' | AddedKind | 'configure'
+  | 'kill' | 'stop' | 'pause' | 'reload' | 'links' | 'store-link' | 'target-link' | 'store' | 'target-leaves' | 'target-crashes' | AddedKind | FleetKind | 'configure'
+
+export type FleetKind = 'starve' | 'readers-lose-store' | 'herd-restart'
 
 type AddedKind = 'target-limits-rate' | 'target-signals-leaving' | 'store-returns'
 
@@ -42,6 +45,11 @@
   'target-crashes', 'configure', 'configure', 'configure'
 ]
 const ADDED_KINDS: readonly AddedKind[] = ['target-limits-rate', 'target-limits-rate', 'target-signals-leaving', 'store-returns']
+/** Faults of many nodes at once. */
+const FLEET_KINDS: readonly FleetKind[] = ['starve', 'readers-lose-store', 'herd-restart']
+/** Faults for each one of many nodes. */
+const FAULTS_PER_FLEET_FAULT = 5
+const FLEET_SEED = 0xf1ee7
 const LIMITS = [0, 0.5, 2, 6, 12]
 /** Faults for each one that is added to them. */
 const FAULTS_PER_ADDED = 3
@@ -80,7 +88,20 @@
       faults.push({ ...first, atMs: Math.min(lengthMs, first.atMs + step * gapMs), node: (first.node + step) % nodeCount })
     }
   }
-  return [...faults, ...createAdded(options)].sort((one, other) => one.atMs - other.atMs)
+  return [...faults, ...createAdded(options), ...createFleetFaults(options)].sort((one, other) => one.atMs - other.atMs)
+}
+
+function createFleetFaults ({ seed, nodeCount, lengthMs, faultCount }: FaultPlanOptions): Fault[] {
+  const generator = new random.Random(seed ^ FLEET_SEED)
+  return Array.from({ length: Math.ceil(faultCount / FAULTS_PER_FLEET_FAULT) }, () => ({
+    kind: pick(FLEET_KINDS, generator),
+    atMs: generator.nextInt(lengthMs),
+    durationMs: MIN_DURATION_MS + generator.nextInt(MAX_DURATION_MS - MIN_DURATION_MS),
+    node: generator.nextInt(nodeCount),
+    link: 'silent' as const,
+    store: 'down' as const,
+    limit: 0
+  }))
 }
 
 function createAdded ({ seed, nodeCount, lengthMs, faultCount }: FaultPlanOptions): Fault[] {
--- a/packages/testbed/src/soak/SoakLedger.test.ts
+++ b/packages/testbed/src/soak/SoakLedger.test.ts
@@ -12,6 +12,7 @@
     deadlineMs: 1_000,
     startedAtMs: 100,
     endedAtMs: 200,
+    leftAtMs: Infinity,
     status: 200,
     saysNotRun: false,
     answerId: 'a',
@@ -26,6 +27,7 @@
 
 test.describe('SoakLedger', () => {
   let ledger: soakLedger.SoakLedger
+  let isInTouch: boolean
 
   function problems (call: soakLedger.SoakCall, ...runs: readonly soakLedger.TargetRun[]): string {
     ledger.calls.push(call)
@@ -33,7 +35,21 @@
     return ledger.check().join('\n')
   }
 
-  test.beforeEach(() => { ledger = new soakLedger.SoakLedger() })
+  test.beforeEach(() => {
+    ledger = new soakLedger.SoakLedger(() => isInTouch)
+    isInTouch = true
+  })
+
+  // Guards against a check of callers that have left that no late run can fail.
+  test.it('reports a call that was begun more than 0.5 s after its caller had left, if its nodes were in touch', () => {
+    const left = createCall({ isIdempotent: true, status: 0, endedAtMs: 200, leftAtMs: 200 })
+    assert.equal(problems(left, { ...RUN, targetId: 'vm-2-t1', atMs: 690 }), '')
+    ledger.runs.length = 0
+    ledger.runs.push({ ...RUN, targetId: 'vm-2-t1', atMs: 710 })
+    assert.match(ledger.check().join(), /^ran on vm-2-t1 510 ms after its caller had left/)
+    isInTouch = false
+    assert.equal(ledger.check().join(), '')
+  })
 
   test.it('reports nothing for a call that ran once and got its answer', () => {
     assert.equal(problems(createCall(), RUN), '')
--- a/packages/testbed/src/soak/SoakLedger.ts
+++ b/packages/testbed/src/soak/SoakLedger.ts
@@ -10,6 +10,8 @@
   readonly deadlineMs: number
   readonly startedAtMs: number
   endedAtMs: number
+  /** When the caller closed its connection without an answer; Infinity if it did not. */
+  leftAtMs: number
   /** 0 if the connection ended without a complete answer. */
   status: number
   saysNotRun: boolean
@@ -35,6 +37,9 @@
 /** A call ends at its deadline; the tolerance covers transport to and from the node and a busy test machine. */
 const DEADLINE_TOLERANCE_MS = 1_000
 
+/** A target begins no work later than this after its caller has left. */
+const LEFT_TOLERANCE_MS = 500
+
 /** A target receives no work that was sent later than this after its leaving was acknowledged. */
 const LEAVING_TOLERANCE_MS = 2_000
 
@@ -50,6 +55,9 @@
   /** Periods in which nodes were killed or paused. */
   public readonly interruptions: NodePeriod[] = []
 
+  /** `isInTouch`: whether promises with a time bound hold for all of these nodes in this period. */
+  constructor (private readonly _isInTouch: (names: readonly string[], fromMs: number, toMs: number) => boolean) {}
+
   /** Violated guarantees, one line each. */
   public check (): readonly string[] {
     const runs = new Map<string, TargetRun[]>()
@@ -66,7 +74,10 @@
     if (call.saysNotRun && runs.length > 0) problems.push(`was refused as not run and ran on ${runs[0]?.targetId}: ${name}`)
     if (call.status !== 0 && call.answerId !== call.requestId) problems.push(`got the answer to ${call.answerId}: ${name}`)
     if (call.status === 200 && !isGenuineAnswer(call, runs)) problems.push(`got an answer that no target gave (${call.answerBody.slice(0, 80)}): ${name}`)
-    if (call.status === 0 && runs.length > 0 && overlaps(call, this.stops)) problems.push(`was cut by a planned stop: ${name}`)
+    for (const { targetId, atMs } of runs) {
+      if (atMs - call.leftAtMs > LEFT_TOLERANCE_MS && this._isInTouch([call.entry, nodeOf(targetId)], call.startedAtMs, atMs)) problems.push(`ran on ${targetId} ${Math.round(atMs - call.leftAtMs)} ms after its caller had left: ${name}`)
+    }
+    if (call.status === 0 && call.leftAtMs === Infinity && runs.length > 0 && overlaps(call, this.stops)) problems.push(`was cut by a planned stop: ${name}`)
     if (call.endedAtMs - call.startedAtMs > call.deadlineMs + DEADLINE_TOLERANCE_MS && !overlaps(call, this.interruptions)) problems.push(`waited ${Math.round(call.endedAtMs - call.startedAtMs)} ms: ${name}`)
     return problems
   }
@@ -82,6 +93,11 @@
   }
 }
 
+/** Name of the node beside a target. */
+function nodeOf (targetId: string): string {
+  return targetId.slice(0, targetId.lastIndexOf('-t'))
+}
+
 function overlaps (call: SoakCall, periods: readonly NodePeriod[]): boolean {
   return periods.some(({ subject, fromMs, toMs }) => subject === call.entry && call.endedAtMs >= fromMs && call.startedAtMs <= toMs)
 }
--- a/packages/testbed/src/soak/SoakRun.ts
+++ b/packages/testbed/src/soak/SoakRun.ts
@@ -1,6 +1,7 @@
 import * as callerStandIn from '@elmpost/platform/standins/CallerStandIn.js'
 import * as documents from '@elmpost/platform/standins/Documents.js'
 import * as faultPlan from './FaultPlan.js'
+import * as fleetFaults from './FleetFaults.js'
 import * as fs from 'node:fs'
 import * as noticeLedger from './NoticeLedger.js'
 import * as random from '@elmpost/common/base/Random.js'
@@ -10,11 +11,16 @@
 import * as soakNode from './SoakNode.js'
 import * as storeStandIn from '@elmpost/platform/standins/StoreStandIn.js'
 import * as timers from 'node:timers/promises'
+import * as touchLedger from './TouchLedger.js'
 import * as versionWatch from './VersionWatch.js'
 
 const ZONES = ['vake', 'didube']
 const SERVICES = ['till', 'vault']
 const CALLS_PER_S = 120
+/** Share of the idempotent calls whose callers leave early, and when. */
+const LEAVING_SHARE = 0.15
+const MIN_LEAVE_MS = 20
+const MAX_LEAVE_MS = 600
 /**
  * Settings of the targets, which the seeds take in turn: the share of answers lost by all targets while faults are injected, and
  * the slots of each target. Without free slots the host nodes refuse most retries, and these never reach a target.
@@ -62,7 +68,8 @@
   private readonly _options: SoakOptions
   private readonly _random: random.Random
   private readonly _store = new storeStandIn.StoreStandIn()
-  private readonly _ledger = new soakLedger.SoakLedger()
+  private readonly _touch = new touchLedger.TouchLedger()
+  private readonly _ledger = new soakLedger.SoakLedger((names, fromMs, toMs) => this._touch.isCalm(names, fromMs, toMs))
   private readonly _retries = new retryLedger.RetryLedger()
   private readonly _notices = new noticeLedger.NoticeLedger()
   private readonly _versions: versionWatch.VersionWatch
@@ -71,13 +78,22 @@
   private _isLoading = true
   private readonly _targets: typeof TARGETS[number]
   private _isLosingAnswers = false
+  private readonly _paused = new Set<soakNode.SoakNode>()
+  private readonly _fleetFaults = new fleetFaults.FleetFaults({
+    nodes: this._nodes,
+    isPaused: node => this._paused.has(node),
+    killNode: node => this._killNode(node),
+    cutStore: (node, durationMs) => this._injectLinkFault(node, node.storeRelay, 'silent', durationMs),
+    publish: () => { this._versions.publishNext() }
+  })
+
   private _nextCall = 1
 
   constructor (options: SoakOptions) {
     this._options = options
     this._random = new random.Random(options.seed + 1)
     this._targets = TARGETS[options.seed % TARGETS.length] ?? TARGETS[0]
-    this._versions = new versionWatch.VersionWatch(version => { this._configure(version) })
+    this._versions = new versionWatch.VersionWatch(version => { this._configure(version) }, (name, fromMs, toMs) => this._touch.isCalm([name, touchLedger.STORE], fromMs, toMs))
   }
 
   public async run (): Promise<SoakResult> {
@@ -169,28 +185,31 @@
     const node = this._nodes[index]
     if (node === undefined) return
     switch (kind) {
-      case 'kill': return await this._interruptNode(node, async () => {
-        node.signal('SIGKILL')
-        await node.waitForExit()
-      })
+      case 'kill': return await this._killNode(node)
       case 'pause': return await this._interruptNode(node, async () => {
+        this._paused.add(node)
         node.signal('SIGSTOP')
         await timers.setTimeout(durationMs)
         node.signal('SIGCONT')
+        this._paused.delete(node)
       })
       case 'stop': return await this._stopNode(node)
       case 'reload':
         node.signal('SIGHUP')
         return
-      case 'links': return await injectLinkFault(node.peerRelay, link, durationMs)
-      case 'store-link': return await injectLinkFault(node.storeRelay, link, durationMs)
-      case 'target-link': return await injectLinkFault(node.targetRelay, link, durationMs)
+      case 'links': return await this._injectLinkFault(node, node.peerRelay, link, durationMs)
+      case 'store-link': return await this._injectLinkFault(node, node.storeRelay, link, durationMs)
+      case 'target-link': return await this._injectLinkFault(node, node.targetRelay, link, durationMs)
       case 'store':
-        this._store.mode = store
-        await timers.setTimeout(durationMs)
-        this._store.mode = 'up'
-        return
-      case 'store-returns': return await this._returnStore(durationMs, link)
+        return await this._disturb(touchLedger.STORE, async () => {
+          this._store.mode = store
+          await timers.setTimeout(durationMs)
+          this._store.mode = 'up'
+        })
+      case 'store-returns': return await this._disturb(touchLedger.STORE, async () => { await this._returnStore(durationMs, link) })
+      case 'starve':
+      case 'readers-lose-store':
+      case 'herd-restart': return await this._fleetFaults.inject(kind, index, durationMs)
       case 'target-leaves': return await node.replaceTarget(TARGET_DRAIN_MS)
       case 'target-signals-leaving': return await node.replaceTargetUnannounced(durationMs)
       case 'target-limits-rate': return await node.limitTarget(limit, durationMs, (targetId, maxCallsPerS) => { this._notices.recordLimit(targetId, maxCallsPerS, performance.now()) })
@@ -210,10 +229,31 @@
     this._versions.publishAgain()
   }
 
+  private async _killNode (node: soakNode.SoakNode): Promise<void> {
+    await this._interruptNode(node, async () => {
+      node.signal('SIGKILL')
+      await node.waitForExit()
+    })
+  }
+
+  private async _injectLinkFault (node: soakNode.SoakNode, relay: soakNode.SoakNode['peerRelay'], fault: faultPlan.LinkFault, durationMs: number): Promise<void> {
+    await this._disturb(node.name, async () => {
+      relay.setFault(fault)
+      await timers.setTimeout(fault === 'reset' ? 0 : durationMs)
+      relay.clearFault()
+    })
+  }
+
+  private async _disturb (subject: string, disturbance: () => Promise<void>): Promise<void> {
+    const end = this._touch.begin(subject, performance.now())
+    await disturbance()
+    end(performance.now())
+  }
+
   private async _interruptNode (node: soakNode.SoakNode, interruption: () => Promise<void>): Promise<void> {
     const period = { subject: node.name, fromMs: performance.now(), toMs: Infinity }
     this._ledger.interruptions.push(period)
-    await interruption()
+    await this._disturb(node.name, interruption)
     period.toMs = performance.now()
     this._notices.recordInterruption(node.name)
     this._versions.recordInterruption(node.name)
@@ -221,8 +261,10 @@
 
   private async _stopNode (node: soakNode.SoakNode): Promise<void> {
     const fromMs = performance.now()
-    node.signal('SIGTERM')
-    await node.waitForExit()
+    await this._disturb(node.name, async () => {
+      node.signal('SIGTERM')
+      await node.waitForExit()
+    })
     const period = { subject: node.name, fromMs, toMs: performance.now() }
     this._notices.recordInterruption(node.name)
     const wasInterrupted = this._ledger.interruptions.some(other => other.subject === node.name && other.toMs >= fromMs)
@@ -232,7 +274,7 @@
 
   private async _generateLoad (): Promise<void> {
     const intervalMs = 1000 / CALLS_PER_S
-    for (let nextAtMs = performance.now(); this._isLoading; nextAtMs += intervalMs) {
+    for (let nextAtMs = performance.now(); this._isLoading; nextAtMs += intervalMs / this._fleetFaults.load) {
       await timers.setTimeout(Math.max(0, nextAtMs - performance.now()))
       const pending = this._callUntilFinal().finally(() => { this._pending.delete(pending) })
       this._pending.add(pending)
@@ -247,7 +289,7 @@
     for (let sends = 1; sends <= MAX_SENDS; sends++) {
       const { call, retryAfterMs } = await this._callOnce(node, route)
       const mayRetry = call.saysNotRun || (call.isIdempotent && call.status !== 200)
-      if (!mayRetry || !this._isLoading) return
+      if (!mayRetry || !this._isLoading || call.leftAtMs < Infinity) return
       await timers.setTimeout(Math.min(MAX_RETRY_DELAY_MS, retryAfterMs))
     }
   }
@@ -264,6 +306,7 @@
       deadlineMs: DEADLINE_MS,
       startedAtMs: performance.now(),
       endedAtMs: Infinity,
+      leftAtMs: Infinity,
       status: 0,
       saysNotRun: false,
       answerId: undefined,
@@ -274,8 +317,11 @@
     this._ledger.calls.push(call)
     this._retries.recordRequest(serviceOf(route), requestId)
     this._notices.recordCall(requestId, node.name, call.startedAtMs)
-    const answer = await node.caller.call({ requestId, method: isIdempotent ? 'GET' : 'POST', path: call.path, ...(isIdempotent ? {} : { body: call.body }), deadlineMs: DEADLINE_MS })
+    const leaves = isIdempotent && this._isLosingAnswers && this._random.nextFloat() < LEAVING_SHARE
+    const leavesAfterMs = MIN_LEAVE_MS + this._random.nextInt(MAX_LEAVE_MS - MIN_LEAVE_MS)
+    const answer = await node.caller.call({ requestId, method: isIdempotent ? 'GET' : 'POST', path: call.path, ...(isIdempotent ? {} : { body: call.body }), deadlineMs: DEADLINE_MS, ...(leaves ? { leavesAfterMs } : {}) })
     call.endedAtMs = performance.now()
+    if (answer.kind === 'none' && answer.problem === callerStandIn.LEFT) call.leftAtMs = call.endedAtMs
     this._recordNotices(node, answer)
     if (answer.kind === 'none') {
       call.problem = answer.problem
@@ -334,12 +380,6 @@
   return (route === '/price/' || route === '/charge/' ? SERVICES[0] : SERVICES[1]) ?? ''
 }
 
-async function injectLinkFault (relay: soakNode.SoakNode['peerRelay'], fault: faultPlan.LinkFault, durationMs: number): Promise<void> {
-  relay.setFault(fault)
-  await timers.setTimeout(fault === 'reset' ? 0 : durationMs)
-  relay.clearFault()
-}
-
 /** Writes the logs, faults and problems of a failed soak, so that it can be reproduced. */
 export function writeReport (result: SoakResult, folder: string): void {
   fs.mkdirSync(folder, { recursive: true })
--- a/packages/testbed/src/soak/VersionWatch.ts
+++ b/packages/testbed/src/soak/VersionWatch.ts
@@ -3,6 +3,8 @@
 
 const PROBE_INTERVAL_MS = 150
 const DEADLINE_MS = 1_000
+/** Each node in touch enforces a version within this time after the store has taken it. */
+const ENFORCED_MS = 2_000
 
 interface WatchedNode {
   readonly name: string
@@ -25,21 +27,24 @@
 export class VersionWatch {
   public readonly problems: string[] = []
   private _version = 0
+  private _publishedAtMs = 0
   /** Highest version that the current process of a node was observed to enforce, by node name. */
   private readonly _enforcedVersions = new Map<string, number>()
   /** Number of ends and pauses of the process of each node. */
   private readonly _interruptions = new Map<string, number>()
   private _probeCount = 0
 
-  constructor (private readonly _publish: (version: number) => void) {}
+  /** `isInTouch`: whether promises with a time bound hold for the node in this period. */
+  constructor (private readonly _publish: (version: number) => void, private readonly _isInTouch: (name: string, fromMs: number, toMs: number) => boolean) {}
 
   public publishNext (): void {
     this._version += 1
-    this._publish(this._version)
+    this.publishAgain()
   }
 
   /** Publishes the newest configuration again, because the store has lost it. */
   public publishAgain (): void {
+    this._publishedAtMs = performance.now()
     this._publish(this._version)
   }
 
@@ -63,12 +68,15 @@
 
   private async _probe (node: WatchedNode): Promise<void> {
     const version = this._version
+    const publishedAtMs = this._publishedAtMs
+    const sentAtMs = performance.now()
     const interruptions = this._interruptions.get(node.name)
     const status = await this._getRouteStatus(node, version)
     // Ignored if a later version has dropped the route or another process may have answered.
     if (version !== this._version || interruptions !== this._interruptions.get(node.name) || status === 0) return
     if (status === 200) this._enforcedVersions.set(node.name, version)
     else if (status === 404 && this._enforcedVersions.get(node.name) === version) this.problems.push(`${node.name} went back from version ${version}`)
+    else if (status === 404 && sentAtMs - publishedAtMs > ENFORCED_MS && this._isInTouch(node.name, sentAtMs, performance.now())) this.problems.push(`${node.name} handled a request as an earlier version ${Math.round(sentAtMs - publishedAtMs)} ms after version ${version}`)
   }
 
   private async _getRouteStatus ({ caller }: WatchedNode, version: number): Promise<number> {
