Do not refuse requests as past their deadline on an estimate of their wait alone

Cause: that time is an upper bound of the wait of a connection. A caller that is still connected has waited for less.

Change: at most half of the remaining time is taken off for it.

Evidence: the new test of EntryGate.test.ts expects 480 ms of 1,000 where the code before refuses.

--- a/packages/node/src/direct/EntryGate.test.ts
+++ b/packages/node/src/direct/EntryGate.test.ts
@@ -18,6 +18,7 @@
 test.describe('EntryGate', () => {
   let suspectedMs: number
   let waitedMs: number
+  let acceptWaitMs: number
   let sent: types.CallMessage[]
   let refusals: direct.OwnAnswer[]
   let nowMs: number
@@ -33,6 +34,7 @@
       body: undefined,
       info: { requestId: 'r1', remainingMs },
       waitedMs,
+      acceptWaitMs,
       answer: () => {},
       refuse: answer => { refusals.push(answer) }
     }
@@ -45,6 +47,7 @@
     cancelled = []
     suspectedMs = 0
     waitedMs = 0
+    acceptWaitMs = 0
     sent = []
     refusals = []
     const table = new targetTable.TargetTable()
@@ -107,6 +110,15 @@
       assert.equal(sent[0]?.remainingMs, 550)
     })
 
+    test.it('loses the time for which its connection may have waited to be accepted, but not more than half of what it had', () => {
+      waitedMs = 20
+      acceptWaitMs = 300
+      begin(1_000)
+      acceptWaitMs = 2_500
+      begin(1_000)
+      assert.deepEqual(sent.map(({ remainingMs }) => remainingMs), [680, 480])
+    })
+
     test.it('gets the timeout of its route if its caller sends no deadline', () => {
       suspectedMs = 600
       begin(undefined)
--- a/packages/node/src/direct/EntryGate.ts
+++ b/packages/node/src/direct/EntryGate.ts
@@ -8,6 +8,12 @@
 import type * as targetTable from '@elmpost/common/direct/TargetTable.js'
 import type * as types from './Types.js'
 
+/**
+ * The wait of a connection to be accepted is only known to be below the time for which each turn of the event loop has accepted
+ * one. Beyond this share of its remaining time a caller has usually left, so one that is still there has waited for less.
+ */
+const MAX_ACCEPT_WAIT_SHARE = 0.5
+
 export interface EntryGateOptions {
   readonly nodeId: base.NodeId
   readonly service: string
@@ -94,10 +100,10 @@
     const { calls, nowMs, callsEndByMs } = this._options
     const beganAtMs = nowMs()
     this._lastCallAtMs = beganAtMs
-    const { host, path, body, info, waitedMs } = exchange
+    const { host, path, body, info } = exchange
     const parentId = this._options.dialect.parentIdOf(info.requestId)
     const isBelowRetry = parentId !== undefined && this._options.runsRetry(parentId)
-    const remainingMs = info.remainingMs === undefined ? undefined : info.remainingMs - Math.max(waitedMs, this._options.suspectedMs())
+    const remainingMs = info.remainingMs === undefined ? undefined : info.remainingMs - this._uncountedMs(exchange, info.remainingMs)
     const decision = calls.begin({ host, path, remainingMs, bodyBytes: body?.length ?? 0, endByMs: callsEndByMs(), isNestedInRetry: isBelowRetry }, beganAtMs)
     const call: PendingCall = {
       exchange,
@@ -169,6 +175,11 @@
     this._deadlines.dispose()
   }
 
+  /** How much of the caller's remaining time has passed before now. */
+  private _uncountedMs ({ waitedMs, acceptWaitMs }: services.IExchange, remainingMs: base.Millis): base.Millis {
+    return Math.max(waitedMs + Math.min(acceptWaitMs, remainingMs * MAX_ACCEPT_WAIT_SHARE), this._options.suspectedMs())
+  }
+
   private _carryOut (decision: direct.CallDecision | undefined): void {
     let next = decision
     while (next !== undefined) {
--- a/packages/node/src/direct/Ingress.ts
+++ b/packages/node/src/direct/Ingress.ts
@@ -122,7 +122,7 @@
   }
 
   private _begin (exchange: IngressExchange): void {
-    if (exchange.hasLeft) this._options.onDropped(exchange, exchange.waitedMs)
+    if (exchange.hasLeft) this._options.onDropped(exchange, exchange.waitedMs + exchange.acceptWaitMs)
     else exchange.begin()
   }
 }
@@ -143,7 +143,7 @@
     private readonly _ingress: Ingress,
     private readonly _connections: callerConnections.CallerConnections,
     private readonly _options: IngressOptions,
-    private readonly _acceptWaitMs: base.Millis
+    public readonly acceptWaitMs: base.Millis
   ) {
     this._readAtMs = _options.nowMs()
     this._socket = request.socket
@@ -160,7 +160,7 @@
   }
 
   public get waitedMs (): base.Millis {
-    return this._options.nowMs() - this._readAtMs + this._acceptWaitMs
+    return this._options.nowMs() - this._readAtMs
   }
 
   public begin (): void {
--- a/packages/node/src/direct/Services.ts
+++ b/packages/node/src/direct/Services.ts
@@ -91,8 +91,10 @@
   readonly headers: types.RawHeaders
   readonly body: Uint8Array | undefined
   readonly info: types.CallerRequestInfo
-  /** How long the request may have waited until now, unread or read, without the caller's remaining time having been counted. */
+  /** Time since the request was read. */
   readonly waitedMs: base.Millis
+  /** How long its connection may have waited before it was accepted, if this is the first request on it. */
+  readonly acceptWaitMs: base.Millis
   answer(answer: types.TargetAnswer): void
   refuse(answer: direct.OwnAnswer): void
 }
--- a/packages/node/src/direct/testing/VirtualFleet.ts
+++ b/packages/node/src/direct/testing/VirtualFleet.ts
@@ -146,6 +146,7 @@
       body: undefined,
       info: { requestId, remainingMs },
       waitedMs: 0,
+      acceptWaitMs: 0,
       answer: ({ status, headers }) => {
         if (Number(valueOf(headers, LIMIT_HEADER)) < Infinity) this.limitBound.recordPassedOn(valueOf(headers, TARGET_HEADER), entry.id, this._nowMs)
         onResult(status === 200)
