--- a/packages/node/src/ReadAhead.test.ts
+++ b/packages/node/src/ReadAhead.test.ts
@@ -62,22 +62,6 @@
     assert.deepEqual(begun, ['a'])
   })
 
-  test.it('begins items in one of eight turns while more is being read, so that connections are accepted sooner than they come', async () => {
-    isReading = true
-    workMs = 10
-    for (const item of ['a', 'b', 'c']) ahead.add(item)
-    nowMs = 50
-    await turns(2)
-    assert.deepEqual(begun, ['a'])
-    await turns(7)
-    assert.deepEqual(begun, ['a'])
-    await turns(1)
-    assert.deepEqual(begun, ['a', 'b'])
-    isReading = false
-    await turns(1)
-    assert.deepEqual(begun, ['a', 'b', 'c'])
-  })
-
   test.it('begins items for 10 ms in a turn, and goes on in the next one', async () => {
     workMs = 6
     for (const item of ['a', 'b', 'c', 'd']) ahead.add(item)
--- a/packages/node/src/ReadAhead.ts
+++ b/packages/node/src/ReadAhead.ts
@@ -4,8 +4,6 @@
 const MAX_HOLD_MS = 50
 /** Items are begun for at most this time in one turn of the event loop, so that reading does not stop while many are begun. */
 const SLICE_MS = 10
-/** While more is being read, items are begun in one of so many turns, because each turn accepts one connection only. */
-const READING_TURNS = 8
 
 export interface ReadAheadOptions<T> {
   readonly nowMs: () => base.Millis
@@ -29,8 +27,6 @@
   private readonly _options: ReadAheadOptions<T>
   private readonly _items = new Map<T, HeldItem>()
   private _turn = 0
-  /** Turn in which items were last begun. */
-  private _begunInTurn = -Infinity
   private _immediate: NodeJS.Immediate | undefined
 
   constructor (options: ReadAheadOptions<T>) {
@@ -62,21 +58,16 @@
   }
 
   private _endTurn (): void {
+    const { nowMs, begin } = this._options
     this._immediate = undefined
     this._turn += 1
-    if (!this._options.isReading() || this._turn - this._begunInTurn >= READING_TURNS) this._beginSlice()
-    if (this._items.size > 0) this._schedule()
-  }
-
-  private _beginSlice (): void {
-    const { nowMs, begin } = this._options
     const sliceEndMs = nowMs() + SLICE_MS
     for (const [item, held] of this._items) {
-      if (this._isHeld(held) || nowMs() >= sliceEndMs) return
+      if (this._isHeld(held) || nowMs() >= sliceEndMs) break
       this._items.delete(item)
-      this._begunInTurn = this._turn
       begin(item)
     }
+    if (this._items.size > 0) this._schedule()
   }
 
   private _isHeld ({ turn, heldSinceMs }: HeldItem): boolean {
