Send a status each second beside the reports of the newest version

A report of a reader counted as a message, so the status with the load of its target was sent each 3 s only on idle links, and entry nodes chose by older loads.

Cause: the due time of a status follows the last message of any kind, because results contain the load; a report does not.

Change: a report does not delay a status.

Evidence: the new test of NodeLinks.test.ts fails without it (run with the line taken out of the compiled code) and passes with it.

--- a/packages/node/src/direct/IncomingLink.ts
+++ b/packages/node/src/direct/IncomingLink.ts
@@ -59,9 +59,11 @@
     this._write(this._options.codec.encode(message))
   }
 
-  /** Sends an encoded message. */
-  public sendBytes (bytes: Buffer): void {
+  /** Sends an encoded message that does not contain the load, so it does not replace a status. */
+  public sendReport (bytes: Buffer): void {
+    const sentAtMs = this._sentAtMs
     this._write(bytes)
+    this._sentAtMs = sentAtMs
   }
 
   /** Sends an encoded status. */
--- a/packages/node/src/direct/NodeLinks.test.ts
+++ b/packages/node/src/direct/NodeLinks.test.ts
@@ -244,6 +244,19 @@
       assert.deepEqual(kinds, ['alive', 'alive'])
     })
 
+    // Guards against entry nodes that choose targets by old loads, because other messages take the place of the status.
+    test.it('from the host include a status each second beside reports without a load', async () => {
+      const kinds: string[] = []
+      caller.handleMessage = (_nodeId, { kind }) => { kinds.push(kind) }
+      for (let tenth = 0; tenth < 30; tenth++) {
+        host.nowMs += TICK_MS
+        host.links.broadcastStatus(STATUS, false)
+        if (tenth % 3 === 0) host.links.broadcast({ kind: 'alive', version: 1 })
+      }
+      await testMesh.waitUntil(() => kinds.filter(kind => kind === 'alive').length === 10)
+      assert.equal(kinds.filter(kind => kind === 'status').length, 4)
+    })
+
     test.it('are not sent to callers that have just got an answer, which contains the load', async () => {
       let statuses = 0
       caller.handleMessage = (_nodeId, { kind }) => { if (kind === 'status') statuses += 1 }
--- a/packages/node/src/direct/NodeLinks.ts
+++ b/packages/node/src/direct/NodeLinks.ts
@@ -107,7 +107,7 @@
   /** Sends a message to all nodes that have a link to this one, or only to those of a zone. */
   public broadcast (message: linkCodec.LinkMessage, zone?: string): void {
     const bytes = this._codec.encode(message)
-    for (const link of this._incoming) if (zone === undefined || link.zone === zone) link.sendBytes(bytes)
+    for (const link of this._incoming) if (zone === undefined || link.zone === zone) link.sendReport(bytes)
   }
 
   /** Sends a message to `count` randomly chosen nodes. */
--- a/packages/node/src/direct/Services.ts
+++ b/packages/node/src/direct/Services.ts
@@ -91,7 +91,7 @@
   readonly headers: types.RawHeaders
   readonly body: Uint8Array | undefined
   readonly info: types.CallerRequestInfo
-  /** Time since the request was read. */
+  /** Time since the head of the request was read. */
   readonly waitedMs: base.Millis
   /** How long its connection may have waited before it was accepted, if this is the first request on it. */
   readonly acceptWaitMs: base.Millis
