Wait longer for a store that has not answered in time

Cause: a timeout that tells a silent store early also ends the reads of a slow one, each time again.

Change: after each failure a read may take twice as long, up to four times; a quick answer ends that.

Evidence: of three new tests of RulesDistribution.test.ts (450, 900 and 1,500 ms an answer) the first two were seen to fail on the code before (the output of the third was cut), and all pass.

--- a/packages/node/src/direct/RulesDistribution.test.ts
+++ b/packages/node/src/direct/RulesDistribution.test.ts
@@ -69,6 +69,19 @@
   }
 
   // Guards against nodes that ask the store although nothing is wrong, which the store could not bear from a large fleet.
+  // Guards against a store that is slow for some time, from which no node gets a version because each read ends too early.
+  for (const answerMs of [450, 900, 1_500]) {
+    test.it(`gets a version from a store whose answers take ${answerMs} ms`, async () => {
+      fleet = new rulesFleet.RulesFleet(10, ZONES)
+      await fleet.run(CALM_MS)
+      fleet.store.answerMs = answerMs
+      await fleet.run(1_000)
+      fleet.store.accept(2)
+      await fleet.run(8_000)
+      assert.deepEqual(fleet.nodes.filter(({ version }) => version !== 2).map(({ nodeId }) => nodeId), [])
+    })
+  }
+
   // Guards against a cost of every node that grows with the fleet.
   test.it('sends each node at most six reports a second while nothing is wrong', async () => {
     for (const nodeCount of [10, 60]) {
--- a/packages/node/src/direct/RulesWatch.ts
+++ b/packages/node/src/direct/RulesWatch.ts
@@ -9,6 +9,8 @@
 const READ_WAIT_MS = 600
 const READ_MARGIN_MS = 300
 const NEWEST_TIMEOUT_MS = 400
+/** After each failure the next read may take twice as long, up to this factor, because the store may only be slow. */
+const MAX_PATIENCE = 4
 /** Bounds of the wait after failures, which doubles each time and has jitter. */
 const FIRST_RETRY_MS = 100
 const MAX_RETRY_MS = 1_000
@@ -43,6 +45,8 @@
   private _answeredAtMs = -Infinity
   private _nextOffset: number | undefined
   private _retryMs = FIRST_RETRY_MS
+  /** Factor by which reads may take longer than usual. */
+  private _patience = 1
   private _isAvailable: boolean | undefined
   private _isDisposed = false
   private _timer: NodeJS.Timeout | undefined
@@ -100,9 +104,11 @@
   }
 
   private async _readNewest (): Promise<base.Millis> {
-    const { store, format } = this._options
-    const result = await store.newest(format.topic, NEWEST_TIMEOUT_MS)
+    const { store, format, nowMs } = this._options
+    const askedAtMs = nowMs()
+    const result = await store.newest(format.topic, NEWEST_TIMEOUT_MS * this._patience)
     if (result.kind === 'unavailable') return this._handleFailure(result.problem)
+    if (nowMs() - askedAtMs < READ_MARGIN_MS) this._patience = 1
     this._handleRecords(result)
     return 0
   }
@@ -110,7 +116,7 @@
   private async _readNext (fromOffset: number): Promise<base.Millis> {
     const { store, format } = this._options
     const era = store.era.current
-    const result = await store.read(format.topic, fromOffset, READ_WAIT_MS, READ_WAIT_MS + READ_MARGIN_MS)
+    const result = await store.read(format.topic, fromOffset, READ_WAIT_MS, READ_WAIT_MS + READ_MARGIN_MS * this._patience)
     if (store.era.current !== era) {
       // The store may have given out the offset again, after records that were not read.
       this._nextOffset = undefined
@@ -142,6 +148,7 @@
     this._setAvailable(false, problem)
     // The store may come back from an older copy, and a read at an offset that it does not have yet would wait.
     this._nextOffset = undefined
+    this._patience = Math.min(this._patience * 2, MAX_PATIENCE)
     const isCandidate = this._options.isCandidate()
     const retryMs = isCandidate ? this._retryMs : Math.max(this._retryMs, FIRST_FALLBACK_RETRY_MS)
     const waitMs = retryMs * (0.5 + 0.5 * this._options.random.nextFloat())
--- a/packages/node/src/direct/testing/RulesFleet.ts
+++ b/packages/node/src/direct/testing/RulesFleet.ts
@@ -25,6 +25,7 @@
 class VirtualStore {
   public version = 1
   public calls = 0
+  public answerMs = STORE_MS
   /** Polls that wait for the next version. */
   public readonly waiting = new Set<() => void>()
 
@@ -42,14 +43,14 @@
 
   public async newest (_topic: string, timeoutMs: base.Millis): Promise<types.NewestResult> {
     this._store.calls += 1
-    if (await this._isLost(timeoutMs, STORE_MS)) return { kind: 'unavailable', problem: 'timeout' }
+    if (await this._isLost(timeoutMs)) return { kind: 'unavailable', problem: 'timeout' }
     return this._records(this._store.version)
   }
 
   public async read (_topic: string, fromOffset: number, waitMs: base.Millis, timeoutMs: base.Millis): Promise<types.ReadResult> {
     this._store.calls += 1
     if (this._store.version < fromOffset && !this._node.isWithoutStore) await this._nextVersion(waitMs)
-    if (await this._isLost(timeoutMs - waitMs, STORE_MS)) return { kind: 'unavailable', problem: 'timeout' }
+    if (await this._isLost(timeoutMs - waitMs)) return { kind: 'unavailable', problem: 'timeout' }
     return this._store.version < fromOffset ? { kind: 'records', records: [], nextOffset: fromOffset } : this._records(this._store.version)
   }
 
@@ -63,9 +64,10 @@
     return { kind: 'records', records: [{ key: TOPIC, value: Buffer.from(String(version)) }], nextOffset: version + 1 }
   }
 
-  private async _isLost (timeoutMs: base.Millis, tookMs: base.Millis): Promise<boolean> {
-    await sleep(this._node.isWithoutStore ? timeoutMs : tookMs)
-    return this._node.isWithoutStore
+  private async _isLost (timeoutMs: base.Millis): Promise<boolean> {
+    const isLost = (): boolean => this._node.isWithoutStore || this._store.answerMs > timeoutMs
+    await sleep(isLost() ? timeoutMs : this._store.answerMs)
+    return isLost()
   }
 
   private _nextVersion (waitMs: base.Millis): Promise<void> {
