--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -64,7 +64,7 @@
   traffic.isOver = true
   await Promise.all(pressing)
   const sound = new Map(fleet.workers.slice(1).flatMap(({ runs }) => runs).map(run => [run.id, run]))
-  const lost = clients.calls.filter(({ id, answer }) => answer.status === 0 && sound.has(id))
+  const lost = clients.calls.filter(({ id, answer }) => answer.status === 0 && answer.isKept && sound.has(id))
   for (const { id, answer } of lost) ledger.write(`${id} ${sound.get(id).path} was passed on to sound worker ${sound.get(id).worker}; its connection was closed without an answer: ${answer.problem}`)
   for (const end of node.exits) ledger.write(`${node.name} ended by itself: ${JSON.stringify(end)}`)
   if (lost.length <= ALLOWED_LOST) return undefined
--- a/review/standins/deployment.mjs
+++ b/review/standins/deployment.mjs
@@ -278,7 +278,7 @@
   }
 }
 
-/** Sends one request. Resolves with the status and the body, or with the problem if there was no complete answer. */
+/** Sends one request. Resolves with the status and the body, or with the problem if there was no complete answer. `isKept`: on a connection that was used before. */
 export function send (address, { method = 'GET', path: target, headers = {}, body, agent, timeoutMs = 10_000 }) {
   const [host, port] = address.split(':')
   return new Promise(resolve => {
@@ -286,12 +286,12 @@
     const request = http.request({ host, port: Number(port), method, path: target, headers: { ...headers, ...length }, agent: agent ?? false }, response => {
       const parts = []
       response.on('data', part => parts.push(part))
-      response.on('end', () => resolve({ status: response.statusCode, headers: response.headers, body: Buffer.concat(parts).toString(), isComplete: response.complete }))
-      response.on('error', error => resolve({ status: 0, problem: error.code ?? error.message }))
+      response.on('end', () => resolve({ status: response.statusCode, headers: response.headers, body: Buffer.concat(parts).toString(), isKept: request.reusedSocket }))
+      response.on('error', error => resolve({ status: 0, problem: error.code ?? error.message, isKept: request.reusedSocket }))
     })
     const timer = setTimeout(() => request.destroy(new Error('no answer in time')), timeoutMs)
     request.once('close', () => clearTimeout(timer))
-    request.on('error', error => resolve({ status: 0, problem: error.code ?? error.message }))
+    request.on('error', error => resolve({ status: 0, problem: error.code ?? error.message, isKept: request.reusedSocket }))
     request.end(body)
   })
 }
