--- a/review/standins/deployment.mjs
+++ b/review/standins/deployment.mjs
@@ -36,6 +36,14 @@
 const END_PORT = 32_000
 export const HOST = 'shop.example'
 
+/** Processes that this script has started and that have not ended. None outlives the script. */
+const running = new Set()
+const folders = new Set()
+process.on('exit', () => {
+  for (const child of running) child.kill('SIGKILL')
+  for (const folder of folders) fs.rmSync(folder, { recursive: true, force: true })
+})
+
 export const sleep = ms => new Promise(resolve => { setTimeout(resolve, ms) })
 
 /** Exit status of a script: 0 the rule held, 1 it was broken, 2 the case could not run. */
@@ -223,6 +231,29 @@
     return status
   }
 
+  /** Delivers a heartbeat that the network has held up: a connection is tried until the node listens, and the heartbeat comes on it. */
+  async deliverLate (body, { retryMs, heldMs }) {
+    const [host, port] = this.control.split(':')
+    const connect = () => new Promise(resolve => {
+      const socket = net.connect(Number(port), host)
+      socket.once('connect', () => resolve(socket)).once('error', () => resolve(undefined))
+    })
+    let socket = await connect()
+    for (let tries = 0; socket === undefined && tries < 200; tries++) {
+      await sleep(retryMs)
+      socket = await connect()
+    }
+    if (socket === undefined) throw new CannotRun('the node does not listen')
+    await sleep(heldMs)
+    this.ledger.write(`the delayed heartbeat of ${this.id} arrives`)
+    socket.end(`POST /v1/Instances.Heartbeat/${this.id} HTTP/1.1\r\nHost: ${this.control}\r\nContent-Type: application/json\r\nContent-Length: ${Buffer.byteLength(body)}\r\nConnection: close\r\n\r\n${body}`)
+    let received = ''
+    for await (const part of socket) received += String(part)
+    const status = Number(received.split(' ')[1])
+    this.ledger.write(`delayed beat of ${this.id} -> ${status}`)
+    return status
+  }
+
   async deregister () {
     const { status } = await send(this.control, { method: 'POST', path: `/v1/Instances.Deregister/${this.id}`, timeoutMs: 1_000 })
     this.ledger.write(`deregistration of ${this.id} -> ${status}`)
@@ -342,8 +373,10 @@
     const { PATH, HOME, LANG } = process.env
     const child = childProcess.spawn(program === 'node' ? process.execPath : program, words, { cwd: ROOT, env: { PATH, HOME, LANG, ELMPOST_CONFIG: this.settingsPath }, stdio: ['ignore', this.log, this.log] })
     this.child = child
+    running.add(child)
     this.ledger.write(`platform starts ${this.name} as process ${child.pid}`)
     child.once('exit', (code, signal) => {
+      running.delete(child)
       this.exits.push({ code, signal, atMs: this.ledger.now() })
       this.ledger.write(`process ${child.pid} of ${this.name} has ended: ${signal ?? `exit status ${code}`}`)
       if (this.child === child) this.child = undefined
@@ -395,6 +428,7 @@
   constructor (ledger) {
     this.ledger = ledger
     this.folder = fs.mkdtempSync(path.join(os.tmpdir(), 'elmpost-review-'))
+    folders.add(this.folder)
     this.nodes = []
     this.workers = []
     this.clients = []
@@ -440,17 +474,17 @@
     }
     await sleep(300)
     for (const worker of this.workers) worker.startBeats()
-    await this.until(async () => (await Promise.all(this.nodes.map(node => node.isReady()))).every(Boolean), 15_000, 'the nodes are not ready')
+    await this.until(async () => (await Promise.all(this.nodes.map(node => node.isReady()))).every(Boolean), 15_000, 'the nodes are not ready', 1_000)
     // Clients begin some seconds after the machines do.
     await sleep(4_000)
     this.ledger.write('all nodes are ready')
   }
 
-  async until (condition, timeoutMs, problem) {
+  async until (condition, timeoutMs, problem, intervalMs = 50) {
     const endMs = performance.now() + timeoutMs
     while (!await condition()) {
       if (performance.now() > endMs) throw new CannotRun(problem)
-      await sleep(50)
+      await sleep(intervalMs)
     }
   }
 
@@ -459,23 +493,22 @@
     await Promise.all(this.nodes.map(node => node.close()))
     for (const worker of this.workers) worker.crash()
     this.store?.close()
-    if (process.env.KEEP === '1') console.log(this.folder)
-    else fs.rmSync(this.folder, { recursive: true, force: true })
   }
 }
 
 /** Runs a case: `play(deployment, ledger, isTrouble)` returns what breaks the rule, nothing if it held. Ends the process. */
 export async function runCase (folder, play) {
+  // Whatever goes wrong, the case could not run.
+  const giveUp = error => {
+    console.log(`the case could not run: ${error.stack ?? error}`)
+    process.exit(2)
+  }
+  for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP']) process.on(signal, () => giveUp(new CannotRun(signal)))
+  process.on('uncaughtException', giveUp)
   const ledger = new Ledger(path.join(folder, 'record.txt'))
   const deployment = new Deployment(ledger)
   const isTrouble = process.env.TROUBLE !== '0'
   ledger.write(isTrouble ? 'the case, with its disruption' : 'the case, without its disruption')
-  const giveUp = () => { deployment.close().finally(() => process.exit(2)) }
-  for (const signal of ['SIGINT', 'SIGTERM']) process.once(signal, giveUp)
-  process.once('uncaughtException', error => {
-    ledger.write(`the case could not run: ${error.stack}`)
-    giveUp()
-  })
   let status = 2
   try {
     const broken = await Promise.race([
