--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -8,6 +8,7 @@
 const PHOTO_FETCH = { kind: 'idempotent', timeoutMs: 8_064, objectiveMs: 2_016, priority: 2 }
 const CARD_CHARGE = { kind: 'non_idempotent', timeoutMs: 2_561, objectiveMs: 615, priority: 1 }
 const workMs = target => target.startsWith('/charge/') ? 227 : 712
+const BOUNDS = { ack: '5000ms', 'catch-up': '6s', drain: '2500ms', 'config-apply': '2500ms', 'budget-slack': 174 }
 const PAUSE_MS = 200
 const CHUNKS = Buffer.from('1\r\nx\r\n'.repeat(10_000))
 /** More such requests break the rule. */
@@ -41,7 +42,7 @@
     { service: 'till', zone: 'vake', workMs },
     { service: 'till', zone: 'vake', workMs },
     { service: 'till', zone: 'didube', workMs }
-  ], routes, ['till', 'vault'])
+  ], routes, ['till', 'vault'], BOUNDS)
   const [clients] = fleet.clients
   const [node] = fleet.nodes
   // Clients on the machine of the faulty worker, with kept connections. Their requests go to sound workers of the other service.
