Log which requests a target was running when it ended

The log of the incident cannot tell its hypotheses apart: a lost connection, a cut answer and the end of a target are all target-lost, and a request has another id each time it comes. After a lost run the host now asks for a connection; if the target refuses it, it has crashed, and one line names all that it was running, by id and by a fingerprint that is the same under each id (method, host, path, caller, body). A counter says how often. No decision is changed.

--- a/addons/addon-metrics/src/DirectMetrics.ts
+++ b/addons/addon-metrics/src/DirectMetrics.ts
@@ -74,6 +74,7 @@
     this._gauge('elmpost_direct_target_slots', 'Slots of the target', () => node.gauges().load.slots)
     this._gauge('elmpost_direct_target_seconds', 'Mean time of a call on the target', () => node.gauges().load.serviceMs / MS_PER_S)
     this._gauge('elmpost_direct_target_calls', 'Calls that were sent to the target since the process started', () => node.gauges().targetCalls)
+    this._gauge('elmpost_direct_target_crashes', 'Unexpected ends of the target since the process started', () => node.gauges().targetCrashes)
     this._gauge('elmpost_direct_target_limit_per_second', 'Calls a second that the target takes from all nodes together; +Inf if it advertises no rate limit', () => node.gauges().targetLimitPerS)
     this._gauge('elmpost_direct_nodes', 'Nodes that this node knows, itself included', () => node.gauges().knownNodes)
     this._gauge('elmpost_direct_nodes_connected', 'Nodes that calls can be sent to, itself included', () => node.gauges().connectedNodes)
--- a/packages/common/src/direct/Services.ts
+++ b/packages/common/src/direct/Services.ts
@@ -32,6 +32,8 @@
   readonly state: types.TargetState
   /** Calls that have been sent to the target beside the node. */
   readonly targetCalls: number
+  /** Unexpected ends of the target beside the node since its process started. */
+  readonly targetCrashes: number
   /** Requests a second that the target says it takes; Infinity if it advertises no rate limit. */
   readonly targetLimitPerS: number
   readonly knownNodes: number
--- a/packages/node/src/direct/DirectNode.ts
+++ b/packages/node/src/direct/DirectNode.ts
@@ -192,6 +192,7 @@
       load: this._target.host.load,
       state: this._target.watch.state,
       targetCalls: this._target.host.started,
+      targetCrashes: this._target.crashes,
       targetLimitPerS: this._target.notice.maxCallsPerS ?? Infinity,
       knownNodes: this._table.size,
       connectedNodes: this._table.connectedCount,
--- a/packages/node/src/direct/LocalTarget.ts
+++ b/packages/node/src/direct/LocalTarget.ts
@@ -1,10 +1,14 @@
+import * as crypto from 'node:crypto'
 import * as peerNotices from '@elmpost/common/direct/PeerNotices.js'
 import * as targetClient from './TargetClient.js'
 import * as targetHost from './TargetHost.js'
+import * as requestIdentity from './RequestIdentity.js'
+import * as targetProbe from './TargetProbe.js'
 import * as targetRegister from '@elmpost/common/direct/TargetRegister.js'
 import * as targetWatch from './TargetWatch.js'
 import type * as base from '@elmpost/common/base/Types.js'
 import type * as callLog from './CallLog.js'
+import type * as crashWatches from './CrashWatch.js'
 import type * as direct from '@elmpost/common/direct/Types.js'
 import type * as nodeServices from '../Services.js'
 import type * as services from './Services.js'
@@ -12,6 +16,11 @@
 
 /** Connections to the target before a configuration sets its limit. */
 const DEFAULT_MAX_CONNECTIONS = 64
+/** A target on the same VM refuses or accepts a connection in far less time. */
+const PROBE_TIMEOUT_MS = 200
+const CRASH_ID_BYTES = 9
+/** Requests that a line about a crash names. */
+const MAX_LOGGED_RUNS = 32
 const NO_NOTICE: direct.TargetNotice = { maxCallsPerS: Infinity, isLeaving: false }
 
 export interface LocalTargetOptions {
@@ -34,6 +43,9 @@
   private _client: targetClient.TargetClient
   private _maxConnections = DEFAULT_MAX_CONNECTIONS
   private _healthPath: string | undefined
+  private readonly _identity: requestIdentity.RequestIdentity
+  private _crashes = 0
+  private _crashId = ''
   private readonly _peerNotices = new peerNotices.PeerNotices()
   /** Start of the target that `_notice` is about. */
   private _start: direct.TargetStart | undefined
@@ -44,6 +56,7 @@
   constructor (options: LocalTargetOptions) {
     this._options = options
     const { settings, dialect, nowMs, logger } = options
+    this._identity = new requestIdentity.RequestIdentity(dialect)
     this._client = this._openClient()
     this.watch = new targetWatch.TargetWatch({
       settings,
@@ -64,6 +77,9 @@
       state: () => this.watch.state,
       nowMs,
       uncountedMs: options.uncountedMs,
+      probe: onResult => { targetProbe.probe(settings.targetAddress, PROBE_TIMEOUT_MS, onResult) },
+      newCrashId: () => crypto.randomBytes(CRASH_ID_BYTES).toString('base64url'),
+      start: () => this.watch.reported,
       events: this
     })
   }
@@ -115,6 +131,18 @@
     this._options.callLog.log('info', 'run-cancelled', { requestId: call.requestId, isRunning, heldMs: Math.round(heldMs), elapsedMs: Math.round(call.elapsedMs), remainingMs: Math.round(call.remainingMs) })
   }
 
+  /** Unexpected ends of the target since this process started. */
+  public get crashes (): number {
+    return this._crashes
+  }
+
+  public onTargetCrashed ({ id, target, runs }: crashWatches.TargetCrash): void {
+    if (id !== this._crashId) this._crashes += 1
+    this._crashId = id
+    const requests = runs.slice(0, MAX_LOGGED_RUNS).map(({ call }) => `${call.requestId}:${this._identity.fingerprintOf(call)}`).join(' ')
+    this._options.callLog.log('warn', 'target-crashed', { target: target.targetId, crash: id, running: runs.length, requests })
+  }
+
   public onTargetNotice (targetId: string, notice: direct.TargetNotice): void {
     if (targetId !== this.watch.targetId) return
     this._hasAnswer = true
@@ -164,6 +192,7 @@
     const isNew = start !== undefined && (this._start === undefined || !targetRegister.isSameStart(this._start, start))
     this._start = start ?? this._start
     if (!isNew) return
+    this.host.handleNewStart()
     this._notice = NO_NOTICE
     this._hasAnswer = false
     this.host.setLimit(Infinity)
--- a/packages/node/src/direct/Services.ts
+++ b/packages/node/src/direct/Services.ts
@@ -17,6 +17,8 @@
   isForNode(name: string): boolean
   /** Headers that the entry node adds for a caller beside a target of `service`. */
   entryHeaders(service: string): types.RawHeaders
+  /** Service beside which a request began, from the headers that an entry node passes on; empty if they do not name it. */
+  callerOf(headers: types.RawHeaders): string
   /** Headers that the host node adds. */
   targetHeaders(requestId: string, remainingMs: base.Millis, targetId: string | undefined): types.RawHeaders
   /** Headers of the node's own answers. */
--- a/packages/node/src/direct/TargetHost.test.ts
+++ b/packages/node/src/direct/TargetHost.test.ts
@@ -60,6 +60,9 @@
       state: () => state,
       nowMs: () => nowMs,
       uncountedMs: () => uncountedMs,
+      probe: onResult => { onResult(true) },
+      newCrashId: () => 'crash',
+      start: () => ({ targetId: 't', startedAtMs: 1 }),
       events: {
         onTargetUnreachable: code => { events.push(`unreachable ${code}`) },
         onTargetSilent: () => { events.push('silent') },
@@ -67,6 +70,7 @@
         onCallFailed: () => {},
         onCallRefused: () => {},
         onCallCancelled: ({ callId }, isRunning, heldMs) => { events.push(`cancelled ${callId} ${isRunning} ${heldMs}`) },
+        onTargetCrashed: () => {},
         onTargetNotice: () => {}
       }
     })
--- a/packages/node/src/direct/TargetHost.ts
+++ b/packages/node/src/direct/TargetHost.ts
@@ -1,3 +1,4 @@
+import * as crashWatches from './CrashWatch.js'
 import * as slotQueue from '@elmpost/common/direct/SlotQueue.js'
 import type * as base from '@elmpost/common/base/Types.js'
 import type * as direct from '@elmpost/common/direct/Types.js'
@@ -25,6 +26,11 @@
   readonly nowMs: () => base.Millis
   /** Time that the monotonic clock may have missed so far, because the VM was suspended. Never decreases. */
   readonly uncountedMs: () => base.Millis
+  /** Finds out whether the target accepts a connection. */
+  readonly probe: (onResult: (isUp: boolean) => void) => void
+  readonly newCrashId: () => string
+  /** Start of the target; undefined if it is not known. */
+  readonly start: () => direct.TargetStart | undefined
   readonly events: ITargetHostEvents
 }
 
@@ -40,6 +46,8 @@
   onCallRefused(call: types.CallMessage, reason: direct.RefusalReason, waitMs: base.Millis): void
   /** The entry node has cancelled the call `heldMs` after it arrived here. `isRunning`: it had been started. */
   onCallCancelled(call: types.CallMessage, isRunning: boolean, heldMs: base.Millis): void
+  /** The target has ended while it was running these requests. Called again if further ones turn out to have been running. */
+  onTargetCrashed(crash: crashWatches.TargetCrash): void
   /** An answer of the target contains this notice. */
   onTargetNotice(targetId: string, notice: direct.TargetNotice): void
 }
@@ -61,12 +69,22 @@
   private readonly _retryIds = new Set<string>()
   private readonly _calls = new Map<number, HostedCall>()
   private readonly _callsByCaller = new Map<services.IHostCaller, Map<number, HostedCall>>()
+  private readonly _crashes: crashWatches.CrashWatch
   private _nextId = 1
   private _started = 0
   private _answeredAtMs = -Infinity
 
   constructor (options: TargetHostOptions) {
     this._options = options
+    const { probe, newCrashId, start, state, nowMs, events } = options
+    this._crashes = new crashWatches.CrashWatch({
+      probe,
+      target: () => state() === 'leaving' ? undefined : start(),
+      running: () => this._runs(),
+      newId: newCrashId,
+      nowMs,
+      onCrash: crash => { events.onTargetCrashed(crash) }
+    })
   }
 
   public get load (): direct.TargetLoad {
@@ -130,7 +148,7 @@
       this._remove(call)
       return true
     }
-    if (call.message.isIdempotent) call.run?.abort()
+    if (call.message.isIdempotent) this._abort(call)
     return false
   }
 
@@ -143,7 +161,7 @@
     const nowMs = this._options.nowMs()
     this._startNext()
     for (const call of this._calls.values()) {
-      if (nowMs > call.overdueAtMs) call.run?.abort()
+      if (nowMs > call.overdueAtMs) this._abort(call)
     }
     if (this._isSilent(nowMs)) this._options.events.onTargetSilent()
   }
@@ -151,10 +169,15 @@
   /** Aborts idempotent calls when the target is down, so that they can be sent elsewhere. */
   public abortIdempotent (): void {
     for (const call of [...this._calls.values()]) {
-      if (call.message.isIdempotent) call.run?.abort()
+      if (call.message.isIdempotent) this._abort(call)
     }
   }
 
+  /** Another start of the target is current. */
+  public handleNewStart (): void {
+    this._crashes.handleNewStart()
+  }
+
   /** Refuses all waiting calls when the target accepts no more calls. */
   public refuseWaiting (): void {
     for (const { id } of this._queue.clear()) this._refuseWaitingCall(id, 'no-target')
@@ -179,6 +202,17 @@
     return nowMs - Math.max(oldestMs, this._answeredAtMs) > Math.max(SILENCE_MS, SILENCE_CALLS * this._queue.meanMs)
   }
 
+  /** The target may go on with a call that it has begun. */
+  private _abort (call: HostedCall): void {
+    if (call.startedAtMs < Infinity) this._crashes.recordAbandoned(runOf(call), Math.max(0, call.overdueAtMs - this._options.nowMs()))
+    call.run?.abort()
+  }
+
+  /** Requests that have been passed to the target. */
+  private * _runs (): Iterable<crashWatches.CrashedRun> {
+    for (const call of this._calls.values()) if (call.startedAtMs < Infinity) yield runOf(call)
+  }
+
   private _track (caller: services.IHostCaller, message: types.CallMessage, nowMs: base.Millis): HostedCall {
     const call: HostedCall = {
       id: this._nextId++,
@@ -242,9 +276,11 @@
         break
       case 'unreachable':
         this._refuse(call, { reason: 'no-target', reachedTarget: false, waitMs: 0 })
+        if (result.code === 'ECONNREFUSED') this._crashes.handleRefused()
         if (!this._isAnswering) this._options.events.onTargetUnreachable(result.code)
         break
       case 'failed':
+        if (result.reason === 'target-lost') this._crashes.handleLost(runOf(call), () => {})
         this._options.events.onCallFailed(call.message, result.reason, result.detail)
         this._finish(call, { kind: 'failed', reason: result.reason })
     }
@@ -288,3 +324,7 @@
     if (calls?.size === 0) this._callsByCaller.delete(call.caller)
   }
 }
+
+function runOf ({ message }: HostedCall): crashWatches.CrashedRun {
+  return { call: message, isTrial: false }
+}
--- a/packages/node/src/direct/testing/VirtualFleet.ts
+++ b/packages/node/src/direct/testing/VirtualFleet.ts
@@ -19,6 +19,7 @@
   targetHeaders: () => [],
   readNotice: (headers: types.RawHeaders) => ({ maxCallsPerS: Number(valueOf(headers, LIMIT_HEADER)), isLeaving: false }),
   entryHeaders: () => [],
+  callerOf: () => '',
   isSetByNode: () => false,
   parentIdOf: (id: string) => id.includes('.') ? id.slice(0, id.lastIndexOf('.')) : undefined
 } as unknown as services.ICallDialect
@@ -175,7 +176,10 @@
       state: () => 'ready',
       nowMs,
       uncountedMs: () => 0,
-      events: { onTargetUnreachable: () => {}, onTargetSilent: () => {}, onTargetDisplaced: () => {}, onCallFailed: () => {}, onCallRefused: () => {}, onCallCancelled: () => {}, onTargetNotice: (_targetId, { maxCallsPerS = Infinity }) => { host.setLimit(maxCallsPerS) } }
+      probe: onResult => { onResult(true) },
+      newCrashId: () => '',
+      start: () => ({ targetId: id, startedAtMs: 0 }),
+      events: { onTargetUnreachable: () => {}, onTargetSilent: () => {}, onTargetDisplaced: () => {}, onCallFailed: () => {}, onCallRefused: () => {}, onCallCancelled: () => {}, onTargetCrashed: () => {}, onTargetNotice: (_targetId, { maxCallsPerS = Infinity }) => { host.setLimit(maxCallsPerS) } }
     })
     host.setSlots(this._options.slots)
     const gate: entryGate.EntryGate = new entryGate.EntryGate({
