Block requests that crash the targets that run them

Cause: nothing remembered what a crashed target was running; retries and new attempts of the same request began without history.

Each host reports a crash with all requests that were running; nodes merge the reports (any order, any number of times) and pass them on, on links at once, at each connect, with the call itself, and in the node's record in the store. A request is suspect after one crash, runs alone on its target after two (a trial), and is blocked for an hour after three if it crashed a target in a trial. Each answer clears it on all nodes. A crash that no request causes can therefore block none: without a trial there is no block.

--- a/packages/common/src/direct/DirectCalls.ts
+++ b/packages/common/src/direct/DirectCalls.ts
@@ -39,6 +39,7 @@
   readonly deadlineAtMs: base.Millis
   readonly requestBytes: number
   readonly isNestedInRetry: boolean
+  readonly history: types.IRequestHistory | undefined
   to: base.NodeId
   sentAtMs: base.Millis
   /** Sends that reached a target, or may have. */
@@ -105,6 +106,7 @@
     const rule = this._routes.find(request.host, request.path)
     if (rule === undefined) return refusal(callId, 'no-route', 0)
     if (request.bodyBytes > this._rules.limits.maxBodyBytes) return refusal(callId, 'body-too-large', 0, rule)
+    if (request.history?.standing === 'blocked') return refusal(callId, 'crashes-targets', request.history.blockedForMs, rule)
     const remainingMs = Math.min(request.remainingMs ?? Infinity, rule.timeoutMs)
     if (!(remainingMs > 0)) return refusal(callId, 'deadline', 0, rule)
     if (nowMs + remainingMs > request.endByMs) return refusal(callId, 'stopping', STOPPING_RETRY_MS, rule)
@@ -116,6 +118,7 @@
       deadlineAtMs: nowMs + remainingMs,
       requestBytes: request.bodyBytes,
       isNestedInRetry: request.isNestedInRetry,
+      history: request.history,
       to: '',
       sentAtMs: nowMs,
       attempts: 0,
@@ -144,7 +147,9 @@
       call.shortestWaitMs = Math.min(call.shortestWaitMs, refused.waitMs)
       this._avoid(from, call.rule.priority, refused.waitMs, nowMs)
     }
-    const mayRetry = call.refusals < MAX_REFUSALS && (!refused.reachedTarget || this._mayAttempt(call, 'declined', nowMs))
+    // Only one target of the fleet at a time tries a request that may crash it, as far as all nodes choose the same one.
+    const isTrialTaken = refused.reason === 'busy' && call.history?.standing === 'trial'
+    const mayRetry = call.refusals < MAX_REFUSALS && !isTrialTaken && (!refused.reachedTarget || this._mayAttempt(call, 'declined', nowMs))
     const next = mayRetry ? this._sendNext(call, nowMs) : undefined
     if (next !== undefined) return next
     return call.mayHaveRun ? this._endUnknown(call, 'target-lost') : this._refuse(call, refused.reason, nowMs)
@@ -241,10 +246,12 @@
   private _mayAttempt (call: Call, cause: types.RetryCause, nowMs: base.Millis): boolean {
     const { callId, service, rule } = call
     if (call.attempts >= rule.maxAttempts || call.deadlineAtMs - nowMs < MIN_RETRY_TIME_MS) return false
+    if (call.history?.standing === 'blocked') return false
     return this._pick(call, nowMs).row !== undefined && this._retries.take({ callId, service, route: rule.name, cause }, nowMs)
   }
 
   private _sendNext (call: Call, nowMs: base.Millis): types.SendDecision | undefined {
+    if (call.history?.standing === 'blocked') return undefined
     const { row } = this._pick(call, nowMs)
     if (row === undefined) return undefined
     const isRetry = call.attempts > 0 || call.isNestedInRetry
@@ -259,8 +266,8 @@
   }
 
   private _pick (call: Call, nowMs: base.Millis): targetPicker.PickResult {
-    const { service, rule, tried, beganAtMs, isRefusedAsBusy } = call
-    const picked = { service, priority: rule.priority, bytes: this._sizeOf(call), onTimeMs: beganAtMs + rule.objectiveMs - nowMs, isIdempotent: rule.kind === 'idempotent', isRefusedAsBusy }
+    const { service, rule, tried, beganAtMs, isRefusedAsBusy, history } = call
+    const picked = { history, service, priority: rule.priority, bytes: this._sizeOf(call), onTimeMs: beganAtMs + rule.objectiveMs - nowMs, isIdempotent: rule.kind === 'idempotent', isRefusedAsBusy }
     return this._options.picker.pick(picked, tried ?? NO_NODES, nowMs)
   }
 
@@ -283,6 +290,7 @@
 
   private _refuse (call: Call, reason: types.RefusalReason, nowMs: base.Millis): types.OwnAnswer {
     this._calls.delete(call.callId)
+    if (call.history?.standing === 'blocked') return { ...refusal(call.callId, 'crashes-targets', call.history.blockedForMs, call.rule), sends: call.attempts + call.refusals }
     const waitMs = Number.isFinite(call.shortestWaitMs) ? Math.max(MIN_RETRY_MS, call.shortestWaitMs) : DEFAULT_RETRY_MS
     const spreadMs = waitMs * (1 + WAIT_JITTER * this._options.random.nextFloat())
     const retryAfterMs = Math.max(0, Math.min(spreadMs, (call.deadlineAtMs - nowMs) * MAX_WAIT_SHARE))
--- a/packages/common/src/direct/SlotQueue.ts
+++ b/packages/common/src/direct/SlotQueue.ts
@@ -44,6 +44,7 @@
   private readonly _allTimes = new serviceTimes.ServiceTimes(INITIAL_SERVICE_MS, 0)
   /** Arrival of the last call of each priority. */
   private readonly _lastArrivalsMs = new Map<number, base.Millis>()
+  private _isHeld = false
   private _leastUrgent = 0
   private _slots = 1
   private _assumedMs = INITIAL_SERVICE_MS
@@ -73,6 +74,18 @@
     this._slots = Math.max(1, slots)
   }
 
+  /** While it is held, no call gets a slot but one that `startAlone` starts. */
+  public setHeld (isHeld: boolean): void {
+    this._isHeld = isHeld
+  }
+
+  /** Gives a slot to a call that is not in the queue, if no other call has one and the limit allows it. */
+  public startAlone (call: SlotCall, nowMs: base.Millis): boolean {
+    if (this._running.size > 0 || !this._limiter.take(nowMs)) return false
+    this._running.set(call.id, call)
+    return true
+  }
+
   /** Whether the target has advertised a rate limit. */
   public get isLimited (): boolean {
     return this._limiter.isLimited
@@ -92,7 +105,7 @@
   public offer (call: SlotCall, nowMs: base.Millis): OfferResult {
     this._recordPriority(call.priority, nowMs)
     this._assumedMs = call.assumedMs
-    if (this._running.size < this._slots && this._waiting.length === 0 && this._limiter.take(nowMs)) {
+    if (!this._isHeld && this._running.size < this._slots && this._waiting.length === 0 && this._limiter.take(nowMs)) {
       this._running.set(call.id, call)
       return { kind: 'start' }
     }
@@ -116,7 +129,7 @@
 
   /** Removes the next call from the queue and gives it a slot. Undefined if no slot is free, the limit allows no call now, or no call waits. */
   public next (nowMs: base.Millis): SlotCall | undefined {
-    if (this._running.size >= this._slots || this._waiting.length === 0) return undefined
+    if (this._isHeld || this._running.size >= this._slots || this._waiting.length === 0) return undefined
     this._deferLate(nowMs)
     if (!this._limiter.take(nowMs)) return undefined
     const call = this._waiting.shift()?.call
--- a/packages/common/src/direct/TargetPicker.ts
+++ b/packages/common/src/direct/TargetPicker.ts
@@ -1,5 +1,7 @@
+import * as digest from '../base/Digest.js'
 import * as targetTable from './TargetTable.js'
 import type * as base from '../base/Types.js'
+import type * as types from './Types.js'
 
 /** Round trip to another node of the same zone. */
 const SAME_ZONE_MS = 0.5
@@ -47,6 +49,8 @@
   readonly onTimeMs: base.Millis
   /** A host has refused the call because it is busy. */
   readonly isRefusedAsBusy: boolean
+  /** Crashes that the request took part in. */
+  readonly history?: types.IRequestHistory | undefined
 }
 
 export interface PickResult {
@@ -67,13 +71,14 @@
 
   public pick (call: PickRequest, exclude: ReadonlySet<base.NodeId>, nowMs: base.Millis): PickResult {
     const usable: targetTable.TargetRow[] = []
+    const standing = call.history?.standing ?? 'free'
     let isBusy = false
     let isFull = false
     let limitWaitMs = Infinity
     this._usualServiceMs = undefined
     for (const row of this._options.table.connectedOf(call.service)) {
       if (row.state !== 'ready' || row.notice?.isLeaving === true || exclude.has(row.nodeId)) continue
-      if (this._isTooBusy(row, call, nowMs)) {
+      if (standing !== 'trial' && this._isTooBusy(row, call, nowMs)) {
         isBusy = true
         if (row.load.limit === undefined) isFull = true
         else limitWaitMs = Math.min(limitWaitMs, this._expectedWaitMs(row, call, nowMs))
@@ -81,6 +86,7 @@
         usable.push(row)
       }
     }
+    if (call.history !== undefined && standing !== 'free') return { row: this._pickForSuspect(usable, call.history), isBusy, limitWaitMs: isFull ? Infinity : limitWaitMs }
     let best: targetTable.TargetRow | undefined
     let bestCost = Infinity
     for (const row of this._rowsToCompare(usable)) {
@@ -92,6 +98,14 @@
     return { row: best, isBusy, limitWaitMs: isFull ? Infinity : limitWaitMs }
   }
 
+  /** A request that may crash its target goes where it harms the fewest others. All nodes choose the same target for a trial. */
+  private _pickForSuspect (usable: readonly targetTable.TargetRow[], { standing, fingerprint }: types.IRequestHistory): targetTable.TargetRow | undefined {
+    const rankOf = (row: targetTable.TargetRow): number => standing === 'trial' ? digest.placementHash(`${fingerprint} ${row.nodeId}`) : occupiedOf(row)
+    let best: targetTable.TargetRow | undefined
+    for (const row of usable) if (best === undefined || rankOf(row) < rankOf(best)) best = row
+    return best
+  }
+
   /** Always includes the target beside this node, because its load is known exactly. */
   private _rowsToCompare (usable: targetTable.TargetRow[]): readonly targetTable.TargetRow[] {
     if (usable.length <= SAMPLING_THRESHOLD) return usable
@@ -127,10 +141,10 @@
   }
 
   private _cost (row: targetTable.TargetRow, call: PickRequest, nowMs: base.Millis): number {
-    const { running, queued, slots } = row.load
+    const { queued, slots } = row.load
     const { isIdempotent } = call
     const serviceMs = this._serviceMs(row, call)
-    const occupied = running + queued + row.sentSinceReport
+    const occupied = occupiedOf(row)
     // An urgent call overtakes queued calls and delays them. Its cost counts the whole queue, so that it leaves the zone as early as they would.
     const waitMs = waitBehindMs(row, queued, serviceMs, nowMs)
     const crowded = Math.max(0, Math.min(1, occupied / slots) - CROWDED_SHARE) / (1 - CROWDED_SHARE)
@@ -165,6 +179,10 @@
   }
 }
 
+function occupiedOf ({ load: { running, queued }, sentSinceReport }: targetTable.TargetRow): number {
+  return running + queued + sentSinceReport
+}
+
 /** Expected wait for a slot of the target, or for a permit if it has advertised a rate limit. */
 function waitBehindMs (row: targetTable.TargetRow, ahead: number, serviceMs: base.Millis, nowMs: base.Millis): base.Millis {
   const { load: { running, slots, limit }, sentSinceReport } = row
--- a/packages/common/src/direct/Types.ts
+++ b/packages/common/src/direct/Types.ts
@@ -59,6 +59,16 @@
   readonly linkMbps: number
   /** Last target that the node knew, so that its next process need not wait for an announcement. */
   readonly target: KnownTarget | undefined
+  /** Crashes of the targets beside the node. Missing if there were none. */
+  readonly crashes?: readonly StoredCrash[]
+}
+
+/** Crash of the target beside a node, as the node writes it to the store. */
+export interface StoredCrash {
+  readonly id: string
+  /** Wall clock of the node; only for the age of the crash. */
+  readonly atMs: base.Millis
+  readonly requests: readonly CrashedRequest[]
 }
 
 /** One start of a target. A target may start again under the same id. */
@@ -153,10 +163,20 @@
   readonly endByMs: base.Millis
   /** Whether the call is a nested call that the target beside the node makes in a retried run. */
   readonly isNestedInRetry: boolean
+  /** Crashes that the request took part in. Undefined if nothing is known of it. */
+  readonly history?: IRequestHistory | undefined
+}
+
+/** What is known of a request that may crash targets. It may change while the request is under way. */
+export interface IRequestHistory {
+  readonly fingerprint: string
+  readonly standing: Standing
+  /** Time after which a blocked request is tried again. */
+  readonly blockedForMs: base.Millis
 }
 
 export type RefusalReason =
-  | 'no-configuration' | 'no-route' | 'body-too-large' | 'no-target' | 'busy' | 'target-refused' | 'deadline' | 'stopping'
+  | 'no-configuration' | 'no-route' | 'body-too-large' | 'no-target' | 'busy' | 'target-refused' | 'deadline' | 'stopping' | 'crashes-targets'
 
 export type FailureReason = 'timeout' | 'peer-lost' | 'target-lost' | 'bad-answer'
 
@@ -232,3 +252,30 @@
   readonly slack: number
   readonly windowMs: base.Millis
 }
+
+/** When a request that was running at a crash has been answered without an error, anywhere in the fleet as far as is known. */
+export type AnswerTime = 'never' | 'before' | 'after'
+
+/** A request that a target was running when it crashed. */
+export interface CrashedRequest {
+  /** The same for a request that comes again under another id. */
+  readonly fingerprint: string
+  /** Whether it ran alone, to find out whether it crashes targets. */
+  readonly isTrial: boolean
+  readonly answered: AnswerTime
+}
+
+/** Crash of a target, or a part of what is known of it. */
+export interface CrashReport {
+  readonly id: string
+  /** Service of the target. */
+  readonly service: string
+  readonly ageMs: base.Millis
+  readonly requests: readonly CrashedRequest[]
+}
+
+/**
+ * How a request may run, by the crashes that it took part in. `suspect`: where little else runs. `trial`: alone on its target.
+ * `blocked`: not at all.
+ */
+export type Standing = 'free' | 'suspect' | 'trial' | 'blocked'
--- a/packages/node/src/direct/DirectNode.ts
+++ b/packages/node/src/direct/DirectNode.ts
@@ -2,6 +2,7 @@
 import * as auditTrail from './AuditTrail.js'
 import * as callLog from './CallLog.js'
 import * as callMeasure from './CallMeasure.js'
+import * as crashGuards from './CrashGuard.js'
 import * as directCalls from '@elmpost/common/direct/DirectCalls.js'
 import * as disposable from '@elmpost/common/base/Disposable.js'
 import * as emitter from '@elmpost/common/base/Emitter.js'
@@ -59,6 +60,7 @@
   private readonly _fleet: fleetMembership.FleetMembership
   private readonly _rules: rulesDistribution.RulesDistribution
   private readonly _calls: directCalls.DirectCalls
+  private readonly _crashes: crashGuards.CrashGuard
   private readonly _entry: entryGate.EntryGate
   private readonly _target: localTarget.LocalTarget
   private readonly _links: nodeLinks.NodeLinks
@@ -83,6 +85,7 @@
     this.onCallEnded = this._callEnded.event
     this.stopped = new Promise(resolve => { this._resolveStopped = resolve })
     this._log = new callLog.CallLog(logger, nowMs)
+    this._crashes = new crashGuards.CrashGuard({ dialect, service: settings.service, nowMs, timeOfDayMs: options.timeOfDayMs, callLog: this._log, links: () => this._links, onOwnCrash: () => { this._fleet.publish() } })
     const picker = new targetPicker.TargetPicker({
       table: this._table,
       selfId,
@@ -101,6 +104,7 @@
       uncountedMs: () => this._stalls.uncountedMs,
       logger,
       callLog: this._log,
+      crashes: this._crashes,
       onChange: () => { this._handleTargetChange() }
     }))
     this._links = this._register(new nodeLinks.NodeLinks({ selfId, hello: to => this._fleet.hello(this.version, to), nowMs, stalls: this._stalls, random, host: this._target.host, events: this }))
@@ -130,6 +134,7 @@
       random,
       nowMs,
       target: () => this._target.watch.knownTarget,
+      crashes: this._crashes,
       restore: target => { this._target.watch.restore(target) }
     }))
     this._entry = this._register(new entryGate.EntryGate({
@@ -145,6 +150,7 @@
       onCallCancelled: (exchange, cancelled) => { this._log.logCancelled(exchange.info, cancelled) },
       callsEndByMs: () => this._stop.callsEndByMs,
       suspectedMs: () => this._stalls.suspectedMs,
+      crashes: this._crashes,
       runsRetry: requestId => this._target.host.runsRetry(requestId)
     }))
     this._ingress = this._register(new ingress.Ingress({
@@ -189,11 +195,7 @@
       version: this.version,
       isReady: this.isReady,
       entryInFlight: this._entry.inFlight,
-      load: this._target.host.load,
-      state: this._target.watch.state,
-      targetCalls: this._target.host.started,
-      targetCrashes: this._target.crashes,
-      targetLimitPerS: this._target.notice.maxCallsPerS ?? Infinity,
+      ...this._target.gauges,
       knownNodes: this._table.size,
       connectedNodes: this._table.connectedCount,
       storeAgeMs: this._rules.storeAgeMs,
@@ -207,7 +209,7 @@
   public status (): object {
     const { peerAddress, zone, service } = this._options.settings
     const members = [...this._table.all()].map(row => ({ nodeId: row.nodeId, zone: row.zone, service: row.service, state: row.isConnected ? 'ready' : 'suspect', enforcedVersion: row.version, adminAddress: '', target: row.state, load: row.load }))
-    return { self: { nodeId: peerAddress, zone, service }, readiness: { ready: this.isReady }, version: this.version, digest: '', verdicts: [], members }
+    return { self: { nodeId: peerAddress, zone, service }, readiness: { ready: this.isReady }, version: this.version, digest: '', verdicts: [], members, restrictedRequests: this._crashes.restricted }
   }
 
   public async start (): Promise<void> {
@@ -259,6 +261,7 @@
   public handleConnectionChange (nodeId: base.NodeId, isConnected: boolean): void {
     this._log.log(isConnected ? 'info' : 'warn', isConnected ? 'peer-connected' : 'peer-lost', { peer: nodeId })
     this._fleet.handleConnectionChange(nodeId, isConnected)
+    if (isConnected) this._crashes.greet(message => { this._links.send(nodeId, message) })
   }
 
   public handleHello (hello: linkCodec.HelloMessage, reply: (message: linkCodec.LinkMessage) => void): void {
@@ -266,6 +269,7 @@
     reply(this._fleet.hello(this.version))
     reply({ kind: 'status', status: this._status() })
     reply(this._rules.report)
+    this._crashes.greet(reply)
   }
 
   public handleLost (nodeId: base.NodeId, callIds: readonly number[]): void {
@@ -307,6 +311,7 @@
       case 'nodes':
         if (message.refused !== undefined) this._log.log('warn', 'node-records-refused', { peer: nodeId, count: message.refused })
         this._fleet.handleNodes(message.nodes)
+        this._crashes.recordReports(message.crashes ?? [])
         break
       default:
         this.handleMalformed(nodeId, new Error(`unexpected message of kind ${message.kind}`))
@@ -350,6 +355,7 @@
     this._rules.tick()
     if (nowMs >= this._statusAtMs) this._sendStatus(false)
     this._fleet.tick()
+    this._crashes.tick()
     this._stop.tick()
   }
 
--- a/packages/node/src/direct/EntryGate.test.ts
+++ b/packages/node/src/direct/EntryGate.test.ts
@@ -1,6 +1,7 @@
 import * as assert from 'node:assert/strict'
 import * as directCalls from '@elmpost/common/direct/DirectCalls.js'
 import * as entryGate from './EntryGate.js'
+import * as noCrashes from './testing/NoCrashes.js'
 import * as random from '@elmpost/common/base/Random.js'
 import * as rules from '@elmpost/common/direct/testing/Rules.js'
 import * as targetPicker from '@elmpost/common/direct/TargetPicker.js'
@@ -74,6 +75,7 @@
       onCallCancelled: (_exchange, call) => { cancelled.push(call) },
       callsEndByMs: () => Infinity,
       suspectedMs: () => suspectedMs,
+      crashes: noCrashes.NO_CRASHES,
       runsRetry: () => false
     })
   })
--- a/packages/node/src/direct/EntryGate.ts
+++ b/packages/node/src/direct/EntryGate.ts
@@ -1,6 +1,7 @@
 import * as deadlineTimer from '../DeadlineTimer.js'
 import * as directCalls from '@elmpost/common/direct/DirectCalls.js'
 import * as rawHeaderFilter from './RawHeaderFilter.js'
+import type * as requestIdentity from './RequestIdentity.js'
 import type * as base from '@elmpost/common/base/Types.js'
 import type * as direct from '@elmpost/common/direct/Types.js'
 import type * as directServices from '@elmpost/common/direct/Services.js'
@@ -13,6 +14,8 @@
  * one. Beyond this share of its remaining time a caller has usually left, so one that is still there has waited for less.
  */
 const MAX_ACCEPT_WAIT_SHARE = 0.5
+/** Answers from here on say nothing about whether the request crashes targets. */
+export const FIRST_ERROR_STATUS = 500
 
 export interface EntryGateOptions {
   readonly nodeId: base.NodeId
@@ -32,6 +35,7 @@
   readonly callsEndByMs: () => base.Millis
   /** How long requests that are read now may already have waited while the process was stalled. */
   readonly suspectedMs: () => base.Millis
+  readonly crashes: services.ICrashGuard
   /** Whether the target beside the node is running a retry with this id. It may make nested calls meanwhile. */
   readonly runsRetry: (requestId: string) => boolean
 }
@@ -64,7 +68,8 @@
 interface PendingCall {
   readonly exchange: services.IExchange
   readonly beganAtMs: base.Millis
-  readonly headers: types.RawHeaders
+  /** The request as hosts pass it to their targets. */
+  readonly request: requestIdentity.IdentifiedRequest
   readonly origin: directServices.CallOrigin
   rule: direct.RouteRule | undefined
   /** Time of the first request of the caller. */
@@ -104,12 +109,14 @@
     const parentId = this._options.dialect.parentIdOf(info.requestId)
     const isBelowRetry = parentId !== undefined && this._options.runsRetry(parentId)
     const remainingMs = info.remainingMs === undefined ? undefined : info.remainingMs - this._uncountedMs(exchange, info.remainingMs)
-    const decision = calls.begin({ host, path, remainingMs, bodyBytes: body?.length ?? 0, endByMs: callsEndByMs(), isNestedInRetry: isBelowRetry }, beganAtMs)
+    const request = { method: exchange.method, path, headers: this._forwardedHeaders(exchange), body }
+    const history = this._options.crashes.historyOf(request)
+    const decision = calls.begin({ host, path, remainingMs, bodyBytes: body?.length ?? 0, endByMs: callsEndByMs(), isNestedInRetry: isBelowRetry, history }, beganAtMs)
     const call: PendingCall = {
       exchange,
       beganAtMs,
       callerSinceMs: beganAtMs,
-      headers: this._forwardedHeaders(exchange),
+      request,
       origin: parentId === undefined ? 'client' : 'target',
       rule: undefined,
       nodeId: '',
@@ -146,6 +153,7 @@
     switch (result.kind) {
       case 'answered':
         call.answer = result.answer
+        if (result.answer.status < FIRST_ERROR_STATUS) this._options.crashes.recordAnswer(call.request)
         this._carryOut(calls.handleAnswer(callId, nodeId, result.answer.status, result.answer.body?.length ?? 0, nowMs()))
         break
       case 'refused':
@@ -205,7 +213,7 @@
     call.nodeId = nodeId
     call.sends += 1
     this._deadlines.arm(deadlineAtMs)
-    const { method, path, body, info } = call.exchange
+    const { method, path, headers, body } = call.request
     const message: types.CallMessage = {
       callId,
       service,
@@ -214,12 +222,13 @@
       remainingMs: deadlineAtMs - sentAtMs,
       objectiveMs: rule.objectiveMs,
       elapsedMs: sentAtMs - beganAtMs,
-      requestId: info.requestId,
+      requestId: call.exchange.info.requestId,
       method,
       path,
-      headers: call.headers,
+      headers,
       body,
-      isRetry
+      isRetry,
+      crashes: this._options.crashes.reportsOf(call.request)
     }
     if (send(nodeId, message)) return undefined
     return calls.handleRefusal(callId, nodeId, { reason: 'no-target', reachedTarget: false, waitMs: 0 }, sentAtMs)
--- a/packages/node/src/direct/FleetMembership.ts
+++ b/packages/node/src/direct/FleetMembership.ts
@@ -1,8 +1,10 @@
+import * as crashReports from './CrashReports.js'
 import * as fleetSize from '@elmpost/common/direct/FleetSize.js'
 import * as nodeDirectory from './NodeDirectory.js'
 import * as nodeRecords from './NodeRecords.js'
 import * as nodeRegistry from './NodeRegistry.js'
 import type * as base from '@elmpost/common/base/Types.js'
+import type * as crashGuards from './CrashGuard.js'
 import type * as direct from '@elmpost/common/direct/Types.js'
 import type * as linkCodec from './LinkCodec.js'
 import type * as nodeServices from '../Services.js'
@@ -28,6 +30,7 @@
   readonly nowMs: () => base.Millis
   /** Target beside this node, written to the store for a later process of this node. */
   readonly target: () => direct.KnownTarget | undefined
+  readonly crashes: Pick<crashGuards.CrashGuard, 'stored' | 'restore'>
   /** Takes over the target that an earlier process of this node recorded. */
   readonly restore: (target: direct.KnownTarget) => void
 }
@@ -148,11 +151,12 @@
 
   private _record (): direct.NodeRecord {
     const { peerAddress, zone, service, linkMbps } = this._options.settings
-    return { nodeId: peerAddress, zone, service, linkMbps, target: this._options.target() }
+    return { nodeId: peerAddress, zone, service, linkMbps, target: this._options.target(), ...crashReports.storedFieldOf(this._options.crashes.stored) }
   }
 
   private _handleStoredNodes (records: readonly direct.NodeRecord[]): void {
-    const { settings, restore } = this._options
+    const { settings, restore, crashes } = this._options
+    for (const { nodeId, service, crashes: stored } of records) if (stored !== undefined) crashes.restore(stored, service, nodeId === settings.peerAddress)
     const own = records.find(({ nodeId }) => nodeId === settings.peerAddress)
     const isEarlier = !this.isKnown && !settings.isFirstStart
     if (isEarlier && own?.target !== undefined && own.service === settings.service) restore(own.target)
--- a/packages/node/src/direct/LinkCodec.ts
+++ b/packages/node/src/direct/LinkCodec.ts
@@ -1,3 +1,4 @@
+import * as crashReports from './CrashReports.js'
 import * as msgpackr from 'msgpackr'
 import * as nodeRecords from './NodeRecords.js'
 import * as results from 'ts-results-es'
@@ -47,10 +48,11 @@
   readonly confirmedAgeMs?: base.Millis
 }
 
-/** Passes records of nodes on. */
+/** Passes records of nodes on, and crashes of targets, which nodes of an earlier version do not read. */
 export interface NodesMessage {
   readonly kind: 'nodes'
   readonly nodes: readonly direct.NodeRecord[]
+  readonly crashes?: readonly direct.CrashReport[] | undefined
   /** Number of records that the receiver has left out, because they are invalid. */
   readonly refused?: number
 }
@@ -107,7 +109,7 @@
     case 'rules-request': return [KIND.rulesRequest]
     case 'rules': return [KIND.rules, message.bytes]
     case 'nodes-request': return [KIND.nodesRequest]
-    case 'nodes': return [KIND.nodes, message.nodes.map(({ nodeId, zone, service, linkMbps }) => [nodeId, zone, service, linkMbps])]
+    case 'nodes': return [KIND.nodes, message.nodes.map(({ nodeId, zone, service, linkMbps }) => [nodeId, zone, service, linkMbps]), ...crashReports.valuesOf(message.crashes)]
   }
 }
 
@@ -145,7 +147,7 @@
 
 function callValues (call: types.CallMessage): Values {
   return [KIND.call, call.callId, call.service, call.isIdempotent, call.priority, Math.round(call.remainingMs), Math.round(call.objectiveMs),
-    Math.round(call.elapsedMs), call.requestId, call.method, call.path, call.headers, call.body ?? null, call.isRetry, ...optional(call.sentAtMs)]
+    Math.round(call.elapsedMs), call.requestId, call.method, call.path, call.headers, call.body ?? null, call.isRetry, ...optional(call.sentAtMs), ...(call.sentAtMs === undefined ? [] : crashReports.valuesOf(call.crashes))]
 }
 
 function resultValues (callId: number, result: types.HostResult, load: direct.TargetLoad): Values {
@@ -183,7 +185,7 @@
     case KIND.rulesRequest: return { kind: 'rules-request' }
     case KIND.rules: return values[1] instanceof Uint8Array ? { kind: 'rules', bytes: values[1] } : undefined
     case KIND.nodesRequest: return { kind: 'nodes-request' }
-    case KIND.nodes: return nodesOf(values[1])
+    case KIND.nodes: return nodesOf(values[1], values[2])
     default: return undefined
   }
 }
@@ -217,7 +219,7 @@
 }
 
 function callOf (values: Values): LinkMessage | undefined {
-  const [, callId, service, isIdempotent, priority, remainingMs, objectiveMs, elapsedMs, requestId, method, path, headers, body, isRetry = false, sentAtMs] = values
+  const [, callId, service, isIdempotent, priority, remainingMs, objectiveMs, elapsedMs, requestId, method, path, headers, body, isRetry = false, sentAtMs, crashes] = values
   if (!isNumber(callId) || !isText(service) || typeof isIdempotent !== 'boolean' || !isNumber(priority) || !isNumber(remainingMs)) return undefined
   if (!isNumber(objectiveMs) || !isNumber(elapsedMs) || !isText(requestId) || !isText(method) || !isText(path)) return undefined
   // Earlier versions do not send the last values.
@@ -236,7 +238,8 @@
     headers,
     body: body ?? undefined,
     isRetry,
-    ...(sentAtMs === undefined ? {} : { sentAtMs })
+    ...(sentAtMs === undefined ? {} : { sentAtMs }),
+    ...crashReports.fieldOf(crashes)
   }
   return { kind: 'call', call }
 }
@@ -274,7 +277,7 @@
 }
 
 /** An invalid record does not cost the others. */
-function nodesOf (list: unknown): LinkMessage | undefined {
+function nodesOf (list: unknown, crashes: unknown): LinkMessage | undefined {
   if (!Array.isArray(list)) return undefined
   const nodes: direct.NodeRecord[] = []
   for (const entry of list as unknown[]) {
@@ -282,7 +285,8 @@
     const record = nodeRecords.check({ nodeId, zone, service, linkMbps })
     if (!(record instanceof Error)) nodes.push(record)
   }
-  return nodes.length === list.length ? { kind: 'nodes', nodes } : { kind: 'nodes', nodes, refused: list.length - nodes.length }
+  const message = { kind: 'nodes', nodes, ...crashReports.fieldOf(crashes) } as const
+  return nodes.length === list.length ? message : { ...message, refused: list.length - nodes.length }
 }
 
 function loadOf ([running, queued, urgentQueued, leastUrgent, slots, serviceMs, maxCallsPerS = NO_LIMIT, permits = 0]: Values): direct.TargetLoad | undefined {
--- a/packages/node/src/direct/LocalTarget.test.ts
+++ b/packages/node/src/direct/LocalTarget.test.ts
@@ -1,5 +1,6 @@
 import * as assert from 'node:assert/strict'
 import * as localTarget from './LocalTarget.js'
+import * as noCrashes from './testing/NoCrashes.js'
 import * as test from 'node:test'
 import type * as callLog from './CallLog.js'
 import type * as direct from '@elmpost/common/direct/Types.js'
@@ -32,6 +33,7 @@
       nowMs: () => 0,
       uncountedMs: () => 0,
       logger: { isEnabled: () => true, log: () => {} },
+      crashes: noCrashes.NO_CRASHES,
       callLog: { log: () => {} } as unknown as callLog.CallLog,
       onChange: () => {}
     })
--- a/packages/node/src/direct/LocalTarget.ts
+++ b/packages/node/src/direct/LocalTarget.ts
@@ -2,7 +2,6 @@
 import * as peerNotices from '@elmpost/common/direct/PeerNotices.js'
 import * as targetClient from './TargetClient.js'
 import * as targetHost from './TargetHost.js'
-import * as requestIdentity from './RequestIdentity.js'
 import * as targetProbe from './TargetProbe.js'
 import * as targetRegister from '@elmpost/common/direct/TargetRegister.js'
 import * as targetWatch from './TargetWatch.js'
@@ -10,6 +9,7 @@
 import type * as callLog from './CallLog.js'
 import type * as crashWatches from './CrashWatch.js'
 import type * as direct from '@elmpost/common/direct/Types.js'
+import type * as directServices from '@elmpost/common/direct/Services.js'
 import type * as nodeServices from '../Services.js'
 import type * as services from './Services.js'
 import type * as types from './Types.js'
@@ -31,6 +31,7 @@
   readonly uncountedMs: () => base.Millis
   readonly logger: nodeServices.ILogger
   readonly callLog: callLog.CallLog
+  readonly crashes: services.ICrashGuard
   /** The state, the slots or the id of the target has changed. */
   readonly onChange: () => void
 }
@@ -43,12 +44,12 @@
   private _client: targetClient.TargetClient
   private _maxConnections = DEFAULT_MAX_CONNECTIONS
   private _healthPath: string | undefined
-  private readonly _identity: requestIdentity.RequestIdentity
   private _crashes = 0
   private _crashId = ''
   private readonly _peerNotices = new peerNotices.PeerNotices()
   /** Start of the target that `_notice` is about. */
   private _start: direct.TargetStart | undefined
+  /** What the target last stated in an answer to this node or, before the first one, to others. */
   private _notice = NO_NOTICE
   /** Whether this process has an answer of the target, which is newer than what other nodes know. */
   private _hasAnswer = false
@@ -56,7 +57,6 @@
   constructor (options: LocalTargetOptions) {
     this._options = options
     const { settings, dialect, nowMs, logger } = options
-    this._identity = new requestIdentity.RequestIdentity(dialect)
     this._client = this._openClient()
     this.watch = new targetWatch.TargetWatch({
       settings,
@@ -80,6 +80,7 @@
       probe: onResult => { targetProbe.probe(settings.targetAddress, PROBE_TIMEOUT_MS, onResult) },
       newCrashId: () => crypto.randomBytes(CRASH_ID_BYTES).toString('base64url'),
       start: () => this.watch.reported,
+      crashes: options.crashes,
       events: this
     })
   }
@@ -96,9 +97,9 @@
     previous.close()
   }
 
-  /** What the target last stated in an answer to this node or, before the first one, to others. */
-  public get notice (): direct.TargetNotice {
-    return this._notice
+  public get gauges (): Pick<directServices.DirectGauges, 'load' | 'state' | 'targetCalls' | 'targetCrashes' | 'targetLimitPerS'> {
+    const { host, watch } = this
+    return { load: host.load, state: watch.state, targetCalls: host.started, targetCrashes: this._crashes, targetLimitPerS: this._notice.maxCallsPerS ?? Infinity }
   }
 
   public tick (): void {
@@ -131,15 +132,14 @@
     this._options.callLog.log('info', 'run-cancelled', { requestId: call.requestId, isRunning, heldMs: Math.round(heldMs), elapsedMs: Math.round(call.elapsedMs), remainingMs: Math.round(call.remainingMs) })
   }
 
-  /** Unexpected ends of the target since this process started. */
-  public get crashes (): number {
-    return this._crashes
+  public onTrial (call: types.CallMessage): void {
+    this._options.callLog.log('info', 'run-trial', { requestId: call.requestId, target: this.watch.targetId, fingerprint: this._options.crashes.historyOf(call).fingerprint })
   }
 
   public onTargetCrashed ({ id, target, runs }: crashWatches.TargetCrash): void {
     if (id !== this._crashId) this._crashes += 1
     this._crashId = id
-    const requests = runs.slice(0, MAX_LOGGED_RUNS).map(({ call }) => `${call.requestId}:${this._identity.fingerprintOf(call)}`).join(' ')
+    const requests = runs.slice(0, MAX_LOGGED_RUNS).map(({ call }) => `${call.requestId}:${this._options.crashes.historyOf(call).fingerprint}`).join(' ')
     this._options.callLog.log('warn', 'target-crashed', { target: target.targetId, crash: id, running: runs.length, requests })
   }
 
--- a/packages/node/src/direct/NodeRecords.ts
+++ b/packages/node/src/direct/NodeRecords.ts
@@ -1,4 +1,5 @@
 /** Checks what is read of other nodes, from whichever writer: the records in the store, records that nodes pass on, greetings, seeds. */
+import * as crashReports from './CrashReports.js'
 import type * as base from '@elmpost/common/base/Types.js'
 import type * as direct from '@elmpost/common/direct/Types.js'
 
@@ -28,12 +29,12 @@
 /** Checks a decoded record. Returns an error that states the problem. */
 export function check (value: unknown): direct.NodeRecord | Error {
   if (value === null || typeof value !== 'object') return new Error('the record is not an object')
-  const { nodeId, zone, service, linkMbps = 0, target } = value as { readonly [name in keyof direct.NodeRecord]?: unknown }
+  const { nodeId, zone, service, linkMbps = 0, target, crashes } = value as { readonly [name in keyof direct.NodeRecord]?: unknown }
   if (typeof nodeId !== 'string' || !isAddress(nodeId)) return new Error('nodeId is not an address such as 10.0.0.1:7380')
   if (!isName(zone)) return new Error('zone is not a name')
   if (!isName(service)) return new Error('service is not a name')
   if (!isLinkMbps(linkMbps)) return new Error('linkMbps is not a bandwidth')
-  return { nodeId, zone, service, linkMbps, target: targetOf(target) }
+  return { nodeId, zone, service, linkMbps, target: targetOf(target), ...crashReports.storedFieldOf(crashes) }
 }
 
 /** Undefined if no valid target is recorded. */
--- a/packages/node/src/direct/Reasons.ts
+++ b/packages/node/src/direct/Reasons.ts
@@ -15,6 +15,7 @@
   'target-refused': { status: 503, remedy: 'The targets refused the request unrun. Send it again after the time in Retry-After.' },
   deadline: { status: 503, remedy: 'Allow more time.' },
   stopping: { status: 503, remedy: 'The node is stopping. Send the request again, to another node.' },
+  'crashes-targets': { status: 503, remedy: 'Targets have ended each time they ran this request. Change it, or ask the operators of the service to look for crashes-targets in the log of the node. It is not tried again before the time in Retry-After.' },
   timeout: { status: 504, remedy: 'The request may have run. Check with the service before you send it again.' },
   'peer-lost': { status: 502, remedy: 'The node beside the target failed. Check with the service whether the request has run.' },
   'target-lost': { status: 502, remedy: 'The target failed while it ran the request. Check with the service whether it has run.' },
--- a/packages/node/src/direct/Services.ts
+++ b/packages/node/src/direct/Services.ts
@@ -1,7 +1,9 @@
 /** Interfaces between the parts of a node that carries direct calls, and to its platform. */
 import type * as base from '@elmpost/common/base/Types.js'
+import type * as crashWatches from './CrashWatch.js'
 import type * as direct from '@elmpost/common/direct/Types.js'
 import type * as http from 'node:http'
+import type * as requestIdentity from './RequestIdentity.js'
 import type * as storeEra from '@elmpost/common/direct/StoreEra.js'
 import type * as types from './Types.js'
 
@@ -63,6 +65,20 @@
   abandon(caller: IHostCaller): void
 }
 
+/** Knows which requests crash the targets that run them. */
+export interface ICrashGuard {
+  standingOf(request: requestIdentity.IdentifiedRequest): direct.Standing
+  /** Stays true while the request is under way. */
+  historyOf(request: requestIdentity.IdentifiedRequest): direct.IRequestHistory
+  /** What is held against the request, for the host that it is sent to. Undefined if nothing is. */
+  reportsOf(request: requestIdentity.IdentifiedRequest): readonly direct.CrashReport[] | undefined
+  /** A target has answered the request without an error. */
+  recordAnswer(request: requestIdentity.IdentifiedRequest): void
+  recordCrash(crash: crashWatches.TargetCrash): void
+  /** Takes over what another node knows. */
+  recordReports(reports: readonly direct.CrashReport[]): void
+}
+
 /** Sends HTTP requests to the target. */
 export interface ITargetClient extends base.IDisposable {
   /** `onNotice` is called for an answer to the request, before its body is complete. */
--- a/packages/node/src/direct/TargetHost.test.ts
+++ b/packages/node/src/direct/TargetHost.test.ts
@@ -1,4 +1,5 @@
 import * as assert from 'node:assert/strict'
+import * as noCrashes from './testing/NoCrashes.js'
 import * as targetHost from './TargetHost.js'
 import * as test from 'node:test'
 import type * as direct from '@elmpost/common/direct/Types.js'
@@ -62,6 +63,7 @@
       uncountedMs: () => uncountedMs,
       probe: onResult => { onResult(true) },
       newCrashId: () => 'crash',
+      crashes: noCrashes.NO_CRASHES,
       start: () => ({ targetId: 't', startedAtMs: 1 }),
       events: {
         onTargetUnreachable: code => { events.push(`unreachable ${code}`) },
@@ -70,6 +72,7 @@
         onCallFailed: () => {},
         onCallRefused: () => {},
         onCallCancelled: ({ callId }, isRunning, heldMs) => { events.push(`cancelled ${callId} ${isRunning} ${heldMs}`) },
+        onTrial: () => {},
         onTargetCrashed: () => {},
         onTargetNotice: () => {}
       }
--- a/packages/node/src/direct/TargetHost.ts
+++ b/packages/node/src/direct/TargetHost.ts
@@ -1,4 +1,5 @@
 import * as crashWatches from './CrashWatch.js'
+import * as entryGate from './EntryGate.js'
 import * as slotQueue from '@elmpost/common/direct/SlotQueue.js'
 import type * as base from '@elmpost/common/base/Types.js'
 import type * as direct from '@elmpost/common/direct/Types.js'
@@ -14,6 +15,8 @@
 /** A target without an answer for this time and for `SILENCE_CALLS` mean service times gets a health check. */
 const SILENCE_MS = 700
 const SILENCE_CALLS = 4
+/** A call that waits to run alone is refused when the time left is less than this share of the mean time of a call. */
+const TRIAL_USEFUL_SHARE = 0.5
 
 export interface TargetHostOptions {
   readonly nodeId: base.NodeId
@@ -29,6 +32,7 @@
   /** Finds out whether the target accepts a connection. */
   readonly probe: (onResult: (isUp: boolean) => void) => void
   readonly newCrashId: () => string
+  readonly crashes: services.ICrashGuard
   /** Start of the target; undefined if it is not known. */
   readonly start: () => direct.TargetStart | undefined
   readonly events: ITargetHostEvents
@@ -46,6 +50,8 @@
   onCallRefused(call: types.CallMessage, reason: direct.RefusalReason, waitMs: base.Millis): void
   /** The entry node has cancelled the call `heldMs` after it arrived here. `isRunning`: it had been started. */
   onCallCancelled(call: types.CallMessage, isRunning: boolean, heldMs: base.Millis): void
+  /** The call runs alone, because it may crash the target. */
+  onTrial(call: types.CallMessage): void
   /** The target has ended while it was running these requests. Called again if further ones turn out to have been running. */
   onTargetCrashed(crash: crashWatches.TargetCrash): void
   /** An answer of the target contains this notice. */
@@ -69,7 +75,9 @@
   private readonly _retryIds = new Set<string>()
   private readonly _calls = new Map<number, HostedCall>()
   private readonly _callsByCaller = new Map<services.IHostCaller, Map<number, HostedCall>>()
-  private readonly _crashes: crashWatches.CrashWatch
+  private readonly _watch: crashWatches.CrashWatch
+  /** Call that waits until it can run alone, or runs alone. */
+  private _trial: HostedCall | undefined
   private _nextId = 1
   private _started = 0
   private _answeredAtMs = -Infinity
@@ -77,13 +85,16 @@
   constructor (options: TargetHostOptions) {
     this._options = options
     const { probe, newCrashId, start, state, nowMs, events } = options
-    this._crashes = new crashWatches.CrashWatch({
+    this._watch = new crashWatches.CrashWatch({
       probe,
       target: () => state() === 'leaving' ? undefined : start(),
       running: () => this._runs(),
       newId: newCrashId,
       nowMs,
-      onCrash: crash => { events.onTargetCrashed(crash) }
+      onCrash: crash => {
+        this._options.crashes.recordCrash(crash)
+        events.onTargetCrashed(crash)
+      }
     })
   }
 
@@ -132,6 +143,16 @@
       this._refuse(call, { reason: 'deadline', reachedTarget: false, waitMs: 0 })
       return
     }
+    if (message.crashes !== undefined) this._options.crashes.recordReports(message.crashes)
+    const standing = this._options.crashes.standingOf(message)
+    if (standing === 'blocked') {
+      this._refuse(call, { reason: 'target-refused', reachedTarget: false, waitMs: 0 })
+      return
+    }
+    if (standing === 'trial') {
+      this._offerTrial(call)
+      return
+    }
     const offer = this._queue.offer(call, nowMs)
     if (offer.kind === 'start') this._start(call)
     else if (offer.kind === 'refused') this._refuse(call, { reason: 'busy', reachedTarget: false, waitMs: offer.waitMs })
@@ -142,10 +163,11 @@
   public cancel (caller: services.IHostCaller, callId: number): boolean {
     const call = this._callsByCaller.get(caller)?.get(callId)
     if (call === undefined) return false
-    const isWaiting = this._queue.withdraw(call.id)
+    const isWaiting = this._queue.withdraw(call.id) || this._isWaitingTrial(call)
     this._options.events.onCallCancelled(call.message, !isWaiting, this._waitClockMs - call.arrivedAtMs)
     if (isWaiting) {
       this._remove(call)
+      this._startNext()
       return true
     }
     if (call.message.isIdempotent) this._abort(call)
@@ -175,11 +197,12 @@
 
   /** Another start of the target is current. */
   public handleNewStart (): void {
-    this._crashes.handleNewStart()
+    this._watch.handleNewStart()
   }
 
   /** Refuses all waiting calls when the target accepts no more calls. */
   public refuseWaiting (): void {
+    if (this._trial !== undefined && this._isWaitingTrial(this._trial)) this._refuse(this._trial, { reason: 'no-target', reachedTarget: false, waitMs: 0 })
     for (const { id } of this._queue.clear()) this._refuseWaitingCall(id, 'no-target')
   }
 
@@ -202,15 +225,30 @@
     return nowMs - Math.max(oldestMs, this._answeredAtMs) > Math.max(SILENCE_MS, SILENCE_CALLS * this._queue.meanMs)
   }
 
+  /** Lets the calls on the target end and the call run alone. One call at a time, so that the others wait for one run only. */
+  private _offerTrial (call: HostedCall): void {
+    if (this._trial !== undefined) {
+      this._refuse(call, { reason: 'busy', reachedTarget: false, waitMs: this._queue.meanMs })
+      return
+    }
+    this._trial = call
+    this._queue.setHeld(true)
+    this._startNext()
+  }
+
+  private _isWaitingTrial (call: HostedCall): boolean {
+    return call === this._trial && call.startedAtMs === Infinity
+  }
+
   /** The target may go on with a call that it has begun. */
   private _abort (call: HostedCall): void {
-    if (call.startedAtMs < Infinity) this._crashes.recordAbandoned(runOf(call), Math.max(0, call.overdueAtMs - this._options.nowMs()))
+    if (call.startedAtMs < Infinity) this._watch.recordAbandoned(this._runOf(call), Math.max(0, call.overdueAtMs - this._options.nowMs()))
     call.run?.abort()
   }
 
   /** Requests that have been passed to the target. */
   private * _runs (): Iterable<crashWatches.CrashedRun> {
-    for (const call of this._calls.values()) if (call.startedAtMs < Infinity) yield runOf(call)
+    for (const call of this._calls.values()) if (call.startedAtMs < Infinity) yield this._runOf(call)
   }
 
   private _track (caller: services.IHostCaller, message: types.CallMessage, nowMs: base.Millis): HostedCall {
@@ -265,6 +303,7 @@
     if (result.kind === 'answered' || result.kind === 'declined') this._answeredAtMs = this._options.nowMs()
     switch (result.kind) {
       case 'answered':
+        if (result.answer.status < entryGate.FIRST_ERROR_STATUS) this._options.crashes.recordAnswer(call.message)
         this._finish(call, { kind: 'answered', answer: result.answer })
         break
       case 'declined':
@@ -276,17 +315,26 @@
         break
       case 'unreachable':
         this._refuse(call, { reason: 'no-target', reachedTarget: false, waitMs: 0 })
-        if (result.code === 'ECONNREFUSED') this._crashes.handleRefused()
+        if (result.code === 'ECONNREFUSED') this._watch.handleRefused()
         if (!this._isAnswering) this._options.events.onTargetUnreachable(result.code)
         break
       case 'failed':
-        if (result.reason === 'target-lost') this._crashes.handleLost(runOf(call), () => {})
-        this._options.events.onCallFailed(call.message, result.reason, result.detail)
-        this._finish(call, { kind: 'failed', reason: result.reason })
+        if (result.reason === 'target-lost') this._watch.handleLost(this._runOf(call), () => { this._fail(call, result) })
+        else this._fail(call, result)
     }
     this._startNext()
   }
 
+  private _fail (call: HostedCall, { reason, detail }: types.RunResult & { readonly kind: 'failed' }): void {
+    this._options.events.onCallFailed(call.message, reason, detail)
+    this._finish(call, { kind: 'failed', reason })
+    this._startNext()
+  }
+
+  private _runOf (call: HostedCall): crashWatches.CrashedRun {
+    return { call: call.message, isTrial: call === this._trial }
+  }
+
   /** Refuses waiting calls that cannot end in time. This happens before their deadlines, because callers may retry only calls that were refused as not run. */
   private _prune (nowMs: base.Millis): void {
     for (const { id } of this._queue.prune(nowMs)) this._refuseWaitingCall(id, 'busy')
@@ -295,10 +343,32 @@
   private _startNext (): void {
     const nowMs = this._waitClockMs
     this._prune(nowMs)
+    if (this._trial !== undefined) {
+      this._startTrial(this._trial, nowMs)
+      return
+    }
     for (let next = this._queue.next(nowMs); next !== undefined; next = this._queue.next(nowMs)) {
       const call = this._calls.get(next.id)
-      if (call === undefined) this._queue.release(next.id, undefined)
-      else this._start(call)
+      const standing = call === undefined ? 'free' : this._options.crashes.standingOf(call.message)
+      if (call !== undefined && standing !== 'blocked' && standing !== 'trial') {
+        this._start(call)
+        continue
+      }
+      this._queue.release(next.id, undefined)
+      // It comes back as a trial, if it may run at all.
+      if (call !== undefined) this._refuse(call, { reason: standing === 'trial' ? 'busy' : 'target-refused', reachedTarget: false, waitMs: 0 })
+    }
+  }
+
+  private _startTrial (trial: HostedCall, nowMs: base.Millis): void {
+    if (!this._isWaitingTrial(trial)) return
+    const isBlocked = this._options.crashes.standingOf(trial.message) === 'blocked'
+    if (isBlocked || nowMs + this._queue.meanMs * TRIAL_USEFUL_SHARE > trial.deadlineAtMs) {
+      this._refuse(trial, { reason: isBlocked ? 'target-refused' : 'busy', reachedTarget: false, waitMs: this._queue.meanMs })
+      this._startNext()
+    } else if (this._queue.startAlone(trial, nowMs)) {
+      this._options.events.onTrial(trial.message)
+      this._start(trial)
     }
   }
 
@@ -318,13 +388,13 @@
   }
 
   private _remove (call: HostedCall): void {
+    if (call === this._trial) {
+      this._trial = undefined
+      this._queue.setHeld(false)
+    }
     this._calls.delete(call.id)
     const calls = this._callsByCaller.get(call.caller)
     calls?.delete(call.message.callId)
     if (calls?.size === 0) this._callsByCaller.delete(call.caller)
   }
 }
-
-function runOf ({ message }: HostedCall): crashWatches.CrashedRun {
-  return { call: message, isTrial: false }
-}
--- a/packages/node/src/direct/Types.ts
+++ b/packages/node/src/direct/Types.ts
@@ -24,6 +24,8 @@
   readonly isRetry: boolean
   /** When the entry node wrote the call, on its monotonic clock; set by the link. Undefined from a node of an earlier version. */
   readonly sentAtMs?: base.Millis
+  /** Crashes that the request took part in, for a host that may not know of them. */
+  readonly crashes?: readonly direct.CrashReport[] | undefined
 }
 
 /** Complete answer of a target. */
--- a/packages/node/src/direct/testing/VirtualFleet.ts
+++ b/packages/node/src/direct/testing/VirtualFleet.ts
@@ -1,6 +1,7 @@
 import * as directCalls from '@elmpost/common/direct/DirectCalls.js'
 import * as entryGate from '../EntryGate.js'
 import * as limitBound from '@elmpost/common/direct/testing/LimitBound.js'
+import * as noCrashes from './NoCrashes.js'
 import * as random from '@elmpost/common/base/Random.js'
 import * as retryBound from '@elmpost/common/direct/testing/RetryBound.js'
 import * as targetHost from '../TargetHost.js'
@@ -178,8 +179,9 @@
       uncountedMs: () => 0,
       probe: onResult => { onResult(true) },
       newCrashId: () => '',
+      crashes: noCrashes.NO_CRASHES,
       start: () => ({ targetId: id, startedAtMs: 0 }),
-      events: { onTargetUnreachable: () => {}, onTargetSilent: () => {}, onTargetDisplaced: () => {}, onCallFailed: () => {}, onCallRefused: () => {}, onCallCancelled: () => {}, onTargetCrashed: () => {}, onTargetNotice: (_targetId, { maxCallsPerS = Infinity }) => { host.setLimit(maxCallsPerS) } }
+      events: { onTargetUnreachable: () => {}, onTargetSilent: () => {}, onTargetDisplaced: () => {}, onCallFailed: () => {}, onCallRefused: () => {}, onCallCancelled: () => {}, onTrial: () => {}, onTargetCrashed: () => {}, onTargetNotice: (_targetId, { maxCallsPerS = Infinity }) => { host.setLimit(maxCallsPerS) } }
     })
     host.setSlots(this._options.slots)
     const gate: entryGate.EntryGate = new entryGate.EntryGate({
@@ -199,6 +201,7 @@
       onCallCancelled: () => {},
       callsEndByMs: () => Infinity,
       suspectedMs: () => 0,
+      crashes: noCrashes.NO_CRASHES,
       runsRetry: requestId => host.runsRetry(requestId)
     })
     const node = { id, service, table, gate, host }
