Test the blocking of requests that crash targets, part by part

A value in the place of the reports that is no list makes a message malformed, as at all other places.

--- a/packages/common/src/direct/DirectCalls.test.ts
+++ b/packages/common/src/direct/DirectCalls.test.ts
@@ -279,4 +279,49 @@
       if (decision?.kind === 'refuse') assert.equal(possibleRuns, 0)
     }))
   })
+
+  // Guards against a request that crashes targets and is sent on, or is answered with a promise that is not true.
+  test.describe('a request that crashes targets', () => {
+    const history = { fingerprint: 'f', standing: 'free' as types.Standing, blockedForMs: 60_000 }
+    const begin = (calls: directCalls.DirectCalls): types.CallDecision => calls.begin({ ...REQUEST, history }, 0)
+
+    test.beforeEach(() => { history.standing = 'free' })
+
+    test.it('is refused before it is sent, and not before the time until it is tried again', () => {
+      history.standing = 'blocked'
+      const answer = ended(begin(create().calls))
+      assert.deepEqual([answer.kind, answer.reason, answer.retryAfterMs, answer.sends], ['refuse', 'crashes-targets', 60_000, 0])
+    })
+
+    test.it('is not retried once it is blocked; its caller learns that it may have run', () => {
+      const { calls } = create()
+      const { callId, nodeId } = sent(begin(calls))
+      history.standing = 'blocked'
+      const answer = ended(calls.handleFailure(callId, nodeId, 'target-lost', 50))
+      assert.deepEqual([answer.kind, answer.reason], ['fail', 'target-lost'])
+    })
+
+    test.it('is refused as not run if it is blocked while a host holds it unrun', () => {
+      const { calls } = create()
+      const { callId, nodeId } = sent(begin(calls))
+      history.standing = 'blocked'
+      const answer = ended(calls.handleRefusal(callId, nodeId, { reason: 'target-refused', reachedTarget: false, waitMs: 0 }, 50))
+      assert.deepEqual([answer.kind, answer.reason], ['refuse', 'crashes-targets'])
+    })
+
+    test.it('is not tried on a second target while another trial takes the first', () => {
+      const { calls } = create()
+      history.standing = 'trial'
+      const { callId, nodeId } = sent(begin(calls))
+      const answer = ended(calls.handleRefusal(callId, nodeId, BUSY, 10))
+      assert.deepEqual([answer.kind, answer.reason], ['refuse', 'busy'])
+    })
+
+    test.it('is tried elsewhere if the target of the trial is gone', () => {
+      const { calls } = create()
+      history.standing = 'trial'
+      const { callId, nodeId } = sent(begin(calls))
+      assert.notEqual(sent(calls.handleRefusal(callId, nodeId, { reason: 'no-target', reachedTarget: false, waitMs: 0 }, 10)).nodeId, nodeId)
+    })
+  })
 })
--- a/packages/common/src/direct/TargetPicker.test.ts
+++ b/packages/common/src/direct/TargetPicker.test.ts
@@ -222,4 +222,25 @@
       assert.deepEqual(picker.pick(CALL, NO_NODES, 0), { row: undefined, isBusy: true, limitWaitMs: 500 })
     })
   })
+
+  test.describe('a request that may crash its target', () => {
+    const suspect = (standing: types.Standing): targetPicker.PickRequest => ({ ...CALL, history: { fingerprint: 'f', standing, blockedForMs: 0 } })
+
+    // Guards against a suspect that takes the calls of a full target with it while another one is nearly idle.
+    test.it('goes where the fewest others run', () => {
+      add('full', 'vake', { running: 4 })
+      add('quiet', 'didube', { running: 1 })
+      add('busy', 'vake', { running: 3 })
+      assert.equal(picker.pick(suspect('suspect'), NO_NODES, 0).row?.nodeId, 'quiet')
+    })
+
+    test.it('is tried on the same target by all nodes, whatever each knows of the load', () => {
+      for (let node = 0; node < 10; node++) add(`n${node}`, 'vake')
+      const first = picker.pick(suspect('trial'), NO_NODES, 0).row?.nodeId
+      for (let node = 0; node < 10; node++) add(`n${node}`, 'vake', { running: node % 5, queued: 10 - node })
+      const otherNode = new targetPicker.TargetPicker({ table, selfId: 'n3', zone: 'didube', random: new random.Random(9), otherZoneCostMs: () => 0 })
+      assert.equal(otherNode.pick(suspect('trial'), NO_NODES, 0).row?.nodeId, first)
+      assert.notEqual(otherNode.pick(suspect('trial'), new Set([first ?? '']), 0).row?.nodeId, first)
+    })
+  })
 })
--- a/packages/node/src/direct/CrashReports.ts
+++ b/packages/node/src/direct/CrashReports.ts
@@ -18,8 +18,10 @@
   return [reports.map(({ id, service, ageMs, requests }) => [id, service, Math.round(ageMs), requests.map(requestValues)])]
 }
 
-/** The field of a decoded message; no field if the message has no valid report. */
-export function fieldOf (value: unknown): { readonly crashes?: readonly direct.CrashReport[] } {
+/** The field of a decoded message; no field if the message has no valid report. Undefined if the value is no list. */
+export function fieldOf (value: unknown): { readonly crashes?: readonly direct.CrashReport[] } | undefined {
+  if (value === undefined) return {}
+  if (!Array.isArray(value)) return undefined
   const crashes = listOf(value, crashHistory.MAX_REPORTS, reportOf)
   return crashes.length === 0 ? {} : { crashes }
 }
--- a/packages/node/src/direct/LinkCodec.test.ts
+++ b/packages/node/src/direct/LinkCodec.test.ts
@@ -3,11 +3,17 @@
 import * as linkCodec from './LinkCodec.js'
 import * as msgpackr from 'msgpackr'
 import * as test from 'node:test'
+import type * as direct from '@elmpost/common/direct/Types.js'
 
 const LOAD = { running: 1, queued: 2, urgentQueued: 1, leastUrgent: 2, slots: 4, serviceMs: 50 }
 
 const LIMITED = { ...LOAD, limit: { maxCallsPerS: 9.8, permits: 2 } }
 
+const CRASHES: readonly direct.CrashReport[] = [
+  { id: 'c1', service: 'till', ageMs: 12, requests: [{ fingerprint: 'f1', isTrial: false, answered: 'never' }, { fingerprint: 'f2', isTrial: false, answered: 'before' }] },
+  { id: 'c2', service: 'till', ageMs: 0, requests: [{ fingerprint: 'f1', isTrial: true, answered: 'after' }] }
+]
+
 /** Messages as nodes of the version before limits send them. */
 const EARLIER: readonly (readonly unknown[])[] = [
   [0, '10.0.0.1:7080', 'vake', 'till', 7, 70],
@@ -58,7 +64,28 @@
   { kind: 'rules-request' },
   { kind: 'rules', bytes: Buffer.from('{}') },
   { kind: 'nodes-request' },
-  { kind: 'nodes', nodes: [{ nodeId: '10.0.0.1:7080', zone: 'vake', service: 'till', linkMbps: 3.5, target: undefined }] }
+  { kind: 'nodes', nodes: [{ nodeId: '10.0.0.1:7080', zone: 'vake', service: 'till', linkMbps: 3.5, target: undefined }] },
+  { kind: 'nodes', nodes: [], crashes: CRASHES },
+  {
+    kind: 'call',
+    call: {
+      callId: 9,
+      service: 'till',
+      isIdempotent: true,
+      priority: 1,
+      remainingMs: 800,
+      objectiveMs: 200,
+      elapsedMs: 3,
+      requestId: 'r1',
+      method: 'GET',
+      path: '/',
+      headers: [],
+      body: undefined,
+      isRetry: false,
+      sentAtMs: 81_234,
+      crashes: CRASHES
+    }
+  }
 ]
 
 test.describe('LinkCodec', () => {
@@ -100,6 +127,28 @@
       }
     })
 
+    // Guards against a node of the last landing that refuses what a new one sends: it reads these positions, and no further ones.
+    test.it('sends crashes behind the values that the version before crash reports reads', () => {
+      const packr = new msgpackr.Packr({ useRecords: false })
+      const news = packr.unpack(codec.encode({ kind: 'nodes', nodes: [], crashes: CRASHES })) as unknown[]
+      assert.deepEqual(news.slice(0, 2), [11, []])
+      const call = MESSAGES.at(-1) as linkCodec.LinkMessage
+      const sent = packr.unpack(codec.encode(call)) as unknown[]
+      assert.deepEqual(sent.slice(0, 15), [2, 9, 'till', true, 1, 800, 200, 3, 'r1', 'GET', '/', [], null, false, 81_234])
+      const earlier = codec.decode(packr.pack(sent.slice(0, 15))).unwrap()
+      assert.ok(earlier.kind === 'call' && earlier.call.crashes === undefined)
+    })
+
+    // Guards against an entry of another writer that costs the other reports, or blocks a request that is none.
+    test.it('leaves invalid crash reports out', () => {
+      const packr = new msgpackr.Packr({ useRecords: false })
+      const good = ['c2', 'till', 0, [['f1', 6], ['', 0], ['f2', 3], ['f3', -1], ['f4', 'x'], 7]]
+      const bad = [5, null, [], ['', 'till', 0, []], ['c', 1, 0, []], ['c', 'till', -1, []], ['c', 'till', 1e300, []], ['x'.repeat(100), 'till', 0, []]]
+      const message = codec.decode(packr.pack([11, [], [bad[0], good, ...bad.slice(1)]])).unwrap()
+      assert.deepEqual(message, { kind: 'nodes', nodes: [], crashes: [{ id: 'c2', service: 'till', ageMs: 0, requests: [{ fingerprint: 'f1', isTrial: true, answered: 'after' }] }] })
+      assert.deepEqual(codec.decode(packr.pack([11, [], [[[[]]]]])).unwrap(), { kind: 'nodes', nodes: [] })
+    })
+
     test.it('does not throw on arbitrary bytes, which must not end the process', () => {
       fastCheck.assert(fastCheck.property(fastCheck.uint8Array({ maxLength: 64 }), bytes => {
         codec.decode(bytes)
--- a/packages/node/src/direct/LinkCodec.ts
+++ b/packages/node/src/direct/LinkCodec.ts
@@ -223,7 +223,8 @@
   if (!isNumber(callId) || !isText(service) || typeof isIdempotent !== 'boolean' || !isNumber(priority) || !isNumber(remainingMs)) return undefined
   if (!isNumber(objectiveMs) || !isNumber(elapsedMs) || !isText(requestId) || !isText(method) || !isText(path)) return undefined
   // Earlier versions do not send the last values.
-  if (!isHeaders(headers) || !isBody(body) || typeof isRetry !== 'boolean' || !isOptionalNumber(sentAtMs)) return undefined
+  const crashField = crashReports.fieldOf(crashes)
+  if (!isHeaders(headers) || !isBody(body) || typeof isRetry !== 'boolean' || !isOptionalNumber(sentAtMs) || crashField === undefined) return undefined
   const call = {
     callId,
     service,
@@ -239,7 +240,7 @@
     body: body ?? undefined,
     isRetry,
     ...(sentAtMs === undefined ? {} : { sentAtMs }),
-    ...crashReports.fieldOf(crashes)
+    ...crashField
   }
   return { kind: 'call', call }
 }
@@ -278,14 +279,15 @@
 
 /** An invalid record does not cost the others. */
 function nodesOf (list: unknown, crashes: unknown): LinkMessage | undefined {
-  if (!Array.isArray(list)) return undefined
+  const crashField = crashReports.fieldOf(crashes)
+  if (!Array.isArray(list) || crashField === undefined) return undefined
   const nodes: direct.NodeRecord[] = []
   for (const entry of list as unknown[]) {
     const [nodeId, zone, service, linkMbps] = Array.isArray(entry) ? entry as Values : []
     const record = nodeRecords.check({ nodeId, zone, service, linkMbps })
     if (!(record instanceof Error)) nodes.push(record)
   }
-  const message = { kind: 'nodes', nodes, ...crashReports.fieldOf(crashes) } as const
+  const message = { kind: 'nodes', nodes, ...crashField } as const
   return nodes.length === list.length ? message : { ...message, refused: list.length - nodes.length }
 }
 
--- a/packages/node/src/direct/TargetHost.test.ts
+++ b/packages/node/src/direct/TargetHost.test.ts
@@ -43,6 +43,10 @@
   let host: targetHost.TargetHost
   let results: Map<number, types.HostResult>
   let events: string[]
+  let isUp: boolean
+  /** By path. */
+  let standings: Map<string, direct.Standing>
+  let crashes: (readonly (readonly [string, boolean])[])[]
   const caller: services.IHostCaller = { handleHostResult: (_nodeId, callId, result) => { results.set(callId, result) } }
 
   test.beforeEach(() => {
@@ -52,6 +56,9 @@
     client = new FakeClient()
     results = new Map()
     events = []
+    isUp = true
+    standings = new Map()
+    crashes = []
     host = new targetHost.TargetHost({
       nodeId: 'n',
       service: 'till',
@@ -61,9 +68,13 @@
       state: () => state,
       nowMs: () => nowMs,
       uncountedMs: () => uncountedMs,
-      probe: onResult => { onResult(true) },
+      probe: onResult => { onResult(isUp) },
       newCrashId: () => 'crash',
-      crashes: noCrashes.NO_CRASHES,
+      crashes: {
+        ...noCrashes.NO_CRASHES,
+        standingOf: ({ path }) => standings.get(path) ?? 'free',
+        recordCrash: ({ runs }) => { crashes.push(runs.map(({ call: { requestId }, isTrial }) => [requestId, isTrial])) }
+      },
       start: () => ({ targetId: 't', startedAtMs: 1 }),
       events: {
         onTargetUnreachable: code => { events.push(`unreachable ${code}`) },
@@ -113,6 +124,76 @@
     })
   })
 
+  // Guards against a suspect that costs all others on its target their answers.
+  test.describe('a call that may crash the target', () => {
+    test.beforeEach(() => {
+      host.setSlots(4)
+      standings.set('/suspect', 'trial')
+      host.accept(caller, call(1, { isIdempotent: false }))
+      host.accept(caller, call(2, { path: '/suspect' }))
+      host.accept(caller, call(3, { isIdempotent: false }))
+    })
+
+    function ended (): string[] {
+      return [...results].map(([callId, { kind }]) => `${callId} ${kind}`)
+    }
+
+    test.it('waits for the calls on the target, and runs alone', () => {
+      assert.deepEqual(client.running.map(({ request }) => request.requestId), ['r1'])
+      client.running[0]?.end(ANSWER)
+      assert.deepEqual(client.running.map(({ request }) => request.requestId), ['r1', 'r2'])
+      host.accept(caller, call(4))
+      assert.equal(client.running.length, 2)
+      client.running[1]?.end(ANSWER)
+      assert.deepEqual(client.running.map(({ request }) => request.requestId), ['r1', 'r2', 'r3', 'r4'])
+    })
+
+    test.it('keeps a second one from waiting: it is refused as not run', () => {
+      host.accept(caller, call(5, { path: '/suspect' }))
+      assert.deepEqual(ended(), ['5 refused'])
+    })
+
+    test.it('lets the others go on if it is cancelled while it waits, or refused because it would be late', () => {
+      assert.equal(host.cancel(caller, 2), true)
+      assert.deepEqual(client.running.map(({ request }) => request.requestId), ['r1', 'r3'])
+      host.accept(caller, call(6, { path: '/suspect', remainingMs: 300 }))
+      host.accept(caller, call(7))
+      nowMs = 290
+      host.tick()
+      assert.deepEqual([ended(), client.running.length], [['6 refused'], 3])
+    })
+
+    test.it('is refused with the others when the target takes no more calls', () => {
+      state = 'leaving'
+      host.refuseWaiting()
+      assert.deepEqual(ended().sort(), ['2 refused', '3 refused'])
+    })
+
+    test.it('is named in the report as the one that ran alone, before its result is known', () => {
+      client.running[0]?.end(ANSWER)
+      isUp = false
+      client.running[1]?.end({ kind: 'failed', reason: 'target-lost', detail: 'TARGET_RESET' })
+      assert.deepEqual(crashes, [[['r2', true]]])
+      assert.deepEqual(ended(), ['1 answered', '2 failed'])
+    })
+
+    test.it('is refused at its turn if it has been blocked meanwhile', () => {
+      standings.set('/suspect', 'blocked')
+      client.running[0]?.end(ANSWER)
+      assert.deepEqual([ended(), client.running.map(({ request }) => request.requestId)], [['1 answered', '2 refused'], ['r1', 'r3']])
+    })
+  })
+
+  test.describe('a call that waits for a slot and is blocked meanwhile', () => {
+    test.it('is refused as not run', () => {
+      host.accept(caller, call(1))
+      host.accept(caller, call(2, { path: '/bad' }))
+      standings.set('/bad', 'blocked')
+      client.running[0]?.end(ANSWER)
+      assert.deepEqual([results.get(2)?.kind, client.running.length], ['refused', 1])
+    })
+  })
+
   test.describe('a retry', () => {
     test.it('is reported by its request id only while it runs, so that its nested calls can be recognised', () => {
       host.accept(caller, call(1))
