Show that an answer or a body in tiny pieces takes a node beyond its memory

Each piece is kept as an object with the buffer that it was read into, and only lengths are counted. Failing tests, listed in KNOWN-RED.txt.

--- a/packages/node/src/direct/TargetClient.test.ts
+++ b/packages/node/src/direct/TargetClient.test.ts
@@ -33,6 +33,8 @@
   'a body with a very large length': { first: `${HEAD}Content-Length: 900000000000\r\n\r\n`, repeated: BLOCK },
   'a body without a length': { first: `${HEAD}Connection: close\r\n\r\n`, repeated: BLOCK },
   'a body in chunks': { first: `${HEAD}Transfer-Encoding: chunked\r\n\r\n`, repeated: `10000\r\n${BLOCK}\r\n` },
+  'a body in chunks of one byte': { first: `${HEAD}Transfer-Encoding: chunked\r\n\r\n`, repeated: '1\r\nx\r\n'.repeat(10_000) },
+  'a body in chunks of three bytes with extensions': { first: `${HEAD}Transfer-Encoding: chunked\r\n\r\n`, repeated: '3;a=b\r\nxyz\r\n'.repeat(5_000) },
   'one chunk': { first: `${HEAD}Transfer-Encoding: chunked\r\n\r\nffffffffff\r\n`, repeated: BLOCK },
   'lines after the last chunk': { first: `${HEAD}Transfer-Encoding: chunked\r\n\r\n0\r\n`, repeated: 'X-Note: more\r\n'.repeat(4_000) }
 }
@@ -90,7 +92,7 @@
   }
 
   for (const [part, answer] of Object.entries(ENDLESS)) {
-    test.it(`in ${part} has its connection closed, with bounded memory, and the call fails as unknown`, async () => {
+    test.it(`in ${part} has its connection closed, with bounded memory, and the call fails as unknown`, { todo: part.includes('a body in chunks of') && 'KNOWN-RED.txt, issue 41' }, async () => {
       target.answer = answer
       const beforeBytes = usedBytes()
       const results: types.RunResult[] = []
