Answer all requests of a connection before a planned stop closes it

Callers that send requests behind each other lost the answers of all but the first: it announced the close, and Node.js closed the connection behind it, though targets ran the others. The close now goes with the answer to the last request that was read, and what is read behind that is not passed on.

--- a/packages/node/src/direct/Ingress.ts
+++ b/packages/node/src/direct/Ingress.ts
@@ -108,6 +108,7 @@
     const acceptWaitMs = this._acceptWaitsMs.get(request.socket) ?? 0
     this._acceptWaitsMs.delete(request.socket)
     const exchange = new IngressExchange(request, response, this, this._connections, this._options, acceptWaitMs)
+    this._connections.recordRead(exchange.socket, exchange)
     bodyReader.readBody(request, this._maxBodyBytes, {
       onComplete: body => {
         exchange.body = body
@@ -122,7 +123,7 @@
   }
 
   private _begin (exchange: IngressExchange): void {
-    if (exchange.hasLeft) this._options.onDropped(exchange, exchange.waitedMs + exchange.acceptWaitMs)
+    if (exchange.hasLeft || this._connections.isClosing(exchange.socket)) this._options.onDropped(exchange, exchange.waitedMs + exchange.acceptWaitMs)
     else exchange.begin()
   }
 }
@@ -134,7 +135,7 @@
   public readonly path: string
   public readonly headers: types.RawHeaders
   public body: Uint8Array | undefined
-  private readonly _socket: net.Socket
+  public readonly socket: net.Socket
   private readonly _readAtMs: base.Millis
 
   constructor (
@@ -146,7 +147,7 @@
     public readonly acceptWaitMs: base.Millis
   ) {
     this._readAtMs = _options.nowMs()
-    this._socket = request.socket
+    this.socket = request.socket
     this.info = _options.dialect.readRequest(request.headers)
     this.method = request.method ?? 'GET'
     this.host = request.headers.host ?? ''
@@ -156,7 +157,7 @@
 
   /** Whether the caller has closed its connection. */
   public get hasLeft (): boolean {
-    return this._socket.destroyed || this._socket.readableEnded
+    return this.socket.destroyed || this.socket.readableEnded
   }
 
   public get waitedMs (): base.Millis {
@@ -165,7 +166,7 @@
 
   public begin (): void {
     this._options.owner.begin(this)
-    if (!this._response.headersSent) this._connections.add(this._socket, this)
+    if (!this._response.headersSent) this._connections.add(this.socket, this)
   }
 
   public handleDisconnect (): void {
@@ -194,9 +195,9 @@
   }
 
   private _write (status: number, headers: types.RawHeaders, body: Uint8Array): void {
-    this._connections.remove(this._socket, this)
+    this._connections.remove(this.socket, this)
     if (this._response.destroyed) return
-    if (this._ingress.isClosing) this._response.shouldKeepAlive = false
+    if (this._ingress.isClosing && this._connections.closeAfter(this.socket, this)) this._response.shouldKeepAlive = false
     this._response.writeHead(status, [...headers])
     this._response.end(body)
   }
