Begin no call on a target that may outlast the node beside it

A host that stops took calls of other nodes for a second, and began calls that had waited for a slot, however long they might last; at the end of the grace they were cut with it, also those that must not run twice. It now refuses as not run what may last longer than itself, on arrival and at its turn, and entry nodes send it elsewhere and no further calls there. Options and events of the host have a file of their own.

--- a/packages/common/src/direct/DirectCalls.ts
+++ b/packages/common/src/direct/DirectCalls.ts
@@ -145,8 +145,8 @@
     if (refused.reason === 'busy') {
       call.isRefusedAsBusy = true
       call.shortestWaitMs = Math.min(call.shortestWaitMs, refused.waitMs)
-      this._avoid(from, call.rule.priority, refused.waitMs, nowMs)
     }
+    if (refused.reason === 'busy' || refused.reason === 'stopping') this._avoid(from, call.rule.priority, refused.waitMs, nowMs)
     // Only one target of the fleet at a time tries a request that may crash it, as far as all nodes choose the same one.
     const isTrialTaken = refused.reason === 'busy' && call.history?.standing === 'trial'
     const mayRetry = call.refusals < MAX_REFUSALS && !isTrialTaken && (!refused.reachedTarget || this._mayAttempt(call, 'declined', nowMs))
--- a/packages/node/src/direct/DirectNode.ts
+++ b/packages/node/src/direct/DirectNode.ts
@@ -102,6 +102,7 @@
       dialect,
       nowMs,
       uncountedMs: () => this._stalls.uncountedMs,
+      endsAtMs: () => this._stop.endsAtMs,
       logger,
       callLog: this._log,
       crashes: this._crashes,
@@ -222,8 +223,7 @@
     await Promise.all([this._peers.listen(), this._ingress.listen()])
     this._fleet.connectSeeds(settings.seeds)
     this._timer = setInterval(() => { this._tick() }, TICK_MS)
-    const { nodeName, zone, service, callerAddress, peerAddress } = settings
-    logger.log('info', 'started', { nodeName, zone, service, callerAddress, peerAddress })
+    logger.log('info', 'started', { nodeName: this.nodeName, zone: this.zone, service: settings.service, callerAddress: settings.callerAddress, peerAddress: settings.peerAddress })
   }
 
   /** Applies the settings that can change at run time, and logs those that need a restart. */
--- a/packages/node/src/direct/LocalTarget.test.ts
+++ b/packages/node/src/direct/LocalTarget.test.ts
@@ -32,6 +32,7 @@
       dialect: {} as unknown as services.ICallDialect,
       nowMs: () => 0,
       uncountedMs: () => 0,
+      endsAtMs: () => Infinity,
       logger: { isEnabled: () => true, log: () => {} },
       crashes: noCrashes.NO_CRASHES,
       callLog: { log: () => {} } as unknown as callLog.CallLog,
--- a/packages/node/src/direct/LocalTarget.ts
+++ b/packages/node/src/direct/LocalTarget.ts
@@ -12,6 +12,7 @@
 import type * as directServices from '@elmpost/common/direct/Services.js'
 import type * as nodeServices from '../Services.js'
 import type * as services from './Services.js'
+import type * as targetHostOptions from './TargetHostOptions.js'
 import type * as types from './Types.js'
 
 /** Connections to the target before a configuration sets its limit. */
@@ -29,6 +30,8 @@
   readonly nowMs: () => base.Millis
   /** Time that the monotonic clock may have missed so far, because the VM was suspended. */
   readonly uncountedMs: () => base.Millis
+  /** When this process ends. Infinite while it is not stopping. */
+  readonly endsAtMs: () => base.Millis
   readonly logger: nodeServices.ILogger
   readonly callLog: callLog.CallLog
   readonly crashes: services.ICrashGuard
@@ -37,7 +40,7 @@
 }
 
 /** The target beside this node: its state, its connections and the calls that run on it. */
-export class LocalTarget implements targetHost.ITargetHostEvents, base.IDisposable {
+export class LocalTarget implements targetHostOptions.ITargetHostEvents, base.IDisposable {
   public readonly watch: targetWatch.TargetWatch
   public readonly host: targetHost.TargetHost
   private readonly _options: LocalTargetOptions
@@ -77,6 +80,7 @@
       state: () => this.watch.state,
       nowMs,
       uncountedMs: options.uncountedMs,
+      endsAtMs: options.endsAtMs,
       probe: onResult => { targetProbe.probe(settings.targetAddress, PROBE_TIMEOUT_MS, onResult) },
       newCrashId: () => crypto.randomBytes(CRASH_ID_BYTES).toString('base64url'),
       start: () => this.watch.reported,
--- a/packages/node/src/direct/PlannedStop.ts
+++ b/packages/node/src/direct/PlannedStop.ts
@@ -43,11 +43,15 @@
     return this._sinceMs !== undefined && this._options.nowMs() - this._sinceMs >= TARGET_ACCEPT_MS
   }
 
+  /** Time by which all calls must have their answers. Infinite while no stop has begun. */
+  public get endsAtMs (): base.Millis {
+    return this._sinceMs === undefined ? Infinity : this._sinceMs + this._options.graceMs - MARGIN_MS
+  }
+
   /** Calls that may run past this time are refused, so that none is interrupted. Infinite while all calls are accepted. */
   public get callsEndByMs (): base.Millis {
-    const { graceMs, nowMs } = this._options
-    if (this._sinceMs === undefined || nowMs() - this._sinceMs < ACCEPT_MS) return Infinity
-    return this._sinceMs + graceMs - MARGIN_MS
+    if (this._sinceMs === undefined || this._options.nowMs() - this._sinceMs < ACCEPT_MS) return Infinity
+    return this.endsAtMs
   }
 
   public begin (): void {
--- a/packages/node/src/direct/TargetHost.test.ts
+++ b/packages/node/src/direct/TargetHost.test.ts
@@ -44,6 +44,7 @@
   let results: Map<number, types.HostResult>
   let events: string[]
   let isUp: boolean
+  let endsAtMs: number
   /** By path. */
   let standings: Map<string, direct.Standing>
   let crashes: (readonly (readonly [string, boolean])[])[]
@@ -57,6 +58,7 @@
     results = new Map()
     events = []
     isUp = true
+    endsAtMs = Infinity
     standings = new Map()
     crashes = []
     host = new targetHost.TargetHost({
@@ -68,6 +70,7 @@
       state: () => state,
       nowMs: () => nowMs,
       uncountedMs: () => uncountedMs,
+      endsAtMs: () => endsAtMs,
       probe: onResult => { onResult(isUp) },
       newCrashId: () => 'crash',
       crashes: {
@@ -184,6 +187,20 @@
     })
   })
 
+  // Guards against a call that is begun shortly before the process ends, and cut with it.
+  test.describe('a call that may last longer than the process', () => {
+    test.it('is refused as not run when it arrives, and when a slot becomes free', () => {
+      host.accept(caller, call(1, { isIdempotent: false }))
+      host.accept(caller, call(2, { isIdempotent: false }))
+      endsAtMs = 900
+      host.accept(caller, call(3))
+      host.accept(caller, call(4, { remainingMs: 800 }))
+      client.running[0]?.end(ANSWER)
+      assert.deepEqual([...results].map(([callId, { kind }]) => `${callId} ${kind}`).sort(), ['1 answered', '2 refused', '3 refused'])
+      assert.deepEqual(client.running.map(({ request }) => request.requestId), ['r1', 'r4'])
+    })
+  })
+
   test.describe('a call that waits for a slot and is blocked meanwhile', () => {
     test.it('is refused as not run', () => {
       host.accept(caller, call(1))
--- a/packages/node/src/direct/TargetHost.ts
+++ b/packages/node/src/direct/TargetHost.ts
@@ -4,6 +4,7 @@
 import type * as base from '@elmpost/common/base/Types.js'
 import type * as direct from '@elmpost/common/direct/Types.js'
 import type * as services from './Services.js'
+import type * as targetHostOptions from './TargetHostOptions.js'
 import type * as types from './Types.js'
 
 /** Least remaining time that is sent to a target, because it treats 0 as no limit or as an error. */
@@ -17,46 +18,8 @@
 const SILENCE_CALLS = 4
 /** A call that waits to run alone is refused when the time left is less than this share of the mean time of a call. */
 const TRIAL_USEFUL_SHARE = 0.5
-
-export interface TargetHostOptions {
-  readonly nodeId: base.NodeId
-  readonly service: string
-  readonly dialect: services.ICallDialect
-  readonly client: () => services.ITargetClient
-  /** Id that the target is expected to have. */
-  readonly targetId: () => string | undefined
-  readonly state: () => direct.TargetState
-  readonly nowMs: () => base.Millis
-  /** Time that the monotonic clock may have missed so far, because the VM was suspended. Never decreases. */
-  readonly uncountedMs: () => base.Millis
-  /** Finds out whether the target accepts a connection. */
-  readonly probe: (onResult: (isUp: boolean) => void) => void
-  readonly newCrashId: () => string
-  readonly crashes: services.ICrashGuard
-  /** Start of the target; undefined if it is not known. */
-  readonly start: () => direct.TargetStart | undefined
-  readonly events: ITargetHostEvents
-}
-
-export interface ITargetHostEvents {
-  /** The target does not accept connections. */
-  onTargetUnreachable(code: string): void
-  /** The target has calls and does not answer. */
-  onTargetSilent(): void
-  /** Another target answers at the address. */
-  onTargetDisplaced(targetId: string): void
-  /** A call ended without a valid answer from the target. */
-  onCallFailed(call: types.CallMessage, reason: string, detail: string): void
-  onCallRefused(call: types.CallMessage, reason: direct.RefusalReason, waitMs: base.Millis): void
-  /** The entry node has cancelled the call `heldMs` after it arrived here. `isRunning`: it had been started. */
-  onCallCancelled(call: types.CallMessage, isRunning: boolean, heldMs: base.Millis): void
-  /** The call runs alone, because it may crash the target. */
-  onTrial(call: types.CallMessage): void
-  /** The target has ended while it was running these requests. Called again if further ones turn out to have been running. */
-  onTargetCrashed(crash: crashWatches.TargetCrash): void
-  /** An answer of the target contains this notice. */
-  onTargetNotice(targetId: string, notice: direct.TargetNotice): void
-}
+/** The wait keeps entry nodes that have not heard of the stop from sending further calls here. */
+const STOPPING: direct.HostRefusal = { reason: 'stopping', reachedTarget: false, waitMs: 4_000 }
 
 interface HostedCall extends slotQueue.SlotCall {
   readonly caller: services.IHostCaller
@@ -69,7 +32,7 @@
 
 /** Runs calls on the target beside this node, as many at a time as it has slots. */
 export class TargetHost implements services.IHost {
-  private readonly _options: TargetHostOptions
+  private readonly _options: targetHostOptions.TargetHostOptions
   private readonly _queue = new slotQueue.SlotQueue()
   /** Request ids of the retries that run on the target. */
   private readonly _retryIds = new Set<string>()
@@ -82,7 +45,7 @@
   private _started = 0
   private _answeredAtMs = -Infinity
 
-  constructor (options: TargetHostOptions) {
+  constructor (options: targetHostOptions.TargetHostOptions) {
     this._options = options
     const { probe, newCrashId, start, state, nowMs, events } = options
     this._watch = new crashWatches.CrashWatch({
@@ -143,6 +106,10 @@
       this._refuse(call, { reason: 'deadline', reachedTarget: false, waitMs: 0 })
       return
     }
+    if (this._mayOutlastProcess(call)) {
+      this._refuse(call, STOPPING)
+      return
+    }
     if (message.crashes !== undefined) this._options.crashes.recordReports(message.crashes)
     const standing = this._options.crashes.standingOf(message)
     if (standing === 'blocked') {
@@ -225,6 +192,11 @@
     return nowMs - Math.max(oldestMs, this._answeredAtMs) > Math.max(SILENCE_MS, SILENCE_CALLS * this._queue.meanMs)
   }
 
+  /** Whether the call would be cut if it takes all of its time. Another host can run it. */
+  private _mayOutlastProcess ({ deadlineAtMs }: HostedCall): boolean {
+    return this._options.nowMs() + deadlineAtMs - this._waitClockMs > this._options.endsAtMs()
+  }
+
   /** Lets the calls on the target end and the call run alone. One call at a time, so that the others wait for one run only. */
   private _offerTrial (call: HostedCall): void {
     if (this._trial !== undefined) {
@@ -349,20 +321,28 @@
     }
     for (let next = this._queue.next(nowMs); next !== undefined; next = this._queue.next(nowMs)) {
       const call = this._calls.get(next.id)
-      const standing = call === undefined ? 'free' : this._options.crashes.standingOf(call.message)
-      if (call !== undefined && standing !== 'blocked' && standing !== 'trial') {
+      const refusal = call === undefined ? undefined : this._refusalOf(call)
+      if (call !== undefined && refusal === undefined) {
         this._start(call)
         continue
       }
       this._queue.release(next.id, undefined)
-      // It comes back as a trial, if it may run at all.
-      if (call !== undefined) this._refuse(call, { reason: standing === 'trial' ? 'busy' : 'target-refused', reachedTarget: false, waitMs: 0 })
+      if (call !== undefined && refusal !== undefined) this._refuse(call, refusal)
     }
   }
 
+  /** Why a call that has waited must not be started; undefined if it may be. */
+  private _refusalOf (call: HostedCall): direct.HostRefusal | undefined {
+    if (this._mayOutlastProcess(call)) return STOPPING
+    const standing = this._options.crashes.standingOf(call.message)
+    if (standing === 'blocked') return { reason: 'target-refused', reachedTarget: false, waitMs: 0 }
+    // It comes back as a trial.
+    return standing === 'trial' ? { reason: 'busy', reachedTarget: false, waitMs: 0 } : undefined
+  }
+
   private _startTrial (trial: HostedCall, nowMs: base.Millis): void {
     if (!this._isWaitingTrial(trial)) return
-    const isBlocked = this._options.crashes.standingOf(trial.message) === 'blocked'
+    const isBlocked = this._mayOutlastProcess(trial) || this._options.crashes.standingOf(trial.message) === 'blocked'
     if (isBlocked || nowMs + this._queue.meanMs * TRIAL_USEFUL_SHARE > trial.deadlineAtMs) {
       this._refuse(trial, { reason: isBlocked ? 'target-refused' : 'busy', reachedTarget: false, waitMs: this._queue.meanMs })
       this._startNext()
--- a/packages/node/src/direct/testing/CrashFleet.ts
+++ b/packages/node/src/direct/testing/CrashFleet.ts
@@ -189,6 +189,7 @@
       state: () => node.isTargetUp ? 'ready' : 'down',
       nowMs,
       uncountedMs: () => 0,
+      endsAtMs: () => Infinity,
       probe: onResult => { onResult(node.isTargetUp) },
       newCrashId: () => `${id}-${node.targetStart}`,
       crashes: guard,
--- a/packages/node/src/direct/testing/VirtualFleet.ts
+++ b/packages/node/src/direct/testing/VirtualFleet.ts
@@ -177,6 +177,7 @@
       state: () => 'ready',
       nowMs,
       uncountedMs: () => 0,
+      endsAtMs: () => Infinity,
       probe: onResult => { onResult(true) },
       newCrashId: () => '',
       crashes: noCrashes.NO_CRASHES,
