Answer what is left when a planned stop comes to its end

Requests without an answer at the end of the grace, and those whose bodies were still coming, ended with a closed connection. They now get a final answer with 150 ms to reach the callers: not run if they were certainly not passed on, or withdrawn unrun from the target beside the node; else unknown (node-stopped).

--- a/packages/common/src/direct/DirectCalls.test.ts
+++ b/packages/common/src/direct/DirectCalls.test.ts
@@ -324,4 +324,16 @@
       assert.notEqual(sent(calls.handleRefusal(callId, nodeId, { reason: 'no-target', reachedTarget: false, waitMs: 0 }, 10)).nodeId, nodeId)
     })
   })
+
+  // Guards against callers that learn from a closed connection only that their request has no answer, or are told wrongly that it did not run.
+  test.describe('calls that are left when the node stops', () => {
+    test.it('are refused as not run if they were withdrawn unrun, and end as unknown otherwise', () => {
+      const { calls } = create()
+      const [withdrawn, running, lost] = [calls.begin(CHARGE, 0), calls.begin(CHARGE, 0), calls.begin(REQUEST, 0)].map(sent) as [types.SendDecision, types.SendDecision, types.SendDecision]
+      calls.handleFailure(lost.callId, lost.nodeId, 'target-lost', 10)
+      const ends = new Map(calls.endAll(20, (_nodeId, callId) => callId !== running.callId).map(decision => [decision.callId, ended(decision)]))
+      assert.deepEqual([withdrawn, running, lost].map(({ callId }) => ends.get(callId)).map(end => [end?.kind, end?.reason]), [['refuse', 'stopping'], ['fail', 'node-stopped'], ['fail', 'node-stopped']])
+      assert.deepEqual(calls.endAll(30, () => true), [])
+    })
+  })
 })
--- a/packages/common/src/direct/DirectCalls.ts
+++ b/packages/common/src/direct/DirectCalls.ts
@@ -216,15 +216,24 @@
     const ended: types.FinalDecision[] = []
     for (const call of this._calls.values()) {
       if (nowMs < call.deadlineAtMs) continue
-      // Removed first: `withdraw` may report a failure of this call, which must not end it a second time.
-      this._calls.delete(call.callId)
       this._options.table.recordEnd(call.to, nowMs - call.sentAtMs > call.rule.timeoutMs * FAILED_SHARE, nowMs - call.sentAtMs, nowMs)
-      const isWithdrawn = withdraw(call.to, call.callId)
-      ended.push(isWithdrawn && !call.mayHaveRun ? this._refuse(call, 'deadline', nowMs) : this._endUnknown(call, 'timeout'))
+      ended.push(this._endEarly(call, { refusal: 'deadline', failure: 'timeout' }, withdraw, nowMs))
     }
     return ended
   }
 
+  /** Ends all calls, because this node stops. `withdraw` as for `expire`. */
+  public endAll (nowMs: base.Millis, withdraw: (nodeId: base.NodeId, callId: number) => boolean): readonly types.FinalDecision[] {
+    return [...this._calls.values()].map(call => this._endEarly(call, { refusal: 'stopping', failure: 'node-stopped' }, withdraw, nowMs))
+  }
+
+  private _endEarly (call: Call, reasons: { readonly refusal: types.RefusalReason, readonly failure: types.FailureReason }, withdraw: (nodeId: base.NodeId, callId: number) => boolean, nowMs: base.Millis): types.FinalDecision {
+    // Removed first: `withdraw` may report a failure of this call, which must not end it a second time.
+    this._calls.delete(call.callId)
+    const isWithdrawn = withdraw(call.to, call.callId)
+    return isWithdrawn && !call.mayHaveRun ? this._refuse(call, reasons.refusal, nowMs) : this._endUnknown(call, reasons.failure)
+  }
+
   private _current (callId: number, from: base.NodeId): Call | undefined {
     const call = this._calls.get(callId)
     return call?.to === from ? call : undefined
--- a/packages/common/src/direct/Types.ts
+++ b/packages/common/src/direct/Types.ts
@@ -178,7 +178,7 @@
 export type RefusalReason =
   | 'no-configuration' | 'no-route' | 'body-too-large' | 'no-target' | 'busy' | 'target-refused' | 'deadline' | 'stopping' | 'crashes-targets'
 
-export type FailureReason = 'timeout' | 'peer-lost' | 'target-lost' | 'bad-answer'
+export type FailureReason = 'timeout' | 'peer-lost' | 'target-lost' | 'bad-answer' | 'node-stopped'
 
 /** A host node's statement that a call has not run and will not run. */
 export interface HostRefusal {
--- a/packages/node/src/direct/DirectNode.ts
+++ b/packages/node/src/direct/DirectNode.ts
@@ -172,6 +172,7 @@
       inFlight: () => this._entry.inFlight + this._ingress.held + this._links.heldCalls + (this._target.host.isIdle ? 0 : 1),
       lastCallAtMs: () => this._entry.lastCallAtMs,
       closeCallers: () => this._ingress.close(),
+      answerAll: () => { this._ingress.answerAll() },
       onTargetClosed: () => { this._sendStatus(true) },
       onFinished: () => {
         this.dispose()
@@ -346,14 +347,13 @@
   }
 
   private _tick (): void {
-    const nowMs = this._options.nowMs()
     this._stalls.tick()
     if (this._stalls.suspectedMs > 0) this._log.log('warn', 'stalled', { stalledMs: Math.round(this._stalls.stalledMs), suspectedMs: Math.round(this._stalls.suspectedMs) })
     this._links.tick()
     this._target.tick()
     this._log.tick()
     this._rules.tick()
-    if (nowMs >= this._statusAtMs) this._sendStatus(false)
+    if (this._options.nowMs() >= this._statusAtMs) this._sendStatus(false)
     this._fleet.tick()
     this._crashes.tick()
     this._stop.tick()
--- a/packages/node/src/direct/EntryGate.ts
+++ b/packages/node/src/direct/EntryGate.ts
@@ -179,6 +179,12 @@
     }
   }
 
+  /** Gives each call that has no answer its final one, because this node stops. */
+  public endAll (): void {
+    const { calls, cancel, nowMs } = this._options
+    for (const decision of calls.endAll(nowMs(), cancel)) this._carryOut(decision)
+  }
+
   public dispose (): void {
     this._deadlines.dispose()
   }
--- a/packages/node/src/direct/Ingress.test.ts
+++ b/packages/node/src/direct/Ingress.test.ts
@@ -20,6 +20,8 @@
   public cancel ({ path }: services.IExchange): void {
     this.cancelled.push(path)
   }
+
+  public endAll (): void {}
 }
 
 async function until (condition: () => boolean): Promise<void> {
--- a/packages/node/src/direct/Ingress.ts
+++ b/packages/node/src/direct/Ingress.ts
@@ -44,6 +44,8 @@
   /** How long each new connection may have waited to be accepted, until its first request is read. */
   private readonly _acceptWaitsMs = new WeakMap<net.Socket, base.Millis>()
   private readonly _held: readAheads.ReadAhead<IngressExchange>
+  /** Requests whose bodies are being read. */
+  private readonly _reading = new Set<IngressExchange>()
   private _maxBodyBytes = DEFAULT_MAX_BODY_BYTES
 
   constructor (options: IngressOptions) {
@@ -90,6 +92,13 @@
     return this._listener.listen()
   }
 
+  /** Gives each request its final answer, because this node stops. Those whose bodies have not come have not run. */
+  public answerAll (): void {
+    for (const exchange of this._reading) exchange.refuse(refusal('stopping'))
+    this._reading.clear()
+    this._options.owner.endAll()
+  }
+
   public beginClosing (): void {
     this._listener.beginClosing()
   }
@@ -109,14 +118,19 @@
     this._acceptWaitsMs.delete(request.socket)
     const exchange = new IngressExchange(request, response, this, this._connections, this._options, acceptWaitMs)
     this._connections.recordRead(exchange.socket, exchange)
+    this._reading.add(exchange)
+    response.once('close', () => { this._reading.delete(exchange) })
     bodyReader.readBody(request, this._maxBodyBytes, {
       onComplete: body => {
+        // It has been refused meanwhile otherwise.
+        if (!this._reading.delete(exchange)) return
         exchange.body = body
         this._held.add(exchange)
       },
       onTooLarge: () => {
         response.shouldKeepAlive = false
-        exchange.refuse({ kind: 'refuse', callId: 0, reason: 'body-too-large', retryAfterMs: 0, rule: undefined, sends: 0 })
+        this._reading.delete(exchange)
+        exchange.refuse(refusal('body-too-large'))
         request.resume()
       }
     })
@@ -128,6 +142,10 @@
   }
 }
 
+function refusal (reason: direct.RefusalReason): direct.OwnAnswer {
+  return { kind: 'refuse', callId: 0, reason, retryAfterMs: 0, rule: undefined, sends: 0 }
+}
+
 class IngressExchange implements services.IExchange, callerConnections.IPendingRequest {
   public readonly info: types.CallerRequestInfo
   public readonly method: string
--- a/packages/node/src/direct/PlannedStop.ts
+++ b/packages/node/src/direct/PlannedStop.ts
@@ -9,6 +9,8 @@
 const TARGET_ACCEPT_MS = 1_000
 /** Time between the end of the stop and the end of the grace period. */
 const MARGIN_MS = 500
+/** Time in which the last answers reach their callers. */
+const FLUSH_MS = 150
 
 export interface PlannedStopOptions {
   /** Longest time from the stop signal until the process must have exited. */
@@ -21,6 +23,8 @@
   readonly lastCallAtMs: () => base.Millis
   /** Resolves when no caller is connected any more. */
   readonly closeCallers: () => Promise<void>
+  /** Gives all requests that are left their final answers. */
+  readonly answerAll: () => void
   readonly onFinished: () => void
   /** Called when the target stops taking calls of other nodes. */
   readonly onTargetClosed: () => void
@@ -73,12 +77,15 @@
     this._isFinishing = true
     logger.log(isIdle ? 'info' : 'warn', 'stopped', { inFlight: inFlight() })
     // Callers may send on open connections until these are closed, and those calls must end as well.
-    const closeWithinMs = isIdle ? Math.max(0, graceMs - MARGIN_MS - elapsedMs) : 0
+    const closeWithinMs = Math.max(0, graceMs - MARGIN_MS - elapsedMs)
     this._finish(closeWithinMs).catch((error: unknown) => { logger.log('error', 'unexpected-error', { problem: String(error) }) })
   }
 
   private async _finish (closeWithinMs: base.Millis): Promise<void> {
-    await Promise.race([this._options.closeCallers(), new Promise(resolve => { setTimeout(resolve, closeWithinMs) })])
+    const closed = this._options.closeCallers()
+    await Promise.race([closed, new Promise(resolve => { setTimeout(resolve, closeWithinMs) })])
+    this._options.answerAll()
+    await Promise.race([closed, new Promise(resolve => { setTimeout(resolve, FLUSH_MS) })])
     this._options.onFinished()
   }
 }
--- a/packages/node/src/direct/Reasons.ts
+++ b/packages/node/src/direct/Reasons.ts
@@ -19,6 +19,7 @@
   timeout: { status: 504, remedy: 'The request may have run. Check with the service before you send it again.' },
   'peer-lost': { status: 502, remedy: 'The node beside the target failed. Check with the service whether the request has run.' },
   'target-lost': { status: 502, remedy: 'The target failed while it ran the request. Check with the service whether it has run.' },
+  'node-stopped': { status: 502, remedy: 'The node had to stop before the answer came. Check with the service whether the request has run.' },
   'bad-answer': { status: 502, remedy: 'The answer of the target was not valid. Check with the service whether the request has run.' }
 }
 
--- a/packages/node/src/direct/Services.ts
+++ b/packages/node/src/direct/Services.ts
@@ -122,6 +122,8 @@
   begin(exchange: IExchange): void
   /** Cancels the request of a caller that has disconnected. */
   cancel(exchange: IExchange): void
+  /** Gives each request that has no answer its final one, because the node stops. */
+  endAll(): void
 }
 
 /** What the platform integration needs from a node. */
