Let operators see and lift the block of a request

elmpost status lists the requests with which targets have crashed, as one direct node knows them, and elmpost unblock lifts the block on all nodes. The endpoint takes it only from the VM of the node, because the address also serves metrics.

--- a/packages/cli/src/Cli.test.ts
+++ b/packages/cli/src/Cli.test.ts
@@ -87,6 +87,23 @@
     })
   })
 
+  test.describe('unblock', () => {
+    test.beforeEach(() => {
+      nodes.restrictedRequests = [{ fingerprint: 'Zb3k', service: 'vault', standing: 'blocked', crashes: 3, ageMs: 61_000 }]
+    })
+
+    test.it('asks the first node that answers, which tells the others', async () => {
+      assert.match((await run(log, nodes, 'status')).stdout, /request Zb3k: blocked, 3 crashes of vault, the last one 61 s ago/)
+      const { exitCode } = await run(log, nodes, 'unblock', 'Zb3k', '--admin', '127.0.0.1:1', '--admin', '127.0.0.1:7072')
+      assert.deepEqual([exitCode, nodes.posts.at(-1)], [0, '127.0.0.1:7072 unblock Zb3k'])
+    })
+
+    test.it('says that nothing is held against an unknown request, and that no node answers', async () => {
+      assert.equal((await run(log, nodes, 'unblock', 'other', '--admin', '127.0.0.1:7072')).exitCode, 4)
+      assert.equal((await run(log, nodes, 'unblock', 'Zb3k', '--admin', '127.0.0.1:1')).exitCode, 5)
+    })
+  })
+
   test.describe('recover', () => {
     test.it('puts a file into force when the log has dropped its records, so that a fleet can start again after a long stop', async () => {
       const expired = new testEnvironment.FakeLog()
--- a/packages/cli/src/Cli.ts
+++ b/packages/cli/src/Cli.ts
@@ -142,6 +142,11 @@
       })
       .command('drain <node>', 'Let a node finish its work and take no more', {}, async argv => { await this._drain(argv, 'drain') })
       .command('undrain <node>', 'Let a draining node take work again', {}, async argv => { await this._drain(argv, 'undrain') })
+      .command('unblock <fingerprint>', 'Pass a request on again with which targets have crashed', {}, async argv => {
+        const module = await import('./commands/UnblockCommand.js')
+        const command = new module.UnblockCommand(this._admin(argv), this._output(argv))
+        this._handleResult(await command.run(argv['admin'] as string[], String(argv['fingerprint'])), argv)
+      })
   }
 
   private async _drain (argv: Arguments, action: 'drain' | 'undrain'): Promise<void> {
--- a/packages/cli/src/HttpAdminClient.ts
+++ b/packages/cli/src/HttpAdminClient.ts
@@ -23,6 +23,14 @@
     return results.Err(new cliError.CliError('rejected', `The node at ${address} refused to ${action} (HTTP ${outcome.status}). See its log.`))
   }
 
+  public async unblock (address: string, fingerprint: string): Promise<results.Result<boolean, cliError.CliError>> {
+    const outcome = await this._request('POST', `http://${address}/admin/unblock/${encodeURIComponent(fingerprint)}`)
+    if (outcome.kind === 'no-answer') return unreachable(address, `gave no answer (${outcome.problem})`)
+    if (outcome.status === 200) return results.Ok(true)
+    if (outcome.status === 404) return results.Ok(false)
+    return results.Err(new cliError.CliError('rejected', `The node at ${address} refused to unblock the request (HTTP ${outcome.status}). Run the command on the machine of the node.`))
+  }
+
   private async _request (method: 'GET' | 'POST', url: string): Promise<httpRequest.HttpOutcome> {
     return await httpRequest.requestJson({ method, url, timeoutMs: this._timeoutMs, logger: this._logger })
   }
--- a/packages/cli/src/Services.ts
+++ b/packages/cli/src/Services.ts
@@ -16,6 +16,8 @@
   fetchStatus(address: string): Promise<results.Result<adminStatus.AdminStatus, cliError.CliError>>
   /** Asks a node to start or to end its drain. */
   postAction(address: string, action: 'drain' | 'undrain'): Promise<results.Result<void, cliError.CliError>>
+  /** Lifts the block of a request on all nodes. False if nothing is held against it. */
+  unblock(address: string, fingerprint: string): Promise<results.Result<boolean, cliError.CliError>>
 }
 
 export interface ICliClock extends base.IClock {
--- a/packages/cli/src/TestEnvironment.ts
+++ b/packages/cli/src/TestEnvironment.ts
@@ -53,6 +53,7 @@
 /** Nodes that share one complete member table. */
 export class FakeNodes implements services.IAdminClient {
   public readonly posts: string[] = []
+  public restrictedRequests: readonly adminStatus.RestrictedRequest[] = []
 
   constructor (private readonly _members: readonly membership.MemberRow[]) {}
 
@@ -66,6 +67,7 @@
       digest: '',
       verdicts: [],
       members: this._members,
+      ...(this.restrictedRequests.length === 0 ? {} : { restrictedRequests: this.restrictedRequests }),
       atMs: 0
     })
   }
@@ -74,6 +76,12 @@
     this.posts.push(`${address} ${action}`)
     return results.Ok(undefined)
   }
+
+  public async unblock (address: string, fingerprint: string): Promise<results.Result<boolean, cliError.CliError>> {
+    if (!this._members.some(row => row.adminAddress === address)) return results.Err(new cliError.CliError('unreachable', `The node at ${address} gave no answer (ECONNREFUSED).`))
+    this.posts.push(`${address} unblock ${fingerprint}`)
+    return results.Ok(this.restrictedRequests.some(request => request.fingerprint === fingerprint))
+  }
 }
 
 export function fakeRow (nodeId: string, zone: string, enforcedVersion: number, port: number, state: membership.MemberState = 'ready'): membership.MemberRow {
--- a/packages/cli/src/commands/StatusCommand.ts
+++ b/packages/cli/src/commands/StatusCommand.ts
@@ -6,6 +6,7 @@
 import type * as membership from '@elmpost/common/membership/Types.js'
 import type * as services from '../Services.js'
 
+const MS_PER_S = 1000
 /** Nodes in these states must enforce the newest version. */
 const LIVE_STATES: ReadonlySet<membership.MemberState> = new Set(['joining', 'ready', 'draining'])
 
@@ -32,9 +33,11 @@
     const stale = lines.filter(line => line.isStale)
     const live = lines.filter(line => LIVE_STATES.has(line.state)).length
     const summary = { newestVersion: newest, live, converged: live - stale.length, stale: stale.map(line => line.nodeId) }
-    this._output.printResult({ ...summary, askedNode: status.value.self.nodeId, nodes: lines }, [
+    const restricted = status.value.restrictedRequests ?? []
+    this._output.printResult({ ...summary, askedNode: status.value.self.nodeId, nodes: lines, ...(restricted.length === 0 ? {} : { restrictedRequests: restricted }) }, [
       `newest version ${newest}, in force on ${summary.converged} of ${live} live nodes (as seen by ${status.value.self.nodeId})`,
-      ...table(lines)
+      ...table(lines),
+      ...restricted.map(({ fingerprint, service, standing, crashes, ageMs }) => `request ${fingerprint}: ${standing === 'blocked' ? 'blocked' : 'runs alone'}, ${crashes} crashes of ${service}, the last one ${Math.round(ageMs / MS_PER_S)} s ago`)
     ])
     return results.Ok(isCheck && stale.length > 0 ? types.EXIT_CODES.stale : types.EXIT_CODES.ok)
   }
--- a/packages/node/src/direct/DirectNode.ts
+++ b/packages/node/src/direct/DirectNode.ts
@@ -52,6 +52,7 @@
   public readonly stopped: Promise<void>
   public readonly nodeName: string
   public readonly zone: string
+  public readonly crashes: crashGuards.CrashGuard
   public readonly onCallEnded: base.IEvent<directServices.CallMeasured>
   public readonly onRetry: base.IEvent<direct.RetryDecided>
   private readonly _callEnded = new emitter.Emitter<directServices.CallMeasured>()
@@ -60,7 +61,6 @@
   private readonly _fleet: fleetMembership.FleetMembership
   private readonly _rules: rulesDistribution.RulesDistribution
   private readonly _calls: directCalls.DirectCalls
-  private readonly _crashes: crashGuards.CrashGuard
   private readonly _entry: entryGate.EntryGate
   private readonly _target: localTarget.LocalTarget
   private readonly _links: nodeLinks.NodeLinks
@@ -85,7 +85,7 @@
     this.onCallEnded = this._callEnded.event
     this.stopped = new Promise(resolve => { this._resolveStopped = resolve })
     this._log = new callLog.CallLog(logger, nowMs)
-    this._crashes = new crashGuards.CrashGuard({ dialect, service: settings.service, nowMs, timeOfDayMs: options.timeOfDayMs, callLog: this._log, links: () => this._links, onOwnCrash: () => { this._fleet.publish() } })
+    this.crashes = new crashGuards.CrashGuard({ dialect, service: settings.service, nowMs, timeOfDayMs: options.timeOfDayMs, callLog: this._log, links: () => this._links, onOwnCrash: () => { this._fleet.publish() } })
     const picker = new targetPicker.TargetPicker({
       table: this._table,
       selfId,
@@ -105,7 +105,7 @@
       endsAtMs: () => this._stop.endsAtMs,
       logger,
       callLog: this._log,
-      crashes: this._crashes,
+      crashes: this.crashes,
       onChange: () => { this._handleTargetChange() }
     }))
     this._links = this._register(new nodeLinks.NodeLinks({ selfId, hello: to => this._fleet.hello(this.version, to), nowMs, stalls: this._stalls, random, host: this._target.host, events: this }))
@@ -135,7 +135,7 @@
       random,
       nowMs,
       target: () => this._target.watch.knownTarget,
-      crashes: this._crashes,
+      crashes: this.crashes,
       restore: target => { this._target.watch.restore(target) }
     }))
     this._entry = this._register(new entryGate.EntryGate({
@@ -151,7 +151,7 @@
       onCallCancelled: (exchange, cancelled) => { this._log.logCancelled(exchange.info, cancelled) },
       callsEndByMs: () => this._stop.callsEndByMs,
       suspectedMs: () => this._stalls.suspectedMs,
-      crashes: this._crashes,
+      crashes: this.crashes,
       runsRetry: requestId => this._target.host.runsRetry(requestId)
     }))
     this._ingress = this._register(new ingress.Ingress({
@@ -211,7 +211,7 @@
   public status (): object {
     const { peerAddress, zone, service } = this._options.settings
     const members = [...this._table.all()].map(row => ({ nodeId: row.nodeId, zone: row.zone, service: row.service, state: row.isConnected ? 'ready' : 'suspect', enforcedVersion: row.version, adminAddress: '', target: row.state, load: row.load }))
-    return { self: { nodeId: peerAddress, zone, service }, readiness: { ready: this.isReady }, version: this.version, digest: '', verdicts: [], members, restrictedRequests: this._crashes.restricted }
+    return { self: { nodeId: peerAddress, zone, service }, readiness: { ready: this.isReady }, version: this.version, digest: '', verdicts: [], members, restrictedRequests: this.crashes.restricted }
   }
 
   public async start (): Promise<void> {
@@ -262,7 +262,7 @@
   public handleConnectionChange (nodeId: base.NodeId, isConnected: boolean): void {
     this._log.log(isConnected ? 'info' : 'warn', isConnected ? 'peer-connected' : 'peer-lost', { peer: nodeId })
     this._fleet.handleConnectionChange(nodeId, isConnected)
-    if (isConnected) this._crashes.greet(message => { this._links.send(nodeId, message) })
+    if (isConnected) this.crashes.greet(message => { this._links.send(nodeId, message) })
   }
 
   public handleHello (hello: linkCodec.HelloMessage, reply: (message: linkCodec.LinkMessage) => void): void {
@@ -270,7 +270,7 @@
     reply(this._fleet.hello(this.version))
     reply({ kind: 'status', status: this._status() })
     reply(this._rules.report)
-    this._crashes.greet(reply)
+    this.crashes.greet(reply)
   }
 
   public handleLost (nodeId: base.NodeId, callIds: readonly number[]): void {
@@ -312,7 +312,7 @@
       case 'nodes':
         if (message.refused !== undefined) this._log.log('warn', 'node-records-refused', { peer: nodeId, count: message.refused })
         this._fleet.handleNodes(message.nodes)
-        this._crashes.recordReports(message.crashes ?? [])
+        this.crashes.recordReports(message.crashes ?? [])
         break
       default:
         this.handleMalformed(nodeId, new Error(`unexpected message of kind ${message.kind}`))
@@ -355,7 +355,7 @@
     this._rules.tick()
     if (this._options.nowMs() >= this._statusAtMs) this._sendStatus(false)
     this._fleet.tick()
-    this._crashes.tick()
+    this.crashes.tick()
     this._stop.tick()
   }
 
--- a/packages/node/src/direct/StatusServer.ts
+++ b/packages/node/src/direct/StatusServer.ts
@@ -11,9 +11,11 @@
   readonly metrics: nodeServices.IExposition
   /** What `elmpost status` shows. */
   readonly status: () => object
+  /** Lifts the block of a request on all nodes. False if nothing is held against it. */
+  readonly unblock: (fingerprint: string) => boolean
 }
 
-/** Serves metrics and status, read-only. */
+/** Serves metrics and status and, for operators on the same VM, lifts the blocks of requests. */
 export class StatusServer implements base.IDisposable {
   private readonly _options: StatusServerOptions
   private readonly _http = http.createServer()
@@ -23,6 +25,12 @@
     const app = polka.default({ server: this._http })
     app.get('/metrics', (_request, response) => { httpReplies.sendMetrics(response, options.metrics) })
     app.get('/admin/status', (_request, response) => { httpReplies.sendJson(response, 200, options.status()) })
+    app.post('/admin/unblock/:fingerprint', (request, response) => {
+      const { remoteAddress, localAddress } = request.socket
+      if (remoteAddress !== localAddress) httpReplies.sendJson(response, 403, { problem: 'this endpoint is for operators on the same VM', remedy: 'Run the command on the VM of the node.' })
+      else if (options.unblock(String(request.params['fingerprint']))) httpReplies.sendJson(response, 200, {})
+      else httpReplies.sendJson(response, 404, { problem: 'nothing is held against such a request', remedy: 'List the blocked requests with elmpost status.' })
+    })
     this._http.on('request', app.handler.bind(app) as unknown as http.RequestListener)
   }
 
