Let no late heartbeat displace the target that a restarted node restored

The node took the earlier start for a new one, because the target was only restored from its record, and the living one for ended, so its draining was acknowledged and ignored. A restored target now gives way to an earlier start only if that one goes on announcing itself meanwhile, as after a clock that was set back.

--- a/packages/common/src/direct/TargetRegister.test.ts
+++ b/packages/common/src/direct/TargetRegister.test.ts
@@ -97,5 +97,35 @@
       assert.equal(register.applyAnnouncement(announcement({ targetId: 'b' })), 'new')
       assert.equal(register.current?.isLeaving, false)
     })
+
+    // Guards against a late heartbeat of a crashed target that makes its successor's leaving be acknowledged and ignored (review, case 3).
+    test.it('is not displaced by a late announcement of an earlier start', () => {
+      for (const earlier of ['a', 'b']) {
+        register = new targetRegister.TargetRegister('till', ADDRESS)
+        register.restore({ targetId: 'b', startedAtMs: 2_000, slots: 4, isLeaving: false })
+        assert.equal(register.applyAnnouncement(announcement({ targetId: earlier, startedAtMs: 1_000, sequence: 9 })), 'outdated')
+        assert.equal(register.applyAnnouncement(announcement({ targetId: 'b', startedAtMs: 2_000, sequence: 5 })), 'unchanged')
+        assert.equal(register.applyAnnouncement(announcement({ targetId: 'b', startedAtMs: 2_000, sequence: 6, state: 'draining' })), 'changed')
+        assert.equal(register.current?.isLeaving, true)
+      }
+    })
+
+    // Guards against a target that is never heard again, because the clock of its VM was set back before it started.
+    test.it('gives way to an earlier start that goes on announcing itself', () => {
+      register.restore({ targetId: 'a', startedAtMs: 2_000, slots: 4, isLeaving: false })
+      assert.equal(register.applyAnnouncement(announcement({ startedAtMs: 1_000, sequence: 1 })), 'outdated')
+      assert.equal(register.applyAnnouncement(announcement({ startedAtMs: 1_000, sequence: 1 })), 'outdated')
+      assert.equal(register.applyAnnouncement(announcement({ startedAtMs: 1_000, sequence: 2 })), 'new')
+      assert.equal(register.applyAnnouncement(announcement({ startedAtMs: 1_000, sequence: 3, state: 'draining' })), 'changed')
+    })
+
+    // Guards against a deregistration that is acknowledged before the record has been read, and then forgotten.
+    test.it('leaves if it has deregistered before its record was read', () => {
+      register.markLeaving('a')
+      register.restore({ targetId: 'a', startedAtMs: 1_000, slots: 4, isLeaving: false })
+      assert.equal(register.current?.isLeaving, true)
+      assert.equal(register.applyAnnouncement(announcement({ startedAtMs: 1_000, sequence: 2 })), 'unchanged')
+      assert.equal(register.current?.isLeaving, true)
+    })
   })
 })
--- a/packages/common/src/direct/TargetRegister.ts
+++ b/packages/common/src/direct/TargetRegister.ts
@@ -19,6 +19,8 @@
   private readonly _ended: string[] = []
   /** Targets that have deregistered before they were known, at starts that are not known. */
   private readonly _deregistered: string[] = []
+  /** Last announcement of a start before one that is only known from a record. */
+  private _earlier: { readonly key: string, readonly sequence: number } | undefined
   private _current: RegisteredTarget | undefined
   private _isConfirmed = false
 
@@ -36,7 +38,7 @@
   /** Restores the target that an earlier process of this node knew. */
   public restore (target: types.KnownTarget): void {
     if (this._current !== undefined) return
-    this._current = { ...target, sequence: 0 }
+    this._current = { ...target, isLeaving: this._takeDeregistered(target.targetId) || target.isLeaving, sequence: 0 }
   }
 
   public applyAnnouncement (announcement: types.Announcement): AnnouncementResult {
@@ -46,7 +48,7 @@
     const isLeaving = announcement.state === 'draining'
     if (this._ended.includes(startKey(targetId, startedAtMs))) return 'outdated'
     if (current === undefined || !(this._isConfirmed ? isEqual(current, announcement) : isSameStart(current, announcement))) {
-      if (current !== undefined && this._isConfirmed && startedAtMs < current.startedAtMs) return 'outdated'
+      if (current !== undefined && this._isOutdated(current, announcement)) return 'outdated'
       if (current !== undefined) this._addEnded(current)
       return this._replace({ targetId, startedAtMs, sequence, slots, isLeaving: isLeaving || this._takeDeregistered(targetId) }, 'new')
     }
@@ -77,6 +79,19 @@
     this._isConfirmed = false
   }
 
+  /**
+   * Whether the announcement is a late one of an earlier start. A start that is only known from a record gives way to one that
+   * goes on announcing itself meanwhile, because the clock may have been set back between the two.
+   */
+  private _isOutdated (current: RegisteredTarget, { targetId, startedAtMs, sequence }: types.Announcement): boolean {
+    if (startedAtMs >= current.startedAtMs || (startedAtMs === 0 && !this._isConfirmed)) return false
+    if (this._isConfirmed) return true
+    const key = startKey(targetId, startedAtMs)
+    const goesOn = this._earlier?.key === key && sequence > this._earlier.sequence
+    this._earlier = { key, sequence }
+    return !goesOn
+  }
+
   private _replace (target: RegisteredTarget, result: AnnouncementResult): AnnouncementResult {
     this._current = target
     this._isConfirmed = true
