Let a node receive messages as long as nodes send

The receiving side of a link took 32 MiB and ended the connection beyond it, with all calls on it; the sending side sends up to 80 MiB, for a body of the longest length that configurations allow. Both have one bound now.

--- a/packages/node/src/PeerServer.ts
+++ b/packages/node/src/PeerServer.ts
@@ -7,6 +7,8 @@
 
 export interface PeerServerOptions {
   readonly address: types.Address
+  /** A longer message ends its connection. */
+  readonly maxMessageBytes?: number
   /** Called with each connection that a node opens. */
   readonly onConnection: (socket: ws.WebSocket) => void
 }
@@ -23,7 +25,7 @@
       server: this._http,
       perMessageDeflate: false,
       clientTracking: false,
-      maxPayload: peerLinks.MAX_MESSAGE_BYTES,
+      maxPayload: options.maxMessageBytes ?? peerLinks.MAX_MESSAGE_BYTES,
       skipUTF8Validation: true
     })
     this._server.on('connection', options.onConnection)
--- a/packages/node/src/direct/DirectNode.ts
+++ b/packages/node/src/direct/DirectNode.ts
@@ -162,7 +162,7 @@
       onDropped: ({ info }, totalMs) => { this._log.logCancelled(info, { totalMs, rule: undefined, nodeId: '', sends: 0 }) },
       onAcceptsEnd: (waitMs, connections) => { this._log.logAccepts(waitMs, connections) }
     }))
-    this._peers = this._register(new peerServer.PeerServer({ address: addresses.parse(settings.peerListenAddress), onConnection: socket => { this._links.accept(socket) } }))
+    this._peers = this._register(new peerServer.PeerServer({ address: addresses.parse(settings.peerListenAddress), maxMessageBytes: nodeLinks.MAX_MESSAGE_BYTES, onConnection: socket => { this._links.accept(socket) } }))
     this._audit = new auditTrail.AuditTrail({ store, nodeId: selfId, logger, nowMs, isWriter: () => this._rules.readers.isWriter, timeOfDayMs: options.timeOfDayMs })
     this._register(new storeReturns.StoreReturns({ era: store.era, nodeRecord: this._fleet.record, auditTrail: this._audit, logger, spread: () => { this._sendStatus(true) } }))
     this._stop = new plannedStop.PlannedStop({
--- a/packages/node/src/direct/NodeLinks.ts
+++ b/packages/node/src/direct/NodeLinks.ts
@@ -11,6 +11,8 @@
 
 /** A cancellation stands behind its call on the same connection, and is read in the same turn of the event loop if it has arrived. */
 const READ_AHEAD_TURNS = 1
+/** Largest message on a link, in both directions. */
+export const MAX_MESSAGE_BYTES = outgoingLink.MAX_MESSAGE_BYTES
 
 export interface NodeLinksOptions {
   readonly selfId: base.NodeId
