Tell the crash of a target behind a relay from a lost connection

The soak has a relay between node and target, which accepts connections for a target that has ended and closes them; the host took such a target for alive and reported no crash. A connection that is closed at once now counts as a crash if all runs of the target were lost as well: a full target closes connections and goes on with its runs.

--- a/packages/node/src/direct/CrashWatch.test.ts
+++ b/packages/node/src/direct/CrashWatch.test.ts
@@ -12,7 +12,7 @@
   let nowMs: number
   let target: direct.TargetStart | undefined
   let running: crashWatches.CrashedRun[]
-  let answerProbe: (isUp: boolean) => void
+  let answerProbe: (result: crashWatches.ProbeResult) => void
   let crashes: string[]
   let checked: string[]
   let watch: crashWatches.CrashWatch
@@ -46,25 +46,32 @@
       running = [b, c]
       lose(b)
       assert.deepEqual(checked, [])
-      answerProbe(false)
+      answerProbe('refused')
       assert.deepEqual([crashes, checked], [['c1 a b c'], ['a', 'b']])
     })
 
+    test.it('has crashed if connections are closed at once, and all its runs were lost', () => {
+      running = [run('a'), run('b')]
+      for (const one of running) lose(one)
+      answerProbe('closed')
+      assert.deepEqual(crashes, ['c1 a b'])
+    })
+
     test.it('counts once, with what is lost later', () => {
       lose(run('a'))
-      answerProbe(false)
+      answerProbe('refused')
       lose(run('b'))
-      answerProbe(false)
+      answerProbe('refused')
       assert.deepEqual(crashes, ['c1 a', 'c1 b'])
     })
 
     test.it('counts again after another start', () => {
       lose(run('a'))
-      answerProbe(false)
+      answerProbe('refused')
       target = { targetId: 't', startedAtMs: 2 }
       watch.handleNewStart()
       lose(run('b'))
-      answerProbe(false)
+      answerProbe('refused')
       assert.deepEqual(crashes, ['c1 a', 'c2 b'])
     })
   })
@@ -74,14 +81,21 @@
     test.it('is no crash if the target accepts connections', () => {
       running = [run('a'), run('b')]
       lose(run('a'))
-      answerProbe(true)
+      answerProbe('up')
       assert.deepEqual([crashes, checked], [[], ['a']])
     })
 
+    test.it('is no crash if a full target closes new connections and goes on with its runs', () => {
+      running = [run('a'), run('b')]
+      lose(running[0] as crashWatches.CrashedRun)
+      answerProbe('closed')
+      assert.deepEqual(crashes, [])
+    })
+
     test.it('is no crash of a target that is leaving', () => {
       target = undefined
       lose(run('a'))
-      answerProbe(false)
+      answerProbe('refused')
       assert.deepEqual(crashes, [])
     })
   })
--- a/packages/node/src/direct/CrashWatch.ts
+++ b/packages/node/src/direct/CrashWatch.ts
@@ -6,6 +6,9 @@
 /** Runs without an answer that the target may still be working on, and that are remembered. */
 const MAX_ABANDONED = 32
 
+/** Whether a target takes a connection. `closed`: it was accepted and closed at once. */
+export type ProbeResult = 'up' | 'closed' | 'refused'
+
 /** A request that a target was running. */
 export interface CrashedRun {
   readonly call: types.CallMessage
@@ -21,8 +24,8 @@
 }
 
 export interface CrashWatchOptions {
-  /** Finds out whether the target accepts a connection. */
-  readonly probe: (onResult: (isUp: boolean) => void) => void
+  /** Finds out whether the target takes a connection. */
+  readonly probe: (onResult: (result: ProbeResult) => void) => void
   /** Target that calls are sent to; undefined if it is leaving, because its end is no crash then. */
   readonly target: () => direct.TargetStart | undefined
   /** Requests that the target is running, as far as this node knows. */
@@ -33,7 +36,7 @@
 }
 
 /**
- * Tells the crash of the target from the loss of a single connection: after a crash it accepts no connection. Collects the
+ * Tells the crash of the target from the loss of a single connection: after a crash it takes no connection. Collects the
  * requests that it was running.
  */
 export class CrashWatch {
@@ -54,10 +57,13 @@
     this._isChecking = true
     const target = this._options.target()
     const running = [...this._options.running()]
-    this._options.probe(isUp => {
+    this._options.probe(result => {
       this._isChecking = false
       const lost = this._lost
       this._lost = []
+      const lostCalls = new Set(lost.map(entry => entry.run.call))
+      // A target that is full closes connections as well, but goes on with its runs.
+      const isUp = result === 'up' || (result === 'closed' && running.some(({ call }) => !lostCalls.has(call)))
       if (!isUp) this._report(target, [...running, ...lost.map(entry => entry.run)])
       for (const entry of lost) {
         if (isUp) this.recordAbandoned(entry.run, entry.run.call.remainingMs)
--- a/packages/node/src/direct/TargetHost.test.ts
+++ b/packages/node/src/direct/TargetHost.test.ts
@@ -71,7 +71,7 @@
       nowMs: () => nowMs,
       uncountedMs: () => uncountedMs,
       endsAtMs: () => endsAtMs,
-      probe: onResult => { onResult(isUp) },
+      probe: onResult => { onResult(isUp ? 'up' : 'refused') },
       newCrashId: () => 'crash',
       crashes: {
         ...noCrashes.NO_CRASHES,
--- a/packages/node/src/direct/TargetHostOptions.ts
+++ b/packages/node/src/direct/TargetHostOptions.ts
@@ -18,7 +18,7 @@
   /** When this process ends. Infinite while it is not stopping. */
   readonly endsAtMs: () => base.Millis
   /** Finds out whether the target accepts a connection. */
-  readonly probe: (onResult: (isUp: boolean) => void) => void
+  readonly probe: (onResult: (result: crashWatches.ProbeResult) => void) => void
   readonly newCrashId: () => string
   readonly crashes: services.ICrashGuard
   /** Start of the target; undefined if it is not known. */
--- a/packages/node/src/direct/testing/CrashFleet.ts
+++ b/packages/node/src/direct/testing/CrashFleet.ts
@@ -190,7 +190,7 @@
       nowMs,
       uncountedMs: () => 0,
       endsAtMs: () => Infinity,
-      probe: onResult => { onResult(node.isTargetUp) },
+      probe: onResult => { onResult(node.isTargetUp ? 'up' : 'refused') },
       newCrashId: () => `${id}-${node.targetStart}`,
       crashes: guard,
       start: () => ({ targetId: `${id}-${node.targetStart}`, startedAtMs: node.targetStart }),
--- a/packages/node/src/direct/testing/VirtualFleet.ts
+++ b/packages/node/src/direct/testing/VirtualFleet.ts
@@ -178,7 +178,7 @@
       nowMs,
       uncountedMs: () => 0,
       endsAtMs: () => Infinity,
-      probe: onResult => { onResult(true) },
+      probe: onResult => { onResult('up') },
       newCrashId: () => '',
       crashes: noCrashes.NO_CRASHES,
       start: () => ({ targetId: id, startedAtMs: 0 }),
--- a/packages/testbed/src/soak/SoakRun.ts
+++ b/packages/testbed/src/soak/SoakRun.ts
@@ -2,6 +2,7 @@
 import * as documents from '@elmpost/platform/standins/Documents.js'
 import * as faultPlan from './FaultPlan.js'
 import * as fleetFaults from './FleetFaults.js'
+import * as harmfulLedger from './HarmfulLedger.js'
 import * as fs from 'node:fs'
 import * as noticeLedger from './NoticeLedger.js'
 import * as random from '@elmpost/common/base/Random.js'
@@ -17,6 +18,8 @@
 const ZONES = ['vake', 'didube']
 const SERVICES = ['till', 'vault']
 const CALLS_PER_S = 120
+/** Share of the idempotent calls with which targets crash, while faults are injected. */
+const HARMFUL_SHARE = 0.01
 /** Share of the idempotent calls whose callers leave early, and when. */
 const LEAVING_SHARE = 0.15
 const MIN_LEAVE_MS = 20
@@ -72,6 +75,8 @@
   private readonly _ledger = new soakLedger.SoakLedger((names, fromMs, toMs) => this._touch.isCalm(names, fromMs, toMs))
   private readonly _retries = new retryLedger.RetryLedger()
   private readonly _notices = new noticeLedger.NoticeLedger()
+  private readonly _harmful = new harmfulLedger.HarmfulLedger((requestId, atMs) => this._touch.isCalm([this._ledger.calls.find(call => call.requestId === requestId)?.entry ?? ''], atMs, atMs))
+  private readonly _harmfulRandom: random.Random
   private readonly _versions: versionWatch.VersionWatch
   private readonly _nodes: soakNode.SoakNode[] = []
   private readonly _pending = new Set<Promise<void>>()
@@ -92,6 +97,7 @@
   constructor (options: SoakOptions) {
     this._options = options
     this._random = new random.Random(options.seed + 1)
+    this._harmfulRandom = new random.Random(options.seed + 2)
     this._targets = TARGETS[options.seed % TARGETS.length] ?? TARGETS[0]
     this._versions = new versionWatch.VersionWatch(version => { this._configure(version) }, (name, fromMs, toMs) => this._touch.isCalm([name, touchLedger.STORE], fromMs, toMs))
   }
@@ -139,6 +145,7 @@
       this._retries.recordArrival(service, requestId)
       this._notices.recordArrival(target.targetId, requestId, performance.now())
     }
+    this._harmful.instrument(target, replacing => { this._pending.add(replacing) }, downMs => node.crashTarget(downMs))
     target.shouldResetRun = () => this._isLosingAnswers && this._random.nextFloat() < this._targets.lostShare
     target.callNested = async (parentId, path) => {
       if (!this._isLosingAnswers || !path.startsWith('/price/')) return true
@@ -301,7 +308,7 @@
       requestId,
       entry: node.name,
       isIdempotent,
-      path: `${route}${requestId}`,
+      path: isIdempotent && this._isLosingAnswers && this._harmfulRandom.nextFloat() < HARMFUL_SHARE ? harmfulLedger.harmfulPath(route) : `${route}${requestId}`,
       body: isIdempotent ? '' : `body of ${requestId}`,
       deadlineMs: DEADLINE_MS,
       startedAtMs: performance.now(),
@@ -369,7 +376,7 @@
 
   private _collectResult (faults: readonly faultPlan.Fault[], recoveryProblems: readonly string[]): SoakResult {
     for (const node of this._nodes) this._ledger.runs.push(...node.target.runs.filter(({ requestId }) => !versionWatch.isProbe(requestId)))
-    const problems = [...recoveryProblems, ...this._versions.problems, ...this._ledger.check(), ...this._retries.check(), ...this._notices.check()]
+    const problems = [...recoveryProblems, ...this._versions.problems, ...this._ledger.check(), ...this._retries.check(), ...this._notices.check(), ...this._harmful.check(this._nodes.flatMap(({ target }) => target.runs))]
     const logs = new Map(problems.length === 0 ? [] : this._nodes.map(({ name, logLines }) => [name, logLines]))
     const answered = this._ledger.calls.filter(({ status }) => status === 200).length
     return { seed: this._options.seed, faults, calls: this._ledger.calls.length, answered, problems, logs }
