--- a/packages/node/src/direct/TargetProbe.ts
+++ b/packages/node/src/direct/TargetProbe.ts
@@ -32,8 +32,7 @@
   socket.on('end', () => { end('closed') })
   socket.on('close', () => { end('closed') })
   socket.on('error', (error: NodeJS.ErrnoException) => {
-    const isRefused = error.code === 'ECONNREFUSED' || error.code === 'ECONNRESET'
-    if (isConnected) end('closed')
-    else end(isRefused ? 'refused' : 'up')
+    if (error.code === 'ECONNREFUSED') end('refused')
+    else end(isConnected || error.code === 'ECONNRESET' ? 'closed' : 'up')
   })
 }
