--- a/packages/node/src/direct/RequestIdentity.ts
+++ b/packages/node/src/direct/RequestIdentity.ts
@@ -15,7 +15,7 @@
 
 /**
  * Recognizes a request that comes again under another id: by method, host, path, caller and body. The head is compared
- * first, because the digest of a long body costs about 1 ms for each MB.
+ * first, because the digest of a long body takes a node's time from other calls.
  */
 export class RequestIdentity {
   /** Digests of requests that are looked up several times on their way. */
