--- a/packages/testbed/src/soak/HarmfulLedger.test.ts
+++ b/packages/testbed/src/soak/HarmfulLedger.test.ts
@@ -3,7 +3,7 @@
 import * as test from 'node:test'
 
 test.describe('HarmfulLedger', () => {
-  const run = (service: string, atMs: number): harmfulLedger.HarmfulRun => ({ path: harmfulLedger.harmfulPath('/photo/'), requestId: 'r', atMs, headers: { 'caller-service': service } })
+  const run = (caller: string, atMs: number): harmfulLedger.HarmfulRun => ({ path: harmfulLedger.harmfulPath('/photo/'), requestId: 'r', atMs, caller })
 
   function problems (lateRuns: number, isCalm = true): string[] {
     const ledger = new harmfulLedger.HarmfulLedger(() => isCalm)
--- a/packages/testbed/src/soak/HarmfulLedger.ts
+++ b/packages/testbed/src/soak/HarmfulLedger.ts
@@ -8,7 +8,7 @@
 const DOWN_MS = 1_000
 const HARMFUL_NAME = 'harmful'
 
-export type HarmfulRun = Pick<targetStandIn.TargetRun, 'path' | 'requestId' | 'atMs' | 'headers'>
+export type HarmfulRun = Pick<targetStandIn.TargetRun, 'path' | 'requestId' | 'atMs' | 'caller'>
 
 export function harmfulPath (route: string): string {
   return `${route}${HARMFUL_NAME}`
@@ -43,6 +43,6 @@
   }
 }
 
-function keyOf ({ path, headers }: HarmfulRun): string {
-  return `${path} from ${String(headers['caller-service'])}`
+function keyOf ({ path, caller }: HarmfulRun): string {
+  return `${path} from ${caller}`
 }
