--- a/packages/node/src/direct/CrashGuard.ts
+++ b/packages/node/src/direct/CrashGuard.ts
@@ -10,6 +10,8 @@
 
 /** Answers to requests with a longer body are noted only while the request is under suspicion, because the digest of the body takes time. */
 const MAX_NOTED_BODY_BYTES = 64 * 1024
+/** Errors say nothing about whether the request crashes targets. */
+const FIRST_ERROR_STATUS = 500
 /** Nodes that each node tells what is new, so that all nodes learn of it within a few ticks. */
 const FANOUT = 8
 /** Crashes of the target beside this node that its next process finds in the store. */
@@ -65,7 +67,8 @@
     return reports.length === 0 ? undefined : reports
   }
 
-  public recordAnswer (request: requestIdentity.IdentifiedRequest): void {
+  public recordAnswer (request: requestIdentity.IdentifiedRequest, status: number): void {
+    if (status >= FIRST_ERROR_STATUS) return
     if ((request.body?.length ?? 0) > MAX_NOTED_BODY_BYTES && !this._isKnown(request)) return
     if (this._history.recordAnswer(this._identity.fingerprintOf(request), this._options.nowMs())) this._logStandings()
   }
--- a/packages/node/src/direct/EntryGate.ts
+++ b/packages/node/src/direct/EntryGate.ts
@@ -14,8 +14,6 @@
  * one. Beyond this share of its remaining time a caller has usually left, so one that is still there has waited for less.
  */
 const MAX_ACCEPT_WAIT_SHARE = 0.5
-/** Answers from here on say nothing about whether the request crashes targets. */
-export const FIRST_ERROR_STATUS = 500
 
 export interface EntryGateOptions {
   readonly nodeId: base.NodeId
@@ -153,7 +151,7 @@
     switch (result.kind) {
       case 'answered':
         call.answer = result.answer
-        if (result.answer.status < FIRST_ERROR_STATUS) this._options.crashes.recordAnswer(call.request)
+        this._options.crashes.recordAnswer(call.request, result.answer.status)
         this._carryOut(calls.handleAnswer(callId, nodeId, result.answer.status, result.answer.body?.length ?? 0, nowMs()))
         break
       case 'refused':
--- a/packages/node/src/direct/Services.ts
+++ b/packages/node/src/direct/Services.ts
@@ -72,8 +72,8 @@
   historyOf(request: requestIdentity.IdentifiedRequest): direct.IRequestHistory
   /** What is held against the request, for the host that it is sent to. Undefined if nothing is. */
   reportsOf(request: requestIdentity.IdentifiedRequest): readonly direct.CrashReport[] | undefined
-  /** A target has answered the request without an error. */
-  recordAnswer(request: requestIdentity.IdentifiedRequest): void
+  /** A target has answered the request. */
+  recordAnswer(request: requestIdentity.IdentifiedRequest, status: number): void
   recordCrash(crash: crashWatches.TargetCrash): void
   /** Takes over what another node knows. */
   recordReports(reports: readonly direct.CrashReport[]): void
--- a/packages/node/src/direct/TargetHost.ts
+++ b/packages/node/src/direct/TargetHost.ts
@@ -1,5 +1,4 @@
 import * as crashWatches from './CrashWatch.js'
-import * as entryGate from './EntryGate.js'
 import * as slotQueue from '@elmpost/common/direct/SlotQueue.js'
 import type * as base from '@elmpost/common/base/Types.js'
 import type * as direct from '@elmpost/common/direct/Types.js'
@@ -275,7 +274,7 @@
     if (result.kind === 'answered' || result.kind === 'declined') this._answeredAtMs = this._options.nowMs()
     switch (result.kind) {
       case 'answered':
-        if (result.answer.status < entryGate.FIRST_ERROR_STATUS) this._options.crashes.recordAnswer(call.message)
+        this._options.crashes.recordAnswer(call.message, result.answer.status)
         this._finish(call, { kind: 'answered', answer: result.answer })
         break
       case 'declined':
