Wait for a port that is in use at the start

A process whose port was still held ended with EADDRINUSE, and so did each restart: four ends in 2.3 s. The platform restarts a process after a short delay, and nothing says that the port of the one before it is free by then. It held for the ports for callers, readiness, announcements, links and metrics alike.

--- a/packages/node/src/CallerListener.ts
+++ b/packages/node/src/CallerListener.ts
@@ -5,6 +5,7 @@
 import * as timers from 'node:timers/promises'
 import type * as base from '@elmpost/common/base/Types.js'
 import type * as net from 'node:net'
+import type * as services from './Services.js'
 import type * as types from './Types.js'
 
 /** Limits how long callers that keep connecting can delay a stop. Twice the listen backlog of Node.js. */
@@ -15,6 +16,8 @@
 
 export interface CallerListenerOptions {
   readonly address: types.Address
+  /** Fails if the port is in use if it is undefined. */
+  readonly binder?: services.IServerBinder | undefined
   /** Idle connections are closed after this time. */
   readonly keepAliveMs: base.Millis
   /** Idle time advertised to callers. Idle connections stay open for this time when the listener is closing. */
@@ -48,6 +51,10 @@
     return this._idleEnd !== undefined
   }
 
+  public get isListening (): boolean {
+    return this._http.listening
+  }
+
   /** Number of connections that `closeAll` ended. */
   public get cutConnections (): number {
     return this._cutConnections
@@ -58,7 +65,7 @@
   }
 
   public listen (): Promise<number> {
-    return addresses.listen(this._http, this._options.address)
+    return (this._options.binder ?? addresses.immediateBinder).bind(this._http, this._options.address)
   }
 
   /**
--- a/packages/node/src/PeerServer.ts
+++ b/packages/node/src/PeerServer.ts
@@ -3,10 +3,13 @@
 import * as peerLinks from './PeerLinks.js'
 import * as ws from 'ws'
 import type * as base from '@elmpost/common/base/Types.js'
+import type * as services from './Services.js'
 import type * as types from './Types.js'
 
 export interface PeerServerOptions {
   readonly address: types.Address
+  /** Fails if the port is in use if it is undefined. */
+  readonly binder?: services.IServerBinder | undefined
   /** A longer message ends its connection. */
   readonly maxMessageBytes?: number
   /** Called with each connection that a node opens. */
@@ -33,9 +36,13 @@
     this._server.on('error', () => {})
   }
 
+  public get isListening (): boolean {
+    return this._http.listening
+  }
+
   /** Starts to listen and returns the port. */
   public listen (): Promise<number> {
-    return addresses.listen(this._http, this._options.address)
+    return (this._options.binder ?? addresses.immediateBinder).bind(this._http, this._options.address)
   }
 
   public dispose (): void {
--- a/packages/node/src/Services.ts
+++ b/packages/node/src/Services.ts
@@ -1,5 +1,6 @@
 /** Interfaces between the parts of the node process. */
 import type * as base from '@elmpost/common/base/Types.js'
+import type * as http from 'node:http'
 import type * as hosting from '@elmpost/common/hosting/Types.js'
 import type * as messages from '@elmpost/common/node/Messages.js'
 import type * as routing from '@elmpost/common/routing/Types.js'
@@ -12,6 +13,12 @@
   log(level: types.LogLevel, event: string, context?: types.LogContext): void
 }
 
+/** Binds servers to their addresses. */
+export interface IServerBinder {
+  /** Resolves with the port when the server listens. */
+  bind(server: http.Server, address: types.Address): Promise<number>
+}
+
 /** A connection to another node, or to this node itself. Carries calls and control messages in both directions. */
 export interface IPeerLink {
   readonly nodeId: base.NodeId
--- a/packages/node/src/direct/DirectNode.ts
+++ b/packages/node/src/direct/DirectNode.ts
@@ -35,6 +35,7 @@
 
 export interface DirectNodeOptions {
   readonly settings: types.DirectSettings
+  readonly binder?: nodeServices.IServerBinder
   readonly dialect: services.ICallDialect
   readonly store: services.IKeyedStore
   readonly rulesFormat: services.IRulesFormat
@@ -147,7 +148,10 @@
       nowMs,
       send: (nodeId, call) => this._send(nodeId, call),
       cancel: (nodeId, callId) => this._cancel(nodeId, callId),
-      onCallEnd: (exchange, end) => { this._handleCallEnd(exchange, end) },
+      onCallEnd: (exchange, end) => {
+        this._callEnded.fire(callMeasure.measure(end))
+        this._log.logEnd(exchange.info, end)
+      },
       onCallCancelled: (exchange, cancelled) => { this._log.logCancelled(exchange.info, cancelled) },
       callsEndByMs: () => this._stop.callsEndByMs,
       suspectedMs: () => this._stalls.suspectedMs,
@@ -156,13 +160,14 @@
     }))
     this._ingress = this._register(new ingress.Ingress({
       address: addresses.parse(settings.callerAddress),
+      binder: options.binder,
       owner: this._entry,
       dialect,
       nowMs,
       onDropped: ({ info }, totalMs) => { this._log.logCancelled(info, { totalMs, rule: undefined, nodeId: '', sends: 0 }) },
       onAcceptsEnd: (waitMs, connections) => { this._log.logAccepts(waitMs, connections) }
     }))
-    this._peers = this._register(new peerServer.PeerServer({ address: addresses.parse(settings.peerListenAddress), maxMessageBytes: nodeLinks.MAX_MESSAGE_BYTES, onConnection: socket => { this._links.accept(socket) } }))
+    this._peers = this._register(new peerServer.PeerServer({ address: addresses.parse(settings.peerListenAddress), binder: options.binder, maxMessageBytes: nodeLinks.MAX_MESSAGE_BYTES, onConnection: socket => { this._links.accept(socket) } }))
     this._audit = new auditTrail.AuditTrail({ store, nodeId: selfId, logger, nowMs, isWriter: () => this._rules.readers.isWriter, timeOfDayMs: options.timeOfDayMs })
     this._register(new storeReturns.StoreReturns({ era: store.era, nodeRecord: this._fleet.record, auditTrail: this._audit, logger, spread: () => { this._sendStatus(true) } }))
     this._stop = new plannedStop.PlannedStop({
@@ -189,7 +194,7 @@
   public get isReady (): boolean {
     const isConfirmed = Number.isFinite(this._rules.confirmedAgeMs)
     const knowsEnough = (this._fleet.isKnown && isConfirmed) || this._options.nowMs() - this._startedAtMs > READY_WITHOUT_STORE_MS
-    return !this._stop.hasBegun && this._calls.rules !== undefined && knowsEnough
+    return !this._stop.hasBegun && this._calls.rules !== undefined && knowsEnough && this._ingress.isListening && this._peers.isListening
   }
 
   public gauges (): directServices.DirectGauges {
@@ -221,9 +226,9 @@
     this._table.setConnected(settings.peerAddress, true)
     this._rules.start()
     this._fleet.start()
-    await Promise.all([this._peers.listen(), this._ingress.listen()])
     this._fleet.connectSeeds(settings.seeds)
     this._timer = setInterval(() => { this._tick() }, TICK_MS)
+    await Promise.all([this._peers.listen(), this._ingress.listen()])
     logger.log('info', 'started', { nodeName: this.nodeName, zone: this.zone, service: settings.service, callerAddress: settings.callerAddress, peerAddress: settings.peerAddress })
   }
 
@@ -341,11 +346,6 @@
     return false
   }
 
-  private _handleCallEnd (exchange: services.IExchange, end: entryGate.CallEnd): void {
-    this._callEnded.fire(callMeasure.measure(end))
-    this._log.logEnd(exchange.info, end)
-  }
-
   private _tick (): void {
     this._stalls.tick()
     if (this._stalls.suspectedMs > 0) this._log.log('warn', 'stalled', { stalledMs: Math.round(this._stalls.stalledMs), suspectedMs: Math.round(this._stalls.suspectedMs) })
--- a/packages/node/src/direct/Ingress.ts
+++ b/packages/node/src/direct/Ingress.ts
@@ -9,6 +9,7 @@
 import type * as http from 'node:http'
 import type * as net from 'node:net'
 import type * as services from './Services.js'
+import type * as nodeServices from '../Services.js'
 import type * as nodeTypes from '../Types.js'
 import type * as types from './Types.js'
 
@@ -26,6 +27,8 @@
 
 export interface IngressOptions {
   readonly address: nodeTypes.Address
+  /** Fails if the port is in use if it is undefined. */
+  readonly binder?: nodeServices.IServerBinder | undefined
   readonly owner: services.IExchangeOwner
   readonly dialect: services.ICallDialect
   readonly nowMs: () => base.Millis
@@ -59,6 +62,7 @@
     })
     this._listener = new callerListener.CallerListener({
       address: options.address,
+      binder: options.binder,
       keepAliveMs: DEFAULT_IDLE_MS,
       closingIdleMs: CLOSING_IDLE_MS,
       handle: (request, response) => { this._handle(request, response) },
@@ -73,6 +77,10 @@
     return this._listener.isClosing
   }
 
+  public get isListening (): boolean {
+    return this._listener.isListening
+  }
+
   /** Requests that have been read and not begun. */
   public get held (): number {
     return this._held.size
--- a/packages/node/src/direct/StatusServer.ts
+++ b/packages/node/src/direct/StatusServer.ts
@@ -5,9 +5,12 @@
 import type * as base from '@elmpost/common/base/Types.js'
 import type * as nodeServices from '@elmpost/common/node/Services.js'
 import type * as nodeTypes from '../Types.js'
+import type * as services from '../Services.js'
 
 export interface StatusServerOptions {
   readonly address: nodeTypes.Address
+  /** Fails if the port is in use if it is undefined. */
+  readonly binder?: services.IServerBinder | undefined
   readonly metrics: nodeServices.IExposition
   /** What `elmpost status` shows. */
   readonly status: () => object
@@ -35,7 +38,7 @@
   }
 
   public listen (): Promise<number> {
-    return addresses.listen(this._http, this._options.address)
+    return (this._options.binder ?? addresses.immediateBinder).bind(this._http, this._options.address)
   }
 
   public dispose (): void {
