Bound the memory for bodies of callers' requests

Each body was bounded, their sum was not.

BodyMemory counts what is held from the first byte until the answer. One body may be as long as the configuration allows; all others share 12 MiB. Above that the largest one that is still being received is refused at once as not run, with Retry-After, so short requests are not refused for long ones. A body that is announced to be long is collected in one block, because joining its pieces took its memory twice. `body-refused` lines and the gauge `elmpost_direct_body_bytes` show it.

--- a/addons/addon-metrics/src/DirectMetrics.ts
+++ b/addons/addon-metrics/src/DirectMetrics.ts
@@ -79,6 +79,7 @@
     this._gauge('elmpost_direct_nodes', 'Nodes that this node knows, itself included', () => node.gauges().knownNodes)
     this._gauge('elmpost_direct_nodes_connected', 'Nodes that calls can be sent to, itself included', () => node.gauges().connectedNodes)
     this._gauge('elmpost_direct_store_age_seconds', 'Time since the store last answered this node', () => node.gauges().storeAgeMs / MS_PER_S)
+    this._gauge('elmpost_direct_body_bytes', 'Bytes of bodies of callers that are being received, or whose requests have no answer yet', () => node.gauges().bodyBytes)
     this._gauge('elmpost_direct_accept_wait_seconds', 'How long a connection of a caller that is accepted now may have waited', () => node.gauges().acceptWaitMs / MS_PER_S)
     this._gauge('elmpost_direct_behind_seconds', 'Time since another node is known to enforce a newer version; 0 if none is', () => node.gauges().behindMs / MS_PER_S)
     this._gauge('elmpost_direct_confirmed_age_seconds', 'Time since the version in force is known to have been the newest one; +Inf if it is not known', () => node.gauges().confirmedAgeMs / MS_PER_S)
--- a/packages/common/src/direct/Services.ts
+++ b/packages/common/src/direct/Services.ts
@@ -41,6 +41,8 @@
   readonly storeAgeMs: base.Millis
   /** How long a connection of a caller that is accepted now may have waited. */
   readonly acceptWaitMs: base.Millis
+  /** Bytes of bodies of callers that are being received, or whose requests have no answer yet. */
+  readonly bodyBytes: number
   /** Time since another node is known to enforce a newer version. */
   readonly behindMs: base.Millis
   /** Since the version in force is known to have been the newest one; Infinity if it is not known. */
--- a/packages/node/src/PieceBuffer.test.ts
+++ b/packages/node/src/PieceBuffer.test.ts
@@ -17,6 +17,22 @@
     }), { numRuns: 200 })
   })
 
+  // Guards against a long body that takes its memory twice when its pieces are joined.
+  test.it('collects a long body of known length in one block', () => {
+    const body = Buffer.alloc(3 * 1024 * 1024, 'abc')
+    const pieces = new pieceBuffer.PieceBuffer(body.length)
+    for (let at = 0; at < body.length; at += 65_000) pieces.add(body.subarray(at, at + 65_000))
+    const whole = pieces.take()
+    assert.equal(whole?.buffer.byteLength, body.length)
+    assert.ok(whole.equals(body))
+  })
+
+  test.it('returns a body that ends before its announced length', () => {
+    const pieces = new pieceBuffer.PieceBuffer(2 * 1024 * 1024)
+    for (const piece of ['one', 'two']) pieces.add(Buffer.from(piece))
+    assert.equal(pieces.take()?.toString(), 'onetwo')
+  })
+
   test.it('does not copy a single piece', () => {
     const pieces = new pieceBuffer.PieceBuffer()
     const piece = Buffer.from('whole')
--- a/packages/node/src/PieceBuffer.ts
+++ b/packages/node/src/PieceBuffer.ts
@@ -1,6 +1,8 @@
 /** Bounds of the blocks into which pieces are copied. A block is at most as large as all before it together. */
 const MIN_BLOCK_BYTES = 1024
 const MAX_BLOCK_BYTES = 64 * 1024
+/** A body that is announced to be at least this long is collected in one block, because joining blocks takes its memory twice. */
+const MIN_WHOLE_BYTES = 1024 * 1024
 
 /**
  * Collects a body that arrives in pieces. Small pieces are copied together, because each is an object that keeps the whole
@@ -13,6 +15,9 @@
   private _filledBytes = 0
   private _lengthBytes = 0
 
+  /** `expectedBytes`: length of the whole body if it is known, otherwise 0. */
+  constructor (private readonly _expectedBytes = 0) {}
+
   public get lengthBytes (): number {
     return this._lengthBytes
   }
@@ -32,7 +37,9 @@
   /** Removes and returns the whole body; undefined if it is empty. */
   public take (): Buffer | undefined {
     const last = this._blocks.length - 1
-    const whole = this._first ?? (last < 0 ? undefined : Buffer.concat(this._blocks.map((block, at) => at === last ? block.subarray(0, this._filledBytes) : block)))
+    const [only] = this._blocks
+    const isFull = last === 0 && this._filledBytes === only?.length
+    const whole = this._first ?? (last < 0 ? undefined : isFull ? only : Buffer.concat(this._blocks.map((block, at) => at === last ? block.subarray(0, this._filledBytes) : block)))
     this.clear()
     return whole
   }
@@ -48,8 +55,7 @@
     for (let at = 0; at < piece.length;) {
       let block = this._blocks.at(-1)
       if (block === undefined || this._filledBytes === block.length) {
-        const leastBytes = Math.max(this._lengthBytes, piece.length - at, MIN_BLOCK_BYTES)
-        block = Buffer.allocUnsafeSlow(Math.min(leastBytes, MAX_BLOCK_BYTES))
+        block = Buffer.allocUnsafeSlow(this._nextBlockBytes(piece.length - at))
         this._blocks.push(block)
         this._filledBytes = 0
       }
@@ -58,4 +64,9 @@
       at += copied
     }
   }
+
+  private _nextBlockBytes (leftBytes: number): number {
+    if (this._blocks.length === 0 && this._expectedBytes >= MIN_WHOLE_BYTES) return this._expectedBytes
+    return Math.min(Math.max(this._lengthBytes, leftBytes, MIN_BLOCK_BYTES), MAX_BLOCK_BYTES)
+  }
 }
--- /dev/null
+++ b/packages/node/src/direct/BodyMemory.test.ts
@@ -0,0 +1,73 @@
+import * as assert from 'node:assert/strict'
+import * as bodyMemory from './BodyMemory.js'
+import * as test from 'node:test'
+
+const MAX_SHARED_BYTES = 1_000
+
+test.describe('BodyMemory', () => {
+  let memory: bodyMemory.BodyMemory
+  let refused: string[]
+
+  function holder (name: string): bodyMemory.IBodyHolder {
+    return { refuseBody: () => { refused.push(name) } }
+  }
+
+  test.beforeEach(() => {
+    memory = new bodyMemory.BodyMemory(MAX_SHARED_BYTES)
+    refused = []
+  })
+
+  // Guards against a limit that no long body can pass.
+  test.it('lets one body be as long as it likes beside short ones', () => {
+    const long = holder('long')
+    for (let at = 0; at < 10; at++) {
+      memory.addPiece(long, 100_000)
+      memory.addPiece(holder(`short ${at}`), 100)
+    }
+    assert.deepEqual(refused, [])
+  })
+
+  // Guards against several long bodies that together exceed the memory of the process (review, case 5).
+  test.it('refuses the largest of the others when they exceed the bound, and keeps the short ones', () => {
+    const [first, second, third] = [holder('first'), holder('second'), holder('third')]
+    const short = holder('short')
+    memory.addPiece(short, 10)
+    memory.addPiece(first, 900)
+    memory.addPiece(second, 600)
+    memory.addPiece(third, 500)
+    assert.deepEqual(refused, ['second'])
+    memory.addPiece(third, 600)
+    assert.deepEqual(refused, ['second'])
+    memory.addPiece(first, 300)
+    assert.deepEqual(refused, ['second', 'third'])
+    assert.equal(memory.heldBytes, 1_210)
+  })
+
+  // Guards against thousands of connections that each hold a part of a short body.
+  test.it('bounds any number of short bodies', () => {
+    for (let at = 0; at < 3_000; at++) memory.addPiece(holder(`${at}`), 60)
+    assert.ok(memory.heldBytes <= MAX_SHARED_BYTES + 60, `${memory.heldBytes} bytes`)
+  })
+
+  // Guards against a refusal of a request that may have been sent on.
+  test.it('refuses no request whose body is whole, and the next ones instead', () => {
+    const [first, second] = [holder('first'), holder('second')]
+    for (const whole of [first, second]) {
+      memory.addPiece(whole, 1_000)
+      memory.complete(whole)
+    }
+    memory.addPiece(holder('third'), 1)
+    assert.deepEqual(refused, ['third'])
+    memory.remove(first)
+    memory.addPiece(holder('fourth'), 900)
+    assert.deepEqual(refused, ['third'])
+  })
+
+  test.it('forgets a request that has its answer', () => {
+    const first = holder('first')
+    memory.addPiece(first, 5_000)
+    memory.remove(first)
+    memory.remove(first)
+    assert.equal(memory.heldBytes, 0)
+  })
+})
--- a/packages/node/src/direct/DirectNode.ts
+++ b/packages/node/src/direct/DirectNode.ts
@@ -162,6 +162,7 @@
       dialect,
       nowMs,
       onDropped: ({ info }, totalMs) => { this._log.logCancelled(info, { totalMs, rule: undefined, nodeId: '', sends: 0 }) },
+      onBodyRefused: ({ info: { requestId } }, heldBytes) => { this._log.log('warn', 'body-refused', { requestId, heldBytes }) },
       onAcceptsEnd: (waitMs, connections) => { this._log.logAccepts(waitMs, connections) }
     }))
     this._peers = this._register(new peerServer.PeerServer({ address: addresses.parse(settings.peerListenAddress), binder: options.binder, maxMessageBytes: nodeLinks.MAX_MESSAGE_BYTES, onConnection: socket => { this._links.accept(socket) } }))
@@ -204,6 +205,7 @@
       connectedNodes: this._table.connectedCount,
       storeAgeMs: this._rules.storeAgeMs,
       acceptWaitMs: this._ingress.acceptWaitMs,
+      bodyBytes: this._ingress.bodyBytes,
       behindMs: this._rules.behindMs,
       confirmedAgeMs: this._rules.confirmedAgeMs
     }
--- a/packages/node/src/direct/Ingress.test.ts
+++ b/packages/node/src/direct/Ingress.test.ts
@@ -33,6 +33,7 @@
   let ingress: ingresses.Ingress
   let client: net.Socket
   let dropped: string[]
+  let refused: string[]
   let port: number
 
   async function send (paths: readonly string[]): Promise<void> {
@@ -43,7 +44,8 @@
   test.beforeEach(async () => {
     owner = new FakeOwner()
     dropped = []
-    ingress = new ingresses.Ingress({ address: { host: '127.0.0.1', port: 0 }, owner, dialect: DIALECT, nowMs: () => performance.now(), onAcceptsEnd: () => {}, onDropped: exchange => { dropped.push(exchange.path) } })
+    refused = []
+    ingress = new ingresses.Ingress({ address: { host: '127.0.0.1', port: 0 }, owner, dialect: DIALECT, nowMs: () => performance.now(), onAcceptsEnd: () => {}, onBodyRefused: exchange => { refused.push(exchange.path) }, onDropped: exchange => { dropped.push(exchange.path) } })
     port = await ingress.listen()
     client = net.connect(port, '127.0.0.1')
     client.on('error', () => {})
@@ -103,6 +105,51 @@
     })
   })
 
+  test.describe('bodies that take more than their share of the memory', () => {
+    const BODY_BYTES = 5 * 1024 * 1024
+    let clients: net.Socket[]
+
+    /** Sends a body without its last byte. */
+    function sendUnfinished (path: string): { answer: string } {
+      const received = { answer: '' }
+      const socket = net.connect(port, '127.0.0.1')
+      clients.push(socket)
+      socket.on('error', () => {}).on('data', part => { received.answer += part.toString() })
+      socket.write(`POST ${path} HTTP/1.1\r\nHost: booth.example\r\nContent-Length: ${BODY_BYTES}\r\n\r\n`)
+      socket.write(Buffer.alloc(BODY_BYTES - 1))
+      return received
+    }
+
+    test.beforeEach(() => { clients = [] })
+
+    test.afterEach(() => { for (const socket of clients) socket.destroy() })
+
+    // Guards against unfinished bodies of many callers that together exceed the memory of the process (review, case 5).
+    test.it('are refused at once as not run, and leave one long body and all short requests', async () => {
+      const all = Array.from({ length: 6 }, (_, at) => sendUnfinished(`/long/${at}`))
+      const answers = (): string[] => all.map(({ answer }) => answer).filter(answer => answer !== '')
+      await until(() => answers().length === 3 && ingress.bodyBytes >= 3 * (BODY_BYTES - 1))
+      assert.equal(refused.length, 3)
+      for (const answer of answers()) assert.match(answer, /^HTTP\/1\.1 503 [^]*Elmpost-Outcome: not-run[^]*Retry-After: 0\.500[^]*Connection: close/)
+      await send(['/short'])
+      for (const socket of clients) socket.write('x')
+      await until(() => owner.begun.length === 4)
+      assert.equal(owner.begun.filter(({ body }) => body?.length === BODY_BYTES).length, 3)
+    })
+
+    test.it('are forgotten when their requests are answered or their callers leave', async () => {
+      sendUnfinished('/long/1')
+      sendUnfinished('/long/2')
+      await until(() => ingress.bodyBytes === 2 * (BODY_BYTES - 1))
+      clients[0]?.destroy()
+      clients[1]?.write('x')
+      await until(() => owner.begun.length === 1 && ingress.bodyBytes === BODY_BYTES)
+      owner.begun[0]?.answer({ status: 200, headers: [], body: undefined, isUnframed: false })
+      await until(() => ingress.bodyBytes === 0)
+      assert.equal(ingress.bodyBytes, 0)
+    })
+  })
+
   test.it('keeps one listener per connection, regardless of the number of requests on it', async () => {
     const warnings: Error[] = []
     const handleWarning = (warning: Error): void => { warnings.push(warning) }
--- a/packages/node/src/direct/Ingress.ts
+++ b/packages/node/src/direct/Ingress.ts
@@ -1,4 +1,5 @@
 import * as acceptStreaks from '../AcceptStreak.js'
+import * as bodyMemory from './BodyMemory.js'
 import * as bodyReader from '../BodyReader.js'
 import * as callerConnections from './CallerConnections.js'
 import * as callerListener from '../CallerListener.js'
@@ -22,6 +23,8 @@
 /** Limit of request bodies before a configuration sets one. */
 const DEFAULT_MAX_BODY_BYTES = 64 * 1024 * 1024
 const MS_PER_S = 1000
+/** Wait of a caller whose body did not fit into the memory. Most calls that hold some of it have ended by then. */
+const BODY_RETRY_MS = 500
 /** A caller's close stands behind its request, and Node.js reads it one turn of the event loop later. */
 const READ_AHEAD_TURNS = 2
 
@@ -34,6 +37,8 @@
   readonly nowMs: () => base.Millis
   /** Connections have been accepted in several turns of the event loop, and the last of them may have waited for `waitMs`. */
   readonly onAcceptsEnd: (waitMs: base.Millis, connections: number) => void
+  /** A request was refused because the bodies that the node holds take `heldBytes`. */
+  readonly onBodyRefused: (exchange: services.IExchange, heldBytes: number) => void
   /** The caller has left before its request was begun, `waitedMs` after the request arrived at most. */
   readonly onDropped: (exchange: services.IExchange, waitedMs: base.Millis) => void
 }
@@ -49,6 +54,7 @@
   private readonly _held: readAheads.ReadAhead<IngressExchange>
   /** Requests whose bodies are being read. */
   private readonly _reading = new Set<IngressExchange>()
+  private readonly _bodies = new bodyMemory.BodyMemory()
   private _maxBodyBytes = DEFAULT_MAX_BODY_BYTES
 
   constructor (options: IngressOptions) {
@@ -91,6 +97,11 @@
     return this._accepts.waitMs
   }
 
+  /** Bytes of bodies that are being received, or whose requests have no answer yet. */
+  public get bodyBytes (): number {
+    return this._bodies.heldBytes
+  }
+
   public setLimits (limits: direct.CallerLimits): void {
     this._maxBodyBytes = limits.maxBodyBytes
     this._listener.setKeepAlive(limits.idleTimeoutMs + IDLE_MARGIN_MS)
@@ -107,6 +118,12 @@
     this._options.owner.endAll()
   }
 
+  /** Refuses a request because its body does not fit into the memory. */
+  public refuseBody (exchange: IngressExchange): void {
+    this._options.onBodyRefused(exchange, this._bodies.heldBytes)
+    this._refuseUnread(exchange, refusal('busy', BODY_RETRY_MS))
+  }
+
   public beginClosing (): void {
     this._listener.beginClosing()
   }
@@ -127,34 +144,48 @@
     const exchange = new IngressExchange(request, response, this, this._connections, this._options, acceptWaitMs)
     this._connections.recordRead(exchange.socket, exchange)
     this._reading.add(exchange)
-    response.once('close', () => { this._reading.delete(exchange) })
+    response.once('close', () => {
+      this._reading.delete(exchange)
+      this._bodies.remove(exchange)
+    })
     bodyReader.readBody(request, this._maxBodyBytes, {
+      onPiece: lengthBytes => {
+        this._bodies.addPiece(exchange, lengthBytes)
+        return this._reading.has(exchange)
+      },
       onComplete: body => {
         // It has been refused meanwhile otherwise.
         if (!this._reading.delete(exchange)) return
+        this._bodies.complete(exchange)
         exchange.body = body
         this._held.add(exchange)
       },
       onTooLarge: () => {
-        response.shouldKeepAlive = false
-        this._reading.delete(exchange)
-        exchange.refuse(refusal('body-too-large'))
+        this._refuseUnread(exchange, refusal('body-too-large'))
         request.resume()
       }
     })
   }
 
+  /** Refuses a request whose body has not been read. The connection closes, because the rest of the body stands on it. */
+  private _refuseUnread (exchange: IngressExchange, answer: direct.OwnAnswer): void {
+    exchange.closeAfterAnswer()
+    this._reading.delete(exchange)
+    this._bodies.remove(exchange)
+    exchange.refuse(answer)
+  }
+
   private _begin (exchange: IngressExchange): void {
     if (exchange.hasLeft || this._connections.isClosing(exchange.socket)) this._options.onDropped(exchange, exchange.waitedMs + exchange.acceptWaitMs)
     else exchange.begin()
   }
 }
 
-function refusal (reason: direct.RefusalReason): direct.OwnAnswer {
-  return { kind: 'refuse', callId: 0, reason, retryAfterMs: 0, rule: undefined, sends: 0 }
+function refusal (reason: direct.RefusalReason, retryAfterMs = 0): direct.OwnAnswer {
+  return { kind: 'refuse', callId: 0, reason, retryAfterMs, rule: undefined, sends: 0 }
 }
 
-class IngressExchange implements services.IExchange, callerConnections.IPendingRequest {
+class IngressExchange implements services.IExchange, callerConnections.IPendingRequest, bodyMemory.IBodyHolder {
   public readonly info: types.CallerRequestInfo
   public readonly method: string
   public readonly host: string
@@ -199,6 +230,14 @@
     this._options.owner.cancel(this)
   }
 
+  public closeAfterAnswer (): void {
+    this._response.shouldKeepAlive = false
+  }
+
+  public refuseBody (): void {
+    this._ingress.refuseBody(this)
+  }
+
   public answer (answer: types.TargetAnswer): void {
     const body = answer.body ?? Buffer.alloc(0)
     const headers = [...answer.headers, ...this._options.dialect.answerHeaders(this.info.requestId)]
