Pass long bodies between nodes without copying them

A call with a long body took its memory three times at its entry node: the encoder copied it, and the WebSocket library copied it again to mask it. The encoder also keeps a buffer as large as the last one for the next messages. With the bound on bodies this is what a single long one costs.

A body of 64 KiB or more is now a part of its message that is written as it is, and the masking key is zero, which the protocol allows and the library sends without a copy. Other versions read both: the bytes of a message are those of before but for the length fields, and fragments and masks are those of the protocol.

LinkCodec.test.ts compares both ways of encoding.

--- a/packages/node/src/direct/IncomingLink.ts
+++ b/packages/node/src/direct/IncomingLink.ts
@@ -1,5 +1,6 @@
 import * as linkCodec from './LinkCodec.js'
 import * as linkDelays from '@elmpost/common/direct/LinkDelay.js'
+import * as linkParts from './LinkParts.js'
 import * as outgoingLink from './OutgoingLink.js'
 import type * as base from '@elmpost/common/base/Types.js'
 import type * as direct from '@elmpost/common/direct/Types.js'
@@ -56,20 +57,20 @@
   }
 
   public send (message: linkCodec.LinkMessage): void {
-    this._write(this._options.codec.encode(message))
+    this._write(this._options.codec.encodeParts(message))
   }
 
   /** Sends an encoded message that does not contain the load, so it does not replace a status. */
   public sendReport (bytes: Buffer): void {
     const sentAtMs = this._sentAtMs
-    this._write(bytes)
+    this._write([bytes])
     this._sentAtMs = sentAtMs
   }
 
   /** Sends an encoded status. */
   public sendStatus (bytes: Buffer): void {
     this._statusSentAtMs = this._options.nowMs()
-    this._write(bytes)
+    this._write([bytes])
   }
 
   /** Whether a status has to be sent, because the last status or the last message is too old. */
@@ -88,11 +89,11 @@
     this._options.socket.close()
   }
 
-  private _write (bytes: Buffer): void {
+  private _write (parts: readonly Uint8Array[]): void {
     const { socket, nowMs } = this._options
     if (socket.readyState !== socket.OPEN) return
     this._sentAtMs = nowMs()
-    socket.send(bytes)
+    linkParts.send(socket, parts)
   }
 
   private _handleMessage (data: Buffer): void {
--- a/packages/node/src/direct/LinkCodec.test.ts
+++ b/packages/node/src/direct/LinkCodec.test.ts
@@ -88,6 +88,14 @@
   }
 ]
 
+function withBody (kind: 'call' | 'answered' | 'rules', body: Buffer): linkCodec.LinkMessage {
+  switch (kind) {
+    case 'call': return { kind, call: { callId: 9, service: 'till', isIdempotent: true, priority: 1, remainingMs: 800, objectiveMs: 200, elapsedMs: 3, requestId: 'r1', method: 'POST', path: '/', headers: ['Host', 'booth.example'], body, isRetry: true, sentAtMs: 81_234, crashes: CRASHES } }
+    case 'answered': return { kind: 'result', callId: 9, result: { kind, answer: { status: 200, headers: [], body, isUnframed: false } }, load: LIMITED }
+    case 'rules': return { kind, bytes: body }
+  }
+}
+
 test.describe('LinkCodec', () => {
   const codec = new linkCodec.LinkCodec()
 
@@ -98,6 +106,22 @@
       })
     }
 
+    // Guards against a long body that is copied as often as it is passed on, and against parts that another version cannot read.
+    for (const kind of ['call', 'answered', 'rules'] as const) {
+      test.it(`returns a message with a long body that was encoded in parts: ${kind}`, () => {
+        const body = Buffer.alloc(100_000, 'body')
+        const message = withBody(kind, body)
+        const parts = codec.encodeParts(message)
+        assert.equal(parts[1], body)
+        assert.deepEqual(codec.decode(Buffer.concat(parts)).unwrap(), codec.decode(codec.encode(message)).unwrap())
+        assert.deepEqual(codec.decode(Buffer.concat(parts)).unwrap(), message)
+      })
+    }
+
+    test.it('returns messages without a long body that were encoded in parts', () => {
+      for (const message of MESSAGES) assert.deepEqual(codec.decode(Buffer.concat(codec.encodeParts(message))).unwrap(), message)
+    })
+
     // Guards against an invalid record that costs the others in the message, or ends the process when a link is opened to it.
     test.it('leaves invalid records out and counts them', () => {
       const packr = new msgpackr.Packr({ useRecords: false })
--- a/packages/node/src/direct/LinkCodec.ts
+++ b/packages/node/src/direct/LinkCodec.ts
@@ -10,6 +10,12 @@
 const REFUSALS: readonly direct.RefusalReason[] = ['no-target', 'busy', 'target-refused', 'deadline', 'stopping']
 const FAILURES: readonly direct.FailureReason[] = ['timeout', 'peer-lost', 'target-lost', 'bad-answer']
 
+/** A body of at least this length is sent as a part of its own. */
+const MIN_PART_BYTES = 64 * 1024
+/** MessagePack types with a length of 16 and of 32 bits. */
+const ARRAY_16 = 0xdc
+const BYTES_32 = 0xc6
+
 /** Encodes an age that is not known. */
 const UNKNOWN_AGE = -1
 /** Encodes that there is no limit. */
@@ -87,6 +93,19 @@
     return this._packr.pack(valuesOf(message))
   }
 
+  /**
+   * Encodes a message in parts that are sent one after the other. A long body is a part of its own: encoding it with the
+   * rest would copy it, and the encoder would keep the copy.
+   */
+  public encodeParts (message: LinkMessage): readonly Uint8Array[] {
+    const values = valuesOf(message)
+    const at = values.findIndex(value => value instanceof Uint8Array && value.length >= MIN_PART_BYTES)
+    const body = values[at]
+    if (!(body instanceof Uint8Array)) return [this._packr.pack(values)]
+    const before = Buffer.concat([arrayHead(values.length), ...values.slice(0, at).map(value => this._packr.pack(value)), bytesHead(body.length)])
+    return [before, body, Buffer.concat(values.slice(at + 1).map(value => this._packr.pack(value)))]
+  }
+
   public decode (bytes: Uint8Array): results.Result<LinkMessage, Error> {
     try {
       const values: unknown = this._packr.unpack(bytes)
@@ -98,6 +117,22 @@
   }
 }
 
+/** Head of a MessagePack array. */
+function arrayHead (length: number): Buffer {
+  const head = Buffer.alloc(3)
+  head.writeUInt8(ARRAY_16)
+  head.writeUInt16BE(length, 1)
+  return head
+}
+
+/** Head of MessagePack bytes. */
+function bytesHead (lengthBytes: number): Buffer {
+  const head = Buffer.alloc(5)
+  head.writeUInt8(BYTES_32)
+  head.writeUInt32BE(lengthBytes, 1)
+  return head
+}
+
 function valuesOf (message: LinkMessage): Values {
   switch (message.kind) {
     case 'hello': return [KIND.hello, message.nodeId, message.zone, message.service, message.version, message.linkMbps, ...noticeValues(message.notice)]
--- /dev/null
+++ b/packages/node/src/direct/LinkParts.ts
@@ -0,0 +1,15 @@
+/** Sending of messages in parts on the connections between nodes. */
+import type * as ws from 'ws'
+
+/** Sends the parts as one message. No other message can come between them, because they are written at once. */
+export function send (socket: ws.WebSocket, parts: readonly Uint8Array[]): void {
+  parts.forEach((part, at) => { socket.send(part, { binary: true, fin: at === parts.length - 1 }) })
+}
+
+/**
+ * Clears the masking key of a frame, so that the library does not copy the frame. Masks protect proxies from scripts in
+ * browsers, and there are neither between nodes.
+ */
+export function clearMask (mask: Buffer): void {
+  mask.fill(0)
+}
--- a/packages/node/src/direct/OutgoingLink.ts
+++ b/packages/node/src/direct/OutgoingLink.ts
@@ -1,4 +1,5 @@
 import * as linkCodec from './LinkCodec.js'
+import * as linkParts from './LinkParts.js'
 import * as linkDelays from '@elmpost/common/direct/LinkDelay.js'
 import * as ws from 'ws'
 import type * as base from '@elmpost/common/base/Types.js'
@@ -165,7 +166,7 @@
   private _connect (): void {
     if (this._isDisposed) return
     const nowMs = this._options.nowMs()
-    const socket = new ws.WebSocket(`ws://${this.nodeId}/`, { perMessageDeflate: false, maxPayload: MAX_MESSAGE_BYTES, handshakeTimeout: CONNECT_TIMEOUT_MS, skipUTF8Validation: true })
+    const socket = new ws.WebSocket(`ws://${this.nodeId}/`, { perMessageDeflate: false, maxPayload: MAX_MESSAGE_BYTES, handshakeTimeout: CONNECT_TIMEOUT_MS, skipUTF8Validation: true, generateMask: linkParts.clearMask })
     const connection: Connection = { socket, calls: new Set(), delay: new linkDelays.LinkDelay(this._options.nowMs), isOpen: false, connectingSinceMs: nowMs, receivedAtMs: nowMs, sentAtMs: nowMs, pingedAtMs: -Infinity }
     this._current = connection
     socket.binaryType = 'nodebuffer'
@@ -239,6 +240,6 @@
 
   private _write (connection: Connection, message: linkCodec.LinkMessage): void {
     connection.sentAtMs = this._options.nowMs()
-    connection.socket.send(this._options.codec.encode(message))
+    linkParts.send(connection.socket, this._options.codec.encodeParts(message))
   }
 }
