Refuse a request once for the memory of its body

A request that is refused for the sake of another one keeps its connection while an answer before its own is due. More of its body arrived, was counted again, and it was refused a second time.

Only requests that are still being read are counted now. Ingress.test.ts plays this order, and ended its process before.

--- a/packages/node/src/direct/Ingress.test.ts
+++ b/packages/node/src/direct/Ingress.test.ts
@@ -137,6 +137,24 @@
       assert.equal(owner.begun.filter(({ body }) => body?.length === BODY_BYTES).length, 3)
     })
 
+    // Guards against a second answer to a refused request, more of which arrives while an answer before its own is due.
+    test.it('are refused once each, also when more of a refused one arrives', async () => {
+      client.write(`GET /first HTTP/1.1\r\nHost: booth.example\r\n\r\nPOST /behind HTTP/1.1\r\nHost: booth.example\r\nContent-Length: ${8 * BODY_BYTES}\r\n\r\n`)
+      client.write(Buffer.alloc(2 * BODY_BYTES))
+      await until(() => ingress.bodyBytes === 2 * BODY_BYTES)
+      const longer = net.connect(port, '127.0.0.1')
+      clients.push(longer)
+      longer.on('error', () => {})
+      longer.write(`POST /longer HTTP/1.1\r\nHost: booth.example\r\nContent-Length: ${8 * BODY_BYTES}\r\n\r\n`)
+      longer.write(Buffer.alloc(3 * BODY_BYTES))
+      await until(() => ingress.bodyBytes === 5 * BODY_BYTES)
+      sendUnfinished('/long')
+      await until(() => refused.includes('/behind'))
+      client.write(Buffer.alloc(2 * BODY_BYTES))
+      await timers.setTimeout(100)
+      assert.deepEqual(refused.filter(path => path === '/behind'), ['/behind'])
+    })
+
     test.it('are forgotten when their requests are answered or their callers leave', async () => {
       sendUnfinished('/long/1')
       sendUnfinished('/long/2')
--- a/packages/node/src/direct/Ingress.ts
+++ b/packages/node/src/direct/Ingress.ts
@@ -150,7 +150,8 @@
     })
     bodyReader.readBody(request, this._maxBodyBytes, {
       onPiece: lengthBytes => {
-        this._bodies.addPiece(exchange, lengthBytes)
+        // It may have been refused for the sake of another request.
+        if (this._reading.has(exchange)) this._bodies.addPiece(exchange, lengthBytes)
         return this._reading.has(exchange)
       },
       onComplete: body => {
