Play the order in which a request was refused twice

The test now fills the memory with bodies that are whole, so that the piece of the refused request is the next one to be refused. Without the fix it fails (one request is refused twice); with it it passes.

--- a/packages/node/src/direct/Ingress.test.ts
+++ b/packages/node/src/direct/Ingress.test.ts
@@ -1,4 +1,5 @@
 import * as assert from 'node:assert/strict'
+import * as bodyMemory from './BodyMemory.js'
 import * as ingresses from './Ingress.js'
 import * as net from 'node:net'
 import * as test from 'node:test'
@@ -110,13 +111,13 @@
     let clients: net.Socket[]
 
     /** Sends a body without its last byte. */
-    function sendUnfinished (path: string): { answer: string } {
+    function sendUnfinished (path: string, bodyBytes = BODY_BYTES): { answer: string } {
       const received = { answer: '' }
       const socket = net.connect(port, '127.0.0.1')
       clients.push(socket)
       socket.on('error', () => {}).on('data', part => { received.answer += part.toString() })
-      socket.write(`POST ${path} HTTP/1.1\r\nHost: booth.example\r\nContent-Length: ${BODY_BYTES}\r\n\r\n`)
-      socket.write(Buffer.alloc(BODY_BYTES - 1))
+      socket.write(`POST ${path} HTTP/1.1\r\nHost: booth.example\r\nContent-Length: ${bodyBytes}\r\n\r\n`)
+      socket.write(Buffer.alloc(bodyBytes - 1))
       return received
     }
 
@@ -142,17 +143,22 @@
       client.write(`GET /first HTTP/1.1\r\nHost: booth.example\r\n\r\nPOST /behind HTTP/1.1\r\nHost: booth.example\r\nContent-Length: ${8 * BODY_BYTES}\r\n\r\n`)
       client.write(Buffer.alloc(2 * BODY_BYTES))
       await until(() => ingress.bodyBytes === 2 * BODY_BYTES)
-      const longer = net.connect(port, '127.0.0.1')
-      clients.push(longer)
-      longer.on('error', () => {})
-      longer.write(`POST /longer HTTP/1.1\r\nHost: booth.example\r\nContent-Length: ${8 * BODY_BYTES}\r\n\r\n`)
-      longer.write(Buffer.alloc(3 * BODY_BYTES))
-      await until(() => ingress.bodyBytes === 5 * BODY_BYTES)
-      sendUnfinished('/long')
-      await until(() => refused.includes('/behind'))
-      client.write(Buffer.alloc(2 * BODY_BYTES))
-      await timers.setTimeout(100)
-      assert.deepEqual(refused.filter(path => path === '/behind'), ['/behind'])
+      sendUnfinished('/longest', 3 * BODY_BYTES)
+      await until(() => ingress.bodyBytes === 5 * BODY_BYTES - 1)
+      // Whole bodies are not refused. Together they leave room for one piece of the refused one.
+      const roomBytes = 100_000
+      for (const [path, bytes] of [['/whole/1', BODY_BYTES], ['/whole/2', BODY_BYTES], ['/whole/3', bodyMemory.MAX_SHARED_BYTES - 2 * BODY_BYTES - roomBytes]] as const) {
+        sendUnfinished(path, bytes)
+        await timers.setTimeout(50)
+        clients.at(-1)?.write('x')
+        await until(() => owner.begun.some(exchange => exchange.path === path))
+      }
+      assert.deepEqual(refused, ['/behind'])
+      client.write(Buffer.alloc(BODY_BYTES))
+      await timers.setTimeout(50)
+      for (let at = 0; at < 2 * roomBytes / 1_000; at++) sendUnfinished(`/small/${at}`, 1_000)
+      await until(() => refused.length > 50)
+      assert.equal(new Set(refused).size, refused.length)
     })
 
     test.it('are forgotten when their requests are answered or their callers leave', async () => {
