Forget the bodies of pipelined requests whose caller leaves

Found when the change was read: Node.js closes only the answer that is due next when a connection ends. A body that stood behind another request was counted for ever, so a node would have refused more and more bodies, and at last each one.

A request is now connected to its connection as soon as it is read, and not when it is begun; what is held for it is released when the connection closes. A request that was not begun is not cancelled at its owner.

--- a/packages/node/src/direct/Ingress.test.ts
+++ b/packages/node/src/direct/Ingress.test.ts
@@ -138,6 +138,23 @@
       assert.equal(owner.begun.filter(({ body }) => body?.length === BODY_BYTES).length, 3)
     })
 
+    // Guards against bodies that are counted for ever, because Node.js tells nothing of the answers behind the next one when a connection closes.
+    test.it('are forgotten when a caller leaves whose requests wait behind another one', async () => {
+      for (const bytes of [BODY_BYTES, BODY_BYTES - 1]) {
+        const socket = net.connect(port, '127.0.0.1')
+        clients.push(socket)
+        socket.on('error', () => {})
+        const begun = owner.begun.length
+        socket.write(`GET /first HTTP/1.1\r\nHost: booth.example\r\n\r\nPOST /behind HTTP/1.1\r\nHost: booth.example\r\nContent-Length: ${BODY_BYTES}\r\n\r\n`)
+        socket.write(Buffer.alloc(bytes))
+        await until(() => ingress.bodyBytes === bytes && owner.begun.length === begun + (bytes === BODY_BYTES ? 2 : 1))
+        socket.destroy()
+        await until(() => ingress.bodyBytes === 0)
+        assert.equal(ingress.bodyBytes, 0)
+      }
+      assert.deepEqual(owner.cancelled, ['/first', '/behind', '/first'])
+    })
+
     // Guards against a second answer to a refused request, more of which arrives while an answer before its own is due.
     test.it('are refused once each, also when more of a refused one arrives', async () => {
       client.write(`GET /first HTTP/1.1\r\nHost: booth.example\r\n\r\nPOST /behind HTTP/1.1\r\nHost: booth.example\r\nContent-Length: ${8 * BODY_BYTES}\r\n\r\n`)
--- a/packages/node/src/direct/Ingress.ts
+++ b/packages/node/src/direct/Ingress.ts
@@ -124,6 +124,12 @@
     this._refuseUnread(exchange, refusal('busy', BODY_RETRY_MS))
   }
 
+  /** Releases what is held for a request that has its answer, or whose caller has left. */
+  public forget (exchange: IngressExchange): void {
+    this._reading.delete(exchange)
+    this._bodies.remove(exchange)
+  }
+
   public beginClosing (): void {
     this._listener.beginClosing()
   }
@@ -144,10 +150,8 @@
     const exchange = new IngressExchange(request, response, this, this._connections, this._options, acceptWaitMs)
     this._connections.recordRead(exchange.socket, exchange)
     this._reading.add(exchange)
-    response.once('close', () => {
-      this._reading.delete(exchange)
-      this._bodies.remove(exchange)
-    })
+    this._connections.add(exchange.socket, exchange)
+    response.once('close', () => { this.forget(exchange) })
     bodyReader.readBody(request, this._maxBodyBytes, {
       onPiece: lengthBytes => {
         // It may have been refused for the sake of another request.
@@ -171,8 +175,7 @@
   /** Refuses a request whose body has not been read. The connection closes, because the rest of the body stands on it. */
   private _refuseUnread (exchange: IngressExchange, answer: direct.OwnAnswer): void {
     exchange.closeAfterAnswer()
-    this._reading.delete(exchange)
-    this._bodies.remove(exchange)
+    this.forget(exchange)
     exchange.refuse(answer)
   }
 
@@ -195,6 +198,7 @@
   public body: Uint8Array | undefined
   public readonly socket: net.Socket
   private readonly _readAtMs: base.Millis
+  private _hasBegun = false
 
   constructor (
     request: http.IncomingMessage,
@@ -223,12 +227,13 @@
   }
 
   public begin (): void {
+    this._hasBegun = true
     this._options.owner.begin(this)
-    if (!this._response.headersSent) this._connections.add(this.socket, this)
   }
 
   public handleDisconnect (): void {
-    this._options.owner.cancel(this)
+    this._ingress.forget(this)
+    if (this._hasBegun) this._options.owner.cancel(this)
   }
 
   public closeAfterAnswer (): void {
