Take in crash reports before a retry is refused, and tidy comments

A retry that is not run because of its nested calls may carry reports of crashes, which its host should know for the next calls. Comments on the binder and on the retry allowance say what they mean.

--- a/packages/common/src/direct/RetryAllowance.ts
+++ b/packages/common/src/direct/RetryAllowance.ts
@@ -12,9 +12,10 @@
 
 /**
  * Bounds the retries of one service at one node in each position of a sliding window. Each node may send retries up to a
- * ratio of the requests of its callers in that window plus an equal part of the fleet's slack, so the bound of the whole fleet
- * holds without a shared counter. Nested calls of targets are no requests of callers. A process gets no slack until it has run for a whole window, because it does not know
- * how much its predecessor has used, nor while the number of nodes is unknown.
+ * ratio of the requests of its callers in that window plus an equal part of the fleet's slack, so the bound of the whole
+ * fleet holds without a shared counter. Nested calls of targets are no requests of callers. A process gets no slack until it
+ * has run for a whole window, because it does not know how much its predecessor has used, nor while the number of nodes is
+ * unknown.
  */
 export class RetryAllowance {
   private readonly _requests: slidingWindow.SlidingWindow
--- a/packages/node/src/CallerListener.ts
+++ b/packages/node/src/CallerListener.ts
@@ -16,7 +16,7 @@
 
 export interface CallerListenerOptions {
   readonly address: types.Address
-  /** Fails if the port is in use if it is undefined. */
+  /** Binds the server. Undefined: a port that is in use is an error. */
   readonly binder?: services.IServerBinder | undefined
   /** Idle connections are closed after this time. */
   readonly keepAliveMs: base.Millis
--- a/packages/node/src/PeerServer.ts
+++ b/packages/node/src/PeerServer.ts
@@ -8,7 +8,7 @@
 
 export interface PeerServerOptions {
   readonly address: types.Address
-  /** Fails if the port is in use if it is undefined. */
+  /** Binds the server. Undefined: a port that is in use is an error. */
   readonly binder?: services.IServerBinder | undefined
   /** A longer message ends its connection. */
   readonly maxMessageBytes?: number
--- a/packages/node/src/direct/Ingress.ts
+++ b/packages/node/src/direct/Ingress.ts
@@ -30,7 +30,7 @@
 
 export interface IngressOptions {
   readonly address: nodeTypes.Address
-  /** Fails if the port is in use if it is undefined. */
+  /** Binds the server. Undefined: a port that is in use is an error. */
   readonly binder?: nodeServices.IServerBinder | undefined
   readonly owner: services.IExchangeOwner
   readonly dialect: services.ICallDialect
--- a/packages/node/src/direct/StatusServer.ts
+++ b/packages/node/src/direct/StatusServer.ts
@@ -9,7 +9,7 @@
 
 export interface StatusServerOptions {
   readonly address: nodeTypes.Address
-  /** Fails if the port is in use if it is undefined. */
+  /** Binds the server. Undefined: a port that is in use is an error. */
   readonly binder?: services.IServerBinder | undefined
   readonly metrics: nodeServices.IExposition
   /** What `elmpost status` shows. */
--- a/packages/node/src/direct/TargetHost.ts
+++ b/packages/node/src/direct/TargetHost.ts
@@ -102,13 +102,9 @@
       this._refuse(call, STOPPING)
       return
     }
-    if (!this._options.nestedCalls.mayRun(message)) {
-      this._refuse(call, { reason: 'target-refused', reachedTarget: false, waitMs: 0 })
-      return
-    }
     if (message.crashes !== undefined) this._options.crashes.recordReports(message.crashes)
     const standing = this._options.crashes.standingOf(message)
-    if (standing === 'blocked') {
+    if (standing === 'blocked' || !this._options.nestedCalls.mayRun(message)) {
       this._refuse(call, { reason: 'target-refused', reachedTarget: false, waitMs: 0 })
       return
     }
