Log a request whose connection was closed before it was read

Found when the change was read: a request that is read on a connection which is already closed was forgotten before it could be held, so no line told of it. It is connected to its connection after its body is read now. No test produces that order; those of callers that leave pass.

--- a/packages/node/src/direct/Ingress.ts
+++ b/packages/node/src/direct/Ingress.ts
@@ -149,7 +149,6 @@
     const exchange = new IngressExchange(request, response, this, this._connections, this._options, acceptWaitMs)
     this._connections.recordRead(exchange.socket, exchange)
     this._reading.add(exchange)
-    this._connections.add(exchange.socket, exchange)
     response.once('close', () => { this.forget(exchange) })
     exchange.abandonBody = bodyReader.readBody(request, this._maxBodyBytes, {
       onPiece: lengthBytes => { this._bodies.addPiece(exchange, lengthBytes) },
@@ -167,6 +166,7 @@
         request.resume()
       }
     })
+    this._connections.add(exchange.socket, exchange)
   }
 
   /** Refuses a request whose body is being read. The rest of it is discarded: a close would reset the connection, and the answer might be lost. */
