Count what the slots of a target are used for, and log free slots at refusals

The report about browse leaves open whether slots are full, free where the caller's node does not look, or used for runs that earn nothing. No log line or metric told these apart. Each node now counts the time of its target's slots by use (elmpost_direct_slot_seconds_total, line slot-use each 5 s), and call-refuse has what the node knew of slots and how long the caller had waited over all of its tries.

No decision changes.

--- a/addons/addon-metrics/src/DirectMetrics.test.ts
+++ b/addons/addon-metrics/src/DirectMetrics.test.ts
@@ -14,7 +14,7 @@
 
   public gauges (): direct.DirectGauges {
     const load = { running: 0, queued: 0, urgentQueued: 0, leastUrgent: 0, slots: 4, serviceMs: 0 }
-    return { version: 1, isReady: true, entryInFlight: 0, load, state: 'ready', targetCrashes: 2, targetCalls: 42, targetLimitPerS: 9.8, knownNodes: 1, connectedNodes: 1, storeAgeMs: 0, acceptWaitMs: 0.3, bodyBytes: 5_000, behindMs: 700, confirmedAgeMs: 900 }
+    return { version: 1, isReady: true, entryInFlight: 0, load, slotTimes: { 'on-time': 4_000, late: 500, error: 0, lost: 0, free: 90_000 }, state: 'ready', targetCrashes: 2, targetCalls: 42, targetLimitPerS: 9.8, knownNodes: 1, connectedNodes: 1, storeAgeMs: 0, acceptWaitMs: 0.3, bodyBytes: 5_000, behindMs: 700, confirmedAgeMs: 900 }
   }
 }
 
@@ -38,6 +38,12 @@
     assert.match(text, /elmpost_direct_target_limit_per_second\{.*\} 9\.8\n/)
   })
 
+  test.it('shows what the slots of the target were used for, so that overload can be told from slots that are free or used in vain', async () => {
+    const text = await new directMetrics.DirectMetrics(new FakeNode()).render()
+    assert.match(text, /elmpost_direct_slot_seconds_total\{use="late",.*\} 0\.5\n/)
+    assert.match(text, /elmpost_direct_slot_seconds_total\{use="free",.*\} 90\n/)
+  })
+
   test.it('shows in seconds how long callers may wait to be accepted, and how long a newer version is known', async () => {
     const text = await new directMetrics.DirectMetrics(new FakeNode()).render()
     assert.match(text, /elmpost_direct_body_bytes\{.*\} 5000\n/)
--- a/addons/addon-metrics/src/DirectMetrics.ts
+++ b/addons/addon-metrics/src/DirectMetrics.ts
@@ -72,6 +72,7 @@
     this._gauge('elmpost_direct_target_running', 'Calls that run on the target', () => node.gauges().load.running)
     this._gauge('elmpost_direct_target_queue', 'Calls that wait for a slot of the target', () => node.gauges().load.queued)
     this._gauge('elmpost_direct_target_slots', 'Slots of the target', () => node.gauges().load.slots)
+    this._slotSeconds(node)
     this._gauge('elmpost_direct_target_seconds', 'Mean time of a call on the target', () => node.gauges().load.serviceMs / MS_PER_S)
     this._gauge('elmpost_direct_target_calls', 'Calls that were sent to the target since the process started', () => node.gauges().targetCalls)
     this._gauge('elmpost_direct_target_crashes', 'Unexpected ends of the target since the process started', () => node.gauges().targetCrashes)
@@ -98,6 +99,19 @@
     this._registry.clear()
   }
 
+  private _slotSeconds (node: direct.IDirectView): void {
+    const counter: promClient.Counter<'use'> = new promClient.Counter({
+      name: 'elmpost_direct_slot_seconds_total',
+      help: 'Time of the slots of the target, by use: on-time, late, error (5xx of the target), lost (no answer), free',
+      labelNames: ['use'],
+      registers: [this._registry],
+      collect: () => {
+        counter.reset()
+        for (const [use, ms] of Object.entries(node.gauges().slotTimes)) counter.inc({ use }, ms / MS_PER_S)
+      }
+    })
+  }
+
   private _gauge (name: string, help: string, read: () => number): void {
     const gauge: promClient.Gauge = new promClient.Gauge({ name, help, registers: [this._registry], collect: () => { gauge.set(read()) } })
   }
--- a/packages/common/src/direct/DirectCalls.ts
+++ b/packages/common/src/direct/DirectCalls.ts
@@ -308,7 +308,7 @@
     const waitMs = Number.isFinite(call.shortestWaitMs) ? Math.max(MIN_RETRY_MS, call.shortestWaitMs) : DEFAULT_RETRY_MS
     const spreadMs = waitMs * (1 + WAIT_JITTER * this._options.random.nextFloat())
     const retryAfterMs = Math.max(0, Math.min(spreadMs, (call.deadlineAtMs - nowMs) * MAX_WAIT_SHARE))
-    return { kind: 'refuse', callId: call.callId, reason, retryAfterMs, rule: call.rule, sends: call.attempts + call.refusals }
+    return { kind: 'refuse', callId: call.callId, reason, retryAfterMs, rule: call.rule, sends: call.attempts + call.refusals, seen: this._options.table.slotsOf(call.service) }
   }
 
   /** Ends a call that may have run. Returns the answer of an earlier send if there is one. */
--- a/packages/common/src/direct/Services.ts
+++ b/packages/common/src/direct/Services.ts
@@ -1,5 +1,6 @@
 /** What a node that carries direct calls exposes to metrics. */
 import type * as base from '../base/Types.js'
+import type * as slotUse from './SlotUse.js'
 import type * as types from './Types.js'
 
 /** Who made a call: a client, or the target beside the node (a nested call), as far as the call's id shows it. */
@@ -29,6 +30,8 @@
   /** Calls that entered the mesh at this node and have no final answer yet. */
   readonly entryInFlight: number
   readonly load: types.TargetLoad
+  /** What the slots of the target beside the node have been used for since its process started. */
+  readonly slotTimes: slotUse.SlotTimes
   readonly state: types.TargetState
   /** Calls that have been sent to the target beside the node. */
   readonly targetCalls: number
--- a/packages/common/src/direct/TargetTable.ts
+++ b/packages/common/src/direct/TargetTable.ts
@@ -90,6 +90,18 @@
     return this._connected.of(service)
   }
 
+  /** What is known of the slots of the targets of the service that calls can be sent to. */
+  public slotsOf (service: string): types.SlotView {
+    const view = { targets: 0, slots: 0, free: 0 }
+    for (const { state, load, sentSinceReport } of this.connectedOf(service)) {
+      if (state !== 'ready') continue
+      view.targets += 1
+      view.slots += load.slots
+      view.free += Math.max(0, load.slots - load.running - sentSinceReport)
+    }
+    return view
+  }
+
   public updateLoad (nodeId: base.NodeId, load: types.TargetLoad, nowMs: base.Millis): void {
     const row = this._rows.get(nodeId)
     if (row === undefined) return
--- a/packages/common/src/direct/Types.ts
+++ b/packages/common/src/direct/Types.ts
@@ -205,6 +205,13 @@
   readonly isRetry: boolean
 }
 
+/** Slots of the targets of a service that a node can send calls to, as far as it knows. */
+export interface SlotView {
+  readonly targets: number
+  readonly slots: number
+  readonly free: number
+}
+
 /** Final answer given by the node itself. */
 export interface OwnAnswer {
   readonly kind: 'refuse' | 'fail'
@@ -214,6 +221,8 @@
   /** Route of the call, if one was found. */
   readonly rule: RouteRule | undefined
   readonly sends: number
+  /** What the node knew of the slots of the service when it refused the call. */
+  readonly seen?: SlotView
 }
 
 /** `answer`: the newest answer of a target is returned to the caller. */
--- a/packages/node/src/direct/CallLog.ts
+++ b/packages/node/src/direct/CallLog.ts
@@ -49,7 +49,7 @@
 
   /** Logs how a call ended. Answers of the first target, other than errors, are only counted. */
   public logEnd ({ requestId, remainingMs }: types.CallerRequestInfo, end: entryGate.CallEnd): void {
-    const { outcome, reason, status, totalMs, origin, rule, nodeId, sends, retryAfterMs } = end
+    const { outcome, reason, status, totalMs, callerWaitMs, origin, rule, nodeId, sends, retryAfterMs, seen } = end
     if (outcome === 'answered' && status < 500 && sends === 1) return
     this.log(outcome === 'fail' ? 'warn' : 'info', `call-${outcome}`, {
       requestId,
@@ -61,7 +61,11 @@
       peer: nodeId,
       sends,
       totalMs: Math.round(totalMs),
+      callerWaitMs: Math.round(callerWaitMs),
       retryAfterMs: Math.round(retryAfterMs),
+      targets: seen?.targets,
+      slots: seen?.slots,
+      freeSlots: seen?.free,
       budgetMs: remainingMs
     })
   }
--- a/packages/node/src/direct/EntryGate.ts
+++ b/packages/node/src/direct/EntryGate.ts
@@ -51,6 +51,8 @@
   readonly nodeId: base.NodeId
   readonly sends: number
   readonly retryAfterMs: base.Millis
+  /** What this node knew of the slots of the service when it refused the call. */
+  readonly seen: direct.SlotView | undefined
 }
 
 /** A call whose caller has disconnected. */
@@ -242,17 +244,17 @@
     const { answer, exchange } = call
     if (answer === undefined) return
     exchange.answer(answer)
-    this._reportEnd(call, 'answered', 'ok', answer.status, 0)
+    this._reportEnd(call, 'answered', 'ok', answer.status)
   }
 
   private _endWithoutAnswer (call: PendingCall, decision: direct.OwnAnswer): void {
     this._remove(decision.callId)
     call.rule ??= decision.rule
     call.exchange.refuse(decision)
-    this._reportEnd(call, decision.kind, decision.reason, 0, decision.retryAfterMs)
+    this._reportEnd(call, decision.kind, decision.reason, 0, decision)
   }
 
-  private _reportEnd (call: PendingCall, outcome: CallEnd['outcome'], reason: string, status: number, retryAfterMs: base.Millis): void {
+  private _reportEnd (call: PendingCall, outcome: CallEnd['outcome'], reason: string, status: number, own?: direct.OwnAnswer): void {
     const { rule, origin, nodeId, sends } = call
     const nowMs = this._options.nowMs()
     this._options.onCallEnd(call.exchange, {
@@ -265,7 +267,8 @@
       rule,
       nodeId,
       sends,
-      retryAfterMs
+      retryAfterMs: own?.retryAfterMs ?? 0,
+      seen: own?.seen
     })
   }
 
--- a/packages/node/src/direct/LocalTarget.ts
+++ b/packages/node/src/direct/LocalTarget.ts
@@ -22,6 +22,7 @@
 const CRASH_ID_BYTES = 9
 /** Requests that a line about a crash names. */
 const MAX_LOGGED_RUNS = 32
+const SLOT_USE_INTERVAL_MS = 5_000
 const NO_NOTICE: direct.TargetNotice = { maxCallsPerS: Infinity, isLeaving: false }
 
 export interface LocalTargetOptions {
@@ -57,6 +58,7 @@
   private _notice = NO_NOTICE
   /** Whether this process has an answer of the target, which is newer than what other nodes know. */
   private _hasAnswer = false
+  private _slotUseDueAtMs: base.Millis = 0
 
   constructor (options: LocalTargetOptions) {
     this._options = options
@@ -103,14 +105,15 @@
     previous.close()
   }
 
-  public get gauges (): Pick<directServices.DirectGauges, 'load' | 'state' | 'targetCalls' | 'targetCrashes' | 'targetLimitPerS'> {
+  public get gauges (): Pick<directServices.DirectGauges, 'load' | 'slotTimes' | 'state' | 'targetCalls' | 'targetCrashes' | 'targetLimitPerS'> {
     const { host, watch } = this
-    return { load: host.load, state: watch.state, targetCalls: host.started, targetCrashes: this._crashes, targetLimitPerS: this._notice.maxCallsPerS ?? Infinity }
+    return { load: host.load, slotTimes: host.slotTimes, state: watch.state, targetCalls: host.started, targetCrashes: this._crashes, targetLimitPerS: this._notice.maxCallsPerS ?? Infinity }
   }
 
   public tick (): void {
     this.watch.tick()
     this.host.tick()
+    this._logSlotUse()
   }
 
   public onTargetUnreachable (code: string): void {
@@ -165,6 +168,17 @@
     this._client.dispose()
   }
 
+  private _logSlotUse (): void {
+    const nowMs = this._options.nowMs()
+    if (nowMs < this._slotUseDueAtMs) return
+    this._slotUseDueAtMs = nowMs + SLOT_USE_INTERVAL_MS
+    const { 'on-time': onTimeMs, late: lateMs, error: errorMs, lost: lostMs, free: freeMs } = this.host.slotTimes
+    const { running, queued, slots, serviceMs } = this.host.load
+    const times = { onTimeMs, lateMs, errorMs, lostMs, freeMs, serviceMs }
+    const rounded = Object.fromEntries(Object.entries(times).map(([name, ms]) => [name, Math.round(ms)]))
+    this._options.callLog.log('info', 'slot-use', { target: this.watch.targetId, started: this.host.started, running, queued, slots, ...rounded })
+  }
+
   private _applyPeerNotices (): void {
     const { reported: start } = this.watch
     const notice = start === undefined ? undefined : this._peerNotices.take(start)
--- a/packages/node/src/direct/TargetHost.ts
+++ b/packages/node/src/direct/TargetHost.ts
@@ -1,5 +1,6 @@
 import * as crashWatches from './CrashWatch.js'
 import * as slotQueue from '@elmpost/common/direct/SlotQueue.js'
+import * as slotUse from '@elmpost/common/direct/SlotUse.js'
 import type * as base from '@elmpost/common/base/Types.js'
 import type * as direct from '@elmpost/common/direct/Types.js'
 import type * as services from './Services.js'
@@ -17,6 +18,7 @@
 const SILENCE_CALLS = 4
 /** A call that waits to run alone is refused when the time left is less than this share of the mean time of a call. */
 const TRIAL_USEFUL_SHARE = 0.5
+const FIRST_ERROR_STATUS = 500
 /** The wait keeps entry nodes that have not heard of the stop from sending further calls here. */
 const STOPPING: direct.HostRefusal = { reason: 'stopping', reachedTarget: false, waitMs: 4_000 }
 
@@ -33,6 +35,7 @@
 export class TargetHost implements services.IHost {
   private readonly _options: targetHostOptions.TargetHostOptions
   private readonly _queue = new slotQueue.SlotQueue()
+  private readonly _use = new slotUse.SlotUse()
   private readonly _calls = new Map<number, HostedCall>()
   private readonly _callsByCaller = new Map<services.IHostCaller, Map<number, HostedCall>>()
   private readonly _watch: crashWatches.CrashWatch
@@ -71,8 +74,14 @@
     return this._calls.size === 0
   }
 
+  /** What the slots of the target have been used for since this process started. */
+  public get slotTimes (): slotUse.SlotTimes {
+    return this._use.times(this._options.nowMs())
+  }
+
   public setSlots (slots: number): void {
     this._queue.setSlots(slots)
+    this._use.setSlots(this._options.state() === 'ready' ? slots : 0, this._options.nowMs())
     this._startNext()
   }
 
@@ -250,6 +259,7 @@
     let hasEnded = false
     this._started += 1
     call.startedAtMs = nowMs()
+    this._use.begin(call.startedAtMs)
     call.overdueAtMs = call.startedAtMs + remainingMs + OVERDUE_MS
     this._options.nestedCalls.beginRun(call.message)
     const run = client().run(request, result => {
@@ -262,6 +272,8 @@
   }
 
   private _handleEnd (call: HostedCall, result: types.RunResult): void {
+    const nowMs = this._options.nowMs()
+    this._use.end(purposeOf(call, result, this._waitClockMs), nowMs - call.startedAtMs, nowMs)
     this._options.nestedCalls.endRun(call.message)
     this._queue.release(call.id, result.kind === 'answered' ? result.serviceMs : undefined)
     if (result.kind === 'answered' || result.kind === 'declined') this._answeredAtMs = this._options.nowMs()
@@ -370,3 +382,9 @@
     if (calls?.size === 0) this._callsByCaller.delete(call.caller)
   }
 }
+
+function purposeOf ({ objectiveAtMs }: HostedCall, result: types.RunResult, nowMs: base.Millis): slotUse.SlotPurpose {
+  if (result.kind !== 'answered') return 'lost'
+  if (result.answer.status >= FIRST_ERROR_STATUS) return 'error'
+  return nowMs <= objectiveAtMs ? 'on-time' : 'late'
+}
