Play overload of two services in a virtual fleet of 15 to 200 nodes

The virtual fleet now has zones, planned links, delays between nodes, targets of different speed, work that varies, and callers that come back. It counts what slots are used for and how many are free when callers are refused.

--- a/packages/node/src/direct/testing/VirtualFleet.ts
+++ b/packages/node/src/direct/testing/VirtualFleet.ts
@@ -1,5 +1,6 @@
 import * as directCalls from '@elmpost/common/direct/DirectCalls.js'
 import * as entryGate from '../EntryGate.js'
+import * as linkPlan from '@elmpost/common/direct/LinkPlan.js'
 import * as limitBound from '@elmpost/common/direct/testing/LimitBound.js'
 import * as nestedCall from '../NestedCalls.js'
 import * as noCrashes from './NoCrashes.js'
@@ -8,6 +9,9 @@
 import * as targetHost from '../TargetHost.js'
 import * as targetPicker from '@elmpost/common/direct/TargetPicker.js'
 import * as targetTable from '@elmpost/common/direct/TargetTable.js'
+import * as virtualCallers from './VirtualCallers.js'
+import * as virtualSlots from './VirtualSlots.js'
+import * as zoneCost from '@elmpost/common/direct/ZoneCost.js'
 import type * as base from '@elmpost/common/base/Types.js'
 import type * as direct from '@elmpost/common/direct/Types.js'
 import type * as services from '../Services.js'
@@ -33,7 +37,18 @@
   readonly callsPerS: number
   readonly workMs: base.Millis
   /** Route of the nested call that a target makes in a share of its runs. */
-  readonly below?: { readonly path: string, readonly share: number }
+  readonly below?: { readonly path: string, readonly share: number, readonly remainingMs?: base.Millis }
+  /** Expected size of request and answer. */
+  readonly bytes?: number
+}
+
+/** Places of the nodes and the ways between them. */
+export interface VirtualTopology {
+  /** Nodes are placed in the zones in turn. */
+  readonly zones: number
+  /** One way between nodes. */
+  readonly sameZoneMs: base.Millis
+  readonly otherZoneMs: base.Millis
 }
 
 export interface VirtualFleetOptions {
@@ -47,6 +62,15 @@
   readonly hidesParentIds?: boolean
   /** Probability with which a target loses the answer of a run. */
   readonly lostShare: (service: string, nowMs: base.Millis) => number
+  /** Without it, all nodes are in one zone and know one another, and messages take no time. With it, nodes know those that their link plan chooses. */
+  readonly topology?: VirtualTopology
+  /** Speed of the target beside a node; 1 if not given. */
+  readonly speedOf?: (at: number, nowMs: base.Millis) => number
+  /** Standard deviation of the work of calls, as a share of its mean. */
+  readonly workSpread?: number
+  /** Factor on the calls of all routes. */
+  readonly loadAt?: (nowMs: base.Millis) => number
+  readonly callers?: virtualCallers.CallerTerms
   /** Limit in calls a second that the target beside a node names. Infinity without a limit. */
   readonly limitOf?: (nodeId: base.NodeId, nowMs: base.Millis) => number
 }
@@ -57,18 +81,11 @@
   readonly isRetry: boolean
 }
 
-/** How a call of a caller ended. */
-export interface VirtualEnd {
-  readonly route: string
-  readonly beganAtMs: base.Millis
-  readonly tookMs: base.Millis
-  readonly isServed: boolean
-  readonly isOnTime: boolean
-}
-
 interface VirtualNode {
   readonly id: base.NodeId
   readonly service: string
+  readonly zone: string
+  readonly at: number
   readonly table: targetTable.TargetTable
   readonly gate: entryGate.EntryGate
   readonly host: targetHost.TargetHost
@@ -83,7 +100,8 @@
   public answered = 0
   /** Answered calls that took no longer than the objective of their route. */
   public onTime = 0
-  public readonly ends: VirtualEnd[] = []
+  public readonly ends: virtualCallers.VirtualEnd[] = []
+  public readonly slots: virtualSlots.VirtualSlots
   /** Requests that targets began to run. */
   public readonly runs: { readonly nodeId: base.NodeId, readonly atMs: base.Millis }[] = []
   /** Calls that entry nodes passed to hosts, including themselves. */
@@ -92,6 +110,8 @@
   private readonly _options: VirtualFleetOptions
   private readonly _random: random.Random
   private readonly _nodes: VirtualNode[] = []
+  private readonly _nodesById = new Map<base.NodeId, VirtualNode>()
+  private readonly _callers: virtualCallers.VirtualCallers<VirtualNode>
   private readonly _due = new Map<number, (() => void)[]>()
   /** Entry nodes by the last part of the request id. */
   private readonly _entries = new Map<string, base.NodeId>()
@@ -104,7 +124,21 @@
     this._random = new random.Random(options.seed)
     this.bound = new retryBound.RetryBound(options.retryTerms)
     this.looseBound = new retryBound.RetryBound(options.retryTerms)
-    options.nodes.forEach((service, at) => this._nodes.push(this._create(`n${at}`, service)))
+    this._callers = new virtualCallers.VirtualCallers({
+      terms: options.callers ?? virtualCallers.NO_RETURN,
+      nowMs: () => this._nowMs,
+      after: (delayMs, action) => { this._after(delayMs, action) },
+      entryIn: zone => this._entryIn(zone),
+      begin: (entry, rule, remainingMs, onResult) => { entry.gate.begin(this._exchange(entry, rule.pathPrefix, remainingMs, { parentId: undefined, isRetry: false }, onResult)) },
+      onRefused: (entry, rule) => { this.slots.recordRefusal(entry, rule.parts[0]?.service ?? '') },
+      onEnd: end => { this._recordEnd(end) }
+    })
+    options.nodes.forEach((service, at) => {
+      const node = this._create(at, service)
+      this._nodes.push(node)
+      this._nodesById.set(node.id, node)
+    })
+    this.slots = new virtualSlots.VirtualSlots(this._nodes)
   }
 
   public run (lengthMs: base.Millis): void {
@@ -119,25 +153,24 @@
   }
 
   private _callAtRate ({ rule, callsPerS }: VirtualRoute): void {
-    for (let dueCalls = callsPerS / 1000; dueCalls > 0 && this._random.nextFloat() < dueCalls; dueCalls--) this._call(rule)
+    const load = this._options.loadAt?.(this._nowMs) ?? 1
+    for (let dueCalls = callsPerS * load / 1000; dueCalls > 0 && this._random.nextFloat() < dueCalls; dueCalls--) this._callers.call(rule)
   }
 
-  private _call (rule: direct.RouteRule): void {
-    const node = this._nodes[this._random.nextInt(this._nodes.length)]
-    const beganAtMs = this._nowMs
-    if (node === undefined) return
-    node.gate.begin(this._exchange(node, rule.pathPrefix, rule.timeoutMs, { parentId: undefined, isRetry: false }, isServed => {
-      const tookMs = this._nowMs - beganAtMs
-      const isOnTime = isServed && tookMs <= rule.objectiveMs
-      this.ends.push({ route: rule.name, beganAtMs, tookMs, isServed, isOnTime })
-      if (isServed) this.answered += 1
-      if (isOnTime) this.onTime += 1
-      else this.failed += 1
-    }))
+  private _entryIn (zone: string | undefined): VirtualNode {
+    const nodes = zone === undefined ? this._nodes : this._nodes.filter(node => node.zone === zone)
+    return nodes[this._random.nextInt(nodes.length)] as VirtualNode
+  }
+
+  private _recordEnd (end: virtualCallers.VirtualEnd): void {
+    this.ends.push(end)
+    if (end.isServed) this.answered += 1
+    if (end.isOnTime) this.onTime += 1
+    else this.failed += 1
   }
 
   /** Nested calls are no requests of callers, so they allow no retries. Those in a retried run are retries. */
-  private _exchange (entry: VirtualNode, path: string, remainingMs: base.Millis, { parentId, isRetry }: VirtualParent, onResult: (isServed: boolean) => void): services.IExchange {
+  private _exchange (entry: VirtualNode, path: string, remainingMs: base.Millis, { parentId, isRetry }: VirtualParent, onResult: virtualCallers.OnResult): services.IExchange {
     const ownId = `r${this._nextRequest++}`
     this._entries.set(ownId, entry.id)
     const requestId = parentId === undefined || this._options.hidesParentIds === true ? ownId : `${parentId}.${ownId}`
@@ -156,20 +189,19 @@
       acceptWaitMs: 0,
       answer: ({ status, headers }) => {
         if (Number(valueOf(headers, LIMIT_HEADER)) < Infinity) this.limitBound.recordPassedOn(valueOf(headers, TARGET_HEADER), entry.id, this._nowMs)
-        onResult(status === 200)
+        onResult(status === 200 ? 'served' : 'failed', 0)
       },
-      refuse: () => { onResult(false) }
+      refuse: ({ kind, retryAfterMs }) => { onResult(kind === 'refuse' ? 'refused' : 'failed', retryAfterMs) }
     }
   }
 
-  private _create (id: base.NodeId, service: string): VirtualNode {
-    const table = new targetTable.TargetTable()
+  private _create (at: number, service: string): VirtualNode {
+    const id = idOf(at)
+    const zone = this._zoneOf(at)
+    const table = this._tableOf(id, zone)
     const nowMs = (): base.Millis => this._nowMs
-    this._options.nodes.forEach((other, at) => {
-      table.put(`n${at}`, 'vake', other)
-      table.setConnected(`n${at}`, true)
-    })
-    const picker = new targetPicker.TargetPicker({ table, selfId: id, zone: 'vake', random: this._random, otherZoneCostMs: () => 5 })
+    const otherZoneCostMs = this._options.topology === undefined ? () => 5 : zoneCost.otherZoneCostMs
+    const picker = new targetPicker.TargetPicker({ table, selfId: id, zone, random: this._random, otherZoneCostMs })
     const calls = new directCalls.DirectCalls({ table, picker, random: this._random, retryTerms: this._options.retryTerms, nodeCount: () => this._options.nodes.length, startedAtMs: 0 })
     const limits = { maxBodyBytes: 65_536, idleTimeoutMs: 15_000 }
     calls.enforce({ version: 1, routes: this._options.routes.map(({ rule }) => rule), services: [], limits })
@@ -201,10 +233,17 @@
       nowMs,
       send: (nodeId, call) => {
         this.sends += 1
-        this._nodeOf(nodeId).host.accept(gate, call)
+        const waitMs = this._wayMs(node, nodeId)
+        if (waitMs === 0) this._nodeOf(nodeId).host.accept(gate, call)
+        else this._after(waitMs, () => { this._nodeOf(nodeId).host.accept(remote, { ...call, remainingMs: call.remainingMs - waitMs, elapsedMs: call.elapsedMs + waitMs }) })
         return true
       },
-      cancel: (nodeId, callId) => this._nodeOf(nodeId).host.cancel(gate, callId),
+      cancel: (nodeId, callId) => {
+        const waitMs = this._wayMs(node, nodeId)
+        if (waitMs === 0) return this._nodeOf(nodeId).host.cancel(gate, callId)
+        this._after(waitMs, () => { this._nodeOf(nodeId).host.cancel(remote, callId) })
+        return false
+      },
       onCallEnd: () => {},
       onCallCancelled: () => {},
       callsEndByMs: () => Infinity,
@@ -212,7 +251,10 @@
       crashes: noCrashes.NO_CRASHES,
       nestedCalls
     })
-    const node = { id, service, table, gate, host }
+    const remote: services.IHostCaller = {
+      handleHostResult: (nodeId, callId, result, load) => { this._after(this._wayMs(node, nodeId), () => { gate.handleHostResult(nodeId, callId, result, load) }) }
+    }
+    const node = { id, service, zone, at, table, gate, host }
     return node
   }
 
@@ -224,13 +266,37 @@
     const isRetry = this._arrivedIds.has(request.requestId)
     this._arrivedIds.add(request.requestId)
     if (isRetry) for (const bound of [this.bound, this.looseBound]) bound.recordRetry(node.service, this._nowMs)
-    const { workMs, below } = this._routeOf(request.path)
+    const { workMs: meanMs, below } = this._routeOf(request.path)
+    const workMs = this._workMs(node, meanMs)
+    const beganAtMs = this._nowMs
+    let hasEnded = false
+    const end = (status: number): void => {
+      if (!hasEnded) this._answer(node, status, this._nowMs - beganAtMs, onResult)
+      hasEnded = true
+    }
     this._after(workMs, () => {
+      if (hasEnded) return
       onNotice({ maxCallsPerS: this._limitOf(node), isLeaving: false })
-      if (below === undefined || this._random.nextFloat() >= below.share) this._answer(node, 200, workMs, onResult)
-      else node.gate.begin(this._exchange(node, below.path, workMs * 4, { parentId: request.requestId, isRetry }, isServed => { this._answer(node, isServed ? 200 : 500, workMs, onResult) }))
+      if (below === undefined || this._random.nextFloat() >= below.share) end(200)
+      else node.gate.begin(this._exchange(node, below.path, below.remainingMs ?? meanMs * 4, { parentId: request.requestId, isRetry }, result => { end(result === 'served' ? 200 : 500) }))
     })
-    return { abort: () => {} }
+    return {
+      abort: () => {
+        if (hasEnded) return
+        hasEnded = true
+        onResult({ kind: 'failed', reason: 'timeout', detail: 'aborted' })
+      }
+    }
+  }
+
+  /** Log-normal work at the speed of the target. */
+  private _workMs ({ at }: VirtualNode, meanMs: base.Millis): base.Millis {
+    const { workSpread = 0, speedOf } = this._options
+    const speed = speedOf?.(at, this._nowMs) ?? 1
+    if (workSpread === 0) return meanMs / speed
+    const sigma = Math.sqrt(Math.log(1 + workSpread ** 2))
+    const normal = Math.sqrt(-2 * Math.log(1 - this._random.nextFloat())) * Math.cos(2 * Math.PI * this._random.nextFloat())
+    return meanMs / speed * Math.exp(sigma * normal - sigma ** 2 / 2)
   }
 
   private _answer (node: VirtualNode, status: number, serviceMs: base.Millis, onResult: (result: types.RunResult) => void): void {
@@ -246,6 +312,7 @@
   private _broadcastStatus (): void {
     for (const { table } of this._nodes) {
       for (const { id, host } of this._nodes) {
+        if (table.get(id)?.isConnected !== true) continue
         table.recordMessage(id, this._nowMs)
         table.updateStatus(id, { state: 'ready', load: host.load, version: 1, storeAgeMs: 0, fleetStoreAgeMs: 0, target: { targetId: id, startedAtMs: 0, isLeaving: false } }, this._nowMs)
       }
@@ -253,18 +320,37 @@
   }
 
   private _after (delayMs: base.Millis, action: () => void): void {
-    const atMs = this._nowMs + Math.max(1, delayMs)
+    const atMs = this._nowMs + Math.max(1, Math.round(delayMs))
     const due = this._due.get(atMs) ?? []
     due.push(action)
     this._due.set(atMs, due)
   }
 
   private _nodeOf (id: base.NodeId): VirtualNode {
-    const node = this._nodes.find(other => other.id === id)
+    const node = this._nodesById.get(id)
     if (node === undefined) throw new Error(`The fleet has no node ${id}.`)
     return node
   }
 
+  private _zoneOf (at: number): string {
+    return `z${at % (this._options.topology?.zones ?? 1)}`
+  }
+
+  private _wayMs (from: VirtualNode, to: base.NodeId): base.Millis {
+    const { topology } = this._options
+    if (topology === undefined || from.id === to) return 0
+    return this._nodeOf(to).zone === from.zone ? topology.sameZoneMs : topology.otherZoneMs
+  }
+
+  private _tableOf (selfId: base.NodeId, zone: string): targetTable.TargetTable {
+    const { nodes, topology } = this._options
+    const table = new targetTable.TargetTable()
+    nodes.forEach((service, at) => { table.put(idOf(at), this._zoneOf(at), service) })
+    const known = topology === undefined ? nodes.map((_service, at) => idOf(at)) : new linkPlan.LinkPlan({ selfId, zone }).choose(table.all(), 0)
+    for (const id of [selfId, ...known]) table.setConnected(id, true)
+    return table
+  }
+
   private _routeOf (path: string): VirtualRoute {
     const route = this._options.routes.find(({ rule }) => path.startsWith(rule.pathPrefix))
     if (route === undefined) throw new Error(`The fleet has no route for ${path}.`)
@@ -272,6 +358,10 @@
   }
 }
 
+function idOf (at: number): base.NodeId {
+  return `n${at}`
+}
+
 function valueOf (headers: types.RawHeaders, name: string): string {
   return headers[headers.indexOf(name) + 1] ?? ''
 }
