Send nested calls to full hosts of other zones when none is left

In a small fleet a zone has one or two targets of a service, and those of other zones were left out when their last report showed no room.

--- a/packages/common/src/direct/TargetPicker.test.ts
+++ b/packages/common/src/direct/TargetPicker.test.ts
@@ -70,6 +70,15 @@
       assert.equal(picker.pick({ ...refused, isNested: true }, NO_NODES, 0).row?.nodeId, 'full')
     })
 
+    test.it('is sent to a host of another zone that reports no capacity only if it is nested and none is left in its own zone', () => {
+      const nested = { ...refused, isNested: true }
+      add('far', 'didube', { running: 4, queued: 12 })
+      assert.equal(picker.pick(refused, NO_NODES, 0).row, undefined)
+      assert.equal(picker.pick(nested, NO_NODES, 0).row?.nodeId, 'far')
+      add('full', 'vake', { running: 4, queued: 12 })
+      assert.equal(picker.pick(nested, NO_NODES, 0).row?.nodeId, 'full')
+    })
+
     test.it('is sent to a host where it can be on time', () => {
       add('full', 'vake', { running: 4, queued: 12 })
       add('room', 'vake', { running: 4, queued: 2 })
--- a/packages/common/src/direct/TargetPicker.ts
+++ b/packages/common/src/direct/TargetPicker.ts
@@ -73,31 +73,35 @@
 
   public pick (call: PickRequest, exclude: ReadonlySet<base.NodeId>, nowMs: base.Millis): PickResult {
     const usable: targetTable.TargetRow[] = []
+    const full: targetTable.TargetRow[] = []
     const standing = call.history?.standing ?? 'free'
     let isBusy = false
-    let isFull = false
     let limitWaitMs = Infinity
     this._usualServiceMs = undefined
     for (const row of this._options.table.connectedOf(call.service)) {
       if (row.state !== 'ready' || row.notice?.isLeaving === true || exclude.has(row.nodeId)) continue
       if (standing !== 'trial' && this._isTooBusy(row, call, nowMs)) {
         isBusy = true
-        if (row.load.limit === undefined) isFull = true
+        if (row.load.limit === undefined) full.push(row)
         else limitWaitMs = Math.min(limitWaitMs, this._expectedWaitMs(row, call, nowMs))
       } else {
         usable.push(row)
       }
     }
-    if (call.history !== undefined && standing !== 'free') return { row: this._pickForSuspect(usable, call.history), isBusy, limitWaitMs: isFull ? Infinity : limitWaitMs }
+    // Targets without a limit say nothing about when they take another call.
+    if (full.length > 0) limitWaitMs = Infinity
+    if (call.history !== undefined && standing !== 'free') return { row: this._pickForSuspect(usable, call.history), isBusy, limitWaitMs }
     let best: targetTable.TargetRow | undefined
     let bestCost = Infinity
-    for (const row of this._rowsToCompare(usable)) {
+    // A refused nested call would fail a run, and what is known of these targets may be old.
+    const candidates = call.isNested && usable.length === 0 ? full : usable
+    for (const row of this._rowsToCompare(candidates)) {
       const cost = this._cost(row, call, nowMs)
       if (cost >= bestCost) continue
       best = row
       bestCost = cost
     }
-    return { row: best, isBusy, limitWaitMs: isFull ? Infinity : limitWaitMs }
+    return { row: best, isBusy, limitWaitMs }
   }
 
   /** A request that may crash its target goes where it harms the fewest others. All nodes choose the same target for a trial. */
