Refuse a nested call that would be late, however urgent it is

Seven in ten of its runs make a call at the other service. That call is more urgent than the longest calls there, and so was queued at its host until its deadline, while the run kept its slot of the first service for nothing. The hosts' queues were full and other hosts had free slots.

The virtual marketplace had the priority of the nested call wrong; with the right one it shows the same uses of slots.

A host now queues a nested call only if it will be on time, so that its node sends it on to one with a free slot. A host that has refused one is not avoided for other calls, which may wait there.

--- a/packages/common/src/direct/DirectCalls.ts
+++ b/packages/common/src/direct/DirectCalls.ts
@@ -154,7 +154,9 @@
       call.isRefusedAsBusy = true
       call.shortestWaitMs = Math.min(call.shortestWaitMs, refused.waitMs)
     }
-    if (refused.reason === 'busy' || refused.reason === 'stopping') this._avoid(from, call.rule.priority, refused.waitMs, nowMs)
+    // A nested call is refused where other calls may still wait.
+    const isFullForOthers = refused.reason === 'busy' && call.origin === 'caller'
+    if (isFullForOthers || refused.reason === 'stopping') this._avoid(from, call.rule.priority, refused.waitMs, nowMs)
     // Only one target of the fleet at a time tries a request that may crash it, as far as all nodes choose the same one.
     const isTrialTaken = refused.reason === 'busy' && call.history?.standing === 'trial'
     const mayRetry = call.refusals < MAX_REFUSALS[call.origin] && !isTrialTaken && (!refused.reachedTarget || this._mayAttempt(call, 'declined', nowMs))
--- a/packages/common/src/direct/SlotQueue.test.ts
+++ b/packages/common/src/direct/SlotQueue.test.ts
@@ -5,7 +5,7 @@
 let nextId = 1
 
 function call (change: Partial<slotQueue.SlotCall> = {}): slotQueue.SlotCall {
-  return { id: nextId++, priority: 1, arrivedAtMs: 0, deadlineAtMs: 1000, objectiveAtMs: 200, workClass: 200, assumedMs: 50, ...change }
+  return { id: nextId++, priority: 1, arrivedAtMs: 0, deadlineAtMs: 1000, objectiveAtMs: 200, isNested: false, workClass: 200, assumedMs: 50, ...change }
 }
 
 function busy (slots: number): slotQueue.SlotQueue {
@@ -68,6 +68,15 @@
       assert.equal(queue.offer(call(urgent), 60_000).kind, 'refused')
     })
 
+    // Guards against runs that wait, with a slot of their own target, for a call in the queue of another one.
+    test.it('refuses a nested call that may be late, however urgent it is, so that it is sent where a slot is free', () => {
+      const queue = busy(2)
+      queue.offer(call({ priority: 2 }), 0)
+      const late = { priority: 0, objectiveAtMs: 20 }
+      assert.equal(queue.offer(call({ ...late, isNested: true }), 0).kind, 'refused')
+      assert.equal(queue.offer(call(late), 0).kind, 'queued')
+    })
+
     // Guards against a standing queue, in which each accepted call waits until it is as likely late as on time.
     test.it('queues a least urgent call only if it is on time also when it takes longer than usual', () => {
       for (const { deviationMs, kind } of [{ deviationMs: 0, kind: 'queued' }, { deviationMs: 30, kind: 'refused' }] as const) {
--- a/packages/common/src/direct/SlotQueue.ts
+++ b/packages/common/src/direct/SlotQueue.ts
@@ -26,6 +26,8 @@
   readonly deadlineAtMs: base.Millis
   /** Until when an answer is on time; in the past if the caller was refused before and retried too late. */
   readonly objectiveAtMs: base.Millis
+  /** A run of a target waits for the call, and occupies a slot meanwhile. */
+  readonly isNested: boolean
   /** Calls of the same work class take about the same time. */
   readonly workClass: number
   /** Time on the target, assumed before the first answer to a call of this class. */
@@ -181,7 +183,7 @@
    * at a limit, which they may exceed by themselves: the queue would grow until all of them are late.
    */
   private _mayBeLate (call: SlotCall, nowMs: base.Millis): boolean {
-    if (call.priority < this._leastUrgent && !this._limiter.isLimited) return true
+    if (this._isUrgent(call) && !this._limiter.isLimited) return true
     const totalWaitMs = this._waitBehindMs(this._waiting.length, nowMs)
     return totalWaitMs <= this._expectedServiceMs(call) * LATE_WAIT_SHARE
   }
@@ -221,8 +223,13 @@
     return this._times.get(call.workClass)?.meanMs ?? call.assumedMs
   }
 
+  /** A nested call is not kept waiting, however urgent it is: another host may have room, and a run waits for it. */
+  private _isUrgent ({ priority, isNested }: SlotCall): boolean {
+    return priority < this._leastUrgent && !isNested
+  }
+
   private _marginMs (call: SlotCall): base.Millis {
-    if (call.priority < this._leastUrgent) return 0
+    if (this._isUrgent(call)) return 0
     return (this._times.get(call.workClass)?.deviationMs ?? 0) * ON_TIME_DEVIATIONS
   }
 
--- a/packages/node/src/direct/TargetHost.test.ts
+++ b/packages/node/src/direct/TargetHost.test.ts
@@ -29,7 +29,7 @@
   public dispose (): void {}
 }
 
-const DIALECT = { targetHeaders: () => [] } as unknown as services.ICallDialect
+const DIALECT = { targetHeaders: () => [], parentIdOf: (id: string) => id.includes('.') ? id.slice(0, id.lastIndexOf('.')) : undefined } as unknown as services.ICallDialect
 const ANSWER: types.RunResult = { kind: 'answered', answer: { status: 200, headers: [], body: undefined, isUnframed: false }, serviceMs: 50 }
 
 function call (callId: number, change: Partial<types.CallMessage> = {}): types.CallMessage {
@@ -253,6 +253,15 @@
       assert.deepEqual(client.running.map(({ request }) => request.requestId), ['r1', 'r3'])
     })
 
+    // Guards against runs that wait, with a slot of their own target, for a call in the queue of this one.
+    test.it('is refused at once if a run of another target waits for it and it would be late', () => {
+      host.accept(caller, call(1, { priority: 2 }))
+      host.accept(caller, call(2, { requestId: 'r9.1', elapsedMs: 490 }))
+      host.accept(caller, call(3, { elapsedMs: 490 }))
+      assert.equal(results.get(2)?.kind, 'refused')
+      assert.equal(results.get(3), undefined)
+    })
+
     test.it('does not run after it was cancelled', () => {
       host.accept(caller, call(1))
       host.accept(caller, call(2))
--- a/packages/node/src/direct/TargetHost.ts
+++ b/packages/node/src/direct/TargetHost.ts
@@ -231,6 +231,7 @@
       arrivedAtMs: nowMs,
       deadlineAtMs: nowMs + message.remainingMs,
       objectiveAtMs: nowMs + message.objectiveMs - message.elapsedMs,
+      isNested: this._options.dialect.parentIdOf(message.requestId) !== undefined,
       workClass: message.objectiveMs,
       assumedMs: message.objectiveMs * ASSUMED_SHARE,
       caller,
--- a/packages/node/src/direct/testing/Marketplace.ts
+++ b/packages/node/src/direct/testing/Marketplace.ts
@@ -12,9 +12,9 @@
 
 /**
  * Plays a marketplace of two services in four zones. Most runs of `browse`, the least urgent route of `booking`, make a call at
- * `tutor`, where it is among the least urgent ones. At usual load about two thirds of the slots are in use.
+ * `tutor`, where it is more urgent than the longest ones. At usual load about two thirds of the slots are in use.
  */
-export function play (nodes: number, load: number, lengthMs: base.Millis, seed = 1): virtualFleet.VirtualFleet {
+export function play (nodes: number, load: number, lengthMs: base.Millis, patienceSpread = 0, seed = 1): virtualFleet.VirtualFleet {
   const bookingNodes = Math.round(nodes * BOOKING_SHARE)
   const fleet = new virtualFleet.VirtualFleet({
     nodes: Array.from({ length: nodes }, (_, at) => at < bookingNodes ? 'booking' : 'tutor'),
@@ -26,7 +26,7 @@
     topology: { zones: ZONES, sameZoneMs: 1, otherZoneMs: 2 },
     workSpread: 0.6,
     speedOf: at => speedOf(at < bookingNodes ? BOOKING_SPEEDS : TUTOR_SPEEDS, at),
-    callers: { retries: 2, wayMs: 8 }
+    callers: { retries: 2, wayMs: 8, patienceSpread }
   })
   fleet.run(lengthMs)
   return fleet
@@ -41,7 +41,7 @@
     { rule: rules.route({ ...callsOnce, name: 'book', pathPrefix: '/book/', parts: booking, priority: 1, timeoutMs: 2_549, objectiveMs: 465 }), callsPerS: RATES.book * size, workMs: 137 },
     { rule: rules.route({ ...callsOnce, name: 'payout', pathPrefix: '/payout/', parts: tutor, priority: 0, timeoutMs: 1_256, objectiveMs: 240 }), callsPerS: RATES.payout * size, workMs: 71 },
     { rule: rules.route({ name: 'history', pathPrefix: '/history/', parts: tutor, priority: 2, timeoutMs: 6_042, objectiveMs: 1_179 }), callsPerS: RATES.history * size, workMs: 411 },
-    { rule: rules.route({ name: 'avail', pathPrefix: '/avail/', parts: tutor, priority: 2, timeoutMs: 268, objectiveMs: 96, maxAttempts: 1 }), callsPerS: 0, workMs: 25 }
+    { rule: rules.route({ name: 'avail', pathPrefix: '/avail/', parts: tutor, priority: 1, timeoutMs: 268, objectiveMs: 96, maxAttempts: 1 }), callsPerS: 0, workMs: 25 }
   ]
 }
 
--- a/packages/node/src/direct/testing/VirtualCallers.ts
+++ b/packages/node/src/direct/testing/VirtualCallers.ts
@@ -13,9 +13,11 @@
   readonly retries: number
   /** One way between a caller and its node. */
   readonly wayMs: base.Millis
+  /** Each caller waits for its own time: the timeout of the route, less a random part of it up to this share. */
+  readonly patienceSpread: number
 }
 
-export const NO_RETURN: CallerTerms = { retries: 0, wayMs: 0 }
+export const NO_RETURN: CallerTerms = { retries: 0, wayMs: 0, patienceSpread: 0 }
 
 /** How the request of a caller ended, after all of its tries. */
 export interface VirtualEnd {
@@ -30,6 +32,7 @@
 
 export interface VirtualCallersOptions<Entry extends { readonly zone: string }> {
   readonly terms: CallerTerms
+  readonly random: base.IRandom
   readonly nowMs: () => base.Millis
   readonly after: (delayMs: base.Millis, action: () => void) => void
   /** Random entry node, of a zone if one is given. */
@@ -42,6 +45,7 @@
 interface Request<Entry> {
   readonly rule: direct.RouteRule
   readonly beganAtMs: base.Millis
+  readonly patienceMs: base.Millis
   entry: Entry
   tries: number
 }
@@ -52,7 +56,9 @@
 
   public call (rule: direct.RouteRule): void {
     const entry = this._options.entryIn(undefined)
-    this._try({ rule, entry, beganAtMs: this._options.nowMs() - this._options.terms.wayMs, tries: 0 })
+    const { wayMs, patienceSpread } = this._options.terms
+    const patienceMs = rule.timeoutMs * (patienceSpread === 0 ? 1 : 1 - patienceSpread * this._options.random.nextFloat())
+    this._try({ rule, entry, beganAtMs: this._options.nowMs() - wayMs, patienceMs, tries: 0 })
   }
 
   private _try (request: Request<Entry>): void {
@@ -78,13 +84,13 @@
     return true
   }
 
-  private _remainingMs ({ rule, beganAtMs }: Request<Entry>): base.Millis {
-    return rule.timeoutMs - (this._options.nowMs() - beganAtMs)
+  private _remainingMs ({ patienceMs, beganAtMs }: Request<Entry>): base.Millis {
+    return patienceMs - (this._options.nowMs() - beganAtMs)
   }
 
-  private _end ({ rule, beganAtMs, tries }: Request<Entry>, result: TryResult): void {
+  private _end ({ rule, beganAtMs, patienceMs, tries }: Request<Entry>, result: TryResult): void {
     const tookMs = this._options.nowMs() + this._options.terms.wayMs - beganAtMs
-    const isServed = result === 'served' && tookMs <= rule.timeoutMs
+    const isServed = result === 'served' && tookMs <= patienceMs
     this._options.onEnd({ route: rule.name, beganAtMs, tookMs, isServed, isOnTime: isServed && tookMs <= rule.objectiveMs, result, tries })
   }
 }
--- a/packages/node/src/direct/testing/VirtualFleet.ts
+++ b/packages/node/src/direct/testing/VirtualFleet.ts
@@ -126,6 +126,7 @@
     this.looseBound = new retryBound.RetryBound(options.retryTerms)
     this._callers = new virtualCallers.VirtualCallers({
       terms: options.callers ?? virtualCallers.NO_RETURN,
+      random: this._random,
       nowMs: () => this._nowMs,
       after: (delayMs, action) => { this._after(delayMs, action) },
       entryIn: zone => this._entryIn(zone),
