Do not take impatient callers for ones that came back while callers are served

The time that a request lacked to the longest one of its route counted as spent, so that the first request of a caller with little patience had lost up to 313 of its 357 ms on browse. Such calls were refused while slots were free, and the refused callers came back.

What a request lacks now counts only as far as callers of its route are refused, in full when half of the requests are. Returning callers cannot be recognized: they come to any node of their zone under another id. Nested calls, which are made once, lose nothing.

--- a/packages/common/src/direct/DirectCalls.test.ts
+++ b/packages/common/src/direct/DirectCalls.test.ts
@@ -96,6 +96,13 @@
     })
   })
 
+  // Guards against first requests of callers with little patience that count as late.
+  test.it('counts the objective of a call from its arrival, however much less time its caller has than others', () => {
+    const { calls } = create()
+    sent(calls.begin(REQUEST, 0))
+    assert.equal(sent(calls.begin({ ...REQUEST, remainingMs: 680 }, 10)).beganAtMs, 10)
+  })
+
   // Guards against runs that fail, and so used their slot in vain, because a nested call was refused while other hosts had room.
   test.describe('a nested call of a target', () => {
     for (const origin of ['run', 'retried-run'] as const) {
--- a/packages/common/src/direct/DirectCalls.ts
+++ b/packages/common/src/direct/DirectCalls.ts
@@ -122,7 +122,8 @@
       callId,
       rule,
       service: this._splits.next(rule),
-      beganAtMs: nowMs - this._budgets.spentMs(rule.name, request.remainingMs, nowMs),
+      // Targets make their calls once, with whatever time is left to their run.
+      beganAtMs: request.origin === 'caller' ? nowMs - this._budgets.spentMs(rule.name, request.remainingMs, nowMs) : nowMs,
       deadlineAtMs: nowMs + remainingMs,
       requestBytes: request.bodyBytes,
       origin: request.origin,
@@ -190,6 +191,7 @@
     const sizeBytes = this._sizeOf(call)
     this._sizes.set(call.rule.name, sizeBytes + SIZE_WEIGHT * (bytes + call.requestBytes - sizeBytes))
     this._calls.delete(callId)
+    this._budgets.recordEnd(call.rule.name, !isFailure)
     return { kind: 'answer', callId }
   }
 
@@ -309,6 +311,7 @@
 
   private _refuse (call: Call, reason: types.RefusalReason, nowMs: base.Millis): types.OwnAnswer {
     this._calls.delete(call.callId)
+    this._budgets.recordEnd(call.rule.name, false)
     if (call.history?.standing === 'blocked') return { ...refusal(call.callId, 'crashes-targets', call.history.blockedForMs, call.rule), sends: call.attempts + call.refusals }
     const waitMs = Number.isFinite(call.shortestWaitMs) ? Math.max(MIN_RETRY_MS, call.shortestWaitMs) : DEFAULT_RETRY_MS
     const spreadMs = waitMs * (1 + WAIT_JITTER * this._options.random.nextFloat())
@@ -318,6 +321,7 @@
 
   /** Ends a call that may have run. Returns the answer of an earlier send if there is one. */
   private _endUnknown (call: Call, reason: types.FailureReason): types.FinalDecision {
+    this._budgets.recordEnd(call.rule.name, false)
     if (!call.isAnswered) return this._fail(call, reason)
     this._calls.delete(call.callId)
     return { kind: 'answer', callId: call.callId }
