--- a/packages/common/src/direct/TargetTable.test.ts
+++ b/packages/common/src/direct/TargetTable.test.ts
@@ -19,6 +19,15 @@
     table.setConnected('n1', true)
   })
 
+  // Guards against refusals that cannot be told from those of a node that knew of free slots.
+  test.it('sums up the slots of the targets that calls can be sent to, less what was sent since their reports', () => {
+    report('ready')
+    table.put('n2', 'vake', 'till')
+    table.recordSend('n1', 0)
+    assert.deepEqual(table.slotsOf('till'), { targets: 1, slots: 4, free: 3 })
+    assert.deepEqual(table.slotsOf('vault'), { targets: 0, slots: 0, free: 0 })
+  })
+
   // Guards against an entry node that forgets what it has passed on, or believes it of the next target.
   test.describe('what a target has stated in answers', () => {
     test.it('is kept while the node beside it restarts, and told to that node', () => {
--- a/packages/node/src/direct/FleetOverload.test.ts
+++ b/packages/node/src/direct/FleetOverload.test.ts
@@ -9,6 +9,8 @@
 const FULL = 1.3
 const OVERLOADED = 1.6
 
+const PATIENCE_SPREAD = 0.15
+
 const fleets = new Map<string, virtualFleet.VirtualFleet>()
 
 function play (nodes: number, load: number): virtualFleet.VirtualFleet {
@@ -18,6 +20,11 @@
   return fleet
 }
 
+function onTimeShare ({ ends }: virtualFleet.VirtualFleet): number {
+  const browse = ends.filter(({ route }) => route === 'browse')
+  return browse.filter(({ isOnTime }) => isOnTime).length / browse.length
+}
+
 test.describe('A fleet of two services whose first one is overloaded', () => {
   for (const nodes of SIZES) {
     test.describe(`with ${nodes} nodes`, () => {
@@ -43,4 +50,11 @@
       })
     })
   }
+
+  // Guards against callers with little patience whose first request is taken for one that came back late.
+  test.it('serves callers that differ in patience about as often on time as equal ones', () => {
+    const equal = onTimeShare(play(74, FULL))
+    const different = onTimeShare(marketplace.play(74, FULL, LENGTH_MS, PATIENCE_SPREAD))
+    assert.ok(different > equal - 0.05, `${different.toFixed(3)} after ${equal.toFixed(3)}`)
+  })
 })
--- a/packages/node/src/direct/testing/VirtualFleet.ts
+++ b/packages/node/src/direct/testing/VirtualFleet.ts
@@ -38,8 +38,6 @@
   readonly workMs: base.Millis
   /** Route of the nested call that a target makes in a share of its runs. */
   readonly below?: { readonly path: string, readonly share: number, readonly remainingMs?: base.Millis }
-  /** Expected size of request and answer. */
-  readonly bytes?: number
 }
 
 /** Places of the nodes and the ways between them. */
@@ -65,11 +63,9 @@
   /** Without it, all nodes are in one zone and know one another, and messages take no time. With it, nodes know those that their link plan chooses. */
   readonly topology?: VirtualTopology
   /** Speed of the target beside a node; 1 if not given. */
-  readonly speedOf?: (at: number, nowMs: base.Millis) => number
+  readonly speedOf?: (at: number) => number
   /** Standard deviation of the work of calls, as a share of its mean. */
   readonly workSpread?: number
-  /** Factor on the calls of all routes. */
-  readonly loadAt?: (nowMs: base.Millis) => number
   readonly callers?: virtualCallers.CallerTerms
   /** Limit in calls a second that the target beside a node names. Infinity without a limit. */
   readonly limitOf?: (nodeId: base.NodeId, nowMs: base.Millis) => number
@@ -154,8 +150,7 @@
   }
 
   private _callAtRate ({ rule, callsPerS }: VirtualRoute): void {
-    const load = this._options.loadAt?.(this._nowMs) ?? 1
-    for (let dueCalls = callsPerS * load / 1000; dueCalls > 0 && this._random.nextFloat() < dueCalls; dueCalls--) this._callers.call(rule)
+    for (let dueCalls = callsPerS / 1000; dueCalls > 0 && this._random.nextFloat() < dueCalls; dueCalls--) this._callers.call(rule)
   }
 
   private _entryIn (zone: string | undefined): VirtualNode {
@@ -293,7 +288,7 @@
   /** Log-normal work at the speed of the target. */
   private _workMs ({ at }: VirtualNode, meanMs: base.Millis): base.Millis {
     const { workSpread = 0, speedOf } = this._options
-    const speed = speedOf?.(at, this._nowMs) ?? 1
+    const speed = speedOf?.(at) ?? 1
     if (workSpread === 0) return meanMs / speed
     const sigma = Math.sqrt(Math.log(1 + workSpread ** 2))
     const normal = Math.sqrt(-2 * Math.log(1 - this._random.nextFloat())) * Math.cos(2 * Math.PI * this._random.nextFloat())
