--- a/packages/node/src/direct/testing/VirtualCallers.ts
+++ b/packages/node/src/direct/testing/VirtualCallers.ts
@@ -8,6 +8,13 @@
 export type TryResult = 'served' | 'refused' | 'failed'
 export type OnResult = (result: TryResult, retryAfterMs: base.Millis) => void
 
+/** What the caller of a try knows of its time. */
+export interface CallerTime {
+  /** Of its first try. */
+  readonly beganAtMs: base.Millis
+  readonly remainingMs: base.Millis
+}
+
 export interface CallerTerms {
   /** How often a caller sends its request again. */
   readonly retries: number
@@ -37,7 +44,7 @@
   readonly after: (delayMs: base.Millis, action: () => void) => void
   /** Random entry node, of a zone if one is given. */
   readonly entryIn: (zone: string | undefined) => Entry
-  readonly begin: (entry: Entry, rule: direct.RouteRule, remainingMs: base.Millis, onResult: OnResult) => void
+  readonly begin: (entry: Entry, rule: direct.RouteRule, time: CallerTime, onResult: OnResult) => void
   readonly onRefused: (entry: Entry, rule: direct.RouteRule) => void
   readonly onEnd: (end: VirtualEnd) => void
 }
@@ -64,7 +71,7 @@
   private _try (request: Request<Entry>): void {
     const { rule, entry } = request
     request.tries += 1
-    this._options.begin(entry, rule, this._remainingMs(request), (result, retryAfterMs) => {
+    this._options.begin(entry, rule, { beganAtMs: request.beganAtMs, remainingMs: this._remainingMs(request) }, (result, retryAfterMs) => {
       if (result === 'refused') this._options.onRefused(entry, rule)
       if (result === 'served' || !this._comesBack(request, result, retryAfterMs)) this._end(request, result)
     })
--- a/packages/node/src/direct/testing/VirtualFleet.ts
+++ b/packages/node/src/direct/testing/VirtualFleet.ts
@@ -19,6 +19,7 @@
 
 const STATUS_INTERVAL_MS = 1_000
 const TICK_MS = 100
+const OVERSTATED_MS = 50
 const TARGET_HEADER = 'target'
 const LIMIT_HEADER = 'limit'
 const DIALECT = {
@@ -103,6 +104,8 @@
   /** Calls that entry nodes passed to hosts, including themselves. */
   public sends = 0
   public failed = 0
+  /** Calls of callers that were sent at once, and those of them whose caller had waited for less than the node took it for, by over 50 ms. */
+  public readonly waits = { sent: 0, overstated: 0 }
   private readonly _options: VirtualFleetOptions
   private readonly _random: random.Random
   private readonly _nodes: VirtualNode[] = []
@@ -111,6 +114,8 @@
   private readonly _due = new Map<number, (() => void)[]>()
   /** Entry nodes by the last part of the request id. */
   private readonly _entries = new Map<string, base.NodeId>()
+  /** Since when the callers of the requests that begin now have been waiting. */
+  private readonly _callerSinceMs = new Map<string, base.Millis>()
   private readonly _arrivedIds = new Set<string>()
   private _nowMs = 0
   private _nextRequest = 1
@@ -126,7 +131,12 @@
       nowMs: () => this._nowMs,
       after: (delayMs, action) => { this._after(delayMs, action) },
       entryIn: zone => this._entryIn(zone),
-      begin: (entry, rule, remainingMs, onResult) => { entry.gate.begin(this._exchange(entry, rule.pathPrefix, remainingMs, { parentId: undefined, isRetry: false }, onResult)) },
+      begin: (entry, rule, { beganAtMs, remainingMs }, onResult) => {
+        const exchange = this._exchange(entry, rule.pathPrefix, remainingMs, { parentId: undefined, isRetry: false }, onResult)
+        this._callerSinceMs.set(exchange.info.requestId, beganAtMs)
+        entry.gate.begin(exchange)
+        this._callerSinceMs.delete(exchange.info.requestId)
+      },
       onRefused: (entry, rule) => { this.slots.recordRefusal(entry, rule.parts[0]?.service ?? '') },
       onEnd: end => { this._recordEnd(end) }
     })
@@ -153,6 +163,13 @@
     for (let dueCalls = callsPerS / 1000; dueCalls > 0 && this._random.nextFloat() < dueCalls; dueCalls--) this._callers.call(rule)
   }
 
+  private _compareWait ({ requestId, elapsedMs }: types.CallMessage): void {
+    const sinceMs = this._callerSinceMs.get(requestId)
+    if (sinceMs === undefined) return
+    this.waits.sent += 1
+    if (elapsedMs > this._nowMs - sinceMs + OVERSTATED_MS) this.waits.overstated += 1
+  }
+
   private _entryIn (zone: string | undefined): VirtualNode {
     const nodes = zone === undefined ? this._nodes : this._nodes.filter(node => node.zone === zone)
     return nodes[this._random.nextInt(nodes.length)] as VirtualNode
@@ -229,6 +246,7 @@
       nowMs,
       send: (nodeId, call) => {
         this.sends += 1
+        this._compareWait(call)
         const waitMs = this._wayMs(node, nodeId)
         if (waitMs === 0) this._nodeOf(nodeId).host.accept(gate, call)
         else this._after(waitMs, () => { this._nodeOf(nodeId).host.accept(remote, { ...call, remainingMs: call.remainingMs - waitMs, elapsedMs: call.elapsedMs + waitMs }) })
