--- a/packages/node/src/direct/CutAnswers.test.ts
+++ b/packages/node/src/direct/CutAnswers.test.ts
@@ -2,6 +2,7 @@
 import * as net from 'node:net'
 import * as targetClient from './TargetClient.js'
 import * as test from 'node:test'
+import * as workerThreads from 'node:worker_threads'
 import type * as services from './Services.js'
 import type * as types from './Types.js'
 
@@ -118,3 +119,49 @@
     }
   }
 })
+
+/** Answers each request without a length and ends or resets the connection after 2 ms, in a thread of its own. */
+const UNFRAMED_TARGET = `
+const { parentPort, workerData } = require('node:worker_threads')
+const server = require('node:net').createServer(socket => {
+  socket.on('error', () => {})
+  socket.once('data', () => {
+    socket.write(workerData.answer, () => setTimeout(() => { workerData.isReset ? socket.resetAndDestroy() : socket.end() }, 2))
+  })
+})
+server.listen(0, '127.0.0.1', () => parentPort.postMessage(server.address().port))
+`
+const STALL_MS = 20
+const STALLS = 10
+
+function stall (times: number): void {
+  const untilMs = performance.now() + STALL_MS
+  while (performance.now() < untilMs);
+  if (times > 1) setImmediate(() => { stall(times - 1) })
+}
+
+// Guards against a reset that a busy node reads in one turn with the bytes before it, and takes for the end of the answer (MIXED).
+test.describe('An answer without a length, read late by a busy node', () => {
+  let worker: workerThreads.Worker
+  let client: targetClient.TargetClient
+
+  test.afterEach(async () => {
+    client.dispose()
+    await worker.terminate()
+  })
+
+  for (const { isReset, kind } of [{ isReset: true, kind: 'failed' }, { isReset: false, kind: 'answered' }] as const) {
+    test.it(isReset ? 'fails if its connection was reset' : 'is complete if its connection has ended', async () => {
+      worker = new workerThreads.Worker(UNFRAMED_TARGET, { eval: true, workerData: { answer: `HTTP/1.1 200 OK\r\n${MARKS}Connection: close\r\n\r\nhello`, isReset } })
+      const port = await new Promise<number>(resolve => { worker.once('message', resolve) })
+      client = new targetClient.TargetClient({ address: `127.0.0.1:${port}`, maxConnections: 1, dialect: DIALECT, nowMs: () => performance.now() })
+      for (let at = 0; at < 5; at++) {
+        const result = await new Promise<types.RunResult>(resolve => {
+          client.run({ requestId: 'r', method: 'POST', path: '/charge/1', headers: [], body: undefined, isExpired: () => false }, resolve, () => {})
+          stall(STALLS)
+        })
+        assert.equal(result.kind, kind, JSON.stringify(result))
+      }
+    })
+  }
+})
