Count bytes on links by kind, and how long calls were on their way

Each node now counts the bytes of its messages by kind and direction (elmpost_direct_link_bytes_total) and logs them each 5 s with the longest backlog of a connection and the delays of calls (link-use). No decision changes.

--- a/addons/addon-metrics/src/DirectMetrics.ts
+++ b/addons/addon-metrics/src/DirectMetrics.ts
@@ -73,6 +73,7 @@
     this._gauge('elmpost_direct_target_queue', 'Calls that wait for a slot of the target', () => node.gauges().load.queued)
     this._gauge('elmpost_direct_target_slots', 'Slots of the target', () => node.gauges().load.slots)
     this._slotSeconds(node)
+    this._linkBytes(node)
     this._gauge('elmpost_direct_target_seconds', 'Mean time of a call on the target', () => node.gauges().load.serviceMs / MS_PER_S)
     this._gauge('elmpost_direct_target_calls', 'Calls that were sent to the target since the process started', () => node.gauges().targetCalls)
     this._gauge('elmpost_direct_target_crashes', 'Unexpected ends of the target since the process started', () => node.gauges().targetCrashes)
@@ -112,6 +113,21 @@
     })
   }
 
+  private _linkBytes (node: direct.IDirectView): void {
+    const counter: promClient.Counter<'direction' | 'kind'> = new promClient.Counter({
+      name: 'elmpost_direct_link_bytes_total',
+      help: 'Bytes of messages on links to other nodes, by direction and kind of message',
+      labelNames: ['direction', 'kind'],
+      registers: [this._registry],
+      collect: () => {
+        counter.reset()
+        for (const [direction, kinds] of Object.entries(node.gauges().linkBytes)) {
+          for (const [kind, bytes] of Object.entries(kinds)) counter.inc({ direction, kind }, bytes)
+        }
+      }
+    })
+  }
+
   private _gauge (name: string, help: string, read: () => number): void {
     const gauge: promClient.Gauge = new promClient.Gauge({ name, help, registers: [this._registry], collect: () => { gauge.set(read()) } })
   }
--- a/packages/common/src/direct/Services.ts
+++ b/packages/common/src/direct/Services.ts
@@ -39,6 +39,8 @@
   readonly targetCrashes: number
   /** Requests a second that the target says it takes; Infinity if it advertises no rate limit. */
   readonly targetLimitPerS: number
+  /** Bytes of messages on links to other nodes since the start of the process, by kind of message. */
+  readonly linkBytes: Readonly<Record<'sent' | 'received', Readonly<Record<string, number>>>>
   readonly knownNodes: number
   readonly connectedNodes: number
   readonly storeAgeMs: base.Millis
--- a/packages/node/src/direct/CallLog.ts
+++ b/packages/node/src/direct/CallLog.ts
@@ -1,6 +1,7 @@
 import type * as base from '@elmpost/common/base/Types.js'
 import type * as direct from '@elmpost/common/direct/Types.js'
 import type * as entryGate from './EntryGate.js'
+import type * as linkTraffic from './LinkTraffic.js'
 import type * as nodeServices from '../Services.js'
 import type * as nodeTypes from '../Types.js'
 import type * as types from './Types.js'
@@ -8,6 +9,7 @@
 /** Most lines of one event per window; further ones are counted and reported in a single line. */
 const MAX_LINES_PER_S = 20
 const WINDOW_MS = 1000
+const TRAFFIC_INTERVAL_MS = 5_000
 /** Connections that may have waited to be accepted for longer than this are logged. */
 const LOGGED_ACCEPT_WAIT_MS = 50
 
@@ -26,6 +28,7 @@
   private readonly _written = new Map<string, number>()
   private readonly _omitted = new Map<string, number>()
   private _windowEndsAtMs = 0
+  private _trafficDueAtMs: base.Millis = 0
 
   constructor (private readonly _logger: nodeServices.ILogger, private readonly _nowMs: () => base.Millis) {}
 
@@ -85,9 +88,18 @@
     this._logger.log('info', 'enforced', { enforcedVersion: version, routes: routes.length, source, behindMs: roundedAge(behindMs), storeAgeMs: roundedAge(storeAgeMs), confirmedAgeMs: roundedAge(confirmedAgeMs) })
   }
 
-  /** Logs how many lines were omitted. Called on each tick, so that the last count is reported without further calls. */
-  public tick (): void {
+  /** Logs how many lines were omitted, also without further calls, and what the links to other nodes carry. */
+  public tick (traffic: linkTraffic.LinkTraffic): void {
     this._startWindowIfDue()
+    this._logTraffic(traffic)
+  }
+
+  private _logTraffic (traffic: linkTraffic.LinkTraffic): void {
+    if (this._nowMs() < this._trafficDueAtMs) return
+    this._trafficDueAtMs = this._nowMs() + TRAFFIC_INTERVAL_MS
+    const { sentBytes, receivedBytes, maxCallDelayMs, meanCallDelayMs, maxBacklogBytes } = traffic.takeSummary()
+    const delays = { maxCallDelayMs: Math.round(maxCallDelayMs), meanCallDelayMs: Math.round(meanCallDelayMs) }
+    this._logger.log('info', 'link-use', { sent: textOf(sentBytes), received: textOf(receivedBytes), maxBacklogBytes, ...delays })
   }
 
   private _startWindowIfDue (): void {
@@ -100,6 +112,10 @@
   }
 }
 
+function textOf (bytes: linkTraffic.KindBytes): string {
+  return Object.entries(bytes).map(([kind, count]) => `${kind}=${count}`).join(' ')
+}
+
 /** An age for a log line; undefined if it is not known. */
 export function roundedAge (ageMs: base.Millis): base.Millis | undefined {
   return Number.isFinite(ageMs) ? Math.round(ageMs) : undefined
--- a/packages/node/src/direct/DirectNode.ts
+++ b/packages/node/src/direct/DirectNode.ts
@@ -201,6 +201,7 @@
       isReady: this.isReady,
       entryInFlight: this._entry.inFlight,
       ...this._target.gauges,
+      linkBytes: { sent: this._links.traffic.totals('sent'), received: this._links.traffic.totals('received') },
       knownNodes: this._table.size,
       connectedNodes: this._table.connectedCount,
       storeAgeMs: this._rules.storeAgeMs,
@@ -350,7 +351,7 @@
     if (this._stalls.suspectedMs > 0) this._log.log('warn', 'stalled', { stalledMs: Math.round(this._stalls.stalledMs), suspectedMs: Math.round(this._stalls.suspectedMs) })
     this._links.tick()
     this._target.tick()
-    this._log.tick()
+    this._log.tick(this._links.traffic)
     this._rules.tick()
     if (this._options.nowMs() >= this._statusAtMs) this._sendStatus(false)
     this._fleet.tick()
--- a/packages/node/src/direct/IncomingLink.ts
+++ b/packages/node/src/direct/IncomingLink.ts
@@ -4,6 +4,7 @@
 import * as outgoingLink from './OutgoingLink.js'
 import type * as base from '@elmpost/common/base/Types.js'
 import type * as direct from '@elmpost/common/direct/Types.js'
+import type * as linkTraffic from './LinkTraffic.js'
 import type * as services from './Services.js'
 import type * as types from './Types.js'
 import type * as ws from 'ws'
@@ -17,6 +18,7 @@
   readonly socket: ws.WebSocket
   readonly codec: linkCodec.LinkCodec
   readonly nowMs: () => base.Millis
+  readonly traffic: linkTraffic.LinkTraffic
   readonly events: IIncomingLinkEvents
 }
 
@@ -57,20 +59,20 @@
   }
 
   public send (message: linkCodec.LinkMessage): void {
-    this._write(this._options.codec.encodeParts(message))
+    this._write(message.kind, this._options.codec.encodeParts(message))
   }
 
   /** Sends an encoded message that does not contain the load, so it does not replace a status. */
-  public sendReport (bytes: Buffer): void {
+  public sendReport (kind: linkTraffic.MessageKind, bytes: Buffer): void {
     const sentAtMs = this._sentAtMs
-    this._write([bytes])
+    this._write(kind, [bytes])
     this._sentAtMs = sentAtMs
   }
 
   /** Sends an encoded status. */
   public sendStatus (bytes: Buffer): void {
     this._statusSentAtMs = this._options.nowMs()
-    this._write([bytes])
+    this._write('status', [bytes])
   }
 
   /** Whether a status has to be sent, because the last status or the last message is too old. */
@@ -89,17 +91,19 @@
     this._options.socket.close()
   }
 
-  private _write (parts: readonly Uint8Array[]): void {
-    const { socket, nowMs } = this._options
+  private _write (kind: linkTraffic.MessageKind, parts: readonly Uint8Array[]): void {
+    const { socket, nowMs, traffic } = this._options
     if (socket.readyState !== socket.OPEN) return
     this._sentAtMs = nowMs()
+    traffic.recordSent(kind, linkParts.bytesOf(parts), socket.bufferedAmount)
     linkParts.send(socket, parts)
   }
 
   private _handleMessage (data: Buffer): void {
     this._receivedAtMs = this._options.nowMs()
-    const { codec, events } = this._options
+    const { codec, events, traffic } = this._options
     const message = codec.decode(data)
+    if (message.isOk()) traffic.recordReceived(message.value.kind, data.length)
     if (message.isErr()) {
       events.handleMalformed(this, message.error)
     } else if (message.value.kind === 'hello') {
@@ -114,7 +118,9 @@
   private _handleDecoded (message: linkCodec.LinkMessage): void {
     const { events } = this._options
     if (message.kind === 'call') {
-      events.handleCall(this, message.call, this._delayOf(message.call.sentAtMs))
+      const delayMs = this._delayOf(message.call.sentAtMs)
+      this._options.traffic.recordCallDelay(delayMs)
+      events.handleCall(this, message.call, delayMs)
       return
     }
     events.handleMessage(this, message.kind === 'alive' ? linkCodec.older(message, this._delayOf(message.sentAtMs)) : message)
--- a/packages/node/src/direct/LinkParts.ts
+++ b/packages/node/src/direct/LinkParts.ts
@@ -6,6 +6,10 @@
   parts.forEach((part, at) => { socket.send(part, { binary: true, fin: at === parts.length - 1 }) })
 }
 
+export function bytesOf (parts: readonly Uint8Array[]): number {
+  return parts.reduce((sum, { length }) => sum + length, 0)
+}
+
 /**
  * Clears the masking key of a frame, so that the library does not copy the frame. Masks protect proxies from scripts in
  * browsers, and there are neither between nodes.
--- a/packages/node/src/direct/NodeLinks.ts
+++ b/packages/node/src/direct/NodeLinks.ts
@@ -1,5 +1,6 @@
 import * as incomingLink from './IncomingLink.js'
 import * as linkCodec from './LinkCodec.js'
+import * as linkTraffic from './LinkTraffic.js'
 import * as outgoingLink from './OutgoingLink.js'
 import * as readAheads from '../ReadAhead.js'
 import type * as base from '@elmpost/common/base/Types.js'
@@ -51,6 +52,7 @@
 
 /** All connections of a node to other nodes: those that it opened for its own calls, and those that other nodes opened for theirs. */
 export class NodeLinks implements outgoingLink.IOutgoingLinkEvents, incomingLink.IIncomingLinkEvents, base.IDisposable {
+  public readonly traffic = new linkTraffic.LinkTraffic()
   private readonly _options: NodeLinksOptions
   private readonly _codec = new linkCodec.LinkCodec()
   private readonly _outgoing = new Map<base.NodeId, outgoingLink.OutgoingLink>()
@@ -72,7 +74,7 @@
   public connect (nodeId: base.NodeId): void {
     if (nodeId === this._options.selfId || this._outgoing.has(nodeId)) return
     const { hello, nowMs, stalls, random } = this._options
-    this._outgoing.set(nodeId, new outgoingLink.OutgoingLink({ nodeId, codec: this._codec, hello: () => hello(nodeId), nowMs, sendClockMs: () => nowMs() + stalls.uncountedMs, random, events: this }))
+    this._outgoing.set(nodeId, new outgoingLink.OutgoingLink({ nodeId, codec: this._codec, hello: () => hello(nodeId), nowMs, sendClockMs: () => nowMs() + stalls.uncountedMs, random, traffic: this.traffic, events: this }))
   }
 
   public isConnected (nodeId: base.NodeId): boolean {
@@ -109,7 +111,7 @@
   /** Sends a message to all nodes that have a link to this one, or only to those of a zone. */
   public broadcast (message: linkCodec.LinkMessage, zone?: string): void {
     const bytes = this._codec.encode(message)
-    for (const link of this._incoming) if (zone === undefined || link.zone === zone) link.sendReport(bytes)
+    for (const link of this._incoming) if (zone === undefined || link.zone === zone) link.sendReport(message.kind, bytes)
   }
 
   /** Sends a message to `count` randomly chosen nodes. */
@@ -123,7 +125,7 @@
 
   /** Accepts a connection that another node opened. */
   public accept (socket: ws.WebSocket): void {
-    this._incoming.add(new incomingLink.IncomingLink({ socket, codec: this._codec, nowMs: this._options.nowMs, events: this }))
+    this._incoming.add(new incomingLink.IncomingLink({ socket, codec: this._codec, nowMs: this._options.nowMs, traffic: this.traffic, events: this }))
   }
 
   public tick (): void {
--- a/packages/node/src/direct/OutgoingLink.ts
+++ b/packages/node/src/direct/OutgoingLink.ts
@@ -3,6 +3,7 @@
 import * as linkDelays from '@elmpost/common/direct/LinkDelay.js'
 import * as ws from 'ws'
 import type * as base from '@elmpost/common/base/Types.js'
+import type * as linkTraffic from './LinkTraffic.js'
 import type * as types from './Types.js'
 
 /** Bounds of the wait between connection attempts. */
@@ -33,6 +34,7 @@
   /** Time of sending for the receiver. Counts the time for which the VM was suspended, which would look like a delay of each later message. */
   readonly sendClockMs: () => base.Millis
   readonly random: base.IRandom
+  readonly traffic: linkTraffic.LinkTraffic
   readonly events: IOutgoingLinkEvents
 }
 
@@ -214,6 +216,7 @@
       return
     }
     const message = decoded.value
+    this._options.traffic.recordReceived(message.kind, data.length)
     if (message.kind === 'result') connection.calls.delete(message.callId)
     if (this._silentConnections.has(connection)) {
       // The other side has resumed, so a new connection can be opened. Messages other than results are out of date.
@@ -240,6 +243,8 @@
 
   private _write (connection: Connection, message: linkCodec.LinkMessage): void {
     connection.sentAtMs = this._options.nowMs()
-    linkParts.send(connection.socket, this._options.codec.encodeParts(message))
+    const parts = this._options.codec.encodeParts(message)
+    this._options.traffic.recordSent(message.kind, linkParts.bytesOf(parts), connection.socket.bufferedAmount)
+    linkParts.send(connection.socket, parts)
   }
 }
