--- a/packages/common/src/direct/DirectCalls.ts
+++ b/packages/common/src/direct/DirectCalls.ts
@@ -1,5 +1,6 @@
 import type * as base from '../base/Types.js'
 import * as callerBudgets from './CallerBudgets.js'
+import * as customerIndex from './CustomerIndex.js'
 import * as retryAllowances from './RetryAllowances.js'
 import * as routeIndex from './RouteIndex.js'
 import * as splitRotation from './SplitRotation.js'
@@ -37,6 +38,7 @@
 interface Call {
   readonly callId: number
   readonly rule: types.RouteRule
+  readonly urgency: number
   readonly service: string
   readonly beganAtMs: base.Millis
   readonly deadlineAtMs: base.Millis
@@ -79,6 +81,7 @@
   private readonly _sizes = new Map<string, number>()
   private _rules: types.MeshRules | undefined
   private _routes = new routeIndex.RouteIndex([])
+  private _customers = new customerIndex.CustomerIndex(undefined)
   private _nextCallId = 1
 
   constructor (private readonly _options: DirectCallsOptions) {
@@ -99,6 +102,7 @@
     if (this._rules !== undefined && rules.version <= this._rules.version) return false
     this._rules = rules
     this._routes = new routeIndex.RouteIndex(rules.routes)
+    this._customers = new customerIndex.CustomerIndex(rules.customers)
     this._splits.keepOnly(rules.routes)
     return true
   }
@@ -108,11 +112,25 @@
     return this._retries.mayNest(service, calls, nowMs)
   }
 
+  /** Customers of the configuration in force whose requests are limited. */
+  public get limitedCustomers (): readonly types.CustomerRule[] {
+    return this._customers.limited
+  }
+
+  /** Customer for whom a request is made. Undefined if it is for none, or will be refused. */
+  public customerOf ({ host, path, customerKey, run }: Pick<types.CallRequest, 'host' | 'path' | 'customerKey' | 'run'>): types.CustomerRule | undefined {
+    const rule = this._routes.find(host, path)
+    const identified = rule === undefined ? undefined : this._customers.identify(rule, customerKey, run)
+    return identified?.kind === 'known' ? identified.customer : undefined
+  }
+
   public begin (request: types.CallRequest, nowMs: base.Millis): types.CallDecision {
     const callId = this._nextCallId++
     if (this._rules === undefined) return refusal(callId, 'no-configuration', DEFAULT_RETRY_MS)
     const rule = this._routes.find(request.host, request.path)
     if (rule === undefined) return refusal(callId, 'no-route', 0)
+    const identified = this._customers.identify(rule, request.customerKey, request.run)
+    if (identified.kind === 'unknown-key') return refusal(callId, 'unknown-key', 0, rule)
     if (request.bodyBytes > this._rules.limits.maxBodyBytes) return refusal(callId, 'body-too-large', 0, rule)
     if (request.history?.standing === 'blocked') return refusal(callId, 'crashes-targets', request.history.blockedForMs, rule)
     const remainingMs = Math.min(request.remainingMs ?? Infinity, rule.timeoutMs)
@@ -121,6 +139,7 @@
     const call: Call = {
       callId,
       rule,
+      urgency: identified.urgency,
       service: this._splits.next(rule),
       // Targets make their calls once, with whatever time is left to their run.
       beganAtMs: request.origin === 'caller' ? nowMs - this._budgets.spentMs(rule.name, request.remainingMs, nowMs) : nowMs,
@@ -157,7 +176,7 @@
     }
     // A nested call is refused where other calls may still wait.
     const isFullForOthers = refused.reason === 'busy' && call.origin === 'caller'
-    if (isFullForOthers || refused.reason === 'stopping') this._avoid(from, call.rule.priority, refused.waitMs, nowMs)
+    if (isFullForOthers || refused.reason === 'stopping') this._avoid(from, call.urgency, refused.waitMs, nowMs)
     // Only one target of the fleet at a time tries a request that may crash it, as far as all nodes choose the same one.
     const isTrialTaken = refused.reason === 'busy' && call.history?.standing === 'trial'
     const mayRetry = call.refusals < MAX_REFUSALS[call.origin] && !isTrialTaken && (!refused.reachedTarget || this._mayAttempt(call, 'declined', nowMs))
@@ -282,13 +301,13 @@
     call.tried ??= new Set()
     call.tried.add(row.nodeId)
     this._options.table.recordSend(row.nodeId, nowMs)
-    const { callId, service, rule, deadlineAtMs, beganAtMs } = call
-    return { kind: 'send', callId, nodeId: row.nodeId, service, rule, deadlineAtMs, beganAtMs, isRetry }
+    const { callId, service, rule, urgency, deadlineAtMs, beganAtMs } = call
+    return { kind: 'send', callId, nodeId: row.nodeId, service, rule, urgency, deadlineAtMs, beganAtMs, isRetry }
   }
 
   private _pick (call: Call, nowMs: base.Millis): targetPicker.PickResult {
-    const { service, rule, tried, beganAtMs, isRefusedAsBusy, history, origin } = call
-    const picked = { history, service, isNested: origin !== 'caller', priority: rule.priority, bytes: this._sizeOf(call), onTimeMs: beganAtMs + rule.objectiveMs - nowMs, isIdempotent: rule.kind === 'idempotent', isRefusedAsBusy }
+    const { service, rule, urgency, tried, beganAtMs, isRefusedAsBusy, history, origin } = call
+    const picked = { history, service, isNested: origin !== 'caller', priority: urgency, bytes: this._sizeOf(call), onTimeMs: beganAtMs + rule.objectiveMs - nowMs, isIdempotent: rule.kind === 'idempotent', isRefusedAsBusy }
     return this._options.picker.pick(picked, tried ?? NO_NODES, nowMs)
   }
 
--- a/packages/common/src/direct/Types.ts
+++ b/packages/common/src/direct/Types.ts
@@ -25,6 +25,39 @@
   readonly maxAttempts: number
   /** 0 is the most urgent. */
   readonly priority: number
+  /** Calls on the route need no key, also where the configuration has customers. */
+  readonly isPublic?: boolean
+  /** Bodies of its requests are long, so the time on the links counts. */
+  readonly hasLongBodies?: boolean
+}
+
+/** A customer of the institution. Its calls bear one of its keys. */
+export interface CustomerRule {
+  readonly name: string
+  readonly keys: readonly string[]
+  /** 0 is the most urgent. Goes before the priority of a route. */
+  readonly priority: number
+  /** Requests that it may send through all nodes together. Infinity if it has no limit. */
+  readonly maxCallsPerS: number
+  /** Requests beyond `maxCallsPerS` that it may send at once. */
+  readonly burstCalls: number
+}
+
+/** How far the requests of a customer may exceed its limit. Whatever nodes do, in each window `(rate x window + burst) x (1 + overshoot) + slack` is the bound. */
+export interface CustomerLimitTerms {
+  readonly windowMs: base.Millis
+  readonly overshoot: number
+  readonly slack: number
+}
+
+/** Bounds for a new version of a service that turns out to be bad. */
+export interface RolloutTerms {
+  /** Share of the requests for the service that it may get. */
+  readonly exposureShare: number
+  /** Requests that it may get beyond this share. */
+  readonly exposureSlack: number
+  /** Time from the first evidence until it gets no more requests. */
+  readonly rollbackMs: base.Millis
 }
 
 export interface ServiceRule {
@@ -47,6 +80,8 @@
   readonly routes: readonly RouteRule[]
   readonly services: readonly ServiceRule[]
   readonly limits: CallerLimits
+  /** Undefined if requests bear no keys. */
+  readonly customers?: readonly CustomerRule[] | undefined
 }
 
 /** Record of a node in the store, by which other nodes find it. */
@@ -82,6 +117,8 @@
 export interface ReportedTarget extends TargetStart {
   /** Whether the target has announced that it is leaving, or has ended. */
   readonly isLeaving: boolean
+  /** Version of the service that the target runs. Undefined if it is not known. */
+  readonly softwareVersion?: string | undefined
 }
 
 export interface KnownTarget extends ReportedTarget {
@@ -150,11 +187,21 @@
   readonly sequence: number
   /** Clock of the target's VM when it started, or 0; only compared with other starts at the same address. */
   readonly startedAtMs: base.Millis
+  /** Version of the service that the target runs. Undefined if it does not state one. */
+  readonly softwareVersion?: string | undefined
 }
 
 /** Where a request began: at a caller, or as a nested call that the target beside the node makes in a run or in a retried one. */
 export type RequestOrigin = 'caller' | 'run' | 'retried-run'
 
+/** For whom the target beside the node makes a call: the customer of the run in which it makes it. */
+export interface RunCustomer {
+  /** Undefined if the run is for no customer. */
+  readonly name: string | undefined
+  /** Urgency of the run. */
+  readonly urgency: number
+}
+
 /** The properties of a caller's request that decisions depend on. */
 export interface CallRequest {
   readonly host: string
@@ -167,6 +214,10 @@
   readonly origin: RequestOrigin
   /** Crashes that the request took part in. Undefined if nothing is known of it. */
   readonly history?: IRequestHistory | undefined
+  /** Key that the request bears. Undefined if it bears none, or more than one. */
+  readonly customerKey?: string | undefined
+  /** Run of the target beside this node in which the call is made. Undefined if it is no nested call, or the run is not known. */
+  readonly run?: RunCustomer | undefined
 }
 
 /** What is known of a request that may crash targets. It may change while the request is under way. */
@@ -178,7 +229,7 @@
 }
 
 export type RefusalReason =
-  | 'no-configuration' | 'no-route' | 'body-too-large' | 'no-target' | 'busy' | 'target-refused' | 'deadline' | 'stopping' | 'crashes-targets'
+  | 'no-configuration' | 'no-route' | 'unknown-key' | 'over-limit' | 'body-too-large' | 'no-target' | 'busy' | 'target-refused' | 'deadline' | 'stopping' | 'crashes-targets'
 
 export type FailureReason = 'timeout' | 'peer-lost' | 'target-lost' | 'bad-answer' | 'node-stopped'
 
@@ -198,6 +249,8 @@
   readonly nodeId: base.NodeId
   readonly service: string
   readonly rule: RouteRule
+  /** 0 is the most urgent. */
+  readonly urgency: number
   readonly deadlineAtMs: base.Millis
   /** Since when the caller waits, including earlier requests that were refused. */
   readonly beganAtMs: base.Millis
--- a/packages/node/src/direct/DirectNode.ts
+++ b/packages/node/src/direct/DirectNode.ts
@@ -90,7 +90,7 @@
     this.crashes = new crashGuards.CrashGuard({ dialect, service: settings.service, nowMs, timeOfDayMs: options.timeOfDayMs, callLog: this._log, links: () => this._links, onOwnCrash: () => { this._fleet.publish() } })
     const picker = new targetPicker.TargetPicker({ table: this._table, selfId, zone: settings.zone, random, otherZoneCostMs: zoneCost.otherZoneCostMs })
     this._calls = new directCalls.DirectCalls({ table: this._table, picker, random, retryTerms: settings.retryTerms, nodeCount: () => this._fleet.nodeCount, startedAtMs: nowMs() })
-    const nestedCalls = new nestedCall.NestedCalls(this._calls, nowMs)
+    const nestedCalls = new nestedCall.NestedCalls(this._calls, dialect, nowMs)
     this.onRetry = this._calls.onRetry
     this._register(this.onRetry(retry => { this._log.logRetry(this._entry.requestIdOf(retry.callId), retry) }))
     this._stalls = new stallWatch.StallWatch(options)
--- a/packages/node/src/direct/EntryGate.test.ts
+++ b/packages/node/src/direct/EntryGate.test.ts
@@ -14,7 +14,7 @@
 
 const SELF = 'n1'
 const SERVICE = 'till'
-const DIALECT = { entryHeaders: () => [], isSetByNode: () => false, parentIdOf: () => undefined, readNotice: () => ({ maxCallsPerS: Infinity, isLeaving: false }) } as unknown as services.ICallDialect
+const DIALECT = { entryHeaders: (_service: string, customer?: string) => customer === undefined ? [] : ['customer', customer], customerOf: () => undefined, isSetByNode: () => false, parentIdOf: () => undefined, readNotice: () => ({ maxCallsPerS: Infinity, isLeaving: false }) } as unknown as services.ICallDialect
 const LOAD = { running: 0, queued: 0, urgentQueued: 0, leastUrgent: 1, slots: 4, serviceMs: 50 }
 
 test.describe('EntryGate', () => {
@@ -77,7 +77,7 @@
       callsEndByMs: () => Infinity,
       suspectedMs: () => suspectedMs,
       crashes: noCrashes.NO_CRASHES,
-      nestedCalls: new nestedCall.NestedCalls(calls, () => nowMs)
+      nestedCalls: new nestedCall.NestedCalls(calls, DIALECT, () => nowMs)
     })
   })
 
--- a/packages/node/src/direct/EntryGate.ts
+++ b/packages/node/src/direct/EntryGate.ts
@@ -106,10 +106,13 @@
     this._lastCallAtMs = beganAtMs
     const { host, path, body, info } = exchange
     const parentId = this._options.dialect.parentIdOf(info.requestId)
+    const run = nestedCalls.customerOf(parentId)
+    const { customerKey } = info
+    const customer = calls.customerOf({ host, path, customerKey, run })
     const remainingMs = info.remainingMs === undefined ? undefined : info.remainingMs - this._uncountedMs(exchange, info.remainingMs)
-    const request = { method: exchange.method, path, headers: this._forwardedHeaders(exchange), body }
+    const request = { method: exchange.method, path, headers: this._forwardedHeaders(exchange, customer?.name), body }
     const history = this._options.crashes.historyOf(request)
-    const decision = calls.begin({ host, path, remainingMs, bodyBytes: body?.length ?? 0, endByMs: callsEndByMs(), origin: nestedCalls.originOf(parentId), history }, beganAtMs)
+    const decision = calls.begin({ host, path, remainingMs, bodyBytes: body?.length ?? 0, endByMs: callsEndByMs(), origin: nestedCalls.originOf(parentId), history, customerKey, run }, beganAtMs)
     const call: PendingCall = {
       exchange,
       beganAtMs,
@@ -211,7 +214,7 @@
   /** Sends the call. Returns the next decision if it could not be sent. */
   private _send (call: PendingCall, decision: direct.SendDecision): direct.CallDecision | undefined {
     const { nowMs, send, calls } = this._options
-    const { callId, nodeId, rule, deadlineAtMs, beganAtMs, service, isRetry } = decision
+    const { callId, nodeId, rule, urgency, deadlineAtMs, beganAtMs, service, isRetry } = decision
     const sentAtMs = nowMs()
     call.rule = rule
     call.callerSinceMs = beganAtMs
@@ -223,7 +226,7 @@
       callId,
       service,
       isIdempotent: rule.kind === 'idempotent',
-      priority: rule.priority,
+      priority: urgency,
       remainingMs: deadlineAtMs - sentAtMs,
       objectiveMs: rule.objectiveMs,
       elapsedMs: sentAtMs - beganAtMs,
@@ -284,10 +287,10 @@
     if (call !== undefined) this._callIds.delete(call.exchange)
   }
 
-  private _forwardedHeaders (exchange: services.IExchange): types.RawHeaders {
+  private _forwardedHeaders (exchange: services.IExchange, customer: string | undefined): types.RawHeaders {
     const { dialect, service } = this._options
     const headers = rawHeaderFilter.forwardable(exchange.headers, name => dialect.isSetByNode(name))
-    headers.push(...dialect.entryHeaders(service))
+    headers.push(...dialect.entryHeaders(service, customer))
     return headers
   }
 }
--- a/packages/node/src/direct/LocalTarget.test.ts
+++ b/packages/node/src/direct/LocalTarget.test.ts
@@ -36,7 +36,7 @@
       endsAtMs: () => Infinity,
       logger: { isEnabled: () => true, log: () => {} },
       crashes: noCrashes.NO_CRASHES,
-      nestedCalls: new nestedCall.NestedCalls({ mayNestRetries: () => true }, () => 0),
+      nestedCalls: new nestedCall.NestedCalls({ mayNestRetries: () => true }, { customerOf: () => undefined }, () => 0),
       callLog: { log: () => {} } as unknown as callLog.CallLog,
       onChange: () => {}
     })
--- a/packages/node/src/direct/NestedCalls.test.ts
+++ b/packages/node/src/direct/NestedCalls.test.ts
@@ -21,7 +21,7 @@
       asked.push([service, calls])
       return calls <= room
     }
-    nested = new nestedCall.NestedCalls({ mayNestRetries }, () => 0)
+    nested = new nestedCall.NestedCalls({ mayNestRetries }, { customerOf: headers => headers[1] }, () => 0)
   })
 
   test.describe('the origin of a request', () => {
--- a/packages/node/src/direct/NestedCalls.ts
+++ b/packages/node/src/direct/NestedCalls.ts
@@ -8,6 +8,7 @@
 interface Run {
   readonly workClass: number
   readonly isRetry: boolean
+  readonly customer: direct.RunCustomer
 }
 
 /**
@@ -19,10 +20,14 @@
   private readonly _rate = new nestedCallRate.NestedCallRate()
   private readonly _runs = new Map<string, Run>()
 
-  constructor (private readonly _calls: Pick<directCalls.DirectCalls, 'mayNestRetries'>, private readonly _nowMs: () => number) {}
+  constructor (
+    private readonly _calls: Pick<directCalls.DirectCalls, 'mayNestRetries'>,
+    private readonly _dialect: Pick<services.ICallDialect, 'customerOf'>,
+    private readonly _nowMs: () => number
+  ) {}
 
-  public beginRun ({ requestId, objectiveMs, isRetry }: types.CallMessage): void {
-    this._runs.set(requestId, { workClass: objectiveMs, isRetry })
+  public beginRun ({ requestId, objectiveMs, isRetry, priority, headers }: types.CallMessage): void {
+    this._runs.set(requestId, { workClass: objectiveMs, isRetry, customer: { name: this._dialect.customerOf(headers), urgency: priority } })
     this._rate.recordRun(objectiveMs)
   }
 
@@ -36,6 +41,10 @@
     return this._runs.get(parentId)?.isRetry === true ? 'retried-run' : 'run'
   }
 
+  public customerOf (parentId: string | undefined): direct.RunCustomer | undefined {
+    return parentId === undefined ? undefined : this._runs.get(parentId)?.customer
+  }
+
   public recordCall (parentId: string, service: string): void {
     const run = this._runs.get(parentId)
     if (run !== undefined) this._rate.recordCall(run.workClass, service)
--- a/packages/node/src/direct/Reasons.ts
+++ b/packages/node/src/direct/Reasons.ts
@@ -9,6 +9,8 @@
 const OWN_ANSWER_TEXTS: Readonly<Record<direct.RefusalReason | direct.FailureReason, OwnAnswerText>> = {
   'no-configuration': { status: 503, remedy: 'The node does not know a configuration yet. Send the request again after the time in Retry-After.' },
   'no-route': { status: 404, remedy: 'Check the host and the path against the routes of the configuration.' },
+  'unknown-key': { status: 401, remedy: 'Send a key that the configuration has for a customer.' },
+  'over-limit': { status: 429, remedy: 'The customer sends more requests than its limit allows. Send the request again after the time in Retry-After.' },
   'body-too-large': { status: 413, remedy: 'Send a smaller body, or raise the limit in the configuration.' },
   'no-target': { status: 503, remedy: 'No target of the service is ready. Send the request again after the time in Retry-After.' },
   busy: { status: 503, remedy: 'All targets of the service are busy. Send the request again after the time in Retry-After.' },
--- a/packages/node/src/direct/Services.ts
+++ b/packages/node/src/direct/Services.ts
@@ -17,8 +17,10 @@
   isSetByNode(name: string): boolean
   /** Whether a header of an answer is for the node alone. `name` is in lower case. */
   isForNode(name: string): boolean
-  /** Headers that the entry node adds for a caller beside a target of `service`. */
-  entryHeaders(service: string): types.RawHeaders
+  /** Headers that the entry node adds for a caller beside a target of `service`, and for the customer that the request is made for. */
+  entryHeaders(service: string, customer: string | undefined): types.RawHeaders
+  /** Customer that a request is made for, from the headers that an entry node passes on. Undefined if they name none. */
+  customerOf(headers: types.RawHeaders): string | undefined
   /** Service beside which a request began, from the headers that an entry node passes on; empty if they do not name it. */
   callerOf(headers: types.RawHeaders): string
   /** Headers that the host node adds. */
@@ -142,6 +144,8 @@
   beginRun(call: types.CallMessage): void
   endRun(call: types.CallMessage): void
   originOf(parentId: string | undefined): direct.RequestOrigin
+  /** For whom a nested call is made. Undefined if it is none, or its run is not known. */
+  customerOf(parentId: string | undefined): direct.RunCustomer | undefined
   /** A run has made a nested call to the service. */
   recordCall(parentId: string, service: string): void
   /** Whether the run may be started. False for a retry whose nested calls would be too many retries elsewhere. */
--- a/packages/node/src/direct/TargetHost.test.ts
+++ b/packages/node/src/direct/TargetHost.test.ts
@@ -29,7 +29,7 @@
   public dispose (): void {}
 }
 
-const DIALECT = { targetHeaders: () => [], parentIdOf: (id: string) => id.includes('.') ? id.slice(0, id.lastIndexOf('.')) : undefined } as unknown as services.ICallDialect
+const DIALECT = { targetHeaders: () => [], customerOf: () => undefined, parentIdOf: (id: string) => id.includes('.') ? id.slice(0, id.lastIndexOf('.')) : undefined } as unknown as services.ICallDialect
 const ANSWER: types.RunResult = { kind: 'answered', answer: { status: 200, headers: [], body: undefined, isUnframed: false }, serviceMs: 50 }
 
 function call (callId: number, change: Partial<types.CallMessage> = {}): types.CallMessage {
@@ -65,7 +65,7 @@
     standings = new Map()
     crashes = []
     mayNest = true
-    nestedCalls = new nestedCall.NestedCalls({ mayNestRetries: () => mayNest }, () => nowMs)
+    nestedCalls = new nestedCall.NestedCalls({ mayNestRetries: () => mayNest }, DIALECT, () => nowMs)
     host = new targetHost.TargetHost({
       nodeId: 'n',
       service: 'till',
--- a/packages/node/src/direct/Types.ts
+++ b/packages/node/src/direct/Types.ts
@@ -65,6 +65,8 @@
 export interface CallerRequestInfo {
   readonly requestId: string
   readonly remainingMs: base.Millis | undefined
+  /** Key of the customer. Undefined if the request bears none, or more than one. */
+  readonly customerKey?: string | undefined
 }
 
 /** Values from the headers of a target's answer. */
@@ -123,4 +125,6 @@
   /** Whether the whole fleet starts for the first time, so that the store has no records of earlier processes. */
   readonly isFirstStart: boolean
   readonly retryTerms: direct.RetryTerms
+  readonly customerLimitTerms: direct.CustomerLimitTerms
+  readonly rolloutTerms: direct.RolloutTerms
 }
--- a/packages/node/src/direct/testing/CrashFleet.ts
+++ b/packages/node/src/direct/testing/CrashFleet.ts
@@ -26,6 +26,7 @@
   readNotice: () => ({ maxCallsPerS: Infinity, isLeaving: false }),
   entryHeaders: () => [],
   callerOf: () => 'tutor',
+  customerOf: () => undefined,
   isSetByNode: () => false,
   parentIdOf: () => undefined
 } as unknown as services.ICallDialect
@@ -181,7 +182,7 @@
     const picker = new targetPicker.TargetPicker({ table, selfId: id, zone: 'vake', random: this._random, otherZoneCostMs: () => 5 })
     const calls = new directCalls.DirectCalls({ table, picker, random: this._random, retryTerms: { ratio: 0.2, slack: 1_000, windowMs: 10_000 }, nodeCount: () => this._nodes.length, startedAtMs: -10_000 })
     calls.enforce(testRules.rules([testRules.route({ name: 'browse', host: HOST, pathPrefix: '/', parts: [{ service: SERVICE, weight: 1 }], timeoutMs: DEADLINE_MS })]))
-    const nestedCalls = new nestedCall.NestedCalls(calls, nowMs)
+    const nestedCalls = new nestedCall.NestedCalls(calls, DIALECT, nowMs)
     node.host = new targetHost.TargetHost({
       nodeId: id,
       service: SERVICE,
--- a/packages/node/src/direct/testing/VirtualFleet.ts
+++ b/packages/node/src/direct/testing/VirtualFleet.ts
@@ -22,10 +22,12 @@
 const OVERSTATED_MS = 50
 const TARGET_HEADER = 'target'
 const LIMIT_HEADER = 'limit'
+const CUSTOMER_HEADER = 'customer'
 const DIALECT = {
   targetHeaders: () => [],
   readNotice: (headers: types.RawHeaders) => ({ maxCallsPerS: Number(valueOf(headers, LIMIT_HEADER)), isLeaving: false }),
-  entryHeaders: () => [],
+  entryHeaders: (_service: string, customer?: string) => customer === undefined ? [] : [CUSTOMER_HEADER, customer],
+  customerOf: (headers: types.RawHeaders) => valueOf(headers, CUSTOMER_HEADER) || undefined,
   callerOf: () => '',
   isSetByNode: () => false,
   parentIdOf: (id: string) => id.includes('.') ? id.slice(0, id.lastIndexOf('.')) : undefined
@@ -218,7 +220,7 @@
     const calls = new directCalls.DirectCalls({ table, picker, random: this._random, retryTerms: this._options.retryTerms, nodeCount: () => this._options.nodes.length, startedAtMs: 0 })
     const limits = { maxBodyBytes: 65_536, idleTimeoutMs: 15_000 }
     calls.enforce({ version: 1, routes: this._options.routes.map(({ rule }) => rule), services: [], limits })
-    const nestedCalls = new nestedCall.NestedCalls(calls, nowMs)
+    const nestedCalls = new nestedCall.NestedCalls(calls, DIALECT, nowMs)
     const host: targetHost.TargetHost = new targetHost.TargetHost({
       nodeId: id,
       service,
