--- a/packages/node/src/direct/DirectNode.ts
+++ b/packages/node/src/direct/DirectNode.ts
@@ -13,6 +13,7 @@
 import * as localTarget from './LocalTarget.js'
 import * as nestedCall from './NestedCalls.js'
 import * as nodeLinks from './NodeLinks.js'
+import * as nodeView from './NodeView.js'
 import * as peerServer from '../PeerServer.js'
 import * as plannedStop from './PlannedStop.js'
 import * as rulesDistribution from './RulesDistribution.js'
@@ -72,6 +73,7 @@
   private readonly _audit: auditTrail.AuditTrail
   private readonly _log: callLog.CallLog
   private readonly _stop: plannedStop.PlannedStop
+  private readonly _view: nodeView.NodeView
   private _timer: NodeJS.Timeout | undefined
   private _startedAtMs = 0
   private _statusAtMs = 0
@@ -168,6 +170,7 @@
     this._peers = this._register(new peerServer.PeerServer({ address: addresses.parse(settings.peerListenAddress), binder: options.binder, maxMessageBytes: nodeLinks.MAX_MESSAGE_BYTES, onConnection: socket => { this._links.accept(socket) } }))
     this._audit = new auditTrail.AuditTrail({ store, nodeId: selfId, logger, nowMs, isWriter: () => this._rules.readers.isWriter, timeOfDayMs: options.timeOfDayMs })
     this._register(new storeReturns.StoreReturns({ era: store.era, nodeRecord: this._fleet.record, auditTrail: this._audit, logger, spread: () => { this._sendStatus(true) } }))
+    this._view = new nodeView.NodeView({ settings, version: () => this.version, isReady: () => this.isReady, entry: this._entry, target: this._target, links: this._links, table: this._table, rules: this._rules, ingress: this._ingress, crashes: this.crashes })
     this._stop = new plannedStop.PlannedStop({
       graceMs: settings.graceMs,
       nowMs,
@@ -196,27 +199,12 @@
   }
 
   public gauges (): directServices.DirectGauges {
-    return {
-      version: this.version,
-      isReady: this.isReady,
-      entryInFlight: this._entry.inFlight,
-      ...this._target.gauges,
-      linkBytes: { sent: this._links.traffic.totals('sent'), received: this._links.traffic.totals('received') },
-      knownNodes: this._table.size,
-      connectedNodes: this._table.connectedCount,
-      storeAgeMs: this._rules.storeAgeMs,
-      acceptWaitMs: this._ingress.acceptWaitMs,
-      bodyBytes: this._ingress.bodyBytes,
-      behindMs: this._rules.behindMs,
-      confirmedAgeMs: this._rules.confirmedAgeMs
-    }
+    return this._view.gauges
   }
 
-  /** Data for `elmpost status`: this node, and the other nodes as this one sees them. */
+  /** Data for `elmpost status`. */
   public status (): object {
-    const { peerAddress, zone, service } = this._options.settings
-    const members = [...this._table.all()].map(row => ({ nodeId: row.nodeId, zone: row.zone, service: row.service, state: row.isConnected ? 'ready' : 'suspect', enforcedVersion: row.version, adminAddress: '', target: row.state, load: row.load }))
-    return { self: { nodeId: peerAddress, zone, service }, readiness: { ready: this.isReady }, version: this.version, digest: '', verdicts: [], members, restrictedRequests: this.crashes.restricted }
+    return this._view.status
   }
 
   public async start (): Promise<void> {
