Rank customers that use more than their part behind others, and serve starved levels

With customers, a heavy one took the capacity of light ones beside it: at 1,500 and 150 calls/s on 800 calls/s of capacity 45.9 % of the light one's requests were served. With customers of three priorities at twice the capacity 3 % of the least urgent ones were served, and 55 % of all.

A host ranks calls of a customer that has lately used more than its part behind others of equal urgency, and lets the others wait while there are such customers. An entry node sends some calls of a level of urgency that is hardly served as most urgent.

Only calls of customers are concerned.

--- a/packages/common/src/direct/CustomerIndex.ts
+++ b/packages/common/src/direct/CustomerIndex.ts
@@ -13,6 +13,7 @@
   private readonly _byKey = new Map<string, types.CustomerRule>()
   private readonly _byName = new Map<string, types.CustomerRule>()
   private readonly _leastUrgent: number
+  private readonly _meanLimitPerS: number
 
   /** Without customers, requests bear no keys. */
   constructor (private readonly _customers: readonly types.CustomerRule[] | undefined) {
@@ -23,6 +24,8 @@
       leastUrgent = Math.max(leastUrgent, customer.priority)
     }
     this._leastUrgent = leastUrgent
+    const { limited } = this
+    this._meanLimitPerS = limited.length === 0 ? 1 : limited.reduce((sum, { maxCallsPerS }) => sum + maxCallsPerS, 0) / limited.length
   }
 
   /** Customers whose requests are limited. */
@@ -30,6 +33,12 @@
     return (this._customers ?? []).filter(({ maxCallsPerS }) => Number.isFinite(maxCallsPerS))
   }
 
+  /** A customer is entitled to a part of a target in proportion to its limit. One without a limit counts as an average one. */
+  public weightOf (name: string): number {
+    const limitPerS = this._byName.get(name)?.maxCallsPerS ?? Infinity
+    return Number.isFinite(limitPerS) ? limitPerS : this._meanLimitPerS
+  }
+
   /** The customer of a request on the route. A nested call bears no key and belongs to the customer of its run. */
   public identify (rule: types.RouteRule, key: string | undefined, run: types.RunCustomer | undefined): Identified {
     if (this._customers === undefined) return { kind: 'known', customer: undefined, urgency: rule.priority }
--- a/packages/common/src/direct/DirectCalls.ts
+++ b/packages/common/src/direct/DirectCalls.ts
@@ -4,6 +4,7 @@
 import * as retryAllowances from './RetryAllowances.js'
 import * as routeIndex from './RouteIndex.js'
 import * as splitRotation from './SplitRotation.js'
+import * as starvationGuard from './StarvationGuard.js'
 import type * as targetPicker from './TargetPicker.js'
 import type * as targetTable from './TargetTable.js'
 import type * as types from './Types.js'
@@ -33,11 +34,16 @@
 const FAILED_SHARE = 0.5
 /** Response statuses after which an idempotent call is retried. */
 const RETRIED_STATUSES: ReadonlySet<number> = new Set([500, 502, 503])
+/** Urgency of a call of a starved level. */
+const MOST_URGENT = 0
 const NO_NODES: ReadonlySet<base.NodeId> = new Set()
 
 interface Call {
   readonly callId: number
   readonly rule: types.RouteRule
+  /** Undefined if the call is made for no customer. */
+  readonly customer: types.CustomerRule | undefined
+  readonly level: number
   readonly urgency: number
   readonly service: string
   readonly beganAtMs: base.Millis
@@ -78,6 +84,7 @@
   private readonly _budgets = new callerBudgets.CallerBudgets()
   private readonly _splits = new splitRotation.SplitRotation()
   private readonly _retries: retryAllowances.RetryAllowances
+  private readonly _starvation = new starvationGuard.StarvationGuard()
   private readonly _sizes = new Map<string, number>()
   private _rules: types.MeshRules | undefined
   private _routes = new routeIndex.RouteIndex([])
@@ -117,6 +124,11 @@
     return this._customers.limited
   }
 
+  /** Part of a target that a customer is entitled to, relative to that of others. */
+  public customerWeight (customer: string): number {
+    return this._customers.weightOf(customer)
+  }
+
   /** Customer for whom a request is made. Undefined if it is for none, or will be refused. */
   public customerOf ({ host, path, customerKey, run }: Pick<types.CallRequest, 'host' | 'path' | 'customerKey' | 'run'>): types.CustomerRule | undefined {
     const rule = this._routes.find(host, path)
@@ -139,7 +151,9 @@
     const call: Call = {
       callId,
       rule,
-      urgency: identified.urgency,
+      customer: identified.customer,
+      level: identified.urgency,
+      urgency: this._urgencyOf(identified, nowMs),
       service: this._splits.next(rule),
       // Targets make their calls once, with whatever time is left to their run.
       beganAtMs: request.origin === 'caller' ? nowMs - this._budgets.spentMs(rule.name, request.remainingMs, nowMs) : nowMs,
@@ -182,7 +196,7 @@
     const mayRetry = call.refusals < MAX_REFUSALS[call.origin] && !isTrialTaken && (!refused.reachedTarget || this._mayAttempt(call, 'declined', nowMs))
     const next = mayRetry ? this._sendNext(call, nowMs) : undefined
     if (next !== undefined) return next
-    return call.mayHaveRun ? this._endUnknown(call, 'target-lost') : this._refuse(call, refused.reason, nowMs)
+    return call.mayHaveRun ? this._endUnknown(call, 'target-lost', nowMs) : this._refuse(call, refused.reason, nowMs)
   }
 
   /** Handles a send that ended without an answer and may have run. */
@@ -191,7 +205,7 @@
     if (call === undefined) return undefined
     this._options.table.recordEnd(from, true, nowMs - call.sentAtMs, nowMs)
     call.mayHaveRun = true
-    return this._retry(call, reason, nowMs) ?? this._endUnknown(call, reason)
+    return this._retry(call, reason, nowMs) ?? this._endUnknown(call, reason, nowMs)
   }
 
   /** Handles an answer of the target. */
@@ -210,7 +224,7 @@
     const sizeBytes = this._sizeOf(call)
     this._sizes.set(call.rule.name, sizeBytes + SIZE_WEIGHT * (bytes + call.requestBytes - sizeBytes))
     this._calls.delete(callId)
-    this._budgets.recordEnd(call.rule.name, !isFailure)
+    this._recordEnd(call, !isFailure, nowMs)
     return { kind: 'answer', callId }
   }
 
@@ -262,7 +276,7 @@
     // Removed first: `withdraw` may report a failure of this call, which must not end it a second time.
     this._calls.delete(call.callId)
     const isWithdrawn = withdraw(call.to, call.callId)
-    return isWithdrawn && !call.mayHaveRun ? this._refuse(call, reasons.refusal, nowMs) : this._endUnknown(call, reasons.failure)
+    return isWithdrawn && !call.mayHaveRun ? this._refuse(call, reasons.refusal, nowMs) : this._endUnknown(call, reasons.failure, nowMs)
   }
 
   private _current (callId: number, from: base.NodeId): Call | undefined {
@@ -270,6 +284,16 @@
     return call?.to === from ? call : undefined
   }
 
+  private _recordEnd (call: Call, isServed: boolean, nowMs: base.Millis): void {
+    this._budgets.recordEnd(call.rule.name, isServed)
+    if (call.customer !== undefined) this._starvation.recordEnd(call.level, isServed, nowMs)
+  }
+
+  /** A level of urgency that is hardly served gets some of its calls before all others. */
+  private _urgencyOf ({ customer, urgency }: { readonly customer: types.CustomerRule | undefined, readonly urgency: number }, nowMs: base.Millis): number {
+    return customer !== undefined && this._starvation.isStarved(urgency, nowMs) ? MOST_URGENT : urgency
+  }
+
   private _retry (call: Call, cause: types.RetryCause, nowMs: base.Millis): types.CallDecision | undefined {
     if (call.rule.kind !== 'idempotent' || !this._mayAttempt(call, cause, nowMs)) return undefined
     return this._sendNext(call, nowMs)
@@ -330,7 +354,7 @@
 
   private _refuse (call: Call, reason: types.RefusalReason, nowMs: base.Millis): types.OwnAnswer {
     this._calls.delete(call.callId)
-    this._budgets.recordEnd(call.rule.name, false)
+    this._recordEnd(call, false, nowMs)
     if (call.history?.standing === 'blocked') return { ...refusal(call.callId, 'crashes-targets', call.history.blockedForMs, call.rule), sends: call.attempts + call.refusals }
     const waitMs = Number.isFinite(call.shortestWaitMs) ? Math.max(MIN_RETRY_MS, call.shortestWaitMs) : DEFAULT_RETRY_MS
     const spreadMs = waitMs * (1 + WAIT_JITTER * this._options.random.nextFloat())
@@ -339,8 +363,8 @@
   }
 
   /** Ends a call that may have run. Returns the answer of an earlier send if there is one. */
-  private _endUnknown (call: Call, reason: types.FailureReason): types.FinalDecision {
-    this._budgets.recordEnd(call.rule.name, false)
+  private _endUnknown (call: Call, reason: types.FailureReason, nowMs: base.Millis): types.FinalDecision {
+    this._recordEnd(call, false, nowMs)
     if (!call.isAnswered) return this._fail(call, reason)
     this._calls.delete(call.callId)
     return { kind: 'answer', callId: call.callId }
--- a/packages/common/src/direct/SlotQueue.ts
+++ b/packages/common/src/direct/SlotQueue.ts
@@ -1,5 +1,6 @@
 import type * as base from '../base/Types.js'
 import * as callLimiter from './CallLimiter.js'
+import * as customerShares from './CustomerShares.js'
 import * as serviceTimes from '../hosting/ServiceTimes.js'
 import type * as types from './Types.js'
 
@@ -14,6 +15,8 @@
  * Without it the queue grows until an accepted call is expected to end just in time, and about half of them are late.
  */
 const ON_TIME_DEVIATIONS = 3
+/** An overload counts as caused by customers that use more than their part for this time after one of their calls arrived. */
+const EXCESS_MS = 500
 /** A priority counts as in use for this time after its last call. */
 const PRIORITY_IN_USE_MS = 5_000
 
@@ -32,12 +35,16 @@
   readonly workClass: number
   /** Time on the target, assumed before the first answer to a call of this class. */
   readonly assumedMs: base.Millis
+  /** Undefined if the call is made for no customer. */
+  readonly customer?: customerShares.WeightedCustomer | undefined
 }
 
 /** A call in the queue. Calls that will be late come after those of equal priority that can be on time. */
 interface WaitingCall {
   readonly call: SlotCall
   isLate: boolean
+  /** Rank of its customer among calls of equal priority. */
+  readonly rank: number
 }
 
 export type OfferResult = { readonly kind: 'start' } | { readonly kind: 'queued' } | { readonly kind: 'refused', readonly waitMs: base.Millis }
@@ -51,6 +58,9 @@
   private readonly _allTimes = new serviceTimes.ServiceTimes(INITIAL_SERVICE_MS, 0)
   /** Arrival of the last call of each priority. */
   private readonly _lastArrivalsMs = new Map<number, base.Millis>()
+  private readonly _shares = new customerShares.CustomerShares()
+  /** Last arrival of a call whose customer had used more than its part. */
+  private _excessAtMs = -Infinity
   private _isHeld = false
   private _leastUrgent = 0
   private _slots = 1
@@ -111,17 +121,18 @@
   /** Starts or queues a call if it is expected to end in time; refuses it otherwise. */
   public offer (call: SlotCall, nowMs: base.Millis): OfferResult {
     this._recordPriority(call.priority, nowMs)
+    if (call.customer !== undefined && this._shares.rankOf(call.customer, this.meanMs, nowMs) > 0) this._excessAtMs = nowMs
     this._assumedMs = call.assumedMs
     if (!this._isHeld && this._running.size < this._slots && this._waiting.length === 0 && this._limiter.take(nowMs)) {
-      this._running.set(call.id, call)
+      this._run(call, nowMs)
       return { kind: 'start' }
     }
     const waitMs = this._expectedWaitMs(call, nowMs)
     const endMs = nowMs + waitMs + this._expectedServiceMs(call)
     const isLate = endMs > call.objectiveAtMs
-    const isAtRisk = endMs + this._marginMs(call) > call.objectiveAtMs
+    const isAtRisk = endMs + this._marginMs(call, nowMs) > call.objectiveAtMs
     if (endMs > call.deadlineAtMs || (isAtRisk && !this._mayBeLate(call, nowMs))) return { kind: 'refused', waitMs }
-    this._insert({ call, isLate })
+    this._insert(this._waitingCall(call, isLate, nowMs))
     return { kind: 'queued' }
   }
 
@@ -141,7 +152,7 @@
     this._deferLate(nowMs)
     if (!this._limiter.take(nowMs)) return undefined
     const call = this._waiting.shift()?.call
-    if (call !== undefined) this._running.set(call.id, call)
+    if (call !== undefined) this._run(call, nowMs)
     return call
   }
 
@@ -183,7 +194,7 @@
    * at a limit, which they may exceed by themselves: the queue would grow until all of them are late.
    */
   private _mayBeLate (call: SlotCall, nowMs: base.Millis): boolean {
-    if (this._isUrgent(call) && !this._limiter.isLimited) return true
+    if (this._isUrgent(call, nowMs) && !this._limiter.isLimited) return true
     const totalWaitMs = this._waitBehindMs(this._waiting.length, nowMs)
     return totalWaitMs <= this._expectedServiceMs(call) * LATE_WAIT_SHARE
   }
@@ -198,6 +209,15 @@
     }
   }
 
+  private _run (call: SlotCall, nowMs: base.Millis): void {
+    this._running.set(call.id, call)
+    if (call.customer !== undefined) this._shares.recordRun(call.customer, this._expectedServiceMs(call), nowMs)
+  }
+
+  private _waitingCall (call: SlotCall, isLate: boolean, nowMs: base.Millis): WaitingCall {
+    return { call, isLate, rank: call.customer === undefined ? 0 : this._shares.rankOf(call.customer, this.meanMs, nowMs) }
+  }
+
   private _recordPriority (priority: number, nowMs: base.Millis): void {
     this._lastArrivalsMs.set(priority, nowMs)
     this._leastUrgent = priority
@@ -208,7 +228,7 @@
   }
 
   private _expectedWaitMs (call: SlotCall, nowMs: base.Millis): base.Millis {
-    const ahead = this._waiting.reduce((count, waiting) => staysAhead(waiting, { call, isLate: false }) ? count + 1 : count, 0)
+    const ahead = this._waiting.reduce((count, waiting) => staysAhead(waiting, this._waitingCall(call, false, nowMs)) ? count + 1 : count, 0)
     return this._waitBehindMs(ahead, nowMs)
   }
 
@@ -224,12 +244,13 @@
   }
 
   /** A nested call is not kept waiting, however urgent it is: another host may have room, and a run waits for it. */
-  private _isUrgent ({ priority, isNested }: SlotCall): boolean {
-    return priority < this._leastUrgent && !isNested
+  private _isUrgent ({ priority, isNested, customer }: SlotCall, nowMs: base.Millis): boolean {
+    if (isNested) return false
+    return priority < this._leastUrgent || (customer !== undefined && nowMs - this._excessAtMs < EXCESS_MS && this._shares.rankOf(customer, this.meanMs, nowMs) === 0)
   }
 
-  private _marginMs (call: SlotCall): base.Millis {
-    if (this._isUrgent(call)) return 0
+  private _marginMs (call: SlotCall, nowMs: base.Millis): base.Millis {
+    if (this._isUrgent(call, nowMs)) return 0
     return (this._times.get(call.workClass)?.deviationMs ?? 0) * ON_TIME_DEVIATIONS
   }
 
@@ -253,9 +274,10 @@
   }
 }
 
-/** Whether a waiting call stays ahead of an arriving one: by priority, then calls that can be on time, then the earlier objective. */
+/** Whether a waiting call stays ahead of an arriving one: by priority, then calls that can be on time, then customers with little recent use, then the earlier objective. */
 function staysAhead (waiting: WaitingCall, arriving: WaitingCall): boolean {
   if (waiting.call.priority !== arriving.call.priority) return waiting.call.priority < arriving.call.priority
   if (waiting.isLate !== arriving.isLate) return arriving.isLate
+  if (waiting.rank !== arriving.rank) return waiting.rank < arriving.rank
   return waiting.call.objectiveAtMs <= arriving.call.objectiveAtMs
 }
--- a/packages/node/src/direct/DirectNode.ts
+++ b/packages/node/src/direct/DirectNode.ts
@@ -106,6 +106,7 @@
       callLog: this._log,
       crashes: this.crashes,
       nestedCalls,
+      customerWeight: customer => this._calls.customerWeight(customer),
       onChange: () => { this._handleTargetChange() }
     }))
     this._links = this._register(new nodeLinks.NodeLinks({ selfId, hello: to => this._fleet.hello(this.version, to), nowMs, stalls: this._stalls, random, host: this._target.host, events: this }))
--- a/packages/node/src/direct/LocalTarget.test.ts
+++ b/packages/node/src/direct/LocalTarget.test.ts
@@ -37,6 +37,7 @@
       logger: { isEnabled: () => true, log: () => {} },
       crashes: noCrashes.NO_CRASHES,
       nestedCalls: new nestedCall.NestedCalls({ mayNestRetries: () => true }, { customerOf: () => undefined }, () => 0),
+      customerWeight: () => 1,
       callLog: { log: () => {} } as unknown as callLog.CallLog,
       onChange: () => {}
     })
--- a/packages/node/src/direct/TargetHost.test.ts
+++ b/packages/node/src/direct/TargetHost.test.ts
@@ -84,6 +84,7 @@
         recordCrash: ({ runs }) => { crashes.push(runs.map(({ call: { requestId }, isTrial }) => [requestId, isTrial])) }
       },
       nestedCalls,
+      customerWeight: () => 1,
       start: () => ({ targetId: 't', startedAtMs: 1 }),
       events: {
         onTargetUnreachable: code => { events.push(`unreachable ${code}`) },
--- a/packages/node/src/direct/TargetHost.ts
+++ b/packages/node/src/direct/TargetHost.ts
@@ -2,6 +2,7 @@
 import * as slotQueue from '@elmpost/common/direct/SlotQueue.js'
 import * as slotUse from '@elmpost/common/direct/SlotUse.js'
 import type * as base from '@elmpost/common/base/Types.js'
+import type * as customerShares from '@elmpost/common/direct/CustomerShares.js'
 import type * as direct from '@elmpost/common/direct/Types.js'
 import type * as services from './Services.js'
 import type * as targetHostOptions from './TargetHostOptions.js'
@@ -234,6 +235,7 @@
       isNested: this._options.dialect.parentIdOf(message.requestId) !== undefined,
       workClass: message.objectiveMs,
       assumedMs: message.objectiveMs * ASSUMED_SHARE,
+      customer: this._customerOf(message),
       caller,
       message,
       run: undefined,
@@ -250,6 +252,11 @@
     return call
   }
 
+  private _customerOf ({ headers }: types.CallMessage): customerShares.WeightedCustomer | undefined {
+    const name = this._options.dialect.customerOf(headers)
+    return name === undefined ? undefined : { name, weight: this._options.customerWeight(name) }
+  }
+
   private _start (call: HostedCall): void {
     const { dialect, client, nowMs, events } = this._options
     const targetId = this._options.targetId()
--- a/packages/node/src/direct/TargetHostOptions.ts
+++ b/packages/node/src/direct/TargetHostOptions.ts
@@ -22,6 +22,8 @@
   readonly newCrashId: () => string
   readonly crashes: services.ICrashGuard
   readonly nestedCalls: services.INestedCalls
+  /** Part of the target that a customer is entitled to, relative to that of others. */
+  readonly customerWeight: (customer: string) => number
   /** Start of the target; undefined if it is not known. */
   readonly start: () => direct.TargetStart | undefined
   readonly events: ITargetHostEvents
--- a/packages/node/src/direct/testing/CrashFleet.ts
+++ b/packages/node/src/direct/testing/CrashFleet.ts
@@ -197,6 +197,7 @@
       newCrashId: () => `${id}-${node.targetStart}`,
       crashes: guard,
       nestedCalls,
+      customerWeight: customer => calls.customerWeight(customer),
       start: () => ({ targetId: `${id}-${node.targetStart}`, startedAtMs: node.targetStart }),
       events: { onTargetUnreachable: () => {}, onTargetSilent: () => {}, onTargetDisplaced: () => {}, onCallFailed: () => {}, onCallRefused: () => {}, onCallCancelled: () => {}, onTrial: () => {}, onTargetCrashed: () => {}, onTargetNotice: () => {} }
     })
--- a/packages/node/src/direct/testing/VirtualCallers.ts
+++ b/packages/node/src/direct/testing/VirtualCallers.ts
@@ -13,6 +13,7 @@
   /** Of its first try. */
   readonly beganAtMs: base.Millis
   readonly remainingMs: base.Millis
+  readonly customer: string | undefined
 }
 
 export interface CallerTerms {
@@ -29,6 +30,8 @@
 /** How the request of a caller ended, after all of its tries. */
 export interface VirtualEnd {
   readonly route: string
+  /** Undefined if the fleet has no customers. */
+  readonly customer: string | undefined
   readonly beganAtMs: base.Millis
   readonly tookMs: base.Millis
   readonly isServed: boolean
@@ -51,6 +54,7 @@
 
 interface Request<Entry> {
   readonly rule: direct.RouteRule
+  readonly customer: string | undefined
   readonly beganAtMs: base.Millis
   readonly patienceMs: base.Millis
   entry: Entry
@@ -61,17 +65,17 @@
 export class VirtualCallers<Entry extends { readonly zone: string }> {
   constructor (private readonly _options: VirtualCallersOptions<Entry>) {}
 
-  public call (rule: direct.RouteRule): void {
+  public call (rule: direct.RouteRule, customer?: string): void {
     const entry = this._options.entryIn(undefined)
     const { wayMs, patienceSpread } = this._options.terms
     const patienceMs = rule.timeoutMs * (patienceSpread === 0 ? 1 : 1 - patienceSpread * this._options.random.nextFloat())
-    this._try({ rule, entry, beganAtMs: this._options.nowMs() - wayMs, patienceMs, tries: 0 })
+    this._try({ rule, customer, entry, beganAtMs: this._options.nowMs() - wayMs, patienceMs, tries: 0 })
   }
 
   private _try (request: Request<Entry>): void {
-    const { rule, entry } = request
+    const { rule, entry, customer } = request
     request.tries += 1
-    this._options.begin(entry, rule, { beganAtMs: request.beganAtMs, remainingMs: this._remainingMs(request) }, (result, retryAfterMs) => {
+    this._options.begin(entry, rule, { beganAtMs: request.beganAtMs, remainingMs: this._remainingMs(request), customer }, (result, retryAfterMs) => {
       if (result === 'refused') this._options.onRefused(entry, rule)
       if (result === 'served' || !this._comesBack(request, result, retryAfterMs)) this._end(request, result)
     })
@@ -95,9 +99,9 @@
     return patienceMs - (this._options.nowMs() - beganAtMs)
   }
 
-  private _end ({ rule, beganAtMs, patienceMs, tries }: Request<Entry>, result: TryResult): void {
+  private _end ({ rule, customer, beganAtMs, patienceMs, tries }: Request<Entry>, result: TryResult): void {
     const tookMs = this._options.nowMs() + this._options.terms.wayMs - beganAtMs
     const isServed = result === 'served' && tookMs <= patienceMs
-    this._options.onEnd({ route: rule.name, beganAtMs, tookMs, isServed, isOnTime: isServed && tookMs <= rule.objectiveMs, result, tries })
+    this._options.onEnd({ route: rule.name, customer, beganAtMs, tookMs, isServed, isOnTime: isServed && tookMs <= rule.objectiveMs, result, tries })
   }
 }
--- a/packages/node/src/direct/testing/VirtualFleet.ts
+++ b/packages/node/src/direct/testing/VirtualFleet.ts
@@ -43,6 +43,13 @@
   readonly below?: { readonly path: string, readonly share: number, readonly remainingMs?: base.Millis }
 }
 
+/** A customer, whose name is its key, and how much of the calls of callers are its own. */
+export interface VirtualCustomer {
+  readonly rule: direct.CustomerRule
+  /** Relative to the weights of the others. */
+  readonly weightAt: (nowMs: base.Millis) => number
+}
+
 /** Places of the nodes and the ways between them. */
 export interface VirtualTopology {
   /** Nodes are placed in the zones in turn. */
@@ -70,6 +77,7 @@
   /** Standard deviation of the work of calls, as a share of its mean. */
   readonly workSpread?: number
   readonly callers?: virtualCallers.CallerTerms
+  readonly customers?: readonly VirtualCustomer[]
   /** Limit in calls a second that the target beside a node names. Infinity without a limit. */
   readonly limitOf?: (nodeId: base.NodeId, nowMs: base.Millis) => number
 }
@@ -133,8 +141,8 @@
       nowMs: () => this._nowMs,
       after: (delayMs, action) => { this._after(delayMs, action) },
       entryIn: zone => this._entryIn(zone),
-      begin: (entry, rule, { beganAtMs, remainingMs }, onResult) => {
-        const exchange = this._exchange(entry, rule.pathPrefix, remainingMs, { parentId: undefined, isRetry: false }, onResult)
+      begin: (entry, rule, { beganAtMs, remainingMs, customer }, onResult) => {
+        const exchange = this._exchange(entry, rule.pathPrefix, remainingMs, { parentId: undefined, isRetry: false }, onResult, customer)
         this._callerSinceMs.set(exchange.info.requestId, beganAtMs)
         entry.gate.begin(exchange)
         this._callerSinceMs.delete(exchange.info.requestId)
@@ -162,7 +170,13 @@
   }
 
   private _callAtRate ({ rule, callsPerS }: VirtualRoute): void {
-    for (let dueCalls = callsPerS / 1000; dueCalls > 0 && this._random.nextFloat() < dueCalls; dueCalls--) this._callers.call(rule)
+    for (let dueCalls = callsPerS / 1000; dueCalls > 0 && this._random.nextFloat() < dueCalls; dueCalls--) this._callers.call(rule, this._customer())
+  }
+
+  private _customer (): string | undefined {
+    const { customers = [] } = this._options
+    let left = this._random.nextFloat() * customers.reduce((sum, { weightAt }) => sum + weightAt(this._nowMs), 0)
+    return customers.find(({ weightAt }) => (left -= weightAt(this._nowMs)) <= 0)?.rule.name
   }
 
   private _compareWait ({ requestId, elapsedMs }: types.CallMessage): void {
@@ -185,7 +199,7 @@
   }
 
   /** Nested calls are no requests of callers, so they allow no retries. Those in a retried run are retries. */
-  private _exchange (entry: VirtualNode, path: string, remainingMs: base.Millis, { parentId, isRetry }: VirtualParent, onResult: virtualCallers.OnResult): services.IExchange {
+  private _exchange (entry: VirtualNode, path: string, remainingMs: base.Millis, { parentId, isRetry }: VirtualParent, onResult: virtualCallers.OnResult, customerKey?: string): services.IExchange {
     const ownId = `r${this._nextRequest++}`
     this._entries.set(ownId, entry.id)
     const requestId = parentId === undefined || this._options.hidesParentIds === true ? ownId : `${parentId}.${ownId}`
@@ -199,7 +213,7 @@
       path,
       headers: [],
       body: undefined,
-      info: { requestId, remainingMs },
+      info: { requestId, remainingMs, customerKey },
       waitedMs: 0,
       acceptWaitMs: 0,
       answer: ({ status, headers }) => {
@@ -219,7 +233,7 @@
     const picker = new targetPicker.TargetPicker({ table, selfId: id, zone, random: this._random, otherZoneCostMs })
     const calls = new directCalls.DirectCalls({ table, picker, random: this._random, retryTerms: this._options.retryTerms, nodeCount: () => this._options.nodes.length, startedAtMs: 0 })
     const limits = { maxBodyBytes: 65_536, idleTimeoutMs: 15_000 }
-    calls.enforce({ version: 1, routes: this._options.routes.map(({ rule }) => rule), services: [], limits })
+    calls.enforce({ version: 1, routes: this._options.routes.map(({ rule }) => rule), services: [], limits, customers: this._options.customers?.map(({ rule }) => rule) })
     const nestedCalls = new nestedCall.NestedCalls(calls, DIALECT, nowMs)
     const host: targetHost.TargetHost = new targetHost.TargetHost({
       nodeId: id,
@@ -235,6 +249,7 @@
       newCrashId: () => '',
       crashes: noCrashes.NO_CRASHES,
       nestedCalls,
+      customerWeight: customer => calls.customerWeight(customer),
       start: () => ({ targetId: id, startedAtMs: 0 }),
       events: { onTargetUnreachable: () => {}, onTargetSilent: () => {}, onTargetDisplaced: () => {}, onCallFailed: () => {}, onCallRefused: () => {}, onCallCancelled: () => {}, onTrial: () => {}, onTargetCrashed: () => {}, onTargetNotice: (_targetId, { maxCallsPerS = Infinity }) => { host.setLimit(maxCallsPerS) } }
     })
