Let callers come back at once after a target rejected them while slots are free

All targets of a service reject half of their calls for some seconds, with free slots: callers were told to wait for 200 to 300 ms, and their next try was late.

Retry-After is 20 ms after such a rejection if more than 0.05 of the slots that the node knows of are free.

--- a/packages/common/src/direct/DirectCalls.ts
+++ b/packages/common/src/direct/DirectCalls.ts
@@ -16,6 +16,13 @@
 const MAX_REFUSALS = { caller: 3, run: 8, 'retried-run': 8 } as const
 /** `Retry-After` when the load is not known. */
 const DEFAULT_RETRY_MS = 200
+/**
+ * After a target has rejected a call although others have free slots: a later try is no more likely to be run than one at once,
+ * and may be late.
+ */
+const REJECTED_RETRY_MS = 20
+/** Share of the slots of a service that counts as room for a try at once. */
+const ROOM_SHARE = 0.05
 /** Short, because callers of a stopping node can reach another node immediately. */
 const STOPPING_RETRY_MS = 50
 const MIN_RETRY_MS = 50
@@ -356,10 +363,11 @@
     this._calls.delete(call.callId)
     this._recordEnd(call, false, nowMs)
     if (call.history?.standing === 'blocked') return { ...refusal(call.callId, 'crashes-targets', call.history.blockedForMs, call.rule), sends: call.attempts + call.refusals }
-    const waitMs = Number.isFinite(call.shortestWaitMs) ? Math.max(MIN_RETRY_MS, call.shortestWaitMs) : DEFAULT_RETRY_MS
+    const seen = this._options.table.slotsOf(call.service)
+    const waitMs = retryWaitMs(call, reason, seen)
     const spreadMs = waitMs * (1 + WAIT_JITTER * this._options.random.nextFloat())
     const retryAfterMs = Math.max(0, Math.min(spreadMs, (call.deadlineAtMs - nowMs) * MAX_WAIT_SHARE))
-    return { kind: 'refuse', callId: call.callId, reason, retryAfterMs, rule: call.rule, sends: call.attempts + call.refusals, seen: this._options.table.slotsOf(call.service) }
+    return { kind: 'refuse', callId: call.callId, reason, retryAfterMs, rule: call.rule, sends: call.attempts + call.refusals, seen }
   }
 
   /** Ends a call that may have run. Returns the answer of an earlier send if there is one. */
@@ -376,6 +384,11 @@
   }
 }
 
+function retryWaitMs ({ shortestWaitMs }: Call, reason: types.RefusalReason, { free, slots }: types.SlotView): base.Millis {
+  if (Number.isFinite(shortestWaitMs)) return Math.max(MIN_RETRY_MS, shortestWaitMs)
+  return reason === 'target-refused' && free > slots * ROOM_SHARE ? REJECTED_RETRY_MS : DEFAULT_RETRY_MS
+}
+
 function refusal (callId: number, reason: types.RefusalReason, retryAfterMs: base.Millis, rule?: types.RouteRule): types.OwnAnswer {
   return { kind: 'refuse', callId, reason, retryAfterMs, rule, sends: 0 }
 }
--- a/packages/node/src/direct/testing/VirtualFleet.ts
+++ b/packages/node/src/direct/testing/VirtualFleet.ts
@@ -80,6 +80,8 @@
   readonly customers?: readonly VirtualCustomer[]
   /** Limit in calls a second that the target beside a node names. Infinity without a limit. */
   readonly limitOf?: (nodeId: base.NodeId, nowMs: base.Millis) => number
+  /** Probability with which the target beside a node rejects a call at once. */
+  readonly rejectShareOf?: (at: number, nowMs: base.Millis) => number
 }
 
 /** Run of a target that makes a nested call. */
@@ -297,6 +299,11 @@
     const isRetry = this._arrivedIds.has(request.requestId)
     this._arrivedIds.add(request.requestId)
     if (isRetry) for (const bound of [this.bound, this.looseBound]) bound.recordRetry(node.service, this._nowMs)
+    const rejectShare = this._options.rejectShareOf?.(node.at, this._nowMs) ?? 0
+    if (rejectShare > 0 && this._random.nextFloat() < rejectShare) {
+      this._after(1, () => { onResult({ kind: 'declined', status: 503, targetId: undefined }) })
+      return { abort: () => {} }
+    }
     const { workMs: meanMs, below } = this._routeOf(request.path)
     const workMs = this._workMs(node, meanMs)
     const beganAtMs = this._nowMs
