--- a/packages/node/src/direct/CustomerOverload.test.ts
+++ b/packages/node/src/direct/CustomerOverload.test.ts
@@ -3,6 +3,7 @@
 import * as test from 'node:test'
 import * as virtualFleet from './testing/VirtualFleet.js'
 import type * as virtualCallers from './testing/VirtualCallers.js'
+import type * as virtualLoad from './testing/VirtualLoad.js'
 
 const NODES = 48
 const SLOTS = 4
@@ -18,10 +19,10 @@
 interface Load {
   /** Share of the slots that all calls need. */
   readonly load: number
-  readonly customers: readonly virtualFleet.VirtualCustomer[]
+  readonly customers: readonly virtualLoad.VirtualCustomer[]
 }
 
-function customer (name: string, weight: number, change: Partial<virtualFleet.VirtualCustomer['rule']> = {}): virtualFleet.VirtualCustomer {
+function customer (name: string, weight: number, change: Partial<virtualLoad.VirtualCustomer['rule']> = {}): virtualLoad.VirtualCustomer {
   return { rule: { name, keys: [name], priority: 1, maxCallsPerS: Infinity, burstCalls: 0, ...change }, weightAt: () => weight }
 }
 
--- a/packages/node/src/direct/NestedCallRetries.test.ts
+++ b/packages/node/src/direct/NestedCallRetries.test.ts
@@ -2,18 +2,19 @@
 import * as rules from '@elmpost/common/direct/testing/Rules.js'
 import * as test from 'node:test'
 import * as virtualFleet from './testing/VirtualFleet.js'
+import type * as virtualLoad from './testing/VirtualLoad.js'
 
 const TERMS = { ratio: 0.2, slack: 58, windowMs: 10_000 }
 const NODES = ['booking', 'booking', 'booking', 'booking', 'booking', 'tutor', 'tutor', 'tutor', 'tutor']
 const LENGTH_MS = 32_000
 const FAULT = { fromMs: 12_000, toMs: 26_000 }
 
-function route (name: string, service: string, callsPerS: number, workMs: number, change: object = {}): virtualFleet.VirtualRoute {
+function route (name: string, service: string, callsPerS: number, workMs: number, change: object = {}): virtualLoad.VirtualRoute {
   return { rule: rules.route({ name, pathPrefix: `/${name}/`, parts: [{ service, weight: 1 }], timeoutMs: 1_200, maxAttempts: 3 }), callsPerS, workMs, ...change }
 }
 
 /** Routes of a marketplace: most reads of one service make a nested call to the other one. */
-function routes (rate: number): virtualFleet.VirtualRoute[] {
+function routes (rate: number): virtualLoad.VirtualRoute[] {
   return [
     route('browse', 'booking', 211 * rate, 60, { below: { path: '/avail/', share: 0.7 } }),
     route('history', 'tutor', 107 * rate, 90),
--- a/packages/node/src/direct/testing/Marketplace.ts
+++ b/packages/node/src/direct/testing/Marketplace.ts
@@ -1,6 +1,7 @@
 import * as rules from '@elmpost/common/direct/testing/Rules.js'
 import * as virtualFleet from './VirtualFleet.js'
 import type * as base from '@elmpost/common/base/Types.js'
+import type * as virtualLoad from './VirtualLoad.js'
 
 const ZONES = 4
 const SLOTS = 4
@@ -32,7 +33,7 @@
   return fleet
 }
 
-function routes (size: number): virtualFleet.VirtualRoute[] {
+function routes (size: number): virtualLoad.VirtualRoute[] {
   const booking = [{ service: 'booking', weight: 1 }]
   const tutor = [{ service: 'tutor', weight: 1 }]
   const callsOnce = { kind: 'non-idempotent' } as const
--- a/packages/node/src/direct/testing/VirtualFleet.ts
+++ b/packages/node/src/direct/testing/VirtualFleet.ts
@@ -11,6 +11,7 @@
 import * as targetTable from '@elmpost/common/direct/TargetTable.js'
 import * as virtualCallers from './VirtualCallers.js'
 import * as virtualSlots from './VirtualSlots.js'
+import type * as virtualLoad from './VirtualLoad.js'
 import * as zoneCost from '@elmpost/common/direct/ZoneCost.js'
 import type * as base from '@elmpost/common/base/Types.js'
 import type * as direct from '@elmpost/common/direct/Types.js'
@@ -33,37 +34,11 @@
   parentIdOf: (id: string) => id.includes('.') ? id.slice(0, id.lastIndexOf('.')) : undefined
 } as unknown as services.ICallDialect
 
-/** Load and work of one route. */
-export interface VirtualRoute {
-  readonly rule: direct.RouteRule
-  /** Calls of callers to the whole fleet, without nested calls. */
-  readonly callsPerS: number
-  readonly workMs: base.Millis
-  /** Route of the nested call that a target makes in a share of its runs. */
-  readonly below?: { readonly path: string, readonly share: number, readonly remainingMs?: base.Millis }
-}
-
-/** A customer, whose name is its key, and how much of the calls of callers are its own. */
-export interface VirtualCustomer {
-  readonly rule: direct.CustomerRule
-  /** Relative to the weights of the others. */
-  readonly weightAt: (nowMs: base.Millis) => number
-}
-
-/** Places of the nodes and the ways between them. */
-export interface VirtualTopology {
-  /** Nodes are placed in the zones in turn. */
-  readonly zones: number
-  /** One way between nodes. */
-  readonly sameZoneMs: base.Millis
-  readonly otherZoneMs: base.Millis
-}
-
 export interface VirtualFleetOptions {
   /** Service of each node. */
   readonly nodes: readonly string[]
   readonly slots: number
-  readonly routes: readonly VirtualRoute[]
+  readonly routes: readonly virtualLoad.VirtualRoute[]
   readonly retryTerms: direct.RetryTerms
   readonly seed: number
   /** Whether the ids of nested calls do not contain the id of the run. */
@@ -71,13 +46,13 @@
   /** Probability with which a target loses the answer of a run. */
   readonly lostShare: (service: string, nowMs: base.Millis) => number
   /** Without it, all nodes are in one zone and know one another, and messages take no time. With it, nodes know those that their link plan chooses. */
-  readonly topology?: VirtualTopology
+  readonly topology?: virtualLoad.VirtualTopology
   /** Speed of the target beside a node; 1 if not given. */
   readonly speedOf?: (at: number) => number
   /** Standard deviation of the work of calls, as a share of its mean. */
   readonly workSpread?: number
   readonly callers?: virtualCallers.CallerTerms
-  readonly customers?: readonly VirtualCustomer[]
+  readonly customers?: readonly virtualLoad.VirtualCustomer[]
   /** Limit in calls a second that the target beside a node names. Infinity without a limit. */
   readonly limitOf?: (nodeId: base.NodeId, nowMs: base.Millis) => number
   /** Probability with which the target beside a node rejects a call at once. */
@@ -171,7 +146,7 @@
     for (const { gate } of this._nodes) gate.dispose()
   }
 
-  private _callAtRate ({ rule, callsPerS }: VirtualRoute): void {
+  private _callAtRate ({ rule, callsPerS }: virtualLoad.VirtualRoute): void {
     for (let dueCalls = callsPerS / 1000; dueCalls > 0 && this._random.nextFloat() < dueCalls; dueCalls--) this._callers.call(rule, this._customer())
   }
 
@@ -389,7 +364,7 @@
     return table
   }
 
-  private _routeOf (path: string): VirtualRoute {
+  private _routeOf (path: string): virtualLoad.VirtualRoute {
     const route = this._options.routes.find(({ rule }) => path.startsWith(rule.pathPrefix))
     if (route === undefined) throw new Error(`The fleet has no route for ${path}.`)
     return route
