--- a/packages/common/src/direct/TargetTable.ts
+++ b/packages/common/src/direct/TargetTable.ts
@@ -23,6 +23,8 @@
   /** A link to the node is open, or it is this node. */
   isConnected: boolean
   state: types.TargetState
+  /** The node last reported that it, or its target, leaves. Kept while it cannot be reached. */
+  hasAnnouncedLeaving: boolean
   load: types.TargetLoad
   /** When `load` was reported. */
   loadAtMs: base.Millis
@@ -61,7 +63,7 @@
     return this._rows.size
   }
 
-  /** Increases when a node is added or removed, or when its service or link capacity changes. */
+  /** Increases when a node is added or removed, when its service or link capacity changes, or when it announces that it leaves or is back. */
   public get revision (): number {
     return this._revision
   }
@@ -127,6 +129,7 @@
       linkMbps,
       isConnected: known?.isConnected ?? false,
       state: 'absent',
+      hasAnnouncedLeaving: false,
       load: INITIAL_LOAD,
       loadAtMs: 0,
       target: undefined,
@@ -177,11 +180,20 @@
     row.target = newerOf(row.target, status.target)
     if (status.target?.isLeaving === true) this.recordNotice(nodeId, { maxCallsPerS: undefined, isLeaving: true })
     row.state = status.state
+    this.recordLeaving(nodeId, status.state === 'leaving')
     row.version = status.version
     row.storeAgeMs = status.storeAgeMs
     this.updateLoad(nodeId, status.load, nowMs)
   }
 
+  /** Records whether the node leaves, or has come back. */
+  public recordLeaving (nodeId: base.NodeId, isLeaving: boolean): void {
+    const row = this._rows.get(nodeId)
+    if (row === undefined || row.hasAnnouncedLeaving === isLeaving) return
+    row.hasAnnouncedLeaving = isLeaving
+    this._revision += 1
+  }
+
   /** Records what the target beside the node has stated in an answer. A target that leaves does not come back in the same start. */
   public recordNotice (nodeId: base.NodeId, notice: types.TargetNotice): void {
     const row = this._rows.get(nodeId)
