Carry requests for grants, and grants, on links

Cause: entry nodes need grants of issuers for calls of customers with limits.

Change: messages grants-request and grants, validated on decode. A grants message does not count as a status, because it does not tell the load; otherwise a node that is asked often would report its load later.

Result: LinkCodec.test.ts (round trip, wrong types and numbers out of range) passes.

--- a/packages/node/src/direct/IncomingLink.ts
+++ b/packages/node/src/direct/IncomingLink.ts
@@ -59,14 +59,14 @@
   }
 
   public send (message: linkCodec.LinkMessage): void {
-    this._write(message.kind, this._options.codec.encodeParts(message))
+    const parts = this._options.codec.encodeParts(message)
+    if (message.kind === 'grants') this._writeReport(message.kind, parts)
+    else this._write(message.kind, parts)
   }
 
   /** Sends an encoded message that does not contain the load, so it does not replace a status. */
   public sendReport (kind: linkTraffic.MessageKind, bytes: Buffer): void {
-    const sentAtMs = this._sentAtMs
-    this._write(kind, [bytes])
-    this._sentAtMs = sentAtMs
+    this._writeReport(kind, [bytes])
   }
 
   /** Sends an encoded status. */
@@ -91,6 +91,12 @@
     this._options.socket.close()
   }
 
+  private _writeReport (kind: linkTraffic.MessageKind, parts: readonly Uint8Array[]): void {
+    const sentAtMs = this._sentAtMs
+    this._write(kind, parts)
+    this._sentAtMs = sentAtMs
+  }
+
   private _write (kind: linkTraffic.MessageKind, parts: readonly Uint8Array[]): void {
     const { socket, nowMs, traffic } = this._options
     if (socket.readyState !== socket.OPEN) return
--- a/packages/node/src/direct/LinkCodec.test.ts
+++ b/packages/node/src/direct/LinkCodec.test.ts
@@ -61,6 +61,9 @@
   { kind: 'alive', version: 3, sentAtMs: 81_234 },
   { kind: 'alive', version: 3, sentAtMs: 81_234, storeAgeMs: 20, confirmedAgeMs: 5 },
   { kind: 'alive', version: 3, sentAtMs: 81_234, storeAgeMs: Infinity, confirmedAgeMs: 700 },
+  { kind: 'grants-request', requestId: 7, customer: 'north', waiting: 3, wanted: 9, part: 1 / 3 },
+  { kind: 'grants-request', requestId: 8, customer: '', waiting: 0, wanted: 0, part: 0 },
+  { kind: 'grants', requestId: 7, count: 3, waitMs: 12 },
   { kind: 'rules-request' },
   { kind: 'rules', bytes: Buffer.from('{}') },
   { kind: 'nodes-request' },
@@ -137,6 +140,13 @@
       for (const values of refused) assert.ok(codec.decode(packr.pack(values)).isErr(), JSON.stringify(values))
     })
 
+    // Guards against an issuer that gets more than a whole part, and against numbers that a node would count up to.
+    test.it('refuses requests for grants, and grants, with numbers that are out of range', () => {
+      const packr = new msgpackr.Packr({ useRecords: false })
+      const refused = [[12, 1, 'north', 1, 1, 1.5], [12, 1, 'north', 1, 1, -0.1], [12, 1, 'north', -1, 1, 1], [12, 1, 'north', 1, 1e9, 1], [12, 1.5, 'north', 1, 1, 1], [12], [13, 1, 1e9, 0], [13, 1, 1.5, 0], [13, 1, 1, -1], [13, 1, 1, Infinity], [13, 1, 1]]
+      for (const values of refused) assert.ok(codec.decode(packr.pack(values)).isErr(), JSON.stringify(values))
+    })
+
     // Guards against a fleet whose nodes of two versions do not understand each other while it is updated.
     test.it('reads messages of the version before limits, which end earlier', () => {
       const packr = new msgpackr.Packr({ useRecords: false })
--- a/packages/node/src/direct/LinkCodec.ts
+++ b/packages/node/src/direct/LinkCodec.ts
@@ -3,7 +3,9 @@
 import * as nodeRecords from './NodeRecords.js'
 import * as results from 'ts-results-es'
 import type * as base from '@elmpost/common/base/Types.js'
+import type * as callGrants from '@elmpost/common/direct/CallGrants.js'
 import type * as direct from '@elmpost/common/direct/Types.js'
+import type * as grantIssuer from '@elmpost/common/direct/GrantIssuer.js'
 import type * as types from './Types.js'
 
 const STATES: readonly direct.TargetState[] = ['ready', 'leaving', 'down', 'absent']
@@ -24,11 +26,13 @@
 const UNKNOWN_ERA = -1
 /** Number of values that encode a load, without its limit. */
 const LOAD_VALUES = 6
+/** Most grants in one message. A larger number is a fault of the sender. */
+const MAX_GRANTS = 100_000
 /** Number of values that encode a limit. */
 const LIMIT_VALUES = 2
 
 /** First value of each message, which identifies its kind. */
-const KIND = { hello: 0, status: 1, call: 2, answered: 3, refused: 4, failed: 5, cancel: 6, alive: 7, rulesRequest: 8, rules: 9, nodesRequest: 10, nodes: 11 } as const
+const KIND = { hello: 0, status: 1, call: 2, answered: 3, refused: 4, failed: 5, cancel: 6, alive: 7, rulesRequest: 8, rules: 9, nodesRequest: 10, nodes: 11, grantsRequest: 12, grants: 13 } as const
 
 export interface HelloMessage {
   readonly kind: 'hello'
@@ -63,6 +67,17 @@
   readonly refused?: number
 }
 
+/** Asks an issuer for grants, and tells it the part of the sender's share of the limits that it has. */
+export interface GrantsRequestMessage extends callGrants.GrantsRequest {
+  readonly kind: 'grants-request'
+}
+
+/** Answers a request for grants. */
+export interface GrantsMessage extends grantIssuer.Issued {
+  readonly kind: 'grants'
+  readonly requestId: number
+}
+
 /** Messages between two nodes. The side that opened the link sends calls; the other side answers them. */
 export type LinkMessage =
   | HelloMessage
@@ -75,6 +90,8 @@
   | { readonly kind: 'rules', readonly bytes: Uint8Array }
   | { readonly kind: 'nodes-request' }
   | NodesMessage
+  | GrantsRequestMessage
+  | GrantsMessage
 
 type Values = readonly unknown[]
 
@@ -145,6 +162,8 @@
     case 'rules': return [KIND.rules, message.bytes]
     case 'nodes-request': return [KIND.nodesRequest]
     case 'nodes': return [KIND.nodes, message.nodes.map(({ nodeId, zone, service, linkMbps }) => [nodeId, zone, service, linkMbps]), ...crashReports.valuesOf(message.crashes)]
+    case 'grants-request': return [KIND.grantsRequest, message.requestId, message.customer, message.waiting, message.wanted, message.part]
+    case 'grants': return [KIND.grants, message.requestId, message.count, Math.ceil(message.waitMs)]
   }
 }
 
@@ -221,6 +240,8 @@
     case KIND.rules: return values[1] instanceof Uint8Array ? { kind: 'rules', bytes: values[1] } : undefined
     case KIND.nodesRequest: return { kind: 'nodes-request' }
     case KIND.nodes: return nodesOf(values[1], values[2])
+    case KIND.grantsRequest: return grantsRequestOf(values)
+    case KIND.grants: return grantsOf(values)
     default: return undefined
   }
 }
@@ -326,6 +347,16 @@
   return nodes.length === list.length ? message : { ...message, refused: list.length - nodes.length }
 }
 
+function grantsRequestOf ([, requestId, customer, waiting, wanted, part]: Values): LinkMessage | undefined {
+  if (!isWhole(requestId) || !isText(customer) || !isCount(waiting) || !isCount(wanted) || !isNumber(part) || part < 0 || part > 1) return undefined
+  return { kind: 'grants-request', requestId, customer, waiting, wanted, part }
+}
+
+function grantsOf ([, requestId, count, waitMs]: Values): LinkMessage | undefined {
+  if (!isWhole(requestId) || !isCount(count) || !isNumber(waitMs) || waitMs < 0) return undefined
+  return { kind: 'grants', requestId, count, waitMs }
+}
+
 function loadOf ([running, queued, urgentQueued, leastUrgent, slots, serviceMs, maxCallsPerS = NO_LIMIT, permits = 0]: Values): direct.TargetLoad | undefined {
   if (!isNumber(running) || !isNumber(queued) || !isNumber(urgentQueued) || !isNumber(leastUrgent)) return undefined
   if (!isNumber(slots) || !isNumber(serviceMs) || slots < 1 || slots > nodeRecords.MAX_SLOTS || !isNumber(maxCallsPerS) || !isNumber(permits)) return undefined
@@ -341,6 +372,10 @@
   return Number.isSafeInteger(value) && (value as number) >= 0
 }
 
+function isCount (value: unknown): value is number {
+  return isWhole(value) && value <= MAX_GRANTS
+}
+
 function isOptionalNumber (value: unknown): value is number | undefined {
   return value === undefined || isNumber(value)
 }
