Take a grant for each call of a customer with a limit

Cause: a customer with a limit of 60 calls/s and a burst of 30 gets 240 calls/s (docs/hard-load.md).

Change: the entry gate takes a grant after all checks that refuse a request whatever the load is, and before the call is begun. Without a grant it is refused as over-limit (429) with the time at which one is expected. A call that is refused unrun returns its grant. CustomerLimits connects the decisions to links, on which nodes keep to the issuers while a customer has a limit. Log lines of calls name the customer; metrics count grants.

--- a/addons/addon-metrics/src/DirectMetrics.test.ts
+++ b/addons/addon-metrics/src/DirectMetrics.test.ts
@@ -14,7 +14,7 @@
 
   public gauges (): direct.DirectGauges {
     const load = { running: 0, queued: 0, urgentQueued: 0, leastUrgent: 0, slots: 4, serviceMs: 0 }
-    return { version: 1, isReady: true, entryInFlight: 0, load, slotTimes: { 'on-time': 4_000, late: 500, error: 0, lost: 0, free: 90_000 }, linkBytes: { sent: { result: 5_000, status: 60 }, received: { call: 700 } }, state: 'ready', targetCrashes: 2, targetCalls: 42, targetLimitPerS: 9.8, knownNodes: 1, connectedNodes: 1, storeAgeMs: 0, acceptWaitMs: 0.3, bodyBytes: 5_000, behindMs: 700, confirmedAgeMs: 900 }
+    return { version: 1, isReady: true, entryInFlight: 0, load, slotTimes: { 'on-time': 4_000, late: 500, error: 0, lost: 0, free: 90_000 }, linkBytes: { sent: { result: 5_000, status: 60 }, received: { call: 700 } }, state: 'ready', targetCrashes: 2, targetCalls: 42, targetLimitPerS: 9.8, knownNodes: 1, connectedNodes: 1, storeAgeMs: 0, acceptWaitMs: 0.3, bodyBytes: 5_000, behindMs: 700, grants: { requested: 30, received: 33, issued: 9, refused: 4 }, confirmedAgeMs: 900 }
   }
 }
 
@@ -44,6 +44,11 @@
     assert.match(text, /elmpost_direct_slot_seconds_total\{use="free",.*\} 90\n/)
   })
 
+  test.it('shows grants and refusals, so that calls over a limit can be told from limits that are not handed out', async () => {
+    const text = await new directMetrics.DirectMetrics(new FakeNode()).render()
+    for (const line of ['grants_requested_total', 'grants_received_total', 'grants_issued_total', 'over_limit_total']) assert.match(text, new RegExp(`elmpost_direct_${line}\\{.*\\} [1-9]`))
+  })
+
   test.it('shows the bytes on links by kind, so that a full link can be told from a slow node', async () => {
     const text = await new directMetrics.DirectMetrics(new FakeNode()).render()
     assert.match(text, /elmpost_direct_link_bytes_total\{direction="sent",kind="result",.*\} 5000\n/)
--- a/addons/addon-metrics/src/DirectMetrics.ts
+++ b/addons/addon-metrics/src/DirectMetrics.ts
@@ -74,6 +74,10 @@
     this._gauge('elmpost_direct_target_slots', 'Slots of the target', () => node.gauges().load.slots)
     this._slotSeconds(node)
     this._linkBytes(node)
+    this._total('elmpost_direct_grants_requested_total', 'Requests for grants that this node has sent to issuers, itself included', () => node.gauges().grants.requested)
+    this._total('elmpost_direct_grants_received_total', 'Grants that this node has received for calls of customers with limits', () => node.gauges().grants.received)
+    this._total('elmpost_direct_grants_issued_total', 'Grants that this node has issued, to itself included', () => node.gauges().grants.issued)
+    this._total('elmpost_direct_over_limit_total', 'Calls refused because their customer was over its limit', () => node.gauges().grants.refused)
     this._gauge('elmpost_direct_target_seconds', 'Mean time of a call on the target', () => node.gauges().load.serviceMs / MS_PER_S)
     this._gauge('elmpost_direct_target_calls', 'Calls that were sent to the target since the process started', () => node.gauges().targetCalls)
     this._gauge('elmpost_direct_target_crashes', 'Unexpected ends of the target since the process started', () => node.gauges().targetCrashes)
@@ -128,6 +132,18 @@
     })
   }
 
+  private _total (name: string, help: string, read: () => number): void {
+    const counter: promClient.Counter = new promClient.Counter({
+      name,
+      help,
+      registers: [this._registry],
+      collect: () => {
+        counter.reset()
+        counter.inc(read())
+      }
+    })
+  }
+
   private _gauge (name: string, help: string, read: () => number): void {
     const gauge: promClient.Gauge = new promClient.Gauge({ name, help, registers: [this._registry], collect: () => { gauge.set(read()) } })
   }
--- a/packages/common/src/direct/DirectCalls.ts
+++ b/packages/common/src/direct/DirectCalls.ts
@@ -16,7 +16,7 @@
 /** `Retry-After` when the load is not known. */
 const DEFAULT_RETRY_MS = 200
 /** Short, because callers of a stopping node can reach another node immediately. */
-const STOPPING_RETRY_MS = 50
+export const STOPPING_RETRY_MS = 50
 const MIN_RETRY_MS = 50
 /** Callers honour a wait of at most this share of their remaining time. */
 const MAX_WAIT_SHARE = 0.3
@@ -58,6 +58,11 @@
   tried: Set<base.NodeId> | undefined
 }
 
+/** What follows from a request alone, without the state of targets. */
+type Checked =
+  | { readonly kind: 'refused', readonly reason: types.RefusalReason, readonly retryAfterMs: base.Millis, readonly rule: types.RouteRule | undefined }
+  | { readonly kind: 'accepted', readonly rule: types.RouteRule, readonly identified: customerIndex.Identified & { readonly kind: 'known' }, readonly remainingMs: base.Millis }
+
 export interface DirectCallsOptions {
   readonly table: targetTable.TargetTable
   readonly picker: targetPicker.TargetPicker
@@ -124,18 +129,25 @@
     return identified?.kind === 'known' ? identified.customer : undefined
   }
 
+  /** Whether the request passes all checks that do not depend on targets. */
+  public mayBegin (request: types.CallRequest, nowMs: base.Millis): boolean {
+    return this._check(request, nowMs).kind === 'accepted'
+  }
+
+  public routeOf (host: string, path: string): types.RouteRule | undefined {
+    return this._routes.find(host, path)
+  }
+
+  /** Refuses a request that has not been begun. */
+  public refuse ({ host, path }: Pick<types.CallRequest, 'host' | 'path'>, reason: types.RefusalReason, retryAfterMs: base.Millis): types.OwnAnswer {
+    return refusal(this._nextCallId++, reason, retryAfterMs, this._routes.find(host, path))
+  }
+
   public begin (request: types.CallRequest, nowMs: base.Millis): types.CallDecision {
     const callId = this._nextCallId++
-    if (this._rules === undefined) return refusal(callId, 'no-configuration', DEFAULT_RETRY_MS)
-    const rule = this._routes.find(request.host, request.path)
-    if (rule === undefined) return refusal(callId, 'no-route', 0)
-    const identified = this._customers.identify(rule, request.customerKey, request.run)
-    if (identified.kind === 'unknown-key') return refusal(callId, 'unknown-key', 0, rule)
-    if (request.bodyBytes > this._rules.limits.maxBodyBytes) return refusal(callId, 'body-too-large', 0, rule)
-    if (request.history?.standing === 'blocked') return refusal(callId, 'crashes-targets', request.history.blockedForMs, rule)
-    const remainingMs = Math.min(request.remainingMs ?? Infinity, rule.timeoutMs)
-    if (!(remainingMs > 0)) return refusal(callId, 'deadline', 0, rule)
-    if (nowMs + remainingMs > request.endByMs) return refusal(callId, 'stopping', STOPPING_RETRY_MS, rule)
+    const checked = this._check(request, nowMs)
+    if (checked.kind === 'refused') return refusal(callId, checked.reason, checked.retryAfterMs, checked.rule)
+    const { rule, identified, remainingMs } = checked
     const call: Call = {
       callId,
       rule,
@@ -258,6 +270,20 @@
     return [...this._calls.values()].map(call => this._endEarly(call, { refusal: 'stopping', failure: 'node-stopped' }, withdraw, nowMs))
   }
 
+  private _check (request: types.CallRequest, nowMs: base.Millis): Checked {
+    if (this._rules === undefined) return { kind: 'refused', reason: 'no-configuration', retryAfterMs: DEFAULT_RETRY_MS, rule: undefined }
+    const rule = this._routes.find(request.host, request.path)
+    if (rule === undefined) return { kind: 'refused', reason: 'no-route', retryAfterMs: 0, rule }
+    const identified = this._customers.identify(rule, request.customerKey, request.run)
+    if (identified.kind === 'unknown-key') return { kind: 'refused', reason: 'unknown-key', retryAfterMs: 0, rule }
+    if (request.bodyBytes > this._rules.limits.maxBodyBytes) return { kind: 'refused', reason: 'body-too-large', retryAfterMs: 0, rule }
+    if (request.history?.standing === 'blocked') return { kind: 'refused', reason: 'crashes-targets', retryAfterMs: request.history.blockedForMs, rule }
+    const remainingMs = Math.min(request.remainingMs ?? Infinity, rule.timeoutMs)
+    if (!(remainingMs > 0)) return { kind: 'refused', reason: 'deadline', retryAfterMs: 0, rule }
+    if (nowMs + remainingMs > request.endByMs) return { kind: 'refused', reason: 'stopping', retryAfterMs: STOPPING_RETRY_MS, rule }
+    return { kind: 'accepted', rule, identified, remainingMs }
+  }
+
   private _endEarly (call: Call, reasons: { readonly refusal: types.RefusalReason, readonly failure: types.FailureReason }, withdraw: (nodeId: base.NodeId, callId: number) => boolean, nowMs: base.Millis): types.FinalDecision {
     // Removed first: `withdraw` may report a failure of this call, which must not end it a second time.
     this._calls.delete(call.callId)
--- a/packages/common/src/direct/Services.ts
+++ b/packages/common/src/direct/Services.ts
@@ -24,6 +24,18 @@
   readonly sends: number
 }
 
+/** Grants for calls of customers with limits, since the start of the process. */
+export interface GrantCounts {
+  /** Requests for grants that this node has sent to issuers, itself included. */
+  readonly requested: number
+  /** Grants that it has received. */
+  readonly received: number
+  /** Grants that it has issued, to itself included. */
+  readonly issued: number
+  /** Calls refused because their customer was over its limit. */
+  readonly refused: number
+}
+
 export interface DirectGauges {
   readonly version: number
   readonly isReady: boolean
@@ -50,6 +62,7 @@
   readonly bodyBytes: number
   /** Time since another node is known to enforce a newer version. */
   readonly behindMs: base.Millis
+  readonly grants: GrantCounts
   /** Since the version in force is known to have been the newest one; Infinity if it is not known. */
   readonly confirmedAgeMs: base.Millis
 }
--- a/packages/node/src/direct/CallLog.ts
+++ b/packages/node/src/direct/CallLog.ts
@@ -52,7 +52,7 @@
 
   /** Logs how a call ended. Answers of the first target, other than errors, are only counted. */
   public logEnd ({ requestId, remainingMs }: types.CallerRequestInfo, end: entryGate.CallEnd): void {
-    const { outcome, reason, status, totalMs, callerWaitMs, origin, rule, nodeId, sends, retryAfterMs, seen } = end
+    const { outcome, reason, status, totalMs, callerWaitMs, origin, rule, customer, nodeId, sends, retryAfterMs, seen } = end
     if (outcome === 'answered' && status < 500 && sends === 1) return
     this.log(outcome === 'fail' ? 'warn' : 'info', `call-${outcome}`, {
       requestId,
@@ -60,6 +60,7 @@
       status,
       route: rule?.name,
       priority: rule?.priority,
+      customer,
       origin,
       peer: nodeId,
       sends,
--- a/packages/node/src/direct/CallMeasure.test.ts
+++ b/packages/node/src/direct/CallMeasure.test.ts
@@ -5,7 +5,7 @@
 import type * as entryGate from './EntryGate.js'
 
 const RULE = rules.route({ priority: 2, objectiveMs: 300 })
-const END: entryGate.CallEnd = { outcome: 'answered', reason: 'ok', status: 200, totalMs: 100, callerWaitMs: 100, origin: 'client', rule: RULE, nodeId: 'n1', sends: 1, retryAfterMs: 0, seen: undefined }
+const END: entryGate.CallEnd = { outcome: 'answered', reason: 'ok', status: 200, totalMs: 100, callerWaitMs: 100, origin: 'client', rule: RULE, customer: undefined, nodeId: 'n1', sends: 1, retryAfterMs: 0, seen: undefined }
 
 test.describe('CallMeasure', () => {
   test.it('compares the wait since the first request of the caller with the objective, so that earlier refusals count', () => {
--- a/packages/node/src/direct/DirectNode.ts
+++ b/packages/node/src/direct/DirectNode.ts
@@ -3,16 +3,17 @@
 import * as callLog from './CallLog.js'
 import * as callMeasure from './CallMeasure.js'
 import * as crashGuards from './CrashGuard.js'
+import * as customerLimits from './CustomerLimits.js'
 import * as directCalls from '@elmpost/common/direct/DirectCalls.js'
 import * as disposable from '@elmpost/common/base/Disposable.js'
 import * as emitter from '@elmpost/common/base/Emitter.js'
 import * as entryGate from './EntryGate.js'
 import * as fleetMembership from './FleetMembership.js'
 import * as ingress from './Ingress.js'
-import * as linkCodec from './LinkCodec.js'
 import * as localTarget from './LocalTarget.js'
 import * as nestedCall from './NestedCalls.js'
 import * as nodeLinks from './NodeLinks.js'
+import * as peerMessages from './PeerMessages.js'
 import * as peerServer from '../PeerServer.js'
 import * as plannedStop from './PlannedStop.js'
 import * as rulesDistribution from './RulesDistribution.js'
@@ -24,6 +25,7 @@
 import type * as base from '@elmpost/common/base/Types.js'
 import type * as direct from '@elmpost/common/direct/Types.js'
 import type * as directServices from '@elmpost/common/direct/Services.js'
+import type * as linkCodec from './LinkCodec.js'
 import type * as nodeServices from '../Services.js'
 import type * as services from './Services.js'
 import type * as types from './Types.js'
@@ -64,11 +66,13 @@
   private readonly _rules: rulesDistribution.RulesDistribution
   private readonly _calls: directCalls.DirectCalls
   private readonly _entry: entryGate.EntryGate
+  private readonly _limits: customerLimits.CustomerLimits
   private readonly _target: localTarget.LocalTarget
   private readonly _links: nodeLinks.NodeLinks
   private readonly _stalls: stallWatch.StallWatch
   private readonly _ingress: ingress.Ingress
   private readonly _peers: peerServer.PeerServer
+  private readonly _messages: peerMessages.PeerMessages
   private readonly _audit: auditTrail.AuditTrail
   private readonly _log: callLog.CallLog
   private readonly _stop: plannedStop.PlannedStop
@@ -128,6 +132,7 @@
       table: this._table,
       links: this._links,
       readers: this._rules.readers,
+      issuers: () => this._limits.issuers,
       store,
       logger,
       random,
@@ -136,6 +141,19 @@
       crashes: this.crashes,
       restore: target => { this._target.watch.restore(target) }
     }))
+    const terms = settings.customerLimitTerms
+    this._limits = this._register(new customerLimits.CustomerLimits({ selfId, table: this._table, terms, nowMs: () => nowMs() + this._stalls.uncountedMs, nodeCount: () => this._fleet.nodeCount, links: this._links, logger }))
+    this._messages = new peerMessages.PeerMessages({
+      table: this._table,
+      fleet: this._fleet,
+      rules: this._rules,
+      limits: this._limits,
+      crashes: this.crashes,
+      stalls: this._stalls,
+      log: this._log,
+      nowMs,
+      onHello: hello => { this._handleHello(hello) }
+    })
     this._entry = this._register(new entryGate.EntryGate({
       nodeId: selfId,
       service: settings.service,
@@ -153,7 +171,8 @@
       callsEndByMs: () => this._stop.callsEndByMs,
       suspectedMs: () => this._stalls.suspectedMs,
       crashes: this.crashes,
-      nestedCalls
+      nestedCalls,
+      limits: this._limits
     }))
     this._ingress = this._register(new ingress.Ingress({
       address: addresses.parse(settings.callerAddress),
@@ -208,6 +227,7 @@
       acceptWaitMs: this._ingress.acceptWaitMs,
       bodyBytes: this._ingress.bodyBytes,
       behindMs: this._rules.behindMs,
+      grants: this._limits.counts,
       confirmedAgeMs: this._rules.confirmedAgeMs
     }
   }
@@ -293,39 +313,11 @@
   }
 
   public handleMessage (nodeId: base.NodeId, message: linkCodec.LinkMessage, reply: (message: linkCodec.LinkMessage) => void): void {
-    switch (message.kind) {
-      case 'hello':
-        this._handleHello(message)
-        break
-      case 'status':
-        this._table.recordMessage(nodeId, this._options.nowMs())
-        this._fleet.handleStatus(nodeId, message.status)
-        this._rules.handleStatus(nodeId, message.status)
-        break
-      case 'alive':
-        this._rules.handleAlive(nodeId, linkCodec.older(message, this._stalls.suspectedMs))
-        break
-      case 'rules-request':
-        this._rules.handleRequest(reply)
-        break
-      case 'rules':
-        this._rules.handleRules(nodeId, message.bytes)
-        break
-      case 'nodes-request':
-        reply({ kind: 'nodes', nodes: this._fleet.all() })
-        break
-      case 'nodes':
-        if (message.refused !== undefined) this._log.log('warn', 'node-records-refused', { peer: nodeId, count: message.refused })
-        this._fleet.handleNodes(message.nodes)
-        this.crashes.recordReports(message.crashes ?? [])
-        break
-      default:
-        this.handleMalformed(nodeId, new Error(`unexpected message of kind ${message.kind}`))
-    }
+    this._messages.handle(nodeId, message, reply)
   }
 
   public handleMalformed (nodeId: base.NodeId, error: Error): void {
-    this._log.log('warn', 'peer-message-refused', { peer: nodeId, problem: error.message })
+    this._messages.handleMalformed(nodeId, error)
   }
 
   public override dispose (): void {
@@ -355,6 +347,7 @@
     this._rules.tick()
     if (this._options.nowMs() >= this._statusAtMs) this._sendStatus(false)
     this._fleet.tick()
+    this._limits.tick()
     this.crashes.tick()
     this._stop.tick()
   }
@@ -395,6 +388,8 @@
     this._ingress.setLimits(rules.limits)
     this._log.logEnforced(rules, source, { behindMs, storeAgeMs, confirmedAgeMs })
     this._target.applyRules(rules)
+    this._limits.setCustomers(this._calls.limitedCustomers)
+    this._fleet.invalidatePlan()
     this._sendStatus(true)
   }
 }
--- a/packages/node/src/direct/EntryGate.ts
+++ b/packages/node/src/direct/EntryGate.ts
@@ -3,6 +3,7 @@
 import * as rawHeaderFilter from './RawHeaderFilter.js'
 import type * as requestIdentity from './RequestIdentity.js'
 import type * as base from '@elmpost/common/base/Types.js'
+import type * as callGrants from '@elmpost/common/direct/CallGrants.js'
 import type * as direct from '@elmpost/common/direct/Types.js'
 import type * as directServices from '@elmpost/common/direct/Services.js'
 import type * as services from './Services.js'
@@ -35,6 +36,7 @@
   readonly suspectedMs: () => base.Millis
   readonly crashes: services.ICrashGuard
   readonly nestedCalls: services.INestedCalls
+  readonly limits: services.ICallLimits
 }
 
 /** How a call ended for its caller. */
@@ -48,6 +50,8 @@
   readonly origin: directServices.CallOrigin
   /** Undefined if no route was found. */
   readonly rule: direct.RouteRule | undefined
+  /** Customer for whom the call was made. Undefined if it is for none, or not known. */
+  readonly customer: string | undefined
   readonly nodeId: base.NodeId
   readonly sends: number
   readonly retryAfterMs: base.Millis
@@ -64,12 +68,36 @@
   readonly sends: number
 }
 
+/** A request that may have to wait for a grant. */
+interface Arrival {
+  readonly exchange: services.IExchange
+  readonly arrivedAtMs: base.Millis
+  /** The request as hosts pass it to their targets. */
+  readonly request: requestIdentity.IdentifiedRequest
+  readonly parentId: string | undefined
+  readonly customer: string | undefined
+  /** The properties that decisions depend on, when the request arrived. */
+  readonly call: direct.CallRequest
+}
+
+/** A request that waits for a grant. */
+interface HeldCall {
+  readonly arrival: Arrival
+  readonly customer: string
+  readonly onSettled: services.GrantHandler
+}
+
 interface PendingCall {
   readonly exchange: services.IExchange
   readonly beganAtMs: base.Millis
   /** The request as hosts pass it to their targets. */
   readonly request: requestIdentity.IdentifiedRequest
   readonly origin: directServices.CallOrigin
+  readonly customer: string | undefined
+  /** Undefined if the call needs none. */
+  readonly grant: callGrants.Grant | undefined
+  /** Time for which the call has waited for its grant. */
+  readonly heldMs: base.Millis
   rule: direct.RouteRule | undefined
   /** Time of the first request of the caller. */
   callerSinceMs: base.Millis
@@ -83,6 +111,7 @@
   private readonly _options: EntryGateOptions
   private readonly _pendingCalls = new Map<number, PendingCall>()
   private readonly _callIds = new Map<services.IExchange, number>()
+  private readonly _held = new Map<services.IExchange, HeldCall>()
   private readonly _deadlines: deadlineTimer.DeadlineTimer
   private _lastCallAtMs: base.Millis = 0
 
@@ -92,7 +121,7 @@
   }
 
   public get inFlight (): number {
-    return this._pendingCalls.size
+    return this._pendingCalls.size + this._held.size
   }
 
   /** Time at which the last call arrived. */
@@ -102,8 +131,8 @@
 
   public begin (exchange: services.IExchange): void {
     const { calls, nestedCalls, nowMs, callsEndByMs } = this._options
-    const beganAtMs = nowMs()
-    this._lastCallAtMs = beganAtMs
+    const arrivedAtMs = nowMs()
+    this._lastCallAtMs = arrivedAtMs
     const { host, path, body, info } = exchange
     const parentId = this._options.dialect.parentIdOf(info.requestId)
     const run = nestedCalls.customerOf(parentId)
@@ -112,22 +141,12 @@
     const remainingMs = info.remainingMs === undefined ? undefined : info.remainingMs - this._uncountedMs(exchange, info.remainingMs)
     const request = { method: exchange.method, path, headers: this._forwardedHeaders(exchange, customer?.name), body }
     const history = this._options.crashes.historyOf(request)
-    const decision = calls.begin({ host, path, remainingMs, bodyBytes: body?.length ?? 0, endByMs: callsEndByMs(), origin: nestedCalls.originOf(parentId), history, customerKey, run }, beganAtMs)
-    const call: PendingCall = {
-      exchange,
-      beganAtMs,
-      callerSinceMs: beganAtMs,
-      request,
-      origin: parentId === undefined ? 'client' : 'target',
-      rule: undefined,
-      nodeId: '',
-      sends: 0,
-      answer: undefined
-    }
-    if (parentId !== undefined && decision.kind === 'send') nestedCalls.recordCall(parentId, decision.service)
-    this._pendingCalls.set(decision.callId, call)
-    this._callIds.set(exchange, decision.callId)
-    this._carryOut(decision)
+    const call: direct.CallRequest = { host, path, remainingMs, bodyBytes: body?.length ?? 0, endByMs: callsEndByMs(), origin: nestedCalls.originOf(parentId), history, customerKey, run }
+    const arrival: Arrival = { exchange, arrivedAtMs, request, parentId, customer: customer?.name, call }
+    // A nested call has no key; the run in which it is made has a grant.
+    const isLimited = customer !== undefined && Number.isFinite(customer.maxCallsPerS) && customerKey !== undefined
+    if (isLimited && calls.mayBegin(call, arrivedAtMs)) this._takeGrant(arrival, customer.name)
+    else this._begin(arrival, undefined)
   }
 
   /** Request id of a call that has no answer yet, as given by the caller. */
@@ -136,6 +155,12 @@
   }
 
   public cancel (exchange: services.IExchange): void {
+    const held = this._release(exchange)
+    if (held !== undefined) {
+      const { arrivedAtMs, call: { host, path } } = held
+      this._options.onCallCancelled(exchange, { totalMs: this._options.nowMs() - arrivedAtMs, rule: this._options.calls.routeOf(host, path), nodeId: '', sends: 0 })
+      return
+    }
     const callId = this._callIds.get(exchange)
     const call = callId === undefined ? undefined : this._pendingCalls.get(callId)
     if (callId === undefined || call === undefined) return
@@ -184,6 +209,11 @@
   /** Gives each call that has no answer its final one, because this node stops. */
   public endAll (): void {
     const { calls, cancel, nowMs } = this._options
+    // First, so that none of them takes the grant of another call and is begun.
+    for (const { arrival } of [...this._held.values()]) {
+      this._release(arrival.exchange)
+      this._refuse(arrival, 'stopping', directCalls.STOPPING_RETRY_MS)
+    }
     for (const decision of calls.endAll(nowMs(), cancel)) this._carryOut(decision)
   }
 
@@ -196,6 +226,65 @@
     return Math.max(waitedMs + Math.min(acceptWaitMs, remainingMs * MAX_ACCEPT_WAIT_SHARE), this._options.suspectedMs())
   }
 
+  private _takeGrant (arrival: Arrival, customer: string): void {
+    const onSettled: services.GrantHandler = settled => {
+      this._held.delete(arrival.exchange)
+      this._handleSettled(arrival, settled)
+    }
+    const taken = this._options.limits.take(customer, onSettled)
+    if (taken.kind === 'waiting') this._held.set(arrival.exchange, { arrival, customer, onSettled })
+    else this._handleSettled(arrival, taken)
+  }
+
+  private _handleSettled (arrival: Arrival, settled: callGrants.Settled): void {
+    if (settled.kind === 'granted') this._begin(arrival, settled.grant)
+    else this._refuse(arrival, 'over-limit', settled.retryAfterMs)
+  }
+
+  /** Removes a request that waits for a grant. Undefined if it does not. */
+  private _release (exchange: services.IExchange): Arrival | undefined {
+    const held = this._held.get(exchange)
+    if (held === undefined) return undefined
+    this._held.delete(exchange)
+    this._options.limits.cancel(held.customer, held.onSettled)
+    return held.arrival
+  }
+
+  /** Begins a call, which may have waited for its grant. */
+  private _begin (arrival: Arrival, grant: callGrants.Grant | undefined): void {
+    const { calls, nestedCalls, nowMs, callsEndByMs } = this._options
+    const { parentId, call: { remainingMs } } = arrival
+    const beganAtMs = nowMs()
+    const heldMs = beganAtMs - arrival.arrivedAtMs
+    const decision = calls.begin({ ...arrival.call, remainingMs: remainingMs === undefined ? undefined : remainingMs - heldMs, endByMs: callsEndByMs() }, beganAtMs)
+    if (parentId !== undefined && decision.kind === 'send') nestedCalls.recordCall(parentId, decision.service)
+    this._add(arrival, decision, grant, heldMs)
+  }
+
+  private _refuse (arrival: Arrival, reason: direct.RefusalReason, retryAfterMs: base.Millis): void {
+    this._add(arrival, this._options.calls.refuse(arrival.call, reason, retryAfterMs), undefined, this._options.nowMs() - arrival.arrivedAtMs)
+  }
+
+  private _add ({ exchange, arrivedAtMs, request, parentId, customer }: Arrival, decision: direct.CallDecision, grant: callGrants.Grant | undefined, heldMs: base.Millis): void {
+    const call: PendingCall = {
+      exchange,
+      beganAtMs: arrivedAtMs,
+      callerSinceMs: arrivedAtMs,
+      request,
+      origin: parentId === undefined ? 'client' : 'target',
+      customer,
+      grant,
+      heldMs,
+      rule: undefined,
+      nodeId: '',
+      sends: 0,
+      answer: undefined
+    }
+    this._pendingCalls.set(decision.callId, call)
+    this._callIds.set(exchange, decision.callId)
+    this._carryOut(decision)
+  }
+
   private _carryOut (decision: direct.CallDecision | undefined): void {
     let next = decision
     while (next !== undefined) {
@@ -214,7 +303,8 @@
   /** Sends the call. Returns the next decision if it could not be sent. */
   private _send (call: PendingCall, decision: direct.SendDecision): direct.CallDecision | undefined {
     const { nowMs, send, calls } = this._options
-    const { callId, nodeId, rule, urgency, deadlineAtMs, beganAtMs, service, isRetry } = decision
+    const { callId, nodeId, rule, urgency, deadlineAtMs, service, isRetry } = decision
+    const beganAtMs = decision.beganAtMs - call.heldMs
     const sentAtMs = nowMs()
     call.rule = rule
     call.callerSinceMs = beganAtMs
@@ -255,10 +345,12 @@
     call.rule ??= decision.rule
     call.exchange.refuse(decision)
     this._reportEnd(call, decision.kind, decision.reason, 0, decision)
+    // Last, because another call may be begun with it.
+    if (decision.kind === 'refuse' && call.grant !== undefined) this._options.limits.giveBack(call.grant)
   }
 
   private _reportEnd (call: PendingCall, outcome: CallEnd['outcome'], reason: string, status: number, own?: direct.OwnAnswer): void {
-    const { rule, origin, nodeId, sends } = call
+    const { rule, origin, customer, nodeId, sends } = call
     const nowMs = this._options.nowMs()
     this._options.onCallEnd(call.exchange, {
       outcome,
@@ -268,6 +360,7 @@
       callerWaitMs: nowMs - call.callerSinceMs,
       origin,
       rule,
+      customer,
       nodeId,
       sends,
       retryAfterMs: own?.retryAfterMs ?? 0,
--- a/packages/node/src/direct/FleetMembership.ts
+++ b/packages/node/src/direct/FleetMembership.ts
@@ -24,6 +24,8 @@
   readonly table: targetTable.TargetTable
   readonly links: ILinks
   readonly readers: readerPlan.ReaderPlan
+  /** Nodes that issue grants for calls of customers. Empty if no customer has a limit. */
+  readonly issuers: () => readonly base.NodeId[]
   readonly store: services.IKeyedStore
   readonly logger: nodeServices.ILogger
   readonly random: base.IRandom
@@ -61,7 +63,7 @@
       links,
       nowMs,
       logger,
-      requiredPeers: () => readers.requiredPeers,
+      requiredPeers: () => [...readers.requiredPeers, ...options.issuers()],
       onExpired: nodeId => { this._registry.deleteRecord(nodeId).catch((error: unknown) => { this._logUnexpected(error) }) }
     })
   }
@@ -107,6 +109,8 @@
 
   /** Adds or updates a node from its own hello. */
   public handleHello ({ nodeId, zone, service, linkMbps }: linkCodec.HelloMessage): void {
+    // A status follows if it still leaves.
+    this._options.table.recordLeaving(nodeId, false)
     this._directory.addFromHello({ nodeId, zone, service, linkMbps, target: undefined })
   }
 
@@ -128,6 +132,11 @@
     links.send(nodeId, { kind: 'nodes-request' })
   }
 
+  /** Links to other nodes may be needed, or not any more. */
+  public invalidatePlan (): void {
+    this._directory.invalidatePlan()
+  }
+
   public handleStatus (nodeId: base.NodeId, status: direct.HostStatus): void {
     const { table, store, nowMs } = this._options
     store.era.record(status.storeEra)
--- a/packages/node/src/direct/Services.ts
+++ b/packages/node/src/direct/Services.ts
@@ -1,5 +1,6 @@
 /** Interfaces between the parts of a node that carries direct calls, and to its platform. */
 import type * as base from '@elmpost/common/base/Types.js'
+import type * as callGrants from '@elmpost/common/direct/CallGrants.js'
 import type * as crashWatches from './CrashWatch.js'
 import type * as direct from '@elmpost/common/direct/Types.js'
 import type * as http from 'node:http'
@@ -139,6 +140,19 @@
   refuseMessage(problem: string): void
 }
 
+/** Receives the result for a call that has waited for a grant. */
+export type GrantHandler = (settled: callGrants.Settled) => void
+
+/** Limits of customers over all nodes. Each call of a customer with a limit takes a grant. */
+export interface ICallLimits {
+  /** Takes a grant for a call. `onSettled` is called, later, only if the call has to wait. */
+  take(customer: string, onSettled: GrantHandler): callGrants.Taken
+  /** Forgets a call that waits. */
+  cancel(customer: string, onSettled: GrantHandler): void
+  /** Returns the grant of a call that was refused unrun. */
+  giveBack(grant: callGrants.Grant): void
+}
+
 /** Runs of the target beside this node, and the calls that it makes in them. */
 export interface INestedCalls {
   beginRun(call: types.CallMessage): void
--- a/packages/node/src/direct/testing/CrashFleet.ts
+++ b/packages/node/src/direct/testing/CrashFleet.ts
@@ -3,6 +3,7 @@
 import * as entryGate from '../EntryGate.js'
 import * as random from '@elmpost/common/base/Random.js'
 import * as nestedCall from '../NestedCalls.js'
+import * as noLimits from './NoLimits.js'
 import * as targetHost from '../TargetHost.js'
 import * as targetPicker from '@elmpost/common/direct/TargetPicker.js'
 import * as targetTable from '@elmpost/common/direct/TargetTable.js'
@@ -212,6 +213,7 @@
       cancel: (to, callId) => to === id && node.host.cancel(node.gate, callId),
       onCallEnd: () => {},
       onCallCancelled: () => {},
+      limits: noLimits.NO_LIMITS,
       callsEndByMs: () => Infinity,
       suspectedMs: () => 0,
       crashes: guard,
--- a/packages/node/src/direct/testing/VirtualFleet.ts
+++ b/packages/node/src/direct/testing/VirtualFleet.ts
@@ -3,6 +3,7 @@
 import * as linkPlan from '@elmpost/common/direct/LinkPlan.js'
 import * as limitBound from '@elmpost/common/direct/testing/LimitBound.js'
 import * as nestedCall from '../NestedCalls.js'
+import * as noLimits from './NoLimits.js'
 import * as noCrashes from './NoCrashes.js'
 import * as random from '@elmpost/common/base/Random.js'
 import * as retryBound from '@elmpost/common/direct/testing/RetryBound.js'
@@ -262,6 +263,7 @@
       },
       onCallEnd: () => {},
       onCallCancelled: () => {},
+      limits: noLimits.NO_LIMITS,
       callsEndByMs: () => Infinity,
       suspectedMs: () => 0,
       crashes: noCrashes.NO_CRASHES,
