--- a/packages/common/src/direct/CallGrants.ts
+++ b/packages/common/src/direct/CallGrants.ts
@@ -132,7 +132,7 @@
 
   /** Limits of the configuration in force. Calls that wait for a customer without a limit are granted. */
   public setCustomers (rules: readonly types.CustomerRule[]): void {
-    const { terms, nowMs, nodeCount } = this._options
+    const { terms, nowMs } = this._options
     const names = new Set(rules.map(({ name }) => name))
     for (const [name, customer] of this._customers) {
       if (names.has(name)) continue
@@ -160,7 +160,7 @@
       }
     }
     if (rules.length === 0) this._endReports([])
-    else if (nodeCount() !== undefined) this._report(nowMs())
+    else this._report(nowMs())
   }
 
   /** Takes a grant for a call. A call that waits is settled later. */
@@ -238,7 +238,7 @@
     if (!wasHeard) this._report(nowMs)
   }
 
-  /** Tells each issuer the part that it gets. A silent one gets none; it is asked for a sign of life. */
+  /** Tells each issuer the part that it gets. A silent one gets none, and is heard again when it answers. */
   private _report (nowMs: base.Millis): void {
     const issuers = this._options.issuers()
     this._endReports(issuers)
