--- a/packages/common/src/direct/DirectCalls.ts
+++ b/packages/common/src/direct/DirectCalls.ts
@@ -1,8 +1,7 @@
 import type * as base from '../base/Types.js'
 import * as callerBudgets from './CallerBudgets.js'
-import * as customerIndex from './CustomerIndex.js'
 import * as retryAllowances from './RetryAllowances.js'
-import * as routeIndex from './RouteIndex.js'
+import * as rulesInForce from './RulesInForce.js'
 import * as splitRotation from './SplitRotation.js'
 import * as starvationGuard from './StarvationGuard.js'
 import type * as targetPicker from './TargetPicker.js'
@@ -14,8 +13,6 @@
  * slot was used in vain, which costs far more than asking further hosts.
  */
 const MAX_REFUSALS = { caller: 3, run: 8, 'retried-run': 8 } as const
-/** `Retry-After` when the load is not known. */
-const DEFAULT_RETRY_MS = 200
 /**
  * After a target has rejected a call although others have free slots: a later try is no more likely to be run than one at once,
  * and may be late.
@@ -23,8 +20,6 @@
 const REJECTED_RETRY_MS = 20
 /** Share of the slots of a service that counts as room for a try at once. */
 const ROOM_SHARE = 0.05
-/** Short, because callers of a stopping node can reach another node immediately. */
-const STOPPING_RETRY_MS = 50
 const MIN_RETRY_MS = 50
 /** Callers honour a wait of at most this share of their remaining time. */
 const MAX_WAIT_SHARE = 0.3
@@ -87,15 +82,13 @@
  * did not run. A call is refused only if that holds for all of its sends; otherwise it fails and its result is unknown.
  */
 export class DirectCalls {
+  public readonly inForce = new rulesInForce.RulesInForce()
   private readonly _calls = new Map<number, Call>()
   private readonly _budgets = new callerBudgets.CallerBudgets()
   private readonly _splits = new splitRotation.SplitRotation()
   private readonly _retries: retryAllowances.RetryAllowances
   private readonly _starvation = new starvationGuard.StarvationGuard()
   private readonly _sizes = new Map<string, number>()
-  private _rules: types.MeshRules | undefined
-  private _routes = new routeIndex.RouteIndex([])
-  private _customers = new customerIndex.CustomerIndex(undefined)
   private _nextCallId = 1
 
   constructor (private readonly _options: DirectCallsOptions) {
@@ -108,15 +101,12 @@
   }
 
   public get rules (): types.MeshRules | undefined {
-    return this._rules
+    return this.inForce.rules
   }
 
   /** Puts a configuration into force. Calls in flight keep the route that they started with. False if it is not newer. */
   public enforce (rules: types.MeshRules): boolean {
-    if (this._rules !== undefined && rules.version <= this._rules.version) return false
-    this._rules = rules
-    this._routes = new routeIndex.RouteIndex(rules.routes)
-    this._customers = new customerIndex.CustomerIndex(rules.customers)
+    if (!this.inForce.replace(rules)) return false
     this._splits.keepOnly(rules.routes)
     return true
   }
@@ -126,35 +116,16 @@
     return this._retries.mayNest(service, calls, nowMs)
   }
 
-  /** Customers of the configuration in force whose requests are limited. */
-  public get limitedCustomers (): readonly types.CustomerRule[] {
-    return this._customers.limited
-  }
-
-  /** Part of a target that a customer is entitled to, relative to that of others. */
-  public customerWeight (customer: string): number {
-    return this._customers.weightOf(customer)
-  }
-
-  /** Customer for whom a request is made. Undefined if it is for none, or will be refused. */
-  public customerOf ({ host, path, customerKey, run }: Pick<types.CallRequest, 'host' | 'path' | 'customerKey' | 'run'>): types.CustomerRule | undefined {
-    const rule = this._routes.find(host, path)
-    const identified = rule === undefined ? undefined : this._customers.identify(rule, customerKey, run)
-    return identified?.kind === 'known' ? identified.customer : undefined
+  /** Refuses a request that has not been begun. */
+  public refuse ({ host, path }: Pick<types.CallRequest, 'host' | 'path'>, reason: types.RefusalReason, retryAfterMs: base.Millis): types.OwnAnswer {
+    return refusal(this._nextCallId++, reason, retryAfterMs, this.inForce.routeOf(host, path))
   }
 
   public begin (request: types.CallRequest, nowMs: base.Millis): types.CallDecision {
     const callId = this._nextCallId++
-    if (this._rules === undefined) return refusal(callId, 'no-configuration', DEFAULT_RETRY_MS)
-    const rule = this._routes.find(request.host, request.path)
-    if (rule === undefined) return refusal(callId, 'no-route', 0)
-    const identified = this._customers.identify(rule, request.customerKey, request.run)
-    if (identified.kind === 'unknown-key') return refusal(callId, 'unknown-key', 0, rule)
-    if (request.bodyBytes > this._rules.limits.maxBodyBytes) return refusal(callId, 'body-too-large', 0, rule)
-    if (request.history?.standing === 'blocked') return refusal(callId, 'crashes-targets', request.history.blockedForMs, rule)
-    const remainingMs = Math.min(request.remainingMs ?? Infinity, rule.timeoutMs)
-    if (!(remainingMs > 0)) return refusal(callId, 'deadline', 0, rule)
-    if (nowMs + remainingMs > request.endByMs) return refusal(callId, 'stopping', STOPPING_RETRY_MS, rule)
+    const checked = this.inForce.check(request, nowMs)
+    if (checked.kind === 'refused') return refusal(callId, checked.reason, checked.retryAfterMs, checked.rule)
+    const { rule, identified, remainingMs } = checked
     const call: Call = {
       callId,
       rule,
@@ -386,7 +357,7 @@
 
 function retryWaitMs ({ shortestWaitMs }: Call, reason: types.RefusalReason, { free, slots }: types.SlotView): base.Millis {
   if (Number.isFinite(shortestWaitMs)) return Math.max(MIN_RETRY_MS, shortestWaitMs)
-  return reason === 'target-refused' && free > slots * ROOM_SHARE ? REJECTED_RETRY_MS : DEFAULT_RETRY_MS
+  return reason === 'target-refused' && free > slots * ROOM_SHARE ? REJECTED_RETRY_MS : rulesInForce.DEFAULT_RETRY_MS
 }
 
 function refusal (callId: number, reason: types.RefusalReason, retryAfterMs: base.Millis, rule?: types.RouteRule): types.OwnAnswer {
--- a/packages/node/src/direct/NodeView.ts
+++ b/packages/node/src/direct/NodeView.ts
@@ -1,5 +1,6 @@
 import type * as directServices from '@elmpost/common/direct/Services.js'
 import type * as crashGuards from './CrashGuard.js'
+import type * as customerLimits from './CustomerLimits.js'
 import type * as entryGate from './EntryGate.js'
 import type * as ingress from './Ingress.js'
 import type * as localTarget from './LocalTarget.js'
@@ -18,6 +19,7 @@
   readonly table: targetTable.TargetTable
   readonly rules: rulesDistribution.RulesDistribution
   readonly ingress: ingress.Ingress
+  readonly limits: customerLimits.CustomerLimits
   readonly crashes: crashGuards.CrashGuard
 }
 
@@ -26,7 +28,7 @@
   constructor (private readonly _options: NodeViewOptions) {}
 
   public get gauges (): directServices.DirectGauges {
-    const { version, isReady, entry, target, links, table, rules, ingress } = this._options
+    const { version, isReady, entry, target, links, table, rules, ingress, limits } = this._options
     return {
       version: version(),
       isReady: isReady(),
@@ -39,6 +41,7 @@
       acceptWaitMs: ingress.acceptWaitMs,
       bodyBytes: ingress.bodyBytes,
       behindMs: rules.behindMs,
+      grants: limits.counts,
       confirmedAgeMs: rules.confirmedAgeMs
     }
   }
--- a/packages/node/src/direct/testing/CrashFleet.ts
+++ b/packages/node/src/direct/testing/CrashFleet.ts
@@ -3,6 +3,7 @@
 import * as entryGate from '../EntryGate.js'
 import * as random from '@elmpost/common/base/Random.js'
 import * as nestedCall from '../NestedCalls.js'
+import * as noLimits from './NoLimits.js'
 import * as targetHost from '../TargetHost.js'
 import * as targetPicker from '@elmpost/common/direct/TargetPicker.js'
 import * as targetTable from '@elmpost/common/direct/TargetTable.js'
@@ -197,7 +198,7 @@
       newCrashId: () => `${id}-${node.targetStart}`,
       crashes: guard,
       nestedCalls,
-      customerWeight: customer => calls.customerWeight(customer),
+      customerWeight: customer => calls.inForce.customerWeight(customer),
       start: () => ({ targetId: `${id}-${node.targetStart}`, startedAtMs: node.targetStart }),
       events: { onTargetUnreachable: () => {}, onTargetSilent: () => {}, onTargetDisplaced: () => {}, onCallFailed: () => {}, onCallRefused: () => {}, onCallCancelled: () => {}, onTrial: () => {}, onTargetCrashed: () => {}, onTargetNotice: () => {} }
     })
@@ -213,6 +214,7 @@
       cancel: (to, callId) => to === id && node.host.cancel(node.gate, callId),
       onCallEnd: () => {},
       onCallCancelled: () => {},
+      limits: noLimits.NO_LIMITS,
       callsEndByMs: () => Infinity,
       suspectedMs: () => 0,
       crashes: guard,
--- a/packages/node/src/direct/testing/VirtualFleet.ts
+++ b/packages/node/src/direct/testing/VirtualFleet.ts
@@ -3,6 +3,7 @@
 import * as linkPlan from '@elmpost/common/direct/LinkPlan.js'
 import * as limitBound from '@elmpost/common/direct/testing/LimitBound.js'
 import * as nestedCall from '../NestedCalls.js'
+import * as noLimits from './NoLimits.js'
 import * as noCrashes from './NoCrashes.js'
 import * as random from '@elmpost/common/base/Random.js'
 import * as retryBound from '@elmpost/common/direct/testing/RetryBound.js'
@@ -226,7 +227,7 @@
       newCrashId: () => '',
       crashes: noCrashes.NO_CRASHES,
       nestedCalls,
-      customerWeight: customer => calls.customerWeight(customer),
+      customerWeight: customer => calls.inForce.customerWeight(customer),
       start: () => ({ targetId: id, startedAtMs: 0 }),
       events: { onTargetUnreachable: () => {}, onTargetSilent: () => {}, onTargetDisplaced: () => {}, onCallFailed: () => {}, onCallRefused: () => {}, onCallCancelled: () => {}, onTrial: () => {}, onTargetCrashed: () => {}, onTargetNotice: (_targetId, { maxCallsPerS = Infinity }) => { host.setLimit(maxCallsPerS) } }
     })
@@ -254,6 +255,7 @@
       },
       onCallEnd: () => {},
       onCallCancelled: () => {},
+      limits: noLimits.NO_LIMITS,
       callsEndByMs: () => Infinity,
       suspectedMs: () => 0,
       crashes: noCrashes.NO_CRASHES,
