Hold against a host that callers of its calls leave without an answer

A nested call that has no answer at its deadline is given up by the target that makes it, and left no trace in the entry node.

A call that is given up after more than twice the mean time that its host reports counts as a delay there, and as a failure after half of its timeout, as at a deadline of the node's own. The new test fails without it.

--- a/packages/common/src/direct/DirectCalls.test.ts
+++ b/packages/common/src/direct/DirectCalls.test.ts
@@ -42,6 +42,41 @@
 const BUSY: types.HostRefusal = { reason: 'busy', reachedTarget: false, waitMs: 80 }
 
 test.describe('DirectCalls', () => {
+  // Guards against a host that attracts calls because it seems idle, while they take seconds to reach it and their callers give up.
+  test.describe('calls whose callers leave without an answer', () => {
+    test.it('make their host less attractive than others, although it reports that it is idle', () => {
+      const { calls, table } = create()
+      let nowMs = 0
+      const report = (): void => {
+        for (const { nodeId } of table.all()) {
+          table.updateStatus(nodeId, { state: 'ready', load: LOAD, version: 1, storeAgeMs: 0, fleetStoreAgeMs: 0 }, nowMs)
+          table.recordMessage(nodeId, nowMs)
+        }
+      }
+      const slow = sent(calls.begin(REQUEST, nowMs)).nodeId
+      for (let turn = 0; turn < 20; turn++) {
+        report()
+        const call = sent(calls.begin(REQUEST, nowMs))
+        if (call.nodeId === slow) calls.cancel(call.callId, nowMs + 600)
+        else calls.handleAnswer(call.callId, call.nodeId, 200, 10, nowMs + 50)
+        nowMs += 50
+      }
+      const counts = Array.from({ length: 30 }, () => {
+        report()
+        const call = sent(calls.begin(REQUEST, nowMs))
+        calls.handleAnswer(call.callId, call.nodeId, 200, 10, nowMs)
+        return call.nodeId
+      })
+      assert.equal(counts.filter(nodeId => nodeId === slow).length, 0)
+    })
+
+    test.it('are held against no host if they leave early', () => {
+      const { calls, table } = create(1)
+      calls.cancel(sent(calls.begin(REQUEST, 0)).callId, 60)
+      assert.deepEqual([table.get('n0')?.delayMs, table.get('n0')?.failureShare], [0, 0])
+    })
+  })
+
   test.describe('a call that is not idempotent', () => {
     test.it('is not retried after a send without an answer, which may have run', () => {
       const { calls } = create()
--- a/packages/common/src/direct/DirectCalls.ts
+++ b/packages/common/src/direct/DirectCalls.ts
@@ -219,10 +219,13 @@
   }
 
   /** Removes a call whose caller has disconnected, and returns the node that holds it. */
-  public cancel (callId: number): base.NodeId | undefined {
+  public cancel (callId: number, nowMs: base.Millis): base.NodeId | undefined {
     const call = this._calls.get(callId)
+    if (call === undefined) return undefined
     this._calls.delete(callId)
-    return call?.to
+    const waitedMs = nowMs - call.sentAtMs
+    this._options.table.recordUnanswered(call.to, waitedMs > call.rule.timeoutMs * FAILED_SHARE, waitedMs, nowMs)
+    return call.to
   }
 
   public get nextDeadlineMs (): base.Millis {
--- a/packages/common/src/direct/TargetTable.ts
+++ b/packages/common/src/direct/TargetTable.ts
@@ -233,6 +233,14 @@
     row.updatedAtMs = nowMs
   }
 
+  /** Records that a call that was sent to the node `waitedMs` ago had no answer when its caller left. */
+  public recordUnanswered (nodeId: base.NodeId, isFailure: boolean, waitedMs: base.Millis, nowMs: base.Millis): void {
+    const row = this._rows.get(nodeId)
+    // A caller that leaves early says nothing about the node.
+    if (row === undefined || row.load.serviceMs === 0 || waitedMs <= row.load.serviceMs * EXPECTED_FACTOR) return
+    this.recordEnd(nodeId, isFailure, waitedMs, nowMs)
+  }
+
   private _move (row: TargetRow, service: string): void {
     this._known.remove(row)
     if (row.isConnected) this._connected.remove(row)
--- a/packages/node/src/direct/EntryGate.ts
+++ b/packages/node/src/direct/EntryGate.ts
@@ -166,7 +166,7 @@
     const call = callId === undefined ? undefined : this._pendingCalls.get(callId)
     if (callId === undefined || call === undefined) return
     this._remove(callId)
-    const nodeId = this._options.calls.cancel(callId)
+    const nodeId = this._options.calls.cancel(callId, this._options.nowMs())
     if (nodeId !== undefined) this._options.cancel(nodeId, callId)
     const { rule, sends, beganAtMs } = call
     this._options.onCallCancelled(exchange, { totalMs: this._options.nowMs() - beganAtMs, rule, nodeId: call.nodeId, sends })
