Report the software version of targets, and append at an expected offset

Cause: roll-outs need the version that each target runs on all nodes, and a write to the status topic that only one of two drivers can win.

Change: the announced version is kept by TargetRegister, written to the node's record and sent as an optional last value of the status.

--- a/packages/common/src/direct/TargetRegister.ts
+++ b/packages/common/src/direct/TargetRegister.ts
@@ -43,19 +43,19 @@
 
   public applyAnnouncement (announcement: types.Announcement): AnnouncementResult {
     if (announcement.service !== this._service || announcement.address !== this._address) return 'foreign'
-    const { targetId, startedAtMs, sequence, slots } = announcement
+    const { targetId, startedAtMs, sequence, slots, softwareVersion } = announcement
     const current = this._current
     const isLeaving = announcement.state === 'draining'
     if (this._ended.includes(startKey(targetId, startedAtMs))) return 'outdated'
     if (current === undefined || !(this._isConfirmed ? isEqual(current, announcement) : isSameStart(current, announcement))) {
       if (current !== undefined && this._isOutdated(current, announcement)) return 'outdated'
       if (current !== undefined) this._addEnded(current)
-      return this._replace({ targetId, startedAtMs, sequence, slots, isLeaving: isLeaving || this._takeDeregistered(targetId) }, 'new')
+      return this._replace({ targetId, startedAtMs, sequence, slots, isLeaving: isLeaving || this._takeDeregistered(targetId), softwareVersion }, 'new')
     }
     if (this._isConfirmed && sequence <= current.sequence) return 'outdated'
     // A target that has announced that it is leaving does not become ready again in the same start.
-    const next = { targetId, startedAtMs, sequence, slots, isLeaving: isLeaving || current.isLeaving }
-    const isChanged = next.isLeaving !== current.isLeaving || next.slots !== current.slots
+    const next = { targetId, startedAtMs, sequence, slots, isLeaving: isLeaving || current.isLeaving, softwareVersion }
+    const isChanged = next.isLeaving !== current.isLeaving || next.slots !== current.slots || next.softwareVersion !== current.softwareVersion
     return this._replace(next, isChanged ? 'changed' : 'unchanged')
   }
 
--- a/packages/common/src/direct/TargetTable.ts
+++ b/packages/common/src/direct/TargetTable.ts
@@ -30,6 +30,9 @@
   target: types.TargetStart | undefined
   /** What that target has stated in the answers that this node has passed on, and whether the node has reported that it leaves. */
   notice: types.TargetNotice | undefined
+  /** Version of the service that the target runs, as last reported. Undefined if it is not known. */
+  softwareVersion: string | undefined
+  /** Configuration version in force. */
   version: number
   storeAgeMs: base.Millis
   /** Calls sent since the last load report. */
@@ -131,6 +134,7 @@
       loadAtMs: 0,
       target: undefined,
       notice: undefined,
+      softwareVersion: undefined,
       version: 0,
       storeAgeMs: Infinity,
       sentSinceReport: 0,
@@ -175,6 +179,7 @@
     if (row.state !== 'ready' && status.state === 'ready') row.failureShare = 0
     if (isOtherTarget(row, status)) row.notice = undefined
     row.target = newerOf(row.target, status.target)
+    if (status.target !== undefined) row.softwareVersion = status.target.softwareVersion
     if (status.target?.isLeaving === true) this.recordNotice(nodeId, { maxCallsPerS: undefined, isLeaving: true })
     row.state = status.state
     row.version = status.version
--- a/packages/node/src/direct/LinkCodec.ts
+++ b/packages/node/src/direct/LinkCodec.ts
@@ -150,7 +150,7 @@
 
 function statusValues ({ state, load, version, storeAgeMs, fleetStoreAgeMs, storeEra = UNKNOWN_ERA, target }: direct.HostStatus): Values {
   const values = [KIND.status, STATES.indexOf(state), version, ageValue(storeAgeMs), ...loadValues(load), ageValue(fleetStoreAgeMs)]
-  if (target !== undefined) return [...values, storeEra, ...limitValues(load.limit), target.targetId, target.startedAtMs, target.isLeaving]
+  if (target !== undefined) return [...values, storeEra, ...limitValues(load.limit), target.targetId, target.startedAtMs, target.isLeaving, ...(target.softwareVersion === undefined ? [] : [target.softwareVersion])]
   if (load.limit !== undefined) return [...values, storeEra, ...limitValues(load.limit)]
   return storeEra === UNKNOWN_ERA ? values : [...values, storeEra]
 }
@@ -244,13 +244,13 @@
   // Earlier versions do not send the last values.
   const [fleetStoreAgeMs = UNKNOWN_AGE, era = UNKNOWN_ERA, ...last] = rest.slice(LOAD_VALUES)
   const load = loadOf([...rest.slice(0, LOAD_VALUES), ...last.slice(0, LIMIT_VALUES)])
-  const [targetId, startedAtMs, isLeaving] = last.slice(LIMIT_VALUES)
+  const [targetId, startedAtMs, isLeaving, softwareVersion] = last.slice(LIMIT_VALUES)
   if (state === undefined || !isWhole(version) || !isNumber(storeAgeMs) || !isNumber(fleetStoreAgeMs) || !isNumber(era) || !Number.isSafeInteger(era) || load === undefined) return undefined
   const known = { state, version, storeAgeMs: ageOf(storeAgeMs), fleetStoreAgeMs: ageOf(fleetStoreAgeMs), load }
   const status = era < 0 ? known : { ...known, storeEra: era }
   if (targetId === undefined) return { kind: 'status', status }
-  if (!isText(targetId) || !isNumber(startedAtMs) || typeof isLeaving !== 'boolean') return undefined
-  return { kind: 'status', status: { ...status, target: { targetId, startedAtMs, isLeaving } } }
+  if (!isText(targetId) || !isNumber(startedAtMs) || typeof isLeaving !== 'boolean' || (softwareVersion !== undefined && !nodeRecords.isName(softwareVersion))) return undefined
+  return { kind: 'status', status: { ...status, target: { targetId, startedAtMs, isLeaving, ...(softwareVersion === undefined ? {} : { softwareVersion }) } } }
 }
 
 function callOf (values: Values): LinkMessage | undefined {
--- a/packages/node/src/direct/NodeDirectory.ts
+++ b/packages/node/src/direct/NodeDirectory.ts
@@ -102,11 +102,12 @@
     this._newRecords.clear()
   }
 
-  private _put ({ nodeId, zone, service, linkMbps }: direct.NodeRecord): void {
+  private _put ({ nodeId, zone, service, linkMbps, target }: direct.NodeRecord): void {
     const { selfId, table, links } = this._options
     if (nodeId === selfId) return
     this._isPlanStale = true
-    table.put(nodeId, zone, service, linkMbps)
+    const row = table.put(nodeId, zone, service, linkMbps)
+    row.softwareVersion ??= target?.softwareVersion
     // The link to a seed is opened before its node is known.
     table.setConnected(nodeId, links.isConnected(nodeId))
   }
--- a/packages/node/src/direct/NodeRecords.ts
+++ b/packages/node/src/direct/NodeRecords.ts
@@ -41,9 +41,9 @@
 function targetOf (value: unknown): direct.KnownTarget | undefined {
   if (value === null || typeof value !== 'object') return undefined
   // Earlier versions do not record the start.
-  const { targetId, slots, isLeaving, startedAtMs = 0 } = value as { readonly [name in keyof direct.KnownTarget]?: unknown }
+  const { targetId, slots, isLeaving, startedAtMs = 0, softwareVersion } = value as { readonly [name in keyof direct.KnownTarget]?: unknown }
   if (!isName(targetId) || typeof isLeaving !== 'boolean' || !isWhole(slots, 1, MAX_SLOTS) || !isWhole(startedAtMs, 0, MAX_STARTED_AT_MS)) return undefined
-  return { targetId, startedAtMs, slots, isLeaving }
+  return { targetId, startedAtMs, slots, isLeaving, ...(isName(softwareVersion) ? { softwareVersion } : {}) }
 }
 
 function isWhole (value: unknown, least: number, most: base.Millis): value is number {
--- a/packages/node/src/direct/Services.ts
+++ b/packages/node/src/direct/Services.ts
@@ -40,8 +40,8 @@
   newest(topic: string, timeoutMs: base.Millis): Promise<types.NewestResult>
   /** Records from an offset on. Waits up to `waitMs` for the next one, but not beyond a new era, in which offsets are given out again. */
   read(topic: string, fromOffset: number, waitMs: base.Millis, timeoutMs: base.Millis): Promise<types.ReadResult>
-  /** Writes all of the records or none. */
-  put(topic: string, records: readonly types.KeyedRecord[], timeoutMs: base.Millis): Promise<types.PutResult>
+  /** Writes all of the records or none. With `atOffset`, only if the topic ends there. */
+  put(topic: string, records: readonly types.KeyedRecord[], timeoutMs: base.Millis, atOffset?: number): Promise<types.PutResult>
 }
 
 /** Location of the accepted configuration in the store, and its format. */
--- a/packages/node/src/direct/TargetWatch.ts
+++ b/packages/node/src/direct/TargetWatch.ts
@@ -60,7 +60,7 @@
   /** What other nodes are told of the target. */
   public get reported (): direct.ReportedTarget | undefined {
     const { current } = this._register
-    return current === undefined ? undefined : { targetId: current.targetId, startedAtMs: current.startedAtMs, isLeaving: current.isLeaving }
+    return current === undefined ? undefined : { targetId: current.targetId, startedAtMs: current.startedAtMs, isLeaving: current.isLeaving, ...versionOf(current) }
   }
 
   /** State that the next process of this node can start from. */
@@ -68,7 +68,7 @@
     const { current } = this._register
     // The slots of a target that was found by a health check are not known yet. That it is leaving must always be recorded.
     if (this._isProbed && current?.isLeaving !== true) return undefined
-    return current === undefined ? undefined : { targetId: current.targetId, startedAtMs: current.startedAtMs, slots: current.slots, isLeaving: current.isLeaving }
+    return current === undefined ? undefined : { targetId: current.targetId, startedAtMs: current.startedAtMs, slots: current.slots, isLeaving: current.isLeaving, ...versionOf(current) }
   }
 
   public get slots (): number {
@@ -173,3 +173,7 @@
     this._options.onChange()
   }
 }
+
+function versionOf ({ softwareVersion }: direct.ReportedTarget): Pick<direct.ReportedTarget, 'softwareVersion'> {
+  return softwareVersion === undefined ? {} : { softwareVersion }
+}
--- a/packages/node/src/direct/Types.ts
+++ b/packages/node/src/direct/Types.ts
@@ -92,6 +92,8 @@
   readonly key: string
   /** Undefined if the key was deleted. */
   readonly value: Buffer | undefined
+  /** Undefined if the store does not tell it. */
+  readonly offset?: number | undefined
 }
 
 export type NewestResult =
@@ -100,8 +102,8 @@
 
 export type ReadResult = NewestResult | { readonly kind: 'compacted' }
 
-/** `unknown`: the record may have been written, or may be written later. */
-export type PutResult = { readonly kind: 'written' } | { readonly kind: 'refused' | 'unknown', readonly problem: string }
+/** `moved`: nothing was written, because the topic does not end at the expected offset. `unknown`: the record may have been written, or may be written later. */
+export type PutResult = { readonly kind: 'written' } | { readonly kind: 'moved', readonly problem: string } | { readonly kind: 'refused' | 'unknown', readonly problem: string }
 
 /** Settings of a node that carries direct calls. */
 export interface DirectSettings {
