Roll out new versions of services by the operators' orders

Cause: orders in the operators' topic were not read, targets of both versions received calls alike, and no status was written.

Hosts refuse calls that the phase does not allow, for entry nodes that have not heard of it.

--- a/addons/addon-metrics/src/DirectMetrics.ts
+++ b/addons/addon-metrics/src/DirectMetrics.ts
@@ -74,6 +74,7 @@
     this._gauge('elmpost_direct_target_slots', 'Slots of the target', () => node.gauges().load.slots)
     this._slotSeconds(node)
     this._linkBytes(node)
+    this._rollouts(node)
     this._gauge('elmpost_direct_target_seconds', 'Mean time of a call on the target', () => node.gauges().load.serviceMs / MS_PER_S)
     this._gauge('elmpost_direct_target_calls', 'Calls that were sent to the target since the process started', () => node.gauges().targetCalls)
     this._gauge('elmpost_direct_target_crashes', 'Unexpected ends of the target since the process started', () => node.gauges().targetCrashes)
@@ -128,6 +129,19 @@
     })
   }
 
+  private _rollouts (node: direct.IDirectView): void {
+    const gauge: promClient.Gauge<'service' | 'version' | 'phase' | 'bad'> = new promClient.Gauge({
+      name: 'elmpost_direct_rollout_share',
+      help: 'Share of the calls for a service that targets of the version of its newest roll-out get, by phase and whether the version is known to be bad',
+      labelNames: ['service', 'version', 'phase', 'bad'],
+      registers: [this._registry],
+      collect: () => {
+        gauge.reset()
+        for (const { order, phase, share, isBad } of node.gauges().rollouts) gauge.set({ service: order.service, version: order.targetVersion, phase, bad: String(isBad) }, isBad ? 0 : share)
+      }
+    })
+  }
+
   private _gauge (name: string, help: string, read: () => number): void {
     const gauge: promClient.Gauge = new promClient.Gauge({ name, help, registers: [this._registry], collect: () => { gauge.set(read()) } })
   }
--- a/packages/common/src/direct/DirectCalls.ts
+++ b/packages/common/src/direct/DirectCalls.ts
@@ -1,6 +1,7 @@
 import type * as base from '../base/Types.js'
 import * as callerBudgets from './CallerBudgets.js'
 import * as customerIndex from './CustomerIndex.js'
+import type * as rolloutRegister from './RolloutRegister.js'
 import * as retryAllowances from './RetryAllowances.js'
 import * as routeIndex from './RouteIndex.js'
 import * as splitRotation from './SplitRotation.js'
@@ -45,6 +46,8 @@
   readonly requestBytes: number
   readonly origin: types.RequestOrigin
   readonly history: types.IRequestHistory | undefined
+  /** Whether its first send is due to go to the new version of a service that is rolled out. */
+  readonly isForNewVersion: boolean
   to: base.NodeId
   sentAtMs: base.Millis
   /** Sends that reached a target, or may have. */
@@ -67,6 +70,8 @@
   readonly nodeCount: () => number | undefined
   /** Start of this process. */
   readonly startedAtMs: base.Millis
+  /** Versions of services that are rolled out. Undefined if there are none. */
+  readonly rollouts?: rolloutRegister.RolloutRegister | undefined
 }
 
 /**
@@ -117,6 +122,11 @@
     return this._customers.limited
   }
 
+  /** Route of a request in the configuration in force. */
+  public routeOf (host: string, path: string): types.RouteRule | undefined {
+    return this._routes.find(host, path)
+  }
+
   /** Customer for whom a request is made. Undefined if it is for none, or will be refused. */
   public customerOf ({ host, path, customerKey, run }: Pick<types.CallRequest, 'host' | 'path' | 'customerKey' | 'run'>): types.CustomerRule | undefined {
     const rule = this._routes.find(host, path)
@@ -136,11 +146,13 @@
     const remainingMs = Math.min(request.remainingMs ?? Infinity, rule.timeoutMs)
     if (!(remainingMs > 0)) return refusal(callId, 'deadline', 0, rule)
     if (nowMs + remainingMs > request.endByMs) return refusal(callId, 'stopping', STOPPING_RETRY_MS, rule)
+    const service = this._splits.next(rule)
     const call: Call = {
       callId,
       rule,
       urgency: identified.urgency,
-      service: this._splits.next(rule),
+      service,
+      isForNewVersion: this._options.rollouts?.draw(service) ?? false,
       // Targets make their calls once, with whatever time is left to their run.
       beganAtMs: request.origin === 'caller' ? nowMs - this._budgets.spentMs(rule.name, request.remainingMs, nowMs) : nowMs,
       deadlineAtMs: nowMs + remainingMs,
@@ -306,8 +318,10 @@
   }
 
   private _pick (call: Call, nowMs: base.Millis): targetPicker.PickResult {
-    const { service, rule, urgency, tried, beganAtMs, isRefusedAsBusy, history, origin } = call
-    const picked = { history, service, isNested: origin !== 'caller', priority: urgency, bytes: this._sizeOf(call), onTimeMs: beganAtMs + rule.objectiveMs - nowMs, isIdempotent: rule.kind === 'idempotent', isRefusedAsBusy }
+    const { service, rule, urgency, tried, beganAtMs, isRefusedAsBusy, history, origin, isForNewVersion, attempts } = call
+    // The retry of a call may not add to what a bad version gets.
+    const versions = this._options.rollouts?.choice(service, isForNewVersion && attempts === 0)
+    const picked = { history, versions, service, isNested: origin !== 'caller', priority: urgency, bytes: this._sizeOf(call), onTimeMs: beganAtMs + rule.objectiveMs - nowMs, isIdempotent: rule.kind === 'idempotent', isRefusedAsBusy }
     return this._options.picker.pick(picked, tried ?? NO_NODES, nowMs)
   }
 
--- a/packages/common/src/direct/LinkPlan.ts
+++ b/packages/common/src/direct/LinkPlan.ts
@@ -16,6 +16,8 @@
 export interface LinkPlanOptions {
   readonly selfId: base.NodeId
   readonly zone: string
+  /** Whether targets of several versions of the service are in use, so that links to those of each are needed. */
+  readonly isRolledOut?: (service: string) => boolean
 }
 
 /**
@@ -52,8 +54,9 @@
     const services = new Map<string, targetTable.TargetRow[]>()
     for (const row of rows) {
       if (row.nodeId === this._options.selfId) continue
-      const list = services.get(row.service)
-      if (list === undefined) services.set(row.service, [row])
+      const group = this._options.isRolledOut?.(row.service) === true ? `${row.service} ${row.softwareVersion ?? ''}` : row.service
+      const list = services.get(group)
+      if (list === undefined) services.set(group, [row])
       else list.push(row)
     }
     const wanted = new Set<base.NodeId>(always)
--- a/packages/common/src/direct/Services.ts
+++ b/packages/common/src/direct/Services.ts
@@ -1,5 +1,6 @@
 /** What a node that carries direct calls exposes to metrics. */
 import type * as base from '../base/Types.js'
+import type * as rolloutTypes from './RolloutTypes.js'
 import type * as slotUse from './SlotUse.js'
 import type * as types from './Types.js'
 
@@ -52,6 +53,8 @@
   readonly behindMs: base.Millis
   /** Since the version in force is known to have been the newest one; Infinity if it is not known. */
   readonly confirmedAgeMs: base.Millis
+  /** Newest order of each service, as the node knows it. */
+  readonly rollouts: readonly rolloutTypes.RolloutState[]
 }
 
 export interface IDirectView {
--- a/packages/common/src/direct/TargetPicker.ts
+++ b/packages/common/src/direct/TargetPicker.ts
@@ -1,6 +1,8 @@
 import * as digest from '../base/Digest.js'
+import * as rolloutRegister from './RolloutRegister.js'
 import * as targetTable from './TargetTable.js'
 import type * as base from '../base/Types.js'
+import type * as rolloutTypes from './RolloutTypes.js'
 import type * as types from './Types.js'
 
 /** Round trip to another node of the same zone. */
@@ -55,6 +57,8 @@
   readonly isRefusedAsBusy: boolean
   /** Crashes that the request took part in. */
   readonly history?: types.IRequestHistory | undefined
+  /** Versions of targets that it may be sent to. Undefined if all are used alike. */
+  readonly versions?: rolloutTypes.VersionChoice | undefined
 }
 
 export interface PickResult {
@@ -80,7 +84,8 @@
     let isBusy = false
     let limitWaitMs = Infinity
     this._usualServiceMs = undefined
-    for (const row of this._options.table.connectedOf(call.service)) {
+    const connected = this._options.table.connectedOf(call.service)
+    for (const row of call.versions === undefined ? connected : rolloutRegister.select(connected, call.versions, exclude)) {
       if (row.state !== 'ready' || row.notice?.isLeaving === true || exclude.has(row.nodeId)) continue
       if (standing !== 'trial' && this._isTooBusy(row, call, nowMs)) {
         isBusy = true
--- a/packages/node/src/direct/DirectNode.ts
+++ b/packages/node/src/direct/DirectNode.ts
@@ -12,19 +12,22 @@
 import * as linkCodec from './LinkCodec.js'
 import * as localTarget from './LocalTarget.js'
 import * as nestedCall from './NestedCalls.js'
+import * as nodeGauges from './NodeGauges.js'
 import * as nodeLinks from './NodeLinks.js'
 import * as peerServer from '../PeerServer.js'
 import * as plannedStop from './PlannedStop.js'
+import * as rolloutRegister from '@elmpost/common/direct/RolloutRegister.js'
+import * as rollouts from './Rollouts.js'
 import * as rulesDistribution from './RulesDistribution.js'
 import * as stallWatch from '@elmpost/common/direct/StallWatch.js'
 import * as storeReturns from './StoreReturns.js'
 import * as targetPicker from '@elmpost/common/direct/TargetPicker.js'
 import * as targetTable from '@elmpost/common/direct/TargetTable.js'
 import * as zoneCost from '@elmpost/common/direct/ZoneCost.js'
+import type * as directNodeOptions from './DirectNodeOptions.js'
 import type * as base from '@elmpost/common/base/Types.js'
 import type * as direct from '@elmpost/common/direct/Types.js'
 import type * as directServices from '@elmpost/common/direct/Services.js'
-import type * as nodeServices from '../Services.js'
 import type * as services from './Services.js'
 import type * as types from './Types.js'
 
@@ -34,20 +37,6 @@
 /** After this time a node counts as ready without the records of other nodes and without knowing that its version is the newest one, because the store may be down. */
 const READY_WITHOUT_STORE_MS = 1_500
 
-export interface DirectNodeOptions {
-  readonly settings: types.DirectSettings
-  readonly binder?: nodeServices.IServerBinder
-  readonly dialect: services.ICallDialect
-  readonly store: services.IKeyedStore
-  readonly rulesFormat: services.IRulesFormat
-  readonly logger: nodeServices.ILogger
-  readonly random: base.IRandom
-  /** Monotonic clock. */
-  readonly nowMs: () => base.Millis
-  /** Wall clock. Used for audit records, and as a mere hint that the VM may have been suspended. */
-  readonly timeOfDayMs: () => base.Millis
-}
-
 /** A node that carries direct calls. Connects its servers, its target and its links, and runs their periodic work. */
 export class DirectNode extends disposable.Disposable implements services.INodeControl, directServices.IDirectView, nodeLinks.INodeLinksEvents {
   /** Resolves when a planned stop is complete. */
@@ -58,13 +47,14 @@
   public readonly onCallEnded: base.IEvent<directServices.CallMeasured>
   public readonly onRetry: base.IEvent<direct.RetryDecided>
   private readonly _callEnded = new emitter.Emitter<directServices.CallMeasured>()
-  private readonly _options: DirectNodeOptions
+  private readonly _options: directNodeOptions.DirectNodeOptions
   private readonly _table = new targetTable.TargetTable()
   private readonly _fleet: fleetMembership.FleetMembership
   private readonly _rules: rulesDistribution.RulesDistribution
   private readonly _calls: directCalls.DirectCalls
   private readonly _entry: entryGate.EntryGate
   private readonly _target: localTarget.LocalTarget
+  private readonly _rollouts: rollouts.Rollouts
   private readonly _links: nodeLinks.NodeLinks
   private readonly _stalls: stallWatch.StallWatch
   private readonly _ingress: ingress.Ingress
@@ -77,7 +67,7 @@
   private _statusAtMs = 0
   private _resolveStopped: () => void = () => {}
 
-  constructor (options: DirectNodeOptions) {
+  constructor (options: directNodeOptions.DirectNodeOptions) {
     super()
     this._options = options
     const { settings, dialect, logger, random, nowMs, store } = options
@@ -89,11 +79,13 @@
     this._log = new callLog.CallLog(logger, nowMs)
     this.crashes = new crashGuards.CrashGuard({ dialect, service: settings.service, nowMs, timeOfDayMs: options.timeOfDayMs, callLog: this._log, links: () => this._links, onOwnCrash: () => { this._fleet.publish() } })
     const picker = new targetPicker.TargetPicker({ table: this._table, selfId, zone: settings.zone, random, otherZoneCostMs: zoneCost.otherZoneCostMs })
-    this._calls = new directCalls.DirectCalls({ table: this._table, picker, random, retryTerms: settings.retryTerms, nodeCount: () => this._fleet.nodeCount, startedAtMs: nowMs() })
+    const register = new rolloutRegister.RolloutRegister({ table: this._table, random, nowMs, startedAtMs: nowMs() })
+    this._calls = new directCalls.DirectCalls({ table: this._table, picker, random, rollouts: register, retryTerms: settings.retryTerms, nodeCount: () => this._fleet.nodeCount, startedAtMs: nowMs() })
     const nestedCalls = new nestedCall.NestedCalls(this._calls, dialect, nowMs)
     this.onRetry = this._calls.onRetry
     this._register(this.onRetry(retry => { this._log.logRetry(this._entry.requestIdOf(retry.callId), retry) }))
     this._stalls = new stallWatch.StallWatch(options)
+    this._rollouts = this._register(new rollouts.Rollouts({ settings, table: this._table, register, readers: () => this._rules.readers, store, format: options.rolloutFormat, logger, nowMs, timeOfDayMs: options.timeOfDayMs, calls: this._calls, target: () => this._target, links: () => this._links, onChange: () => { this._fleet.invalidatePlan() } }))
     this._target = this._register(new localTarget.LocalTarget({
       settings,
       dialect,
@@ -104,6 +96,7 @@
       callLog: this._log,
       crashes: this.crashes,
       nestedCalls,
+      rollout: this._rollouts,
       onChange: () => { this._handleTargetChange() }
     }))
     this._links = this._register(new nodeLinks.NodeLinks({ selfId, hello: to => this._fleet.hello(this.version, to), nowMs, stalls: this._stalls, random, host: this._target.host, events: this }))
@@ -123,6 +116,7 @@
       send: (nodeId, message) => { this._links.send(nodeId, message) },
       broadcast: (message, zone) => { this._links.broadcast(message, zone) }
     }))
+    this._register(this._rules.onRecords(records => { this._rollouts.handleRecords(records) }))
     this._fleet = this._register(new fleetMembership.FleetMembership({
       settings,
       table: this._table,
@@ -134,6 +128,7 @@
       nowMs,
       target: () => this._target.watch.knownTarget,
       crashes: this.crashes,
+      isRolledOut: name => this._rollouts.isOpen(name),
       restore: target => { this._target.watch.restore(target) }
     }))
     this._entry = this._register(new entryGate.EntryGate({
@@ -196,20 +191,7 @@
   }
 
   public gauges (): directServices.DirectGauges {
-    return {
-      version: this.version,
-      isReady: this.isReady,
-      entryInFlight: this._entry.inFlight,
-      ...this._target.gauges,
-      linkBytes: { sent: this._links.traffic.totals('sent'), received: this._links.traffic.totals('received') },
-      knownNodes: this._table.size,
-      connectedNodes: this._table.connectedCount,
-      storeAgeMs: this._rules.storeAgeMs,
-      acceptWaitMs: this._ingress.acceptWaitMs,
-      bodyBytes: this._ingress.bodyBytes,
-      behindMs: this._rules.behindMs,
-      confirmedAgeMs: this._rules.confirmedAgeMs
-    }
+    return nodeGauges.gaugesOf({ version: this.version, isReady: this.isReady, entry: this._entry, target: this._target, links: this._links, table: this._table, rules: this._rules, ingress: this._ingress, rollouts: this._rollouts })
   }
 
   /** Data for `elmpost status`: this node, and the other nodes as this one sees them. */
@@ -267,12 +249,17 @@
   public handleConnectionChange (nodeId: base.NodeId, isConnected: boolean): void {
     this._log.log(isConnected ? 'info' : 'warn', isConnected ? 'peer-connected' : 'peer-lost', { peer: nodeId })
     this._fleet.handleConnectionChange(nodeId, isConnected)
-    if (isConnected) this.crashes.greet(message => { this._links.send(nodeId, message) })
+    if (!isConnected) return
+    const send = (message: linkCodec.LinkMessage): void => { this._links.send(nodeId, message) }
+    this._rollouts.greet(send)
+    this.crashes.greet(send)
   }
 
   public handleHello (hello: linkCodec.HelloMessage, reply: (message: linkCodec.LinkMessage) => void): void {
     this._handleHello(hello)
     reply(this._fleet.hello(this.version))
+    // Before the status, after which calls can be sent to the target.
+    this._rollouts.greet(reply)
     reply({ kind: 'status', status: this._status() })
     reply(this._rules.report)
     this.crashes.greet(reply)
@@ -319,6 +306,12 @@
         this._fleet.handleNodes(message.nodes)
         this.crashes.recordReports(message.crashes ?? [])
         break
+      case 'rollouts':
+        this._rollouts.handleNews(nodeId, message.rollouts)
+        break
+      case 'rollout-health':
+        this._rollouts.handleHealth(nodeId, message.hosts)
+        break
       default:
         this.handleMalformed(nodeId, new Error(`unexpected message of kind ${message.kind}`))
     }
@@ -353,6 +346,7 @@
     this._target.tick()
     this._log.tick(this._links.traffic)
     this._rules.tick()
+    this._rollouts.tick()
     if (this._options.nowMs() >= this._statusAtMs) this._sendStatus(false)
     this._fleet.tick()
     this.crashes.tick()
@@ -374,6 +368,7 @@
   }
 
   private _handleTargetChange (): void {
+    this._rollouts.handleTarget()
     this._sendStatus(true)
     this._fleet.publish()
   }
--- a/packages/node/src/direct/FleetMembership.ts
+++ b/packages/node/src/direct/FleetMembership.ts
@@ -31,6 +31,8 @@
   /** Target beside this node, written to the store for a later process of this node. */
   readonly target: () => direct.KnownTarget | undefined
   readonly crashes: Pick<crashGuards.CrashGuard, 'stored' | 'restore'>
+  /** Whether targets of several versions of the service are in use. */
+  readonly isRolledOut: (service: string) => boolean
   /** Takes over the target that an earlier process of this node recorded. */
   readonly restore: (target: direct.KnownTarget) => void
 }
@@ -62,6 +64,7 @@
       nowMs,
       logger,
       requiredPeers: () => readers.requiredPeers,
+      isRolledOut: options.isRolledOut,
       onExpired: nodeId => { this._registry.deleteRecord(nodeId).catch((error: unknown) => { this._logUnexpected(error) }) }
     })
   }
@@ -115,6 +118,11 @@
     this._directory.addFromPeer(records)
   }
 
+  /** Chooses the links to other nodes again. */
+  public invalidatePlan (): void {
+    this._directory.invalidatePlan()
+  }
+
   public all (): direct.NodeRecord[] {
     return this._directory.all()
   }
--- a/packages/node/src/direct/LinkCodec.ts
+++ b/packages/node/src/direct/LinkCodec.ts
@@ -1,9 +1,11 @@
 import * as crashReports from './CrashReports.js'
 import * as msgpackr from 'msgpackr'
 import * as nodeRecords from './NodeRecords.js'
+import * as rolloutReports from './RolloutReports.js'
 import * as results from 'ts-results-es'
 import type * as base from '@elmpost/common/base/Types.js'
 import type * as direct from '@elmpost/common/direct/Types.js'
+import type * as rolloutTypes from '@elmpost/common/direct/RolloutTypes.js'
 import type * as types from './Types.js'
 
 const STATES: readonly direct.TargetState[] = ['ready', 'leaving', 'down', 'absent']
@@ -28,7 +30,7 @@
 const LIMIT_VALUES = 2
 
 /** First value of each message, which identifies its kind. */
-const KIND = { hello: 0, status: 1, call: 2, answered: 3, refused: 4, failed: 5, cancel: 6, alive: 7, rulesRequest: 8, rules: 9, nodesRequest: 10, nodes: 11 } as const
+const KIND = { hello: 0, status: 1, call: 2, answered: 3, refused: 4, failed: 5, cancel: 6, alive: 7, rulesRequest: 8, rules: 9, nodesRequest: 10, nodes: 11, rollouts: 12, rolloutHealth: 13 } as const
 
 export interface HelloMessage {
   readonly kind: 'hello'
@@ -75,6 +77,8 @@
   | { readonly kind: 'rules', readonly bytes: Uint8Array }
   | { readonly kind: 'nodes-request' }
   | NodesMessage
+  | { readonly kind: 'rollouts', readonly rollouts: readonly rolloutReports.RolloutNews[] }
+  | { readonly kind: 'rollout-health', readonly hosts: readonly rolloutTypes.HostHealth[] }
 
 type Values = readonly unknown[]
 
@@ -145,6 +149,8 @@
     case 'rules': return [KIND.rules, message.bytes]
     case 'nodes-request': return [KIND.nodesRequest]
     case 'nodes': return [KIND.nodes, message.nodes.map(({ nodeId, zone, service, linkMbps }) => [nodeId, zone, service, linkMbps]), ...crashReports.valuesOf(message.crashes)]
+    case 'rollouts': return [KIND.rollouts, rolloutReports.newsValues(message.rollouts)]
+    case 'rollout-health': return [KIND.rolloutHealth, rolloutReports.healthValues(message.hosts)]
   }
 }
 
@@ -221,6 +227,14 @@
     case KIND.rules: return values[1] instanceof Uint8Array ? { kind: 'rules', bytes: values[1] } : undefined
     case KIND.nodesRequest: return { kind: 'nodes-request' }
     case KIND.nodes: return nodesOf(values[1], values[2])
+    case KIND.rollouts: {
+      const rollouts = rolloutReports.newsOf(values[1])
+      return rollouts === undefined ? undefined : { kind: 'rollouts', rollouts }
+    }
+    case KIND.rolloutHealth: {
+      const hosts = rolloutReports.healthOf(values[1])
+      return hosts === undefined ? undefined : { kind: 'rollout-health', hosts }
+    }
     default: return undefined
   }
 }
--- a/packages/node/src/direct/LocalTarget.ts
+++ b/packages/node/src/direct/LocalTarget.ts
@@ -37,6 +37,7 @@
   readonly callLog: callLog.CallLog
   readonly crashes: services.ICrashGuard
   readonly nestedCalls: services.INestedCalls
+  readonly rollout?: services.IHostRollout | undefined
   /** The state, the slots or the id of the target has changed. */
   readonly onChange: () => void
 }
@@ -89,6 +90,7 @@
       start: () => this.watch.reported,
       crashes: options.crashes,
       nestedCalls: options.nestedCalls,
+      rollout: options.rollout,
       events: this
     })
   }
--- a/packages/node/src/direct/NodeDirectory.ts
+++ b/packages/node/src/direct/NodeDirectory.ts
@@ -24,6 +24,8 @@
   readonly logger: nodeServices.ILogger
   /** Nodes that are linked regardless of the plan. */
   readonly requiredPeers: () => readonly base.NodeId[]
+  /** Whether targets of several versions of the service are in use. */
+  readonly isRolledOut?: (service: string) => boolean
   /** Called when a node has been unreachable for so long that its record in the store is obsolete. */
   readonly onExpired: (nodeId: base.NodeId) => void
 }
--- a/packages/node/src/direct/RulesDistribution.ts
+++ b/packages/node/src/direct/RulesDistribution.ts
@@ -82,6 +82,11 @@
     this._register(this._watch.onContact(() => { this._handleContact() }))
   }
 
+  /** Fires with the other records of the topic of the configuration. */
+  public get onRecords (): base.IEvent<rulesWatch.TopicRecords> {
+    return this._watch.onRecords
+  }
+
   /** Time since the store last answered this node. */
   public get storeAgeMs (): base.Millis {
     return this._watch.storeAgeMs
--- a/packages/node/src/direct/RulesWatch.ts
+++ b/packages/node/src/direct/RulesWatch.ts
@@ -38,11 +38,21 @@
   readonly confirmedAgeMs: () => base.Millis
 }
 
+/** Records of the topic of the configuration that are no configurations. */
+export interface TopicRecords {
+  readonly records: readonly types.KeyedRecord[]
+  /** Whether they are the newest of their keys when reading began, and may be old. */
+  readonly isPast: boolean
+}
+
 /** Watches the store for accepted configurations. */
 export class RulesWatch implements base.IDisposable {
   private readonly _options: RulesWatchOptions
   private readonly _rulesEmitter = new emitter.Emitter<types.StoredRules>()
   public readonly onRules = this._rulesEmitter.event
+  private readonly _recordsEmitter = new emitter.Emitter<TopicRecords>()
+  /** Fires with the other records of the topic, before `onRules`. */
+  public readonly onRecords = this._recordsEmitter.event
   private readonly _contactEmitter = new emitter.Emitter<void>()
   /** Fires when the store has answered, after `onRules`. What it answered was true `storeAgeMs` ago or later. */
   public readonly onContact = this._contactEmitter.event
@@ -123,7 +133,7 @@
     if (result.kind === 'unavailable') return this._handleFailure(result.problem, askedAtMs)
     if (nowMs() - askedAtMs < READ_MARGIN_MS) this._patience = 1
     this._logIfLate(nowMs() - askedAtMs)
-    this._handleRecords(result, askedAtMs)
+    this._handleRecords(result, askedAtMs, true)
     return 0
   }
 
@@ -155,12 +165,14 @@
     return BATCH_MS
   }
 
-  private _handleRecords (result: types.NewestResult & { readonly kind: 'records' }, answeredAtMs: base.Millis): void {
+  private _handleRecords (result: types.NewestResult & { readonly kind: 'records' }, answeredAtMs: base.Millis, isPast = false): void {
     const { format } = this._options
     this._answeredAtMs = answeredAtMs
     this._retryMs = FIRST_RETRY_MS
     this._nextOffset = result.nextOffset
     this._setAvailable(true, '')
+    const others = result.records.filter(({ key, value }) => key !== format.key && value !== undefined)
+    if (others.length > 0) this._recordsEmitter.fire({ records: others, isPast })
     // Only the newest version of a batch is enforced.
     const newest = result.records.filter(({ key, value }) => key === format.key && value !== undefined).at(-1)
     const stored = newest?.value === undefined ? undefined : this.decode(newest.value)
--- a/packages/node/src/direct/Services.ts
+++ b/packages/node/src/direct/Services.ts
@@ -3,6 +3,7 @@
 import type * as crashWatches from './CrashWatch.js'
 import type * as direct from '@elmpost/common/direct/Types.js'
 import type * as http from 'node:http'
+import type * as rollout from '@elmpost/common/direct/RolloutTypes.js'
 import type * as requestIdentity from './RequestIdentity.js'
 import type * as storeEra from '@elmpost/common/direct/StoreEra.js'
 import type * as types from './Types.js'
@@ -52,6 +53,37 @@
   decode(bytes: Uint8Array): direct.MeshRules | Error
 }
 
+/** Final status of a roll-out, or that it goes on. */
+export type RolloutStatus = 'running' | 'completed' | 'rolled_back'
+
+/** Orders of roll-outs, which are in the topic of the configuration, and their statuses in the store. */
+export interface IRolloutFormat {
+  /** Topic of the statuses, which this system writes. */
+  readonly statusTopic: string
+  /** Key of the order and of the status of a service. */
+  keyOf(service: string): string
+  /** Whether the key is that of an order, or of a status. */
+  isKey(key: string): boolean
+  /** Returns an error that states what is wrong if the record is invalid. */
+  decodeOrder(key: string, bytes: Uint8Array): Omit<rollout.RolloutOrder, 'offset' | 'digest'> | Error
+  decodeStatus(bytes: Uint8Array): RolloutReport | Error
+  encodeStatus(report: RolloutReport): Buffer
+}
+
+export interface RolloutReport {
+  readonly service: string
+  readonly state: RolloutStatus
+  readonly targetVersion: string
+}
+
+/** What a host needs to know of a roll-out of its service. */
+export interface IHostRollout {
+  /** Whether the target beside the host may run calls in the phase of the roll-out. */
+  readonly mayRun: boolean
+  /** A call on the target has ended `tookMs` after its start. */
+  recordRun(call: types.CallMessage, result: types.RunResult, tookMs: base.Millis): void
+}
+
 /** Receives the results of calls that were passed to a host node. */
 export interface IHostCaller {
   handleHostResult(nodeId: base.NodeId, callId: number, result: types.HostResult, load: direct.TargetLoad): void
--- a/packages/node/src/direct/TargetHost.ts
+++ b/packages/node/src/direct/TargetHost.ts
@@ -99,7 +99,7 @@
   public accept (caller: services.IHostCaller, message: types.CallMessage): void {
     const nowMs = this._waitClockMs
     const call = this._track(caller, message, nowMs)
-    if (message.service !== this._options.service || this._options.state() !== 'ready') {
+    if (message.service !== this._options.service || this._options.state() !== 'ready' || this._options.rollout?.mayRun === false) {
       this._refuse(call, { reason: 'no-target', reachedTarget: false, waitMs: 0 })
       return
     }
@@ -276,6 +276,7 @@
     const nowMs = this._options.nowMs()
     this._use.end(purposeOf(call, result, this._waitClockMs), nowMs - call.startedAtMs, nowMs)
     this._options.nestedCalls.endRun(call.message)
+    this._options.rollout?.recordRun(call.message, result, nowMs - call.startedAtMs)
     this._queue.release(call.id, result.kind === 'answered' ? result.serviceMs : undefined)
     if (result.kind === 'answered' || result.kind === 'declined') this._answeredAtMs = this._options.nowMs()
     switch (result.kind) {
--- a/packages/node/src/direct/TargetHostOptions.ts
+++ b/packages/node/src/direct/TargetHostOptions.ts
@@ -24,6 +24,8 @@
   readonly nestedCalls: services.INestedCalls
   /** Start of the target; undefined if it is not known. */
   readonly start: () => direct.TargetStart | undefined
+  /** Undefined if the service of the target is never rolled out. */
+  readonly rollout?: services.IHostRollout | undefined
   readonly events: ITargetHostEvents
 }
 
