--- a/packages/common/src/direct/RolloutPlan.ts
+++ b/packages/common/src/direct/RolloutPlan.ts
@@ -23,12 +23,13 @@
 /** Shortest time in each phase, within which a bad version shows. */
 const MIN_CANARY_MS = 1_000
 const MIN_STEP_MS = 250
-/** Slots of the new targets, as a share of those of the old ones, below which they do not take all calls. */
-const MIN_SLOT_SHARE = 0.4
+/** Slots of the new targets, as a share of those of the old ones, that suffice for any load, since old targets in overload seem to need all of theirs. */
+const ENOUGH_SLOT_SHARE = 0.8
+const MS_PER_S = 1000
 /** A version that has lost all of its targets for this time, while most calls depend on it, is bad. */
 const LOST_MS = 1_000
-/** If an old host does not confirm the last phase, its target is given up this long before the end of the ramp. */
-const UNCONFIRMED_MARGIN_MS = 500
+/** If an old host does not confirm the last phase, its target is given up this long before the end of the ramp, which began up to 300 ms before the order was read. */
+const UNCONFIRMED_MARGIN_MS = 900
 
 /** What the driver of a roll-out knows when it decides. */
 export interface RolloutView {
@@ -44,6 +45,8 @@
   readonly longestTimeoutMs: base.Millis
   readonly newSlots: number
   readonly oldSlots: number
+  /** Mean time of a call on an old target; 0 if it is not known. */
+  readonly serviceMs: base.Millis
   /** Since when no target of the version has been ready; undefined if one is. */
   readonly lostSinceMs: base.Millis | undefined
   /** All hosts of old targets that report enforce the phase and run no call. */
@@ -108,7 +111,8 @@
   const settleMs = longestTimeoutMs + SPREAD_MS
   const allAtMs = Math.max(0, order.rampMs - WRITE_MARGIN_MS - settleMs)
   const share = shareOf(phase, view)
-  const hasCapacity = newSlots > 0 && newSlots >= MIN_SLOT_SHARE * oldSlots
+  // The slots that are in use on average. Some targets of the version may be missing, which must not hold it up for nothing.
+  const hasCapacity = newSlots > 0 && newSlots >= Math.min(view.callsPerS * view.serviceMs / MS_PER_S, ENOUGH_SLOT_SHARE * oldSlots)
   switch (phase) {
     case 'waiting':
       return newSlots > 0 && ageMs >= RATE_MS ? { kind: 'phase', phase: 'canary', share } : STAY
