Keep links to both versions until the old targets have stopped

Cause: at the end of a roll-out, targets of both versions counted as one group again, so that an entry node could give up links to new targets for links to old ones that were about to stop.

Change: a service counts as mixed for 30 s after the end.

--- a/packages/common/src/direct/RolloutRegister.test.ts
+++ b/packages/common/src/direct/RolloutRegister.test.ts
@@ -54,6 +54,16 @@
     assert.deepEqual([register.mayRun('till', 'v1'), register.mayRun('till', 'v2')], [false, true])
   })
 
+  // Guards against links to old targets that take the place of those to new ones while the old ones stop.
+  test.it('counts a service as mixed until its old targets have stopped', () => {
+    assert.equal(register.isMixed('till'), false)
+    register.put({ ...STATE, phase: 'done', share: 1 })
+    nowMs += 20_000
+    assert.equal(register.isMixed('till'), true)
+    nowMs += 20_000
+    assert.equal(register.isMixed('till'), false)
+  })
+
   test.it('sends nothing to a bad version, also not under a later order for another one', () => {
     register.put({ ...STATE, isBad: true })
     assert.deepEqual([register.draw('till'), allowed(true), register.mayRun('till', 'v2')], [false, ['old'], false])
--- a/packages/common/src/direct/RolloutRegister.ts
+++ b/packages/common/src/direct/RolloutRegister.ts
@@ -47,6 +47,12 @@
     return this.all().filter(({ phase }) => !rolloutPlan.isFinal(phase))
   }
 
+  /** Whether targets of several versions of the service may be in use. The old ones stop some time after the end. */
+  public isMixed (service: string): boolean {
+    const entry = this._entries.get(service)
+    return entry !== undefined && (!rolloutPlan.isFinal(entry.state.phase) || this._options.nowMs() - entry.phaseSinceMs <= ENDED_MS)
+  }
+
   public phaseSinceMs (service: string): base.Millis {
     return this._entries.get(service)?.phaseSinceMs ?? Infinity
   }
--- a/packages/node/src/direct/DirectNode.ts
+++ b/packages/node/src/direct/DirectNode.ts
@@ -128,7 +128,7 @@
       nowMs,
       target: () => this._target.watch.knownTarget,
       crashes: this.crashes,
-      isRolledOut: name => this._rollouts.isOpen(name),
+      isRolledOut: name => this._rollouts.isMixed(name),
       restore: target => { this._target.watch.restore(target) }
     }))
     this._entry = this._register(new entryGate.EntryGate({
--- a/packages/node/src/direct/Rollouts.ts
+++ b/packages/node/src/direct/Rollouts.ts
@@ -106,7 +106,12 @@
     return this._driver?.isDriving === true
   }
 
-  /** Whether targets of several versions of the service are in use. */
+  /** Whether targets of several versions of the service may be in use. */
+  public isMixed (service: string): boolean {
+    return this._options.register.isMixed(service)
+  }
+
+  /** Whether the newest order for the service has not ended. */
   public isOpen (service: string): boolean {
     const state = this._options.register.get(service)
     return state !== undefined && !rolloutPlan.isFinal(state.phase)
