--- a/packages/common/src/direct/DirectCalls.ts
+++ b/packages/common/src/direct/DirectCalls.ts
@@ -1,5 +1,6 @@
 import type * as base from '../base/Types.js'
 import * as callerBudgets from './CallerBudgets.js'
+import type * as rolloutRegister from './RolloutRegister.js'
 import * as retryAllowances from './RetryAllowances.js'
 import * as rulesInForce from './RulesInForce.js'
 import * as splitRotation from './SplitRotation.js'
@@ -53,6 +54,8 @@
   readonly requestBytes: number
   readonly origin: types.RequestOrigin
   readonly history: types.IRequestHistory | undefined
+  /** Whether its first send is due to go to the new version of a service that is rolled out. */
+  readonly isForNewVersion: boolean
   to: base.NodeId
   sentAtMs: base.Millis
   /** Sends that reached a target, or may have. */
@@ -75,6 +78,8 @@
   readonly nodeCount: () => number | undefined
   /** Start of this process. */
   readonly startedAtMs: base.Millis
+  /** Versions of services that are rolled out. Undefined if there are none. */
+  readonly rollouts?: rolloutRegister.RolloutRegister | undefined
 }
 
 /**
@@ -126,13 +131,15 @@
     const checked = this.inForce.check(request, nowMs)
     if (checked.kind === 'refused') return refusal(callId, checked.reason, checked.retryAfterMs, checked.rule)
     const { rule, identified, remainingMs } = checked
+    const service = this._splits.next(rule)
     const call: Call = {
       callId,
       rule,
       customer: identified.customer,
       level: identified.urgency,
       urgency: this._urgencyOf(identified, nowMs),
-      service: this._splits.next(rule),
+      service,
+      isForNewVersion: this._options.rollouts?.draw(service) ?? false,
       // Targets make their calls once, with whatever time is left to their run.
       beganAtMs: request.origin === 'caller' ? nowMs - this._budgets.spentMs(rule.name, request.remainingMs, nowMs) : nowMs,
       deadlineAtMs: nowMs + remainingMs,
@@ -311,8 +318,10 @@
   }
 
   private _pick (call: Call, nowMs: base.Millis): targetPicker.PickResult {
-    const { service, rule, urgency, tried, beganAtMs, isRefusedAsBusy, history, origin } = call
-    const picked = { history, service, isNested: origin !== 'caller', priority: urgency, bytes: this._sizeOf(call), onTimeMs: beganAtMs + rule.objectiveMs - nowMs, isIdempotent: rule.kind === 'idempotent', isRefusedAsBusy }
+    const { service, rule, urgency, tried, beganAtMs, isRefusedAsBusy, history, origin, isForNewVersion, attempts } = call
+    // The retry of a call may not add to what a bad version gets.
+    const versions = this._options.rollouts?.choice(service, isForNewVersion && attempts === 0)
+    const picked = { history, versions, service, isNested: origin !== 'caller', priority: urgency, bytes: this._sizeOf(call), onTimeMs: beganAtMs + rule.objectiveMs - nowMs, isIdempotent: rule.kind === 'idempotent', isRefusedAsBusy }
     return this._options.picker.pick(picked, tried ?? NO_NODES, nowMs)
   }
 
--- a/packages/node/src/direct/CustomerLimits.ts
+++ b/packages/node/src/direct/CustomerLimits.ts
@@ -6,6 +6,7 @@
 import type * as base from '@elmpost/common/base/Types.js'
 import type * as direct from '@elmpost/common/direct/Types.js'
 import type * as directServices from '@elmpost/common/direct/Services.js'
+import type * as grantMessages from './GrantMessages.js'
 import type * as linkCodec from './LinkCodec.js'
 import type * as nodeServices from '../Services.js'
 import type * as services from './Services.js'
@@ -108,7 +109,7 @@
   }
 
   /** Handles the answer of an issuer. */
-  public handleGrants (nodeId: base.NodeId, { requestId, count, waitMs }: linkCodec.GrantsMessage): void {
+  public handleGrants (nodeId: base.NodeId, { requestId, count, waitMs }: grantMessages.GrantsMessage): void {
     this._counts.received += count
     this._grants.handleGrants(nodeId, requestId, count, waitMs)
     this._timer.arm(this._grants.nextDueMs)
--- a/packages/node/src/direct/DirectNode.ts
+++ b/packages/node/src/direct/DirectNode.ts
@@ -17,17 +17,19 @@
 import * as peerMessages from './PeerMessages.js'
 import * as peerServer from '../PeerServer.js'
 import * as plannedStop from './PlannedStop.js'
+import * as rolloutRegister from '@elmpost/common/direct/RolloutRegister.js'
+import * as rollouts from './Rollouts.js'
 import * as rulesDistribution from './RulesDistribution.js'
 import * as stallWatch from '@elmpost/common/direct/StallWatch.js'
 import * as storeReturns from './StoreReturns.js'
 import * as targetPicker from '@elmpost/common/direct/TargetPicker.js'
 import * as targetTable from '@elmpost/common/direct/TargetTable.js'
 import * as zoneCost from '@elmpost/common/direct/ZoneCost.js'
+import type * as directNodeOptions from './DirectNodeOptions.js'
 import type * as base from '@elmpost/common/base/Types.js'
 import type * as direct from '@elmpost/common/direct/Types.js'
 import type * as directServices from '@elmpost/common/direct/Services.js'
 import type * as linkCodec from './LinkCodec.js'
-import type * as nodeServices from '../Services.js'
 import type * as services from './Services.js'
 import type * as types from './Types.js'
 
@@ -37,20 +39,6 @@
 /** After this time a node counts as ready without the records of other nodes and without knowing that its version is the newest one, because the store may be down. */
 const READY_WITHOUT_STORE_MS = 1_500
 
-export interface DirectNodeOptions {
-  readonly settings: types.DirectSettings
-  readonly binder?: nodeServices.IServerBinder
-  readonly dialect: services.ICallDialect
-  readonly store: services.IKeyedStore
-  readonly rulesFormat: services.IRulesFormat
-  readonly logger: nodeServices.ILogger
-  readonly random: base.IRandom
-  /** Monotonic clock. */
-  readonly nowMs: () => base.Millis
-  /** Wall clock. Used for audit records, and as a mere hint that the VM may have been suspended. */
-  readonly timeOfDayMs: () => base.Millis
-}
-
 /** A node that carries direct calls. Connects its servers, its target and its links, and runs their periodic work. */
 export class DirectNode extends disposable.Disposable implements services.INodeControl, directServices.IDirectView, nodeLinks.INodeLinksEvents {
   /** Resolves when a planned stop is complete. */
@@ -61,7 +49,7 @@
   public readonly onCallEnded: base.IEvent<directServices.CallMeasured>
   public readonly onRetry: base.IEvent<direct.RetryDecided>
   private readonly _callEnded = new emitter.Emitter<directServices.CallMeasured>()
-  private readonly _options: DirectNodeOptions
+  private readonly _options: directNodeOptions.DirectNodeOptions
   private readonly _table = new targetTable.TargetTable()
   private readonly _fleet: fleetMembership.FleetMembership
   private readonly _rules: rulesDistribution.RulesDistribution
@@ -69,6 +57,7 @@
   private readonly _entry: entryGate.EntryGate
   private readonly _limits: customerLimits.CustomerLimits
   private readonly _target: localTarget.LocalTarget
+  private readonly _rollouts: rollouts.Rollouts
   private readonly _links: nodeLinks.NodeLinks
   private readonly _stalls: stallWatch.StallWatch
   private readonly _ingress: ingress.Ingress
@@ -83,7 +72,7 @@
   private _statusAtMs = 0
   private _resolveStopped: () => void = () => {}
 
-  constructor (options: DirectNodeOptions) {
+  constructor (options: directNodeOptions.DirectNodeOptions) {
     super()
     this._options = options
     const { settings, dialect, logger, random, nowMs, store } = options
@@ -95,11 +84,13 @@
     this._log = new callLog.CallLog(logger, nowMs)
     this.crashes = new crashGuards.CrashGuard({ dialect, service: settings.service, nowMs, timeOfDayMs: options.timeOfDayMs, callLog: this._log, links: () => this._links, onOwnCrash: () => { this._fleet.publish() } })
     const picker = new targetPicker.TargetPicker({ table: this._table, selfId, zone: settings.zone, random, otherZoneCostMs: zoneCost.otherZoneCostMs })
-    this._calls = new directCalls.DirectCalls({ table: this._table, picker, random, retryTerms: settings.retryTerms, nodeCount: () => this._fleet.nodeCount, startedAtMs: nowMs() })
+    const register = new rolloutRegister.RolloutRegister({ table: this._table, random, nowMs, startedAtMs: nowMs() })
+    this._calls = new directCalls.DirectCalls({ table: this._table, picker, random, rollouts: register, retryTerms: settings.retryTerms, nodeCount: () => this._fleet.nodeCount, startedAtMs: nowMs() })
     const nestedCalls = new nestedCall.NestedCalls(this._calls, dialect, nowMs)
     this.onRetry = this._calls.onRetry
     this._register(this.onRetry(retry => { this._log.logRetry(this._entry.requestIdOf(retry.callId), retry) }))
     this._stalls = new stallWatch.StallWatch(options)
+    this._rollouts = this._register(new rollouts.Rollouts({ settings, table: this._table, register, readers: () => this._rules.readers, store, format: options.rolloutFormat, logger, nowMs, timeOfDayMs: options.timeOfDayMs, calls: this._calls, target: () => this._target, links: () => this._links, onChange: () => { this._fleet.invalidatePlan() } }))
     this._target = this._register(new localTarget.LocalTarget({
       settings,
       dialect,
@@ -111,6 +102,7 @@
       crashes: this.crashes,
       nestedCalls,
       customerWeight: customer => this._calls.inForce.customerWeight(customer),
+      rollout: this._rollouts,
       onChange: () => { this._handleTargetChange() }
     }))
     this._links = this._register(new nodeLinks.NodeLinks({ selfId, hello: to => this._fleet.hello(this.version, to), nowMs, stalls: this._stalls, random, host: this._target.host, events: this }))
@@ -130,6 +122,7 @@
       send: (nodeId, message) => { this._links.send(nodeId, message) },
       broadcast: (message, zone) => { this._links.broadcast(message, zone) }
     }))
+    this._register(this._rules.onRecords(records => { this._rollouts.handleRecords(records) }))
     this._fleet = this._register(new fleetMembership.FleetMembership({
       settings,
       table: this._table,
@@ -142,6 +135,7 @@
       nowMs,
       target: () => this._target.watch.knownTarget,
       crashes: this.crashes,
+      isRolledOut: name => this._rollouts.isMixed(name),
       restore: target => { this._target.watch.restore(target) }
     }))
     const terms = settings.customerLimitTerms
@@ -151,6 +145,7 @@
       fleet: this._fleet,
       rules: this._rules,
       limits: this._limits,
+      rollouts: this._rollouts,
       crashes: this.crashes,
       stalls: this._stalls,
       log: this._log,
@@ -190,7 +185,7 @@
     this._peers = this._register(new peerServer.PeerServer({ address: addresses.parse(settings.peerListenAddress), binder: options.binder, maxMessageBytes: nodeLinks.MAX_MESSAGE_BYTES, onConnection: socket => { this._links.accept(socket) } }))
     this._audit = new auditTrail.AuditTrail({ store, nodeId: selfId, logger, nowMs, isWriter: () => this._rules.readers.isWriter, timeOfDayMs: options.timeOfDayMs })
     this._register(new storeReturns.StoreReturns({ era: store.era, nodeRecord: this._fleet.record, auditTrail: this._audit, logger, spread: () => { this._sendStatus(true) } }))
-    this._view = new nodeView.NodeView({ settings, version: () => this.version, isReady: () => this.isReady, entry: this._entry, target: this._target, links: this._links, table: this._table, rules: this._rules, ingress: this._ingress, limits: this._limits, crashes: this.crashes })
+    this._view = new nodeView.NodeView({ settings, version: () => this.version, isReady: () => this.isReady, entry: this._entry, target: this._target, links: this._links, table: this._table, rules: this._rules, ingress: this._ingress, limits: this._limits, rollouts: this._rollouts, crashes: this.crashes })
     this._stop = new plannedStop.PlannedStop({
       graceMs: settings.graceMs,
       nowMs,
@@ -275,12 +270,17 @@
   public handleConnectionChange (nodeId: base.NodeId, isConnected: boolean): void {
     this._log.log(isConnected ? 'info' : 'warn', isConnected ? 'peer-connected' : 'peer-lost', { peer: nodeId })
     this._fleet.handleConnectionChange(nodeId, isConnected)
-    if (isConnected) this.crashes.greet(message => { this._links.send(nodeId, message) })
+    if (!isConnected) return
+    const send = (message: linkCodec.LinkMessage): void => { this._links.send(nodeId, message) }
+    this._rollouts.greet(send)
+    this.crashes.greet(send)
   }
 
   public handleHello (hello: linkCodec.HelloMessage, reply: (message: linkCodec.LinkMessage) => void): void {
     this._handleHello(hello)
     reply(this._fleet.hello(this.version))
+    // Before the status, after which calls can be sent to the target.
+    this._rollouts.greet(reply)
     reply({ kind: 'status', status: this._status() })
     reply(this._rules.report)
     this.crashes.greet(reply)
@@ -333,6 +333,7 @@
     this._target.tick()
     this._log.tick(this._links.traffic)
     this._rules.tick()
+    this._rollouts.tick()
     if (this._options.nowMs() >= this._statusAtMs) this._sendStatus(false)
     this._fleet.tick()
     this._limits.tick()
@@ -355,6 +356,7 @@
   }
 
   private _handleTargetChange (): void {
+    this._rollouts.handleTarget()
     this._sendStatus(true)
     this._fleet.publish()
   }
--- a/packages/node/src/direct/LinkCodec.ts
+++ b/packages/node/src/direct/LinkCodec.ts
@@ -1,11 +1,13 @@
 import * as crashReports from './CrashReports.js'
+import * as grantMessages from './GrantMessages.js'
+import * as linkValues from './LinkValues.js'
 import * as msgpackr from 'msgpackr'
 import * as nodeRecords from './NodeRecords.js'
+import * as rolloutReports from './RolloutReports.js'
 import * as results from 'ts-results-es'
 import type * as base from '@elmpost/common/base/Types.js'
-import type * as callGrants from '@elmpost/common/direct/CallGrants.js'
 import type * as direct from '@elmpost/common/direct/Types.js'
-import type * as grantIssuer from '@elmpost/common/direct/GrantIssuer.js'
+import type * as rolloutTypes from '@elmpost/common/direct/RolloutTypes.js'
 import type * as types from './Types.js'
 
 const STATES: readonly direct.TargetState[] = ['ready', 'leaving', 'down', 'absent']
@@ -26,13 +28,11 @@
 const UNKNOWN_ERA = -1
 /** Number of values that encode a load, without its limit. */
 const LOAD_VALUES = 6
-/** Most grants in one message. A larger number is a fault of the sender. */
-const MAX_GRANTS = 100_000
 /** Number of values that encode a limit. */
 const LIMIT_VALUES = 2
 
 /** First value of each message, which identifies its kind. */
-const KIND = { hello: 0, status: 1, call: 2, answered: 3, refused: 4, failed: 5, cancel: 6, alive: 7, rulesRequest: 8, rules: 9, nodesRequest: 10, nodes: 11, grantsRequest: 12, grants: 13 } as const
+const KIND = { hello: 0, status: 1, call: 2, answered: 3, refused: 4, failed: 5, cancel: 6, alive: 7, rulesRequest: 8, rules: 9, nodesRequest: 10, nodes: 11, grantsRequest: 12, grants: 13, rollouts: 14, rolloutHealth: 15 } as const
 
 export interface HelloMessage {
   readonly kind: 'hello'
@@ -67,17 +67,6 @@
   readonly refused?: number
 }
 
-/** Asks an issuer for grants, and tells it the part of the sender's share of the limits that it has. */
-export interface GrantsRequestMessage extends callGrants.GrantsRequest {
-  readonly kind: 'grants-request'
-}
-
-/** Answers a request for grants. */
-export interface GrantsMessage extends grantIssuer.Issued {
-  readonly kind: 'grants'
-  readonly requestId: number
-}
-
 /** Messages between two nodes. The side that opened the link sends calls; the other side answers them. */
 export type LinkMessage =
   | HelloMessage
@@ -90,8 +79,10 @@
   | { readonly kind: 'rules', readonly bytes: Uint8Array }
   | { readonly kind: 'nodes-request' }
   | NodesMessage
-  | GrantsRequestMessage
-  | GrantsMessage
+  | grantMessages.GrantsRequestMessage
+  | grantMessages.GrantsMessage
+  | { readonly kind: 'rollouts', readonly rollouts: readonly rolloutReports.RolloutNews[] }
+  | { readonly kind: 'rollout-health', readonly hosts: readonly rolloutTypes.HostHealth[] }
 
 type Values = readonly unknown[]
 
@@ -162,14 +153,16 @@
     case 'rules': return [KIND.rules, message.bytes]
     case 'nodes-request': return [KIND.nodesRequest]
     case 'nodes': return [KIND.nodes, message.nodes.map(({ nodeId, zone, service, linkMbps }) => [nodeId, zone, service, linkMbps]), ...crashReports.valuesOf(message.crashes)]
-    case 'grants-request': return [KIND.grantsRequest, message.requestId, message.customer, message.waiting, message.wanted, message.part]
-    case 'grants': return [KIND.grants, message.requestId, message.count, Math.ceil(message.waitMs)]
+    case 'grants-request': return [KIND.grantsRequest, ...grantMessages.requestValues(message)]
+    case 'grants': return [KIND.grants, ...grantMessages.grantsValues(message)]
+    case 'rollouts': return [KIND.rollouts, rolloutReports.newsValues(message.rollouts)]
+    case 'rollout-health': return [KIND.rolloutHealth, rolloutReports.healthValues(message.hosts)]
   }
 }
 
 function statusValues ({ state, load, version, storeAgeMs, fleetStoreAgeMs, storeEra = UNKNOWN_ERA, target }: direct.HostStatus): Values {
   const values = [KIND.status, STATES.indexOf(state), version, ageValue(storeAgeMs), ...loadValues(load), ageValue(fleetStoreAgeMs)]
-  if (target !== undefined) return [...values, storeEra, ...limitValues(load.limit), target.targetId, target.startedAtMs, target.isLeaving]
+  if (target !== undefined) return [...values, storeEra, ...limitValues(load.limit), target.targetId, target.startedAtMs, target.isLeaving, ...(target.softwareVersion === undefined ? [] : [target.softwareVersion])]
   if (load.limit !== undefined) return [...values, storeEra, ...limitValues(load.limit)]
   return storeEra === UNKNOWN_ERA ? values : [...values, storeEra]
 }
@@ -234,20 +227,28 @@
     case KIND.answered: return answeredOf(values)
     case KIND.refused: return refusedOf(values)
     case KIND.failed: return failedOf(values)
-    case KIND.cancel: return isNumber(values[1]) ? { kind: 'cancel', callId: values[1] } : undefined
+    case KIND.cancel: return linkValues.isNumber(values[1]) ? { kind: 'cancel', callId: values[1] } : undefined
     case KIND.alive: return aliveOf(values)
     case KIND.rulesRequest: return { kind: 'rules-request' }
     case KIND.rules: return values[1] instanceof Uint8Array ? { kind: 'rules', bytes: values[1] } : undefined
     case KIND.nodesRequest: return { kind: 'nodes-request' }
     case KIND.nodes: return nodesOf(values[1], values[2])
-    case KIND.grantsRequest: return grantsRequestOf(values)
-    case KIND.grants: return grantsOf(values)
+    case KIND.grantsRequest: return grantMessages.requestOf(values.slice(1))
+    case KIND.grants: return grantMessages.grantsOf(values.slice(1))
+    case KIND.rollouts: {
+      const rollouts = rolloutReports.newsOf(values[1])
+      return rollouts === undefined ? undefined : { kind: 'rollouts', rollouts }
+    }
+    case KIND.rolloutHealth: {
+      const hosts = rolloutReports.healthOf(values[1])
+      return hosts === undefined ? undefined : { kind: 'rollout-health', hosts }
+    }
     default: return undefined
   }
 }
 
 function helloOf ([, nodeId, zone, service, version, linkMbps, ...rest]: Values): LinkMessage | undefined {
-  if (!isText(nodeId) || !nodeRecords.isAddress(nodeId) || !nodeRecords.isName(zone) || !nodeRecords.isName(service) || !isWhole(version) || !nodeRecords.isLinkMbps(linkMbps)) return undefined
+  if (!linkValues.isText(nodeId) || !nodeRecords.isAddress(nodeId) || !nodeRecords.isName(zone) || !nodeRecords.isName(service) || !linkValues.isWhole(version) || !nodeRecords.isLinkMbps(linkMbps)) return undefined
   const hello = { kind: 'hello', nodeId, zone, service, version, linkMbps } as const
   // Earlier versions do not send the last values.
   if (rest.length === 0) return hello
@@ -256,31 +257,31 @@
 }
 
 function noticeOf ([targetId, startedAtMs, limit, isLeaving]: Values): direct.KnownNotice | undefined {
-  if (!isText(targetId) || !isNumber(startedAtMs) || !isNumber(limit) || typeof isLeaving !== 'boolean') return undefined
+  if (!linkValues.isText(targetId) || !linkValues.isNumber(startedAtMs) || !linkValues.isNumber(limit) || typeof isLeaving !== 'boolean') return undefined
   return { targetId, startedAtMs, maxCallsPerS: limit < 0 ? Infinity : limit, isLeaving }
 }
 
 function statusOf ([, stateCode, version, storeAgeMs, ...rest]: Values): LinkMessage | undefined {
-  const state = isNumber(stateCode) ? STATES[stateCode] : undefined
+  const state = linkValues.isNumber(stateCode) ? STATES[stateCode] : undefined
   // Earlier versions do not send the last values.
   const [fleetStoreAgeMs = UNKNOWN_AGE, era = UNKNOWN_ERA, ...last] = rest.slice(LOAD_VALUES)
   const load = loadOf([...rest.slice(0, LOAD_VALUES), ...last.slice(0, LIMIT_VALUES)])
-  const [targetId, startedAtMs, isLeaving] = last.slice(LIMIT_VALUES)
-  if (state === undefined || !isWhole(version) || !isNumber(storeAgeMs) || !isNumber(fleetStoreAgeMs) || !isNumber(era) || !Number.isSafeInteger(era) || load === undefined) return undefined
+  const [targetId, startedAtMs, isLeaving, softwareVersion] = last.slice(LIMIT_VALUES)
+  if (state === undefined || !linkValues.isWhole(version) || !linkValues.isNumber(storeAgeMs) || !linkValues.isNumber(fleetStoreAgeMs) || !linkValues.isNumber(era) || !Number.isSafeInteger(era) || load === undefined) return undefined
   const known = { state, version, storeAgeMs: ageOf(storeAgeMs), fleetStoreAgeMs: ageOf(fleetStoreAgeMs), load }
   const status = era < 0 ? known : { ...known, storeEra: era }
   if (targetId === undefined) return { kind: 'status', status }
-  if (!isText(targetId) || !isNumber(startedAtMs) || typeof isLeaving !== 'boolean') return undefined
-  return { kind: 'status', status: { ...status, target: { targetId, startedAtMs, isLeaving } } }
+  if (!linkValues.isText(targetId) || !linkValues.isNumber(startedAtMs) || typeof isLeaving !== 'boolean' || (softwareVersion !== undefined && !nodeRecords.isName(softwareVersion))) return undefined
+  return { kind: 'status', status: { ...status, target: { targetId, startedAtMs, isLeaving, ...(softwareVersion === undefined ? {} : { softwareVersion }) } } }
 }
 
 function callOf (values: Values): LinkMessage | undefined {
   const [, callId, service, isIdempotent, priority, remainingMs, objectiveMs, elapsedMs, requestId, method, path, headers, body, isRetry = false, sentAtMs, crashes] = values
-  if (!isNumber(callId) || !isText(service) || typeof isIdempotent !== 'boolean' || !isNumber(priority) || !isNumber(remainingMs)) return undefined
-  if (!isNumber(objectiveMs) || !isNumber(elapsedMs) || !isText(requestId) || !isText(method) || !isText(path)) return undefined
+  if (!linkValues.isNumber(callId) || !linkValues.isText(service) || typeof isIdempotent !== 'boolean' || !linkValues.isNumber(priority) || !linkValues.isNumber(remainingMs)) return undefined
+  if (!linkValues.isNumber(objectiveMs) || !linkValues.isNumber(elapsedMs) || !linkValues.isText(requestId) || !linkValues.isText(method) || !linkValues.isText(path)) return undefined
   // Earlier versions do not send the last values.
   const crashField = crashReports.fieldOf(crashes)
-  if (!isHeaders(headers) || !isBody(body) || typeof isRetry !== 'boolean' || !isOptionalNumber(sentAtMs) || crashField === undefined) return undefined
+  if (!linkValues.isHeaders(headers) || !linkValues.isBody(body) || typeof isRetry !== 'boolean' || !linkValues.isOptionalNumber(sentAtMs) || crashField === undefined) return undefined
   const call = {
     callId,
     service,
@@ -307,7 +308,7 @@
 }
 
 function aliveOf ([, version, sentAtMs, storeAgeMs, confirmedAgeMs]: Values): LinkMessage | undefined {
-  if (!isWhole(version) || !isOptionalNumber(sentAtMs) || !isOptionalNumber(storeAgeMs) || !isOptionalNumber(confirmedAgeMs)) return undefined
+  if (!linkValues.isWhole(version) || !linkValues.isOptionalNumber(sentAtMs) || !linkValues.isOptionalNumber(storeAgeMs) || !linkValues.isOptionalNumber(confirmedAgeMs)) return undefined
   if (sentAtMs === undefined) return { kind: 'alive', version }
   const alive = { kind: 'alive', version, sentAtMs } as const
   return storeAgeMs === undefined || confirmedAgeMs === undefined ? alive : { ...alive, storeAgeMs: ageOf(storeAgeMs), confirmedAgeMs: ageOf(confirmedAgeMs) }
@@ -315,21 +316,21 @@
 
 function answeredOf ([, callId, status, headers, body, isUnframed, ...rest]: Values): LinkMessage | undefined {
   const load = loadOf(rest)
-  if (!isNumber(callId) || !isNumber(status) || !isHeaders(headers) || !isBody(body) || typeof isUnframed !== 'boolean' || load === undefined) return undefined
+  if (!linkValues.isNumber(callId) || !linkValues.isNumber(status) || !linkValues.isHeaders(headers) || !linkValues.isBody(body) || typeof isUnframed !== 'boolean' || load === undefined) return undefined
   return { kind: 'result', callId, result: { kind: 'answered', answer: { status, headers, body: body ?? undefined, isUnframed } }, load }
 }
 
 function refusedOf ([, callId, code, reachedTarget, waitMs, ...rest]: Values): LinkMessage | undefined {
-  const reason = isNumber(code) ? REFUSALS[code] : undefined
+  const reason = linkValues.isNumber(code) ? REFUSALS[code] : undefined
   const load = loadOf(rest)
-  if (!isNumber(callId) || reason === undefined || typeof reachedTarget !== 'boolean' || !isNumber(waitMs) || load === undefined) return undefined
+  if (!linkValues.isNumber(callId) || reason === undefined || typeof reachedTarget !== 'boolean' || !linkValues.isNumber(waitMs) || load === undefined) return undefined
   return { kind: 'result', callId, result: { kind: 'refused', refusal: { reason, reachedTarget, waitMs } }, load }
 }
 
 function failedOf ([, callId, code, ...rest]: Values): LinkMessage | undefined {
-  const reason = isNumber(code) ? FAILURES[code] : undefined
+  const reason = linkValues.isNumber(code) ? FAILURES[code] : undefined
   const load = loadOf(rest)
-  if (!isNumber(callId) || reason === undefined || load === undefined) return undefined
+  if (!linkValues.isNumber(callId) || reason === undefined || load === undefined) return undefined
   return { kind: 'result', callId, result: { kind: 'failed', reason }, load }
 }
 
@@ -347,47 +348,9 @@
   return nodes.length === list.length ? message : { ...message, refused: list.length - nodes.length }
 }
 
-function grantsRequestOf ([, requestId, customer, waiting, wanted, part]: Values): LinkMessage | undefined {
-  if (!isWhole(requestId) || !isText(customer) || !isCount(waiting) || !isCount(wanted) || !isNumber(part) || part < 0 || part > 1) return undefined
-  return { kind: 'grants-request', requestId, customer, waiting, wanted, part }
-}
-
-function grantsOf ([, requestId, count, waitMs]: Values): LinkMessage | undefined {
-  if (!isWhole(requestId) || !isCount(count) || !isNumber(waitMs) || waitMs < 0) return undefined
-  return { kind: 'grants', requestId, count, waitMs }
-}
-
 function loadOf ([running, queued, urgentQueued, leastUrgent, slots, serviceMs, maxCallsPerS = NO_LIMIT, permits = 0]: Values): direct.TargetLoad | undefined {
-  if (!isNumber(running) || !isNumber(queued) || !isNumber(urgentQueued) || !isNumber(leastUrgent)) return undefined
-  if (!isNumber(slots) || !isNumber(serviceMs) || slots < 1 || slots > nodeRecords.MAX_SLOTS || !isNumber(maxCallsPerS) || !isNumber(permits)) return undefined
+  if (!linkValues.isNumber(running) || !linkValues.isNumber(queued) || !linkValues.isNumber(urgentQueued) || !linkValues.isNumber(leastUrgent)) return undefined
+  if (!linkValues.isNumber(slots) || !linkValues.isNumber(serviceMs) || slots < 1 || slots > nodeRecords.MAX_SLOTS || !linkValues.isNumber(maxCallsPerS) || !linkValues.isNumber(permits)) return undefined
   const load = { running, queued, urgentQueued, leastUrgent, slots, serviceMs }
   return maxCallsPerS <= 0 ? load : { ...load, limit: { maxCallsPerS, permits } }
 }
-
-function isNumber (value: unknown): value is number {
-  return typeof value === 'number' && Number.isFinite(value)
-}
-
-function isWhole (value: unknown): value is number {
-  return Number.isSafeInteger(value) && (value as number) >= 0
-}
-
-function isCount (value: unknown): value is number {
-  return isWhole(value) && value <= MAX_GRANTS
-}
-
-function isOptionalNumber (value: unknown): value is number | undefined {
-  return value === undefined || isNumber(value)
-}
-
-function isText (value: unknown): value is string {
-  return typeof value === 'string'
-}
-
-function isHeaders (value: unknown): value is string[] {
-  return Array.isArray(value) && value.length % 2 === 0 && value.every(isText)
-}
-
-function isBody (value: unknown): value is Uint8Array | null {
-  return value === null || value instanceof Uint8Array
-}
--- a/packages/node/src/direct/LocalTarget.ts
+++ b/packages/node/src/direct/LocalTarget.ts
@@ -38,6 +38,7 @@
   readonly crashes: services.ICrashGuard
   readonly nestedCalls: services.INestedCalls
   readonly customerWeight: (customer: string) => number
+  readonly rollout?: services.IHostRollout | undefined
   /** The state, the slots or the id of the target has changed. */
   readonly onChange: () => void
 }
@@ -91,6 +92,7 @@
       crashes: options.crashes,
       nestedCalls: options.nestedCalls,
       customerWeight: options.customerWeight,
+      rollout: options.rollout,
       events: this
     })
   }
--- a/packages/node/src/direct/NodeDirectory.ts
+++ b/packages/node/src/direct/NodeDirectory.ts
@@ -24,6 +24,8 @@
   readonly logger: nodeServices.ILogger
   /** Nodes that are linked regardless of the plan. */
   readonly requiredPeers: () => readonly base.NodeId[]
+  /** Whether targets of several versions of the service are in use. */
+  readonly isRolledOut?: (service: string) => boolean
   /** Called when a node has been unreachable for so long that its record in the store is obsolete. */
   readonly onExpired: (nodeId: base.NodeId) => void
 }
@@ -102,11 +104,12 @@
     this._newRecords.clear()
   }
 
-  private _put ({ nodeId, zone, service, linkMbps }: direct.NodeRecord): void {
+  private _put ({ nodeId, zone, service, linkMbps, target }: direct.NodeRecord): void {
     const { selfId, table, links } = this._options
     if (nodeId === selfId) return
     this._isPlanStale = true
-    table.put(nodeId, zone, service, linkMbps)
+    const row = table.put(nodeId, zone, service, linkMbps)
+    row.softwareVersion ??= target?.softwareVersion
     // The link to a seed is opened before its node is known.
     table.setConnected(nodeId, links.isConnected(nodeId))
   }
--- a/packages/node/src/direct/NodeView.ts
+++ b/packages/node/src/direct/NodeView.ts
@@ -5,6 +5,7 @@
 import type * as ingress from './Ingress.js'
 import type * as localTarget from './LocalTarget.js'
 import type * as nodeLinks from './NodeLinks.js'
+import type * as rollouts from './Rollouts.js'
 import type * as rulesDistribution from './RulesDistribution.js'
 import type * as targetTable from '@elmpost/common/direct/TargetTable.js'
 import type * as types from './Types.js'
@@ -20,6 +21,7 @@
   readonly rules: rulesDistribution.RulesDistribution
   readonly ingress: ingress.Ingress
   readonly limits: customerLimits.CustomerLimits
+  readonly rollouts: rollouts.Rollouts
   readonly crashes: crashGuards.CrashGuard
 }
 
@@ -28,7 +30,7 @@
   constructor (private readonly _options: NodeViewOptions) {}
 
   public get gauges (): directServices.DirectGauges {
-    const { version, isReady, entry, target, links, table, rules, ingress, limits } = this._options
+    const { version, isReady, entry, target, links, table, rules, ingress, limits, rollouts } = this._options
     return {
       version: version(),
       isReady: isReady(),
@@ -42,7 +44,9 @@
       bodyBytes: ingress.bodyBytes,
       behindMs: rules.behindMs,
       grants: limits.counts,
-      confirmedAgeMs: rules.confirmedAgeMs
+      confirmedAgeMs: rules.confirmedAgeMs,
+      rollouts: rollouts.states,
+      drivesRollouts: rollouts.isDriving
     }
   }
 
--- a/packages/node/src/direct/PeerMessages.ts
+++ b/packages/node/src/direct/PeerMessages.ts
@@ -4,6 +4,7 @@
 import type * as crashGuards from './CrashGuard.js'
 import type * as customerLimits from './CustomerLimits.js'
 import type * as fleetMembership from './FleetMembership.js'
+import type * as rollouts from './Rollouts.js'
 import type * as rulesDistribution from './RulesDistribution.js'
 import type * as stallWatch from '@elmpost/common/direct/StallWatch.js'
 import type * as targetTable from '@elmpost/common/direct/TargetTable.js'
@@ -13,6 +14,7 @@
   readonly fleet: fleetMembership.FleetMembership
   readonly rules: rulesDistribution.RulesDistribution
   readonly limits: customerLimits.CustomerLimits
+  readonly rollouts: rollouts.Rollouts
   readonly crashes: crashGuards.CrashGuard
   readonly stalls: stallWatch.StallWatch
   readonly log: callLog.CallLog
@@ -25,7 +27,7 @@
   constructor (private readonly _options: PeerMessagesOptions) {}
 
   public handle (nodeId: base.NodeId, message: linkCodec.LinkMessage, reply: (message: linkCodec.LinkMessage) => void): void {
-    const { table, fleet, rules, limits, crashes, stalls, log, nowMs, onHello } = this._options
+    const { table, fleet, rules, limits, rollouts, crashes, stalls, log, nowMs, onHello } = this._options
     switch (message.kind) {
       case 'hello':
         onHello(message)
@@ -58,6 +60,12 @@
       case 'grants':
         limits.handleGrants(nodeId, message)
         break
+      case 'rollouts':
+        rollouts.handleNews(nodeId, message.rollouts)
+        break
+      case 'rollout-health':
+        rollouts.handleHealth(nodeId, message.hosts)
+        break
       default:
         this.handleMalformed(nodeId, new Error(`unexpected message of kind ${message.kind}`))
     }
--- a/packages/node/src/direct/Services.ts
+++ b/packages/node/src/direct/Services.ts
@@ -4,6 +4,7 @@
 import type * as crashWatches from './CrashWatch.js'
 import type * as direct from '@elmpost/common/direct/Types.js'
 import type * as http from 'node:http'
+import type * as rollout from '@elmpost/common/direct/RolloutTypes.js'
 import type * as requestIdentity from './RequestIdentity.js'
 import type * as storeEra from '@elmpost/common/direct/StoreEra.js'
 import type * as types from './Types.js'
@@ -41,8 +42,8 @@
   newest(topic: string, timeoutMs: base.Millis): Promise<types.NewestResult>
   /** Records from an offset on. Waits up to `waitMs` for the next one, but not beyond a new era, in which offsets are given out again. */
   read(topic: string, fromOffset: number, waitMs: base.Millis, timeoutMs: base.Millis): Promise<types.ReadResult>
-  /** Writes all of the records or none. */
-  put(topic: string, records: readonly types.KeyedRecord[], timeoutMs: base.Millis): Promise<types.PutResult>
+  /** Writes all of the records or none. With `atOffset`, only if the topic ends there. */
+  put(topic: string, records: readonly types.KeyedRecord[], timeoutMs: base.Millis, atOffset?: number): Promise<types.PutResult>
 }
 
 /** Location of the accepted configuration in the store, and its format. */
@@ -53,6 +54,37 @@
   decode(bytes: Uint8Array): direct.MeshRules | Error
 }
 
+/** Final status of a roll-out, or that it goes on. */
+export type RolloutStatus = 'running' | 'completed' | 'rolled_back'
+
+/** Orders of roll-outs, which are in the topic of the configuration, and their statuses in the store. */
+export interface IRolloutFormat {
+  /** Topic of the statuses, which this system writes. */
+  readonly statusTopic: string
+  /** Key of the order and of the status of a service. */
+  keyOf(service: string): string
+  /** Whether the key is that of an order, or of a status. */
+  isKey(key: string): boolean
+  /** Returns an error that states what is wrong if the record is invalid. */
+  decodeOrder(key: string, bytes: Uint8Array): Omit<rollout.RolloutOrder, 'offset' | 'digest'> | Error
+  decodeStatus(bytes: Uint8Array): RolloutReport | Error
+  encodeStatus(report: RolloutReport): Buffer
+}
+
+export interface RolloutReport {
+  readonly service: string
+  readonly state: RolloutStatus
+  readonly targetVersion: string
+}
+
+/** What a host needs to know of a roll-out of its service. */
+export interface IHostRollout {
+  /** Whether the target beside the host may run calls in the phase of the roll-out. */
+  readonly mayRun: boolean
+  /** A call on the target has ended `tookMs` after its start. */
+  recordRun(call: types.CallMessage, result: types.RunResult, tookMs: base.Millis): void
+}
+
 /** Receives the results of calls that were passed to a host node. */
 export interface IHostCaller {
   handleHostResult(nodeId: base.NodeId, callId: number, result: types.HostResult, load: direct.TargetLoad): void
--- a/packages/node/src/direct/TargetHostOptions.ts
+++ b/packages/node/src/direct/TargetHostOptions.ts
@@ -26,6 +26,8 @@
   readonly customerWeight: (customer: string) => number
   /** Start of the target; undefined if it is not known. */
   readonly start: () => direct.TargetStart | undefined
+  /** Undefined if the service of the target is never rolled out. */
+  readonly rollout?: services.IHostRollout | undefined
   readonly events: ITargetHostEvents
 }
 
