Bound what connections hold for requests, unread answers and incomplete input

Cause: Node.js parses a read of 64 KiB as a whole, so each connection can add over a thousand requests at once, and nothing bounds how many wait on all connections. Its own stop for unread answers does not count requests. A link whose other side does not read could grow without bound.

ConnectionLimits, attached to every listener of a node, stops reading from a connection with 256 waiting requests or 1 MiB of unread answers, and from those that wait for an answer when all requests take half of a quarter of the heap. It closes a connection that reads nothing for 30 s, the largest ones when all hold more than the bound, and connections beyond 8,192. Each limit is a setting; closed connections are logged and counted. The listener for other nodes answers 426 to plain requests.

--- a/addons/addon-metrics/src/DirectMetrics.test.ts
+++ b/addons/addon-metrics/src/DirectMetrics.test.ts
@@ -14,7 +14,7 @@
 
   public gauges (): direct.DirectGauges {
     const load = { running: 0, queued: 0, urgentQueued: 0, leastUrgent: 0, slots: 4, serviceMs: 0 }
-    return { version: 1, isReady: true, entryInFlight: 0, load, slotTimes: { 'on-time': 4_000, late: 500, error: 0, lost: 0, free: 90_000 }, linkBytes: { sent: { result: 5_000, status: 60 }, received: { call: 700 } }, state: 'ready', targetCrashes: 2, targetCalls: 42, targetLimitPerS: 9.8, knownNodes: 1, connectedNodes: 1, storeAgeMs: 0, acceptWaitMs: 0.3, bodyBytes: 5_000, behindMs: 700, confirmedAgeMs: 900 }
+    return { version: 1, isReady: true, entryInFlight: 0, load, slotTimes: { 'on-time': 4_000, late: 500, error: 0, lost: 0, free: 90_000 }, linkBytes: { sent: { result: 5_000, status: 60 }, received: { call: 700 } }, state: 'ready', targetCrashes: 2, targetCalls: 42, targetLimitPerS: 9.8, knownNodes: 1, connectedNodes: 1, storeAgeMs: 0, acceptWaitMs: 0.3, bodyBytes: 5_000, connections: { heldBytes: 9_000, paused: 2, closed: { unread: 3 } }, behindMs: 700, confirmedAgeMs: 900 }
   }
 }
 
@@ -54,6 +54,9 @@
     const text = await new directMetrics.DirectMetrics(new FakeNode()).render()
     assert.match(text, /elmpost_direct_body_bytes\{.*\} 5000\n/)
     assert.match(text, /elmpost_direct_accept_wait_seconds\{.*\} 0\.0003\n/)
+    assert.match(text, /elmpost_direct_connection_bytes\{.*\} 9000\n/)
+    assert.match(text, /elmpost_direct_connections_paused\{.*\} 2\n/)
+    assert.match(text, /elmpost_direct_connections_closed_total\{reason="unread",.*\} 3\n/)
     assert.match(text, /elmpost_direct_behind_seconds\{.*\} 0\.7\n/)
     assert.match(text, /elmpost_direct_confirmed_age_seconds\{.*\} 0\.9\n/)
   })
--- a/addons/addon-metrics/src/DirectMetrics.ts
+++ b/addons/addon-metrics/src/DirectMetrics.ts
@@ -82,6 +82,9 @@
     this._gauge('elmpost_direct_nodes_connected', 'Nodes that calls can be sent to, itself included', () => node.gauges().connectedNodes)
     this._gauge('elmpost_direct_store_age_seconds', 'Time since the store last answered this node', () => node.gauges().storeAgeMs / MS_PER_S)
     this._gauge('elmpost_direct_body_bytes', 'Bytes of bodies of callers that are being received, or whose requests have no answer yet', () => node.gauges().bodyBytes)
+    this._gauge('elmpost_direct_connection_bytes', 'Estimated memory of connections for requests without an answer, answers that are not read and incomplete input', () => node.gauges().connections.heldBytes)
+    this._gauge('elmpost_direct_connections_paused', 'Connections from which nothing is read, because of what they hold', () => node.gauges().connections.paused)
+    this._closedConnections(node)
     this._gauge('elmpost_direct_accept_wait_seconds', 'How long a connection of a caller that is accepted now may have waited', () => node.gauges().acceptWaitMs / MS_PER_S)
     this._gauge('elmpost_direct_behind_seconds', 'Time since another node is known to enforce a newer version; 0 if none is', () => node.gauges().behindMs / MS_PER_S)
     this._gauge('elmpost_direct_confirmed_age_seconds', 'Time since the version in force is known to have been the newest one; +Inf if it is not known', () => node.gauges().confirmedAgeMs / MS_PER_S)
@@ -128,6 +131,19 @@
     })
   }
 
+  private _closedConnections (node: direct.IDirectView): void {
+    const counter: promClient.Counter<'reason'> = new promClient.Counter({
+      name: 'elmpost_direct_connections_closed_total',
+      help: 'Connections that were closed because of a limit, by reason: unread, memory, count',
+      labelNames: ['reason'],
+      registers: [this._registry],
+      collect: () => {
+        counter.reset()
+        for (const [reason, count] of Object.entries(node.gauges().connections.closed)) counter.inc({ reason }, count)
+      }
+    })
+  }
+
   private _gauge (name: string, help: string, read: () => number): void {
     const gauge: promClient.Gauge = new promClient.Gauge({ name, help, registers: [this._registry], collect: () => { gauge.set(read()) } })
   }
--- a/packages/common/src/direct/Services.ts
+++ b/packages/common/src/direct/Services.ts
@@ -48,12 +48,22 @@
   readonly acceptWaitMs: base.Millis
   /** Bytes of bodies of callers that are being received, or whose requests have no answer yet. */
   readonly bodyBytes: number
+  readonly connections: ConnectionGauges
   /** Time since another node is known to enforce a newer version. */
   readonly behindMs: base.Millis
   /** Since the version in force is known to have been the newest one; Infinity if it is not known. */
   readonly confirmedAgeMs: base.Millis
 }
 
+/** Connections to the servers of the process, and what they hold memory for. */
+export interface ConnectionGauges {
+  readonly heldBytes: number
+  /** Connections from which nothing is read, because of what they hold. */
+  readonly paused: number
+  /** Connections that were closed because of a limit, by reason. */
+  readonly closed: Readonly<Record<string, number>>
+}
+
 export interface IDirectView {
   readonly nodeName: string
   readonly zone: string
--- a/packages/node/src/CallerListener.ts
+++ b/packages/node/src/CallerListener.ts
@@ -4,6 +4,7 @@
 import * as polka from 'polka'
 import * as timers from 'node:timers/promises'
 import type * as base from '@elmpost/common/base/Types.js'
+import type * as connectionLimits from './ConnectionLimits.js'
 import type * as net from 'node:net'
 import type * as services from './Services.js'
 import type * as types from './Types.js'
@@ -23,6 +24,8 @@
   /** Idle time advertised to callers. Idle connections stay open for this time when the listener is closing. */
   readonly closingIdleMs: base.Millis
   readonly handle: (request: http.IncomingMessage, response: http.ServerResponse) => void
+  /** Limits of the connections. Undefined: those of Node.js. */
+  readonly limits?: connectionLimits.ConnectionLimits | undefined
   /** Called with each connection that is accepted. */
   readonly onAccepted?: (socket: net.Socket) => void
 }
@@ -40,11 +43,15 @@
 
   constructor (options: CallerListenerOptions) {
     this._options = options
-    this._http = http.createServer({ keepAliveTimeout: options.keepAliveMs, noDelay: true })
+    const { limits } = options
+    this._http = http.createServer({ ...limits?.serverOptions, keepAliveTimeout: options.keepAliveMs, noDelay: true })
     // Without middleware polka calls this handler directly for every path.
     const app = polka.default({ server: this._http, onNoMatch: (request, response) => { options.handle(request, response) } })
     this._http.on('connection', socket => { this._handleConnection(socket) })
-    this._http.on('request', app.handler.bind(app) as unknown as http.RequestListener)
+    const handle = app.handler.bind(app) as unknown as http.RequestListener
+    if (limits === undefined) this._http.on('request', handle)
+    // The memory for bodies is bounded by what reads them.
+    else limits.attach(this._http, 'callers', 0, handle)
   }
 
   public get isClosing (): boolean {
--- a/packages/node/src/PeerServer.ts
+++ b/packages/node/src/PeerServer.ts
@@ -1,4 +1,5 @@
 import * as addresses from './Addresses.js'
+import * as connectionLimits from './ConnectionLimits.js'
 import * as http from 'node:http'
 import * as peerLinks from './PeerLinks.js'
 import * as ws from 'ws'
@@ -12,6 +13,8 @@
   readonly binder?: services.IServerBinder | undefined
   /** A longer message ends its connection. */
   readonly maxMessageBytes?: number
+  /** Limits of the connections until they are WebSocket connections. */
+  readonly limits?: connectionLimits.ConnectionLimits | undefined
   /** Called with each connection that a node opens. */
   readonly onConnection: (socket: ws.WebSocket) => void
 }
@@ -19,11 +22,16 @@
 /** WebSocket server that accepts connections from other nodes. */
 export class PeerServer implements base.IDisposable {
   private readonly _options: PeerServerOptions
-  private readonly _http = http.createServer()
+  private readonly _http: http.Server
   private readonly _server: ws.WebSocketServer
 
   constructor (options: PeerServerOptions) {
     this._options = options
+    const { limits = new connectionLimits.ConnectionLimits() } = options
+    this._http = http.createServer(limits.serverOptions)
+    limits.attach(this._http, 'peers', 0, (_request, response) => { response.writeHead(426, { Connection: 'close', Upgrade: 'websocket' }).end() })
+    // Before the WebSocket server reads from the connection.
+    this._http.on('upgrade', ({ socket }) => { limits.release(socket) })
     this._server = new ws.WebSocketServer({
       server: this._http,
       perMessageDeflate: false,
--- a/packages/node/src/direct/DirectNode.ts
+++ b/packages/node/src/direct/DirectNode.ts
@@ -2,6 +2,7 @@
 import * as auditTrail from './AuditTrail.js'
 import * as callLog from './CallLog.js'
 import * as callMeasure from './CallMeasure.js'
+import * as connectionLimits from '../ConnectionLimits.js'
 import * as crashGuards from './CrashGuard.js'
 import * as directCalls from '@elmpost/common/direct/DirectCalls.js'
 import * as disposable from '@elmpost/common/base/Disposable.js'
@@ -22,9 +23,9 @@
 import * as targetTable from '@elmpost/common/direct/TargetTable.js'
 import * as zoneCost from '@elmpost/common/direct/ZoneCost.js'
 import type * as base from '@elmpost/common/base/Types.js'
+import type * as directNodeOptions from './DirectNodeOptions.js'
 import type * as direct from '@elmpost/common/direct/Types.js'
 import type * as directServices from '@elmpost/common/direct/Services.js'
-import type * as nodeServices from '../Services.js'
 import type * as services from './Services.js'
 import type * as types from './Types.js'
 
@@ -34,20 +35,6 @@
 /** After this time a node counts as ready without the records of other nodes and without knowing that its version is the newest one, because the store may be down. */
 const READY_WITHOUT_STORE_MS = 1_500
 
-export interface DirectNodeOptions {
-  readonly settings: types.DirectSettings
-  readonly binder?: nodeServices.IServerBinder
-  readonly dialect: services.ICallDialect
-  readonly store: services.IKeyedStore
-  readonly rulesFormat: services.IRulesFormat
-  readonly logger: nodeServices.ILogger
-  readonly random: base.IRandom
-  /** Monotonic clock. */
-  readonly nowMs: () => base.Millis
-  /** Wall clock. Used for audit records, and as a mere hint that the VM may have been suspended. */
-  readonly timeOfDayMs: () => base.Millis
-}
-
 /** A node that carries direct calls. Connects its servers, its target and its links, and runs their periodic work. */
 export class DirectNode extends disposable.Disposable implements services.INodeControl, directServices.IDirectView, nodeLinks.INodeLinksEvents {
   /** Resolves when a planned stop is complete. */
@@ -58,7 +45,7 @@
   public readonly onCallEnded: base.IEvent<directServices.CallMeasured>
   public readonly onRetry: base.IEvent<direct.RetryDecided>
   private readonly _callEnded = new emitter.Emitter<directServices.CallMeasured>()
-  private readonly _options: DirectNodeOptions
+  private readonly _options: directNodeOptions.DirectNodeOptions
   private readonly _table = new targetTable.TargetTable()
   private readonly _fleet: fleetMembership.FleetMembership
   private readonly _rules: rulesDistribution.RulesDistribution
@@ -67,6 +54,7 @@
   private readonly _target: localTarget.LocalTarget
   private readonly _links: nodeLinks.NodeLinks
   private readonly _stalls: stallWatch.StallWatch
+  private readonly _limits: connectionLimits.ConnectionLimits
   private readonly _ingress: ingress.Ingress
   private readonly _peers: peerServer.PeerServer
   private readonly _audit: auditTrail.AuditTrail
@@ -77,7 +65,7 @@
   private _statusAtMs = 0
   private _resolveStopped: () => void = () => {}
 
-  constructor (options: DirectNodeOptions) {
+  constructor (options: directNodeOptions.DirectNodeOptions) {
     super()
     this._options = options
     const { settings, dialect, logger, random, nowMs, store } = options
@@ -88,6 +76,8 @@
     this.stopped = new Promise(resolve => { this._resolveStopped = resolve })
     this._log = new callLog.CallLog(logger, nowMs)
     this.crashes = new crashGuards.CrashGuard({ dialect, service: settings.service, nowMs, timeOfDayMs: options.timeOfDayMs, callLog: this._log, links: () => this._links, onOwnCrash: () => { this._fleet.publish() } })
+    this._limits = options.limits ?? new connectionLimits.ConnectionLimits()
+    this._register(this._limits.onClosed(limited => { this._log.log('warn', 'connection-closed', { ...limited }) }))
     const picker = new targetPicker.TargetPicker({ table: this._table, selfId, zone: settings.zone, random, otherZoneCostMs: zoneCost.otherZoneCostMs })
     this._calls = new directCalls.DirectCalls({ table: this._table, picker, random, retryTerms: settings.retryTerms, nodeCount: () => this._fleet.nodeCount, startedAtMs: nowMs() })
     const nestedCalls = new nestedCall.NestedCalls(this._calls, dialect, nowMs)
@@ -106,7 +96,7 @@
       nestedCalls,
       onChange: () => { this._handleTargetChange() }
     }))
-    this._links = this._register(new nodeLinks.NodeLinks({ selfId, hello: to => this._fleet.hello(this.version, to), nowMs, stalls: this._stalls, random, host: this._target.host, events: this }))
+    this._links = this._register(new nodeLinks.NodeLinks({ selfId, hello: to => this._fleet.hello(this.version, to), nowMs, stalls: this._stalls, random, host: this._target.host, limits: this._limits, events: this }))
     this._rules = this._register(new rulesDistribution.RulesDistribution({
       selfId,
       zone: settings.zone,
@@ -158,6 +148,7 @@
     this._ingress = this._register(new ingress.Ingress({
       address: addresses.parse(settings.callerAddress),
       binder: options.binder,
+      limits: this._limits,
       owner: this._entry,
       dialect,
       nowMs,
@@ -165,7 +156,7 @@
       onBodyRefused: ({ info: { requestId } }, heldBytes) => { this._log.log('warn', 'body-refused', { requestId, heldBytes }) },
       onAcceptsEnd: (waitMs, connections) => { this._log.logAccepts(waitMs, connections) }
     }))
-    this._peers = this._register(new peerServer.PeerServer({ address: addresses.parse(settings.peerListenAddress), binder: options.binder, maxMessageBytes: nodeLinks.MAX_MESSAGE_BYTES, onConnection: socket => { this._links.accept(socket) } }))
+    this._peers = this._register(new peerServer.PeerServer({ address: addresses.parse(settings.peerListenAddress), binder: options.binder, limits: this._limits, maxMessageBytes: nodeLinks.MAX_MESSAGE_BYTES, onConnection: socket => { this._links.accept(socket) } }))
     this._audit = new auditTrail.AuditTrail({ store, nodeId: selfId, logger, nowMs, isWriter: () => this._rules.readers.isWriter, timeOfDayMs: options.timeOfDayMs })
     this._register(new storeReturns.StoreReturns({ era: store.era, nodeRecord: this._fleet.record, auditTrail: this._audit, logger, spread: () => { this._sendStatus(true) } }))
     this._stop = new plannedStop.PlannedStop({
@@ -207,6 +198,7 @@
       storeAgeMs: this._rules.storeAgeMs,
       acceptWaitMs: this._ingress.acceptWaitMs,
       bodyBytes: this._ingress.bodyBytes,
+      connections: this._limits.gauges,
       behindMs: this._rules.behindMs,
       confirmedAgeMs: this._rules.confirmedAgeMs
     }
@@ -349,6 +341,7 @@
   private _tick (): void {
     this._stalls.tick()
     if (this._stalls.suspectedMs > 0) this._log.log('warn', 'stalled', { stalledMs: Math.round(this._stalls.stalledMs), suspectedMs: Math.round(this._stalls.suspectedMs) })
+    this._limits.tick()
     this._links.tick()
     this._target.tick()
     this._log.tick(this._links.traffic)
--- a/packages/node/src/direct/IncomingLink.ts
+++ b/packages/node/src/direct/IncomingLink.ts
@@ -16,6 +16,8 @@
 
 export interface IncomingLinkOptions {
   readonly socket: ws.WebSocket
+  /** The connection is closed when the other node has not read more than this. */
+  readonly maxUnreadBytes: number
   readonly codec: linkCodec.LinkCodec
   readonly nowMs: () => base.Millis
   readonly traffic: linkTraffic.LinkTraffic
@@ -28,6 +30,8 @@
   /** `delayMs`: how long the call waited on its way, as far as is known. */
   handleCall(link: IncomingLink, call: types.CallMessage, delayMs: base.Millis): void
   handleClosed(link: IncomingLink): void
+  /** The connection is closed, because the other node reads too little. */
+  handleUnread(link: IncomingLink, unreadBytes: number): void
   handleMalformed(link: IncomingLink, error: Error): void
 }
 
@@ -85,6 +89,7 @@
   public tick (stalledMs: base.Millis): void {
     this._receivedAtMs += stalledMs
     if (this._options.nowMs() - this._receivedAtMs > outgoingLink.DEAD_TIMEOUT_MS) this._options.socket.terminate()
+    this._checkUnread()
   }
 
   public close (): void {
@@ -97,6 +102,14 @@
     this._sentAtMs = nowMs()
     traffic.recordSent(kind, linkParts.bytesOf(parts), socket.bufferedAmount)
     linkParts.send(socket, parts)
+    this._checkUnread()
+  }
+
+  private _checkUnread (): void {
+    const { socket, maxUnreadBytes, events } = this._options
+    if (socket.readyState !== socket.OPEN || socket.bufferedAmount <= maxUnreadBytes) return
+    events.handleUnread(this, socket.bufferedAmount)
+    socket.terminate()
   }
 
   private _handleMessage (data: Buffer): void {
--- a/packages/node/src/direct/Ingress.ts
+++ b/packages/node/src/direct/Ingress.ts
@@ -6,6 +6,7 @@
 import * as readAheads from '../ReadAhead.js'
 import * as reasons from './Reasons.js'
 import type * as base from '@elmpost/common/base/Types.js'
+import type * as connectionLimits from '../ConnectionLimits.js'
 import type * as direct from '@elmpost/common/direct/Types.js'
 import type * as http from 'node:http'
 import type * as net from 'node:net'
@@ -32,6 +33,7 @@
   readonly address: nodeTypes.Address
   /** Binds the server. Undefined: a port that is in use is an error. */
   readonly binder?: nodeServices.IServerBinder | undefined
+  readonly limits?: connectionLimits.ConnectionLimits | undefined
   readonly owner: services.IExchangeOwner
   readonly dialect: services.ICallDialect
   readonly nowMs: () => base.Millis
@@ -69,6 +71,7 @@
     this._listener = new callerListener.CallerListener({
       address: options.address,
       binder: options.binder,
+      limits: options.limits,
       keepAliveMs: DEFAULT_IDLE_MS,
       closingIdleMs: CLOSING_IDLE_MS,
       handle: (request, response) => { this._handle(request, response) },
@@ -265,5 +268,6 @@
     if (this._ingress.isClosing && this._connections.closeAfter(this.socket, this)) this._response.shouldKeepAlive = false
     this._response.writeHead(status, [...headers])
     this._response.end(body)
+    this._options.limits?.recordAnswer(this._response)
   }
 }
--- a/packages/node/src/direct/NodeLinks.ts
+++ b/packages/node/src/direct/NodeLinks.ts
@@ -1,3 +1,4 @@
+import * as connectionLimits from '../ConnectionLimits.js'
 import * as incomingLink from './IncomingLink.js'
 import * as linkCodec from './LinkCodec.js'
 import * as linkTraffic from './LinkTraffic.js'
@@ -23,6 +24,7 @@
   readonly stalls: stallWatch.StallWatch
   readonly random: base.IRandom
   readonly host: services.IHost
+  readonly limits?: connectionLimits.ConnectionLimits
   readonly events: INodeLinksEvents
 }
 
@@ -54,6 +56,7 @@
 export class NodeLinks implements outgoingLink.IOutgoingLinkEvents, incomingLink.IIncomingLinkEvents, base.IDisposable {
   public readonly traffic = new linkTraffic.LinkTraffic()
   private readonly _options: NodeLinksOptions
+  private readonly _limits: connectionLimits.ConnectionLimits
   private readonly _codec = new linkCodec.LinkCodec()
   private readonly _outgoing = new Map<base.NodeId, outgoingLink.OutgoingLink>()
   private readonly _incoming = new Set<incomingLink.IncomingLink>()
@@ -62,6 +65,7 @@
 
   constructor (options: NodeLinksOptions) {
     this._options = options
+    this._limits = options.limits ?? new connectionLimits.ConnectionLimits()
     this._held = new readAheads.ReadAhead<ReadCall>({ nowMs: options.nowMs, turns: READ_AHEAD_TURNS, isReading: () => false, begin: call => { this._begin(call) } })
   }
 
@@ -125,7 +129,7 @@
 
   /** Accepts a connection that another node opened. */
   public accept (socket: ws.WebSocket): void {
-    this._incoming.add(new incomingLink.IncomingLink({ socket, codec: this._codec, nowMs: this._options.nowMs, traffic: this.traffic, events: this }))
+    this._incoming.add(new incomingLink.IncomingLink({ socket, maxUnreadBytes: this._limits.terms.maxHeldBytes, codec: this._codec, nowMs: this._options.nowMs, traffic: this.traffic, events: this }))
   }
 
   public tick (): void {
@@ -183,6 +187,10 @@
     this._options.host.abandon(link)
   }
 
+  public handleUnread (link: incomingLink.IncomingLink, unreadBytes: number): void {
+    this._limits.recordClosed({ listener: 'peers', reason: 'unread', remoteAddress: link.nodeId, waitingRequests: 0, heldBytes: unreadBytes })
+  }
+
   public handleMalformed (link: outgoingLink.OutgoingLink | incomingLink.IncomingLink, error: Error): void {
     this._options.events.handleMalformed(link.nodeId, error)
   }
--- a/packages/node/src/direct/StatusServer.ts
+++ b/packages/node/src/direct/StatusServer.ts
@@ -1,4 +1,5 @@
 import * as addresses from '../Addresses.js'
+import * as connectionLimits from '../ConnectionLimits.js'
 import * as http from 'node:http'
 import * as httpReplies from '../HttpReplies.js'
 import * as polka from 'polka'
@@ -11,6 +12,7 @@
   readonly address: nodeTypes.Address
   /** Binds the server. Undefined: a port that is in use is an error. */
   readonly binder?: services.IServerBinder | undefined
+  readonly limits?: connectionLimits.ConnectionLimits | undefined
   readonly metrics: nodeServices.IExposition
   /** What `elmpost status` shows. */
   readonly status: () => object
@@ -21,10 +23,12 @@
 /** Serves metrics and status and, for operators on the same VM, lifts the blocks of requests. */
 export class StatusServer implements base.IDisposable {
   private readonly _options: StatusServerOptions
-  private readonly _http = http.createServer()
+  private readonly _http: http.Server
 
   constructor (options: StatusServerOptions) {
     this._options = options
+    const { limits = new connectionLimits.ConnectionLimits() } = options
+    this._http = http.createServer(limits.serverOptions)
     const app = polka.default({ server: this._http })
     app.get('/metrics', (_request, response) => { httpReplies.sendMetrics(response, options.metrics) })
     app.get('/admin/status', (_request, response) => { httpReplies.sendJson(response, 200, options.status()) })
@@ -34,7 +38,7 @@
       else if (options.unblock(String(request.params['fingerprint']))) httpReplies.sendJson(response, 200, {})
       else httpReplies.sendJson(response, 404, { problem: 'nothing is held against such a request', remedy: 'List the blocked requests with elmpost status.' })
     })
-    this._http.on('request', app.handler.bind(app) as unknown as http.RequestListener)
+    limits.attach(this._http, 'status', 0, app.handler.bind(app) as unknown as http.RequestListener)
   }
 
   public listen (): Promise<number> {
