Refuse answers with a status that no final answer may have

Cause: the HTTP client accepts any three digits. Answers with 600 and 999 reached callers, and their connections were used again. The codec of the links accepted any number as a status; Node.js raises an error for some, which would end the process.

Change: AnswerStatus says which statuses are final (200 to 599).

--- a/packages/node/src/direct/LinkCodec.test.ts
+++ b/packages/node/src/direct/LinkCodec.test.ts
@@ -179,6 +179,15 @@
       }))
     })
 
+    // Guards against a status of another node that the HTTP server refuses to write, which would end the process.
+    test.it('refuses an answer with a status that is none', () => {
+      const packr = new msgpackr.Packr({ useRecords: false })
+      const answered = MESSAGES.find(message => message.kind === 'result' && message.result.kind === 'answered') as linkCodec.LinkMessage
+      const values = packr.unpack(codec.encode(answered)) as unknown[]
+      for (const status of [0, 99, 100, 199, 600, 999, 1000, -200, 200.5, 1e300]) assert.ok(codec.decode(packr.pack(values.map((value, at) => at === 2 ? status : value))).isErr(), String(status))
+      for (const status of [200, 599]) assert.ok(codec.decode(packr.pack(values.map((value, at) => at === 2 ? status : value))).isOk(), String(status))
+    })
+
     test.it('refuses a value of another type at each position of each message', () => {
       const packr = new msgpackr.Packr({ useRecords: false })
       for (const message of MESSAGES) {
--- a/packages/node/src/direct/LinkCodec.ts
+++ b/packages/node/src/direct/LinkCodec.ts
@@ -1,3 +1,4 @@
+import * as answerStatus from '@elmpost/common/direct/AnswerStatus.js'
 import * as crashReports from './CrashReports.js'
 import * as msgpackr from 'msgpackr'
 import * as nodeRecords from './NodeRecords.js'
@@ -294,7 +295,7 @@
 
 function answeredOf ([, callId, status, headers, body, isUnframed, ...rest]: Values): LinkMessage | undefined {
   const load = loadOf(rest)
-  if (!isNumber(callId) || !isNumber(status) || !isHeaders(headers) || !isBody(body) || typeof isUnframed !== 'boolean' || load === undefined) return undefined
+  if (!isNumber(callId) || !isNumber(status) || !answerStatus.isFinal(status) || !isHeaders(headers) || !isBody(body) || typeof isUnframed !== 'boolean' || load === undefined) return undefined
   return { kind: 'result', callId, result: { kind: 'answered', answer: { status, headers, body: body ?? undefined, isUnframed } }, load }
 }
 
--- a/packages/node/src/direct/TargetClient.test.ts
+++ b/packages/node/src/direct/TargetClient.test.ts
@@ -175,3 +175,112 @@
     })
   }
 })
+
+/** Statuses that no final answer may have. */
+const INVALID_STATUSES = ['000', '099', '600', '999', '20', '2000', '2x0', 'abc', '-20', ''] as const
+
+// Guards against a status that is none and reaches the caller, or ends the process when it is written.
+test.describe('An answer with a status that is none', () => {
+  let server: net.Server
+  let client: targetClient.TargetClient
+  /** Answers to the next requests, over all connections. */
+  let answers: string[]
+  let opened: number
+  let closed: number
+
+  function run (): Promise<types.RunResult> {
+    return new Promise(resolve => { client.run({ requestId: 'r', method: 'GET', path: '/', headers: [], body: undefined, isExpired: () => false }, resolve, () => {}) })
+  }
+
+  function answerWith (status: string): string {
+    return `HTTP/1.1 ${status} Odd\r\nRequest-Id: r\r\nContent-Length: 2\r\n\r\nok`
+  }
+
+  async function until (condition: () => boolean): Promise<void> {
+    for (let waitedMs = 0; waitedMs < TIMEOUT_MS && !condition(); waitedMs += SAMPLE_MS) await timers.setTimeout(SAMPLE_MS)
+    assert.ok(condition())
+  }
+
+  test.beforeEach(async () => {
+    answers = []
+    opened = 0
+    closed = 0
+    server = net.createServer(socket => {
+      opened += 1
+      socket.on('error', () => {})
+      socket.on('close', () => { closed += 1 })
+      socket.on('data', () => { socket.write(answers.shift() ?? answerWith('200')) })
+    })
+    await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+    client = new targetClient.TargetClient({ address: `127.0.0.1:${(server.address() as net.AddressInfo).port}`, maxConnections: 1, dialect: DIALECT, nowMs: () => performance.now() })
+  })
+
+  test.afterEach(() => {
+    client.dispose()
+    server.close()
+  })
+
+  for (const status of INVALID_STATUSES) {
+    for (const [place, before] of [['the first', 0], ['a later', 1]] as const) {
+      test.it(`such as "${status}", ${place} on its connection, fails the call and closes the connection`, async () => {
+        for (let at = 0; at < before; at++) assert.equal((await run()).kind, 'answered')
+        answers.push(answerWith(status))
+        assert.equal((await run()).kind, 'failed')
+        await until(() => closed === 1)
+        assert.equal((await run()).kind, 'answered')
+        assert.equal(opened, 2)
+      })
+    }
+  }
+
+  // Guards against a wait for a final answer behind one that cannot be an interim answer.
+  for (const status of INVALID_STATUSES) {
+    test.it(`such as "${status}" without a body fails the call at once, too`, async () => {
+      answers.push(`HTTP/1.1 ${status} Odd\r\nRequest-Id: r\r\nContent-Length: 0\r\n\r\n`)
+      assert.equal((await run()).kind, 'failed')
+      await until(() => closed === 1)
+    })
+  }
+
+  // The body behind it is no answer.
+  test.it('such as 199 with a body fails the call and closes the connection', async () => {
+    answers.push(answerWith('199'))
+    assert.equal((await run()).kind, 'failed')
+    await until(() => closed === 1)
+  })
+
+  test.it('such as 199 alone leaves the call without an answer until its deadline, because one may follow', async () => {
+    answers.push('HTTP/1.1 199 Odd\r\n\r\n')
+    let result: types.RunResult | undefined
+    const running = client.run({ requestId: 'r', method: 'GET', path: '/', headers: [], body: undefined, isExpired: () => false }, ended => { result = ended }, () => {})
+    await until(() => answers.length === 0)
+    await timers.setTimeout(SAMPLE_MS)
+    assert.equal(result, undefined)
+    running.abort()
+    assert.deepEqual(result, { kind: 'failed', reason: 'timeout', detail: 'aborted' })
+    await until(() => closed === 1)
+  })
+
+  for (const status of ['100', '101']) {
+    test.it(`such as an unexpected ${status} fails the call and closes the connection`, async () => {
+      answers.push(`HTTP/1.1 ${status} Interim\r\n\r\n${answerWith('200')}`)
+      assert.equal((await run()).kind, 'failed')
+      await until(() => closed === 1)
+    })
+  }
+
+  for (const status of ['102', '103', '199']) {
+    test.it(`is none of an interim answer ${status}, behind which the final one is passed on`, async () => {
+      answers.push(`HTTP/1.1 ${status} Interim\r\n\r\n${answerWith('200')}`)
+      const result = await run()
+      assert.ok(result.kind === 'answered' && result.answer.status === 200)
+    })
+  }
+
+  test.it('to a health check says that the target is not healthy', async () => {
+    for (const status of INVALID_STATUSES) {
+      answers.push(answerWith(status).replace('Request-Id: r\r\n', ''))
+      assert.notEqual((await client.health('/health', 400))?.isHealthy, true, status)
+    }
+  })
+})
--- a/packages/node/src/direct/TargetClient.ts
+++ b/packages/node/src/direct/TargetClient.ts
@@ -1,3 +1,4 @@
+import * as answerStatus from '@elmpost/common/direct/AnswerStatus.js'
 import * as httpClients from '../HttpClients.js'
 import * as idleLimit from '@elmpost/common/direct/IdleLimit.js'
 import * as targetExchange from './TargetExchange.js'
@@ -82,8 +83,8 @@
       const answer = await this._singleUse.request({ path, method: 'GET', reset: true, signal: AbortSignal.timeout(timeoutMs) })
       await answer.body.dump()
       const { dialect } = this._options
-      // The answer to a call, which says nothing of the health.
-      if (dialect.readAnswer(answer.statusCode, answer.headers).requestId !== undefined) return { isHealthy: false, targetId: undefined, notice: NO_NOTICE }
+      // The answer to a call, or no valid one, which says nothing of the health.
+      if (!answerStatus.isFinal(answer.statusCode) || dialect.readAnswer(answer.statusCode, answer.headers).requestId !== undefined) return { isHealthy: false, targetId: undefined, notice: NO_NOTICE }
       const headers = Object.entries(answer.headers).flatMap(([name, value]) => [name, String(value)])
       return { isHealthy: answer.statusCode === 200, targetId: dialect.targetIdOf(answer.headers), notice: dialect.readNotice(headers) }
     } catch {
--- a/packages/node/src/direct/TargetExchange.ts
+++ b/packages/node/src/direct/TargetExchange.ts
@@ -1,3 +1,4 @@
+import * as answerStatus from '@elmpost/common/direct/AnswerStatus.js'
 import * as pieceBuffer from '../PieceBuffer.js'
 import * as rawHeaderFilter from './RawHeaderFilter.js'
 import type * as base from '@elmpost/common/base/Types.js'
@@ -63,7 +64,7 @@
   }
 
   public onResponseStart (controller: undici.Dispatcher.DispatchController, status: number, received: http.IncomingHttpHeaders): void {
-    if (status < 200 || this._phase !== 'written') return
+    if (answerStatus.isInterim(status) || this._phase !== 'written') return
     const { dialect, requestId } = this._options
     const info = dialect.readAnswer(status, received)
     const problem = problemOf(info, requestId, status, received)
@@ -119,6 +120,7 @@
 
 /** Why an answer cannot belong to the request; undefined if it can. */
 function problemOf (info: types.TargetAnswerInfo, requestId: string, status: number, received: http.IncomingHttpHeaders): string | undefined {
+  if (!answerStatus.isFinal(status)) return 'the answer has an invalid status'
   if (info.requestId !== undefined && info.requestId !== requestId) return 'the answer belongs to another request'
   // Targets refuse requests without an id for that. Any other refusal without one may be an earlier one, or that of a health check.
   const isAnonymousRefusal = info.isDeclined && requestId !== ''
