--- a/packages/node/src/direct/DirectNode.ts
+++ b/packages/node/src/direct/DirectNode.ts
@@ -2,6 +2,7 @@
 import * as auditTrail from './AuditTrail.js'
 import * as callLog from './CallLog.js'
 import * as callMeasure from './CallMeasure.js'
+import * as connectionLimits from '../ConnectionLimits.js'
 import * as crashGuards from './CrashGuard.js'
 import * as customerLimits from './CustomerLimits.js'
 import * as directCalls from '@elmpost/common/direct/DirectCalls.js'
@@ -60,6 +61,7 @@
   private readonly _rollouts: rollouts.Rollouts
   private readonly _links: nodeLinks.NodeLinks
   private readonly _stalls: stallWatch.StallWatch
+  private readonly _connectionLimits: connectionLimits.ConnectionLimits
   private readonly _ingress: ingress.Ingress
   private readonly _peers: peerServer.PeerServer
   private readonly _messages: peerMessages.PeerMessages
@@ -83,6 +85,8 @@
     this.stopped = new Promise(resolve => { this._resolveStopped = resolve })
     this._log = new callLog.CallLog(logger, nowMs)
     this.crashes = new crashGuards.CrashGuard({ dialect, service: settings.service, nowMs, timeOfDayMs: options.timeOfDayMs, callLog: this._log, links: () => this._links, onOwnCrash: () => { this._fleet.publish() } })
+    this._connectionLimits = options.limits ?? new connectionLimits.ConnectionLimits()
+    this._register(this._connectionLimits.onClosed(limited => { this._log.log('warn', 'connection-closed', { ...limited }) }))
     const picker = new targetPicker.TargetPicker({ table: this._table, selfId, zone: settings.zone, random, otherZoneCostMs: zoneCost.otherZoneCostMs })
     const register = new rolloutRegister.RolloutRegister({ table: this._table, random, nowMs, startedAtMs: nowMs() })
     this._calls = new directCalls.DirectCalls({ table: this._table, picker, random, rollouts: register, retryTerms: settings.retryTerms, nodeCount: () => this._fleet.nodeCount, startedAtMs: nowMs() })
@@ -105,7 +109,7 @@
       rollout: this._rollouts,
       onChange: () => { this._handleTargetChange() }
     }))
-    this._links = this._register(new nodeLinks.NodeLinks({ selfId, hello: to => this._fleet.hello(this.version, to), nowMs, stalls: this._stalls, random, host: this._target.host, events: this }))
+    this._links = this._register(new nodeLinks.NodeLinks({ selfId, hello: to => this._fleet.hello(this.version, to), nowMs, stalls: this._stalls, random, host: this._target.host, limits: this._connectionLimits, events: this }))
     this._rules = this._register(new rulesDistribution.RulesDistribution({
       selfId,
       zone: settings.zone,
@@ -175,6 +179,7 @@
     this._ingress = this._register(new ingress.Ingress({
       address: addresses.parse(settings.callerAddress),
       binder: options.binder,
+      limits: this._connectionLimits,
       owner: this._entry,
       dialect,
       nowMs,
@@ -182,10 +187,10 @@
       onBodyRefused: ({ info: { requestId } }, heldBytes) => { this._log.log('warn', 'body-refused', { requestId, heldBytes }) },
       onAcceptsEnd: (waitMs, connections) => { this._log.logAccepts(waitMs, connections) }
     }))
-    this._peers = this._register(new peerServer.PeerServer({ address: addresses.parse(settings.peerListenAddress), binder: options.binder, maxMessageBytes: nodeLinks.MAX_MESSAGE_BYTES, onConnection: socket => { this._links.accept(socket) } }))
+    this._peers = this._register(new peerServer.PeerServer({ address: addresses.parse(settings.peerListenAddress), binder: options.binder, limits: this._connectionLimits, maxMessageBytes: nodeLinks.MAX_MESSAGE_BYTES, onConnection: socket => { this._links.accept(socket) } }))
     this._audit = new auditTrail.AuditTrail({ store, nodeId: selfId, logger, nowMs, isWriter: () => this._rules.readers.isWriter, timeOfDayMs: options.timeOfDayMs })
     this._register(new storeReturns.StoreReturns({ era: store.era, nodeRecord: this._fleet.record, auditTrail: this._audit, logger, spread: () => { this._sendStatus(true) } }))
-    this._view = new nodeView.NodeView({ settings, version: () => this.version, isReady: () => this.isReady, entry: this._entry, target: this._target, links: this._links, table: this._table, rules: this._rules, ingress: this._ingress, limits: this._limits, rollouts: this._rollouts, crashes: this.crashes })
+    this._view = new nodeView.NodeView({ settings, version: () => this.version, isReady: () => this.isReady, entry: this._entry, target: this._target, links: this._links, table: this._table, rules: this._rules, ingress: this._ingress, limits: this._limits, connectionLimits: this._connectionLimits, rollouts: this._rollouts, crashes: this.crashes })
     this._stop = new plannedStop.PlannedStop({
       graceMs: settings.graceMs,
       nowMs,
@@ -329,6 +334,7 @@
   private _tick (): void {
     this._stalls.tick()
     if (this._stalls.suspectedMs > 0) this._log.log('warn', 'stalled', { stalledMs: Math.round(this._stalls.stalledMs), suspectedMs: Math.round(this._stalls.suspectedMs) })
+    this._connectionLimits.tick()
     this._links.tick()
     this._target.tick()
     this._log.tick(this._links.traffic)
--- a/packages/node/src/direct/LinkCodec.ts
+++ b/packages/node/src/direct/LinkCodec.ts
@@ -1,3 +1,4 @@
+import * as answerStatus from '@elmpost/common/direct/AnswerStatus.js'
 import * as crashReports from './CrashReports.js'
 import * as grantMessages from './GrantMessages.js'
 import * as linkValues from './LinkValues.js'
@@ -316,7 +317,7 @@
 
 function answeredOf ([, callId, status, headers, body, isUnframed, ...rest]: Values): LinkMessage | undefined {
   const load = loadOf(rest)
-  if (!linkValues.isNumber(callId) || !linkValues.isNumber(status) || !linkValues.isHeaders(headers) || !linkValues.isBody(body) || typeof isUnframed !== 'boolean' || load === undefined) return undefined
+  if (!linkValues.isNumber(callId) || !linkValues.isNumber(status) || !answerStatus.isFinal(status) || !linkValues.isHeaders(headers) || !linkValues.isBody(body) || typeof isUnframed !== 'boolean' || load === undefined) return undefined
   return { kind: 'result', callId, result: { kind: 'answered', answer: { status, headers, body: body ?? undefined, isUnframed } }, load }
 }
 
--- a/packages/node/src/direct/NodeView.ts
+++ b/packages/node/src/direct/NodeView.ts
@@ -1,4 +1,5 @@
 import type * as directServices from '@elmpost/common/direct/Services.js'
+import type * as connectionLimits from '../ConnectionLimits.js'
 import type * as crashGuards from './CrashGuard.js'
 import type * as customerLimits from './CustomerLimits.js'
 import type * as entryGate from './EntryGate.js'
@@ -21,6 +22,7 @@
   readonly rules: rulesDistribution.RulesDistribution
   readonly ingress: ingress.Ingress
   readonly limits: customerLimits.CustomerLimits
+  readonly connectionLimits: connectionLimits.ConnectionLimits
   readonly rollouts: rollouts.Rollouts
   readonly crashes: crashGuards.CrashGuard
 }
@@ -30,7 +32,7 @@
   constructor (private readonly _options: NodeViewOptions) {}
 
   public get gauges (): directServices.DirectGauges {
-    const { version, isReady, entry, target, links, table, rules, ingress, limits, rollouts } = this._options
+    const { version, isReady, entry, target, links, table, rules, ingress, limits, connectionLimits, rollouts } = this._options
     return {
       version: version(),
       isReady: isReady(),
@@ -42,6 +44,7 @@
       storeAgeMs: rules.storeAgeMs,
       acceptWaitMs: ingress.acceptWaitMs,
       bodyBytes: ingress.bodyBytes,
+      connections: connectionLimits.gauges,
       behindMs: rules.behindMs,
       grants: limits.counts,
       confirmedAgeMs: rules.confirmedAgeMs,
