Let a customer use in each window what its limit allows there

A bucket that holds the burst and fills with the rate gives a customer with steady demand rate x window calls in most windows, although each of them allows the burst as well.

Issuers count what they issued in the last window and fill a bucket with as much as a window allows. After a start or a stall they fill it with the rate until they have counted a whole window.

--- a/packages/common/src/direct/CallGrants.ts
+++ b/packages/common/src/direct/CallGrants.ts
@@ -140,7 +140,7 @@
       for (const call of customer.waiting.keys()) this._options.onSettled(call, { kind: 'granted', grant: { customer: name, expiresAtMs: -Infinity } })
     }
     for (const rule of rules) {
-      const capacity = grantTerms.capacityOf(rule, terms)
+      const limit = grantTerms.bucketLimitOf(rule, terms)
       const known = this._customers.get(rule.name)
       if (known === undefined) {
         this._customers.set(rule.name, {
@@ -148,7 +148,7 @@
           expiriesMs: [],
           waiting: new Map(),
           stocks: new Map(),
-          own: new grantBucket.GrantBucket(rule.maxCallsPerS, capacity, nowMs()),
+          own: new grantBucket.GrantBucket(limit, nowMs()),
           asked: undefined,
           callsPerMs: 0,
           countedAtMs: nowMs(),
@@ -156,7 +156,7 @@
         })
       } else {
         known.rule = rule
-        known.own.setLimit(rule.maxCallsPerS, capacity, nowMs())
+        known.own.setLimit(limit, nowMs())
       }
     }
     if (rules.length === 0) this._endReports([])
--- a/packages/common/src/direct/GrantBucket.test.ts
+++ b/packages/common/src/direct/GrantBucket.test.ts
@@ -10,7 +10,7 @@
   }
 
   test.beforeEach(() => {
-    bucket = new grantBucket.GrantBucket(20, 10, 0)
+    bucket = new grantBucket.GrantBucket({ maxCallsPerS: 20, capacity: 10, maxInWindow: 110, windowMs: 5_000 }, 0)
     bucket.update(1, 0)
   })
 
@@ -45,7 +45,36 @@
 
   test.it('holds a lowered limit at once', () => {
     pass(0, 1_000, 1)
-    bucket.setLimit(5, 2, 1_000)
+    bucket.setLimit({ maxCallsPerS: 5, capacity: 2, maxInWindow: 27, windowMs: 5_000 }, 1_000)
     assert.deepEqual([bucket.available, bucket.callsPerS], [2, 5])
   })
+
+  // Guards against a limit of which a customer with steady demand gets less than each window allows.
+  test.it('issues as many grants as a window allows, once it has counted a whole one', () => {
+    let taken = 0
+    for (let nowMs = 100; nowMs <= 60_000; nowMs += 100) {
+      bucket.update(1, nowMs)
+      taken += bucket.take(100)
+    }
+    assert.ok(taken > 0.95 * 110 * 60 / 5, `${taken} grants`)
+  })
+
+  // Guards against a bound that is exceeded because a bucket fills faster than it may.
+  test.it('issues no more grants than a window allows, whenever they are asked for', () => {
+    const times: number[] = []
+    for (let nowMs = 100; nowMs <= 60_000; nowMs += 100) {
+      bucket.update(1, nowMs)
+      if (nowMs % 7_000 < 4_000) times.push(...Array.from({ length: bucket.take(100) }, () => nowMs))
+    }
+    for (const fromMs of times) assert.ok(times.filter(atMs => atMs >= fromMs && atMs < fromMs + 5_000).length <= 110)
+  })
+
+  // Guards against a restart or a stall after which the bucket does not know what was issued in the window before.
+  test.it('fills with the rate of the limit alone until it has counted a whole window', () => {
+    assert.equal(bucket.callsPerS, 20)
+    pass(0, 5_000, 1)
+    assert.equal(bucket.callsPerS, 22)
+    bucket.update(1, 6_000)
+    assert.equal(bucket.callsPerS, 20)
+  })
 })
--- a/packages/common/src/direct/GrantIssuer.ts
+++ b/packages/common/src/direct/GrantIssuer.ts
@@ -49,13 +49,13 @@
     const names = new Set(rules.map(({ name }) => name))
     for (const name of this._customers.keys()) if (!names.has(name)) this._customers.delete(name)
     for (const rule of rules) {
-      const capacity = grantTerms.capacityOf(rule, terms)
+      const limit = grantTerms.bucketLimitOf(rule, terms)
       const known = this._customers.get(rule.name)
       if (known === undefined) {
-        this._customers.set(rule.name, { rule, bucket: new grantBucket.GrantBucket(rule.maxCallsPerS, capacity, nowMs()), promised: 0, updatedAtMs: nowMs() })
+        this._customers.set(rule.name, { rule, bucket: new grantBucket.GrantBucket(limit, nowMs()), promised: 0, updatedAtMs: nowMs() })
       } else {
         known.rule = rule
-        known.bucket.setLimit(rule.maxCallsPerS, capacity, nowMs())
+        known.bucket.setLimit(limit, nowMs())
       }
     }
   }
--- a/packages/common/src/direct/GrantTerms.ts
+++ b/packages/common/src/direct/GrantTerms.ts
@@ -1,4 +1,5 @@
 import type * as base from '../base/Types.js'
+import type * as grantBucket from './GrantBucket.js'
 import type * as types from './Types.js'
 
 /** Parts of the overshoot and of the slack that the buckets hold. The rest is for grants in hand and for short overlaps between issuers. */
@@ -23,6 +24,13 @@
   return burstCalls + OVERSHOOT_SHARE * overshoot * (maxCallsPerS * windowMs / 1000 + burstCalls) + SLACK_SHARE * slack
 }
 
+/** What a bucket of the whole limit keeps. Grants are used somewhat later than they are issued, so its window is longer. */
+export function bucketLimitOf (rule: types.CustomerRule, terms: types.CustomerLimitTerms): grantBucket.BucketLimit {
+  const { maxCallsPerS, burstCalls } = rule
+  const nominal = maxCallsPerS * terms.windowMs / 1000 + burstCalls
+  return { maxCallsPerS, capacity: capacityOf(rule, terms), maxInWindow: nominal * (1 + OVERSHOOT_SHARE * terms.overshoot) + SLACK_SHARE * terms.slack, windowMs: terms.windowMs + GRANT_TTL_MS }
+}
+
 /** Most issuers that can serve all of the customers, because a bucket that holds less than one grant issues none. */
 export function maxIssuers (customers: readonly types.CustomerRule[], terms: types.CustomerLimitTerms): number {
   return customers.reduce((count, customer) => Math.min(count, Math.max(1, Math.floor(capacityOf(customer, terms)))), Infinity)
