Request long bodies of calls when a host wants them and its link has room

Their targets were idle, so other nodes kept sending. Refused calls had sent their bodies in vain.

An entry node offers a call with a body of 16 KiB or more. To hosts that do not say that they take offers, bodies go with their calls.

--- a/packages/common/src/direct/BodyTransfers.ts
+++ b/packages/common/src/direct/BodyTransfers.ts
@@ -1,7 +1,10 @@
 import type * as base from '../base/Types.js'
 
 /** Bodies that may be on their way at the same time, as time on the link. Longer would delay short calls behind them. */
-const AHEAD_MS = 100
+const AHEAD_MS = 150
+/** A transfer that takes this many times as long as on the free link, and this much longer, is held up elsewhere and does not keep others waiting. */
+const SLOW_FACTOR = 3
+const SLOW_MS = 200
 const BITS_PER_BYTE = 8
 const KBITS_PER_MBIT = 1_000
 /** Assumed if the capacity of the link is not known. */
@@ -23,9 +26,9 @@
  */
 export class BodyTransfers<Body extends OfferedBody> {
   private readonly _waiting: Body[] = []
-  private readonly _underWay = new Set<Body>()
+  /** Requested bodies, with the time after which each counts as held up. */
+  private readonly _underWay = new Map<Body, base.Millis>()
   private readonly _arrived = new Set<Body>()
-  private _underWayBytes = 0
   private _heldBytes = 0
 
   constructor (private readonly _linkMbps: number, private readonly _maxHeldBytes: number) {}
@@ -36,9 +39,9 @@
   }
 
   /** Expected time until the whole body would have arrived if it was offered now. */
-  public expectedMs ({ lengthBytes, priority }: Omit<OfferedBody, 'deadlineAtMs'>): base.Millis {
+  public expectedMs ({ lengthBytes, priority }: Omit<OfferedBody, 'deadlineAtMs'>, nowMs: base.Millis): base.Millis {
     const aheadBytes = this._waiting.reduce((sum, other) => other.priority <= priority ? sum + other.lengthBytes : sum, 0)
-    return this._linkMs(this._underWayBytes + aheadBytes + lengthBytes)
+    return this._linkMs(this._underWayBytes(nowMs) + aheadBytes + lengthBytes)
   }
 
   public offer (body: Body): void {
@@ -48,12 +51,11 @@
   }
 
   /** Removes and returns the next body that may be requested now. */
-  public next (): Body | undefined {
+  public next (nowMs: base.Millis): Body | undefined {
     const [body] = this._waiting
-    if (body === undefined || !this._fits(body)) return undefined
+    if (body === undefined || !this._fits(body, nowMs)) return undefined
     this._waiting.shift()
-    this._underWay.add(body)
-    this._underWayBytes += body.lengthBytes
+    this._underWay.set(body, nowMs + this._linkMs(body.lengthBytes) * SLOW_FACTOR + SLOW_MS)
     this._heldBytes += body.lengthBytes
     return body
   }
@@ -61,7 +63,6 @@
   /** The body has arrived. It is held until it is released. False if it was not requested. */
   public arrive (body: Body): boolean {
     if (!this._underWay.delete(body)) return false
-    this._underWayBytes -= body.lengthBytes
     this._arrived.add(body)
     return true
   }
@@ -69,26 +70,27 @@
   /** The call has ended, or was taken back. */
   public release (body: Body): void {
     const at = this._waiting.indexOf(body)
-    if (at >= 0) {
-      this._waiting.splice(at, 1)
-    } else if (this._underWay.delete(body)) {
-      this._underWayBytes -= body.lengthBytes
-      this._heldBytes -= body.lengthBytes
-    } else if (this._arrived.delete(body)) {
-      this._heldBytes -= body.lengthBytes
-    }
+    if (at >= 0) this._waiting.splice(at, 1)
+    else if (this._underWay.delete(body) || this._arrived.delete(body)) this._heldBytes -= body.lengthBytes
   }
 
   /** Bodies that have not arrived and whose calls are useless by now. */
   public expired (nowMs: base.Millis): readonly Body[] {
-    return [...this._waiting, ...this._underWay].filter(({ deadlineAtMs }) => nowMs >= deadlineAtMs)
+    return [...this._waiting, ...this._underWay.keys()].filter(({ deadlineAtMs }) => nowMs >= deadlineAtMs)
   }
 
-  private _fits ({ lengthBytes }: Body): boolean {
-    const isLinkFree = this._underWay.size === 0 || this._linkMs(this._underWayBytes + lengthBytes) <= AHEAD_MS
+  private _fits ({ lengthBytes }: Body, nowMs: base.Millis): boolean {
+    const underWayBytes = this._underWayBytes(nowMs)
+    const isLinkFree = underWayBytes === 0 || this._linkMs(underWayBytes + lengthBytes) <= AHEAD_MS
     return isLinkFree && (this._heldBytes === 0 || this._heldBytes + lengthBytes <= this._maxHeldBytes)
   }
 
+  private _underWayBytes (nowMs: base.Millis): number {
+    let sum = 0
+    for (const [{ lengthBytes }, slowAtMs] of this._underWay) if (nowMs < slowAtMs) sum += lengthBytes
+    return sum
+  }
+
   private _linkMs (lengthBytes: number): base.Millis {
     return lengthBytes * BITS_PER_BYTE / ((this._linkMbps > 0 ? this._linkMbps : DEFAULT_MBPS) * KBITS_PER_MBIT)
   }
--- a/packages/common/src/direct/SlotQueue.ts
+++ b/packages/common/src/direct/SlotQueue.ts
@@ -123,19 +123,28 @@
     this._recordPriority(call.priority, nowMs)
     if (call.customer !== undefined && this._shares.rankOf(call.customer, this.meanMs, nowMs) > 0) this._excessAtMs = nowMs
     this._assumedMs = call.assumedMs
-    if (!this._isHeld && this._running.size < this._slots && this._waiting.length === 0 && this._limiter.take(nowMs)) {
+    if (this.hasRoom && this._limiter.take(nowMs)) {
       this._run(call, nowMs)
       return { kind: 'start' }
     }
-    const waitMs = this._expectedWaitMs(call, nowMs)
-    const endMs = nowMs + waitMs + this._expectedServiceMs(call)
-    const isLate = endMs > call.objectiveAtMs
-    const isAtRisk = endMs + this._marginMs(call, nowMs) > call.objectiveAtMs
-    if (endMs > call.deadlineAtMs || (isAtRisk && !this._mayBeLate(call, nowMs))) return { kind: 'refused', waitMs }
-    this._insert(this._waitingCall(call, isLate, nowMs))
+    const waitMs = this.refusedWaitMs(call, nowMs)
+    if (waitMs !== undefined) return { kind: 'refused', waitMs }
+    this._insert(this._waitingCall(call, this._endMs(call, nowMs) > call.objectiveAtMs, nowMs))
     return { kind: 'queued' }
   }
 
+  /** Expected wait of a call that would be refused if it had to wait now; undefined if it would be queued. */
+  public refusedWaitMs (call: SlotCall, nowMs: base.Millis): base.Millis | undefined {
+    const endMs = this._endMs(call, nowMs)
+    const isAtRisk = endMs + this._marginMs(call, nowMs) > call.objectiveAtMs
+    return endMs > call.deadlineAtMs || (isAtRisk && !this._mayBeLate(call, nowMs)) ? this._expectedWaitMs(call, nowMs) : undefined
+  }
+
+  /** Whether a call would get a slot at once. */
+  public get hasRoom (): boolean {
+    return !this._isHeld && this._running.size < this._slots && this._waiting.length === 0
+  }
+
   /** Frees the slot of a call. `serviceMs` is undefined if the time on the target does not reflect the target's speed. */
   public release (id: number, serviceMs: base.Millis | undefined): void {
     const call = this._running.get(id)
@@ -227,6 +236,10 @@
     }
   }
 
+  private _endMs (call: SlotCall, nowMs: base.Millis): base.Millis {
+    return nowMs + this._expectedWaitMs(call, nowMs) + this._expectedServiceMs(call)
+  }
+
   private _expectedWaitMs (call: SlotCall, nowMs: base.Millis): base.Millis {
     const ahead = this._waiting.reduce((count, waiting) => staysAhead(waiting, this._waitingCall(call, false, nowMs)) ? count + 1 : count, 0)
     return this._waitBehindMs(ahead, nowMs)
--- /dev/null
+++ b/packages/node/src/direct/BodyIntake.test.ts
@@ -0,0 +1,108 @@
+import * as assert from 'node:assert/strict'
+import * as bodyIntake from './BodyIntake.js'
+import * as test from 'node:test'
+import type * as direct from '@elmpost/common/direct/Types.js'
+import type * as services from './Services.js'
+import type * as types from './Types.js'
+
+const LOAD = { running: 0, queued: 0, urgentQueued: 0, leastUrgent: 0, slots: 4, serviceMs: 50 }
+const BODY = Buffer.alloc(100_000)
+
+function call (callId: number): types.CallMessage {
+  return { callId, service: 'till', isIdempotent: false, priority: 1, remainingMs: 500, objectiveMs: 400, elapsedMs: 0, requestId: `r${callId}`, method: 'POST', path: '/', headers: [], body: undefined, isRetry: false }
+}
+
+class FakeHost implements services.IOfferedHost {
+  public readonly load = LOAD
+  public readonly accepted: { readonly caller: services.IHostCaller, readonly call: types.CallMessage }[] = []
+  public cancelled = 0
+  public abandoned = 0
+  public refusal: direct.HostRefusal | undefined
+  public readonly transfersMs: number[] = []
+
+  public accept (caller: services.IHostCaller, accepted: types.CallMessage): void {
+    this.accepted.push({ caller, call: accepted })
+  }
+
+  public cancel (): boolean {
+    this.cancelled += 1
+    return false
+  }
+
+  public abandon (): void {
+    this.abandoned += 1
+  }
+
+  public refusalOf (_call: types.CallMessage, transferMs: number): direct.HostRefusal | undefined {
+    this.transfersMs.push(transferMs)
+    return this.refusal
+  }
+}
+
+test.describe('BodyIntake', () => {
+  let nowMs: number
+  let host: FakeHost
+  let requested: number[]
+  let results: types.HostResult[]
+  let from: bodyIntake.IOfferingCaller
+  let intake: bodyIntake.BodyIntake
+
+  test.beforeEach(() => {
+    nowMs = 0
+    host = new FakeHost()
+    requested = []
+    results = []
+    from = { requestBody: callId => { requested.push(callId) }, handleHostResult: (_nodeId, _callId, result) => { results.push(result) } }
+    intake = new bodyIntake.BodyIntake({ host, nodeId: 'n', linkMbps: 7, nowMs: () => nowMs })
+  })
+
+  test.it('accepts a call when its body has arrived, with the time that is left', () => {
+    intake.offer(from, call(1), BODY.length)
+    nowMs = 120
+    intake.deliver(from, 1, BODY)
+    assert.deepEqual([requested, host.accepted[0]?.call.body, host.accepted[0]?.call.remainingMs, host.accepted[0]?.call.elapsedMs], [[1], BODY, 380, 120])
+  })
+
+  test.it('asks the host before the body, with the time that the bodies before it will take', () => {
+    intake.offer(from, call(1), BODY.length)
+    intake.offer(from, call(2), BODY.length)
+    assert.deepEqual(host.transfersMs.map(Math.round), [114, 229])
+    host.refusal = { reason: 'busy', reachedTarget: false, waitMs: 30 }
+    intake.offer(from, call(3), BODY.length)
+    assert.deepEqual([results, intake.size], [[{ kind: 'refused', refusal: host.refusal }], 2])
+  })
+
+  // Guards against a call that is held for ever by a host whose entry node does not send the body.
+  test.it('refuses a call as not run whose body does not come in time, and ignores the body after that', () => {
+    intake.offer(from, call(1), BODY.length)
+    nowMs = 600
+    intake.tick()
+    intake.deliver(from, 1, BODY)
+    assert.deepEqual([results.map(({ kind }) => kind), host.accepted.length, intake.size], [['refused'], 0, 0])
+  })
+
+  // Guards against a request that runs with another body than its own.
+  test.it('does not run a call with a body of another length', () => {
+    intake.offer(from, call(1), BODY.length)
+    intake.deliver(from, 1, BODY.subarray(1))
+    assert.deepEqual([results.map(({ kind }) => kind), host.accepted.length], [['refused'], 0])
+  })
+
+  test.it('requests the next body when a call is taken back, or its node is lost', () => {
+    const other = { requestBody: (callId: number) => { requested.push(callId) }, handleHostResult: () => {} }
+    intake.offer(from, call(1), BODY.length)
+    intake.offer(from, call(2), BODY.length)
+    intake.offer(other, call(3), BODY.length)
+    assert.ok(intake.cancel(from, 1))
+    assert.equal(intake.cancel(from, 1), false)
+    intake.abandon(from)
+    assert.deepEqual([requested, host.abandoned], [[1, 2, 3], 1])
+  })
+
+  test.it('passes the result of a call on once', () => {
+    intake.offer(from, call(1), BODY.length)
+    intake.deliver(from, 1, BODY)
+    host.accepted[0]?.caller.handleHostResult('n', 1, { kind: 'failed', reason: 'timeout' }, LOAD)
+    assert.deepEqual([results, intake.cancel(from, 1)], [[{ kind: 'failed', reason: 'timeout' }], false])
+  })
+})
--- a/packages/node/src/direct/IncomingLink.ts
+++ b/packages/node/src/direct/IncomingLink.ts
@@ -5,7 +5,7 @@
 import type * as base from '@elmpost/common/base/Types.js'
 import type * as direct from '@elmpost/common/direct/Types.js'
 import type * as linkTraffic from './LinkTraffic.js'
-import type * as services from './Services.js'
+import type * as bodyIntake from './BodyIntake.js'
 import type * as types from './Types.js'
 import type * as ws from 'ws'
 
@@ -29,6 +29,8 @@
   handleMessage(link: IncomingLink, message: linkCodec.LinkMessage): void
   /** `delayMs`: how long the call waited on its way, as far as is known. */
   handleCall(link: IncomingLink, call: types.CallMessage, delayMs: base.Millis): void
+  /** As `handleCall`, for a call whose body is sent on request. */
+  handleOffer(link: IncomingLink, call: types.CallMessage, bodyBytes: number, delayMs: base.Millis): void
   handleClosed(link: IncomingLink): void
   /** The connection is closed, because the other node reads too little. */
   handleUnread(link: IncomingLink, unreadBytes: number): void
@@ -36,7 +38,7 @@
 }
 
 /** A connection that another node opened for the calls of which it is the entry node. */
-export class IncomingLink implements services.IHostCaller {
+export class IncomingLink implements bodyIntake.IOfferingCaller {
   /** Empty until the other node has sent its hello. */
   public nodeId = ''
   public zone = ''
@@ -62,6 +64,10 @@
     this.send({ kind: 'result', callId, result, load })
   }
 
+  public requestBody (callId: number): void {
+    this.send({ kind: 'body-request', callId })
+  }
+
   public send (message: linkCodec.LinkMessage): void {
     const parts = this._options.codec.encodeParts(message)
     if (message.kind === 'grants') this._writeReport(message.kind, parts)
@@ -136,10 +142,11 @@
 
   private _handleDecoded (message: linkCodec.LinkMessage): void {
     const { events } = this._options
-    if (message.kind === 'call') {
+    if (message.kind === 'call' || message.kind === 'offer') {
       const delayMs = this._delayOf(message.call.sentAtMs)
       this._options.traffic.recordCallDelay(delayMs)
-      events.handleCall(this, message.call, delayMs)
+      if (message.kind === 'call') events.handleCall(this, message.call, delayMs)
+      else events.handleOffer(this, message.call, message.bodyBytes, delayMs)
       return
     }
     events.handleMessage(this, message.kind === 'alive' ? linkCodec.older(message, this._delayOf(message.sentAtMs)) : message)
--- a/packages/node/src/direct/LinkCodec.ts
+++ b/packages/node/src/direct/LinkCodec.ts
@@ -33,7 +33,7 @@
 const LIMIT_VALUES = 2
 
 /** First value of each message, which identifies its kind. */
-const KIND = { hello: 0, status: 1, call: 2, answered: 3, refused: 4, failed: 5, cancel: 6, alive: 7, rulesRequest: 8, rules: 9, nodesRequest: 10, nodes: 11, grantsRequest: 12, grants: 13, rollouts: 14, rolloutHealth: 15 } as const
+const KIND = { hello: 0, status: 1, call: 2, answered: 3, refused: 4, failed: 5, cancel: 6, alive: 7, rulesRequest: 8, rules: 9, nodesRequest: 10, nodes: 11, grantsRequest: 12, grants: 13, rollouts: 14, rolloutHealth: 15, takesOffers: 16, offer: 17, bodyRequest: 18, body: 19 } as const
 
 export interface HelloMessage {
   readonly kind: 'hello'
@@ -75,6 +75,12 @@
   | { readonly kind: 'call', readonly call: types.CallMessage }
   | { readonly kind: 'result', readonly callId: number, readonly result: types.HostResult, readonly load: direct.TargetLoad }
   | { readonly kind: 'cancel', readonly callId: number }
+  /** The host takes calls with long bodies as offers. Nodes of earlier versions do not say so. */
+  | { readonly kind: 'takes-offers' }
+  /** A call whose body, of this length, is sent when the host requests it. */
+  | { readonly kind: 'offer', readonly call: types.CallMessage, readonly bodyBytes: number }
+  | { readonly kind: 'body-request', readonly callId: number }
+  | { readonly kind: 'body', readonly callId: number, readonly body: Uint8Array }
   | AliveMessage
   | { readonly kind: 'rules-request' }
   | { readonly kind: 'rules', readonly bytes: Uint8Array }
@@ -149,6 +155,10 @@
     case 'call': return callValues(message.call)
     case 'result': return resultValues(message.callId, message.result, message.load)
     case 'cancel': return [KIND.cancel, message.callId]
+    case 'takes-offers': return [KIND.takesOffers]
+    case 'offer': return [KIND.offer, message.bodyBytes, ...callValues(message.call)]
+    case 'body-request': return [KIND.bodyRequest, message.callId]
+    case 'body': return [KIND.body, message.callId, message.body]
     case 'alive': return aliveValues(message)
     case 'rules-request': return [KIND.rulesRequest]
     case 'rules': return [KIND.rules, message.bytes]
@@ -229,6 +239,10 @@
     case KIND.refused: return refusedOf(values)
     case KIND.failed: return failedOf(values)
     case KIND.cancel: return linkValues.isNumber(values[1]) ? { kind: 'cancel', callId: values[1] } : undefined
+    case KIND.takesOffers: return { kind: 'takes-offers' }
+    case KIND.offer: return offerOf(values)
+    case KIND.bodyRequest: return linkValues.isNumber(values[1]) ? { kind: 'body-request', callId: values[1] } : undefined
+    case KIND.body: return linkValues.isNumber(values[1]) && values[2] instanceof Uint8Array ? { kind: 'body', callId: values[1], body: values[2] } : undefined
     case KIND.alive: return aliveOf(values)
     case KIND.rulesRequest: return { kind: 'rules-request' }
     case KIND.rules: return values[1] instanceof Uint8Array ? { kind: 'rules', bytes: values[1] } : undefined
@@ -303,6 +317,12 @@
   return { kind: 'call', call }
 }
 
+function offerOf ([, bodyBytes, ...values]: Values): LinkMessage | undefined {
+  const message = callOf(values)
+  if (message?.kind !== 'call' || message.call.body !== undefined || !linkValues.isWhole(bodyBytes) || bodyBytes === 0) return undefined
+  return { kind: 'offer', call: message.call, bodyBytes }
+}
+
 function aliveValues ({ version, sentAtMs, storeAgeMs, confirmedAgeMs }: AliveMessage): Values {
   const values = [KIND.alive, version, ...optional(sentAtMs)]
   return storeAgeMs === undefined || confirmedAgeMs === undefined ? values : [...values, ageValue(storeAgeMs), ageValue(confirmedAgeMs)]
--- a/packages/node/src/direct/NodeLinks.test.ts
+++ b/packages/node/src/direct/NodeLinks.test.ts
@@ -6,6 +6,7 @@
 import * as stallWatch from '@elmpost/common/direct/StallWatch.js'
 import * as test from 'node:test'
 import * as testMesh from '../testing/TestMesh.js'
+import type * as direct from '@elmpost/common/direct/Types.js'
 import type * as services from './Services.js'
 import type * as types from './Types.js'
 
@@ -29,7 +30,9 @@
 }
 
 /** Holds calls until the test ends them. */
-class HeldCalls implements services.IHost {
+class HeldCalls implements services.IOfferedHost {
+  public readonly load = LOAD
+  public refusal: direct.HostRefusal | undefined
   public readonly held: { readonly caller: services.IHostCaller, readonly call: types.CallMessage }[] = []
   public readonly cancelled: number[] = []
 
@@ -44,6 +47,10 @@
 
   public abandon (): void {}
 
+  public refusalOf (): direct.HostRefusal | undefined {
+    return this.refusal
+  }
+
   public answerAll (): void {
     for (const { caller, call } of this.held.splice(0)) caller.handleHostResult('host', call.callId, { kind: 'failed', reason: 'timeout' }, LOAD)
   }
@@ -73,6 +80,7 @@
       stalls: this.stalls,
       random: new random.Random(1),
       host: this.host,
+      linkMbps: 7,
       events: this
     })
     this.server = new peerServer.PeerServer({ address: { host: '127.0.0.1', port: 0 }, onConnection: socket => { this.links.accept(socket) } })
@@ -167,6 +175,54 @@
     })
   })
 
+  test.describe('a call with a long body', () => {
+    const body = Buffer.alloc(60_000, 'x')
+
+    function bytesOf (kind: 'body' | 'offer' | 'call'): number {
+      return caller.links.traffic.totals('sent')[kind] ?? 0
+    }
+
+    test.beforeEach(async () => {
+      await testMesh.waitUntil(() => (caller.links.traffic.totals('received')['takes-offers'] ?? 0) > 0)
+    })
+
+    test.it('reaches the host whole, and loses the time that its body took', async () => {
+      caller.links.sendCall(hostId, { ...CALL, body })
+      await testMesh.waitUntil(() => host.host.held.length === 1)
+      assert.deepEqual(host.host.held[0]?.call.body, body)
+      host.host.answerAll()
+      await testMesh.waitUntil(() => caller.results.length === 1)
+    })
+
+    // Guards against bodies that use up the link of a host that refuses their calls.
+    test.it('is refused without its body', async () => {
+      host.host.refusal = { reason: 'busy', reachedTarget: false, waitMs: 10 }
+      caller.links.sendCall(hostId, { ...CALL, body })
+      await testMesh.waitUntil(() => caller.results.length === 1)
+      assert.deepEqual([host.host.held.length, bytesOf('body'), bytesOf('call')], [0, 0, 0])
+    })
+
+    // Guards against short calls that wait for seconds behind the bodies of many others on the link of a host.
+    test.it('waits for its body until those before it have arrived, and short calls do not', async () => {
+      for (let callId = 10; callId < 14; callId++) caller.links.sendCall(hostId, { ...CALL, callId, body: Buffer.alloc(100_000) })
+      caller.links.sendCall(hostId, { ...CALL, callId: 20 })
+      await testMesh.waitUntil(() => host.host.held.length === 5)
+      assert.equal(host.host.held[0]?.call.callId, 20)
+    })
+
+    test.it('is taken back whether its body has arrived or not', async () => {
+      caller.links.sendCall(hostId, { ...CALL, callId: 10, body })
+      await testMesh.waitUntil(() => host.host.held.length === 1)
+      caller.links.cancel(hostId, 10)
+      await testMesh.waitUntil(() => host.host.cancelled.length === 1)
+      caller.links.sendCall(hostId, { ...CALL, callId: 11, body })
+      caller.links.cancel(hostId, 11)
+      caller.links.sendCall(hostId, { ...CALL, callId: 12, body })
+      await testMesh.waitUntil(() => host.host.held.length === 2)
+      assert.deepEqual([host.host.held[1]?.call.callId, host.links.heldCalls], [12, 0])
+    })
+  })
+
   // Guards against calls that lose their time for up to 20 s because the clock of their entry node was suspended.
   test.it('a call from a VM that was suspended loses no time by that', async () => {
     caller.links.sendCall(hostId, CALL)
--- a/packages/node/src/direct/NodeLinks.ts
+++ b/packages/node/src/direct/NodeLinks.ts
@@ -1,4 +1,5 @@
 import * as connectionLimits from '../ConnectionLimits.js'
+import * as bodyIntake from './BodyIntake.js'
 import * as incomingLink from './IncomingLink.js'
 import * as linkCodec from './LinkCodec.js'
 import * as linkTraffic from './LinkTraffic.js'
@@ -23,7 +24,9 @@
   readonly nowMs: () => base.Millis
   readonly stalls: stallWatch.StallWatch
   readonly random: base.IRandom
-  readonly host: services.IHost
+  readonly host: services.IOfferedHost
+  /** Capacity of this VM's link, in Mbit/s; 0 if it is not known. */
+  readonly linkMbps: number
   readonly limits?: connectionLimits.ConnectionLimits
   readonly events: INodeLinksEvents
 }
@@ -47,6 +50,8 @@
 interface ReadCall {
   readonly link: incomingLink.IncomingLink
   readonly call: types.CallMessage
+  /** Length of the body if it is sent on request; 0 otherwise. */
+  readonly offeredBytes: number
   readonly readAtMs: base.Millis
   /** How long it may have waited before it was read. */
   readonly waitedMs: base.Millis
@@ -61,17 +66,19 @@
   private readonly _outgoing = new Map<base.NodeId, outgoingLink.OutgoingLink>()
   private readonly _incoming = new Set<incomingLink.IncomingLink>()
   private readonly _held: readAheads.ReadAhead<ReadCall>
+  private readonly _intake: bodyIntake.BodyIntake
   private readonly _heldOf = new Map<incomingLink.IncomingLink, Map<number, ReadCall>>()
 
   constructor (options: NodeLinksOptions) {
     this._options = options
     this._limits = options.limits ?? new connectionLimits.ConnectionLimits()
+    this._intake = new bodyIntake.BodyIntake({ ...options, nodeId: options.selfId })
     this._held = new readAheads.ReadAhead<ReadCall>({ nowMs: options.nowMs, turns: READ_AHEAD_TURNS, isReading: () => false, begin: call => { this._begin(call) } })
   }
 
-  /** Calls of other nodes that have been read and not begun. */
+  /** Calls of other nodes that have been read and not begun, or whose bodies have not arrived. */
   public get heldCalls (): number {
-    return this._held.size
+    return this._held.size + this._intake.size
   }
 
   /** Opens a link to the node and keeps it open. */
@@ -140,6 +147,7 @@
       link.keepAlive()
     }
     for (const link of this._incoming) link.tick(stalledMs)
+    this._intake.tick()
   }
 
   public handleOpened (link: outgoingLink.OutgoingLink): void {
@@ -170,12 +178,16 @@
     } else if (message.kind === 'cancel') {
       this._cancel(link, message.callId)
       return
+    } else if (message.kind === 'body') {
+      this._intake.deliver(link, message.callId, message.body)
+      return
     }
     events.handleMessage(link.nodeId, message, reply => { link.send(reply) })
   }
 
   public handleHello (link: incomingLink.IncomingLink, hello: linkCodec.HelloMessage): void {
     this._options.events.handleHello(hello, message => { link.send(message) })
+    link.send({ kind: 'takes-offers' })
     // The node has just started or is reachable again.
     this._outgoing.get(hello.nodeId)?.reconnectNow()
   }
@@ -184,6 +196,7 @@
     this._incoming.delete(link)
     for (const call of this._heldOf.get(link)?.values() ?? []) this._held.remove(call)
     this._heldOf.delete(link)
+    this._intake.abandon(link)
     this._options.host.abandon(link)
   }
 
@@ -203,8 +216,12 @@
 
   /** The call may have waited on its way, or while this process was stalled. */
   public handleCall (link: incomingLink.IncomingLink, call: types.CallMessage, delayMs: base.Millis): void {
+    this.handleOffer(link, call, 0, delayMs)
+  }
+
+  public handleOffer (link: incomingLink.IncomingLink, call: types.CallMessage, offeredBytes: number, delayMs: base.Millis): void {
     const { nowMs, stalls } = this._options
-    const held = { link, call, readAtMs: nowMs(), waitedMs: Math.max(delayMs, stalls.suspectedMs) }
+    const held = { link, call, offeredBytes, readAtMs: nowMs(), waitedMs: Math.max(delayMs, stalls.suspectedMs) }
     let calls = this._heldOf.get(link)
     if (calls === undefined) {
       calls = new Map()
@@ -215,16 +232,18 @@
   }
 
   private _begin (held: ReadCall): void {
-    const { link, call, readAtMs, waitedMs } = held
+    const { link, call, offeredBytes, readAtMs, waitedMs } = held
     this._forget(link, call.callId)
     const lostMs = waitedMs + this._options.nowMs() - readAtMs
-    this._options.host.accept(link, { ...call, remainingMs: call.remainingMs - lostMs, elapsedMs: call.elapsedMs + lostMs })
+    const begun = { ...call, remainingMs: call.remainingMs - lostMs, elapsedMs: call.elapsedMs + lostMs }
+    if (offeredBytes > 0) this._intake.offer(link, begun, offeredBytes)
+    else this._options.host.accept(link, begun)
   }
 
   private _cancel (link: incomingLink.IncomingLink, callId: number): void {
     const held = this._heldOf.get(link)?.get(callId)
     if (held === undefined) {
-      this._options.host.cancel(link, callId)
+      if (!this._intake.cancel(link, callId)) this._options.host.cancel(link, callId)
       return
     }
     this._held.remove(held)
--- a/packages/node/src/direct/OutgoingLink.ts
+++ b/packages/node/src/direct/OutgoingLink.ts
@@ -22,6 +22,8 @@
 const PING_INTERVAL_MS = 1_000
 /** A node that has not read this many bytes gets no more calls. */
 const MAX_BUFFERED_BYTES = 8 * 1024 * 1024
+/** A body of at least this length is offered to the host, and sent when the host requests it. */
+const MIN_OFFERED_BYTES = 16 * 1024
 /** Largest message: a call with the largest body that configurations allow. */
 export const MAX_MESSAGE_BYTES = 80 * 1024 * 1024
 
@@ -55,6 +57,9 @@
 interface Connection {
   readonly socket: ws.WebSocket
   readonly calls: Set<number>
+  /** Bodies that were offered and not requested, by call. */
+  readonly offered: Map<number, Uint8Array>
+  takesOffers: boolean
   readonly delay: linkDelays.LinkDelay
   isOpen: boolean
   connectingSinceMs: base.Millis
@@ -98,7 +103,14 @@
     const connection = this._current
     if (connection?.isOpen !== true || connection.socket.bufferedAmount > MAX_BUFFERED_BYTES) return false
     connection.calls.add(call.callId)
-    this._write(connection, { kind: 'call', call: { ...call, sentAtMs: this._options.sendClockMs() } })
+    const { body } = call
+    const sentAtMs = this._options.sendClockMs()
+    if (connection.takesOffers && body !== undefined && body.length >= MIN_OFFERED_BYTES) {
+      connection.offered.set(call.callId, body)
+      this._write(connection, { kind: 'offer', call: { ...call, body: undefined, sentAtMs }, bodyBytes: body.length })
+    } else {
+      this._write(connection, { kind: 'call', call: { ...call, sentAtMs } })
+    }
     return true
   }
 
@@ -109,6 +121,7 @@
   /** Cancels a call on the connection on which it was sent. */
   public cancel (callId: number): void {
     for (const connection of this._connections()) {
+      connection.offered.delete(callId)
       if (connection.calls.delete(callId)) this._write(connection, { kind: 'cancel', callId })
     }
   }
@@ -169,7 +182,7 @@
     if (this._isDisposed) return
     const nowMs = this._options.nowMs()
     const socket = new ws.WebSocket(`ws://${this.nodeId}/`, { perMessageDeflate: false, maxPayload: MAX_MESSAGE_BYTES, handshakeTimeout: CONNECT_TIMEOUT_MS, skipUTF8Validation: true, generateMask: linkParts.clearMask })
-    const connection: Connection = { socket, calls: new Set(), delay: new linkDelays.LinkDelay(this._options.nowMs), isOpen: false, connectingSinceMs: nowMs, receivedAtMs: nowMs, sentAtMs: nowMs, pingedAtMs: -Infinity }
+    const connection: Connection = { socket, calls: new Set(), offered: new Map(), takesOffers: false, delay: new linkDelays.LinkDelay(this._options.nowMs), isOpen: false, connectingSinceMs: nowMs, receivedAtMs: nowMs, sentAtMs: nowMs, pingedAtMs: -Infinity }
     this._current = connection
     socket.binaryType = 'nodebuffer'
     socket.on('open', () => {
@@ -217,7 +230,11 @@
     }
     const message = decoded.value
     this._options.traffic.recordReceived(message.kind, data.length)
-    if (message.kind === 'result') connection.calls.delete(message.callId)
+    if (message.kind === 'result') {
+      connection.calls.delete(message.callId)
+      connection.offered.delete(message.callId)
+    }
+    if (this._handleOfferMessage(connection, message)) return
     if (this._silentConnections.has(connection)) {
       // The other side has resumed, so a new connection can be opened. Messages other than results are out of date.
       this.reconnectNow()
@@ -227,9 +244,22 @@
     this._options.events.handleMessage(this, isTimed ? linkCodec.older(message, connection.delay.measureMost(message.sentAtMs)) : message)
   }
 
+  private _handleOfferMessage (connection: Connection, message: linkCodec.LinkMessage): boolean {
+    if (message.kind === 'takes-offers') {
+      connection.takesOffers = true
+      return true
+    }
+    if (message.kind !== 'body-request') return false
+    const body = connection.offered.get(message.callId)
+    connection.offered.delete(message.callId)
+    if (body !== undefined) this._write(connection, { kind: 'body', callId: message.callId, body })
+    return true
+  }
+
   private _handleClose (connection: Connection): void {
     const callIds = [...connection.calls]
     connection.calls.clear()
+    connection.offered.clear()
     if (this._silentConnections.delete(connection)) {
       if (!this._isDisposed) this._options.events.handleAbandoned(this, callIds)
       return
--- a/packages/node/src/direct/Services.ts
+++ b/packages/node/src/direct/Services.ts
@@ -100,6 +100,13 @@
   abandon(caller: IHostCaller): void
 }
 
+/** A node that accepts the heads of calls with long bodies first. */
+export interface IOfferedHost extends IHost {
+  readonly load: direct.TargetLoad
+  /** Refusal of the call if its body had arrived in `transferMs`; undefined if it would be accepted, as far as is known now. */
+  refusalOf(call: types.CallMessage, transferMs: base.Millis): direct.HostRefusal | undefined
+}
+
 /** Knows which requests crash the targets that run them. */
 export interface ICrashGuard {
   standingOf(request: requestIdentity.IdentifiedRequest): direct.Standing
--- a/packages/node/src/direct/TargetHost.ts
+++ b/packages/node/src/direct/TargetHost.ts
@@ -1,4 +1,5 @@
 import * as crashWatches from './CrashWatch.js'
+import * as hostedCall from './HostedCall.js'
 import * as slotQueue from '@elmpost/common/direct/SlotQueue.js'
 import * as slotUse from '@elmpost/common/direct/SlotUse.js'
 import type * as base from '@elmpost/common/base/Types.js'
@@ -19,29 +20,19 @@
 const SILENCE_CALLS = 4
 /** A call that waits to run alone is refused when the time left is less than this share of the mean time of a call. */
 const TRIAL_USEFUL_SHARE = 0.5
-const FIRST_ERROR_STATUS = 500
 /** The wait keeps entry nodes that have not heard of the stop from sending further calls here. */
 const STOPPING: direct.HostRefusal = { reason: 'stopping', reachedTarget: false, waitMs: 4_000 }
 
-interface HostedCall extends slotQueue.SlotCall {
-  readonly caller: services.IHostCaller
-  readonly message: types.CallMessage
-  run: services.ITargetRun | undefined
-  startedAtMs: base.Millis
-  /** On the monotonic clock. Infinite until the call is started. */
-  overdueAtMs: base.Millis
-}
-
 /** Runs calls on the target beside this node, as many at a time as it has slots. */
-export class TargetHost implements services.IHost {
+export class TargetHost implements services.IOfferedHost {
   private readonly _options: targetHostOptions.TargetHostOptions
   private readonly _queue = new slotQueue.SlotQueue()
   private readonly _use = new slotUse.SlotUse()
-  private readonly _calls = new Map<number, HostedCall>()
-  private readonly _callsByCaller = new Map<services.IHostCaller, Map<number, HostedCall>>()
+  private readonly _calls = new Map<number, hostedCall.HostedCall>()
+  private readonly _callsByCaller = new Map<services.IHostCaller, Map<number, hostedCall.HostedCall>>()
   private readonly _watch: crashWatches.CrashWatch
   /** Call that waits until it can run alone, or runs alone. */
-  private _trial: HostedCall | undefined
+  private _trial: hostedCall.HostedCall | undefined
   private _nextId = 1
   private _started = 0
   private _answeredAtMs = -Infinity
@@ -100,16 +91,9 @@
   public accept (caller: services.IHostCaller, message: types.CallMessage): void {
     const nowMs = this._waitClockMs
     const call = this._track(caller, message, nowMs)
-    if (message.service !== this._options.service || this._options.state() !== 'ready' || this._options.rollout?.mayRun === false) {
-      this._refuse(call, { reason: 'no-target', reachedTarget: false, waitMs: 0 })
-      return
-    }
-    if (message.remainingMs <= 0) {
-      this._refuse(call, { reason: 'deadline', reachedTarget: false, waitMs: 0 })
-      return
-    }
-    if (this._mayOutlastProcess(call)) {
-      this._refuse(call, STOPPING)
+    const refusal = this._refusalAtArrival(call)
+    if (refusal !== undefined) {
+      this._refuse(call, refusal)
       return
     }
     if (message.crashes !== undefined) this._options.crashes.recordReports(message.crashes)
@@ -128,6 +112,16 @@
     else if (this._queue.isLimited) this._startNext()
   }
 
+  public refusalOf (message: types.CallMessage, transferMs: base.Millis): direct.HostRefusal | undefined {
+    const nowMs = this._waitClockMs
+    const call = this._slotCallOf(0, message, nowMs)
+    const refusal = this._refusalAtArrival({ ...call, message })
+    if (refusal !== undefined || this._queue.hasRoom) return refusal
+    // It waits for a slot after its body has arrived.
+    const waitMs = this._queue.refusedWaitMs({ ...call, deadlineAtMs: call.deadlineAtMs - transferMs, objectiveAtMs: call.objectiveAtMs - transferMs }, nowMs)
+    return waitMs === undefined ? undefined : { reason: 'busy', reachedTarget: false, waitMs }
+  }
+
   /** Drops a waiting call. A running call is aborted if it is idempotent; otherwise it runs to its end. */
   public cancel (caller: services.IHostCaller, callId: number): boolean {
     const call = this._callsByCaller.get(caller)?.get(callId)
@@ -195,12 +189,12 @@
   }
 
   /** Whether the call would be cut if it takes all of its time. Another host can run it. */
-  private _mayOutlastProcess ({ deadlineAtMs }: HostedCall): boolean {
+  private _mayOutlastProcess ({ deadlineAtMs }: Pick<hostedCall.HostedCall, 'deadlineAtMs'>): boolean {
     return this._options.nowMs() + deadlineAtMs - this._waitClockMs > this._options.endsAtMs()
   }
 
   /** Lets the calls on the target end and the call run alone. One call at a time, so that the others wait for one run only. */
-  private _offerTrial (call: HostedCall): void {
+  private _offerTrial (call: hostedCall.HostedCall): void {
     if (this._trial !== undefined) {
       this._refuse(call, { reason: 'busy', reachedTarget: false, waitMs: this._queue.meanMs })
       return
@@ -210,12 +204,12 @@
     this._startNext()
   }
 
-  private _isWaitingTrial (call: HostedCall): boolean {
+  private _isWaitingTrial (call: hostedCall.HostedCall): boolean {
     return call === this._trial && call.startedAtMs === Infinity
   }
 
   /** The target may go on with a call that it has begun. */
-  private _abort (call: HostedCall): void {
+  private _abort (call: hostedCall.HostedCall): void {
     if (call.startedAtMs < Infinity) this._watch.recordAbandoned(this._runOf(call), Math.max(0, call.overdueAtMs - this._options.nowMs()))
     call.run?.abort()
   }
@@ -225,9 +219,16 @@
     for (const call of this._calls.values()) if (call.startedAtMs < Infinity) yield this._runOf(call)
   }
 
-  private _track (caller: services.IHostCaller, message: types.CallMessage, nowMs: base.Millis): HostedCall {
-    const call: HostedCall = {
-      id: this._nextId++,
+  private _refusalAtArrival (call: Pick<hostedCall.HostedCall, 'message' | 'deadlineAtMs'>): direct.HostRefusal | undefined {
+    const { service, state, rollout } = this._options
+    if (call.message.service !== service || state() !== 'ready' || rollout?.mayRun === false) return { reason: 'no-target', reachedTarget: false, waitMs: 0 }
+    if (call.message.remainingMs <= 0) return { reason: 'deadline', reachedTarget: false, waitMs: 0 }
+    return this._mayOutlastProcess(call) ? STOPPING : undefined
+  }
+
+  private _slotCallOf (id: number, message: types.CallMessage, nowMs: base.Millis): slotQueue.SlotCall {
+    return {
+      id,
       priority: message.priority,
       arrivedAtMs: nowMs,
       deadlineAtMs: nowMs + message.remainingMs,
@@ -235,7 +236,13 @@
       isNested: this._options.dialect.parentIdOf(message.requestId) !== undefined,
       workClass: message.objectiveMs,
       assumedMs: message.objectiveMs * ASSUMED_SHARE,
-      customer: this._customerOf(message),
+      customer: this._customerOf(message)
+    }
+  }
+
+  private _track (caller: services.IHostCaller, message: types.CallMessage, nowMs: base.Millis): hostedCall.HostedCall {
+    const call: hostedCall.HostedCall = {
+      ...this._slotCallOf(this._nextId++, message, nowMs),
       caller,
       message,
       run: undefined,
@@ -257,7 +264,7 @@
     return name === undefined ? undefined : { name, weight: this._options.customerWeight(name) }
   }
 
-  private _start (call: HostedCall): void {
+  private _start (call: hostedCall.HostedCall): void {
     const { dialect, client, nowMs, events } = this._options
     const targetId = this._options.targetId()
     const { requestId, method, path, headers, body } = call.message
@@ -279,9 +286,9 @@
     if (!hasEnded) call.run = run
   }
 
-  private _handleEnd (call: HostedCall, result: types.RunResult): void {
+  private _handleEnd (call: hostedCall.HostedCall, result: types.RunResult): void {
     const nowMs = this._options.nowMs()
-    this._use.end(purposeOf(call, result, this._waitClockMs), nowMs - call.startedAtMs, nowMs)
+    this._use.end(hostedCall.purposeOf(call, result, this._waitClockMs), nowMs - call.startedAtMs, nowMs)
     this._options.nestedCalls.endRun(call.message)
     this._options.rollout?.recordRun(call.message, result, nowMs - call.startedAtMs)
     this._queue.release(call.id, result.kind === 'answered' ? result.serviceMs : undefined)
@@ -310,13 +317,13 @@
     this._startNext()
   }
 
-  private _fail (call: HostedCall, { reason, detail }: types.RunResult & { readonly kind: 'failed' }): void {
+  private _fail (call: hostedCall.HostedCall, { reason, detail }: types.RunResult & { readonly kind: 'failed' }): void {
     this._options.events.onCallFailed(call.message, reason, detail)
     this._finish(call, { kind: 'failed', reason })
     this._startNext()
   }
 
-  private _runOf (call: HostedCall): crashWatches.CrashedRun {
+  private _runOf (call: hostedCall.HostedCall): crashWatches.CrashedRun {
     return { call: call.message, isTrial: call === this._trial }
   }
 
@@ -345,7 +352,7 @@
   }
 
   /** Why a call that has waited must not be started; undefined if it may be. */
-  private _refusalOf (call: HostedCall): direct.HostRefusal | undefined {
+  private _refusalOf (call: hostedCall.HostedCall): direct.HostRefusal | undefined {
     if (this._mayOutlastProcess(call)) return STOPPING
     const standing = this._options.crashes.standingOf(call.message)
     if (standing === 'blocked') return { reason: 'target-refused', reachedTarget: false, waitMs: 0 }
@@ -353,7 +360,7 @@
     return standing === 'trial' ? { reason: 'busy', reachedTarget: false, waitMs: 0 } : undefined
   }
 
-  private _startTrial (trial: HostedCall, nowMs: base.Millis): void {
+  private _startTrial (trial: hostedCall.HostedCall, nowMs: base.Millis): void {
     if (!this._isWaitingTrial(trial)) return
     const isBlocked = this._mayOutlastProcess(trial) || this._options.crashes.standingOf(trial.message) === 'blocked'
     if (isBlocked || nowMs + this._queue.meanMs * TRIAL_USEFUL_SHARE > trial.deadlineAtMs) {
@@ -370,17 +377,17 @@
     if (call !== undefined) this._refuse(call, { reason, reachedTarget: false, waitMs: this._queue.meanMs })
   }
 
-  private _refuse (call: HostedCall, refusal: direct.HostRefusal): void {
+  private _refuse (call: hostedCall.HostedCall, refusal: direct.HostRefusal): void {
     this._options.events.onCallRefused(call.message, refusal.reason, refusal.waitMs)
     this._finish(call, { kind: 'refused', refusal })
   }
 
-  private _finish (call: HostedCall, result: types.HostResult): void {
+  private _finish (call: hostedCall.HostedCall, result: types.HostResult): void {
     this._remove(call)
     call.caller.handleHostResult(this._options.nodeId, call.message.callId, result, this.load)
   }
 
-  private _remove (call: HostedCall): void {
+  private _remove (call: hostedCall.HostedCall): void {
     if (call === this._trial) {
       this._trial = undefined
       this._queue.setHeld(false)
@@ -391,9 +398,3 @@
     if (calls?.size === 0) this._callsByCaller.delete(call.caller)
   }
 }
-
-function purposeOf ({ objectiveAtMs }: HostedCall, result: types.RunResult, nowMs: base.Millis): slotUse.SlotPurpose {
-  if (result.kind !== 'answered') return 'lost'
-  if (result.answer.status >= FIRST_ERROR_STATUS) return 'error'
-  return nowMs <= objectiveAtMs ? 'on-time' : 'late'
-}
