Try a target once that has joined

A target that joins is taken for slow until it has answered, so nodes send it nothing while targets that are known to be fast have free slots.

3 s after it became ready an entry node sends a target of its zone that has joined, and has a free slot, one call. Targets that are there when a node starts are chosen as before.

--- a/packages/common/src/direct/TargetPicker.test.ts
+++ b/packages/common/src/direct/TargetPicker.test.ts
@@ -44,6 +44,24 @@
     assert.ok((picked.get('new') ?? 0) >= 1, JSON.stringify([...picked]))
   })
 
+  // Guards against targets that join and get no calls, because others are known to be fast.
+  test.it('tries a target once that has joined, when it is not slow from its start any more', () => {
+    add('fast', 'vake', { serviceMs: 20 })
+    const join = (): void => { table.updateStatus('new', { state: 'ready', load: { ...LOAD, serviceMs: 0 }, version: 1, storeAgeMs: 0, fleetStoreAgeMs: 0 }, 20_000) }
+    table.put('new', 'vake', 'till')
+    table.setConnected('new', true)
+    join()
+    const pickAt = (nowMs: number): string | undefined => {
+      table.recordMessage('fast', nowMs)
+      for (const nodeId of ['fast', 'new']) table.updateLoad(nodeId, { ...LOAD, serviceMs: nodeId === 'fast' ? 20 : 0 }, nowMs)
+      table.recordMessage('new', nowMs)
+      const { row } = picker.pick(CALL, NO_NODES, nowMs)
+      if (row !== undefined) table.recordSend(row.nodeId, nowMs)
+      return row?.nodeId
+    }
+    assert.deepEqual([pickAt(21_000), pickAt(24_000), pickAt(24_001)], ['fast', 'new', 'fast'])
+  })
+
   test.it('stays in the zone while it has capacity, because traffic between zones is costly', () => {
     add('home', 'vake')
     add('away', 'didube')
--- a/packages/common/src/direct/TargetPicker.ts
+++ b/packages/common/src/direct/TargetPicker.ts
@@ -21,6 +21,8 @@
 const UNANSWERED_CALLS = 4
 /** A target that has not answered yet has usually just started and is slower than others. If none has answered, a share of the time left is assumed. */
 const NEW_FACTOR = 1.5
+/** A target that has joined is slow for some seconds after its start. */
+const JOINED_SLOW_MS = 3_000
 const ASSUMED_SHARE = 1 / 3
 /** Hosts queue the least urgent calls only if these will probably be on time: expected time and this share of a mean service time must fit. */
 const ON_TIME_MARGIN_SHARE = 0.5
@@ -98,6 +100,8 @@
     // Targets without a limit say nothing about when they take another call.
     if (full.length > 0) limitWaitMs = Infinity
     if (call.history !== undefined && standing !== 'free') return { row: this._pickForSuspect(usable, call.history), isBusy, limitWaitMs }
+    const joined = call.isNested ? undefined : usable.find(row => this._isUntried(row, nowMs))
+    if (joined !== undefined) return { row: joined, isBusy, limitWaitMs }
     let best: targetTable.TargetRow | undefined
     let bestCost = Infinity
     // A refused nested call would fail a run, and what is known of these targets may be old.
@@ -111,6 +115,14 @@
     return { row: best, isBusy, limitWaitMs }
   }
 
+  /**
+   * Whether a target of this zone has joined, has a free slot and has had no call of this node. Without a call nothing is known
+   * of its speed, and it would get none while targets that are known to be fast are idle.
+   */
+  private _isUntried ({ joinedAtMs, zone, load: { running, queued, slots, limit } }: targetTable.TargetRow, nowMs: base.Millis): boolean {
+    return joinedAtMs !== undefined && nowMs - joinedAtMs > JOINED_SLOW_MS && zone === this._options.zone && limit === undefined && running + queued < slots
+  }
+
   /** A request that may crash its target goes where it harms the fewest others. All nodes choose the same target for a trial. */
   private _pickForSuspect (usable: readonly targetTable.TargetRow[], { standing, fingerprint }: types.IRequestHistory): targetTable.TargetRow | undefined {
     const rankOf = (row: targetTable.TargetRow): number => standing === 'trial' ? digest.placementHash(`${fingerprint} ${row.nodeId}`) : occupiedOf(row)
--- a/packages/common/src/direct/TargetTable.ts
+++ b/packages/common/src/direct/TargetTable.ts
@@ -13,6 +13,9 @@
 /** Weight of the newest delay in its moving average. */
 const DELAY_WEIGHT = 0.2
 
+/** Targets that become ready within this time after the first one belong to the start of the node, or of the fleet. */
+const START_MS = 5_000
+
 /** What the entry node knows of a node and its target. */
 export interface TargetRow {
   readonly nodeId: base.NodeId
@@ -50,6 +53,8 @@
   /** Until then, no call of `avoidedPriority` or less urgent is sent to the node, because it has just refused one. */
   avoidUntilMs: base.Millis
   avoidedPriority: number
+  /** When the target became ready, if it joined others that were ready before, and until this node has sent it a call. */
+  joinedAtMs: base.Millis | undefined
   /** When the last message of the node arrived. */
   lastMessageAtMs: base.Millis
 }
@@ -61,6 +66,8 @@
   /** Rows with an open link, so that choosing a target does not iterate over the whole fleet. */
   private readonly _connected = new RowsByService()
   private _revision = 0
+  /** When the first target of any service became ready for this node. */
+  private _firstReadyAtMs: base.Millis | undefined
 
   public get size (): number {
     return this._rows.size
@@ -147,6 +154,7 @@
       updatedAtMs: 0,
       avoidUntilMs: 0,
       avoidedPriority: 0,
+      joinedAtMs: undefined,
       lastMessageAtMs: -Infinity
     }
     this._revision += 1
@@ -179,7 +187,11 @@
     const row = this._rows.get(nodeId)
     if (row === undefined) return
     // The target may be a new one, so failures before it became ready do not count.
-    if (row.state !== 'ready' && status.state === 'ready') row.failureShare = 0
+    if (row.state !== 'ready' && status.state === 'ready') {
+      row.failureShare = 0
+      this._firstReadyAtMs ??= nowMs
+      row.joinedAtMs = nowMs - this._firstReadyAtMs > START_MS ? nowMs : undefined
+    }
     if (isOtherTarget(row, status)) row.notice = undefined
     row.target = newerOf(row.target, status.target)
     if (status.target !== undefined) row.softwareVersion = status.target.softwareVersion
@@ -225,6 +237,7 @@
     if (row === undefined) return
     if (row.sentSinceReport === 0) row.firstSentAtMs = nowMs
     row.sentSinceReport += 1
+    row.joinedAtMs = undefined
   }
 
   /** Records the end of a call that was sent to the node `tookMs` ago. */
