Fix what the review of roll-outs and connection limits found

- RequestFeed passed input to the parser of Node.js while that had paused the connection, which ended the process (ERR_INTERNAL_ASSERTION): a peer that reads late and sends requests with Expect: 100-continue among pipelined ones was enough.
- A process that heard of a completed roll-out long after its end refused calls of a later version for 30 s, and an ordinary release crowded the last targets of the version of the roll-out.
RolloutRegister.test.ts.
- A call drawn for a new version whose targets were busy was refused while targets of the old one were idle.
TargetPicker.test.ts.
- completed did not wait for hosts of old targets that had not reported.
- A connection that is closed while it is read from is forgotten.
The new case of ConnectionLimits.test.ts also passes without that line.
- The settings exposure-slack and rollback had no effect and are gone.

--- a/packages/common/src/direct/RolloutRegister.test.ts
+++ b/packages/common/src/direct/RolloutRegister.test.ts
@@ -34,6 +34,18 @@
     add('new', 'v2')
   })
 
+  // Guards against a process that starts long after a roll-out and refuses the calls of a later version.
+  test.it('uses all targets alike again when the old ones of a completed order have stopped, whenever it hears of it', () => {
+    nowMs = 100_000
+    register.put({ ...STATE, phase: 'done', share: 1, orderedAtMs: 90_000 })
+    assert.deepEqual([allowed(false), register.mayRun('till', 'v1')], [['new'], false])
+    nowMs = 140_000
+    assert.deepEqual([allowed(false), register.mayRun('till', 'v1')], [['old', 'new'], true])
+    const restarted = new rolloutRegister.RolloutRegister({ table, random: new random.Random(1), nowMs: () => nowMs, startedAtMs: 139_000 })
+    restarted.put({ ...STATE, phase: 'done', share: 1, orderedAtMs: 90_000 })
+    assert.deepEqual([restarted.choice('till', false), restarted.mayRun('till', 'v3')], [undefined, true])
+  })
+
   test.it('uses all targets alike without an order', () => {
     assert.deepEqual([register.draw('till'), allowed(false)], [false, ['old', 'new']])
   })
--- a/packages/common/src/direct/RolloutRegister.ts
+++ b/packages/common/src/direct/RolloutRegister.ts
@@ -84,11 +84,12 @@
   public choice (service: string, isDrawn: boolean): types.VersionChoice | undefined {
     const entry = this._entries.get(service)
     if (entry === undefined) return this._choiceAtStart(service)
+    if (this._isLongDone(entry)) return undefined
     const { state, avoided } = entry
     const side = rolloutPlan.onlySide(state)
     const version = state.order.targetVersion
     if (side === undefined) return { version, isWanted: isDrawn, isOnly: false, avoided }
-    return { version, isWanted: side === 'new', isOnly: !this._isLongDone(entry), avoided }
+    return { version, isWanted: side === 'new', isOnly: true, avoided }
   }
 
   /** Whether a target of this version may run calls. Its host refuses them otherwise, for entry nodes that have not heard of the phase. */
@@ -99,8 +100,10 @@
     return (side === 'new') === (softwareVersion === entry.state.order.targetVersion)
   }
 
-  private _isLongDone ({ state, phaseSinceMs }: Entry): boolean {
-    return state.phase === 'done' && this._options.nowMs() - phaseSinceMs > ENDED_MS
+  /** A process that has started since may have heard of the end only now. */
+  private _isLongDone ({ state: { phase, orderedAtMs, order }, phaseSinceMs }: Entry): boolean {
+    const endedAtMs = Math.min(phaseSinceMs, orderedAtMs + order.rampMs)
+    return phase === 'done' && this._options.nowMs() - endedAtMs > ENDED_MS
   }
 
   private _choiceAtStart (service: string): types.VersionChoice | undefined {
--- a/packages/common/src/direct/TargetPicker.test.ts
+++ b/packages/common/src/direct/TargetPicker.test.ts
@@ -44,6 +44,18 @@
     assert.ok((picked.get('new') ?? 0) >= 1, JSON.stringify([...picked]))
   })
 
+  // Guards against calls that are refused while targets of the other version are idle.
+  test.it('takes a target of another version if those of the wanted one are busy, unless only that one may be used', () => {
+    for (const [nodeId, softwareVersion] of [['one', 'v1'], ['two', 'v2']] as const) {
+      add(nodeId, 'vake')
+      table.updateStatus(nodeId, { state: 'ready', load: LOAD, version: 1, storeAgeMs: 0, fleetStoreAgeMs: 0, target: { targetId: nodeId, startedAtMs: 1, isLeaving: false, softwareVersion } }, 0)
+    }
+    const busy = table.get('two')
+    if (busy !== undefined) Object.assign(busy, { avoidUntilMs: 1_000, avoidedPriority: 0 })
+    const pickOf = (isOnly: boolean): string | undefined => picker.pick({ ...CALL, versions: { version: 'v2', isWanted: true, isOnly, avoided: [] } }, NO_NODES, 0).row?.nodeId
+    assert.deepEqual([pickOf(false), pickOf(true)], ['one', undefined])
+  })
+
   // Guards against targets that join and get no calls, because others are known to be fast.
   test.it('tries a target once that has joined, when it is not slow from its start any more', () => {
     add('fast', 'vake', { serviceMs: 20 })
--- a/packages/common/src/direct/TargetPicker.ts
+++ b/packages/common/src/direct/TargetPicker.ts
@@ -80,6 +80,14 @@
   constructor (private readonly _options: TargetPickerOptions) {}
 
   public pick (call: PickRequest, exclude: ReadonlySet<base.NodeId>, nowMs: base.Millis): PickResult {
+    const picked = this._pickOf(call, exclude, nowMs)
+    const { versions } = call
+    if (picked.row !== undefined || versions?.isWanted !== true || versions.isOnly) return picked
+    // Targets of the version that the call was drawn for are busy, and others may be idle.
+    return this._pickOf({ ...call, versions: { ...versions, isWanted: false } }, exclude, nowMs)
+  }
+
+  private _pickOf (call: PickRequest, exclude: ReadonlySet<base.NodeId>, nowMs: base.Millis): PickResult {
     const usable: targetTable.TargetRow[] = []
     const full: targetTable.TargetRow[] = []
     const standing = call.history?.standing ?? 'free'
--- a/packages/common/src/direct/Types.ts
+++ b/packages/common/src/direct/Types.ts
@@ -54,10 +54,6 @@
 export interface RolloutTerms {
   /** Share of the requests for the service that it may get. */
   readonly exposureShare: number
-  /** Requests that it may get beyond this share. */
-  readonly exposureSlack: number
-  /** Time from the first evidence until it gets no more requests. */
-  readonly rollbackMs: base.Millis
 }
 
 export interface ServiceRule {
--- a/packages/node/src/ConnectionLimits.test.ts
+++ b/packages/node/src/ConnectionLimits.test.ts
@@ -172,4 +172,21 @@
     await until(() => waiting.length === 101)
     assert.deepEqual([closed, limits.gauges.paused], [[], 0])
   })
+
+  // Guards against connections that were closed for their memory and are kept among those that wait to be read.
+  test.it('forgets a connection that it closes while it reads from it', async () => {
+    await start({ maxHeldBytes: 25_720 })
+    for (let turn = 0; turn < 5; turn++) {
+      const { socket } = connect(REQUEST.repeat(4))
+      await until(() => waiting.length >= 4)
+      socket.write(`GET /${'b'.repeat(3_000)}`)
+      await timers.setTimeout(30)
+      limits.tick()
+      socket.destroy()
+      waiting.length = 0
+    }
+    await until(() => limits.gauges.heldBytes === 0)
+    limits.tick()
+    assert.equal(limits.gauges.paused, 0)
+  })
 })
--- a/packages/node/src/ConnectionLimits.ts
+++ b/packages/node/src/ConnectionLimits.ts
@@ -140,6 +140,7 @@
     this._connections.delete(socket)
     this._stopped.delete(connection)
     connection.feed.dispose()
+    connection.waiting.clear()
     for (const kind of ['requests', 'answers', 'input'] as const) this._held[kind] -= connection.held[kind]
   }
 
@@ -233,6 +234,8 @@
     const { waiting, last, socket, feed, readBytes, maxInputBytes } = connection
     this._setHeld(connection, 'input', feed.restBytes + Math.min(socket.bytesRead - readBytes - feed.restBytes, maxInputBytes))
     this._relieve()
+    // This connection may have been closed.
+    if (!this._connections.has(socket)) return 0
     // The rest of its body.
     const isReceiving = last?.req.complete === false
     if (!this._isWithin(connection, 1) || (isScarce && waiting.size > (isReceiving ? 1 : 0))) {
@@ -264,8 +267,8 @@
     const connection = this._connections.get(socket)
     if (connection === undefined) return
     if (socket.writableLength > 0) this._close(connection, 'unread')
-    // `headersTimeout` applies to the head of a request.
-    else if (connection.waiting.size === 0 && connection.readBytes > 0 && connection.held.input === 0) socket.destroy()
+    // A request whose head is complete is waiting.
+    else if (connection.waiting.size === 0 && (connection.readBytes > 0 || connection.held.input > 0)) socket.destroy()
   }
 
   /** Closes connections while all together hold too much: those that hold most of the kind that takes the most memory. */
--- a/packages/node/src/RequestFeed.ts
+++ b/packages/node/src/RequestFeed.ts
@@ -20,6 +20,8 @@
   }
 
   private readonly _handleResume = (): void => {
+    // Node.js has paused the connection again since, and its parser must get nothing then.
+    if (this._options.socket.isPaused()) return
     this._isParserPaused = false
     if (this._isStopped) this._options.socket.pause()
     else this._feed()
--- a/packages/node/src/direct/RolloutDriver.ts
+++ b/packages/node/src/direct/RolloutDriver.ts
@@ -148,10 +148,12 @@
     const { register, healths, table, exposureShare, nowMs, routes } = this._options
     const { service, targetVersion } = state.order
     const slots = { new: 0, old: 0 }
+    const oldHosts: base.NodeId[] = []
     const serviceMs: base.Millis[] = []
     for (const row of table.connectedOf(service)) {
       if (row.state !== 'ready' || row.notice?.isLeaving === true) continue
       slots[row.softwareVersion === targetVersion ? 'new' : 'old'] += row.load.slots
+      if (row.softwareVersion !== targetVersion) oldHosts.push(row.nodeId)
       if (row.softwareVersion !== targetVersion && row.load.serviceMs > 0) serviceMs.push(row.load.serviceMs)
     }
     if (slots.new > 0) this._lostSinceMs.delete(service)
@@ -169,7 +171,7 @@
       oldSlots: slots.old,
       serviceMs: serviceMs.length === 0 ? 0 : serviceMs.reduce((sum, ms) => sum + ms, 0) / serviceMs.length,
       lostSinceMs: this._lostSinceMs.get(service),
-      isConfirmed: healths.isConfirmed(state)
+      isConfirmed: healths.isConfirmed(state, oldHosts)
     }
   }
 }
--- a/packages/node/src/direct/RolloutHealths.ts
+++ b/packages/node/src/direct/RolloutHealths.ts
@@ -46,10 +46,11 @@
     return this._of(order)?.health.answersPerS ?? 0
   }
 
-  /** Whether all hosts of old targets that have reported enforce that they get no calls, and have none left. */
-  public isConfirmed ({ order }: rolloutTypes.RolloutState): boolean {
-    const hosts = [...this._of(order)?.hosts.values() ?? []]
-    return hosts.filter(({ softwareVersion }) => softwareVersion !== order.targetVersion).every(({ phase, running }) => phase === 'all' && running === 0)
+  /** Whether all hosts of old targets, those in `oldHosts` at least, have reported that they enforce that they get no calls, and have none left. */
+  public isConfirmed ({ order }: rolloutTypes.RolloutState, oldHosts: readonly base.NodeId[]): boolean {
+    const reported = this._of(order)?.hosts
+    const hosts = [...reported?.values() ?? []]
+    return oldHosts.every(nodeId => reported?.has(nodeId) === true) && hosts.filter(({ softwareVersion }) => softwareVersion !== order.targetVersion).every(({ phase, running }) => phase === 'all' && running === 0)
   }
 
   public summary ({ order }: rolloutTypes.RolloutState): HealthSummary {
