Offer long bodies where the configuration has them, and not in vain

Cause: every body from 48 kB on was offered before it was sent, also on routes that do not have long bodies; a host requested bodies that could not arrive in time, or kept calls waiting for bodies while it stopped; a call that went on after it was taken back no longer counted to the held bytes. The headers of customers were taken from requests of meshes without customers, and a customer that the configuration no longer has counted like an average one. Change: the entry node marks calls on routes with long bodies, only those are offered; a host refuses an offer whose body comes too late, and offered calls when it takes no more; the body of a run counts until the run ends; X-Api-Key and Tenant-Name are left alone without customers.

--- a/packages/common/src/direct/BodyTransfers.ts
+++ b/packages/common/src/direct/BodyTransfers.ts
@@ -74,9 +74,9 @@
     else if (this._underWay.delete(body) || this._arrived.delete(body)) this._heldBytes -= body.lengthBytes
   }
 
-  /** Bodies that have not arrived and whose calls are useless by now. */
-  public expired (nowMs: base.Millis): readonly Body[] {
-    return [...this._waiting, ...this._underWay.keys()].filter(({ deadlineAtMs }) => nowMs >= deadlineAtMs)
+  /** Bodies that have not arrived. */
+  public get pending (): readonly Body[] {
+    return [...this._waiting, ...this._underWay.keys()]
   }
 
   private _fits ({ lengthBytes }: Body, nowMs: base.Millis): boolean {
--- a/packages/common/src/direct/CustomerIndex.ts
+++ b/packages/common/src/direct/CustomerIndex.ts
@@ -28,21 +28,26 @@
     this._meanLimitPerS = limited.length === 0 ? 1 : limited.reduce((sum, { maxCallsPerS }) => sum + maxCallsPerS, 0) / limited.length
   }
 
+  public get hasCustomers (): boolean {
+    return this._customers !== undefined
+  }
+
   /** Customers whose requests are limited. */
   public get limited (): readonly types.CustomerRule[] {
     return (this._customers ?? []).filter(({ maxCallsPerS }) => Number.isFinite(maxCallsPerS))
   }
 
-  /** A customer is entitled to a part of a target in proportion to its limit. One without a limit counts as an average one. */
-  public weightOf (name: string): number {
-    const limitPerS = this._byName.get(name)?.maxCallsPerS ?? Infinity
+  /** A customer is entitled to a part of a target in proportion to its limit. One without a limit counts as an average one. Undefined if the configuration does not have the customer. */
+  public weightOf (name: string): number | undefined {
+    const limitPerS = this._byName.get(name)?.maxCallsPerS
+    if (limitPerS === undefined) return undefined
     return Number.isFinite(limitPerS) ? limitPerS : this._meanLimitPerS
   }
 
-  /** The customer of a request on the route. A nested call bears no key and belongs to the customer of its run. */
+  /** The customer of a request on the route. A nested call bears no key and belongs to the customer of its run; a run for no customer can only make calls on public routes. */
   public identify (rule: types.RouteRule, key: string | undefined, run: types.RunCustomer | undefined): Identified {
     if (this._customers === undefined) return { kind: 'known', customer: undefined, urgency: rule.priority }
-    if (run !== undefined && key === undefined) return this._identifyNested(rule, run)
+    if (run !== undefined && key === undefined && (run.name !== undefined || rule.isPublic === true)) return this._identifyNested(rule, run)
     if (rule.isPublic === true) return { kind: 'known', customer: undefined, urgency: urgencyOf(this._leastUrgent, rule) }
     const customer = key === undefined ? undefined : this._byKey.get(key)
     return customer === undefined ? { kind: 'unknown-key' } : { kind: 'known', customer, urgency: urgencyOf(customer.priority, rule) }
--- a/packages/common/src/direct/RulesInForce.ts
+++ b/packages/common/src/direct/RulesInForce.ts
@@ -41,8 +41,12 @@
     return this._routes.find(host, path)
   }
 
-  /** Part of a target that a customer is entitled to, relative to that of others. */
-  public customerWeight (customer: string): number {
+  public get hasCustomers (): boolean {
+    return this._customers.hasCustomers
+  }
+
+  /** Part of a target that a customer is entitled to, relative to that of others. Undefined if the configuration does not have it. */
+  public customerWeight (customer: string): number | undefined {
     return this._customers.weightOf(customer)
   }
 
--- a/packages/node/src/direct/BodyIntake.test.ts
+++ b/packages/node/src/direct/BodyIntake.test.ts
@@ -18,6 +18,7 @@
   public cancelled = 0
   public abandoned = 0
   public refusal: direct.HostRefusal | undefined
+  public arrival: direct.HostRefusal | undefined
   public readonly transfersMs: number[] = []
 
   public accept (caller: services.IHostCaller, accepted: types.CallMessage): void {
@@ -33,6 +34,10 @@
     this.abandoned += 1
   }
 
+  public refusalAtArrival (): direct.HostRefusal | undefined {
+    return this.arrival
+  }
+
   public refusalOf (_call: types.CallMessage, transferMs: number): direct.HostRefusal | undefined {
     this.transfersMs.push(transferMs)
     return this.refusal
@@ -81,6 +86,28 @@
     assert.deepEqual([results.map(({ kind }) => kind), host.accepted.length, intake.size], [['refused'], 0, 0])
   })
 
+  // Guards against bodies that a host waits for in vain while it stops.
+  test.it('refuses a call whose body has not come when its host takes it no more', () => {
+    intake.offer(from, call(1), BODY.length)
+    intake.offer(from, call(2), BODY.length)
+    intake.deliver(from, 1, BODY)
+    host.arrival = { reason: 'stopping', reachedTarget: false, waitMs: 4_000 }
+    intake.tick()
+    assert.deepEqual([results, intake.size], [[{ kind: 'refused', refusal: host.arrival }], 0])
+  })
+
+  // Guards against held bytes that are not counted while their calls go on without a caller.
+  test.it('holds the body of a call that goes on after it was taken back', () => {
+    const largest = Buffer.alloc(16 * 1024 * 1024)
+    intake.offer(from, call(1), largest.length)
+    intake.deliver(from, 1, largest)
+    assert.deepEqual([intake.cancel(from, 1), host.cancelled], [true, 1])
+    intake.offer(from, call(2), BODY.length)
+    assert.deepEqual(requested, [1])
+    host.accepted[0]?.caller.handleHostResult('n', 1, { kind: 'failed', reason: 'timeout' }, LOAD)
+    assert.deepEqual(requested, [1, 2])
+  })
+
   // Guards against a request that runs with another body than its own.
   test.it('does not run a call with a body of another length', () => {
     intake.offer(from, call(1), BODY.length)
--- a/packages/node/src/direct/BodyIntake.ts
+++ b/packages/node/src/direct/BodyIntake.ts
@@ -7,6 +7,8 @@
 /** Most bytes of bodies that are requested or in use, unless a single one is longer. */
 const MAX_HELD_BYTES = 16 * 1024 * 1024
 
+const EXPIRED: direct.HostRefusal = { reason: 'deadline', reachedTarget: false, waitMs: 0 }
+
 /** A node that offers calls with long bodies and sends the bodies on request. */
 export interface IOfferingCaller extends services.IHostCaller {
   requestBody(callId: number): void
@@ -72,6 +74,7 @@
     }
     const lostMs = nowMs() - offered.offeredAtMs
     const { call } = offered
+    caller.delivered.add(callId)
     host.accept(caller, { ...call, body, remainingMs: call.remainingMs - lostMs, elapsedMs: call.elapsedMs + lostMs })
     this._requestNext()
   }
@@ -80,8 +83,9 @@
   public cancel (from: IOfferingCaller, callId: number): boolean {
     const caller = this._callers.get(from)
     if (caller === undefined || !caller.offered.has(callId)) return false
-    this._options.host.cancel(caller, callId)
-    caller.release(callId)
+    const isRunning = caller.isDelivered(callId) && !this._options.host.cancel(caller, callId)
+    // A run that goes on holds its body until it ends.
+    if (!isRunning) caller.release(callId)
     return true
   }
 
@@ -94,11 +98,13 @@
     this._callers.delete(from)
   }
 
-  /** Refuses calls whose bodies have not come in time, and requests bodies in place of those that are held up. */
+  /** Refuses calls whose bodies have not come in time, or that the host takes no more, and requests bodies in place of those that are held up. */
   public tick (): void {
     const { host, nodeId, nowMs } = this._options
-    for (const { from, call } of this._transfers.expired(nowMs())) {
-      this._callers.get(from)?.handleHostResult(nodeId, call.callId, { kind: 'refused', refusal: { reason: 'deadline', reachedTarget: false, waitMs: 0 } }, host.load)
+    for (const { from, call, deadlineAtMs } of this._transfers.pending) {
+      const isExpired = nowMs() >= deadlineAtMs
+      const refusal = isExpired ? EXPIRED : host.refusalAtArrival(call)
+      if (refusal !== undefined) this._callers.get(from)?.handleHostResult(nodeId, call.callId, { kind: 'refused', refusal }, host.load)
     }
     this._requestNext()
   }
@@ -124,6 +130,8 @@
 /** Passes results on to a node, and releases the bodies of calls that have ended. */
 class CallerOfBodies implements services.IHostCaller {
   public readonly offered = new Map<number, OfferedCall>()
+  /** Calls that the host has accepted with their bodies. */
+  public readonly delivered = new Set<number>()
 
   constructor (private readonly _from: IOfferingCaller, private readonly _onReleased: (offered: OfferedCall) => void) {}
 
@@ -132,7 +140,12 @@
     this._from.handleHostResult(nodeId, callId, result, load)
   }
 
+  public isDelivered (callId: number): boolean {
+    return this.delivered.has(callId)
+  }
+
   public release (callId: number): void {
+    this.delivered.delete(callId)
     const offered = this.offered.get(callId)
     if (offered === undefined) return
     this.offered.delete(callId)
--- a/packages/node/src/direct/EntryGate.ts
+++ b/packages/node/src/direct/EntryGate.ts
@@ -255,6 +255,11 @@
   private _begin (arrival: Arrival, grant: callGrants.Grant | undefined): void {
     const { calls, nestedCalls, nowMs, callsEndByMs } = this._options
     const { parentId, call: { remainingMs } } = arrival
+    if (calls.inForce.customerOf(arrival.call)?.name !== arrival.customer) {
+      // A version that came while the call waited for its grant has given the key to another customer.
+      this.begin(arrival.exchange)
+      return
+    }
     const beganAtMs = nowMs()
     const heldMs = beganAtMs - arrival.arrivedAtMs
     const decision = calls.begin({ ...arrival.call, remainingMs: remainingMs === undefined ? undefined : remainingMs - heldMs, endByMs: callsEndByMs() }, beganAtMs)
@@ -327,6 +332,7 @@
       headers,
       body,
       isRetry,
+      mayOfferBody: rule.hasLongBodies === true,
       crashes: this._options.crashes.reportsOf(call.request)
     }
     if (send(nodeId, message)) return undefined
@@ -382,8 +388,9 @@
   }
 
   private _forwardedHeaders (exchange: services.IExchange, customer: string | undefined): types.RawHeaders {
-    const { dialect, service } = this._options
-    const headers = rawHeaderFilter.forwardable(exchange.headers, name => dialect.isSetByNode(name))
+    const { dialect, service, calls } = this._options
+    const { hasCustomers } = calls.inForce
+    const headers = rawHeaderFilter.forwardable(exchange.headers, name => dialect.isSetByNode(name) || (hasCustomers && dialect.isForCustomers(name)))
     headers.push(...dialect.entryHeaders(service, customer))
     return headers
   }
--- a/packages/node/src/direct/IncomingLink.ts
+++ b/packages/node/src/direct/IncomingLink.ts
@@ -14,6 +14,9 @@
 /** Longest time without a message of any kind. */
 const MAX_QUIET_MS = 900
 
+/** Messages that do not contain the load, so they do not replace a status. */
+const REPORTS: ReadonlySet<linkCodec.LinkMessage['kind']> = new Set(['grants', 'body-request', 'takes-offers'])
+
 export interface IncomingLinkOptions {
   readonly socket: ws.WebSocket
   /** The connection is closed when the other node has not read more than this. */
@@ -70,7 +73,7 @@
 
   public send (message: linkCodec.LinkMessage): void {
     const parts = this._options.codec.encodeParts(message)
-    if (message.kind === 'grants') this._writeReport(message.kind, parts)
+    if (REPORTS.has(message.kind)) this._writeReport(message.kind, parts)
     else this._write(message.kind, parts)
   }
 
--- a/packages/node/src/direct/LocalTarget.ts
+++ b/packages/node/src/direct/LocalTarget.ts
@@ -37,7 +37,7 @@
   readonly callLog: callLog.CallLog
   readonly crashes: services.ICrashGuard
   readonly nestedCalls: services.INestedCalls
-  readonly customerWeight: (customer: string) => number
+  readonly customerWeight: (customer: string) => number | undefined
   readonly rollout?: services.IHostRollout | undefined
   /** The state, the slots or the id of the target has changed. */
   readonly onChange: () => void
--- a/packages/node/src/direct/OutgoingLink.ts
+++ b/packages/node/src/direct/OutgoingLink.ts
@@ -105,7 +105,7 @@
     connection.calls.add(call.callId)
     const { body } = call
     const sentAtMs = this._options.sendClockMs()
-    if (connection.takesOffers && body !== undefined && body.length >= MIN_OFFERED_BYTES) {
+    if (call.mayOfferBody === true && connection.takesOffers && body !== undefined && body.length >= MIN_OFFERED_BYTES) {
       connection.offered.set(call.callId, body)
       this._write(connection, { kind: 'offer', call: { ...call, body: undefined, sentAtMs }, bodyBytes: body.length })
     } else {
--- a/packages/node/src/direct/Services.ts
+++ b/packages/node/src/direct/Services.ts
@@ -17,6 +17,8 @@
   readNotice(headers: types.RawHeaders): direct.TargetNotice
   /** Whether elmpost sets this header of a request itself. `name` is in lower case. */
   isSetByNode(name: string): boolean
+  /** Whether elmpost sets or takes this header of a request where the configuration has customers. `name` is in lower case. */
+  isForCustomers(name: string): boolean
   /** Whether a header of an answer is for the node alone. `name` is in lower case. */
   isForNode(name: string): boolean
   /** Headers that the entry node adds for a caller beside a target of `service`, and for the customer that the request is made for. */
@@ -103,6 +105,8 @@
 /** A node that accepts the heads of calls with long bodies first. */
 export interface IOfferedHost extends IHost {
   readonly load: direct.TargetLoad
+  /** Refusal of a call that the host takes in no case now. */
+  refusalAtArrival(call: types.CallMessage): direct.HostRefusal | undefined
   /** Refusal of the call if its body had arrived in `transferMs`; undefined if it would be accepted, as far as is known now. */
   refusalOf(call: types.CallMessage, transferMs: base.Millis): direct.HostRefusal | undefined
 }
--- a/packages/node/src/direct/TargetHost.test.ts
+++ b/packages/node/src/direct/TargetHost.test.ts
@@ -108,6 +108,23 @@
     })
   })
 
+  // Guards against long bodies that are sent in vain.
+  test.describe('a call whose body has not arrived', () => {
+    test.it('is refused if its body cannot arrive in time, and has no slot before it arrives', () => {
+      assert.equal(host.refusalOf(call(1), 100), undefined)
+      assert.equal(host.refusalOf(call(1), 1_000)?.reason, 'busy')
+      assert.deepEqual([client.running.length, host.load.running], [0, 0])
+    })
+
+    test.it('is refused when the target is gone or its node stops', () => {
+      assert.equal(host.refusalAtArrival(call(1)), undefined)
+      endsAtMs = 900
+      assert.equal(host.refusalAtArrival(call(1))?.reason, 'stopping')
+      state = 'leaving'
+      assert.equal(host.refusalAtArrival(call(1))?.reason, 'no-target')
+    })
+  })
+
   // Guards against a node that resumes after its VM was suspended and starts calls whose callers no longer wait.
   test.describe('a suspension of the VM that the monotonic clock did not count', () => {
     test.beforeEach(() => {
--- a/packages/node/src/direct/TargetHost.ts
+++ b/packages/node/src/direct/TargetHost.ts
@@ -3,7 +3,6 @@
 import * as slotQueue from '@elmpost/common/direct/SlotQueue.js'
 import * as slotUse from '@elmpost/common/direct/SlotUse.js'
 import type * as base from '@elmpost/common/base/Types.js'
-import type * as customerShares from '@elmpost/common/direct/CustomerShares.js'
 import type * as direct from '@elmpost/common/direct/Types.js'
 import type * as services from './Services.js'
 import type * as targetHostOptions from './TargetHostOptions.js'
@@ -11,15 +10,13 @@
 
 /** Least remaining time that is sent to a target, because it treats 0 as no limit or as an error. */
 const MIN_REMAINING_MS = 1
-/** Service time that is assumed for a call before the first answer to a call with the same objective, as a share of that objective. */
-const ASSUMED_SHARE = 1 / 3
 /** A target stops working at the deadline that it received. A call that lasts longer than this after it is aborted. */
 const OVERDUE_MS = 500
 /** A target without an answer for this time and for `SILENCE_CALLS` mean service times gets a health check. */
 const SILENCE_MS = 700
 const SILENCE_CALLS = 4
-/** A call that waits to run alone is refused when the time left is less than this share of the mean time of a call. */
-const TRIAL_USEFUL_SHARE = 0.5
+/** A call that waits to run alone, or for its body, is refused when the time left is less than this share of the mean time of a call. */
+const USEFUL_SHARE = 0.5
 /** The wait keeps entry nodes that have not heard of the stop from sending further calls here. */
 const STOPPING: direct.HostRefusal = { reason: 'stopping', reachedTarget: false, waitMs: 4_000 }
 
@@ -112,14 +109,22 @@
     else if (this._queue.isLimited) this._startNext()
   }
 
+  public refusalAtArrival (message: types.CallMessage): direct.HostRefusal | undefined {
+    return this._refusalAtArrival({ message, deadlineAtMs: this._waitClockMs + message.remainingMs })
+  }
+
   public refusalOf (message: types.CallMessage, transferMs: base.Millis): direct.HostRefusal | undefined {
     const nowMs = this._waitClockMs
-    const call = this._slotCallOf(0, message, nowMs)
+    const call = hostedCall.slotCallOf(0, message, nowMs, this._options)
     const refusal = this._refusalAtArrival({ ...call, message })
-    if (refusal !== undefined || this._queue.hasRoom) return refusal
+    if (refusal !== undefined) return refusal
     // It waits for a slot after its body has arrived.
-    const waitMs = this._queue.refusedWaitMs({ ...call, deadlineAtMs: call.deadlineAtMs - transferMs, objectiveAtMs: call.objectiveAtMs - transferMs }, nowMs)
-    return waitMs === undefined ? undefined : { reason: 'busy', reachedTarget: false, waitMs }
+    const waiting = { ...call, deadlineAtMs: call.deadlineAtMs - transferMs, objectiveAtMs: call.objectiveAtMs - transferMs }
+    const isTooLate = nowMs + this._queue.meanMs * USEFUL_SHARE > waiting.deadlineAtMs
+    const waitMs = isTooLate ? transferMs : this._queue.hasRoom ? undefined : this._queue.refusedWaitMs(waiting, nowMs)
+    if (waitMs === undefined) return undefined
+    this._options.events.onCallRefused(message, 'busy', waitMs)
+    return { reason: 'busy', reachedTarget: false, waitMs }
   }
 
   /** Drops a waiting call. A running call is aborted if it is idempotent; otherwise it runs to its end. */
@@ -226,23 +231,9 @@
     return this._mayOutlastProcess(call) ? STOPPING : undefined
   }
 
-  private _slotCallOf (id: number, message: types.CallMessage, nowMs: base.Millis): slotQueue.SlotCall {
-    return {
-      id,
-      priority: message.priority,
-      arrivedAtMs: nowMs,
-      deadlineAtMs: nowMs + message.remainingMs,
-      objectiveAtMs: nowMs + message.objectiveMs - message.elapsedMs,
-      isNested: this._options.dialect.parentIdOf(message.requestId) !== undefined,
-      workClass: message.objectiveMs,
-      assumedMs: message.objectiveMs * ASSUMED_SHARE,
-      customer: this._customerOf(message)
-    }
-  }
-
   private _track (caller: services.IHostCaller, message: types.CallMessage, nowMs: base.Millis): hostedCall.HostedCall {
     const call: hostedCall.HostedCall = {
-      ...this._slotCallOf(this._nextId++, message, nowMs),
+      ...hostedCall.slotCallOf(this._nextId++, message, nowMs, this._options),
       caller,
       message,
       run: undefined,
@@ -259,11 +250,6 @@
     return call
   }
 
-  private _customerOf ({ headers }: types.CallMessage): customerShares.WeightedCustomer | undefined {
-    const name = this._options.dialect.customerOf(headers)
-    return name === undefined ? undefined : { name, weight: this._options.customerWeight(name) }
-  }
-
   private _start (call: hostedCall.HostedCall): void {
     const { dialect, client, nowMs, events } = this._options
     const targetId = this._options.targetId()
@@ -363,7 +349,7 @@
   private _startTrial (trial: hostedCall.HostedCall, nowMs: base.Millis): void {
     if (!this._isWaitingTrial(trial)) return
     const isBlocked = this._mayOutlastProcess(trial) || this._options.crashes.standingOf(trial.message) === 'blocked'
-    if (isBlocked || nowMs + this._queue.meanMs * TRIAL_USEFUL_SHARE > trial.deadlineAtMs) {
+    if (isBlocked || nowMs + this._queue.meanMs * USEFUL_SHARE > trial.deadlineAtMs) {
       this._refuse(trial, { reason: isBlocked ? 'target-refused' : 'busy', reachedTarget: false, waitMs: this._queue.meanMs })
       this._startNext()
     } else if (this._queue.startAlone(trial, nowMs)) {
--- a/packages/node/src/direct/TargetHostOptions.ts
+++ b/packages/node/src/direct/TargetHostOptions.ts
@@ -23,7 +23,7 @@
   readonly crashes: services.ICrashGuard
   readonly nestedCalls: services.INestedCalls
   /** Part of the target that a customer is entitled to, relative to that of others. */
-  readonly customerWeight: (customer: string) => number
+  readonly customerWeight: (customer: string) => number | undefined
   /** Start of the target; undefined if it is not known. */
   readonly start: () => direct.TargetStart | undefined
   /** Undefined if the service of the target is never rolled out. */
--- a/packages/node/src/direct/Types.ts
+++ b/packages/node/src/direct/Types.ts
@@ -22,6 +22,8 @@
   readonly body: Uint8Array | undefined
   /** Whether an earlier send of the call reached a target or may have, or the call is nested in a run that is a retry. */
   readonly isRetry: boolean
+  /** Whether the body may be sent when the host requests it. Only for the link to the host. */
+  readonly mayOfferBody?: boolean
   /** When the entry node wrote the call, on its monotonic clock; set by the link. Undefined from a node of an earlier version. */
   readonly sentAtMs?: base.Millis
   /** Crashes that the request took part in, for a host that may not know of them. */
