Tell apart runs with one request id, and refuse nested calls of no customer

Cause: callers choose the ids of their requests. A second request with the id of a running one replaced its customer and its end removed both; a run on a public route let its caller make calls on any other route without a key.

--- a/packages/common/src/direct/CustomerIndex.test.ts
+++ b/packages/common/src/direct/CustomerIndex.test.ts
@@ -47,4 +47,11 @@
     const identified = INDEX.identify(rules.route({ priority: 1 }), undefined, run)
     assert.deepEqual(identified, { kind: 'known', customer: SOUTH, urgency: run.urgency })
   })
+
+  // Guards against callers that get past the key with the id of a request on a public route.
+  test.it('lets a run without a customer call public routes only', () => {
+    const run = { name: undefined, urgency: 0 }
+    assert.equal(INDEX.identify(rules.route(), undefined, run).kind, 'unknown-key')
+    assert.equal(INDEX.identify(rules.route({ isPublic: true }), undefined, run).kind, 'known')
+  })
 })
--- a/packages/node/src/direct/NestedCalls.test.ts
+++ b/packages/node/src/direct/NestedCalls.test.ts
@@ -35,6 +35,26 @@
     })
   })
 
+  // Guards against callers that choose the id of another customer's request.
+  test.describe('the customer of a nested call', () => {
+    test.it('is that of its run, also if the caller has sent several requests with one id', () => {
+      nested.beginRun(call('r1', { headers: ['customer', 'north'] }))
+      nested.beginRun(call('r1', { headers: ['customer', 'north'] }))
+      nested.endRun(call('r1', { headers: ['customer', 'north'] }))
+      assert.equal(nested.customerOf('r1')?.name, 'north')
+      nested.endRun(call('r1', { headers: ['customer', 'north'] }))
+      assert.equal(nested.customerOf('r1'), undefined)
+    })
+
+    test.it('is not known while two customers use the id', () => {
+      nested.beginRun(call('r1', { headers: ['customer', 'north'] }))
+      nested.beginRun(call('r1', { headers: ['customer', 'south'] }))
+      assert.equal(nested.customerOf('r1'), undefined)
+      nested.endRun(call('r1', { headers: ['customer', 'north'] }))
+      assert.equal(nested.customerOf('r1')?.name, 'south')
+    })
+  })
+
   test.describe('a retry', () => {
     test.beforeEach(() => {
       for (const id of ['r1', 'r2']) nested.beginRun(call(id))
--- a/packages/node/src/direct/NestedCalls.ts
+++ b/packages/node/src/direct/NestedCalls.ts
@@ -18,7 +18,8 @@
  */
 export class NestedCalls implements services.INestedCalls {
   private readonly _rate = new nestedCallRate.NestedCallRate()
-  private readonly _runs = new Map<string, Run>()
+  /** By the id of the request. Callers choose ids, so several requests may have the same one. */
+  private readonly _runs = new Map<string, Run[]>()
 
   constructor (
     private readonly _calls: Pick<directCalls.DirectCalls, 'mayNestRetries'>,
@@ -27,26 +28,35 @@
   ) {}
 
   public beginRun ({ requestId, objectiveMs, isRetry, priority, headers }: types.CallMessage): void {
-    this._runs.set(requestId, { workClass: objectiveMs, isRetry, customer: { name: this._dialect.customerOf(headers), urgency: priority } })
+    const run = { workClass: objectiveMs, isRetry, customer: { name: this._dialect.customerOf(headers), urgency: priority } }
+    const others = this._runs.get(requestId)
+    if (others === undefined) this._runs.set(requestId, [run])
+    else others.push(run)
     this._rate.recordRun(objectiveMs)
   }
 
-  public endRun ({ requestId }: types.CallMessage): void {
-    this._runs.delete(requestId)
+  public endRun ({ requestId, headers }: types.CallMessage): void {
+    const runs = this._runs.get(requestId) ?? []
+    const name = this._dialect.customerOf(headers)
+    const at = runs.findIndex(({ customer }) => customer.name === name)
+    if (at >= 0) runs.splice(at, 1)
+    if (runs.length === 0) this._runs.delete(requestId)
   }
 
   /** Where a request came from. `parentId`: id of the run in which it was made, if it is a nested call. */
   public originOf (parentId: string | undefined): direct.RequestOrigin {
     if (parentId === undefined) return 'caller'
-    return this._runs.get(parentId)?.isRetry === true ? 'retried-run' : 'run'
+    return this._runs.get(parentId)?.some(({ isRetry }) => isRetry) === true ? 'retried-run' : 'run'
   }
 
   public customerOf (parentId: string | undefined): direct.RunCustomer | undefined {
-    return parentId === undefined ? undefined : this._runs.get(parentId)?.customer
+    const [run, ...others] = parentId === undefined ? [] : this._runs.get(parentId) ?? []
+    // It cannot be told whose run made the call if two customers use the same id.
+    return others.every(({ customer }) => customer.name === run?.customer.name) ? run?.customer : undefined
   }
 
   public recordCall (parentId: string, service: string): void {
-    const run = this._runs.get(parentId)
+    const [run] = this._runs.get(parentId) ?? []
     if (run !== undefined) this._rate.recordCall(run.workClass, service)
   }
 
@@ -61,7 +71,7 @@
   /** Retried runs that may still make their nested calls. */
   private _retriesOf (workClass: number): number {
     let retries = 0
-    for (const run of this._runs.values()) if (run.isRetry && run.workClass === workClass) retries += 1
+    for (const runs of this._runs.values()) for (const run of runs) if (run.isRetry && run.workClass === workClass) retries += 1
     return retries
   }
 }
