Soak customers, their keys and their limits

Cause: the fault soak had no customers, so keys, names and limits of customers were tested only while all nodes were up and in touch.

CustomerLedger checks which requests run and in whose name, refusals of withdrawn and of known keys, and the limit in each window of 5 s over all nodes.

--- a/packages/testbed/src/soak/Soak.test.ts
+++ b/packages/testbed/src/soak/Soak.test.ts
@@ -11,6 +11,8 @@
 const SEED = 1
 /** Seed for which targets lose nearly all answers. */
 const LOSING_SEED = 2
+/** Seed with customers, in which calls with withdrawn keys enter at nodes in touch. */
+const CUSTOMER_SEED = 13
 
 test.describe('A short soak of the platform program', () => {
   let folder: string
@@ -35,4 +37,11 @@
     const result = await new soakRun.SoakRun({ seed: LOSING_SEED, nodeCount: 6, lengthMs: 10_000, faultCount: 4, program, folder }).run()
     assert.deepEqual(result.problems, [])
   })
+
+  // Guards against keys, names and limits of customers that hold only while all nodes are up and in touch.
+  test.it('keeps the keys and limits of customers', async () => {
+    const result = await new soakRun.SoakRun({ seed: CUSTOMER_SEED, nodeCount: 6, lengthMs: 8_000, faultCount: 6, program, folder }).run()
+    assert.deepEqual(result.problems, [])
+    assert.ok(result.answered > 100, `${result.answered} of ${result.calls} calls were answered`)
+  })
 })
--- a/packages/testbed/src/soak/SoakLedger.ts
+++ b/packages/testbed/src/soak/SoakLedger.ts
@@ -4,6 +4,8 @@
 export interface SoakCall {
   readonly requestId: string
   readonly entry: string
+  /** Key of the customer that the caller sent. */
+  readonly customerKey?: string | undefined
   readonly isIdempotent: boolean
   readonly path: string
   readonly body: string
--- a/packages/testbed/src/soak/SoakRun.ts
+++ b/packages/testbed/src/soak/SoakRun.ts
@@ -1,9 +1,10 @@
 import * as callerStandIn from '@elmpost/platform/standins/CallerStandIn.js'
+import * as customerLedger from './CustomerLedger.js'
+import * as customerLoad from './CustomerLoad.js'
 import * as documents from '@elmpost/platform/standins/Documents.js'
 import * as faultPlan from './FaultPlan.js'
 import * as fleetFaults from './FleetFaults.js'
 import * as harmfulLedger from './HarmfulLedger.js'
-import * as fs from 'node:fs'
 import * as noticeLedger from './NoticeLedger.js'
 import * as random from '@elmpost/common/base/Random.js'
 import * as retryLedger from './RetryLedger.js'
@@ -31,6 +32,8 @@
 const TARGETS = [{ lostShare: 0, slots: 4 }, { lostShare: 0.05, slots: 4 }, { lostShare: 0.9, slots: 16 }] as const
 const DEADLINE_MS = 1_500
 const MAX_SENDS = 3
+/** Answers after which a caller does not send its request again: a success, and the refusal of its key. */
+const FINAL_STATUSES = [200, 401]
 const MAX_RETRY_DELAY_MS = 400
 const POLL_INTERVAL_MS = 50
 const START_TIMEOUT_MS = 20_000
@@ -76,6 +79,8 @@
   private readonly _retries = new retryLedger.RetryLedger()
   private readonly _notices = new noticeLedger.NoticeLedger()
   private readonly _harmful = new harmfulLedger.HarmfulLedger((requestId, atMs) => this._touch.isCalm([this._ledger.calls.find(call => call.requestId === requestId)?.entry ?? ''], atMs, atMs))
+  private readonly _customers = new customerLedger.CustomerLedger((entry, fromMs, toMs) => this._touch.isCalm([entry, touchLedger.STORE], fromMs, toMs))
+  private readonly _customerLoad: customerLoad.CustomerLoad
   private readonly _harmfulRandom: random.Random
   private readonly _versions: versionWatch.VersionWatch
   private readonly _nodes: soakNode.SoakNode[] = []
@@ -98,6 +103,7 @@
     this._options = options
     this._random = new random.Random(options.seed + 1)
     this._harmfulRandom = new random.Random(options.seed + 2)
+    this._customerLoad = new customerLoad.CustomerLoad(options.seed)
     this._targets = TARGETS[options.seed % TARGETS.length] ?? TARGETS[0]
     this._versions = new versionWatch.VersionWatch(version => { this._configure(version) }, (name, fromMs, toMs) => this._touch.isCalm([name, touchLedger.STORE], fromMs, toMs))
   }
@@ -166,15 +172,17 @@
   }
 
   private _configure (version: number): void {
+    const customers = this._customerLoad.declare(version)
+    if (customers !== undefined) this._customers.recordVersion(customers, performance.now())
     const routes = [
       { prefix: '/price/', service: 'till' },
       { prefix: '/photo/', service: 'vault' },
       { prefix: '/charge/', service: 'till', kind: 'non_idempotent' },
       { prefix: '/issue/', service: 'vault', kind: 'non_idempotent' },
-      { prefix: versionWatch.getRoutePrefix(version), service: SERVICES[version % 2] ?? '' }
+      { prefix: versionWatch.getRoutePrefix(version), service: SERVICES[version % 2] ?? '', isPublic: customers !== undefined }
     ]
     const format = new rulesFormat.RulesFormat()
-    this._store.put(format.topic, format.key, JSON.stringify(documents.configuration(version, routes)))
+    this._store.put(format.topic, format.key, JSON.stringify(documents.configuration(version, routes, SERVICES, customers)))
   }
 
   private async _injectFaults (plan: readonly faultPlan.Fault[]): Promise<void> {
@@ -293,20 +301,22 @@
     const node = this._nodes[this._random.nextInt(this._nodes.length)]
     const route = ['/price/', '/photo/', '/charge/', '/issue/'][this._random.nextInt(4)] ?? ''
     if (node === undefined || !node.isRunning) return
+    const customer = this._customerLoad.draw()
     for (let sends = 1; sends <= MAX_SENDS; sends++) {
-      const { call, retryAfterMs } = await this._callOnce(node, route)
-      const mayRetry = call.saysNotRun || (call.isIdempotent && call.status !== 200)
+      const { call, retryAfterMs } = await this._callOnce(node, route, customer)
+      const mayRetry = call.saysNotRun || (call.isIdempotent && !FINAL_STATUSES.includes(call.status))
       if (!mayRetry || !this._isLoading || call.leftAtMs < Infinity) return
       await timers.setTimeout(Math.min(MAX_RETRY_DELAY_MS, retryAfterMs))
     }
   }
 
-  private async _callOnce (node: soakNode.SoakNode, route: string): Promise<{ readonly call: soakLedger.SoakCall, readonly retryAfterMs: number }> {
+  private async _callOnce (node: soakNode.SoakNode, route: string, { key, headers }: customerLoad.CustomerHeaders): Promise<{ readonly call: soakLedger.SoakCall, readonly retryAfterMs: number }> {
     const requestId = `s${this._options.seed}-${this._nextCall++}`
     const isIdempotent = route === '/price/' || route === '/photo/'
     const call: soakLedger.SoakCall = {
       requestId,
       entry: node.name,
+      customerKey: key,
       isIdempotent,
       path: isIdempotent && this._isLosingAnswers && this._harmfulRandom.nextFloat() < HARMFUL_SHARE ? harmfulLedger.harmfulPath(route) : `${route}${requestId}`,
       body: isIdempotent ? '' : `body of ${requestId}`,
@@ -326,7 +336,7 @@
     this._notices.recordCall(requestId, node.name, call.startedAtMs)
     const leaves = isIdempotent && this._isLosingAnswers && this._random.nextFloat() < LEAVING_SHARE
     const leavesAfterMs = MIN_LEAVE_MS + this._random.nextInt(MAX_LEAVE_MS - MIN_LEAVE_MS)
-    const answer = await node.caller.call({ requestId, method: isIdempotent ? 'GET' : 'POST', path: call.path, ...(isIdempotent ? {} : { body: call.body }), deadlineMs: DEADLINE_MS, ...(leaves ? { leavesAfterMs } : {}) })
+    const answer = await node.caller.call({ requestId, headers, method: isIdempotent ? 'GET' : 'POST', path: call.path, ...(isIdempotent ? {} : { body: call.body }), deadlineMs: DEADLINE_MS, ...(leaves ? { leavesAfterMs } : {}) })
     call.endedAtMs = performance.now()
     if (answer.kind === 'none' && answer.problem === callerStandIn.LEFT) call.leftAtMs = call.endedAtMs
     this._recordNotices(node, answer)
@@ -358,7 +368,7 @@
     let served = 0
     await Promise.all(this._nodes.map(async node => {
       for (let at = 0; at < callsEach; at++) {
-        const { call } = await this._callOnce(node, at % 2 === 0 ? '/price/' : '/issue/')
+        const { call } = await this._callOnce(node, at % 2 === 0 ? '/price/' : '/issue/', this._customerLoad.steady)
         if (call.status === 200) served += 1
       }
     }))
@@ -376,7 +386,8 @@
 
   private _collectResult (faults: readonly faultPlan.Fault[], recoveryProblems: readonly string[]): SoakResult {
     for (const node of this._nodes) this._ledger.runs.push(...node.target.runs.filter(({ requestId }) => !versionWatch.isProbe(requestId)))
-    const problems = [...recoveryProblems, ...this._versions.problems, ...this._ledger.check(), ...this._retries.check(), ...this._notices.check(), ...this._harmful.check(this._nodes.flatMap(({ target }) => target.runs))]
+    const runs = this._nodes.flatMap(({ target }) => target.runs)
+    const problems = [...recoveryProblems, ...this._versions.problems, ...this._ledger.check(), ...this._retries.check(), ...this._notices.check(), ...this._harmful.check(runs), ...this._customers.check(this._ledger.calls, runs.filter(({ requestId }) => !versionWatch.isProbe(requestId)))]
     const logs = new Map(problems.length === 0 ? [] : this._nodes.map(({ name, logLines }) => [name, logLines]))
     const answered = this._ledger.calls.filter(({ status }) => status === 200).length
     return { seed: this._options.seed, faults, calls: this._ledger.calls.length, answered, problems, logs }
@@ -386,10 +397,3 @@
 function serviceOf (route: string): string {
   return (route === '/price/' || route === '/charge/' ? SERVICES[0] : SERVICES[1]) ?? ''
 }
-
-/** Writes the logs, faults and problems of a failed soak, so that it can be reproduced. */
-export function writeReport (result: SoakResult, folder: string): void {
-  fs.mkdirSync(folder, { recursive: true })
-  for (const [name, lines] of result.logs) fs.writeFileSync(`${folder}/${result.seed}-${name}.log`, `${lines.join('\n')}\n`)
-  fs.writeFileSync(`${folder}/${result.seed}.json`, JSON.stringify({ faults: result.faults, problems: result.problems }, null, 2))
-}
--- a/packages/testbed/src/soak/main.ts
+++ b/packages/testbed/src/soak/main.ts
@@ -34,7 +34,7 @@
     process.stdout.write(`seed ${seed}: ${result.calls} calls, ${result.answered} answered, ${result.faults.length} faults, ${result.problems.length} violated guarantees\n`)
     if (result.problems.length === 0) continue
     failed += 1
-    soakRun.writeReport(result, options.report)
+    writeReport(result, options.report)
     for (const problem of result.problems.slice(0, 5)) process.stdout.write(`  ${problem}\n`)
   }
   fs.rmSync(folder, { recursive: true })
@@ -42,4 +42,11 @@
   process.exitCode = failed === 0 ? 0 : 1
 }
 
+/** Writes the logs, faults and problems of a failed soak, so that it can be reproduced. */
+function writeReport (result: soakRun.SoakResult, folder: string): void {
+  fs.mkdirSync(folder, { recursive: true })
+  for (const [name, lines] of result.logs) fs.writeFileSync(`${folder}/${result.seed}-${name}.log`, `${lines.join('\n')}\n`)
+  fs.writeFileSync(`${folder}/${result.seed}.json`, JSON.stringify({ faults: result.faults, problems: result.problems }, null, 2))
+}
+
 await main()
