--- a/packages/testbed/src/soak/NoticeLedger.ts
+++ b/packages/testbed/src/soak/NoticeLedger.ts
@@ -1,4 +1,5 @@
 import * as limitBound from '@elmpost/common/direct/testing/LimitBound.js'
+import type * as callerStandIn from '@elmpost/platform/standins/CallerStandIn.js'
 
 /** A target gets no call that was sent later than this through a node which has passed on that it is leaving. */
 const LEAVING_TOLERANCE_MS = 2_000
@@ -36,6 +37,13 @@
     this._leavingAtMs.set(targetId, entries)
   }
 
+  /** Records what a target states in an answer that the entry node has passed on. */
+  public recordAnswer (entry: string, answer: callerStandIn.CallerAnswer | callerStandIn.NoAnswer, atMs: number): void {
+    if (answer.kind === 'none' || answer.targetId === undefined) return
+    if (answer.advertisesLimit) this.recordLimitPassedOn(answer.targetId, entry, atMs)
+    if (answer.signalsLeaving) this.recordLeavingPassedOn(answer.targetId, entry, atMs)
+  }
+
   /** A node that was restarted or paused is bound again when it passes on the next answer. */
   public recordInterruption (entry: string): void {
     this._limits.recordInterruption(entry)
--- a/packages/testbed/src/soak/SoakNode.ts
+++ b/packages/testbed/src/soak/SoakNode.ts
@@ -108,6 +108,15 @@
     this._announcePeriodically()
   }
 
+  /** Keeps the target from announcing itself. */
+  public holdTarget (): void {
+    this._targetState = 'gone'
+  }
+
+  public releaseTarget (): void {
+    this._targetState = 'ready'
+  }
+
   /** Sends a signal to the process of this node only. */
   public signal (signal: NodeJS.Signals): void {
     this._process?.kill(signal)
--- a/packages/testbed/src/soak/SoakRun.ts
+++ b/packages/testbed/src/soak/SoakRun.ts
@@ -11,6 +11,7 @@
 import * as rulesFormat from '@elmpost/platform/RulesFormat.js'
 import * as soakLedger from './SoakLedger.js'
 import * as soakNode from './SoakNode.js'
+import * as soakRollout from './SoakRollout.js'
 import * as storeStandIn from '@elmpost/platform/standins/StoreStandIn.js'
 import * as timers from 'node:timers/promises'
 import * as touchLedger from './TouchLedger.js'
@@ -81,6 +82,7 @@
   private readonly _harmful = new harmfulLedger.HarmfulLedger((requestId, atMs) => this._touch.isCalm([this._ledger.calls.find(call => call.requestId === requestId)?.entry ?? ''], atMs, atMs))
   private readonly _customers = new customerLedger.CustomerLedger((entry, fromMs, toMs) => this._touch.isCalm([entry, touchLedger.STORE], fromMs, toMs))
   private readonly _customerLoad: customerLoad.CustomerLoad
+  private readonly _rollout: soakRollout.SoakRollout
   private readonly _harmfulRandom: random.Random
   private readonly _versions: versionWatch.VersionWatch
   private readonly _nodes: soakNode.SoakNode[] = []
@@ -104,6 +106,7 @@
     this._random = new random.Random(options.seed + 1)
     this._harmfulRandom = new random.Random(options.seed + 2)
     this._customerLoad = new customerLoad.CustomerLoad(options.seed)
+    this._rollout = new soakRollout.SoakRollout(options.seed, SERVICES[0] ?? '', this._store)
     this._targets = TARGETS[options.seed % TARGETS.length] ?? TARGETS[0]
     this._versions = new versionWatch.VersionWatch(version => { this._configure(version) }, (name, fromMs, toMs) => this._touch.isCalm([name, touchLedger.STORE], fromMs, toMs))
   }
@@ -114,10 +117,11 @@
       await this._start()
       const load = this._generateLoad()
       const watch = this._versions.watch(this._nodes, () => this._isLoading)
+      const rollout = this._rollout.run(this._nodes, () => this._isLoading)
       await this._injectFaults(plan)
       const problems = await this._recover()
       this._isLoading = false
-      await Promise.all([load, watch])
+      await Promise.all([load, watch, rollout])
       await Promise.all(this._pending)
       return this._collectResult(plan, problems)
     } finally {
@@ -131,12 +135,14 @@
     const storePort = Number((await this._store.listen()).split(':')[1])
     this._versions.publishNext()
     const { nodeCount, program, folder } = this._options
-    for (let at = 0; at < nodeCount; at++) {
-      const node = new soakNode.SoakNode({ name: `vm-${at + 1}`, service: SERVICES[at % 2] ?? '', zone: ZONES[(at >> 1) % 2] ?? '', slots: this._targets.slots, program, folder, store: this._store, storePort })
+    for (let at = 0; at < nodeCount + this._rollout.countAdded(nodeCount); at++) {
+      const service = SERVICES[at < nodeCount ? at % 2 : 0] ?? ''
+      const node = new soakNode.SoakNode({ name: `vm-${at + 1}`, service, zone: ZONES[(at >> 1) % 2] ?? '', slots: this._targets.slots, program, folder, store: this._store, storePort })
       node.onLeavingAcknowledged = targetId => {
         if (!this._ledger.leavingAcknowledgedAtMs.has(targetId)) this._ledger.leavingAcknowledgedAtMs.set(targetId, performance.now())
       }
       this._instrumentTarget(node)
+      if (at >= nodeCount) this._rollout.prepare(node)
       this._nodes.push(node)
     }
     await Promise.all(this._nodes.map(async node => { await node.start() }))
@@ -160,17 +166,11 @@
       this._ledger.nestedCallIds.add(requestId)
       this._notices.recordCall(requestId, node.name, performance.now())
       const answer = await node.caller.call({ requestId, method: 'GET', path: `/photo/${requestId}`, deadlineMs: DEADLINE_MS })
-      this._recordNotices(node, answer)
+      this._notices.recordAnswer(node.name, answer, performance.now())
       return answer.kind === 'answer' && answer.status === 200
     }
   }
 
-  private _recordNotices (entry: soakNode.SoakNode, answer: callerStandIn.CallerAnswer | callerStandIn.NoAnswer): void {
-    if (answer.kind === 'none' || answer.targetId === undefined) return
-    if (answer.advertisesLimit) this._notices.recordLimitPassedOn(answer.targetId, entry.name, performance.now())
-    if (answer.signalsLeaving) this._notices.recordLeavingPassedOn(answer.targetId, entry.name, performance.now())
-  }
-
   private _configure (version: number): void {
     const customers = this._customerLoad.declare(version)
     if (customers !== undefined) this._customers.recordVersion(customers, performance.now())
@@ -242,6 +242,7 @@
     this._store.comeBackFrom(copy, link === 'reset' ? 'cut' : 'held')
     this._store.mode = 'up'
     this._versions.publishAgain()
+    this._rollout.orderAgain()
   }
 
   private async _killNode (node: soakNode.SoakNode): Promise<void> {
@@ -339,7 +340,7 @@
     const answer = await node.caller.call({ requestId, headers, method: isIdempotent ? 'GET' : 'POST', path: call.path, ...(isIdempotent ? {} : { body: call.body }), deadlineMs: DEADLINE_MS, ...(leaves ? { leavesAfterMs } : {}) })
     call.endedAtMs = performance.now()
     if (answer.kind === 'none' && answer.problem === callerStandIn.LEFT) call.leftAtMs = call.endedAtMs
-    this._recordNotices(node, answer)
+    this._notices.recordAnswer(node.name, answer, performance.now())
     if (answer.kind === 'none') {
       call.problem = answer.problem
       return { call, retryAfterMs: MAX_RETRY_DELAY_MS }
@@ -387,7 +388,7 @@
   private _collectResult (faults: readonly faultPlan.Fault[], recoveryProblems: readonly string[]): SoakResult {
     for (const node of this._nodes) this._ledger.runs.push(...node.target.runs.filter(({ requestId }) => !versionWatch.isProbe(requestId)))
     const runs = this._nodes.flatMap(({ target }) => target.runs)
-    const problems = [...recoveryProblems, ...this._versions.problems, ...this._ledger.check(), ...this._retries.check(), ...this._notices.check(), ...this._harmful.check(runs), ...this._customers.check(this._ledger.calls, runs.filter(({ requestId }) => !versionWatch.isProbe(requestId)))]
+    const problems = [...recoveryProblems, ...this._versions.problems, ...this._ledger.check(), ...this._retries.check(), ...this._notices.check(), ...this._harmful.check(runs), ...this._rollout.check(this._ledger.calls, this._nodes), ...this._customers.check(this._ledger.calls, runs.filter(({ requestId }) => !versionWatch.isProbe(requestId)))]
     const logs = new Map(problems.length === 0 ? [] : this._nodes.map(({ name, logLines }) => [name, logLines]))
     const answered = this._ledger.calls.filter(({ status }) => status === 200).length
     return { seed: this._options.seed, faults, calls: this._ledger.calls.length, answered, problems, logs }
