--- a/packages/common/src/direct/GrantIssuer.ts
+++ b/packages/common/src/direct/GrantIssuer.ts
@@ -23,15 +23,6 @@
   updatedAtMs: base.Millis
 }
 
-/** Part of its own share that a node has given to the issuer. */
-interface Part {
-  readonly part: number
-  /** Part that counted before it was raised. */
-  readonly before: number
-  readonly raisedAtMs: base.Millis
-  readonly heardAtMs: base.Millis
-}
-
 export interface GrantIssuerOptions {
   readonly terms: types.CustomerLimitTerms
   readonly nowMs: () => base.Millis
@@ -46,7 +37,7 @@
 export class GrantIssuer {
   private readonly _options: GrantIssuerOptions
   private readonly _customers = new Map<string, Customer>()
-  private readonly _parts = new Map<base.NodeId, Part>()
+  private readonly _parts = new Map<base.NodeId, { part: number, heardAtMs: base.Millis }>()
 
   constructor (options: GrantIssuerOptions) {
     this._options = options
@@ -71,14 +62,8 @@
 
   /** Records the part of its own share that a node gives to this issuer, between 0 and 1. */
   public recordPart (nodeId: base.NodeId, part: number): void {
-    const nowMs = this._options.nowMs()
-    if (part === 0) {
-      this._parts.delete(nodeId)
-      return
-    }
-    const known = this._parts.get(nodeId)
-    if (known !== undefined && part <= known.part) this._parts.set(nodeId, { ...known, part, heardAtMs: nowMs })
-    else this._parts.set(nodeId, { part, before: known === undefined ? 0 : countedPart(known, nowMs), raisedAtMs: nowMs, heardAtMs: nowMs })
+    if (part > 0) this._parts.set(nodeId, { part, heardAtMs: this._options.nowMs() })
+    else this._parts.delete(nodeId)
   }
 
   /** To be called several times a second, because a bucket counts a longer time as a stall. */
@@ -108,8 +93,8 @@
     const nodeCount = this._options.nodeCount()
     if (nodeCount === undefined) return 0
     let sum = 0
-    for (const [nodeId, part] of this._parts) {
-      if (nowMs - part.heardAtMs < grantTerms.HEARD_MS) sum += countedPart(part, nowMs)
+    for (const [nodeId, { part, heardAtMs }] of this._parts) {
+      if (nowMs - heardAtMs < grantTerms.HEARD_MS) sum += part
       else this._parts.delete(nodeId)
     }
     return Math.min(1, sum / nodeCount)
@@ -121,8 +106,3 @@
     customer.updatedAtMs = nowMs
   }
 }
-
-/** A raised part counts a moment later, when grants that another issuer gave from it have expired. */
-function countedPart ({ part, before, raisedAtMs }: Part, nowMs: base.Millis): number {
-  return nowMs - raisedAtMs < grantTerms.RAISED_MS ? Math.min(part, before) : part
-}
--- a/packages/common/src/direct/GrantTerms.ts
+++ b/packages/common/src/direct/GrantTerms.ts
@@ -11,8 +11,6 @@
 export const GRANT_TTL_MS: base.Millis = 200
 /** An issuer counts a node that it has heard within this time. */
 export const HEARD_MS: base.Millis = 3_000
-/** A part that a node gives to an issuer counts there after this time: as long as grants of the one before may be used, and the messages about it. */
-export const RAISED_MS: base.Millis = 400
 /** Interval at which a node tells each issuer its share. */
 export const REPORT_INTERVAL_MS: base.Millis = 1_000
 /**
