Start the window again when a share grows step by step, and limit renamed customers

Cause: the growth of a share was compared with the update before only, and with many nodes it grows by less than a tenth at a time. When a limited customer was renamed, its waiting calls were begun before the new name was known, and passed without a grant (up to 240 ms of demand on each node). Change: the growth is compared with the least share since the window began; removed customers let their calls go after the new ones are set. Result: a step-wise case in GrantBucket.test and a renamed customer in CallGrants.test; fleet tests pass.

--- a/packages/common/src/direct/CallGrants.test.ts
+++ b/packages/common/src/direct/CallGrants.test.ts
@@ -95,6 +95,23 @@
     assert.equal(settledAll.length, 10_000)
   })
 
+  // Guards against a customer that gets rid of its limit for a moment when it is renamed.
+  test.it('know the new customers when they let the calls of removed ones go', () => {
+    const taken: string[] = []
+    const renaming: callGrants.CallGrants<string> = new callGrants.CallGrants<string>({
+      terms: TERMS,
+      nowMs: () => nowMs,
+      nodeCount: () => 4,
+      issuers: () => issuers,
+      send: () => true,
+      onSettled: call => { if (call === 'c1') taken.push(renaming.take('south', 'c2').kind) }
+    })
+    renaming.setCustomers([RULE])
+    renaming.take('north', 'c1')
+    renaming.setCustomers([{ ...RULE, name: 'south' }])
+    assert.deepEqual(taken, ['waiting'])
+  })
+
   test.it('asks the next issuer if one has none, and refuses with the shortest of the waits', () => {
     grants.take('north', 'c1')
     for (const waitMs of [70, 30, 90]) answer(0, waitMs)
--- a/packages/common/src/direct/CallGrants.ts
+++ b/packages/common/src/direct/CallGrants.ts
@@ -136,11 +136,6 @@
   public setCustomers (rules: readonly types.CustomerRule[]): void {
     const { terms, nowMs } = this._options
     const names = new Set(rules.map(({ name }) => name))
-    for (const [name, customer] of this._customers) {
-      if (names.has(name)) continue
-      this._customers.delete(name)
-      for (const call of customer.waiting.keys()) this._options.onSettled(call, { kind: 'granted', grant: { customer: name, expiresAtMs: -Infinity } })
-    }
     for (const rule of rules) {
       const limit = grantTerms.bucketLimitOf(rule, terms)
       const known = this._customers.get(rule.name)
@@ -162,6 +157,12 @@
         known.own.setLimit(limit, nowMs())
       }
     }
+    // After the new ones are known, because the calls of a customer that was renamed are begun for its new name.
+    for (const [name, customer] of this._customers) {
+      if (names.has(name)) continue
+      this._customers.delete(name)
+      for (const call of customer.waiting.keys()) this._options.onSettled(call, { kind: 'granted', grant: { customer: name, expiresAtMs: -Infinity } })
+    }
     if (rules.length === 0) this._endReports([])
     else this._report(nowMs())
   }
--- a/packages/common/src/direct/GrantBucket.test.ts
+++ b/packages/common/src/direct/GrantBucket.test.ts
@@ -63,6 +63,10 @@
     assert.ok(taken(20_000) <= 90)
     pass(24_000, 34_000, 1)
     assert.ok(taken(34_000) > 90)
+    // Node by node.
+    pass(38_000, 58_000, 0.5)
+    for (let share = 0.5; share < 1; share += 0.02) bucket.update(share, 58_000)
+    assert.ok(taken(58_000) <= 90)
   })
 
   // Guards against a limit of which a customer with steady demand gets less than each window allows.
--- a/packages/common/src/direct/GrantBucket.ts
+++ b/packages/common/src/direct/GrantBucket.ts
@@ -27,6 +27,8 @@
 export class GrantBucket {
   private _grants = 0
   private _share = 0
+  /** Least share since the window began to count. */
+  private _knownShare = 0
   private _updatedAtMs: base.Millis
   private _issued: slidingWindow.SlidingWindow
   /** Since when all that was issued is counted. */
@@ -65,7 +67,11 @@
     this._updatedAtMs = Math.max(this._updatedAtMs, nowMs)
     this._grants += elapsedMs * this._fillPerS * Math.min(this._share, share) / MS_PER_S
     // What others have issued from the share that it gains is not known.
-    if (share > this._share * KNOWN_GROWTH) this._countedSinceMs = nowMs
+    this._knownShare = Math.min(this._knownShare, share)
+    if (share > this._knownShare * KNOWN_GROWTH) {
+      this._countedSinceMs = nowMs
+      this._knownShare = share
+    }
     this._share = share
     this._grants = Math.min(this._grants, this.capacity)
   }
