Refuse bodies that come too late as late, not as a busy host

Cause: an offer whose body could not arrive in time was refused as busy for the time of its transfer, so other calls avoided a host with free slots. Offers that wait were compared with the end of the process by the time left when they were offered, not now. Change: such an offer is refused for its deadline, which says nothing about slots; the time left counts down. Found by reading.

--- a/packages/node/src/direct/BodyIntake.ts
+++ b/packages/node/src/direct/BodyIntake.ts
@@ -102,8 +102,8 @@
   public tick (): void {
     const { host, nodeId, nowMs } = this._options
     for (const { from, call, deadlineAtMs } of this._transfers.pending) {
-      const isExpired = nowMs() >= deadlineAtMs
-      const refusal = isExpired ? EXPIRED : host.refusalAtArrival(call)
+      const remainingMs = deadlineAtMs - nowMs()
+      const refusal = remainingMs <= 0 ? EXPIRED : host.refusalAtArrival({ ...call, remainingMs })
       if (refusal !== undefined) this._callers.get(from)?.handleHostResult(nodeId, call.callId, { kind: 'refused', refusal }, host.load)
     }
     this._requestNext()
--- a/packages/node/src/direct/TargetHost.ts
+++ b/packages/node/src/direct/TargetHost.ts
@@ -120,11 +120,13 @@
     if (refusal !== undefined) return refusal
     // It waits for a slot after its body has arrived.
     const waiting = { ...call, deadlineAtMs: call.deadlineAtMs - transferMs, objectiveAtMs: call.objectiveAtMs - transferMs }
+    const waitMs = this._queue.hasRoom ? undefined : this._queue.refusedWaitMs(waiting, nowMs)
+    // A body that comes too late says nothing about the slots, so other calls need not avoid this host.
     const isTooLate = nowMs + this._queue.meanMs * USEFUL_SHARE > waiting.deadlineAtMs
-    const waitMs = isTooLate ? transferMs : this._queue.hasRoom ? undefined : this._queue.refusedWaitMs(waiting, nowMs)
-    if (waitMs === undefined) return undefined
-    this._options.events.onCallRefused(message, 'busy', waitMs)
-    return { reason: 'busy', reachedTarget: false, waitMs }
+    if (!isTooLate && waitMs === undefined) return undefined
+    const reason = isTooLate ? 'deadline' : 'busy'
+    this._options.events.onCallRefused(message, reason, waitMs ?? 0)
+    return { reason, reachedTarget: false, waitMs: waitMs ?? 0 }
   }
 
   /** Drops a waiting call. A running call is aborted if it is idempotent; otherwise it runs to its end. */
