Compute the rank of an arriving call once, not once for each waiting call

Cause: the expected wait compared each waiting call with a new copy of the arriving one, whose rank needs an exponential and a logarithm. Change: one copy for the whole comparison; the result is the same. Result: SlotQueue tests pass.

--- a/packages/common/src/direct/SlotQueue.ts
+++ b/packages/common/src/direct/SlotQueue.ts
@@ -241,7 +241,8 @@
   }
 
   private _expectedWaitMs (call: SlotCall, nowMs: base.Millis): base.Millis {
-    const ahead = this._waiting.reduce((count, waiting) => staysAhead(waiting, this._waitingCall(call, false, nowMs)) ? count + 1 : count, 0)
+    const arriving = this._waitingCall(call, false, nowMs)
+    const ahead = this._waiting.reduce((count, waiting) => staysAhead(waiting, arriving) ? count + 1 : count, 0)
     return this._waitBehindMs(ahead, nowMs)
   }
 
