Keep headers of customers and orders of roll-outs in the stand-ins

Cause: the soak spelled the platform's names of the key, the customer and an order of a roll-out itself. Its run with customers passed without any refusal, so a load without unknown keys and excess calls would not have been noticed. Change: stand-ins of callers and targets, and the documents for tests, have these names; the short soak with customers asserts answers with 401 and 429.

--- a/packages/testbed/src/soak/CustomerLedger.test.ts
+++ b/packages/testbed/src/soak/CustomerLedger.test.ts
@@ -17,8 +17,8 @@
     calls.push({ requestId, entry: 'vm-1', customerKey, startedAtMs, endedAtMs: startedAtMs + 50, status })
   }
 
-  function run (requestId: string, name: string | undefined, atMs = 10, headers: Record<string, string> = {}): void {
-    runs.push({ requestId, targetId: 't', headers: { ...headers, ...(name === undefined ? {} : { 'tenant-name': name }) }, atMs })
+  function run (requestId: string, name: string | undefined, atMs = 10, customerKey?: string): void {
+    runs.push({ requestId, targetId: 't', customer: name, customerKey, atMs })
   }
 
   function found (): string {
@@ -41,8 +41,8 @@
       run('r1', 'west')
       run('r1', undefined)
       run('r1', 'north, north')
-      run('r1', 'north', 10, { 'x-api-key': 'k-north' })
-      assert.deepEqual(ledger.check(calls, runs), ['west', 'undefined', 'north, north'].map(name => `t got r1 of north with the name ${name}`).concat('t got the key of r1'))
+      run('r1', 'north', 10, 'k-north')
+      assert.deepEqual(ledger.check(calls, runs), ['west', '(none)', 'north, north'].map(name => `t got r1 of north with the name ${name}`).concat('t got the key of r1'))
     })
 
     test.it('are reported for unknown and absent keys', () => {
--- a/packages/testbed/src/soak/CustomerLedger.ts
+++ b/packages/testbed/src/soak/CustomerLedger.ts
@@ -1,5 +1,4 @@
 import type * as documents from '@elmpost/platform/standins/Documents.js'
-import type * as http from 'node:http'
 import type * as soakLedger from './SoakLedger.js'
 
 /** A node in touch refuses a key from this time after the version that withdraws it was published. */
@@ -18,7 +17,10 @@
 export interface CustomerRun {
   readonly requestId: string
   readonly targetId: string
-  readonly headers: http.IncomingHttpHeaders
+  /** Name of the customer that the target was told. */
+  readonly customer: string | undefined
+  /** Key that the target got. */
+  readonly customerKey: string | undefined
   readonly atMs: number
 }
 
@@ -61,13 +63,12 @@
     ]
   }
 
-  private _findProblemsOfRun ({ requestId, targetId, headers }: CustomerRun, call: CustomerCall | undefined): string[] {
+  private _findProblemsOfRun ({ requestId, targetId, customer: name, customerKey }: CustomerRun, call: CustomerCall | undefined): string[] {
     const customer = this._keyOf(call)?.customer
     if (customer === undefined) return [`${targetId} ran ${requestId}, which has the key ${call?.customerKey ?? '(none)'} of no customer`]
-    const name = headers['tenant-name']
     return [
-      ...(name === customer ? [] : [`${targetId} got ${requestId} of ${customer} with the name ${String(name)}`]),
-      ...(headers['x-api-key'] === undefined ? [] : [`${targetId} got the key of ${requestId}`])
+      ...(name === customer ? [] : [`${targetId} got ${requestId} of ${customer} with the name ${name ?? '(none)'}`]),
+      ...(customerKey === undefined ? [] : [`${targetId} got the key of ${requestId}`])
     ]
   }
 
--- a/packages/testbed/src/soak/CustomerLoad.ts
+++ b/packages/testbed/src/soak/CustomerLoad.ts
@@ -20,15 +20,15 @@
 const SEEDS_IN_TURN = 3
 
 /** What a caller sends to state its customer. */
-export interface CustomerHeaders {
-  readonly key: string | undefined
-  readonly headers: Readonly<Record<string, string>>
+export interface CustomerClaim {
+  readonly customerKey?: string
+  readonly claimedCustomer?: string
 }
 
 /** Customers of a soak, and the keys that their callers send. */
 export class CustomerLoad {
-  /** Headers for calls that must be served. */
-  public readonly steady: CustomerHeaders
+  /** For calls that must be served. */
+  public readonly steady: CustomerClaim
   private readonly _isOn: boolean
   private readonly _random: random.Random
   private _version = 0
@@ -36,7 +36,7 @@
   constructor (seed: number) {
     this._isOn = Math.floor(seed / SEEDS_IN_TURN) % SEEDS_IN_TURN === 1
     this._random = new random.Random(seed ^ CUSTOMER_SEED)
-    this.steady = this._isOn ? { key: NORTH_KEY, headers: { 'x-api-key': NORTH_KEY } } : { key: undefined, headers: {} }
+    this.steady = this._isOn ? { customerKey: NORTH_KEY } : {}
   }
 
   /** Customers that a version of the configuration declares; undefined if the seed has none. Each version has a key that no other one has. */
@@ -45,11 +45,11 @@
     return this._isOn ? [{ name: 'north', keys: [NORTH_KEY] }, { name: 'south', keys: ['key-south', temporaryKey(version)] }, { name: 'east', keys: ['key-east'], ...LIMIT }] : undefined
   }
 
-  public draw (): CustomerHeaders {
+  public draw (): CustomerClaim {
     if (!this._isOn) return this.steady
-    const key = this._drawKey()
-    const named: Record<string, string> = this._random.nextFloat() < NAMED_SHARE ? { 'tenant-name': 'west' } : {}
-    return { key, headers: key === undefined ? named : { ...named, 'x-api-key': key } }
+    const customerKey = this._drawKey()
+    const claimed = this._random.nextFloat() < NAMED_SHARE ? { claimedCustomer: 'west' } : {}
+    return customerKey === undefined ? claimed : { ...claimed, customerKey }
   }
 
   private _drawKey (): string | undefined {
--- a/packages/testbed/src/soak/Soak.test.ts
+++ b/packages/testbed/src/soak/Soak.test.ts
@@ -43,5 +43,7 @@
     const result = await new soakRun.SoakRun({ seed: CUSTOMER_SEED, nodeCount: 6, lengthMs: 8_000, faultCount: 6, program, folder }).run()
     assert.deepEqual(result.problems, [])
     assert.ok(result.answered > 100, `${result.answered} of ${result.calls} calls were answered`)
+    // Without refusals of both kinds, neither keys nor limits were put to the test.
+    for (const status of [401, 429]) assert.ok((result.statuses.get(status) ?? 0) > 0, `no call was answered with ${status}`)
   })
 })
--- a/packages/testbed/src/soak/SoakLedger.ts
+++ b/packages/testbed/src/soak/SoakLedger.ts
@@ -69,6 +69,13 @@
     return [...this.calls.flatMap(call => this._findProblems(call, runs.get(call.requestId) ?? [])), ...this._findLateRuns(), ...unrequested]
   }
 
+  /** Number of calls by the status of their answer, 0 without one. */
+  public countByStatus (): ReadonlyMap<number, number> {
+    const counts = new Map<number, number>()
+    for (const { status } of this.calls) counts.set(status, (counts.get(status) ?? 0) + 1)
+    return counts
+  }
+
   private _findProblems (call: SoakCall, runs: readonly TargetRun[]): string[] {
     const problems: string[] = []
     const name = `${call.requestId} ${call.path} through ${call.entry}, status ${call.status} ${call.problem}`
--- a/packages/testbed/src/soak/SoakRollout.ts
+++ b/packages/testbed/src/soak/SoakRollout.ts
@@ -1,3 +1,4 @@
+import * as documents from '@elmpost/platform/standins/Documents.js'
 import * as rolloutFormat from '@elmpost/platform/RolloutFormat.js'
 import * as rolloutLedger from './RolloutLedger.js'
 import * as rulesFormat from '@elmpost/platform/RulesFormat.js'
@@ -50,7 +51,7 @@
   public orderAgain (): void {
     const key = this._format.keyOf(this._service)
     const { topic } = new rulesFormat.RulesFormat()
-    if (this._isOpen && !this._store.values(topic).has(key)) this._store.put(topic, key, JSON.stringify({ service: this._service, 'target-version': NEW_VERSION, ramp: `${RAMP_MS}ms` }))
+    if (this._isOpen && !this._store.values(topic).has(key)) this._store.put(topic, key, JSON.stringify(documents.rolloutOrder(this._service, NEW_VERSION, RAMP_MS)))
   }
 
   public check (calls: readonly rolloutLedger.RolloutCall[], nodes: readonly soakNode.SoakNode[]): string[] {
--- a/packages/testbed/src/soak/SoakRun.ts
+++ b/packages/testbed/src/soak/SoakRun.ts
@@ -16,6 +16,7 @@
 import * as timers from 'node:timers/promises'
 import * as touchLedger from './TouchLedger.js'
 import * as versionWatch from './VersionWatch.js'
+import type * as types from './Types.js'
 
 const ZONES = ['vake', 'didube']
 const SERVICES = ['till', 'vault']
@@ -48,31 +49,9 @@
 const OUTAGE_MS = 400
 const NODES_TOPIC = 'keyed.elmpost-nodes'
 
-export interface SoakOptions {
-  readonly seed: number
-  readonly nodeCount: number
-  readonly lengthMs: number
-  readonly faultCount: number
-  /** The bundled program. */
-  readonly program: string
-  /** For settings files. */
-  readonly folder: string
-}
-
-export interface SoakResult {
-  readonly seed: number
-  readonly faults: readonly faultPlan.Fault[]
-  readonly calls: number
-  readonly answered: number
-  /** Violated guarantees, one line each. */
-  readonly problems: readonly string[]
-  /** Last log lines of each node, if a guarantee was violated. */
-  readonly logs: ReadonlyMap<string, readonly string[]>
-}
-
 /** One soak: real processes under load, faults from a seeded plan, and checks of what callers received and targets ran. */
 export class SoakRun {
-  private readonly _options: SoakOptions
+  private readonly _options: types.SoakOptions
   private readonly _random: random.Random
   private readonly _store = new storeStandIn.StoreStandIn()
   private readonly _touch = new touchLedger.TouchLedger()
@@ -101,7 +80,7 @@
 
   private _nextCall = 1
 
-  constructor (options: SoakOptions) {
+  constructor (options: types.SoakOptions) {
     this._options = options
     this._random = new random.Random(options.seed + 1)
     this._harmfulRandom = new random.Random(options.seed + 2)
@@ -111,7 +90,7 @@
     this._versions = new versionWatch.VersionWatch(version => { this._configure(version) }, (name, fromMs, toMs) => this._touch.isCalm([name, touchLedger.STORE], fromMs, toMs))
   }
 
-  public async run (): Promise<SoakResult> {
+  public async run (): Promise<types.SoakResult> {
     const plan = faultPlan.createFaultPlan(this._options)
     try {
       await this._start()
@@ -311,13 +290,13 @@
     }
   }
 
-  private async _callOnce (node: soakNode.SoakNode, route: string, { key, headers }: customerLoad.CustomerHeaders): Promise<{ readonly call: soakLedger.SoakCall, readonly retryAfterMs: number }> {
+  private async _callOnce (node: soakNode.SoakNode, route: string, claim: customerLoad.CustomerClaim): Promise<{ readonly call: soakLedger.SoakCall, readonly retryAfterMs: number }> {
     const requestId = `s${this._options.seed}-${this._nextCall++}`
     const isIdempotent = route === '/price/' || route === '/photo/'
     const call: soakLedger.SoakCall = {
       requestId,
       entry: node.name,
-      customerKey: key,
+      customerKey: claim.customerKey,
       isIdempotent,
       path: isIdempotent && this._isLosingAnswers && this._harmfulRandom.nextFloat() < HARMFUL_SHARE ? harmfulLedger.harmfulPath(route) : `${route}${requestId}`,
       body: isIdempotent ? '' : `body of ${requestId}`,
@@ -337,7 +316,7 @@
     this._notices.recordCall(requestId, node.name, call.startedAtMs)
     const leaves = isIdempotent && this._isLosingAnswers && this._random.nextFloat() < LEAVING_SHARE
     const leavesAfterMs = MIN_LEAVE_MS + this._random.nextInt(MAX_LEAVE_MS - MIN_LEAVE_MS)
-    const answer = await node.caller.call({ requestId, headers, method: isIdempotent ? 'GET' : 'POST', path: call.path, ...(isIdempotent ? {} : { body: call.body }), deadlineMs: DEADLINE_MS, ...(leaves ? { leavesAfterMs } : {}) })
+    const answer = await node.caller.call({ ...claim, requestId, method: isIdempotent ? 'GET' : 'POST', path: call.path, ...(isIdempotent ? {} : { body: call.body }), deadlineMs: DEADLINE_MS, ...(leaves ? { leavesAfterMs } : {}) })
     call.endedAtMs = performance.now()
     if (answer.kind === 'none' && answer.problem === callerStandIn.LEFT) call.leftAtMs = call.endedAtMs
     this._notices.recordAnswer(node.name, answer, performance.now())
@@ -385,13 +364,14 @@
     return false
   }
 
-  private _collectResult (faults: readonly faultPlan.Fault[], recoveryProblems: readonly string[]): SoakResult {
-    for (const node of this._nodes) this._ledger.runs.push(...node.target.runs.filter(({ requestId }) => !versionWatch.isProbe(requestId)))
+  private _collectResult (faults: readonly faultPlan.Fault[], recoveryProblems: readonly string[]): types.SoakResult {
     const runs = this._nodes.flatMap(({ target }) => target.runs)
-    const problems = [...recoveryProblems, ...this._versions.problems, ...this._ledger.check(), ...this._retries.check(), ...this._notices.check(), ...this._harmful.check(runs), ...this._rollout.check(this._ledger.calls, this._nodes), ...this._customers.check(this._ledger.calls, runs.filter(({ requestId }) => !versionWatch.isProbe(requestId)))]
+    const called = runs.filter(({ requestId }) => !versionWatch.isProbe(requestId))
+    this._ledger.runs.push(...called)
+    const problems = [...recoveryProblems, ...this._versions.problems, ...this._ledger.check(), ...this._retries.check(), ...this._notices.check(), ...this._harmful.check(runs), ...this._rollout.check(this._ledger.calls, this._nodes), ...this._customers.check(this._ledger.calls, called)]
     const logs = new Map(problems.length === 0 ? [] : this._nodes.map(({ name, logLines }) => [name, logLines]))
-    const answered = this._ledger.calls.filter(({ status }) => status === 200).length
-    return { seed: this._options.seed, faults, calls: this._ledger.calls.length, answered, problems, logs }
+    const statuses = this._ledger.countByStatus()
+    return { seed: this._options.seed, faults, calls: this._ledger.calls.length, answered: statuses.get(200) ?? 0, statuses, problems, logs }
   }
 }
 
--- a/packages/testbed/src/soak/main.ts
+++ b/packages/testbed/src/soak/main.ts
@@ -4,6 +4,7 @@
 import * as os from 'node:os'
 import * as path from 'node:path'
 import * as soakRun from './SoakRun.js'
+import type * as types from './Types.js'
 import * as url from 'node:url'
 import * as yargs from 'yargs'
 
@@ -43,7 +44,7 @@
 }
 
 /** Writes the logs, faults and problems of a failed soak, so that it can be reproduced. */
-function writeReport (result: soakRun.SoakResult, folder: string): void {
+function writeReport (result: types.SoakResult, folder: string): void {
   fs.mkdirSync(folder, { recursive: true })
   for (const [name, lines] of result.logs) fs.writeFileSync(`${folder}/${result.seed}-${name}.log`, `${lines.join('\n')}\n`)
   fs.writeFileSync(`${folder}/${result.seed}.json`, JSON.stringify({ faults: result.faults, problems: result.problems }, null, 2))
