Keep answers of hosts that restart during a roll-out, and write running once

Cause: a host that restarted took its answers out of the sums of its version, and the errors of the others seemed to be all there was in the window: a good version could be rolled back. Each new driver wrote running again, 6 records of keyed.status in one roll-out with a killed driver; the test of this counted changes of the newest value only, so it could not fail. Statuses that could not be read left no log line. Change: sums of a host that counts from 0, or has a target of the other version, are kept; a driver takes over what is recorded; the log has rollout-statuses-not-read. isRolledOut and isMixed were one thing: isMixed.

--- a/packages/common/src/direct/LinkPlan.test.ts
+++ b/packages/common/src/direct/LinkPlan.test.ts
@@ -41,7 +41,7 @@
   test.it('chooses targets of each version of a service that is rolled out', () => {
     add(40, 'booking')
     for (let at = 0; at < 40; at++) (table.get(`booking-${at}`) as targetTable.TargetRow).softwareVersion = at < 36 ? 'v1' : 'v2'
-    const plan = new linkPlan.LinkPlan({ selfId: 'self', zone: 'ann', isRolledOut: service => service === 'booking' })
+    const plan = new linkPlan.LinkPlan({ selfId: 'self', zone: 'ann', isMixed: service => service === 'booking' })
     const chosen = choose('self', 'ann', 0, plan)
     assert.deepEqual([chosen.filter(nodeId => table.get(nodeId)?.softwareVersion === 'v2').length, chosen.length <= 2 * linkPlan.SUBSET_SIZE], [4, true])
   })
--- a/packages/common/src/direct/LinkPlan.ts
+++ b/packages/common/src/direct/LinkPlan.ts
@@ -17,7 +17,7 @@
   readonly selfId: base.NodeId
   readonly zone: string
   /** Whether targets of several versions of the service are in use, so that links to those of each are needed. */
-  readonly isRolledOut?: (service: string) => boolean
+  readonly isMixed?: (service: string) => boolean
 }
 
 /**
@@ -54,7 +54,7 @@
     const services = new Map<string, targetTable.TargetRow[]>()
     for (const row of rows) {
       if (row.nodeId === this._options.selfId) continue
-      const group = this._options.isRolledOut?.(row.service) === true ? `${row.service} ${row.softwareVersion ?? ''}` : row.service
+      const group = this._options.isMixed?.(row.service) === true ? `${row.service} ${row.softwareVersion ?? ''}` : row.service
       const list = services.get(group)
       if (list === undefined) services.set(group, [row])
       else list.push(row)
--- a/packages/common/src/direct/VersionHealth.ts
+++ b/packages/common/src/direct/VersionHealth.ts
@@ -5,7 +5,7 @@
 const BUCKET_RATIO = 1.25
 /** The last bucket begins at about 10 s, which is longer than any call. */
 export const BUCKETS = 42
-/** Times above this multiple of the mean of the old version count as slow. A target whose slots are all in use takes at most 1.3 times as long. */
+/** Times above this multiple of the mean of the old version count as slow. Well above what a target takes when all its slots are in use. */
 const SLOW_FACTOR = 2.2
 /** Answers of the old version below which its rates are not used for comparison. */
 const MIN_REFERENCE = 10
@@ -13,7 +13,7 @@
 const MIN_EVIDENCE = 5
 /** By how much the share of bad, or slow, answers has to exceed that of the old version. */
 const EXCESS = { bad: 0.1, slow: 0.15 } as const
-/** Standard deviations by which the number has to exceed the expected one. A roll-out has about 100 looks at each class: 3 ended one of 300 good ones by chance, and so did 4. */
+/** Standard deviations by which the number has to exceed the expected one. High, because a roll-out has many looks at each class. */
 const DEVIATIONS = 5
 /** Share of errors of the old version that is assumed if it has had no calls. */
 const ASSUMED_ERRORS = 0.3
--- a/packages/node/src/direct/FleetMembership.test.ts
+++ b/packages/node/src/direct/FleetMembership.test.ts
@@ -48,7 +48,7 @@
       },
       readers: { requiredPeers: [] as readonly string[], isReader: false } as unknown as readerPlan.ReaderPlan,
       issuers: () => issuers,
-      isRolledOut: () => false,
+      isMixed: () => false,
       store: {} as services.IKeyedStore,
       logger: { isEnabled: () => true, log: () => {} },
       random: new random.Random(1),
--- a/packages/node/src/direct/FleetMembership.ts
+++ b/packages/node/src/direct/FleetMembership.ts
@@ -34,7 +34,7 @@
   readonly target: () => direct.KnownTarget | undefined
   readonly crashes: Pick<crashGuards.CrashGuard, 'stored' | 'restore'>
   /** Whether targets of several versions of the service are in use. */
-  readonly isRolledOut: (service: string) => boolean
+  readonly isMixed: (service: string) => boolean
   /** Takes over the target that an earlier process of this node recorded. */
   readonly restore: (target: direct.KnownTarget) => void
 }
@@ -66,7 +66,7 @@
       nowMs,
       logger,
       requiredPeers: () => [...readers.requiredPeers, ...options.issuers()],
-      isRolledOut: options.isRolledOut,
+      isMixed: options.isMixed,
       onExpired: nodeId => { this._registry.deleteRecord(nodeId).catch((error: unknown) => { this._logUnexpected(error) }) }
     })
   }
--- a/packages/node/src/direct/NodeDirectory.ts
+++ b/packages/node/src/direct/NodeDirectory.ts
@@ -25,7 +25,7 @@
   /** Nodes that are linked regardless of the plan. */
   readonly requiredPeers: () => readonly base.NodeId[]
   /** Whether targets of several versions of the service are in use. */
-  readonly isRolledOut?: (service: string) => boolean
+  readonly isMixed?: (service: string) => boolean
   /** Called when a node has been unreachable for so long that its record in the store is obsolete. */
   readonly onExpired: (nodeId: base.NodeId) => void
 }
--- a/packages/node/src/direct/RolloutDriver.ts
+++ b/packages/node/src/direct/RolloutDriver.ts
@@ -97,7 +97,8 @@
     statuses.refreshIfDue()
     if (this._adoptFinal(state)) return
     const hasBegun = this._begun.has(rolloutPlan.keyOf(state.order))
-    if (!hasBegun) this._begin(state)
+    if (!hasBegun && this._isRunningInStore(state)) this._begun.add(rolloutPlan.keyOf(state.order))
+    else if (!hasBegun) this._begin(state)
     // An order of the past may have ended.
     if (state.isPast && !state.isRecorded) return
     const step = rolloutPlan.next(this._viewOf(state))
@@ -121,6 +122,13 @@
     return true
   }
 
+  /** Whether the driver before this one has written that this order is running. */
+  private _isRunningInStore ({ order: { service, targetVersion }, isRecorded }: rolloutTypes.RolloutState): boolean {
+    const { statuses } = this._options
+    const report = statuses.isReady ? statuses.get(service) : undefined
+    return isRecorded && report?.state === 'running' && report.targetVersion === targetVersion
+  }
+
   private _begin (state: rolloutTypes.RolloutState): void {
     const { service, targetVersion } = state.order
     this._options.statuses.write({ service, targetVersion, state: 'running' }, () => {
--- a/packages/node/src/direct/RolloutHealths.ts
+++ b/packages/node/src/direct/RolloutHealths.ts
@@ -11,9 +11,13 @@
   readonly oldBad: number
 }
 
+type Side = 'old' | 'new'
+
 interface ServiceHealth {
   order: rolloutTypes.RolloutOrder
   readonly hosts: Map<base.NodeId, rolloutTypes.HostHealth>
+  /** Answers that hosts have counted before they restarted or got a target of the other version. */
+  readonly earlier: Record<Side, rolloutTypes.VersionSums>
   readonly health: versionHealth.VersionHealth
 }
 
@@ -28,13 +32,18 @@
     if (host.orderKey !== rolloutPlan.keyOf(order)) return false
     let entry = this._services.get(order.service)
     if (entry === undefined || !rolloutPlan.isSameOrder(entry.order, order)) {
-      entry = { order, hosts: new Map(), health: new versionHealth.VersionHealth() }
+      entry = { order, hosts: new Map(), earlier: { old: new Map(), new: new Map() }, health: new versionHealth.VersionHealth() }
       this._services.set(order.service, entry)
     }
     entry.order = order
-    if ((entry.hosts.get(host.nodeId)?.sequence ?? -1) >= host.sequence) return false
+    const last = entry.hosts.get(host.nodeId)
+    if (last !== undefined && last.sequence >= host.sequence) return false
+    if (last !== undefined && (sideOf(order, last) !== sideOf(order, host) || versionHealth.answersOf(host.sums) < versionHealth.answersOf(last.sums))) {
+      const side = sideOf(order, last)
+      entry.earlier[side] = versionHealth.total([entry.earlier[side], last.sums])
+    }
     entry.hosts.set(host.nodeId, host)
-    entry.health.record(sumsOf(entry, false), sumsOf(entry, true), this._nowMs())
+    entry.health.record(sumsOf(entry, 'old'), sumsOf(entry, 'new'), this._nowMs())
     return true
   }
 
@@ -55,7 +64,7 @@
 
   public summary ({ order }: rolloutTypes.RolloutState): HealthSummary {
     const entry = this._of(order)
-    const [old, fresh] = entry === undefined ? [new Map(), new Map()] : [sumsOf(entry, false), sumsOf(entry, true)]
+    const [old, fresh] = entry === undefined ? [new Map(), new Map()] : [sumsOf(entry, 'old'), sumsOf(entry, 'new')]
     return { newAnswers: versionHealth.answersOf(fresh), newBad: versionHealth.badOf(fresh), oldAnswers: versionHealth.answersOf(old), oldBad: versionHealth.badOf(old) }
   }
 
@@ -69,6 +78,10 @@
   }
 }
 
-function sumsOf ({ order, hosts }: ServiceHealth, isNew: boolean): rolloutTypes.VersionSums {
-  return versionHealth.total([...hosts.values()].filter(({ softwareVersion }) => (softwareVersion === order.targetVersion) === isNew).map(({ sums }) => sums))
+function sumsOf ({ order, hosts, earlier }: ServiceHealth, side: Side): rolloutTypes.VersionSums {
+  return versionHealth.total([earlier[side], ...[...hosts.values()].filter(host => sideOf(order, host) === side).map(({ sums }) => sums)])
+}
+
+function sideOf (order: rolloutTypes.RolloutOrder, { softwareVersion }: rolloutTypes.HostHealth): Side {
+  return softwareVersion === order.targetVersion ? 'new' : 'old'
 }
--- a/packages/node/src/direct/RolloutStatuses.ts
+++ b/packages/node/src/direct/RolloutStatuses.ts
@@ -27,6 +27,8 @@
   private _generation = 0
   private _isBusy = false
   private _retryAtMs: base.Millis = -Infinity
+  /** The last read has failed, which was logged. */
+  private _isUnread = false
 
   constructor (options: RolloutStatusesOptions) {
     this._options = options
@@ -74,8 +76,11 @@
     const result = await store.newest(format.statusTopic, READ_TIMEOUT_MS)
     if (result.kind === 'unavailable') {
       this._retryAtMs = nowMs() + RETRY_MS
+      if (!this._isUnread) logger.log('warn', 'rollout-statuses-not-read', { problem: result.problem })
+      this._isUnread = true
       return
     }
+    this._isUnread = false
     if (generation !== this._generation) return
     for (const { key, value } of result.records) {
       if (value === undefined || !format.isKey(key)) continue
--- a/packages/node/src/direct/Rollouts.ts
+++ b/packages/node/src/direct/Rollouts.ts
@@ -96,7 +96,7 @@
     return this._options.target().watch.reported?.softwareVersion
   }
 
-  /** Services with an order that has not ended, for metrics. */
+  /** Roll-outs that are known, ended ones included, for metrics. */
   public get states (): readonly rolloutTypes.RolloutState[] {
     return this._options.register.all()
   }
