Bound bodies of lost links, log refused offers, and ignore odd versions

Cause: a lost link released the bodies of runs that go on, 16 MiB more for each cut. Refusals of offers left no run-refused line. takes-offers went to all nodes at each opening of a link, also to those of earlier versions that do not know it. A version text that is empty, no text or longer than 256 characters made nodes refuse the announcement or every status of its node, with or without roll-outs. The codec did not check that an offer contains a call. Change: bodies are held until their runs end; each refusal of an offer is reported; takes-offers is sent once the configuration has long bodies; such a version is left out.

--- a/packages/common/src/direct/RulesInForce.ts
+++ b/packages/common/src/direct/RulesInForce.ts
@@ -17,6 +17,7 @@
 export class RulesInForce {
   private _rules: types.MeshRules | undefined
   private _routes = new routeIndex.RouteIndex([])
+  private _hasLongBodies = false
   private _customers = new customerIndex.CustomerIndex(undefined)
 
   public get rules (): types.MeshRules | undefined {
@@ -34,6 +35,7 @@
     this._rules = rules
     this._routes = new routeIndex.RouteIndex(rules.routes)
     this._customers = new customerIndex.CustomerIndex(rules.customers)
+    this._hasLongBodies = rules.routes.some(({ hasLongBodies }) => hasLongBodies === true)
     return true
   }
 
@@ -41,6 +43,10 @@
     return this._routes.find(host, path)
   }
 
+  public get hasLongBodies (): boolean {
+    return this._hasLongBodies
+  }
+
   public get hasCustomers (): boolean {
     return this._customers.hasCustomers
   }
--- a/packages/node/src/direct/BodyIntake.test.ts
+++ b/packages/node/src/direct/BodyIntake.test.ts
@@ -16,7 +16,6 @@
   public readonly load = LOAD
   public readonly accepted: { readonly caller: services.IHostCaller, readonly call: types.CallMessage }[] = []
   public cancelled = 0
-  public abandoned = 0
   public refusal: direct.HostRefusal | undefined
   public remainingMs = 0
   public arrival: direct.HostRefusal | undefined
@@ -31,13 +30,11 @@
     return false
   }
 
-  public abandon (): void {
-    this.abandoned += 1
-  }
+  public abandon (): void {}
 
   public refusalAtArrival ({ remainingMs }: types.CallMessage): direct.HostRefusal | undefined {
     this.remainingMs = remainingMs
-    return this.arrival
+    return remainingMs <= 0 ? { reason: 'deadline', reachedTarget: false, waitMs: 0 } : this.arrival
   }
 
   public refusalOf (_call: types.CallMessage, transferMs: number): direct.HostRefusal | undefined {
@@ -111,6 +108,19 @@
     assert.deepEqual(requested, [1, 2])
   })
 
+  // Guards against a further 16 MiB for each link that is lost while its calls run.
+  test.it('holds the body of a call that goes on after its link was lost', () => {
+    const largest = Buffer.alloc(16 * 1024 * 1024)
+    intake.offer(from, call(1), largest.length)
+    intake.deliver(from, 1, largest)
+    intake.abandon(from)
+    const other = { requestBody: (callId: number) => { requested.push(callId) }, handleHostResult: () => {} }
+    intake.offer(other, call(2), BODY.length)
+    assert.deepEqual([requested, host.cancelled], [[1], 1])
+    host.accepted[0]?.caller.handleHostResult('n', 1, { kind: 'failed', reason: 'timeout' }, LOAD)
+    assert.deepEqual(requested, [1, 2])
+  })
+
   // Guards against a request that runs with another body than its own.
   test.it('does not run a call with a body of another length', () => {
     intake.offer(from, call(1), BODY.length)
@@ -126,7 +136,7 @@
     assert.ok(intake.cancel(from, 1))
     assert.equal(intake.cancel(from, 1), false)
     intake.abandon(from)
-    assert.deepEqual([requested, host.abandoned], [[1, 2, 3], 1])
+    assert.deepEqual([requested, intake.size], [[1, 2, 3], 1])
   })
 
   test.it('passes the result of a call on once', () => {
--- a/packages/node/src/direct/BodyIntake.ts
+++ b/packages/node/src/direct/BodyIntake.ts
@@ -7,8 +7,6 @@
 /** Most bytes of bodies that are requested or in use, unless a single one is longer. */
 const MAX_HELD_BYTES = 16 * 1024 * 1024
 
-const EXPIRED: direct.HostRefusal = { reason: 'deadline', reachedTarget: false, waitMs: 0 }
-
 /** A node that offers calls with long bodies and sends the bodies on request. */
 export interface IOfferingCaller extends services.IHostCaller {
   requestBody(callId: number): void
@@ -83,9 +81,7 @@
   public cancel (from: IOfferingCaller, callId: number): boolean {
     const caller = this._callers.get(from)
     if (caller === undefined || !caller.offered.has(callId)) return false
-    const isRunning = caller.isDelivered(callId) && !this._options.host.cancel(caller, callId)
-    // A run that goes on holds its body until it ends.
-    if (!isRunning) caller.release(callId)
+    this._takeBack(caller, callId)
     return true
   }
 
@@ -93,8 +89,7 @@
   public abandon (from: IOfferingCaller): void {
     const caller = this._callers.get(from)
     if (caller === undefined) return
-    this._options.host.abandon(caller)
-    for (const callId of [...caller.offered.keys()]) caller.release(callId)
+    for (const callId of [...caller.offered.keys()]) this._takeBack(caller, callId)
     this._callers.delete(from)
   }
 
@@ -102,13 +97,18 @@
   public tick (): void {
     const { host, nodeId, nowMs } = this._options
     for (const { from, call, deadlineAtMs } of this._transfers.pending) {
-      const remainingMs = deadlineAtMs - nowMs()
-      const refusal = remainingMs <= 0 ? EXPIRED : host.refusalAtArrival({ ...call, remainingMs })
+      const refusal = host.refusalAtArrival({ ...call, remainingMs: deadlineAtMs - nowMs() })
       if (refusal !== undefined) this._callers.get(from)?.handleHostResult(nodeId, call.callId, { kind: 'refused', refusal }, host.load)
     }
     this._requestNext()
   }
 
+  /** A run that goes on holds its body until it ends. */
+  private _takeBack (caller: CallerOfBodies, callId: number): void {
+    const isRunning = caller.delivered.has(callId) && !this._options.host.cancel(caller, callId)
+    if (!isRunning) caller.release(callId)
+  }
+
   private _requestNext (): void {
     const nowMs = this._options.nowMs()
     for (let next = this._transfers.next(nowMs); next !== undefined; next = this._transfers.next(nowMs)) next.from.requestBody(next.call.callId)
@@ -140,10 +140,6 @@
     this._from.handleHostResult(nodeId, callId, result, load)
   }
 
-  public isDelivered (callId: number): boolean {
-    return this.delivered.has(callId)
-  }
-
   public release (callId: number): void {
     this.delivered.delete(callId)
     const offered = this.offered.get(callId)
--- a/packages/node/src/direct/DirectNode.ts
+++ b/packages/node/src/direct/DirectNode.ts
@@ -109,7 +109,7 @@
       rollout: this._rollouts,
       onChange: () => { this._handleTargetChange() }
     }))
-    this._links = this._register(new nodeLinks.NodeLinks({ selfId, hello: to => this._fleet.hello(this.version, to), nowMs, stalls: this._stalls, random, host: this._target.host, linkMbps: settings.linkMbps, limits: this._connectionLimits, events: this }))
+    this._links = this._register(new nodeLinks.NodeLinks({ selfId, hello: to => this._fleet.hello(this.version, to), nowMs, stalls: this._stalls, random, host: this._target.host, linkMbps: settings.linkMbps, takesOffers: () => this._calls.inForce.hasLongBodies, limits: this._connectionLimits, events: this }))
     this._rules = this._register(new rulesDistribution.RulesDistribution({
       selfId,
       zone: settings.zone,
@@ -139,7 +139,7 @@
       nowMs,
       target: () => this._target.watch.knownTarget,
       crashes: this.crashes,
-      isRolledOut: name => this._rollouts.isMixed(name),
+      isMixed: name => this._rollouts.isMixed(name),
       restore: target => { this._target.watch.restore(target) }
     }))
     const terms = settings.customerLimitTerms
--- a/packages/node/src/direct/DirectNodeOptions.ts
+++ b/packages/node/src/direct/DirectNodeOptions.ts
@@ -18,6 +18,6 @@
   readonly random: base.IRandom
   /** Monotonic clock. */
   readonly nowMs: () => base.Millis
-  /** Wall clock. Used for audit records, and as a mere hint that the VM may have been suspended. */
+  /** Wall clock. Used for audit records, to order reports across restarts, and as a mere hint that the VM may have been suspended. */
   readonly timeOfDayMs: () => base.Millis
 }
--- a/packages/node/src/direct/LinkCodec.test.ts
+++ b/packages/node/src/direct/LinkCodec.test.ts
@@ -62,6 +62,26 @@
       sentAtMs: 81_234
     }
   },
+  {
+    kind: 'offer',
+    bodyBytes: 60_000,
+    call: {
+      callId: 9,
+      service: 'till',
+      isIdempotent: false,
+      priority: 1,
+      remainingMs: 800,
+      objectiveMs: 200,
+      elapsedMs: 3,
+      requestId: 'r1',
+      method: 'POST',
+      path: '/photo/1',
+      headers: [],
+      body: undefined,
+      isRetry: false,
+      sentAtMs: 81_234
+    }
+  },
   { kind: 'result', callId: 9, result: { kind: 'answered', answer: { status: 200, headers: ['A', 'b', 'A', 'c'], body: undefined, isUnframed: false } }, load: LOAD },
   { kind: 'result', callId: 9, result: { kind: 'refused', refusal: { reason: 'busy', reachedTarget: false, waitMs: 12 } }, load: LOAD },
   { kind: 'result', callId: 9, result: { kind: 'failed', reason: 'target-lost' }, load: LOAD },
@@ -134,6 +154,13 @@
       for (const message of MESSAGES) assert.deepEqual(codec.decode(Buffer.concat(codec.encodeParts(message))).unwrap(), message)
     })
 
+    // Guards against a node that is lost to others because of what its target announces.
+    test.it('leaves out a version of a target that is no name', () => {
+      const status = { state: 'ready', load: LIMITED, version: 7, storeAgeMs: 3, fleetStoreAgeMs: 1, target: { targetId: 't1', startedAtMs: 5, isLeaving: false } } as const
+      const decoded = codec.decode(codec.encode({ kind: 'status', status: { ...status, target: { ...status.target, softwareVersion: 'v'.repeat(300) } } })).unwrap()
+      assert.deepEqual(decoded, { kind: 'status', status })
+    })
+
     // Guards against an invalid record that costs the others in the message, or ends the process when a link is opened to it.
     test.it('leaves invalid records out and counts them', () => {
       const packr = new msgpackr.Packr({ useRecords: false })
--- a/packages/node/src/direct/LinkCodec.ts
+++ b/packages/node/src/direct/LinkCodec.ts
@@ -286,8 +286,8 @@
   const known = { state, version, storeAgeMs: ageOf(storeAgeMs), fleetStoreAgeMs: ageOf(fleetStoreAgeMs), load }
   const status = era < 0 ? known : { ...known, storeEra: era }
   if (targetId === undefined) return { kind: 'status', status }
-  if (!linkValues.isText(targetId) || !linkValues.isNumber(startedAtMs) || typeof isLeaving !== 'boolean' || (softwareVersion !== undefined && !nodeRecords.isName(softwareVersion))) return undefined
-  return { kind: 'status', status: { ...status, target: { targetId, startedAtMs, isLeaving, ...(softwareVersion === undefined ? {} : { softwareVersion }) } } }
+  if (!linkValues.isText(targetId) || !linkValues.isNumber(startedAtMs) || typeof isLeaving !== 'boolean' || (softwareVersion !== undefined && !linkValues.isText(softwareVersion))) return undefined
+  return { kind: 'status', status: { ...status, target: { targetId, startedAtMs, isLeaving, ...(nodeRecords.isName(softwareVersion) ? { softwareVersion } : {}) } } }
 }
 
 function callOf (values: Values): LinkMessage | undefined {
@@ -319,7 +319,7 @@
 
 function offerOf ([, bodyBytes, ...values]: Values): LinkMessage | undefined {
   const message = callOf(values)
-  if (message?.kind !== 'call' || message.call.body !== undefined || !linkValues.isWhole(bodyBytes) || bodyBytes === 0) return undefined
+  if (values[0] !== KIND.call || message?.kind !== 'call' || message.call.body !== undefined || !linkValues.isWhole(bodyBytes) || bodyBytes === 0) return undefined
   return { kind: 'offer', call: message.call, bodyBytes }
 }
 
--- a/packages/node/src/direct/NodeLinks.test.ts
+++ b/packages/node/src/direct/NodeLinks.test.ts
@@ -31,6 +31,7 @@
 
 /** Holds calls until the test ends them. */
 class HeldCalls implements services.IOfferedHost {
+  public onOffer: () => void = () => {}
   public readonly load = LOAD
   public refusal: direct.HostRefusal | undefined
   public readonly held: { readonly caller: services.IHostCaller, readonly call: types.CallMessage }[] = []
@@ -52,6 +53,7 @@
   }
 
   public refusalOf (): direct.HostRefusal | undefined {
+    this.onOffer()
     return this.refusal
   }
 
@@ -68,6 +70,7 @@
   public losses = 0
   public messages = 0
   public isConnected = false
+  public takesOffers = true
   public readonly silentCalls: number[] = []
   public readonly lostCalls: number[] = []
   public readonly results: number[] = []
@@ -85,6 +88,7 @@
       random: new random.Random(1),
       host: this.host,
       linkMbps: 7,
+      takesOffers: () => this.takesOffers,
       events: this
     })
     this.server = new peerServer.PeerServer({ address: { host: '127.0.0.1', port: 0 }, onConnection: socket => { this.links.accept(socket) } })
@@ -192,9 +196,11 @@
     })
 
     test.it('reaches the host whole, and loses the time that its body took', async () => {
+      host.host.onOffer = () => { host.nowMs += 30 }
       caller.links.sendCall(hostId, { ...UPLOAD, body })
       await testMesh.waitUntil(() => host.host.held.length === 1)
-      assert.deepEqual(host.host.held[0]?.call.body, body)
+      const [{ call: { body: arrived, remainingMs, elapsedMs } } = { call: UPLOAD }] = host.host.held
+      assert.deepEqual([arrived, remainingMs, elapsedMs], [body, UPLOAD.remainingMs - 30, UPLOAD.elapsedMs + 30])
       host.host.answerAll()
       await testMesh.waitUntil(() => caller.results.length === 1)
     })
--- a/packages/node/src/direct/NodeLinks.ts
+++ b/packages/node/src/direct/NodeLinks.ts
@@ -27,6 +27,8 @@
   readonly host: services.IOfferedHost
   /** Capacity of this VM's link, in Mbit/s; 0 if it is not known. */
   readonly linkMbps: number
+  /** Whether the configuration has calls with long bodies, which other nodes may offer. */
+  readonly takesOffers: () => boolean
   readonly limits?: connectionLimits.ConnectionLimits
   readonly events: INodeLinksEvents
 }
@@ -67,6 +69,8 @@
   private readonly _incoming = new Set<incomingLink.IncomingLink>()
   private readonly _held: readAheads.ReadAhead<ReadCall>
   private readonly _intake: bodyIntake.BodyIntake
+  /** Nodes at the other end of these have been told that this one takes offers. */
+  private readonly _told = new WeakSet<incomingLink.IncomingLink>()
   private readonly _heldOf = new Map<incomingLink.IncomingLink, Map<number, ReadCall>>()
 
   constructor (options: NodeLinksOptions) {
@@ -147,6 +151,7 @@
       link.keepAlive()
     }
     for (const link of this._incoming) link.tick(stalledMs)
+    this._tellOffers()
     this._intake.tick()
   }
 
@@ -187,11 +192,21 @@
 
   public handleHello (link: incomingLink.IncomingLink, hello: linkCodec.HelloMessage): void {
     this._options.events.handleHello(hello, message => { link.send(message) })
-    link.send({ kind: 'takes-offers' })
+    this._tellOffers()
     // The node has just started or is reachable again.
     this._outgoing.get(hello.nodeId)?.reconnectNow()
   }
 
+  /** Nodes of earlier versions do not know the message, and could not use a configuration that has long bodies. */
+  private _tellOffers (): void {
+    if (!this._options.takesOffers()) return
+    for (const link of this._incoming) {
+      if (link.nodeId === '' || this._told.has(link)) continue
+      this._told.add(link)
+      link.send({ kind: 'takes-offers' })
+    }
+  }
+
   public handleClosed (link: incomingLink.IncomingLink): void {
     this._incoming.delete(link)
     for (const call of this._heldOf.get(link)?.values() ?? []) this._held.remove(call)
--- a/packages/node/src/direct/TargetHost.ts
+++ b/packages/node/src/direct/TargetHost.ts
@@ -110,14 +110,14 @@
   }
 
   public refusalAtArrival (message: types.CallMessage): direct.HostRefusal | undefined {
-    return this._refusalAtArrival({ message, deadlineAtMs: this._waitClockMs + message.remainingMs })
+    return this._logged(message, this._refusalAtArrival({ message, deadlineAtMs: this._waitClockMs + message.remainingMs }))
   }
 
   public refusalOf (message: types.CallMessage, transferMs: base.Millis): direct.HostRefusal | undefined {
     const nowMs = this._waitClockMs
     const call = hostedCall.slotCallOf(0, message, nowMs, this._options)
     const refusal = this._refusalAtArrival({ ...call, message })
-    if (refusal !== undefined) return refusal
+    if (refusal !== undefined) return this._logged(message, refusal)
     // It waits for a slot after its body has arrived.
     const waiting = { ...call, deadlineAtMs: call.deadlineAtMs - transferMs, objectiveAtMs: call.objectiveAtMs - transferMs }
     const waitMs = this._queue.hasRoom ? undefined : this._queue.refusedWaitMs(waiting, nowMs)
@@ -125,8 +125,7 @@
     const isTooLate = nowMs + this._queue.meanMs * USEFUL_SHARE > waiting.deadlineAtMs
     if (!isTooLate && waitMs === undefined) return undefined
     const reason = isTooLate ? 'deadline' : 'busy'
-    this._options.events.onCallRefused(message, reason, waitMs ?? 0)
-    return { reason, reachedTarget: false, waitMs: waitMs ?? 0 }
+    return this._logged(message, { reason, reachedTarget: false, waitMs: waitMs ?? 0 })
   }
 
   /** Drops a waiting call. A running call is aborted if it is idempotent; otherwise it runs to its end. */
@@ -365,8 +364,13 @@
     if (call !== undefined) this._refuse(call, { reason, reachedTarget: false, waitMs: this._queue.meanMs })
   }
 
+  private _logged (message: types.CallMessage, refusal: direct.HostRefusal | undefined): direct.HostRefusal | undefined {
+    if (refusal !== undefined) this._options.events.onCallRefused(message, refusal.reason, refusal.waitMs)
+    return refusal
+  }
+
   private _refuse (call: hostedCall.HostedCall, refusal: direct.HostRefusal): void {
-    this._options.events.onCallRefused(call.message, refusal.reason, refusal.waitMs)
+    this._logged(call.message, refusal)
     this._finish(call, { kind: 'refused', refusal })
   }
 
