--- a/packages/testbed/src/harness/ports.ts
+++ b/packages/testbed/src/harness/ports.ts
@@ -1,4 +1,5 @@
 import * as crypto from 'node:crypto'
+import * as fs from 'node:fs'
 import * as net from 'node:net'
 
 /**
@@ -33,6 +34,12 @@
   return ports
 }
 
+/** Sockets on the machine that use the port at either end, with their states, as the system lists them. */
+export function socketsOf (port: number): string[] {
+  const suffix = `:${port.toString(16).toUpperCase().padStart(4, '0')}`
+  return fs.readFileSync('/proc/net/tcp', 'utf8').split('\n').map(line => line.trim()).filter(line => line.includes(`${suffix} `))
+}
+
 async function nextCandidate (): Promise<number> {
   const usable = BLOCK_PORTS - 1
   const place = candidateCount++ % (MAX_BLOCKS * usable)
--- a/packages/testbed/src/soak/SoakNode.ts
+++ b/packages/testbed/src/soak/SoakNode.ts
@@ -232,7 +232,9 @@
     await this.target.close()
     this.target.targetId = this._nextTargetId()
     this.target.advertiseLimit(undefined)
-    await this.target.listen(this._targetPort)
+    await this.target.listen(this._targetPort).catch((error: unknown) => {
+      throw new Error(`The target of ${this.name} cannot listen again. Sockets of its port: ${ports.socketsOf(this._targetPort).join('; ')}`, { cause: error })
+    })
     this.target.address = relayAddress
     this._targetState = 'ready'
   }
