End an interrupted case with all of its processes

Cause: a second signal, which timeout sends to the whole group, ended the script before it had removed its folder. Change: the stand-ins of the review handle each signal. Result: after interrupts at 1 s and 6 s no process and no folder is left.

--- a/review/standins-2/deployment.mjs
+++ b/review/standins-2/deployment.mjs
@@ -43,7 +43,7 @@
     this.recordPath = recordPath
     fs.writeFileSync(recordPath, '')
     // A case that takes too long is stopped from outside, and must leave no process behind.
-    for (const name of ['SIGTERM', 'SIGINT']) process.once(name, () => { this.end().then(() => process.exit(2)) })
+    for (const name of ['SIGTERM', 'SIGINT']) process.on(name, () => { if (!this.isEnding) this.end().then(() => process.exit(2)) })
   }
 
   /** Appends a line to the record of the case. */
