Close the connection of a refused body that is longer than any may be

The rest of a refused body is read so that the caller gets its answer, but a body within the limits has no rest beyond the longest that the configuration allows. Above that the connection is closed.

The new case of Ingress.test.ts failed on (209,715,200 bytes were sent and the connection was still open) and passes now.

--- a/packages/node/src/BodyReader.ts
+++ b/packages/node/src/BodyReader.ts
@@ -48,12 +48,14 @@
     pieces.clear()
     request.removeAllListeners('data').removeAllListeners('end')
   }
+  let readBytes = 0
   request.on('data', (part: Buffer) => {
     if (pieces.lengthBytes + part.length > maxBytes) {
       clear()
       events.onTooLarge()
       return
     }
+    readBytes += part.length
     events.onPiece?.(part.length)
     // It may have been abandoned for this piece.
     if (isAbandoned) return
@@ -64,6 +66,16 @@
   if (lengthBytes === 0) request.on('end', () => { events.onComplete(pieces.take()) })
   return () => {
     clear()
-    request.resume()
+    discard(request, maxBytes - readBytes)
   }
 }
+
+/** Reads the rest of a body, so that its caller gets the answer, and closes the connection of a body that is too long. */
+function discard (request: http.IncomingMessage, maxBytes: number): void {
+  let leftBytes = maxBytes
+  request.on('data', (part: Buffer) => {
+    leftBytes -= part.length
+    if (leftBytes < 0) request.socket.destroy()
+  })
+  request.resume()
+}
--- a/packages/node/src/direct/Ingress.test.ts
+++ b/packages/node/src/direct/Ingress.test.ts
@@ -1,9 +1,11 @@
 import * as assert from 'node:assert/strict'
 import * as bodyMemory from './BodyMemory.js'
 import * as ingresses from './Ingress.js'
+import * as events from 'node:events'
 import * as net from 'node:net'
 import * as test from 'node:test'
 import * as timers from 'node:timers/promises'
+import type * as direct from '@elmpost/common/direct/Types.js'
 import type * as services from './Services.js'
 
 const DIALECT = { readRequest: () => ({ requestId: '', remainingMs: 1000 }), answerHeaders: () => [] } as unknown as services.ICallDialect
@@ -148,6 +150,28 @@
       assert.equal(next(), 4)
     })
 
+    // Guards against a refused caller whose body has no end, and takes the time of the process for as long as it likes.
+    test.it('are read no further than the longest body that is allowed', async () => {
+      ingress.setLimits({ maxBodyBytes: 2 * BODY_BYTES, idleTimeoutMs: 60_000 } as direct.CallerLimits)
+      // Whole bodies are not refused.
+      for (let at = 0; at < 2; at++) {
+        sendUnfinished(`/whole/${at}`, 2 * BODY_BYTES)
+        clients.at(-1)?.write('x')
+        await until(() => owner.begun.length === at + 1)
+      }
+      const received = { answer: '' }
+      const socket = net.connect(port, '127.0.0.1')
+      clients.push(socket)
+      socket.on('error', () => {}).on('data', part => { received.answer += part.toString() })
+      socket.write('POST /endless HTTP/1.1\r\nHost: booth.example\r\nTransfer-Encoding: chunked\r\n\r\n')
+      const chunk = Buffer.from(`10000\r\n${'x'.repeat(0x10000)}\r\n`)
+      let sentBytes = 0
+      for (; !socket.destroyed && sentBytes < 40 * BODY_BYTES; sentBytes += 0x10000) if (!socket.write(chunk)) await Promise.race([events.EventEmitter.once(socket, 'drain'), events.EventEmitter.once(socket, 'close')]).catch(() => {})
+      await until(() => socket.destroyed)
+      assert.ok(socket.destroyed, `${sentBytes} bytes sent`)
+      assert.deepEqual(refused, ['/endless'])
+    })
+
     // Guards against bodies that are counted for ever, because Node.js tells nothing of the answers behind the next one when a connection closes.
     test.it('are forgotten when a caller leaves whose requests wait behind another one', async () => {
       for (const bytes of [BODY_BYTES, BODY_BYTES - 1]) {
