Share the time for input between connections by what it costs

Cause: input was parsed as it was read, up to 2 MiB of a connection in one turn of the event loop. Six bytes are a chunk, which is a buffer and an event, and 60 bytes a question with its answer: a turn took minutes.

InputScheduler measures what each part costs. Input takes at most 5 ms of a turn, and the connection that has lately taken least is next, so an ordinary call is parsed in the next turn however many others wait. A connection that waits is not read.

--- a/packages/node/src/ConnectionLimits.ts
+++ b/packages/node/src/ConnectionLimits.ts
@@ -1,5 +1,6 @@
 import * as bufferCollector from './BufferCollector.js'
 import * as emitter from '@elmpost/common/base/Emitter.js'
+import * as inputScheduler from './InputScheduler.js'
 import * as requestFeed from './RequestFeed.js'
 import * as v8 from 'node:v8'
 import type * as base from '@elmpost/common/base/Types.js'
@@ -18,6 +19,8 @@
 /** Bytes that are parsed at once: up to 160 requests, and up to 10 while memory is scarce. */
 const PART_BYTES = 4096
 const SCARCE_PART_BYTES = 256
+/** Ticks after which the time that input has taken counts for half. */
+const DECAY_TICKS = 10
 /** Stopped connections that are looked at when an answer was sent. The others follow in turn. */
 const RESUMED_PER_ANSWER = 4
 
@@ -101,6 +104,8 @@
   /** Connections from which nothing is read at present, longest first. */
   private readonly _stopped = new Set<Connection>()
   private readonly _closedCounts: Record<LimitReason, number> = { unread: 0, memory: 0, count: 0 }
+  private readonly _scheduler = new inputScheduler.InputScheduler()
+  private _ticks = 0
   /** No connection can be closed for its memory until the next tick. */
   private _isExhausted = false
 
@@ -163,7 +168,9 @@
   /** Measures what has changed without an event. */
   public tick (): void {
     this._isExhausted = false
+    this._ticks += 1
     for (const connection of this._connections.values()) {
+      if (this._ticks % DECAY_TICKS === 0) this._scheduler.decay(connection.feed)
       for (const response of connection.waiting.keys()) this._measure(connection, response)
     }
     this._relieve()
@@ -172,10 +179,11 @@
 
   public dispose (): void {
     this._closed.dispose()
+    this._scheduler.dispose()
   }
 
   private _add (socket: net.Socket, listener: string, maxInputBytes: number): void {
-    const feed = new requestFeed.RequestFeed({ socket, nextBytes: () => this._nextBytes(connection), onRead: bytes => { this.collector.recordRead(bytes) } })
+    const feed = new requestFeed.RequestFeed({ socket, scheduler: this._scheduler, nextBytes: () => this._nextBytes(connection), onRead: bytes => { this.collector.recordRead(bytes) } })
     const connection: Connection = { feed, socket, listener, maxInputBytes, waiting: new Map(), held: { requests: 0, answers: 0, input: 0 }, last: undefined, readBytes: 0 }
     this._connections.set(socket, connection)
     socket.once('close', () => { this.release(socket) })
