Refuse bodies that do not arrive in time, and end those that go on

Callers that stopped just short of the end of their bodies held the memory for all bodies until they left: nothing but the 300 s of Node.js ended such a request, while callers that went on sending were refused in their place, because the longest body was the one to keep. Callers that went on with a body after its answer (at the readiness check, or after a refusal) held a descriptor and time of the process for as long as they liked.

A request whose body is not whole when its caller has stopped waiting, or of which nothing has come for the idle time of the configuration, is refused with 408, which promises that it has not run, and its connection is closed. When bodies exceed their memory, those whose callers have sent nothing for a second go first, the longest of all included. A listener that uses no bodies closes a connection that sends 256 KiB after the answer. Any rest of a body ends after 30 s.

None of this is met within the limits of the platform: the deadline is the caller's own. `maxRestBytes` and `maxSharedBodyBytes` are settings.

The new cases of Ingress, BodyMemory and ConnectionLimits cover each part. ConnectionLimits.test expects the new reason among the counts of closed connections.

--- a/addons/addon-metrics/src/DirectMetrics.ts
+++ b/addons/addon-metrics/src/DirectMetrics.ts
@@ -165,7 +165,7 @@
   private _closedConnections (node: direct.IDirectView): void {
     const counter: promClient.Counter<'reason'> = new promClient.Counter({
       name: 'elmpost_direct_connections_closed_total',
-      help: 'Connections that were closed because of a limit, by reason: unread, memory, count',
+      help: 'Connections that were closed because of a limit, by reason: unread, memory, count, body',
       labelNames: ['reason'],
       registers: [this._registry],
       collect: () => {
--- a/packages/common/src/direct/Types.ts
+++ b/packages/common/src/direct/Types.ts
@@ -225,7 +225,7 @@
 }
 
 export type RefusalReason =
-  | 'no-configuration' | 'no-route' | 'unknown-key' | 'over-limit' | 'body-too-large' | 'no-target' | 'busy' | 'target-refused' | 'deadline' | 'stopping' | 'crashes-targets'
+  | 'no-configuration' | 'no-route' | 'unknown-key' | 'over-limit' | 'body-too-large' | 'body-late' | 'no-target' | 'busy' | 'target-refused' | 'deadline' | 'stopping' | 'crashes-targets'
 
 export type FailureReason = 'timeout' | 'peer-lost' | 'target-lost' | 'bad-answer' | 'node-stopped'
 
--- a/packages/node/src/CallerListener.ts
+++ b/packages/node/src/CallerListener.ts
@@ -50,8 +50,8 @@
     this._http.on('connection', socket => { this._handleConnection(socket) })
     const handle = app.handler.bind(app) as unknown as http.RequestListener
     if (limits === undefined) this._http.on('request', handle)
-    // The memory for bodies is bounded by what reads them.
-    else limits.attach(this._http, 'callers', 0, handle)
+    // Bodies are bounded by what reads them.
+    else limits.attach(this._http, 'callers', 0, handle, Infinity)
   }
 
   public get isClosing (): boolean {
--- a/packages/node/src/ConnectionLimits.test.ts
+++ b/packages/node/src/ConnectionLimits.test.ts
@@ -159,7 +159,25 @@
     await until(() => waiting.length === 1)
     const refused = connect(REQUEST)
     await until(() => refused.isClosed && closed.length === 1)
-    assert.deepEqual(limits.gauges.closed, { unread: 0, memory: 0, count: 1 })
+    assert.deepEqual(limits.gauges.closed, { unread: 0, memory: 0, count: 1, body: 0 })
+  })
+
+  // Guards against bodies without an end at listeners that use none, which take the time of the process as long as they like.
+  test.it('closes a connection that goes on with a body after its answer, and not one whose body ends', async () => {
+    await start({ maxRestBytes: 100_000, unreadTimeoutMs: 5_000 }, (request, response) => { response.end(request.url) })
+    const post = (path: string): string => `POST ${path} HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n`
+    const short = connect(post('/short'))
+    await until(() => short.received.includes('/short'))
+    short.socket.write(`c350\r\n${'x'.repeat(50_000)}\r\n0\r\n\r\n${post('/next')}0\r\n\r\n`)
+    await until(() => short.received.includes('/next'))
+    const endless = connect(post('/endless'))
+    await until(() => endless.received.includes('/endless'))
+    for (let sent = 0; sent < 100 && !endless.isClosed; sent++) {
+      endless.socket.write('1\r\nx\r\n'.repeat(5_000))
+      await timers.setTimeout(5)
+    }
+    await until(() => endless.isClosed)
+    assert.deepEqual(closed.map(({ reason }) => reason), ['body'])
   })
 
   // Guards against a limit that callers within the terms of the platform meet.
--- a/packages/node/src/ConnectionLimits.ts
+++ b/packages/node/src/ConnectionLimits.ts
@@ -39,6 +39,10 @@
   readonly maxConnections: number
   /** Longest head of a request. */
   readonly maxHeaderBytes: number
+  /** Most bytes that are read of a body after its answer, on listeners that use no bodies. */
+  readonly maxRestBytes: number
+  /** Most bytes of bodies of callers, beside the longest one. */
+  readonly maxSharedBodyBytes: number
 }
 
 /** Part of the heap for requests that wait. The rest is for the state of the node and for garbage. */
@@ -54,11 +58,13 @@
   maxRequestBytes: Math.round(v8.getHeapStatistics().heap_size_limit * REQUEST_HEAP_SHARE),
   unreadTimeoutMs: 30_000,
   maxConnections: 8_192,
-  maxHeaderBytes: DEFAULT_HEADER_BYTES
+  maxHeaderBytes: DEFAULT_HEADER_BYTES,
+  maxRestBytes: 256 * 1024,
+  maxSharedBodyBytes: 12 * 1024 * 1024
 }
 
-/** `unread`: the peer reads no answers. `memory`: all connections together hold too much. `count`: the listener has too many connections. */
-export type LimitReason = 'unread' | 'memory' | 'count'
+/** `unread`: the peer reads no answers. `memory`: all connections together hold too much. `count`: the listener has too many connections. `body`: the peer goes on sending a body that has been answered. */
+export type LimitReason = 'unread' | 'memory' | 'count' | 'body'
 
 /** A connection was closed because of a limit. */
 export interface LimitedConnection {
@@ -77,6 +83,13 @@
   answerBytes: number
 }
 
+interface BodyRest {
+  readonly request: http.IncomingMessage
+  readonly answeredAtMs: base.Millis
+  /** What the connection had received at the answer. */
+  readonly answeredAtBytes: number
+}
+
 interface Connection {
   readonly socket: net.Socket
   readonly listener: string
@@ -87,6 +100,10 @@
   /** Last request on the connection. Node.js may have answered it before the next one is read. */
   last: http.ServerResponse | undefined
   readonly feed: requestFeed.RequestFeed
+  /** Most bytes that are read of a body after its answer. */
+  readonly maxRestBytes: number
+  /** Body that has been answered and has not come to its end. */
+  rest: BodyRest | undefined
   /** Bytes that were read before the current request. */
   readBytes: number
 }
@@ -103,14 +120,15 @@
   private readonly _held: Record<Kind, number> = { requests: 0, answers: 0, input: 0 }
   /** Connections from which nothing is read at present, longest first. */
   private readonly _stopped = new Set<Connection>()
-  private readonly _closedCounts: Record<LimitReason, number> = { unread: 0, memory: 0, count: 0 }
-  private readonly _scheduler = new inputScheduler.InputScheduler()
+  private readonly _closedCounts: Record<LimitReason, number> = { unread: 0, memory: 0, count: 0, body: 0 }
+  private readonly _scheduler: inputScheduler.InputScheduler
   private _ticks = 0
   /** No connection can be closed for its memory until the next tick. */
   private _isExhausted = false
 
-  constructor (public readonly terms: ConnectionLimitTerms = DEFAULT_TERMS, public readonly collector = new bufferCollector.BufferCollector()) {
+  constructor (public readonly terms: ConnectionLimitTerms = DEFAULT_TERMS, public readonly collector = new bufferCollector.BufferCollector(), private readonly _nowMs: () => base.Millis = () => performance.now()) {
     this.onClosed = this._closed.event
+    this._scheduler = new inputScheduler.InputScheduler(this._nowMs)
   }
 
   public get heldBytes (): number {
@@ -127,13 +145,16 @@
     return { maxHeaderSize: this.terms.maxHeaderBytes, requireHostHeader: false }
   }
 
-  /** Limits the connections of a server and passes its requests on. `maxBodyBytes`: longest body that the listener keeps while it is incomplete; 0 if its memory is bounded elsewhere. */
-  public attach (server: http.Server, listener: string, maxBodyBytes: number, handle: http.RequestListener): void {
+  /**
+   * Limits the connections of a server and passes its requests on. `maxBodyBytes`: longest body that the listener keeps while it
+   * is incomplete; 0 if its memory is bounded elsewhere. `maxRestBytes`: most that is read of a body after its answer.
+   */
+  public attach (server: http.Server, listener: string, maxBodyBytes: number, handle: http.RequestListener, maxRestBytes = this.terms.maxRestBytes): void {
     const { maxConnections, unreadTimeoutMs, maxHeaderBytes } = this.terms
     server.maxConnections = maxConnections
     server.timeout = unreadTimeoutMs
     server.on('drop', data => { this.recordClosed({ listener, reason: 'count', remoteAddress: data?.remoteAddress, waitingRequests: 0, heldBytes: 0 }) })
-    server.on('connection', socket => { this._add(socket, listener, maxHeaderBytes + maxBodyBytes) })
+    server.on('connection', socket => { this._add(socket, listener, maxHeaderBytes + maxBodyBytes, maxRestBytes) })
     server.on('timeout', socket => { this._handleTimeout(socket) })
     server.on('request', (request, response) => { if (this._admit(request, response)) handle(request, response) })
     server.on('checkExpectation', (request, response) => { if (this._admit(request, response)) response.writeHead(417).end() })
@@ -171,6 +192,7 @@
     this._ticks += 1
     for (const connection of this._connections.values()) {
       if (this._ticks % DECAY_TICKS === 0) this._scheduler.decay(connection.feed)
+      if (this._hasLongRest(connection)) this._close(connection, 'body')
       for (const response of connection.waiting.keys()) this._measure(connection, response)
     }
     this._relieve()
@@ -182,9 +204,9 @@
     this._scheduler.dispose()
   }
 
-  private _add (socket: net.Socket, listener: string, maxInputBytes: number): void {
+  private _add (socket: net.Socket, listener: string, maxInputBytes: number, maxRestBytes: number): void {
     const feed = new requestFeed.RequestFeed({ socket, scheduler: this._scheduler, nextBytes: () => this._nextBytes(connection), onRead: bytes => { this.collector.recordRead(bytes) } })
-    const connection: Connection = { feed, socket, listener, maxInputBytes, waiting: new Map(), held: { requests: 0, answers: 0, input: 0 }, last: undefined, readBytes: 0 }
+    const connection: Connection = { feed, socket, listener, maxInputBytes, maxRestBytes, rest: undefined, waiting: new Map(), held: { requests: 0, answers: 0, input: 0 }, last: undefined, readBytes: 0 }
     this._connections.set(socket, connection)
     socket.once('close', () => { this.release(socket) })
   }
@@ -214,6 +236,7 @@
     if (sent === undefined || !this._connections.has(connection.socket)) return
     connection.waiting.delete(response)
     if (connection.last === response) connection.last = undefined
+    if (!response.req.complete) connection.rest = { request: response.req, answeredAtMs: this._nowMs(), answeredAtBytes: connection.socket.bytesRead }
     this._setHeld(connection, 'requests', connection.held.requests - sent.requestBytes)
     this._setHeld(connection, 'answers', connection.held.answers - sent.answerBytes)
     // A body that was received behind the head is no incomplete input.
@@ -237,8 +260,23 @@
     connection.held[kind] = bytes
   }
 
+  /** Whether the peer has gone on for too long with a body that has been answered. */
+  private _hasLongRest (connection: Connection): boolean {
+    const { rest, socket, feed, maxRestBytes } = connection
+    if (rest === undefined) return false
+    if (rest.request.complete) {
+      connection.rest = undefined
+      return false
+    }
+    return socket.bytesRead - feed.restBytes - rest.answeredAtBytes > maxRestBytes || this._nowMs() - rest.answeredAtMs > this.terms.unreadTimeoutMs
+  }
+
   /** How much of the input of a connection may be parsed. */
   private _nextBytes (connection: Connection): number {
+    if (this._hasLongRest(connection)) {
+      this._close(connection, 'body')
+      return 0
+    }
     const isScarce = this._held.requests > this.terms.maxRequestBytes * SCARCE_SHARE
     const { waiting, last, socket, feed, readBytes, maxInputBytes } = connection
     this._setHeld(connection, 'input', feed.restBytes + Math.min(socket.bytesRead - readBytes - feed.restBytes, maxInputBytes))
--- a/packages/node/src/direct/BodyMemory.test.ts
+++ b/packages/node/src/direct/BodyMemory.test.ts
@@ -7,13 +7,15 @@
 test.describe('BodyMemory', () => {
   let memory: bodyMemory.BodyMemory
   let refused: string[]
+  let nowMs: number
 
   function holder (name: string): bodyMemory.IBodyHolder {
     return { refuseBody: () => { refused.push(name) } }
   }
 
   test.beforeEach(() => {
-    memory = new bodyMemory.BodyMemory(MAX_SHARED_BYTES)
+    nowMs = 0
+    memory = new bodyMemory.BodyMemory(MAX_SHARED_BYTES, () => nowMs)
     refused = []
   })
 
@@ -49,6 +51,21 @@
     assert.ok(memory.heldBytes <= MAX_SHARED_BYTES + 60, `${memory.heldBytes} bytes`)
   })
 
+  // Guards against callers that stop just short of the end of their bodies and so take the memory from all that go on sending.
+  test.it('refuses bodies whose callers have stopped sending before those that arrive', () => {
+    const arriving = holder('arriving')
+    memory.addPiece(arriving, 700)
+    memory.addPiece(holder('stopped, largest'), 5_000)
+    memory.addPiece(holder('stopped'), 300)
+    nowMs += 3_000
+    memory.addPiece(arriving, 200)
+    assert.deepEqual(refused, ['stopped, largest'])
+    memory.addPiece(holder('new'), 900)
+    assert.deepEqual(refused, ['stopped, largest', 'stopped'])
+    memory.addPiece(arriving, 5_000)
+    assert.equal(memory.heldBytes, 6_800)
+  })
+
   // Guards against a refusal of a request that may have been sent on.
   test.it('refuses no request whose body is whole, and the next ones instead', () => {
     const [first, second] = [holder('first'), holder('second')]
--- a/packages/node/src/direct/BodyMemory.ts
+++ b/packages/node/src/direct/BodyMemory.ts
@@ -1,5 +1,7 @@
-/** Most bytes that all bodies but the largest one may hold together. */
-export const MAX_SHARED_BYTES = 12 * 1024 * 1024
+import type * as base from '@elmpost/common/base/Types.js'
+
+/** A body of which nothing has come for this time is refused first. */
+const STALLED_MS = 1_000
 
 /** Request of a caller whose body is held in memory. */
 export interface IBodyHolder {
@@ -10,19 +12,22 @@
 interface HeldBody {
   lengthBytes: number
   isWhole: boolean
+  pieceAtMs: base.Millis
 }
 
 /**
  * Bounds the memory for bodies of callers' requests, from their first byte until the answer. One body may be as long as the
- * configuration allows. All others share a bound: when they exceed it, the largest one that is still being received is
- * refused, so that a few long bodies cost no request with a short one.
+ * configuration allows. All others share a bound: when they exceed it, one that is still being received is refused. That is
+ * the largest of those whose callers have stopped sending, if there are any, and otherwise the largest, so that callers that
+ * stop short cost no others, and a few long bodies cost no request with a short one.
  */
 export class BodyMemory {
   private readonly _held = new Map<IBodyHolder, HeldBody>()
   private _heldBytes = 0
   private _largest: IBodyHolder | undefined
 
-  constructor (private readonly _maxSharedBytes = MAX_SHARED_BYTES) {}
+  /** `maxSharedBytes`: most bytes that all bodies but the largest one may hold together. */
+  constructor (private readonly _maxSharedBytes: number, private readonly _nowMs: () => base.Millis = () => performance.now()) {}
 
   public get heldBytes (): number {
     return this._heldBytes
@@ -30,8 +35,9 @@
 
   /** Adds a received piece to the body of a request. */
   public addPiece (holder: IBodyHolder, lengthBytes: number): void {
-    const body = this._held.get(holder) ?? { lengthBytes: 0, isWhole: false }
+    const body = this._held.get(holder) ?? { lengthBytes: 0, isWhole: false, pieceAtMs: 0 }
     body.lengthBytes += lengthBytes
+    body.pieceAtMs = this._nowMs()
     this._held.set(holder, body)
     this._heldBytes += lengthBytes
     if (this._largest === undefined || body.lengthBytes > this._bytesOf(this._largest)) this._largest = holder
@@ -54,7 +60,9 @@
   }
 
   private _refuseOne (): boolean {
-    const holder = this._findLargest((other, { isWhole }) => !isWhole && other !== this._largest)
+    const stalledAtMs = this._nowMs() - STALLED_MS
+    const holder = this._findLargest((_other, { isWhole, pieceAtMs }) => !isWhole && pieceAtMs < stalledAtMs) ??
+      this._findLargest((other, { isWhole }) => !isWhole && other !== this._largest)
     if (holder === undefined) return false
     this.remove(holder)
     holder.refuseBody()
--- a/packages/node/src/direct/DirectNode.ts
+++ b/packages/node/src/direct/DirectNode.ts
@@ -185,6 +185,7 @@
       nowMs,
       onDropped: ({ info }, totalMs) => { this._log.logCancelled(info, { totalMs, rule: undefined, nodeId: '', sends: 0 }) },
       onBodyRefused: ({ info: { requestId } }, heldBytes) => { this._log.log('warn', 'body-refused', { requestId, heldBytes }) },
+      onBodyLate: ({ info: { requestId } }, waitedMs) => { this._log.log('warn', 'body-late', { requestId, waitedMs: Math.round(waitedMs) }) },
       onAcceptsEnd: (waitMs, connections) => { this._log.logAccepts(waitMs, connections) }
     }))
     this._peers = this._register(new peerServer.PeerServer({ address: addresses.parse(settings.peerListenAddress), binder: options.binder, limits: this._connectionLimits, maxMessageBytes: nodeLinks.MAX_MESSAGE_BYTES, onConnection: socket => { this._links.accept(socket) } }))
@@ -335,6 +336,7 @@
     this._stalls.tick()
     if (this._stalls.suspectedMs > 0) this._log.log('warn', 'stalled', { stalledMs: Math.round(this._stalls.stalledMs), suspectedMs: Math.round(this._stalls.suspectedMs) })
     this._connectionLimits.tick()
+    this._ingress.tick()
     this._links.tick()
     this._target.tick()
     this._log.tick(this._links.traffic)
--- a/packages/node/src/direct/Ingress.test.ts
+++ b/packages/node/src/direct/Ingress.test.ts
@@ -1,11 +1,10 @@
 import * as assert from 'node:assert/strict'
-import * as bodyMemory from './BodyMemory.js'
+import * as connectionLimits from '../ConnectionLimits.js'
 import * as ingresses from './Ingress.js'
 import * as events from 'node:events'
 import * as net from 'node:net'
 import * as test from 'node:test'
 import * as timers from 'node:timers/promises'
-import type * as direct from '@elmpost/common/direct/Types.js'
 import type * as services from './Services.js'
 
 const DIALECT = { readRequest: () => ({ requestId: '', remainingMs: 1000 }), answerHeaders: () => [] } as unknown as services.ICallDialect
@@ -37,6 +36,7 @@
   let client: net.Socket
   let dropped: string[]
   let refused: string[]
+  let late: string[]
   let port: number
 
   async function send (paths: readonly string[]): Promise<void> {
@@ -48,7 +48,8 @@
     owner = new FakeOwner()
     dropped = []
     refused = []
-    ingress = new ingresses.Ingress({ address: { host: '127.0.0.1', port: 0 }, owner, dialect: DIALECT, nowMs: () => performance.now(), onAcceptsEnd: () => {}, onBodyRefused: exchange => { refused.push(exchange.path) }, onDropped: exchange => { dropped.push(exchange.path) } })
+    late = []
+    ingress = new ingresses.Ingress({ address: { host: '127.0.0.1', port: 0 }, owner, dialect: DIALECT, nowMs: () => performance.now(), onAcceptsEnd: () => {}, onBodyLate: exchange => { late.push(exchange.path) }, onBodyRefused: exchange => { refused.push(exchange.path) }, onDropped: exchange => { dropped.push(exchange.path) } })
     port = await ingress.listen()
     client = net.connect(port, '127.0.0.1')
     client.on('error', () => {})
@@ -152,7 +153,7 @@
 
     // Guards against a refused caller whose body has no end, and takes the time of the process for as long as it likes.
     test.it('are read no further than the longest body that is allowed', async () => {
-      ingress.setLimits({ maxBodyBytes: 2 * BODY_BYTES, idleTimeoutMs: 60_000 } as direct.CallerLimits)
+      ingress.setLimits({ maxBodyBytes: 2 * BODY_BYTES, idleTimeoutMs: 60_000 })
       // Whole bodies are not refused.
       for (let at = 0; at < 2; at++) {
         sendUnfinished(`/whole/${at}`, 2 * BODY_BYTES)
@@ -172,6 +173,23 @@
       assert.deepEqual(refused, ['/endless'])
     })
 
+    // Guards against callers that stop short of the end of their bodies, and hold their memory for as long as they like.
+    for (const [cause, idleTimeoutMs] of [['nothing more has come for the idle time', 200], ['their callers have stopped waiting', 60_000]] as const) {
+      test.it(`are refused as not run when ${cause}, and their connections closed`, async () => {
+        ingress.setLimits({ maxBodyBytes: 2 * BODY_BYTES, idleTimeoutMs })
+        const stopped = sendUnfinished('/stopped')
+        await until(() => ingress.bodyBytes === BODY_BYTES - 1)
+        ingress.tick()
+        assert.deepEqual(late, [])
+        await until(() => {
+          ingress.tick()
+          return late.length > 0 && clients[0]?.destroyed === true
+        })
+        assert.match(stopped.answer, /^HTTP\/1\.1 408 [^]*Elmpost-Outcome: not-run[^]*Connection: close/)
+        assert.deepEqual([late, ingress.bodyBytes, owner.begun.length], [['/stopped'], 0, 0])
+      })
+    }
+
     // Guards against bodies that are counted for ever, because Node.js tells nothing of the answers behind the next one when a connection closes.
     test.it('are forgotten when a caller leaves whose requests wait behind another one', async () => {
       for (const bytes of [BODY_BYTES, BODY_BYTES - 1]) {
@@ -198,7 +216,7 @@
       await until(() => ingress.bodyBytes === 5 * BODY_BYTES - 1)
       // Whole bodies are not refused. Together they leave room for one piece of the refused one.
       const roomBytes = 100_000
-      for (const [path, bytes] of [['/whole/1', BODY_BYTES], ['/whole/2', BODY_BYTES], ['/whole/3', bodyMemory.MAX_SHARED_BYTES - 2 * BODY_BYTES - roomBytes]] as const) {
+      for (const [path, bytes] of [['/whole/1', BODY_BYTES], ['/whole/2', BODY_BYTES], ['/whole/3', connectionLimits.DEFAULT_TERMS.maxSharedBodyBytes - 2 * BODY_BYTES - roomBytes]] as const) {
         sendUnfinished(path, bytes)
         await timers.setTimeout(50)
         clients.at(-1)?.write('x')
--- a/packages/node/src/direct/Ingress.ts
+++ b/packages/node/src/direct/Ingress.ts
@@ -7,10 +7,10 @@
 import * as bufferCollector from '../BufferCollector.js'
 import * as callerConnections from './CallerConnections.js'
 import * as callerListener from '../CallerListener.js'
+import * as connectionLimits from '../ConnectionLimits.js'
 import * as readAheads from '../ReadAhead.js'
 import * as reasons from './Reasons.js'
 import type * as base from '@elmpost/common/base/Types.js'
-import type * as connectionLimits from '../ConnectionLimits.js'
 import type * as direct from '@elmpost/common/direct/Types.js'
 import type * as http from 'node:http'
 import type * as net from 'node:net'
@@ -45,6 +45,8 @@
   readonly onAcceptsEnd: (waitMs: base.Millis, connections: number) => void
   /** A request was refused because the bodies that the node holds take `heldBytes`. */
   readonly onBodyRefused: (exchange: services.IExchange, heldBytes: number) => void
+  /** A request was refused because its body did not arrive in time. */
+  readonly onBodyLate: (exchange: services.IExchange, waitedMs: base.Millis) => void
   /** The caller has left before its request was begun, `waitedMs` after the request arrived at most. */
   readonly onDropped: (exchange: services.IExchange, waitedMs: base.Millis) => void
 }
@@ -60,12 +62,14 @@
   private readonly _held: readAheads.ReadAhead<IngressExchange>
   /** Requests whose bodies are being read. */
   private readonly _reading = new Set<IngressExchange>()
-  private readonly _bodies = new bodyMemory.BodyMemory()
+  private readonly _bodies: bodyMemory.BodyMemory
   private readonly _storage: bodyBlocks.BodyStorage
   private _maxBodyBytes = DEFAULT_MAX_BODY_BYTES
+  private _idleTimeoutMs = DEFAULT_IDLE_MS
 
   constructor (options: IngressOptions) {
     this._options = options
+    this._bodies = new bodyMemory.BodyMemory((options.limits?.terms ?? connectionLimits.DEFAULT_TERMS).maxSharedBodyBytes, options.nowMs)
     this._storage = { pool: new blockPool.BlockPool(), collector: options.limits?.collector ?? new bufferCollector.BufferCollector() }
     this._accepts = new acceptStreaks.AcceptStreak({ nowMs: options.nowMs, onEnd: options.onAcceptsEnd })
     this._held = new readAheads.ReadAhead<IngressExchange>({
@@ -113,6 +117,7 @@
 
   public setLimits (limits: direct.CallerLimits): void {
     this._maxBodyBytes = limits.maxBodyBytes
+    this._idleTimeoutMs = limits.idleTimeoutMs
     this._listener.setKeepAlive(limits.idleTimeoutMs + IDLE_MARGIN_MS)
   }
 
@@ -132,6 +137,16 @@
     this._refuseUnread(exchange, refusal('busy', BODY_RETRY_MS))
   }
 
+  /** Refuses requests whose bodies have not arrived in time. */
+  public tick (): void {
+    for (const exchange of this._reading) {
+      if (!exchange.isBodyLate(this._idleTimeoutMs)) continue
+      this._options.onBodyLate(exchange, exchange.waitedMs)
+      exchange.closeAfterAnswer()
+      this._refuseUnread(exchange, refusal('body-late'))
+    }
+  }
+
   /** Releases what is held for a request that has its answer, or whose caller has left. */
   public forget (exchange: IngressExchange): void {
     this._reading.delete(exchange)
@@ -162,7 +177,10 @@
     this._reading.add(exchange)
     response.once('close', () => { this.forget(exchange) })
     exchange.abandonBody = bodyReader.readBodyInto<blockBody.Body>(() => new bodyBlocks.BodyBlocks(this._storage), request, this._maxBodyBytes, {
-      onPiece: lengthBytes => { this._bodies.addPiece(exchange, lengthBytes) },
+      onPiece: lengthBytes => {
+        exchange.recordPiece()
+        this._bodies.addPiece(exchange, lengthBytes)
+      },
       onComplete: body => {
         // It has been refused meanwhile otherwise.
         if (!this._reading.delete(exchange)) return
@@ -171,7 +189,7 @@
         this._held.add(exchange)
       },
       onTooLarge: () => {
-        response.shouldKeepAlive = false
+        exchange.closeAfterAnswer()
         this.forget(exchange)
         exchange.refuse(refusal('body-too-large'))
         request.resume()
@@ -207,6 +225,7 @@
   public abandonBody: bodyReader.AbandonBody = () => {}
   public readonly socket: net.Socket
   private readonly _readAtMs: base.Millis
+  private _pieceAtMs: base.Millis
   private _hasBegun = false
 
   constructor (
@@ -218,6 +237,7 @@
     public readonly acceptWaitMs: base.Millis
   ) {
     this._readAtMs = _options.nowMs()
+    this._pieceAtMs = this._readAtMs
     this.socket = request.socket
     this.info = _options.dialect.readRequest(request.headers)
     this.method = request.method ?? 'GET'
@@ -235,6 +255,20 @@
     return this._options.nowMs() - this._readAtMs
   }
 
+  /** A piece of the body has been received. */
+  public recordPiece (): void {
+    this._pieceAtMs = this._options.nowMs()
+  }
+
+  /** Whether the caller has stopped waiting for its answer, or sending its body. */
+  public isBodyLate (idleTimeoutMs: base.Millis): boolean {
+    return this.waitedMs > (this.info.remainingMs ?? Infinity) || this._options.nowMs() - this._pieceAtMs > idleTimeoutMs
+  }
+
+  public closeAfterAnswer (): void {
+    this._response.shouldKeepAlive = false
+  }
+
   public begin (): void {
     this._hasBegun = true
     this._options.owner.begin(this)
--- a/packages/node/src/direct/Reasons.ts
+++ b/packages/node/src/direct/Reasons.ts
@@ -12,6 +12,7 @@
   'unknown-key': { status: 401, remedy: 'Send a key that the configuration has for a customer.' },
   'over-limit': { status: 429, remedy: 'The customer sends more requests than its limit allows. Send the request again after the time in Retry-After.' },
   'body-too-large': { status: 413, remedy: 'Send a smaller body, or raise the limit in the configuration.' },
+  'body-late': { status: 408, remedy: 'The body had not arrived when the time of the request was over, or nothing more of it came. Send the request again with its whole body.' },
   'no-target': { status: 503, remedy: 'No target of the service is ready. Send the request again after the time in Retry-After.' },
   busy: { status: 503, remedy: 'All targets of the service are busy. Send the request again after the time in Retry-After.' },
   'target-refused': { status: 503, remedy: 'The targets refused the request unrun. Send it again after the time in Retry-After.' },
