Bound the bodies that a host receives from other nodes together with those of callers

Cause: only routes of kind upload offered bodies, so on any other route each entry node sent the whole call when it had it. A link assembles a message from its reads, frames and parts, so one body took its length two to three times, and nothing bounded the sum over the links.

Bodies of 256 KiB and more are offered on every route. The host requests them under the account that bounds the bodies of its own callers (BodyMemory), and each comes in parts of 64 KiB into blocks, so that no message is longer than a part and short messages do not wait behind a body. Bodies whose callers have stopped sending give way to an offered call, which is ready to run. If whole bodies of callers leave no room, the offer is refused at once: two nodes could wait for the memory that the other one holds until both calls are over.

A node of the version before is offered bodies as before and gets them in one message, because it does not say that it takes parts; one that does not know offers gets whole calls.

--- a/packages/common/src/direct/BodyTransfers.ts
+++ b/packages/common/src/direct/BodyTransfers.ts
@@ -31,7 +31,8 @@
   private readonly _arrived = new Set<Body>()
   private _heldBytes = 0
 
-  constructor (private readonly _linkMbps: number, private readonly _maxHeldBytes: number) {}
+  /** `makeRoom`: whether there is memory for a body that is requested now. */
+  constructor (private readonly _linkMbps: number, private readonly _maxHeldBytes: number, private readonly _makeRoom: (lengthBytes: number) => boolean = () => true) {}
 
   /** Number of bodies that have not arrived. */
   public get size (): number {
@@ -60,6 +61,11 @@
     return body
   }
 
+  /** Whether the body has been requested and has not arrived. */
+  public isUnderWay (body: Body): boolean {
+    return this._underWay.has(body)
+  }
+
   /** The body has arrived. It is held until it is released. False if it was not requested. */
   public arrive (body: Body): boolean {
     if (!this._underWay.delete(body)) return false
@@ -82,7 +88,7 @@
   private _fits ({ lengthBytes }: Body, nowMs: base.Millis): boolean {
     const underWayBytes = this._underWayBytes(nowMs)
     const isLinkFree = underWayBytes === 0 || this._linkMs(underWayBytes + lengthBytes) <= AHEAD_MS
-    return isLinkFree && (this._heldBytes === 0 || this._heldBytes + lengthBytes <= this._maxHeldBytes)
+    return isLinkFree && (this._heldBytes === 0 || this._heldBytes + lengthBytes <= this._maxHeldBytes) && this._makeRoom(lengthBytes)
   }
 
   private _underWayBytes (nowMs: base.Millis): number {
--- a/packages/common/src/direct/RulesInForce.ts
+++ b/packages/common/src/direct/RulesInForce.ts
@@ -8,6 +8,9 @@
 /** Short, because callers of a stopping node can reach another node immediately. */
 export const STOPPING_RETRY_MS = 50
 
+/** A body of at least this length is sent when its host has room for it. */
+export const LONG_BODY_BYTES = 256 * 1024
+
 /** What follows from a request alone, without the state of targets. */
 export type Checked =
   | { readonly kind: 'refused', readonly reason: types.RefusalReason, readonly retryAfterMs: base.Millis, readonly rule: types.RouteRule | undefined }
@@ -35,7 +38,7 @@
     this._rules = rules
     this._routes = new routeIndex.RouteIndex(rules.routes)
     this._customers = new customerIndex.CustomerIndex(rules.customers)
-    this._hasLongBodies = rules.routes.some(({ hasLongBodies }) => hasLongBodies === true)
+    this._hasLongBodies = rules.limits.maxBodyBytes >= LONG_BODY_BYTES || rules.routes.some(({ hasLongBodies }) => hasLongBodies === true)
     return true
   }
 
@@ -43,6 +46,7 @@
     return this._routes.find(host, path)
   }
 
+  /** Whether there may be calls whose bodies are offered to hosts first. */
   public get hasLongBodies (): boolean {
     return this._hasLongBodies
   }
--- a/packages/node/src/direct/BodyIntake.test.ts
+++ b/packages/node/src/direct/BodyIntake.test.ts
@@ -1,6 +1,8 @@
 import * as assert from 'node:assert/strict'
 import * as bodyIntake from './BodyIntake.js'
 import * as test from 'node:test'
+import * as testBodies from './testing/Bodies.js'
+import type * as bodyMemory from './BodyMemory.js'
 import type * as direct from '@elmpost/common/direct/Types.js'
 import type * as services from './Services.js'
 import type * as types from './Types.js'
@@ -50,14 +52,16 @@
   let results: types.HostResult[]
   let from: bodyIntake.IOfferingCaller
   let intake: bodyIntake.BodyIntake
+  let bodies: bodyMemory.BodyMemory
 
   test.beforeEach(() => {
     nowMs = 0
+    bodies = testBodies.newBodies(() => nowMs)
     host = new FakeHost()
     requested = []
     results = []
     from = { requestBody: callId => { requested.push(callId) }, handleHostResult: (_nodeId, _callId, result) => { results.push(result) } }
-    intake = new bodyIntake.BodyIntake({ host, nodeId: 'n', linkMbps: 7, nowMs: () => nowMs })
+    intake = new bodyIntake.BodyIntake({ host, bodies, nodeId: 'n', linkMbps: 7, nowMs: () => nowMs })
   })
 
   test.it('accepts a call when its body has arrived, with the time that is left', () => {
@@ -145,4 +149,68 @@
     host.accepted[0]?.caller.handleHostResult('n', 1, { kind: 'failed', reason: 'timeout' }, LOAD)
     assert.deepEqual([results, intake.cancel(from, 1)], [[{ kind: 'failed', reason: 'timeout' }], false])
   })
+
+  test.describe('a body in parts', () => {
+    function offerOf (callId: number, lengthBytes: number): void {
+      intake.offer(from, call(callId), lengthBytes)
+    }
+
+    test.it('is accepted when it is whole, with its bytes in order', () => {
+      offerOf(1, 150_000)
+      for (const [value, bytes] of [[1, 60_000], [2, 60_000], [3, 30_000]] as const) {
+        assert.equal(host.accepted.length, 0)
+        intake.deliverPart(from, 1, Buffer.alloc(bytes, value))
+      }
+      const [{ call: { body } } = { call: call(0) }] = host.accepted
+      assert.ok(body instanceof Uint8Array)
+      assert.ok(Buffer.from(body).equals(Buffer.concat([Buffer.alloc(60_000, 1), Buffer.alloc(60_000, 2), Buffer.alloc(30_000, 3)])))
+      intake.deliverPart(from, 1, Buffer.alloc(10))
+      assert.equal(host.accepted.length, 1)
+    })
+
+    // Guards against a call that runs with a body that is not the one that was offered.
+    test.it('that is longer than it was offered is refused', () => {
+      offerOf(1, 50_000)
+      intake.deliverPart(from, 1, Buffer.alloc(40_000))
+      intake.deliverPart(from, 1, Buffer.alloc(40_000))
+      assert.deepEqual([host.accepted.length, results.map(({ kind }) => kind)], [0, ['refused']])
+    })
+
+    test.it('that was taken back is ignored', () => {
+      offerOf(1, 50_000)
+      intake.deliverPart(from, 1, Buffer.alloc(40_000))
+      intake.cancel(from, 1)
+      intake.deliverPart(from, 1, Buffer.alloc(10_000))
+      assert.deepEqual([host.accepted.length, bodies.heldBytes], [0, 0])
+    })
+  })
+
+  test.describe('the memory of the host', () => {
+    const LONG_BYTES = 40 * 1024 * 1024
+    const holder = { refuseBody: () => {} }
+
+    // Guards against bodies of several nodes that together exceed the memory of their host (review, case 10).
+    test.it('bounds the bodies that are requested, until their calls have ended', () => {
+      for (let callId = 0; callId < 4; callId++) intake.offer(from, { ...call(callId), remainingMs: 100_000 }, LONG_BYTES)
+      assert.deepEqual([requested, bodies.heldBytes], [[0], LONG_BYTES])
+      intake.deliver(from, 0, Buffer.alloc(LONG_BYTES))
+      nowMs += 100
+      intake.tick()
+      assert.deepEqual(requested, [0])
+      const [{ caller, call: { callId } } = { caller: from, call: call(0) }] = host.accepted
+      caller.handleHostResult('n', callId, { kind: 'failed', reason: 'timeout' }, LOAD)
+      assert.deepEqual([requested, bodies.heldBytes], [[0, 1], LONG_BYTES])
+    })
+
+    // Guards against two nodes each of which waits for the memory that the other one holds, until the deadlines of both calls.
+    test.it('refuses a call at once while whole bodies of its callers take it all', () => {
+      bodies.addPiece(holder, LONG_BYTES)
+      bodies.complete(holder)
+      intake.offer(from, call(1), LONG_BYTES)
+      assert.deepEqual(results.map(result => result.kind === 'refused' ? result.refusal.reason : result.kind), ['busy'])
+      bodies.remove(holder)
+      intake.offer(from, call(2), LONG_BYTES)
+      assert.deepEqual(requested, [2])
+    })
+  })
 })
--- a/packages/node/src/direct/BodyIntake.ts
+++ b/packages/node/src/direct/BodyIntake.ts
@@ -1,6 +1,8 @@
 import * as bodyTransfers from '@elmpost/common/direct/BodyTransfers.js'
 import type * as base from '@elmpost/common/base/Types.js'
 import type * as blockBody from '../BlockBody.js'
+import type * as bodyBlocks from '../BodyBlocks.js'
+import type * as bodyMemory from './BodyMemory.js'
 import type * as direct from '@elmpost/common/direct/Types.js'
 import type * as services from './Services.js'
 import type * as types from './Types.js'
@@ -17,9 +19,17 @@
   readonly from: IOfferingCaller
   readonly call: types.CallMessage
   readonly offeredAtMs: base.Millis
+  /** What has arrived, if the body comes in parts. */
+  readonly blocks: bodyBlocks.BodyBlocks
+  /** The whole body, when it has arrived. */
+  body: blockBody.Body | undefined
 }
 
+/** Wait of a call that finds the memory full of bodies of callers. */
+const FULL_WAIT_MS = 100
+
 export interface BodyIntakeOptions {
+  readonly bodies: bodyMemory.BodyMemory
   readonly host: services.IOfferedHost
   readonly nodeId: base.NodeId
   /** Capacity of this VM's link, in Mbit/s; 0 if it is not known. */
@@ -38,7 +48,7 @@
 
   constructor (options: BodyIntakeOptions) {
     this._options = options
-    this._transfers = new bodyTransfers.BodyTransfers(options.linkMbps, MAX_HELD_BYTES)
+    this._transfers = new bodyTransfers.BodyTransfers(options.linkMbps, MAX_HELD_BYTES, lengthBytes => options.bodies.makeRoom(lengthBytes))
   }
 
   /** Calls whose bodies have not arrived. */
@@ -47,14 +57,15 @@
   }
 
   public offer (from: IOfferingCaller, call: types.CallMessage, lengthBytes: number): void {
-    const { host, nodeId, nowMs } = this._options
+    const { host, nodeId, nowMs, bodies } = this._options
     const offeredAtMs = nowMs()
-    const refusal = host.refusalOf(call, this._transfers.expectedMs({ lengthBytes, priority: call.priority }, offeredAtMs))
+    const full: direct.HostRefusal | undefined = bodies.isFullOfCallers(lengthBytes) ? { reason: 'busy', reachedTarget: false, waitMs: FULL_WAIT_MS } : undefined
+    const refusal = full ?? host.refusalOf(call, this._transfers.expectedMs({ lengthBytes, priority: call.priority }, offeredAtMs))
     if (refusal !== undefined) {
       from.handleHostResult(nodeId, call.callId, { kind: 'refused', refusal }, host.load)
       return
     }
-    const offered = { from, call, lengthBytes, priority: call.priority, offeredAtMs, deadlineAtMs: offeredAtMs + call.remainingMs }
+    const offered = { from, call, lengthBytes, priority: call.priority, offeredAtMs, deadlineAtMs: offeredAtMs + call.remainingMs, blocks: bodies.newBlocks(), body: undefined }
     this._callerOf(from).offered.set(call.callId, offered)
     this._transfers.offer(offered)
     this._requestNext()
@@ -73,11 +84,23 @@
     }
     const lostMs = nowMs() - offered.offeredAtMs
     const { call } = offered
+    offered.body = body
     caller.delivered.add(callId)
     host.accept(caller, { ...call, body, remainingMs: call.remainingMs - lostMs, elapsedMs: call.elapsedMs + lostMs })
     this._requestNext()
   }
 
+  /** A part of the body that was requested has arrived. */
+  public deliverPart (from: IOfferingCaller, callId: number, part: Uint8Array): void {
+    const offered = this._callers.get(from)?.offered.get(callId)
+    if (offered === undefined || !this._transfers.isUnderWay(offered)) return
+    const { blocks, lengthBytes } = offered
+    blocks.add(Buffer.from(part.buffer, part.byteOffset, part.length))
+    if (blocks.lengthBytes < lengthBytes) return
+    const body = blocks.take()
+    if (body !== undefined) this.deliver(from, callId, body)
+  }
+
   /** Takes a call back. False if it was not offered. */
   public cancel (from: IOfferingCaller, callId: number): boolean {
     const caller = this._callers.get(from)
@@ -112,14 +135,22 @@
 
   private _requestNext (): void {
     const nowMs = this._options.nowMs()
-    for (let next = this._transfers.next(nowMs); next !== undefined; next = this._transfers.next(nowMs)) next.from.requestBody(next.call.callId)
+    for (let next = this._transfers.next(nowMs); next !== undefined; next = this._transfers.next(nowMs)) {
+      this._options.bodies.reserve(next, next.lengthBytes)
+      next.from.requestBody(next.call.callId)
+    }
   }
 
   private _callerOf (from: IOfferingCaller): CallerOfBodies {
     let caller = this._callers.get(from)
     if (caller === undefined) {
+      const { bodies } = this._options
       caller = new CallerOfBodies(from, offered => {
         this._transfers.release(offered)
+        bodies.remove(offered)
+        offered.blocks.clear()
+        bodies.release(offered.body)
+        offered.body = undefined
         this._requestNext()
       })
       this._callers.set(from, caller)
--- a/packages/node/src/direct/BodyMemory.test.ts
+++ b/packages/node/src/direct/BodyMemory.test.ts
@@ -1,5 +1,6 @@
 import * as assert from 'node:assert/strict'
 import * as bodyMemory from './BodyMemory.js'
+import * as bufferCollector from '../BufferCollector.js'
 import * as test from 'node:test'
 
 const MAX_SHARED_BYTES = 1_000
@@ -15,7 +16,7 @@
 
   test.beforeEach(() => {
     nowMs = 0
-    memory = new bodyMemory.BodyMemory(MAX_SHARED_BYTES, () => nowMs)
+    memory = new bodyMemory.BodyMemory({ maxSharedBytes: MAX_SHARED_BYTES, collector: new bufferCollector.BufferCollector(() => {}), nowMs: () => nowMs })
     refused = []
   })
 
@@ -80,6 +81,42 @@
     assert.deepEqual(refused, ['third'])
   })
 
+  test.describe('the body of an offered call', () => {
+    // Guards against bodies of several nodes that together exceed the memory of their host (review, case 10).
+    test.it('shares the bound with those of callers', () => {
+      memory.reserve({}, 5_000)
+      assert.ok(memory.makeRoom(1_000))
+      memory.reserve({}, 1_000)
+      assert.deepEqual([memory.makeRoom(1), memory.makeRoom(6_000)], [false, false])
+      memory.addPiece(holder('caller'), 10)
+      assert.deepEqual([refused, memory.heldBytes], [['caller'], 6_000])
+    })
+
+    test.it('takes the place of bodies whose callers have stopped sending, and of no others', () => {
+      memory.addPiece(holder('stopped'), 2_000)
+      nowMs += 3_000
+      const arriving = holder('arriving')
+      memory.addPiece(arriving, 900)
+      assert.ok(memory.makeRoom(1_500))
+      memory.reserve({}, 1_500)
+      assert.deepEqual(refused, ['stopped'])
+      assert.ok(!memory.makeRoom(1_500))
+      assert.deepEqual(refused, ['stopped'])
+    })
+
+    // Guards against two nodes each of which waits for the memory that the other one holds.
+    test.it('is known to have no place while bodies of callers take it all', () => {
+      const [first, second] = [holder('first'), holder('second')]
+      memory.addPiece(first, 3_000)
+      assert.deepEqual([memory.isFullOfCallers(900), memory.isFullOfCallers(2_000)], [false, true])
+      memory.addPiece(second, 600)
+      assert.ok(memory.isFullOfCallers(900))
+      memory.remove(first)
+      memory.reserve({}, 3_000)
+      assert.ok(!memory.isFullOfCallers(900))
+    })
+  })
+
   test.it('forgets a request that has its answer', () => {
     const first = holder('first')
     memory.addPiece(first, 5_000)
--- a/packages/node/src/direct/DirectNode.ts
+++ b/packages/node/src/direct/DirectNode.ts
@@ -1,5 +1,6 @@
 import * as addresses from '../Addresses.js'
 import * as auditTrail from './AuditTrail.js'
+import * as bodyMemory from './BodyMemory.js'
 import * as callLog from './CallLog.js'
 import * as callMeasure from './CallMeasure.js'
 import * as connectionLimits from '../ConnectionLimits.js'
@@ -86,6 +87,7 @@
     this._log = new callLog.CallLog(logger, nowMs)
     this.crashes = new crashGuards.CrashGuard({ dialect, service: settings.service, nowMs, timeOfDayMs: options.timeOfDayMs, callLog: this._log, links: () => this._links, onOwnCrash: () => { this._fleet.publish() } })
     this._connectionLimits = options.limits ?? new connectionLimits.ConnectionLimits()
+    const bodies = new bodyMemory.BodyMemory({ maxSharedBytes: this._connectionLimits.terms.maxSharedBodyBytes, collector: this._connectionLimits.collector, nowMs })
     this._register(this._connectionLimits.onClosed(limited => { this._log.log('warn', 'connection-closed', { ...limited }) }))
     const picker = new targetPicker.TargetPicker({ table: this._table, selfId, zone: settings.zone, random, otherZoneCostMs: zoneCost.otherZoneCostMs })
     const register = new rolloutRegister.RolloutRegister({ table: this._table, random, nowMs, startedAtMs: nowMs() })
@@ -109,7 +111,7 @@
       rollout: this._rollouts,
       onChange: () => { this._handleTargetChange() }
     }))
-    this._links = this._register(new nodeLinks.NodeLinks({ selfId, hello: to => this._fleet.hello(this.version, to), nowMs, stalls: this._stalls, random, host: this._target.host, linkMbps: settings.linkMbps, takesOffers: () => this._calls.inForce.hasLongBodies, limits: this._connectionLimits, events: this }))
+    this._links = this._register(new nodeLinks.NodeLinks({ selfId, hello: to => this._fleet.hello(this.version, to), nowMs, stalls: this._stalls, random, host: this._target.host, bodies, linkMbps: settings.linkMbps, takesOffers: () => this._calls.inForce.hasLongBodies, limits: this._connectionLimits, events: this }))
     this._rules = this._register(new rulesDistribution.RulesDistribution({
       selfId,
       zone: settings.zone,
@@ -180,6 +182,7 @@
       address: addresses.parse(settings.callerAddress),
       binder: options.binder,
       limits: this._connectionLimits,
+      bodies,
       owner: this._entry,
       dialect,
       nowMs,
--- a/packages/node/src/direct/EntryGate.ts
+++ b/packages/node/src/direct/EntryGate.ts
@@ -333,7 +333,7 @@
       headers,
       body,
       isRetry,
-      mayOfferBody: rule.hasLongBodies === true,
+      mayOfferBody: rule.hasLongBodies === true || (body?.length ?? 0) >= rulesInForce.LONG_BODY_BYTES,
       crashes: this._options.crashes.reportsOf(call.request)
     }
     if (send(nodeId, message)) return undefined
--- a/packages/node/src/direct/Ingress.test.ts
+++ b/packages/node/src/direct/Ingress.test.ts
@@ -4,6 +4,7 @@
 import * as events from 'node:events'
 import * as net from 'node:net'
 import * as test from 'node:test'
+import * as testBodies from './testing/Bodies.js'
 import * as timers from 'node:timers/promises'
 import type * as services from './Services.js'
 
@@ -49,7 +50,7 @@
     dropped = []
     refused = []
     late = []
-    ingress = new ingresses.Ingress({ address: { host: '127.0.0.1', port: 0 }, owner, dialect: DIALECT, nowMs: () => performance.now(), onAcceptsEnd: () => {}, onBodyLate: exchange => { late.push(exchange.path) }, onBodyRefused: exchange => { refused.push(exchange.path) }, onDropped: exchange => { dropped.push(exchange.path) } })
+    ingress = new ingresses.Ingress({ address: { host: '127.0.0.1', port: 0 }, bodies: testBodies.newBodies(), owner, dialect: DIALECT, nowMs: () => performance.now(), onAcceptsEnd: () => {}, onBodyLate: exchange => { late.push(exchange.path) }, onBodyRefused: exchange => { refused.push(exchange.path) }, onDropped: exchange => { dropped.push(exchange.path) } })
     port = await ingress.listen()
     client = net.connect(port, '127.0.0.1')
     client.on('error', () => {})
--- a/packages/node/src/direct/Ingress.ts
+++ b/packages/node/src/direct/Ingress.ts
@@ -1,16 +1,13 @@
 import * as acceptStreaks from '../AcceptStreak.js'
-import * as blockBody from '../BlockBody.js'
-import * as blockPool from '../BlockPool.js'
-import * as bodyBlocks from '../BodyBlocks.js'
-import * as bodyMemory from './BodyMemory.js'
 import * as bodyReader from '../BodyReader.js'
-import * as bufferCollector from '../BufferCollector.js'
 import * as callerConnections from './CallerConnections.js'
 import * as callerListener from '../CallerListener.js'
-import * as connectionLimits from '../ConnectionLimits.js'
 import * as readAheads from '../ReadAhead.js'
 import * as reasons from './Reasons.js'
 import type * as base from '@elmpost/common/base/Types.js'
+import type * as blockBody from '../BlockBody.js'
+import type * as bodyMemory from './BodyMemory.js'
+import type * as connectionLimits from '../ConnectionLimits.js'
 import type * as direct from '@elmpost/common/direct/Types.js'
 import type * as http from 'node:http'
 import type * as net from 'node:net'
@@ -38,6 +35,7 @@
   /** Binds the server. Undefined: a port that is in use is an error. */
   readonly binder?: nodeServices.IServerBinder | undefined
   readonly limits?: connectionLimits.ConnectionLimits | undefined
+  readonly bodies: bodyMemory.BodyMemory
   readonly owner: services.IExchangeOwner
   readonly dialect: services.ICallDialect
   readonly nowMs: () => base.Millis
@@ -62,15 +60,11 @@
   private readonly _held: readAheads.ReadAhead<IngressExchange>
   /** Requests whose bodies are being read. */
   private readonly _reading = new Set<IngressExchange>()
-  private readonly _bodies: bodyMemory.BodyMemory
-  private readonly _storage: bodyBlocks.BodyStorage
   private _maxBodyBytes = DEFAULT_MAX_BODY_BYTES
   private _idleTimeoutMs = DEFAULT_IDLE_MS
 
   constructor (options: IngressOptions) {
     this._options = options
-    this._bodies = new bodyMemory.BodyMemory((options.limits?.terms ?? connectionLimits.DEFAULT_TERMS).maxSharedBodyBytes, options.nowMs)
-    this._storage = { pool: new blockPool.BlockPool(), collector: options.limits?.collector ?? new bufferCollector.BufferCollector() }
     this._accepts = new acceptStreaks.AcceptStreak({ nowMs: options.nowMs, onEnd: options.onAcceptsEnd })
     this._held = new readAheads.ReadAhead<IngressExchange>({
       nowMs: options.nowMs,
@@ -112,7 +106,7 @@
 
   /** Bytes of bodies that are being received, or whose requests have no answer yet. */
   public get bodyBytes (): number {
-    return this._bodies.heldBytes
+    return this._options.bodies.heldBytes
   }
 
   public setLimits (limits: direct.CallerLimits): void {
@@ -133,7 +127,7 @@
 
   /** Refuses a request because its body does not fit into the memory. */
   public refuseBody (exchange: IngressExchange): void {
-    this._options.onBodyRefused(exchange, this._bodies.heldBytes)
+    this._options.onBodyRefused(exchange, this._options.bodies.heldBytes)
     this._refuseUnread(exchange, refusal('busy', BODY_RETRY_MS))
   }
 
@@ -150,8 +144,8 @@
   /** Releases what is held for a request that has its answer, or whose caller has left. */
   public forget (exchange: IngressExchange): void {
     this._reading.delete(exchange)
-    this._bodies.remove(exchange)
-    if (exchange.body instanceof blockBody.BlockBody) this._storage.collector.recordReleased(exchange.body.length)
+    this._options.bodies.remove(exchange)
+    this._options.bodies.release(exchange.body)
     exchange.body = undefined
   }
 
@@ -176,15 +170,15 @@
     this._connections.recordRead(exchange.socket, exchange)
     this._reading.add(exchange)
     response.once('close', () => { this.forget(exchange) })
-    exchange.abandonBody = bodyReader.readBodyInto<blockBody.Body>(() => new bodyBlocks.BodyBlocks(this._storage), request, this._maxBodyBytes, {
+    exchange.abandonBody = bodyReader.readBodyInto<blockBody.Body>(() => this._options.bodies.newBlocks(), request, this._maxBodyBytes, {
       onPiece: lengthBytes => {
         exchange.recordPiece()
-        this._bodies.addPiece(exchange, lengthBytes)
+        this._options.bodies.addPiece(exchange, lengthBytes)
       },
       onComplete: body => {
         // It has been refused meanwhile otherwise.
         if (!this._reading.delete(exchange)) return
-        this._bodies.complete(exchange)
+        this._options.bodies.complete(exchange)
         exchange.body = body
         this._held.add(exchange)
       },
--- a/packages/node/src/direct/LinkCodec.test.ts
+++ b/packages/node/src/direct/LinkCodec.test.ts
@@ -30,7 +30,9 @@
 const HEALTH = { nodeId: '10.0.0.1:7080', service: 'till', orderKey: 'v2 7', sequence: 9, softwareVersion: 'v2', phase: 'all', running: 2, sums: new Map([['price', { answers: 9, bad: 1, timeMs: 80, times: [0, 0, 5, 3] }]]) } as const
 
 const MESSAGES: readonly linkCodec.LinkMessage[] = [
-  { kind: 'takes-offers' },
+  { kind: 'takes-offers', takesParts: false },
+  { kind: 'takes-offers', takesParts: true },
+  { kind: 'body-part', callId: 7, part: Buffer.from('part') },
   { kind: 'body-request', callId: 7 },
   { kind: 'body', callId: 7, body: Buffer.from('long') },
   { kind: 'status', status: { state: 'ready', load: LIMITED, version: 7, storeAgeMs: 3, fleetStoreAgeMs: 1, target: { targetId: 't1', startedAtMs: 5, isLeaving: true, softwareVersion: 'v2' } } },
--- a/packages/node/src/direct/LinkCodec.ts
+++ b/packages/node/src/direct/LinkCodec.ts
@@ -34,7 +34,7 @@
 const LIMIT_VALUES = 2
 
 /** First value of each message, which identifies its kind. */
-const KIND = { hello: 0, status: 1, call: 2, answered: 3, refused: 4, failed: 5, cancel: 6, alive: 7, rulesRequest: 8, rules: 9, nodesRequest: 10, nodes: 11, grantsRequest: 12, grants: 13, rollouts: 14, rolloutHealth: 15, takesOffers: 16, offer: 17, bodyRequest: 18, body: 19 } as const
+const KIND = { hello: 0, status: 1, call: 2, answered: 3, refused: 4, failed: 5, cancel: 6, alive: 7, rulesRequest: 8, rules: 9, nodesRequest: 10, nodes: 11, grantsRequest: 12, grants: 13, rollouts: 14, rolloutHealth: 15, takesOffers: 16, offer: 17, bodyRequest: 18, body: 19, bodyPart: 20 } as const
 
 export interface HelloMessage {
   readonly kind: 'hello'
@@ -76,12 +76,14 @@
   | { readonly kind: 'call', readonly call: types.CallMessage }
   | { readonly kind: 'result', readonly callId: number, readonly result: types.HostResult, readonly load: direct.TargetLoad }
   | { readonly kind: 'cancel', readonly callId: number }
-  /** The host takes calls with long bodies as offers. Nodes of earlier versions do not say so. */
-  | { readonly kind: 'takes-offers' }
+  /** The host takes calls with long bodies as offers, and the bodies in parts. Nodes of earlier versions do not say so. */
+  | { readonly kind: 'takes-offers', readonly takesParts: boolean }
   /** A call whose body, of this length, is sent when the host requests it. */
   | { readonly kind: 'offer', readonly call: types.CallMessage, readonly bodyBytes: number }
   | { readonly kind: 'body-request', readonly callId: number }
   | { readonly kind: 'body', readonly callId: number, readonly body: blockBody.Body }
+  /** The next part of a body. */
+  | { readonly kind: 'body-part', readonly callId: number, readonly part: Uint8Array }
   | AliveMessage
   | { readonly kind: 'rules-request' }
   | { readonly kind: 'rules', readonly bytes: Uint8Array }
@@ -156,10 +158,11 @@
     case 'call': return callValues(message.call)
     case 'result': return resultValues(message.callId, message.result, message.load)
     case 'cancel': return [KIND.cancel, message.callId]
-    case 'takes-offers': return [KIND.takesOffers]
+    case 'takes-offers': return message.takesParts ? [KIND.takesOffers, true] : [KIND.takesOffers]
     case 'offer': return [KIND.offer, message.bodyBytes, ...callValues(message.call)]
     case 'body-request': return [KIND.bodyRequest, message.callId]
     case 'body': return [KIND.body, message.callId, message.body]
+    case 'body-part': return [KIND.bodyPart, message.callId, message.part]
     case 'alive': return aliveValues(message)
     case 'rules-request': return [KIND.rulesRequest]
     case 'rules': return [KIND.rules, message.bytes]
@@ -240,10 +243,11 @@
     case KIND.refused: return refusedOf(values)
     case KIND.failed: return failedOf(values)
     case KIND.cancel: return linkValues.isNumber(values[1]) ? { kind: 'cancel', callId: values[1] } : undefined
-    case KIND.takesOffers: return { kind: 'takes-offers' }
+    case KIND.takesOffers: return values[1] === undefined || values[1] === true ? { kind: 'takes-offers', takesParts: values[1] === true } : undefined
     case KIND.offer: return offerOf(values)
     case KIND.bodyRequest: return linkValues.isNumber(values[1]) ? { kind: 'body-request', callId: values[1] } : undefined
     case KIND.body: return linkValues.isNumber(values[1]) && values[2] instanceof Uint8Array ? { kind: 'body', callId: values[1], body: values[2] } : undefined
+    case KIND.bodyPart: return linkValues.isNumber(values[1]) && values[2] instanceof Uint8Array ? { kind: 'body-part', callId: values[1], part: values[2] } : undefined
     case KIND.alive: return aliveOf(values)
     case KIND.rulesRequest: return { kind: 'rules-request' }
     case KIND.rules: return values[1] instanceof Uint8Array ? { kind: 'rules', bytes: values[1] } : undefined
--- a/packages/node/src/direct/LinkParts.ts
+++ b/packages/node/src/direct/LinkParts.ts
@@ -1,9 +1,12 @@
 /** Sending of messages in parts on the connections between nodes. */
 import type * as ws from 'ws'
 
-/** Sends the parts as one message. No other message can come between them, because they are written at once. */
-export function send (socket: ws.WebSocket, parts: readonly Uint8Array[]): void {
-  parts.forEach((part, at) => { socket.send(part, { binary: true, fin: at === parts.length - 1 }) })
+/** Sends the parts as one message. No other message can come between them, because they are written at once. `onSent`: the system has taken them, or the connection has failed. */
+export function send (socket: ws.WebSocket, parts: readonly Uint8Array[], onSent?: () => void): void {
+  parts.forEach((part, at) => {
+    const fin = at === parts.length - 1
+    socket.send(part, { binary: true, fin }, fin ? onSent : undefined)
+  })
 }
 
 export function bytesOf (parts: readonly Uint8Array[]): number {
--- a/packages/node/src/direct/NodeLinks.test.ts
+++ b/packages/node/src/direct/NodeLinks.test.ts
@@ -5,6 +5,7 @@
 import * as random from '@elmpost/common/base/Random.js'
 import * as stallWatch from '@elmpost/common/direct/StallWatch.js'
 import * as test from 'node:test'
+import * as testBodies from './testing/Bodies.js'
 import * as testMesh from '../testing/TestMesh.js'
 import type * as direct from '@elmpost/common/direct/Types.js'
 import type * as services from './Services.js'
@@ -87,6 +88,7 @@
       stalls: this.stalls,
       random: new random.Random(1),
       host: this.host,
+      bodies: testBodies.newBodies(),
       linkMbps: 7,
       takesOffers: () => this.takesOffers,
       events: this
--- a/packages/node/src/direct/NodeLinks.ts
+++ b/packages/node/src/direct/NodeLinks.ts
@@ -6,6 +6,7 @@
 import * as outgoingLink from './OutgoingLink.js'
 import * as readAheads from '../ReadAhead.js'
 import type * as base from '@elmpost/common/base/Types.js'
+import type * as bodyMemory from './BodyMemory.js'
 import type * as direct from '@elmpost/common/direct/Types.js'
 import type * as services from './Services.js'
 import type * as stallWatch from '@elmpost/common/direct/StallWatch.js'
@@ -25,6 +26,7 @@
   readonly stalls: stallWatch.StallWatch
   readonly random: base.IRandom
   readonly host: services.IOfferedHost
+  readonly bodies: bodyMemory.BodyMemory
   /** Capacity of this VM's link, in Mbit/s; 0 if it is not known. */
   readonly linkMbps: number
   /** Whether the configuration has calls with long bodies, which other nodes may offer. */
@@ -186,6 +188,11 @@
     } else if (message.kind === 'body') {
       this._intake.deliver(link, message.callId, message.body)
       return
+    } else if (message.kind === 'body-part') {
+      // The buffers in which it was received.
+      this._limits.collector.recordRead(message.part.length)
+      this._intake.deliverPart(link, message.callId, message.part)
+      return
     }
     events.handleMessage(link.nodeId, message, reply => { link.send(reply) })
   }
@@ -203,7 +210,7 @@
     for (const link of this._incoming) {
       if (link.nodeId === '' || this._told.has(link)) continue
       this._told.add(link)
-      link.send({ kind: 'takes-offers' })
+      link.send({ kind: 'takes-offers', takesParts: true })
     }
   }
 
--- a/packages/node/src/direct/Offers.test.ts
+++ b/packages/node/src/direct/Offers.test.ts
@@ -1,9 +1,12 @@
 import * as assert from 'node:assert/strict'
+import * as blockBody from '../BlockBody.js'
+import * as linkCodec from './LinkCodec.js'
 import * as nodeLinks from './NodeLinks.js'
 import * as peerServer from '../PeerServer.js'
 import * as random from '@elmpost/common/base/Random.js'
 import * as stallWatch from '@elmpost/common/direct/StallWatch.js'
 import * as test from 'node:test'
+import * as testBodies from './testing/Bodies.js'
 import * as testMesh from '../testing/TestMesh.js'
 import * as timers from 'node:timers/promises'
 import type * as services from './Services.js'
@@ -26,6 +29,7 @@
       stalls: new stallWatch.StallWatch({ nowMs, timeOfDayMs: nowMs }),
       random: new random.Random(1),
       host: IDLE_HOST,
+      bodies: testBodies.newBodies(),
       linkMbps: 7,
       takesOffers: () => this.takesOffers,
       events
@@ -56,4 +60,36 @@
     host.links.dispose()
     server.dispose()
   })
+
+  // Guards against a long body that is lost between a node of this version and one of the version before, which takes no parts.
+  for (const takesParts of [true, false]) {
+    test.it(`bring the body ${takesParts ? 'in parts' : 'as one message'} to a host that ${takesParts ? 'takes them' : 'does not take parts'}`, { timeout: 10_000 }, async () => {
+      const codec = new linkCodec.LinkCodec()
+      const caller = new Peer('10.0.0.2:7380')
+      const received: linkCodec.LinkMessage[] = []
+      const server = new peerServer.PeerServer({
+        address: { host: '127.0.0.1', port: 0 },
+        onConnection: socket => {
+          socket.send(codec.encode({ kind: 'takes-offers', takesParts }))
+          socket.on('message', data => {
+            const message = codec.decode(data as Buffer).unwrap()
+            received.push(message)
+            if (message.kind === 'offer') socket.send(codec.encode({ kind: 'body-request', callId: message.call.callId }))
+          })
+        }
+      })
+      const hostId = `127.0.0.1:${await server.listen()}`
+      caller.links.connect(hostId)
+      await testMesh.waitUntil(() => (caller.links.traffic.totals('received')['takes-offers'] ?? 0) > 0)
+      const blocks = Array.from({ length: 5 }, (_, at) => Buffer.alloc(100_000, at))
+      const body = new blockBody.BlockBody(blocks)
+      caller.links.sendCall(hostId, { callId: 3, service: 'till', isIdempotent: false, priority: 1, remainingMs: 5_000, objectiveMs: 400, elapsedMs: 0, requestId: 'r', method: 'POST', path: '/', headers: [], body, isRetry: false, mayOfferBody: true })
+      const arrived = (): Uint8Array[] => received.flatMap(message => message.kind === 'body' ? [message.body as Uint8Array] : message.kind === 'body-part' ? [message.part] : [])
+      await testMesh.waitUntil(() => arrived().reduce((sum, { length }) => sum + length, 0) === body.length)
+      assert.ok(Buffer.concat(arrived()).equals(Buffer.concat(blocks)))
+      assert.equal(arrived().length > 1, takesParts)
+      caller.links.dispose()
+      server.dispose()
+    })
+  }
 })
--- a/packages/node/src/direct/OutgoingLink.ts
+++ b/packages/node/src/direct/OutgoingLink.ts
@@ -1,9 +1,9 @@
+import * as blockBody from '../BlockBody.js'
 import * as linkCodec from './LinkCodec.js'
 import * as linkParts from './LinkParts.js'
 import * as linkDelays from '@elmpost/common/direct/LinkDelay.js'
 import * as ws from 'ws'
 import type * as base from '@elmpost/common/base/Types.js'
-import type * as blockBody from '../BlockBody.js'
 import type * as linkTraffic from './LinkTraffic.js'
 import type * as types from './Types.js'
 
@@ -25,6 +25,10 @@
 const MAX_BUFFERED_BYTES = 8 * 1024 * 1024
 /** A body of at least this length is offered to the host, and sent when the host requests it. */
 const MIN_OFFERED_BYTES = 16 * 1024
+/** A body is sent in parts of this length, so that short messages do not wait behind a whole one, and its host collects it as it comes. */
+const PART_BYTES = 64 * 1024
+/** Parts of each body that the system has not taken yet. */
+const PARTS_AHEAD = 2
 /** Largest message: a call with the largest body that configurations allow. */
 export const MAX_MESSAGE_BYTES = 80 * 1024 * 1024
 
@@ -61,6 +65,7 @@
   /** Bodies that were offered and not requested, by call. */
   readonly offered: Map<number, blockBody.Body>
   takesOffers: boolean
+  takesParts: boolean
   readonly delay: linkDelays.LinkDelay
   isOpen: boolean
   connectingSinceMs: base.Millis
@@ -183,7 +188,7 @@
     if (this._isDisposed) return
     const nowMs = this._options.nowMs()
     const socket = new ws.WebSocket(`ws://${this.nodeId}/`, { perMessageDeflate: false, maxPayload: MAX_MESSAGE_BYTES, handshakeTimeout: CONNECT_TIMEOUT_MS, skipUTF8Validation: true, generateMask: linkParts.clearMask })
-    const connection: Connection = { socket, calls: new Set(), offered: new Map(), takesOffers: false, delay: new linkDelays.LinkDelay(this._options.nowMs), isOpen: false, connectingSinceMs: nowMs, receivedAtMs: nowMs, sentAtMs: nowMs, pingedAtMs: -Infinity }
+    const connection: Connection = { socket, calls: new Set(), offered: new Map(), takesOffers: false, takesParts: false, delay: new linkDelays.LinkDelay(this._options.nowMs), isOpen: false, connectingSinceMs: nowMs, receivedAtMs: nowMs, sentAtMs: nowMs, pingedAtMs: -Infinity }
     this._current = connection
     socket.binaryType = 'nodebuffer'
     socket.on('open', () => {
@@ -248,15 +253,27 @@
   private _handleOfferMessage (connection: Connection, message: linkCodec.LinkMessage): boolean {
     if (message.kind === 'takes-offers') {
       connection.takesOffers = true
+      connection.takesParts = message.takesParts
       return true
     }
     if (message.kind !== 'body-request') return false
     const body = connection.offered.get(message.callId)
     connection.offered.delete(message.callId)
-    if (body !== undefined) this._write(connection, { kind: 'body', callId: message.callId, body })
+    if (body !== undefined && connection.takesParts) this._sendParts(connection, message.callId, partsOf(body))
+    else if (body !== undefined) this._write(connection, { kind: 'body', callId: message.callId, body })
     return true
   }
 
+  private _sendParts (connection: Connection, callId: number, parts: Iterator<Uint8Array>): void {
+    const sendNext = (): void => {
+      // The call may have ended, or been taken back.
+      if (!connection.calls.has(callId) || connection.socket.readyState !== ws.WebSocket.OPEN) return
+      const next = parts.next()
+      if (next.done !== true) this._write(connection, { kind: 'body-part', callId, part: next.value }, sendNext)
+    }
+    for (let ahead = 0; ahead < PARTS_AHEAD; ahead++) sendNext()
+  }
+
   private _handleClose (connection: Connection): void {
     const callIds = [...connection.calls]
     connection.calls.clear()
@@ -272,10 +289,16 @@
     this._options.events.handleLost(this, callIds)
   }
 
-  private _write (connection: Connection, message: linkCodec.LinkMessage): void {
+  private _write (connection: Connection, message: linkCodec.LinkMessage, onSent?: () => void): void {
     connection.sentAtMs = this._options.nowMs()
     const parts = this._options.codec.encodeParts(message)
     this._options.traffic.recordSent(message.kind, linkParts.bytesOf(parts), connection.socket.bufferedAmount)
-    linkParts.send(connection.socket, parts)
+    linkParts.send(connection.socket, parts, onSent)
+  }
+}
+
+function * partsOf (body: blockBody.Body): Iterator<Uint8Array> {
+  for (const block of blockBody.blocksOf(body)) {
+    for (let at = 0; at < block.length; at += PART_BYTES) yield block.subarray(at, at + PART_BYTES)
   }
 }
