Count what is read before it is parsed, and bound incomplete heads on their own

5,000 callers that send 20 kB of a head at once and no end took the process to 221 MiB of resident memory (187 MiB with 11 kB), where the smallest VM has 178 MB; 220 MB were seen before, on another machine.

Cause: such input was bounded by 48 MiB, and counted when it was parsed. It takes its length twice, in the buffer that was read and in the parser, and a connection below 12 KiB was never closed for it.

Input counts as it is read. What belongs to no body is bounded by 16 MiB (`maxIncompleteBytes`); above it the connection that holds most is closed, however little that is. Buffers that had to wait for their turn are old when they are done with, so they count for a whole collection.

--- a/packages/node/src/ConnectionLimits.ts
+++ b/packages/node/src/ConnectionLimits.ts
@@ -31,6 +31,8 @@
   readonly maxUnreadBytes: number
   /** Most bytes of requests, answers and incomplete input of all connections together. */
   readonly maxHeldBytes: number
+  /** Most bytes of requests that have been read in part, without bodies whose memory is bounded elsewhere. */
+  readonly maxIncompleteBytes: number
   /** Most bytes of requests alone, which are objects on the heap of the process. */
   readonly maxRequestBytes: number
   /** A connection whose peer reads nothing of the answers for this time is closed. */
@@ -55,6 +57,7 @@
   maxWaitingRequests: 256,
   maxUnreadBytes: 1024 * 1024,
   maxHeldBytes: 48 * 1024 * 1024,
+  maxIncompleteBytes: 16 * 1024 * 1024,
   maxRequestBytes: Math.round(v8.getHeapStatistics().heap_size_limit * REQUEST_HEAP_SHARE),
   unreadTimeoutMs: 30_000,
   maxConnections: 8_192,
@@ -75,8 +78,13 @@
   readonly heldBytes: number
 }
 
-/** What connections hold memory for. */
-type Kind = 'requests' | 'answers' | 'input'
+/**
+ * What connections hold memory for. `input` are bytes of bodies that have not been parsed; `incomplete` are requests without
+ * their end: what has not been parsed, heads, and bodies that the listener keeps.
+ */
+type Kind = 'requests' | 'answers' | 'input' | 'incomplete'
+
+const KINDS: readonly Kind[] = ['requests', 'answers', 'input', 'incomplete']
 
 interface WaitingRequest {
   readonly requestBytes: number
@@ -93,7 +101,9 @@
 interface Connection {
   readonly socket: net.Socket
   readonly listener: string
-  readonly maxInputBytes: number
+  readonly maxHeadBytes: number
+  /** Longest body that the listener keeps while it is incomplete. */
+  readonly maxBodyBytes: number
   /** Requests whose answers are not handed to the system. */
   readonly waiting: Map<http.ServerResponse, WaitingRequest>
   readonly held: Record<Kind, number>
@@ -117,7 +127,7 @@
   public readonly onClosed: base.IEvent<LimitedConnection>
   private readonly _closed = new emitter.Emitter<LimitedConnection>()
   private readonly _connections = new Map<net.Socket, Connection>()
-  private readonly _held: Record<Kind, number> = { requests: 0, answers: 0, input: 0 }
+  private readonly _held: Record<Kind, number> = { requests: 0, answers: 0, input: 0, incomplete: 0 }
   /** Connections from which nothing is read at present, longest first. */
   private readonly _stopped = new Set<Connection>()
   private readonly _closedCounts: Record<LimitReason, number> = { unread: 0, memory: 0, count: 0, body: 0 }
@@ -132,7 +142,7 @@
   }
 
   public get heldBytes (): number {
-    return this._held.requests + this._held.answers + this._held.input
+    return sumOf(this._held)
   }
 
   public get gauges (): directServices.ConnectionGauges {
@@ -150,11 +160,11 @@
    * is incomplete; 0 if its memory is bounded elsewhere. `maxRestBytes`: most that is read of a body after its answer.
    */
   public attach (server: http.Server, listener: string, maxBodyBytes: number, handle: http.RequestListener, maxRestBytes = this.terms.maxRestBytes): void {
-    const { maxConnections, unreadTimeoutMs, maxHeaderBytes } = this.terms
+    const { maxConnections, unreadTimeoutMs } = this.terms
     server.maxConnections = maxConnections
     server.timeout = unreadTimeoutMs
     server.on('drop', data => { this.recordClosed({ listener, reason: 'count', remoteAddress: data?.remoteAddress, waitingRequests: 0, heldBytes: 0 }) })
-    server.on('connection', socket => { this._add(socket, listener, maxHeaderBytes + maxBodyBytes, maxRestBytes) })
+    server.on('connection', socket => { this._add(socket, listener, maxBodyBytes, maxRestBytes) })
     server.on('timeout', socket => { this._handleTimeout(socket) })
     server.on('request', (request, response) => { if (this._admit(request, response)) handle(request, response) })
     server.on('checkExpectation', (request, response) => { if (this._admit(request, response)) response.writeHead(417).end() })
@@ -168,7 +178,7 @@
     this._stopped.delete(connection)
     connection.feed.dispose()
     connection.waiting.clear()
-    for (const kind of ['requests', 'answers', 'input'] as const) this._held[kind] -= connection.held[kind]
+    for (const kind of KINDS) this._held[kind] -= connection.held[kind]
   }
 
   /** Counts and reports a connection that another part of the process closes for its limits. */
@@ -193,6 +203,7 @@
     for (const connection of this._connections.values()) {
       if (this._ticks % DECAY_TICKS === 0) this._scheduler.decay(connection.feed)
       if (this._hasLongRest(connection)) this._close(connection, 'body')
+      this._measureInput(connection)
       for (const response of connection.waiting.keys()) this._measure(connection, response)
     }
     this._relieve()
@@ -204,9 +215,9 @@
     this._scheduler.dispose()
   }
 
-  private _add (socket: net.Socket, listener: string, maxInputBytes: number, maxRestBytes: number): void {
-    const feed = new requestFeed.RequestFeed({ socket, scheduler: this._scheduler, nextBytes: () => this._nextBytes(connection), onRead: bytes => { this.collector.recordRead(bytes) } })
-    const connection: Connection = { feed, socket, listener, maxInputBytes, maxRestBytes, rest: undefined, waiting: new Map(), held: { requests: 0, answers: 0, input: 0 }, last: undefined, readBytes: 0 }
+  private _add (socket: net.Socket, listener: string, maxBodyBytes: number, maxRestBytes: number): void {
+    const feed = new requestFeed.RequestFeed({ socket, scheduler: this._scheduler, nextBytes: () => this._nextBytes(connection), onRead: bytes => { this._handleRead(connection, bytes) }, onReleased: bytes => { this.collector.recordReleased(bytes) } })
+    const connection: Connection = { feed, socket, listener, maxHeadBytes: this.terms.maxHeaderBytes, maxBodyBytes, maxRestBytes, rest: undefined, waiting: new Map(), held: { requests: 0, answers: 0, input: 0, incomplete: 0 }, last: undefined, readBytes: 0 }
     this._connections.set(socket, connection)
     socket.once('close', () => { this.release(socket) })
   }
@@ -217,7 +228,7 @@
     // Node.js parses the rest of a read after the connection was closed.
     if (connection === undefined) return false
     connection.readBytes = request.socket.bytesRead - connection.feed.restBytes
-    this._setHeld(connection, 'input', connection.feed.restBytes)
+    this._measureInput(connection)
     if (connection.last !== undefined) this._measure(connection, connection.last)
     const requestBytes = REQUEST_BYTES + headBytes(request)
     connection.waiting.set(response, { requestBytes, answerBytes: 0 })
@@ -242,7 +253,7 @@
     // A body that was received behind the head is no incomplete input.
     if (connection.waiting.size === 0) {
       connection.readBytes = connection.socket.bytesRead - connection.feed.restBytes
-      this._setHeld(connection, 'input', connection.feed.restBytes)
+      this._measureInput(connection)
     }
     this._resume(RESUMED_PER_ANSWER)
   }
@@ -255,6 +266,22 @@
     request.answerBytes = answerBytes
   }
 
+  /** What was read may wait for its turn to be parsed. */
+  private _handleRead (connection: Connection, lengthBytes: number): void {
+    this.collector.recordRead(lengthBytes)
+    this._measureInput(connection)
+    this._relieve()
+  }
+
+  private _measureInput (connection: Connection): void {
+    const { socket, feed, readBytes, last, rest, maxHeadBytes, maxBodyBytes } = connection
+    const unparsedBytes = feed.restBytes + socket.readableLength
+    const isInBody = rest !== undefined || last?.req.complete === false
+    const parsedBytes = Math.max(0, socket.bytesRead - readBytes - unparsedBytes)
+    this._setHeld(connection, 'input', isInBody ? unparsedBytes : 0)
+    this._setHeld(connection, 'incomplete', isInBody ? Math.min(parsedBytes, maxBodyBytes) : unparsedBytes + Math.min(parsedBytes, maxHeadBytes))
+  }
+
   private _setHeld (connection: Connection, kind: Kind, bytes: number): void {
     this._held[kind] += bytes - connection.held[kind]
     connection.held[kind] = bytes
@@ -278,8 +305,8 @@
       return 0
     }
     const isScarce = this._held.requests > this.terms.maxRequestBytes * SCARCE_SHARE
-    const { waiting, last, socket, feed, readBytes, maxInputBytes } = connection
-    this._setHeld(connection, 'input', feed.restBytes + Math.min(socket.bytesRead - readBytes - feed.restBytes, maxInputBytes))
+    const { waiting, last, socket } = connection
+    this._measureInput(connection)
     this._relieve()
     // This connection may have been closed.
     if (!this._connections.has(socket)) return 0
@@ -315,7 +342,7 @@
     if (connection === undefined) return
     if (socket.writableLength > 0) this._close(connection, 'unread')
     // A request whose head is complete is waiting.
-    else if (connection.waiting.size === 0 && (connection.readBytes > 0 || connection.held.input > 0)) socket.destroy()
+    else if (connection.waiting.size === 0 && (connection.readBytes > 0 || connection.held.input + connection.held.incomplete > 0)) socket.destroy()
   }
 
   /** Closes connections while all together hold too much: those that hold most of the kind that takes the most memory. */
@@ -323,7 +350,7 @@
     for (let kind = this._excess; kind !== undefined && !this._isExhausted; kind = this._excess) {
       let largest: Connection | undefined
       for (const connection of this._connections.values()) {
-        if (totalOf(connection) > MIN_CLOSED_BYTES && connection.held[kind] > (largest?.held[kind] ?? 0)) largest = connection
+        if ((kind === 'incomplete' || sumOf(connection.held) > MIN_CLOSED_BYTES) && connection.held[kind] > (largest?.held[kind] ?? 0)) largest = connection
       }
       if (largest === undefined) this._isExhausted = true
       else this._close(largest, 'memory')
@@ -332,27 +359,27 @@
 
   /** Kind of which less has to be held; undefined if the bounds are met. */
   private get _excess (): Kind | undefined {
-    const { maxHeldBytes, maxRequestBytes } = this.terms
+    const { maxHeldBytes, maxRequestBytes, maxIncompleteBytes } = this.terms
     if (this._held.requests > maxRequestBytes) return 'requests'
+    if (this._held.incomplete > maxIncompleteBytes) return 'incomplete'
     return this.heldBytes > maxHeldBytes ? largestOf(this._held) : undefined
   }
 
   private _close (connection: Connection, reason: LimitReason): void {
     const { socket, listener, waiting } = connection
-    this.recordClosed({ listener, reason, remoteAddress: socket.remoteAddress, waitingRequests: waiting.size, heldBytes: totalOf(connection) })
+    this.recordClosed({ listener, reason, remoteAddress: socket.remoteAddress, waitingRequests: waiting.size, heldBytes: sumOf(connection.held) })
     this.release(socket)
     // A peer that reads nothing would not take what the system still holds for it.
     socket.resetAndDestroy()
   }
 }
 
-function totalOf ({ held }: Connection): number {
-  return held.requests + held.answers + held.input
+function sumOf (held: Readonly<Record<Kind, number>>): number {
+  return held.requests + held.answers + held.input + held.incomplete
 }
 
-function largestOf ({ requests, answers, input }: Readonly<Record<Kind, number>>): Kind {
-  if (requests >= answers && requests >= input) return 'requests'
-  return answers >= input ? 'answers' : 'input'
+function largestOf (held: Readonly<Record<Kind, number>>): Kind {
+  return KINDS.reduce((largest, kind) => held[kind] > held[largest] ? kind : largest)
 }
 
 function headBytes ({ url = '', rawHeaders }: http.IncomingMessage): number {
--- a/packages/node/src/RequestFeed.ts
+++ b/packages/node/src/RequestFeed.ts
@@ -9,6 +9,8 @@
   readonly nextBytes: () => number
   /** Bytes have been read from the connection into a buffer of their own. */
   readonly onRead: (lengthBytes: number) => void
+  /** A buffer that was kept until its turn has been parsed. */
+  readonly onReleased: (lengthBytes: number) => void
 }
 
 /**
@@ -24,8 +26,9 @@
   private readonly _pauseSocket: () => net.Socket
   private readonly _resumeSocket: () => net.Socket
   private readonly _handleData = (chunk: Buffer): void => {
-    this._options.onRead(chunk.length)
     this._rest = this._rest === undefined ? chunk : Buffer.concat([this._rest, chunk])
+    // This connection may be closed for it.
+    this._options.onRead(chunk.length)
     this._continue()
   }
 
@@ -34,6 +37,7 @@
   private _isStopped = false
   /** Its input waits for its turn. */
   private _isWaiting = false
+  private _waitingBytes = 0
   /** Node.js has paused the connection, and resumes it itself. Its parser must get nothing meanwhile. */
   private _isParserPaused = false
   private _isParsing = false
@@ -98,11 +102,13 @@
 
   public handleWait (): void {
     this._isWaiting = true
+    this._waitingBytes = this.restBytes
     this._pauseSocket()
   }
 
   public handleIdle (): void {
     this._isWaiting = false
+    this._options.onReleased(this._waitingBytes)
     this._continue()
   }
 
