Release the memory of a body whose caller leaves before its end

Whatever ends the reading of a body releases its blocks now. The new case of Ingress.test.ts fails without that (trial with the line taken out).

A connection that is closed in a tick is not measured again in it, which would have counted for a connection that is gone; no test shows that one. The new case of ConnectionLimits.test.ts covers the closing itself.

--- a/packages/node/src/ConnectionLimits.test.ts
+++ b/packages/node/src/ConnectionLimits.test.ts
@@ -180,6 +180,23 @@
     assert.deepEqual(closed.map(({ reason }) => reason), ['body'])
   })
 
+  // Guards against callers that stop short of the end of a body that has been answered, and keep their connections.
+  test.it('closes a connection whose body has not ended long after its answer', async () => {
+    await start({ unreadTimeoutMs: 100 }, (request, response) => {
+      response.end(request.url)
+      request.pause()
+    })
+    const slow = connect('POST /slow HTTP/1.1\r\nHost: a\r\nContent-Length: 1000000\r\n\r\n')
+    await until(() => slow.received.includes('/slow'))
+    slow.socket.write('x'.repeat(150_000))
+    await until(() => limits.heldBytes > 0)
+    await until(() => {
+      limits.tick()
+      return slow.isClosed
+    })
+    assert.deepEqual([closed.map(({ reason }) => reason), limits.heldBytes], [['body'], 0])
+  })
+
   // Guards against a limit that callers within the terms of the platform meet.
   test.it('takes 100 requests sent ahead, and heads of 16 KiB, with the default terms', async () => {
     await start(connectionLimits.DEFAULT_TERMS)
--- a/packages/node/src/ConnectionLimits.ts
+++ b/packages/node/src/ConnectionLimits.ts
@@ -202,7 +202,10 @@
     this._ticks += 1
     for (const connection of this._connections.values()) {
       if (this._ticks % DECAY_TICKS === 0) this._scheduler.decay(connection.feed)
-      if (this._hasLongRest(connection)) this._close(connection, 'body')
+      if (this._hasLongRest(connection)) {
+        this._close(connection, 'body')
+        continue
+      }
       this._measureInput(connection)
       for (const response of connection.waiting.keys()) this._measure(connection, response)
     }
--- a/packages/node/src/direct/Ingress.test.ts
+++ b/packages/node/src/direct/Ingress.test.ts
@@ -6,6 +6,7 @@
 import * as test from 'node:test'
 import * as testBodies from './testing/Bodies.js'
 import * as timers from 'node:timers/promises'
+import type * as bodyMemory from './BodyMemory.js'
 import type * as services from './Services.js'
 
 const DIALECT = { readRequest: () => ({ requestId: '', remainingMs: 1000 }), answerHeaders: () => [] } as unknown as services.ICallDialect
@@ -45,13 +46,17 @@
     await until(() => owner.begun.length === paths.length)
   }
 
+  async function listen (bodies: bodyMemory.BodyMemory): Promise<void> {
+    ingress = new ingresses.Ingress({ address: { host: '127.0.0.1', port: 0 }, bodies, owner, dialect: DIALECT, nowMs: () => performance.now(), onAcceptsEnd: () => {}, onBodyLate: exchange => { late.push(exchange.path) }, onBodyRefused: exchange => { refused.push(exchange.path) }, onDropped: exchange => { dropped.push(exchange.path) } })
+    port = await ingress.listen()
+  }
+
   test.beforeEach(async () => {
     owner = new FakeOwner()
     dropped = []
     refused = []
     late = []
-    ingress = new ingresses.Ingress({ address: { host: '127.0.0.1', port: 0 }, bodies: testBodies.newBodies(), owner, dialect: DIALECT, nowMs: () => performance.now(), onAcceptsEnd: () => {}, onBodyLate: exchange => { late.push(exchange.path) }, onBodyRefused: exchange => { refused.push(exchange.path) }, onDropped: exchange => { dropped.push(exchange.path) } })
-    port = await ingress.listen()
+    await listen(testBodies.newBodies())
     client = net.connect(port, '127.0.0.1')
     client.on('error', () => {})
   })
@@ -231,6 +236,29 @@
       assert.equal(new Set(refused).size, refused.length)
     })
 
+    // Guards against bodies of callers that have left, which stay in memory as garbage beside those of the next ones.
+    test.it('leave their memory to the next ones when their callers leave', async () => {
+      const bodies = testBodies.newBodies()
+      const newBlocks = bodies.newBlocks.bind(bodies)
+      let cleared = 0
+      bodies.newBlocks = () => {
+        const blocks = newBlocks()
+        const clear = blocks.clear.bind(blocks)
+        blocks.clear = () => {
+          cleared += blocks.lengthBytes
+          clear()
+        }
+        return blocks
+      }
+      ingress.dispose()
+      await listen(bodies)
+      sendUnfinished('/left')
+      await until(() => ingress.bodyBytes === BODY_BYTES - 1)
+      clients[0]?.destroy()
+      await until(() => cleared > 0)
+      assert.deepEqual([cleared, ingress.bodyBytes], [BODY_BYTES - 1, 0])
+    })
+
     test.it('are forgotten when their requests are answered or their callers leave', async () => {
       sendUnfinished('/long/1')
       sendUnfinished('/long/2')
--- a/packages/node/src/direct/Ingress.ts
+++ b/packages/node/src/direct/Ingress.ts
@@ -143,7 +143,7 @@
 
   /** Releases what is held for a request that has its answer, or whose caller has left. */
   public forget (exchange: IngressExchange): void {
-    this._reading.delete(exchange)
+    if (this._reading.delete(exchange)) exchange.abandonBody()
     this._options.bodies.remove(exchange)
     this._options.bodies.release(exchange.body)
     exchange.body = undefined
@@ -195,7 +195,6 @@
   /** Refuses a request whose body is being read. The rest of it is discarded: a close would reset the connection, and the answer might be lost. */
   private _refuseUnread (exchange: IngressExchange, answer: direct.OwnAnswer): void {
     this.forget(exchange)
-    exchange.abandonBody()
     exchange.refuse(answer)
   }
 
