--- a/packages/node/src/BufferCollector.test.ts
+++ b/packages/node/src/BufferCollector.test.ts
@@ -18,6 +18,10 @@
     for (let at = 0; at < 4; at++) collector.recordReleased(SLACK_BYTES)
     await timers.setImmediate()
     assert.ok(collected.includes('major'))
+    collected.length = 0
+    // At once, because many connections may be closed in one turn of the event loop.
+    for (let at = 0; at < 4; at++) collector.recordDropped(SLACK_BYTES)
+    assert.ok(collected.length >= 2)
   })
 
   test.it('frees buffers that nothing refers to', async () => {
--- a/packages/node/src/BufferCollector.ts
+++ b/packages/node/src/BufferCollector.ts
@@ -2,7 +2,7 @@
 import * as vm from 'node:vm'
 
 /** Bytes of buffers that may be garbage at the same time, by age. A collection of young ones takes about a millisecond. */
-const MAX_READ_BYTES = 4 * 1024 * 1024
+const MAX_READ_BYTES = 2 * 1024 * 1024
 const MAX_RELEASED_BYTES = 16 * 1024 * 1024
 
 type Collect = (options: { readonly type: 'minor' | 'major' }) => void
@@ -28,13 +28,21 @@
     this._collect({ type: 'minor' })
   }
 
-  /** Buffers that have been in use for longer are not needed any more. */
+  /** Buffers that have been in use for longer are not needed any more when the present work has ended. */
   public recordReleased (bytes: number): void {
+    if (this._isReleasedDue(bytes)) setImmediate(() => { this._collect({ type: 'major' }) })
+  }
+
+  /** Nothing refers to such buffers any more. Many may be dropped in one turn of the event loop. */
+  public recordDropped (bytes: number): void {
+    if (this._isReleasedDue(bytes)) this._collect({ type: 'major' })
+  }
+
+  private _isReleasedDue (bytes: number): boolean {
     this._releasedBytes += bytes
-    if (this._releasedBytes < MAX_RELEASED_BYTES) return
+    if (this._releasedBytes < MAX_RELEASED_BYTES) return false
     this._releasedBytes = 0
-    // When their last user has ended as well.
-    setImmediate(() => { this._collect({ type: 'major' }) })
+    return true
   }
 }
 
--- a/packages/node/src/ConnectionLimits.ts
+++ b/packages/node/src/ConnectionLimits.ts
@@ -179,6 +179,7 @@
     connection.feed.dispose()
     connection.waiting.clear()
     for (const kind of KINDS) this._held[kind] -= connection.held[kind]
+    this.collector.recordDropped(connection.held.input + connection.held.incomplete)
   }
 
   /** Counts and reports a connection that another part of the process closes for its limits. */
