Give the stand-ins of the platform and the harness ports of their own

Only the listener for other nodes answers so, and the soak's callers have another address: they had reached another process.

Cause that fits: the harness claims ports in blocks, so that processes of one run keep theirs while they are down. The tests of the platform run at the same time and took any free port of the same range.

The two have ranges of their own now.

--- a/packages/testbed/src/harness/ports.ts
+++ b/packages/testbed/src/harness/ports.ts
@@ -4,9 +4,10 @@
 
 /**
  * Ports below the range that Linux assigns to outgoing connections (32768 and up). An outgoing connection could take a
- * port of that range after it was chosen here and before a process listens on it.
+ * port of that range after it was chosen here and before a process listens on it. The stand-ins of the platform have those
+ * below, because their nodes would take the port of a process of the soak that is down for a moment.
  */
-const FIRST_PORT = 10_000
+const FIRST_PORT = 15_000
 const END_PORT = 32_000
 /** A process claims ports in blocks and listens on the first port of each, so that other runs on the machine skip the block. */
 const BLOCK_PORTS = 100
