Say when to return with a body that did not arrive in time

The 408 for a late body had no Retry-After, which every other refusal before a run has. The case of Ingress.test.ts that asks for it failed before (the header was not sent) and passes now.

--- a/packages/node/src/direct/Ingress.test.ts
+++ b/packages/node/src/direct/Ingress.test.ts
@@ -191,7 +191,7 @@
           ingress.tick()
           return late.length > 0 && clients[0]?.destroyed === true
         })
-        assert.match(stopped.answer, /^HTTP\/1\.1 408 [^]*Elmpost-Outcome: not-run[^]*Connection: close/)
+        assert.match(stopped.answer, /^HTTP\/1\.1 408 [^]*Elmpost-Outcome: not-run[^]*Retry-After: 0\.500[^]*Connection: close/)
         assert.deepEqual([late, ingress.bodyBytes, owner.begun.length], [['/stopped'], 0, 0])
       })
     }
--- a/packages/node/src/direct/Ingress.ts
+++ b/packages/node/src/direct/Ingress.ts
@@ -25,7 +25,7 @@
 /** Limit of request bodies before a configuration sets one. */
 const DEFAULT_MAX_BODY_BYTES = 64 * 1024 * 1024
 const MS_PER_S = 1000
-/** Wait of a caller whose body did not fit into the memory. Most calls that hold some of it have ended by then. */
+/** Wait of a caller whose body did not fit into the memory, or did not arrive in time. Most calls that hold memory have ended by then. */
 const BODY_RETRY_MS = 500
 /** A caller's close stands behind its request, and Node.js reads it one turn of the event loop later. */
 const READ_AHEAD_TURNS = 2
@@ -137,7 +137,7 @@
       if (!exchange.isBodyLate(this._idleTimeoutMs)) continue
       this._options.onBodyLate(exchange, exchange.waitedMs)
       exchange.closeAfterAnswer()
-      this._refuseUnread(exchange, refusal('body-late'))
+      this._refuseUnread(exchange, refusal('body-late', BODY_RETRY_MS))
     }
   }
 
