Log an offer that a host refuses because its memory is full of callers' bodies

The refusal reached the entry node as busy, and no line of the host told of it, unlike every other refusal of an offer (run-refused). The case of BodyIntake.test.ts asks for the report; it could not be asked for before.

--- a/packages/node/src/direct/BodyIntake.test.ts
+++ b/packages/node/src/direct/BodyIntake.test.ts
@@ -22,6 +22,7 @@
   public remainingMs = 0
   public arrival: direct.HostRefusal | undefined
   public readonly transfersMs: number[] = []
+  public readonly reported: string[] = []
 
   public accept (caller: services.IHostCaller, accepted: types.CallMessage): void {
     this.accepted.push({ caller, call: accepted })
@@ -34,6 +35,10 @@
 
   public abandon (): void {}
 
+  public recordRefusal ({ callId }: types.CallMessage, { reason }: direct.HostRefusal): void {
+    this.reported.push(`${callId} ${reason}`)
+  }
+
   public refusalAtArrival ({ remainingMs }: types.CallMessage): direct.HostRefusal | undefined {
     this.remainingMs = remainingMs
     return remainingMs <= 0 ? { reason: 'deadline', reachedTarget: false, waitMs: 0 } : this.arrival
@@ -208,6 +213,8 @@
       bodies.complete(holder)
       intake.offer(from, call(1), LONG_BYTES)
       assert.deepEqual(results.map(result => result.kind === 'refused' ? result.refusal.reason : result.kind), ['busy'])
+      // Otherwise no line of the host's log would tell of it.
+      assert.deepEqual(host.reported, ['1 busy'])
       bodies.remove(holder)
       intake.offer(from, call(2), LONG_BYTES)
       assert.deepEqual(requested, [2])
--- a/packages/node/src/direct/BodyIntake.ts
+++ b/packages/node/src/direct/BodyIntake.ts
@@ -60,6 +60,7 @@
     const { host, nodeId, nowMs, bodies } = this._options
     const offeredAtMs = nowMs()
     const full: direct.HostRefusal | undefined = bodies.isFullOfCallers(lengthBytes) ? { reason: 'busy', reachedTarget: false, waitMs: FULL_WAIT_MS } : undefined
+    if (full !== undefined) host.recordRefusal(call, full)
     const refusal = full ?? host.refusalOf(call, this._transfers.expectedMs({ lengthBytes, priority: call.priority }, offeredAtMs))
     if (refusal !== undefined) {
       from.handleHostResult(nodeId, call.callId, { kind: 'refused', refusal }, host.load)
--- a/packages/node/src/direct/NodeLinks.test.ts
+++ b/packages/node/src/direct/NodeLinks.test.ts
@@ -47,6 +47,8 @@
     return false
   }
 
+  public recordRefusal (): void {}
+
   public abandon (): void {}
 
   public refusalAtArrival (): undefined {
--- a/packages/node/src/direct/Services.ts
+++ b/packages/node/src/direct/Services.ts
@@ -105,6 +105,8 @@
 
 /** A node that accepts the heads of calls with long bodies first. */
 export interface IOfferedHost extends IHost {
+  /** Reports that a call was refused before the host was asked. */
+  recordRefusal(call: types.CallMessage, refusal: direct.HostRefusal): void
   readonly load: direct.TargetLoad
   /** Refusal of a call that the host takes in no case now. */
   refusalAtArrival(call: types.CallMessage): direct.HostRefusal | undefined
--- a/packages/node/src/direct/TargetHost.ts
+++ b/packages/node/src/direct/TargetHost.ts
@@ -128,6 +128,10 @@
     return this._logged(message, { reason, reachedTarget: false, waitMs: waitMs ?? 0 })
   }
 
+  public recordRefusal (message: types.CallMessage, refusal: direct.HostRefusal): void {
+    this._logged(message, refusal)
+  }
+
   /** Drops a waiting call. A running call is aborted if it is idempotent; otherwise it runs to its end. */
   public cancel (caller: services.IHostCaller, callId: number): boolean {
     const call = this._callsByCaller.get(caller)?.get(callId)
